--- /dev/null
+++ b/core/control/control.go
@@ -0,0 +1,225 @@
+// Package control is the daemon's control state as a pure step function: events
+// go in, effects come out. It composes replay, the lease, the witness role, the
+// sealing of lapsed owners, the rights to own shards, and planning.
+//
+// State is owned by one goroutine. Instants are of this host's boot clock.
+package control
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// Options are the fixed inputs of a control state.
+type Options struct {
+	Slot        string
+	DataCentre  string
+	Region      string
+	PeerAddr    string
+	WitnessAddr string
+	EntryAddr   string
+
+	Lease     lease.Params
+	Settle    time.Duration // wait for other slots before the first join
+	Witnesses int           // wanted size of the witness set, odd
+
+	Rand *rand.Rand // source of record ids and jitter
+}
+
+// State is the control state of one daemon.
+type State struct {
+	opts    Options
+	started clock.Instant
+	now     clock.Instant
+	effects []Effect
+
+	fold      *fold.State
+	history   *fleet.History
+	caughtUp  bool // the placement stream was read to its head once
+	freshness map[string]clock.Instant
+
+	witness *lease.Witness
+	member  membership
+	rights  map[view.ShardID]*right
+	sealers map[uint64]*sealing
+	outbox  *outbox
+	planner planner
+
+	cell     *view.LeaseCell
+	dirty    bool
+	stopping bool
+	left     bool
+}
+
+// New returns the control state of a daemon that started at now.
+func New(opts Options, now clock.Instant) *State {
+	s := &State{
+		opts:      opts,
+		started:   now,
+		now:       now,
+		fold:      fold.New(),
+		history:   fleet.NewHistory(),
+		freshness: map[string]clock.Instant{},
+		witness:   lease.NewWitness(opts.Lease, now),
+		rights:    map[view.ShardID]*right{},
+		sealers:   map[uint64]*sealing{},
+		outbox:    newOutbox(),
+		cell:      new(view.LeaseCell),
+		dirty:     true,
+	}
+	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
+	return s
+}
+
+// Step takes in one event at now and returns the effects to carry out, in
+// order. The slice is valid until the next call.
+func (s *State) Step(now clock.Instant, ev Event) []Effect {
+	if now > s.now {
+		s.now = now
+	}
+	s.effects = s.effects[:0]
+	s.checkLease()
+	s.handle(ev)
+	if s.dirty {
+		s.dirty = false
+		s.emit(Publish{View: s.buildView()})
+	}
+	return s.effects
+}
+
+func (s *State) handle(ev Event) {
+	switch e := ev.(type) {
+	case Tick:
+		s.tick()
+	case Records:
+		s.takeRecords(e)
+	case Datagram:
+		s.takeDatagram(e.Msg)
+	case BackendUp:
+		s.backendUp(e)
+	case BackendDown:
+		s.backendDown(e)
+	case Suspicion:
+		s.suspect(e.Incarnation, "request failed")
+	case ReleaseReceived:
+		s.releaseReceived(e)
+	case ReleaseAnswered:
+		s.releaseAnswered(e)
+	case Quiesced:
+		s.quiesced(e)
+	case Shutdown:
+		s.shutdown()
+	}
+}
+
+func (s *State) tick() {
+	s.tickMembership()
+	s.tickWitness()
+	s.tickSealers()
+	s.tickRights()
+	s.tickPlanner()
+	s.tickOutbox()
+	s.tickShutdown()
+}
+
+func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
+
+func (s *State) decide(d Decision) { s.emit(d) }
+
+// placementStream returns the stream of this daemon's region.
+func (s *State) placementStream() string { return logstream.PlacementStream(s.opts.Region) }
+
+func (s *State) takeRecords(e Records) {
+	if e.Stream == logstream.ConfigStream {
+		s.takeConfig(e)
+		return
+	}
+	if e.Stream != s.placementStream() {
+		return
+	}
+	for _, entry := range e.Entries {
+		s.takePlacementRecord(entry)
+	}
+	if e.AsOf != 0 && s.fold.Next >= e.Next {
+		s.caughtUp = true
+		s.freshness[e.Stream] = max(s.freshness[e.Stream], e.AsOf)
+	}
+}
+
+func (s *State) takePlacementRecord(entry logstream.Entry) {
+	if entry.Offset < s.fold.Next {
+		return
+	}
+	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
+	if rec != nil {
+		s.outbox.seen(rec.GetId())
+	}
+	if !verdict.Accepted {
+		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
+		return
+	}
+	s.dirty = true
+	if join := rec.GetJoin(); join != nil {
+		s.joinSeen(entry.Offset, rec.GetId())
+	}
+	s.followPlacement()
+}
+
+func (s *State) takeConfig(e Records) {
+	for _, entry := range e.Entries {
+		if entry.Offset < s.history.Next {
+			continue
+		}
+		_, verdict := s.history.Apply(entry.Offset, entry.Data)
+		if !verdict.Accepted {
+			s.decide(Decision{Action: "reject_configuration", Reason: verdict.Reason})
+			continue
+		}
+		s.decide(Decision{Action: "configuration", Generation: verdict.Version})
+		s.configChanged()
+	}
+	if e.AsOf != 0 && s.history.Next >= e.Next && e.AsOf > s.freshness[e.Stream] {
+		s.freshness[e.Stream] = e.AsOf
+		s.dirty = true
+	}
+}
+
+func (s *State) configChanged() {
+	s.dirty = true
+	for name, svc := range s.history.Config.Services {
+		if svc.Region == s.opts.Region {
+			s.fold.EnsureService(name, svc.Shards)
+		}
+	}
+}
+
+// self returns this daemon's member, or nil before its join record is read.
+func (s *State) self() *fold.Member {
+	if s.member.incarnation == 0 {
+		return nil
+	}
+	return s.fold.Members[s.member.incarnation]
+}
+
+// leaseHeld reports whether this daemon holds its lease.
+func (s *State) leaseHeld() bool {
+	return s.member.holder != nil && s.member.holder.Deadline(s.now) > s.now
+}
+
+// sendTo sends a witness message to a slot, if its address is known.
+func (s *State) sendTo(slot string, msg *wire.Datagram) {
+	target, ok := s.fold.Slots[slot]
+	if !ok {
+		return
+	}
+	msg.From = s.opts.Slot
+	s.emit(SendDatagram{Addr: target.WitnessAddr, Msg: msg})
+}
--- /dev/null
+++ b/core/control/events.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// Event is an input of the control state.
+type Event interface{ event() }
+
+// Tick lets time-driven work happen. It comes every TickInterval.
+type Tick struct{}
+
+// Records carries entries read from a stream, in order, by a reader or from a
+// peer. When AsOf is not zero, Next was the head of the stream at AsOf.
+type Records struct {
+	Stream  string
+	Entries []logstream.Entry
+	Next    uint64
+	AsOf    clock.Instant
+}
+
+// Datagram is a message of the witness protocol.
+type Datagram struct{ Msg *wire.Datagram }
+
+// BackendUp is the announcement of the backend server beside this daemon.
+type BackendUp struct {
+	Name        string
+	Service     string
+	Addr        string
+	Slots       uint32
+	ChecksFence bool
+}
+
+// BackendDown tells that the backend server is gone or is about to leave.
+type BackendDown struct{ Reason string }
+
+// Suspicion tells that a request to an incarnation's daemon failed.
+type Suspicion struct{ Incarnation uint64 }
+
+// ReleaseReceived is a release message from an owner. Ticket ties the answer.
+type ReleaseReceived struct {
+	Msg    *wire.Release
+	Ticket uint64
+}
+
+// ReleaseAnswered is a standby's answer to this daemon's release message, or
+// an error when none came.
+type ReleaseAnswered struct {
+	Shard      view.ShardID
+	Generation uint64
+	Accepted   bool
+	Reason     string
+}
+
+// Quiesced tells that no request of the shard runs any more under the token.
+type Quiesced struct {
+	Shard view.ShardID
+	Token uint64
+	Marks []*wire.RequestMark
+}
+
+// Shutdown asks the daemon to hand over its shards and leave.
+type Shutdown struct{}
+
+func (Tick) event()            {}
+func (Records) event()         {}
+func (Datagram) event()        {}
+func (BackendUp) event()       {}
+func (BackendDown) event()     {}
+func (Suspicion) event()       {}
+func (ReleaseReceived) event() {}
+func (ReleaseAnswered) event() {}
+func (Quiesced) event()        {}
+func (Shutdown) event()        {}
+
+// Effect is an output of the control state, carried out by the plug-ins.
+type Effect interface{ effect() }
+
+// Append adds a record to a stream. The control state repeats it until replay
+// shows the record's id.
+type Append struct {
+	Stream string
+	Record *wire.Record
+}
+
+// SendDatagram sends a witness message to a UDP address.
+type SendDatagram struct {
+	Addr string
+	Msg  *wire.Datagram
+}
+
+// Publish replaces the routing view.
+type Publish struct{ View *view.View }
+
+// Quiesce asks traffic to finish the shard's requests; new ones are refused
+// already by the view. Quiesced answers it.
+type Quiesce struct {
+	Shard view.ShardID
+	Token uint64
+}
+
+// SendRelease sends a release message to the standby's daemon.
+type SendRelease struct {
+	PeerAddr string
+	Shard    view.ShardID
+	Msg      *wire.Release
+}
+
+// AnswerRelease answers a release message.
+type AnswerRelease struct {
+	Ticket uint64
+	Answer *wire.ReleaseAnswer
+}
+
+// TakeOver tells traffic that the shard was acquired: grant the token to the
+// backend server and take in the request ids that came with a release.
+type TakeOver struct {
+	Shard view.ShardID
+	Token uint64
+	Marks []*wire.RequestMark
+}
+
+// Decision is a placement decision for the log.
+type Decision struct {
+	Action     string // for example "take_over", "release", "seal", "join"
+	Reason     string
+	Shard      view.ShardID // zero if the decision is not about one shard
+	Generation uint64
+	Member     uint64 // the incarnation it is about
+	Count      int    // shards concerned, where more than one
+}
+
+// Left tells that the daemon holds nothing any more after a Shutdown.
+type Left struct{}
+
+func (Append) effect()        {}
+func (SendDatagram) effect()  {}
+func (Publish) effect()       {}
+func (Quiesce) effect()       {}
+func (SendRelease) effect()   {}
+func (AnswerRelease) effect() {}
+func (TakeOver) effect()      {}
+func (Decision) effect()      {}
+func (Left) effect()          {}
+
+// TickInterval is the period of Tick events.
+const TickInterval = 50 * time.Millisecond
--- /dev/null
+++ b/core/control/membership.go
@@ -0,0 +1,239 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// joinRetry is the time after which a join that replay has not shown is given
+// up for a new one. It stays below the time for a first lease.
+const joinRetry = 2 * time.Second
+
+// membership is this daemon's way into the fleet: announce, join, first lease,
+// ready; and again from join after the lease broke.
+type membership struct {
+	backend     *BackendUp // nil while no backend server is announced
+	announced   bool       // announce record sent
+	joinID      [16]byte   // id of the join in flight; zero if none
+	joinSent    clock.Instant
+	incarnation fold.Incarnation
+	holder      *lease.Holder
+	witnesses   []string
+	readySent   bool
+}
+
+func (s *State) tickMembership() {
+	m := &s.member
+	if !m.announced {
+		m.announced = true
+		s.append(&wire.Record{Body: &wire.Record_Announce{Announce: s.announcement()}})
+	}
+	if m.holder != nil {
+		s.tickHolder()
+		return
+	}
+	if m.joinID != [16]byte{} && s.now < m.joinSent.Add(joinRetry) {
+		return
+	}
+	s.join()
+}
+
+func (s *State) announcement() *wire.Announce {
+	return &wire.Announce{
+		Slot:        s.opts.Slot,
+		DataCentre:  s.opts.DataCentre,
+		Region:      s.opts.Region,
+		PeerAddr:    s.opts.PeerAddr,
+		WitnessAddr: s.opts.WitnessAddr,
+		EntryAddr:   s.opts.EntryAddr,
+	}
+}
+
+// join sends a join record when the backend server is there, the placement
+// stream is read, and enough witnesses are known.
+func (s *State) join() {
+	m := &s.member
+	if m.backend == nil || !s.caughtUp || s.stopping {
+		return
+	}
+	if _, ok := s.fold.Slots[s.opts.Slot]; !ok {
+		return
+	}
+	witnesses := s.chooseWitnesses()
+	settled := s.now >= s.started.Add(s.opts.Settle)
+	if len(witnesses) == 0 || (len(witnesses) < s.opts.Witnesses && !settled) {
+		return
+	}
+	m.incarnation = 0
+	m.witnesses = witnesses
+	m.joinSent = s.now
+	m.joinID = s.appendOnce(&wire.Record{Body: &wire.Record_Join{Join: &wire.Join{
+		Slot:          s.opts.Slot,
+		Service:       m.backend.Service,
+		BackendServer: m.backend.Name,
+		BackendAddr:   m.backend.Addr,
+		Slots:         m.backend.Slots,
+		ChecksFence:   m.backend.ChecksFence,
+		Witnesses:     witnesses,
+	}}})
+	s.decide(Decision{Action: "join", Reason: "backend server announced", Count: len(witnesses)})
+}
+
+// joinSeen starts the lease when replay shows the join in flight.
+func (s *State) joinSeen(offset uint64, id []byte) {
+	m := &s.member
+	if m.joinID == [16]byte{} || len(id) != 16 || [16]byte(id) != m.joinID {
+		return
+	}
+	m.joinID = [16]byte{}
+	m.incarnation = offset
+	m.readySent = false
+	m.holder = lease.NewHolder(s.opts.Lease, m.joinSent, m.witnesses)
+}
+
+func (s *State) tickHolder() {
+	m := &s.member
+	for _, r := range m.holder.Tick(s.now) {
+		s.sendTo(r.Witness, &wire.Datagram{Body: &wire.Datagram_Renew{
+			Renew: &wire.Renew{Incarnation: m.incarnation, Seq: r.Seq}}})
+	}
+	if !m.readySent && s.leaseHeld() {
+		m.readySent = true
+		s.append(&wire.Record{Body: &wire.Record_Ready{Ready: &wire.Ready{Incarnation: m.incarnation}}})
+		s.decide(Decision{Action: "ready", Reason: "first lease won", Member: m.incarnation})
+	}
+}
+
+// checkLease drops the incarnation once its lease is broken, before anything
+// else is taken in.
+func (s *State) checkLease() {
+	m := &s.member
+	if m.holder == nil || !m.holder.Broken(s.now) {
+		return
+	}
+	s.decide(Decision{Action: "lease_lost", Reason: "no majority of witnesses acknowledged in time", Member: m.incarnation})
+	s.leaveIncarnation()
+}
+
+// leaveIncarnation ends the own incarnation. Nothing runs under it any more.
+func (s *State) leaveIncarnation() {
+	m := &s.member
+	s.append(&wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: m.incarnation}}})
+	m.holder = nil
+	m.incarnation = 0
+	m.joinID = [16]byte{}
+	clear(s.rights)
+	clear(s.sealers)
+	s.cell.Set(0)
+	s.dirty = true
+}
+
+func (s *State) backendUp(e BackendUp) {
+	m := &s.member
+	if m.backend != nil && *m.backend == e {
+		return
+	}
+	if m.holder != nil {
+		s.backendDown(BackendDown{Reason: "another backend server announced itself"})
+	}
+	m.backend = &e
+	s.dirty = true
+}
+
+// backendDown ends the incarnation: without a backend server it can do
+// nothing for its shards.
+func (s *State) backendDown(e BackendDown) {
+	m := &s.member
+	if m.backend == nil {
+		return
+	}
+	m.backend = nil
+	s.dirty = true
+	if m.holder == nil {
+		return
+	}
+	s.decide(Decision{Action: "leave", Reason: e.Reason, Member: m.incarnation})
+	s.leaveIncarnation()
+}
+
+// chooseWitnesses picks an odd number of other slots, spread over data
+// centres, preferring slots whose daemon is known to be a member.
+func (s *State) chooseWitnesses() []string {
+	standing := s.slotStanding()
+	var slots []*fold.Slot
+	for _, slot := range s.fold.Slots {
+		if slot.Name != s.opts.Slot {
+			slots = append(slots, slot)
+		}
+	}
+	slices.SortFunc(slots, func(a, b *fold.Slot) int {
+		if c := cmp.Compare(standing[a.Name], standing[b.Name]); c != 0 {
+			return c
+		}
+		return cmp.Compare(s.witnessWeight(a.Name), s.witnessWeight(b.Name))
+	})
+	return spread(slots, s.opts.Witnesses)
+}
+
+// slotStanding ranks slots: 0 with a member in service, 1 without a member
+// so far, 2 when its last member is gone.
+func (s *State) slotStanding() map[string]int {
+	standing := map[string]int{}
+	for name := range s.fold.Slots {
+		standing[name] = 1
+	}
+	newest := map[string]fold.Incarnation{}
+	for inc, m := range s.fold.Members {
+		if inc < newest[m.Slot] {
+			continue
+		}
+		newest[m.Slot] = inc
+		switch m.Phase {
+		case fold.InService:
+			standing[m.Slot] = 0
+		case fold.Joined:
+			standing[m.Slot] = 1
+		case fold.Gone:
+			standing[m.Slot] = 2
+		}
+	}
+	return standing
+}
+
+func (s *State) witnessWeight(slot string) uint64 {
+	return xxhash.Sum64String(s.opts.Slot + "\x00" + slot)
+}
+
+// spread returns the largest odd number of at most want slots, taking slots of
+// data centres not used yet first.
+func spread(slots []*fold.Slot, want int) []string {
+	n := min(want, len(slots))
+	if n%2 == 0 {
+		n--
+	}
+	if n <= 0 {
+		return nil
+	}
+	perDC := map[string]int{}
+	var chosen []string
+	for round := 0; len(chosen) < n; round++ {
+		for _, slot := range slots {
+			if len(chosen) == n {
+				break
+			}
+			if perDC[slot.DataCentre] == round && !slices.Contains(chosen, slot.Name) {
+				perDC[slot.DataCentre]++
+				chosen = append(chosen, slot.Name)
+			}
+		}
+	}
+	return chosen
+}
--- /dev/null
+++ b/core/control/outbox.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// appendRetry is the time after which a record that replay has not shown is
+// appended again under the same id.
+const appendRetry = 1 * time.Second
+
+// outbox holds this daemon's records until replay shows them.
+type outbox struct {
+	pending map[[16]byte]*outgoing
+}
+
+type outgoing struct {
+	stream string
+	record *wire.Record
+	next   clock.Instant
+	once   bool // never repeated
+}
+
+func newOutbox() *outbox { return &outbox{pending: map[[16]byte]*outgoing{}} }
+
+// seen removes a record that replay has shown, whatever its verdict.
+func (o *outbox) seen(id []byte) {
+	if len(id) == 16 {
+		delete(o.pending, [16]byte(id))
+	}
+}
+
+// append sends a record to the placement stream and repeats it until seen.
+func (s *State) append(rec *wire.Record) [16]byte {
+	return s.send(rec, false)
+}
+
+// appendOnce sends a record to the placement stream a single time.
+func (s *State) appendOnce(rec *wire.Record) [16]byte {
+	return s.send(rec, true)
+}
+
+func (s *State) send(rec *wire.Record, once bool) [16]byte {
+	id := s.newID()
+	rec.Id = id[:]
+	rec.Version = fold.RecordVersion
+	rec.Author = s.member.incarnation
+	s.outbox.pending[id] = &outgoing{
+		stream: s.placementStream(), record: rec, next: s.now.Add(appendRetry), once: once,
+	}
+	s.emit(Append{Stream: s.placementStream(), Record: rec})
+	return id
+}
+
+func (s *State) newID() [16]byte {
+	var id [16]byte
+	for i := 0; i < 16; i += 8 {
+		v := s.opts.Rand.Uint64()
+		for j := range 8 {
+			id[i+j] = byte(v >> (8 * j))
+		}
+	}
+	return id
+}
+
+func (s *State) tickOutbox() {
+	for id, out := range s.outbox.pending {
+		if s.now < out.next {
+			continue
+		}
+		if out.once {
+			delete(s.outbox.pending, id)
+			continue
+		}
+		out.next = s.now.Add(appendRetry)
+		s.emit(Append{Stream: out.stream, Record: out.record})
+	}
+}
--- /dev/null
+++ b/core/control/rights.go
@@ -0,0 +1,337 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/placement"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// releaseRetry is the interval between release messages that got no answer.
+const releaseRetry = 200 * time.Millisecond
+
+// right is this daemon's standing towards one shard beyond what replay shows.
+//
+// Invariants: a shard is dispatched only while owned is set; owned is cleared
+// before a release is sent; after a release at generation g the shard is owned
+// again only once replay shows this daemon as owner at g+2 or later; after a
+// consent at generation g no takeover of g happens.
+type right struct {
+	owned        bool
+	token        uint64 // generation at which the shard was acquired
+	since        clock.Instant
+	freshHistory bool
+
+	taken     uint64 // generation g taken over ahead of the log, plus one; 0 if none
+	consented uint64 // generation g whose standby right was given up, plus one
+	released  uint64 // generation g released, plus one
+
+	releasing  bool   // the shard is being handed to its standby
+	quiesced   bool   // no request of it runs any more
+	releaseGen uint64 // generation under which it is being released
+	nextSend   clock.Instant
+	marks      []*wire.RequestMark
+}
+
+func (s *State) right(id view.ShardID) *right {
+	r, ok := s.rights[id]
+	if !ok {
+		r = &right{}
+		s.rights[id] = r
+	}
+	return r
+}
+
+// followPlacement compares rights with replay after a record was applied.
+func (s *State) followPlacement() {
+	me := s.member.incarnation
+	if me == 0 {
+		return
+	}
+	if m := s.self(); m != nil && m.Phase == fold.Gone && s.member.holder != nil {
+		s.decide(Decision{Action: "lease_lost", Reason: "replay shows the incarnation as gone", Member: me})
+		s.leaveIncarnation()
+		return
+	}
+	for name, svc := range s.fold.Services {
+		for i := range svc.Shards {
+			sh := &svc.Shards[i]
+			id := view.ShardID{Service: name, Shard: uint32(i)}
+			r := s.rights[id]
+			if r == nil && sh.Owner != me {
+				continue
+			}
+			s.followShard(id, sh, s.right(id))
+		}
+	}
+}
+
+func (s *State) followShard(id view.ShardID, sh *fold.Shard, r *right) {
+	me := s.member.incarnation
+	switch {
+	case sh.Owner == me:
+		if r.releasing && sh.Generation != r.releaseGen {
+			s.abortRelease(r)
+		}
+		mayOwn := r.released == 0 || sh.Generation >= r.released+1
+		if !r.owned && !r.releasing && mayOwn {
+			s.acquire(id, r, sh.Generation, true, nil, "replay shows this daemon as owner")
+		}
+	case sh.Standby == me && (r.taken == sh.Generation+1 || r.consented == sh.Generation+1):
+		// A takeover or consent ahead of the log; its record is on its way.
+	default:
+		if r.owned || r.releasing {
+			s.decide(Decision{Action: "drop", Reason: "replay shows another owner", Shard: id, Generation: sh.Generation})
+		}
+		delete(s.rights, id)
+	}
+}
+
+// abortRelease ends a release whose standby changed meanwhile. The right of
+// the standby that may have received it has ended with the change.
+func (s *State) abortRelease(r *right) {
+	r.releasing = false
+	r.quiesced = false
+	r.marks = nil
+}
+
+// acquire makes this daemon the dispatcher of a shard under token.
+func (s *State) acquire(id view.ShardID, r *right, token uint64, fresh bool, marks []*wire.RequestMark, reason string) {
+	r.owned = true
+	r.token = token
+	r.since = s.now
+	r.freshHistory = fresh
+	s.dirty = true
+	s.emit(TakeOver{Shard: id, Token: token, Marks: marks})
+	s.decide(Decision{Action: "take_over", Reason: reason, Shard: id, Generation: token, Member: s.member.incarnation})
+}
+
+// takeOver acquires a shard as its recorded standby, ahead of the log.
+func (s *State) takeOver(id view.ShardID, sh *fold.Shard, fresh bool, marks []*wire.RequestMark) bool {
+	r := s.right(id)
+	if r.consented == sh.Generation+1 || r.taken == sh.Generation+1 {
+		return false
+	}
+	r.taken = sh.Generation + 1
+	reason := "release by the owner"
+	if fresh {
+		reason = "lapse of the owner's lease"
+	}
+	s.acquire(id, r, sh.Generation+1, fresh, marks, reason)
+	return true
+}
+
+// tickRights starts releases that are due, repeats release messages, and sends
+// consents.
+func (s *State) tickRights() {
+	if !s.leaseHeld() {
+		return
+	}
+	s.sendConsents()
+	for id, r := range s.rights {
+		sh := s.shard(id)
+		if sh == nil || sh.Owner != s.member.incarnation {
+			continue
+		}
+		if r.owned && !r.releasing && s.shouldRelease(sh) {
+			s.startRelease(id, sh, r)
+		}
+		if r.releasing && r.quiesced && s.now >= r.nextSend {
+			s.sendRelease(id, sh, r)
+		}
+	}
+}
+
+func (s *State) shard(id view.ShardID) *fold.Shard {
+	svc, ok := s.fold.Services[id.Service]
+	if !ok || int(id.Shard) >= len(svc.Shards) {
+		return nil
+	}
+	return &svc.Shards[id.Shard]
+}
+
+// shouldRelease reports whether the owner of sh is to hand it over now: it
+// was asked to, or is itself out of service, and the standby can take it.
+func (s *State) shouldRelease(sh *fold.Shard) bool {
+	if !sh.Handover && !s.selfOut() && !s.stopping {
+		return false
+	}
+	standby, ok := s.fold.Members[sh.Standby]
+	if !ok || standby.Phase != fold.InService {
+		return false
+	}
+	return !placement.IsOut(s.fold, s.history.Config, standby)
+}
+
+// selfOut reports whether an operator took this daemon out of service.
+func (s *State) selfOut() bool {
+	m := s.self()
+	return m != nil && placement.IsOut(s.fold, s.history.Config, m)
+}
+
+func (s *State) startRelease(id view.ShardID, sh *fold.Shard, r *right) {
+	r.owned = false
+	r.releasing = true
+	r.quiesced = false
+	r.releaseGen = sh.Generation
+	s.dirty = true
+	s.emit(Quiesce{Shard: id, Token: r.token})
+	s.decide(Decision{Action: "release", Reason: s.releaseReason(sh), Shard: id, Generation: sh.Generation, Member: sh.Standby})
+}
+
+func (s *State) releaseReason(sh *fold.Shard) string {
+	switch {
+	case s.stopping:
+		return "shutdown"
+	case s.selfOut():
+		return "taken out of service"
+	case sh.Handover:
+		return "handover was asked for"
+	default:
+		return ""
+	}
+}
+
+func (s *State) quiesced(e Quiesced) {
+	r, ok := s.rights[e.Shard]
+	sh := s.shard(e.Shard)
+	if !ok || sh == nil || !r.releasing || r.token != e.Token {
+		return
+	}
+	r.quiesced = true
+	r.marks = e.Marks
+	s.sendRelease(e.Shard, sh, r)
+}
+
+func (s *State) sendRelease(id view.ShardID, sh *fold.Shard, r *right) {
+	if sh.Generation != r.releaseGen || sh.Owner != s.member.incarnation {
+		return
+	}
+	standby, ok := s.fold.Members[sh.Standby]
+	if !ok {
+		return
+	}
+	slot, ok := s.fold.Slots[standby.Slot]
+	if !ok {
+		return
+	}
+	r.released = r.releaseGen + 1
+	r.nextSend = s.now.Add(releaseRetry)
+	s.emit(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
+		Owner: s.member.incarnation,
+		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
+		Marks: r.marks,
+	}})
+}
+
+func (s *State) releaseAnswered(e ReleaseAnswered) {
+	if e.Accepted {
+		if r, ok := s.rights[e.Shard]; ok && r.releasing && r.releaseGen == e.Generation {
+			r.nextSend = s.now.Add(appendRetry)
+		}
+		return
+	}
+	s.decide(Decision{Action: "release_refused", Reason: e.Reason, Shard: e.Shard, Generation: e.Generation})
+}
+
+// releaseReceived takes over a shard from its owner if replay names this
+// daemon as standby at the same generation.
+func (s *State) releaseReceived(e ReleaseReceived) {
+	reason := s.acceptRelease(e.Msg)
+	s.emit(AnswerRelease{Ticket: e.Ticket, Answer: &wire.ReleaseAnswer{Accepted: reason == "", Reason: reason}})
+}
+
+func (s *State) acceptRelease(msg *wire.Release) string {
+	id := view.ShardID{Service: msg.GetRef().GetService(), Shard: msg.GetRef().GetShard()}
+	sh := s.shard(id)
+	generation := msg.GetRef().GetGeneration()
+	switch {
+	case sh == nil:
+		return "unknown shard"
+	case !s.leaseHeld():
+		return "no lease"
+	case s.stopping:
+		return "shutting down"
+	case sh.Generation != generation || sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
+		return "replay shows another placement"
+	}
+	r := s.right(id)
+	if r.consented == generation+1 {
+		return "standby right was given up"
+	}
+	if r.taken == generation+1 {
+		return ""
+	}
+	s.takeOver(id, sh, false, msg.GetMarks())
+	s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
+		Incarnation: s.member.incarnation, Refs: []*wire.ShardRef{msg.GetRef()}}}})
+	return ""
+}
+
+// sendConsents gives up standby rights for which replay shows a proposed
+// successor, unless the shard was taken over already.
+func (s *State) sendConsents() {
+	me := s.member.incarnation
+	var refs []*wire.ShardRef
+	for name, svc := range s.fold.Services {
+		for i := range svc.Shards {
+			sh := &svc.Shards[i]
+			if sh.Standby != me || !sh.HasPending {
+				continue
+			}
+			r := s.right(view.ShardID{Service: name, Shard: uint32(i)})
+			if r.taken == sh.Generation+1 || r.consented == sh.Generation+1 {
+				continue
+			}
+			r.consented = sh.Generation + 1
+			refs = append(refs, &wire.ShardRef{Service: name, Shard: uint32(i), Generation: sh.Generation})
+		}
+	}
+	if len(refs) == 0 {
+		return
+	}
+	s.append(&wire.Record{Body: &wire.Record_Consent{Consent: &wire.Consent{Incarnation: me, Refs: refs}}})
+	s.decide(Decision{Action: "consent", Reason: "another standby is proposed", Count: len(refs)})
+}
+
+// shutdown starts the orderly departure.
+func (s *State) shutdown() {
+	s.stopping = true
+	s.dirty = true
+}
+
+// tickShutdown ends the departure once no shard is owned or being released.
+func (s *State) tickShutdown() {
+	if !s.stopping || s.left {
+		return
+	}
+	if s.member.holder != nil && s.busyShards() > 0 {
+		return
+	}
+	if s.member.holder != nil {
+		s.decide(Decision{Action: "leave", Reason: "shutdown", Member: s.member.incarnation})
+		s.leaveIncarnation()
+		return
+	}
+	s.left = true
+	s.emit(Left{})
+}
+
+// busyShards counts the shards that still have to be handed over. A shard
+// without a usable standby is given up with the leave record.
+func (s *State) busyShards() int {
+	count := 0
+	for id, r := range s.rights {
+		sh := s.shard(id)
+		if sh == nil || sh.Owner != s.member.incarnation && !r.owned {
+			continue
+		}
+		if r.releasing || s.shouldRelease(sh) {
+			count++
+		}
+	}
+	return count
+}
--- /dev/null
+++ b/core/control/view.go
@@ -0,0 +1,97 @@
+package control
+
+import (
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/view"
+)
+
+// buildView returns the routing view of the current state.
+func (s *State) buildView() *view.View {
+	members := map[fold.Incarnation]*view.Member{}
+	services := make(map[string]*view.Service, len(s.fold.Services))
+	for name, svc := range s.fold.Services {
+		services[name] = s.serviceView(svc, members)
+	}
+	return &view.View{
+		Incarnation:   s.member.incarnation,
+		Backend:       s.backendView(),
+		ConfigVersion: s.history.Version,
+		Config:        s.history.Config,
+		Callers:       callers(s.history.Config),
+		Services:      services,
+		Held:          s.held(),
+		ConfigFresh:   s.freshness[logstream.ConfigStream],
+		Lease:         s.cell,
+		SelfOut:       s.selfOut(),
+		Leaving:       s.stopping,
+	}
+}
+
+func (s *State) backendView() *view.Backend {
+	b := s.member.backend
+	if b == nil {
+		return nil
+	}
+	return &view.Backend{Name: b.Name, Service: b.Service, Addr: b.Addr, Slots: b.Slots}
+}
+
+func (s *State) serviceView(svc *fold.Service, members map[fold.Incarnation]*view.Member) *view.Service {
+	out := &view.Service{Base: svc.Base, Split: svc.Split, Shards: make([]view.Shard, len(svc.Shards))}
+	for i := range svc.Shards {
+		sh := &svc.Shards[i]
+		out.Shards[i] = view.Shard{
+			Owner:      s.memberView(sh.Owner, members),
+			Standby:    s.memberView(sh.Standby, members),
+			Generation: sh.Generation,
+		}
+	}
+	return out
+}
+
+func (s *State) memberView(inc fold.Incarnation, members map[fold.Incarnation]*view.Member) *view.Member {
+	if inc == 0 {
+		return nil
+	}
+	if m, ok := members[inc]; ok {
+		return m
+	}
+	m, ok := s.fold.Members[inc]
+	if !ok {
+		return nil
+	}
+	out := &view.Member{Incarnation: inc, Slot: m.Slot, Service: m.Service, BackendName: m.BackendServer}
+	if slot, ok := s.fold.Slots[m.Slot]; ok {
+		out.DataCentre = slot.DataCentre
+		out.PeerAddr = slot.PeerAddr
+	}
+	members[inc] = out
+	return out
+}
+
+func (s *State) held() map[view.ShardID]view.Held {
+	held := map[view.ShardID]view.Held{}
+	for id, r := range s.rights {
+		if !r.owned {
+			continue
+		}
+		held[id] = view.Held{
+			Token: r.token, Recorded: s.shard(id).Generation, FreshHistory: r.freshHistory, Since: r.since,
+		}
+	}
+	return held
+}
+
+// callers maps key hashes to teams. Withdrawn keys are left out.
+func callers(cfg *fleet.Config) map[string]view.Caller {
+	byHash := map[string]view.Caller{}
+	for team, t := range cfg.Teams {
+		for id, key := range t.Keys {
+			if !key.Withdrawn {
+				byHash[key.Hash] = view.Caller{Team: team, KeyID: id}
+			}
+		}
+	}
+	return byHash
+}
--- /dev/null
+++ b/core/control/witness.go
@@ -0,0 +1,197 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// sealPatience is the time, in terms, after which sealing is given up when no
+// new suspicion came.
+const sealPatience = 5
+
+// sealing is the attempt to seal one incarnation's lease.
+type sealing struct {
+	sealer *lease.Sealer
+	until  clock.Instant
+}
+
+func (s *State) takeDatagram(msg *wire.Datagram) {
+	switch body := msg.GetBody().(type) {
+	case *wire.Datagram_Renew:
+		s.renewReceived(msg.GetFrom(), body.Renew)
+	case *wire.Datagram_RenewAck:
+		s.ackReceived(msg.GetFrom(), body.RenewAck)
+	case *wire.Datagram_SealRequest:
+		s.sealRequested(msg.GetFrom(), body.SealRequest)
+	case *wire.Datagram_SealAnswer:
+		s.sealAnswered(msg.GetFrom(), body.SealAnswer)
+	case *wire.Datagram_Overdue:
+		s.suspect(body.Overdue.GetIncarnation(), "promise of a witness ran out")
+	}
+}
+
+func (s *State) renewReceived(from string, r *wire.Renew) {
+	ack, refused := s.witness.Renew(s.now, r.GetIncarnation())
+	if !ack && !refused {
+		return
+	}
+	s.sendTo(from, &wire.Datagram{Body: &wire.Datagram_RenewAck{RenewAck: &wire.RenewAck{
+		Incarnation: r.GetIncarnation(), Seq: r.GetSeq(), Refused: refused}}})
+}
+
+func (s *State) ackReceived(from string, a *wire.RenewAck) {
+	m := &s.member
+	if m.holder == nil || a.GetIncarnation() != m.incarnation {
+		return
+	}
+	if a.GetRefused() {
+		m.holder.Refuse(from)
+		return
+	}
+	m.holder.Ack(s.now, from, a.GetSeq())
+	s.cell.Set(m.holder.Deadline(s.now))
+}
+
+func (s *State) sealRequested(from string, r *wire.SealRequest) {
+	state, wait := s.witness.Seal(s.now, r.GetIncarnation())
+	answer := &wire.SealAnswer{Incarnation: r.GetIncarnation(), Seq: r.GetSeq()}
+	switch state {
+	case lease.Sealed:
+		answer.State = wire.SealState_SEAL_STATE_SEALED
+	case lease.Live:
+		answer.State = wire.SealState_SEAL_STATE_LIVE
+		answer.WaitMs = uint32(wait.Milliseconds()) + 1
+	}
+	s.sendTo(from, &wire.Datagram{Body: &wire.Datagram_SealAnswer{SealAnswer: answer}})
+}
+
+func (s *State) sealAnswered(from string, a *wire.SealAnswer) {
+	sl, ok := s.sealers[a.GetIncarnation()]
+	if !ok {
+		return
+	}
+	state := lease.Live
+	if a.GetState() == wire.SealState_SEAL_STATE_SEALED {
+		state = lease.Sealed
+	}
+	wait := time.Duration(a.GetWaitMs()) * time.Millisecond
+	sl.sealer.Answer(s.now, from, a.GetSeq(), state, wait)
+	s.checkLapse(a.GetIncarnation(), sl)
+}
+
+// tickWitness tells the standbys and planners of incarnations whose promise
+// ran out here.
+func (s *State) tickWitness() {
+	for _, inc := range s.witness.Expired(s.now) {
+		for _, slot := range s.interestedIn(inc) {
+			s.sendTo(slot, &wire.Datagram{Body: &wire.Datagram_Overdue{Overdue: &wire.Overdue{Incarnation: inc}}})
+		}
+	}
+}
+
+// interestedIn returns the slots of the daemons that act on the loss of inc:
+// the standbys of its shards and the first planners.
+func (s *State) interestedIn(inc fold.Incarnation) []string {
+	m, ok := s.fold.Members[inc]
+	if !ok || m.Phase == fold.Gone {
+		return nil
+	}
+	incs := map[fold.Incarnation]bool{}
+	for _, svc := range s.fold.Services {
+		for i := range svc.Shards {
+			if svc.Shards[i].Owner == inc && svc.Shards[i].Standby != 0 {
+				incs[svc.Shards[i].Standby] = true
+			}
+		}
+	}
+	for _, planner := range s.planners() {
+		incs[planner] = true
+	}
+	var slots []string
+	for other := range incs {
+		if om, ok := s.fold.Members[other]; ok && other != inc {
+			slots = append(slots, om.Slot)
+		}
+	}
+	return slots
+}
+
+// suspect starts sealing an incarnation if this daemon would act on its lapse.
+func (s *State) suspect(inc fold.Incarnation, reason string) {
+	m, ok := s.fold.Members[inc]
+	if !ok || m.Phase == fold.Gone || !s.leaseHeld() || inc == s.member.incarnation {
+		return
+	}
+	if !s.standbyOf(inc) && !s.isPlanner() {
+		return
+	}
+	until := s.now.Add(sealPatience * s.opts.Lease.Term)
+	if sl, ok := s.sealers[inc]; ok {
+		sl.until = until
+		return
+	}
+	s.sealers[inc] = &sealing{sealer: lease.NewSealer(s.opts.Lease, m.Witnesses), until: until}
+	s.decide(Decision{Action: "seal", Reason: reason, Member: inc})
+	s.tickSealer(inc, s.sealers[inc])
+}
+
+// standbyOf reports whether this daemon is recorded standby of a shard of inc.
+func (s *State) standbyOf(inc fold.Incarnation) bool {
+	me := s.member.incarnation
+	for _, svc := range s.fold.Services {
+		for i := range svc.Shards {
+			if svc.Shards[i].Owner == inc && svc.Shards[i].Standby == me {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (s *State) tickSealers() {
+	for inc, sl := range s.sealers {
+		m, ok := s.fold.Members[inc]
+		if !ok || m.Phase == fold.Gone || s.now >= sl.until {
+			delete(s.sealers, inc)
+			continue
+		}
+		s.tickSealer(inc, sl)
+	}
+}
+
+func (s *State) tickSealer(inc fold.Incarnation, sl *sealing) {
+	for _, r := range sl.sealer.Tick(s.now) {
+		s.sendTo(r.Witness, &wire.Datagram{Body: &wire.Datagram_SealRequest{
+			SealRequest: &wire.SealRequest{Incarnation: inc, Seq: r.Seq}}})
+	}
+}
+
+// checkLapse takes over the shards that this daemon stands by for once the
+// owner's lease has lapsed, and records the lapse.
+func (s *State) checkLapse(inc fold.Incarnation, sl *sealing) {
+	if !sl.sealer.Lapsed(s.now) || !s.leaseHeld() {
+		return
+	}
+	sealedBy := sl.sealer.SealedBy(s.now)
+	delete(s.sealers, inc)
+	count := 0
+	for name, svc := range s.fold.Services {
+		for i := range svc.Shards {
+			sh := &svc.Shards[i]
+			if sh.Owner != inc || sh.Standby != s.member.incarnation {
+				continue
+			}
+			id := view.ShardID{Service: name, Shard: uint32(i)}
+			if s.takeOver(id, sh, true, nil) {
+				count++
+			}
+		}
+	}
+	s.append(&wire.Record{Body: &wire.Record_Lapse{Lapse: &wire.Lapse{Incarnation: inc, SealedBy: sealedBy}}})
+	s.decide(Decision{Action: "lapse", Reason: "a majority of witnesses sealed the lease", Member: inc, Count: count})
+}
--- /dev/null
+++ b/core/fold/fold.go
@@ -0,0 +1,197 @@
+// Package fold replays the placement stream of a region. Replay is a pure
+// function of the records and their offsets: every daemon that has read the
+// same records holds the same state, and a record whose conditions do not hold
+// has no effect anywhere.
+package fold
+
+import (
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// RecordVersion is the newest record format that this code understands.
+const RecordVersion = 1
+
+// Incarnation is the offset of a member's join record. Zero means none.
+type Incarnation = uint64
+
+// Slot is a place where a daemon runs; it may act as witness.
+type Slot struct {
+	Name        string
+	DataCentre  string
+	Region      string
+	PeerAddr    string
+	WitnessAddr string
+	EntryAddr   string
+	Offset      uint64 // of the newest announce record
+}
+
+// Phase is the state of a member.
+type Phase uint8
+
+// Phases in their only order.
+const (
+	Joined    Phase = iota // has not won its first lease; owns nothing
+	InService              // may own shards
+	Gone                   // lapsed or left
+)
+
+// Member is one incarnation of a backend server with its daemon.
+type Member struct {
+	Incarnation   Incarnation
+	Slot          string
+	Service       string
+	BackendServer string
+	BackendAddr   string
+	Slots         uint32
+	ChecksFence   bool
+	Witnesses     []string
+	Phase         Phase
+}
+
+// Shard is the placement of one shard.
+//
+// Generation rules: a takeover by the recorded standby of generation g uses
+// g+1, in the log or ahead of it; every other change of a shard steps the
+// generation by two, so that g+1 belongs to that standby alone.
+type Shard struct {
+	Owner      Incarnation
+	Standby    Incarnation
+	Generation uint64
+	Pending    Incarnation // proposed standby that waits for consent; see HasPending
+	HasPending bool        // a proposal waits; Pending may be 0 to remove the standby
+	Handover   bool        // the owner was asked to release to the standby
+}
+
+// Service is the placement of one service's shards. Shards from the base
+// count on are split keys.
+type Service struct {
+	Shards []Shard
+	Base   uint32            // number of hash shards
+	Split  map[uint64]uint32 // key hash to shard number
+	Free   []uint32          // numbers of merged split shards for reuse
+}
+
+// State is the folded placement of a region.
+type State struct {
+	Next     uint64 // offset of the first record not yet applied
+	Slots    map[string]*Slot
+	Members  map[Incarnation]*Member
+	Services map[string]*Service
+	seen     *idWindow
+}
+
+// New returns the state before the first record.
+func New() *State {
+	return &State{
+		Next:     1,
+		Slots:    map[string]*Slot{},
+		Members:  map[Incarnation]*Member{},
+		Services: map[string]*Service{},
+		seen:     newIDWindow(),
+	}
+}
+
+// Verdict tells what a record did.
+type Verdict struct {
+	Accepted bool
+	Reason   string // why it was rejected, or a short description
+}
+
+func accepted() Verdict { return Verdict{Accepted: true} }
+
+func rejected(format string, args ...any) Verdict {
+	return Verdict{Reason: fmt.Sprintf(format, args...)}
+}
+
+// Apply replays the record at offset. Offsets ascend but need not be dense.
+func (s *State) Apply(offset uint64, data []byte) (*wire.Record, Verdict) {
+	if offset < s.Next {
+		return nil, rejected("offset %d already applied", offset)
+	}
+	s.Next = offset + 1
+	rec := new(wire.Record)
+	if err := proto.Unmarshal(data, rec); err != nil {
+		return nil, rejected("not a record: %v", err)
+	}
+	if rec.GetVersion() > RecordVersion {
+		return rec, rejected("record version %d is newer than %d", rec.GetVersion(), RecordVersion)
+	}
+	if len(rec.GetId()) != 16 {
+		return rec, rejected("record id of %d bytes", len(rec.GetId()))
+	}
+	if !s.seen.add([16]byte(rec.GetId())) {
+		return rec, rejected("record id seen before")
+	}
+	return rec, s.applyBody(offset, rec)
+}
+
+func (s *State) applyBody(offset uint64, rec *wire.Record) Verdict {
+	switch body := rec.GetBody().(type) {
+	case *wire.Record_Announce:
+		return s.announce(offset, body.Announce)
+	case *wire.Record_Join:
+		return s.join(offset, body.Join)
+	case *wire.Record_Ready:
+		return s.ready(body.Ready)
+	case *wire.Record_Lapse:
+		return s.lapse(body.Lapse)
+	case *wire.Record_Leave:
+		return s.leave(rec.GetAuthor(), body.Leave)
+	case *wire.Record_Propose:
+		return s.propose(body.Propose)
+	case *wire.Record_Consent:
+		return s.consent(rec.GetAuthor(), body.Consent)
+	case *wire.Record_Handover:
+		return s.handover(body.Handover)
+	case *wire.Record_Takeover:
+		return s.takeover(rec.GetAuthor(), body.Takeover)
+	case *wire.Record_ChangeWitnesses:
+		return s.changeWitnesses(rec.GetAuthor(), body.ChangeWitnesses)
+	case *wire.Record_SplitKey:
+		return s.splitKey(body.SplitKey)
+	case *wire.Record_MergeKey:
+		return s.mergeKey(body.MergeKey)
+	case *wire.Record_Snapshot:
+		return accepted()
+	default:
+		return rejected("unknown record kind")
+	}
+}
+
+// EnsureService makes room for a service's hash shards. It is driven by the
+// configuration; growing a service's shard count is not supported.
+func (s *State) EnsureService(name string, shards uint32) *Service {
+	svc, ok := s.Services[name]
+	if !ok {
+		svc = &Service{Shards: make([]Shard, shards), Base: shards, Split: map[uint64]uint32{}}
+		s.Services[name] = svc
+	}
+	return svc
+}
+
+// shard returns the shard that ref names if its generation matches.
+func (s *State) shard(ref *wire.ShardRef) (*Shard, error) {
+	svc, ok := s.Services[ref.GetService()]
+	if !ok {
+		return nil, fmt.Errorf("no service %q", ref.GetService())
+	}
+	if int(ref.GetShard()) >= len(svc.Shards) {
+		return nil, fmt.Errorf("no shard %d of %q", ref.GetShard(), ref.GetService())
+	}
+	sh := &svc.Shards[ref.GetShard()]
+	if sh.Generation != ref.GetGeneration() {
+		return nil, fmt.Errorf("shard %s/%d is at generation %d, not %d",
+			ref.GetService(), ref.GetShard(), sh.Generation, ref.GetGeneration())
+	}
+	return sh, nil
+}
+
+// inService reports whether inc may be given shards.
+func (s *State) inService(inc Incarnation) bool {
+	m, ok := s.Members[inc]
+	return ok && m.Phase == InService
+}
--- /dev/null
+++ b/core/fold/hash.go
@@ -0,0 +1,14 @@
+package fold
+
+import "github.com/cespare/xxhash/v2"
+
+// KeyHash returns the hash of a key by which it is placed.
+func KeyHash(key string) uint64 { return xxhash.Sum64String(key) }
+
+// ShardOf returns the shard number of a key hash.
+func (svc *Service) ShardOf(hash uint64) uint32 {
+	if n, ok := svc.Split[hash]; ok {
+		return n
+	}
+	return uint32(hash % uint64(svc.Base))
+}
--- /dev/null
+++ b/core/fold/shards.go
@@ -0,0 +1,122 @@
+package fold
+
+import (
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+func (s *State) propose(p *wire.Propose) Verdict {
+	count := 0
+	for _, pl := range p.GetPlacements() {
+		if s.proposeOne(pl) {
+			count++
+		}
+	}
+	if count == 0 {
+		return rejected("none of %d placements apply", len(p.GetPlacements()))
+	}
+	return accepted()
+}
+
+func (s *State) proposeOne(pl *wire.Placement) bool {
+	sh, err := s.shard(pl.GetRef())
+	if err != nil {
+		return false
+	}
+	if pl.GetStandby() != 0 && !s.inService(pl.GetStandby()) {
+		return false
+	}
+	if sh.Owner == 0 {
+		return s.assign(sh, pl)
+	}
+	if pl.GetOwner() != 0 && pl.GetOwner() != sh.Owner {
+		return false
+	}
+	if pl.GetStandby() == sh.Owner || pl.GetStandby() == sh.Standby {
+		return false
+	}
+	if sh.Standby == 0 {
+		sh.setStandby(pl.GetStandby())
+		return true
+	}
+	sh.Pending = pl.GetStandby()
+	sh.HasPending = true
+	return true
+}
+
+// assign gives an ownerless shard an owner. An ownerless shard has no standby.
+func (s *State) assign(sh *Shard, pl *wire.Placement) bool {
+	if !s.inService(pl.GetOwner()) || pl.GetOwner() == pl.GetStandby() {
+		return false
+	}
+	sh.Owner = pl.GetOwner()
+	sh.setStandby(pl.GetStandby())
+	return true
+}
+
+func (s *State) consent(author Incarnation, c *wire.Consent) Verdict {
+	if author != c.GetIncarnation() {
+		return rejected("author %d is not incarnation %d", author, c.GetIncarnation())
+	}
+	count := 0
+	for _, ref := range c.GetRefs() {
+		sh, err := s.shard(ref)
+		if err != nil || sh.Standby != author || sh.Owner == 0 {
+			continue
+		}
+		sh.setStandby(sh.Pending)
+		count++
+	}
+	if count == 0 {
+		return rejected("none of %d shards has standby %d", len(c.GetRefs()), author)
+	}
+	return accepted()
+}
+
+func (s *State) handover(h *wire.Handover) Verdict {
+	count := 0
+	for _, ref := range h.GetRefs() {
+		sh, err := s.shard(ref)
+		if err != nil || sh.Standby == 0 || sh.Handover {
+			continue
+		}
+		sh.Handover = true
+		count++
+	}
+	if count == 0 {
+		return rejected("none of %d handovers apply", len(h.GetRefs()))
+	}
+	return accepted()
+}
+
+func (s *State) takeover(author Incarnation, t *wire.Takeover) Verdict {
+	if author != t.GetIncarnation() {
+		return rejected("author %d is not incarnation %d", author, t.GetIncarnation())
+	}
+	count := 0
+	for _, ref := range t.GetRefs() {
+		sh, err := s.shard(ref)
+		if err != nil || sh.Standby != author {
+			continue
+		}
+		sh.promote()
+		count++
+	}
+	if count == 0 {
+		return rejected("none of %d takeovers apply", len(t.GetRefs()))
+	}
+	return accepted()
+}
+
+// splitKey gives a key its own shard. The new shard copies owner and standby
+// of its parent at a generation above every one used for its number before.
+func (s *State) splitKey(sp *wire.SplitKey) Verdict {
+	parent, err := s.shard(sp.GetParent())
+	if err != nil {
+		return rejected("%v", err)
+	}
+	return rejected("split of shard with owner %d: not supported yet", parent.Owner)
+}
+
+func (s *State) mergeKey(m *wire.MergeKey) Verdict {
+	return rejected("merge of key %x: not supported yet", m.GetKeyHash())
+}
--- /dev/null
+++ b/core/logstream/http.go
@@ -0,0 +1,101 @@
+package logstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// MaxRecordBytes bounds one record.
+const MaxRecordBytes = 1 << 20
+
+// maxBatchBytes bounds the answer to one read.
+const maxBatchBytes = 64 << 20
+
+// answerSlack is the time that a read may take beyond its wait.
+const answerSlack = 2 * time.Second
+
+// HTTP is a Log reached over HTTP.
+type HTTP struct {
+	base   string
+	client *http.Client
+}
+
+// NewHTTP returns a client of the log at base, for example "http://127.0.0.1:7000".
+func NewHTTP(base string) *HTTP {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 30 * time.Second}
+	return &HTTP{base: base, client: &http.Client{Transport: transport}}
+}
+
+func (h *HTTP) recordsURL(stream string) string {
+	return h.base + "/v1/streams/" + url.PathEscape(stream) + "/records"
+}
+
+// Append implements Log.
+func (h *HTTP) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, h.recordsURL(stream), bytes.NewReader(data))
+	if err != nil {
+		return 0, fmt.Errorf("logstream: append: %w", err)
+	}
+	var answer struct {
+		Offset uint64 `json:"offset"`
+	}
+	status, err := h.do(req, &answer)
+	if err != nil {
+		return 0, fmt.Errorf("%w: append: %w", ErrUnavailable, err)
+	}
+	if status != http.StatusOK {
+		return 0, fmt.Errorf("%w: append: status %d", ErrUnavailable, status)
+	}
+	return answer.Offset, nil
+}
+
+// Read implements Log.
+func (h *HTTP) Read(ctx context.Context, stream string, from uint64, max, waitMS int) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond+answerSlack)
+	defer cancel()
+	query := url.Values{}
+	query.Set("from", strconv.FormatUint(from, 10))
+	query.Set("max", strconv.Itoa(max))
+	query.Set("wait_ms", strconv.Itoa(waitMS))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.recordsURL(stream)+"?"+query.Encode(), nil)
+	if err != nil {
+		return Batch{}, fmt.Errorf("logstream: read: %w", err)
+	}
+	var batch Batch
+	status, err := h.do(req, &batch)
+	if err != nil {
+		return Batch{}, fmt.Errorf("%w: read: %w", ErrUnavailable, err)
+	}
+	switch status {
+	case http.StatusOK:
+		return batch, nil
+	case http.StatusGone:
+		return Batch{First: batch.First, Next: batch.Next}, ErrTrimmed
+	default:
+		return Batch{}, fmt.Errorf("%w: read: status %d", ErrUnavailable, status)
+	}
+}
+
+func (h *HTTP) do(req *http.Request, answer any) (int, error) {
+	resp, err := h.client.Do(req)
+	if err != nil {
+		return 0, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK && resp.StatusCode != http.StatusGone {
+		return resp.StatusCode, nil
+	}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBatchBytes)).Decode(answer); err != nil {
+		return 0, fmt.Errorf("decode: %w", err)
+	}
+	return resp.StatusCode, nil
+}
+
+var _ Log = (*HTTP)(nil)
--- /dev/null
+++ b/core/outcome/outcome.go
@@ -0,0 +1,179 @@
+// Package outcome is the closed list of ways in which a request can end, with
+// the table from each kind to the answer that the caller receives.
+package outcome
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+)
+
+// Ran tells whether the backend server ran a request.
+type Ran uint8
+
+// The three possibilities. NotRun is claimed only by a process that knows it.
+const (
+	NotRun Ran = iota
+	DidRun
+	MayHaveRun
+)
+
+// String returns the form used in answers and logs.
+func (r Ran) String() string {
+	switch r {
+	case NotRun:
+		return "not-run"
+	case DidRun:
+		return "ran"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Kind is one way in which a request ends. Numbers are part of the peer
+// protocol and are never reused.
+type Kind uint32
+
+// The closed list of kinds.
+const (
+	OK                Kind = 1
+	BadRequest        Kind = 2
+	UnknownRoute      Kind = 3
+	Unauthenticated   Kind = 4
+	Forbidden         Kind = 5
+	BodyTooLarge      Kind = 6
+	RateLimited       Kind = 7
+	KeeperUnavailable Kind = 8
+	Quarantined       Kind = 9
+	NoOwner           Kind = 10
+	NotOwner          Kind = 11
+	LeaseLost         Kind = 12
+	OwnerUnreachable  Kind = 13
+	Overloaded        Kind = 14
+	Draining          Kind = 15
+	Fenced            Kind = 16
+	ConfigStale       Kind = 17
+	DeadlineNotRun    Kind = 18
+	CancelledNotRun   Kind = 19
+	InProgress        Kind = 20
+	DuplicateRan      Kind = 21
+	BackendError      Kind = 22
+	ConnectionLost    Kind = 23
+	DeadlineMaybeRan  Kind = 24
+	BackendCrashed    Kind = 25
+	AnswerCut         Kind = 26
+	UnknownHistory    Kind = 27
+	CancelledMaybeRan Kind = 28
+	Malformed         Kind = 29
+	AnswerTooLarge    Kind = 30
+	BackendShed       Kind = 31
+)
+
+// Level is the log level of an outcome.
+type Level uint8
+
+// Log levels of outcomes.
+const (
+	Info Level = iota
+	Warn
+	Error
+)
+
+// Answer is a row of the table from kind to answer.
+type Answer struct {
+	Name       string
+	Ran        Ran
+	Status     int   // HTTP status for the caller
+	RetrySafe  bool  // the caller may send the same request again at once or later
+	Reroutable bool  // the entry daemon may try again by itself
+	Level      Level // log level
+}
+
+var table = map[Kind]Answer{
+	OK:                {"ok", DidRun, http.StatusOK, false, false, Info},
+	BadRequest:        {"bad_request", NotRun, http.StatusBadRequest, false, false, Info},
+	UnknownRoute:      {"unknown_route", NotRun, http.StatusNotFound, false, false, Info},
+	Unauthenticated:   {"unauthenticated", NotRun, http.StatusUnauthorized, false, false, Info},
+	Forbidden:         {"forbidden", NotRun, http.StatusForbidden, false, false, Info},
+	BodyTooLarge:      {"body_too_large", NotRun, http.StatusRequestEntityTooLarge, false, false, Info},
+	RateLimited:       {"rate_limited", NotRun, http.StatusTooManyRequests, true, false, Info},
+	KeeperUnavailable: {"keeper_unavailable", NotRun, http.StatusServiceUnavailable, true, false, Warn},
+	Quarantined:       {"quarantined", NotRun, http.StatusUnprocessableEntity, false, false, Warn},
+	NoOwner:           {"no_owner", NotRun, http.StatusServiceUnavailable, true, true, Warn},
+	NotOwner:          {"not_owner", NotRun, http.StatusServiceUnavailable, true, true, Info},
+	LeaseLost:         {"lease_lost", NotRun, http.StatusServiceUnavailable, true, true, Warn},
+	OwnerUnreachable:  {"owner_unreachable", NotRun, http.StatusServiceUnavailable, true, true, Warn},
+	Overloaded:        {"overloaded", NotRun, http.StatusServiceUnavailable, true, false, Info},
+	Draining:          {"draining", NotRun, http.StatusServiceUnavailable, true, true, Info},
+	Fenced:            {"fenced", NotRun, http.StatusServiceUnavailable, true, true, Warn},
+	ConfigStale:       {"config_stale", NotRun, http.StatusServiceUnavailable, true, false, Warn},
+	DeadlineNotRun:    {"deadline_not_run", NotRun, http.StatusGatewayTimeout, true, false, Info},
+	CancelledNotRun:   {"cancelled_not_run", NotRun, 499, true, false, Info},
+	InProgress:        {"in_progress", MayHaveRun, http.StatusConflict, false, false, Info},
+	DuplicateRan:      {"duplicate_ran", DidRun, http.StatusConflict, false, false, Info},
+	BackendError:      {"backend_error", DidRun, http.StatusBadGateway, false, false, Warn},
+	ConnectionLost:    {"connection_lost", MayHaveRun, http.StatusBadGateway, false, false, Warn},
+	DeadlineMaybeRan:  {"deadline_may_have_run", MayHaveRun, http.StatusGatewayTimeout, false, false, Warn},
+	BackendCrashed:    {"backend_crashed", MayHaveRun, http.StatusBadGateway, false, false, Error},
+	AnswerCut:         {"answer_cut", MayHaveRun, http.StatusBadGateway, false, false, Warn},
+	UnknownHistory:    {"unknown_history", MayHaveRun, http.StatusConflict, false, false, Info},
+	CancelledMaybeRan: {"cancelled_may_have_run", MayHaveRun, 499, false, false, Info},
+	Malformed:         {"malformed", NotRun, http.StatusBadRequest, false, false, Warn},
+	AnswerTooLarge:    {"answer_too_large", DidRun, http.StatusBadGateway, false, false, Warn},
+	BackendShed:       {"backend_shed", NotRun, http.StatusServiceUnavailable, true, false, Info},
+}
+
+// Kinds returns all kinds in ascending order of number.
+func Kinds() []Kind {
+	kinds := make([]Kind, 0, len(table))
+	for k := OK; len(kinds) < len(table); k++ {
+		if _, ok := table[k]; ok {
+			kinds = append(kinds, k)
+		}
+	}
+	return kinds
+}
+
+// Answer returns the row of k. A number outside the list yields the row of
+// ConnectionLost, the one that claims least.
+func (k Kind) Answer() Answer {
+	if a, ok := table[k]; ok {
+		return a
+	}
+	return table[ConnectionLost]
+}
+
+// String returns the name of k.
+func (k Kind) String() string { return k.Answer().Name }
+
+// Err is an error of one closed kind.
+type Err struct {
+	Kind   Kind
+	Detail string
+}
+
+// Error returns the kind's name with the detail.
+func (e *Err) Error() string {
+	if e.Detail == "" {
+		return e.Kind.String()
+	}
+	return e.Kind.String() + ": " + e.Detail
+}
+
+// New returns an error of kind k with a formatted detail.
+func New(k Kind, format string, args ...any) *Err {
+	return &Err{Kind: k, Detail: fmt.Sprintf(format, args...)}
+}
+
+// Of returns the kind of err: OK for nil and ConnectionLost, the kind that
+// claims least, for an error of another type.
+func Of(err error) Kind {
+	if err == nil {
+		return OK
+	}
+	var e *Err
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return ConnectionLost
+}
--- /dev/null
+++ b/core/settings/settings.go
@@ -0,0 +1,252 @@
+// Package settings reads the settings file of a process: JSON with comments
+// and trailing commas, checked as a whole before anything starts.
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/sesamemoor/sesamemoor/core/keyhash"
+)
+
+// Daemon is the settings of one sesamemoord process.
+type Daemon struct {
+	Slot       string `json:"slot"` // unique name of the daemon's place
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+
+	PeerAddr    string `json:"peer_addr"`    // TCP, other daemons
+	WitnessAddr string `json:"witness_addr"` // UDP, leases
+	EntryAddr   string `json:"entry_addr"`   // TCP, callers
+	AdminAddr   string `json:"admin_addr"`   // TCP, backend server, operators, metrics
+
+	// Advertise holds the addresses under which others reach this daemon,
+	// where they differ from those it listens on.
+	Advertise Advertise `json:"advertise"`
+
+	PlatformURL   string `json:"platform_url"`
+	KeyHashSecret string `json:"key_hash_secret"`
+
+	Lease  Lease  `json:"lease"`
+	Limits Limits `json:"limits"`
+	Policy Policy `json:"policy"`
+
+	LogLevel        string `json:"log_level"`         // debug, info, warn or error
+	ShutdownGraceMS int64  `json:"shutdown_grace_ms"` // time for running requests on SIGTERM
+}
+
+// Advertise holds addresses announced to other daemons; empty fields mean the
+// listening addresses.
+type Advertise struct {
+	PeerAddr    string `json:"peer_addr"`
+	WitnessAddr string `json:"witness_addr"`
+	EntryAddr   string `json:"entry_addr"`
+}
+
+// Lease holds the durations of membership leases.
+type Lease struct {
+	TermMS    int64 `json:"term_ms"`
+	RenewMS   int64 `json:"renew_ms"`
+	DriftPPM  int64 `json:"drift_ppm"` // largest clock rate error of a host, parts per million
+	SettleMS  int64 `json:"settle_ms"` // wait for other slots before the first join
+	Witnesses int   `json:"witnesses"` // odd
+}
+
+// Limits bounds what one daemon holds.
+type Limits struct {
+	MaxInflight   int   `json:"max_inflight"`        // requests accepted by the entry at once
+	MaxQueue      int   `json:"max_queue"`           // requests waiting for the backend server
+	RequestIDs    int   `json:"request_ids"`         // rows of the request-id table
+	BackendConns  int   `json:"backend_connections"` // connections to the backend server
+	StaleConfigMS int64 `json:"stale_config_ms"`     // age of configuration knowledge after which callers are refused
+}
+
+// Policy selects between a policy and its naive baseline, for experiments.
+type Policy struct {
+	ColdStart  string `json:"cold_start"` // "ramp" or "none"
+	Stragglers string `json:"stragglers"` // "measured", "reported" or "none"
+	HotKeys    string `json:"hot_keys"`   // "split" or "none"
+	Queue      string `json:"queue"`      // "fair" or "fifo"
+	Retries    string `json:"retries"`    // "budget" or "naive"
+}
+
+// Default returns the settings that a file need not name.
+func Default() Daemon {
+	return Daemon{
+		Lease: Lease{TermMS: 1200, RenewMS: 400, DriftPPM: 20_000, SettleMS: 1500, Witnesses: 3},
+		Limits: Limits{
+			MaxInflight: 4096, MaxQueue: 512, RequestIDs: 200_000, BackendConns: 64, StaleConfigMS: 5000,
+		},
+		Policy: Policy{
+			ColdStart: "ramp", Stragglers: "measured", HotKeys: "split", Queue: "fair", Retries: "budget",
+		},
+		LogLevel:        "info",
+		ShutdownGraceMS: 10_000,
+	}
+}
+
+// ErrInvalid reports settings that cannot be used. The message lists every
+// problem found, one a line, with the file position or the field path.
+var ErrInvalid = errors.New("invalid settings")
+
+// LoadDaemon reads and checks the settings file at path.
+func LoadDaemon(path string) (Daemon, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return Daemon{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	d, err := ParseDaemon(data)
+	if err != nil {
+		return Daemon{}, fmt.Errorf("%s: %w", path, err)
+	}
+	return d, nil
+}
+
+// ParseDaemon decodes settings from JSON with comments and checks them.
+func ParseDaemon(data []byte) (Daemon, error) {
+	standard, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return Daemon{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	d := Default()
+	dec := json.NewDecoder(bytes.NewReader(standard))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&d); err != nil {
+		return Daemon{}, fmt.Errorf("%w: %s%w", ErrInvalid, position(standard, dec.InputOffset()), err)
+	}
+	if problems := d.Problems(); len(problems) > 0 {
+		return Daemon{}, fmt.Errorf("%w:\n  %s", ErrInvalid, strings.Join(problems, "\n  "))
+	}
+	return d, nil
+}
+
+// position returns "line L, column C: " of an offset. Comments were replaced
+// by spaces, so positions are those of the original file.
+func position(data []byte, offset int64) string {
+	before := data[:min(int(offset), len(data))]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - bytes.LastIndexByte(before, '\n')
+	return fmt.Sprintf("line %d, column %d: ", line, column)
+}
+
+// Problems returns every rule that d breaks, each with its field path.
+func (d Daemon) Problems() []string {
+	var list []string
+	add := func(format string, args ...any) { list = append(list, fmt.Sprintf(format, args...)) }
+	required := []struct{ field, value string }{
+		{"slot", d.Slot}, {"data_centre", d.DataCentre}, {"region", d.Region},
+	}
+	for _, r := range required {
+		if r.value == "" {
+			add("%s: required", r.field)
+		}
+	}
+	addrs := []struct{ field, value string }{
+		{"peer_addr", d.PeerAddr}, {"witness_addr", d.WitnessAddr},
+		{"entry_addr", d.EntryAddr}, {"admin_addr", d.AdminAddr},
+	}
+	for _, a := range addrs {
+		if err := checkAddr(a.value); err != nil {
+			add("%s: %v", a.field, err)
+		}
+	}
+	advertised := []struct{ field, value string }{
+		{"advertise.peer_addr", d.Advertise.PeerAddr},
+		{"advertise.witness_addr", d.Advertise.WitnessAddr},
+		{"advertise.entry_addr", d.Advertise.EntryAddr},
+	}
+	for _, a := range advertised {
+		if a.value == "" {
+			continue
+		}
+		if err := checkAddr(a.value); err != nil {
+			add("%s: %v", a.field, err)
+		}
+	}
+	if u, err := url.Parse(d.PlatformURL); err != nil || u.Scheme != "http" || u.Host == "" {
+		add("platform_url: %q is not an http URL", d.PlatformURL)
+	}
+	if len(d.KeyHashSecret) < keyhash.MinSecretBytes {
+		add("key_hash_secret: shorter than %d bytes", keyhash.MinSecretBytes)
+	}
+	d.Lease.check(add)
+	d.Limits.check(add)
+	d.Policy.check(add)
+	checkChoice(add, "log_level", d.LogLevel, "debug", "info", "warn", "error")
+	if d.ShutdownGraceMS < 0 {
+		add("shutdown_grace_ms: negative")
+	}
+	return list
+}
+
+func checkAddr(addr string) error {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return err
+	}
+	if net.ParseIP(host) == nil {
+		return fmt.Errorf("%q is not an IP number", host)
+	}
+	return nil
+}
+
+type addFunc func(format string, args ...any)
+
+func (l Lease) check(add addFunc) {
+	if l.TermMS < 100 || l.TermMS > 60_000 {
+		add("lease.term_ms: %d is not in 100 to 60000", l.TermMS)
+	}
+	if l.RenewMS < 10 || l.RenewMS*2 > l.TermMS {
+		add("lease.renew_ms: %d is not in 10 to half of term_ms", l.RenewMS)
+	}
+	if l.DriftPPM < 0 || l.DriftPPM > 200_000 {
+		add("lease.drift_ppm: %d is not in 0 to 200000", l.DriftPPM)
+	}
+	if l.SettleMS < 0 {
+		add("lease.settle_ms: negative")
+	}
+	if l.Witnesses < 1 || l.Witnesses > 7 || l.Witnesses%2 == 0 {
+		add("lease.witnesses: %d is not 1, 3, 5 or 7", l.Witnesses)
+	}
+}
+
+func (l Limits) check(add addFunc) {
+	positive := []struct {
+		field string
+		value int64
+	}{
+		{"max_inflight", int64(l.MaxInflight)}, {"max_queue", int64(l.MaxQueue)},
+		{"request_ids", int64(l.RequestIDs)}, {"backend_connections", int64(l.BackendConns)},
+		{"stale_config_ms", l.StaleConfigMS},
+	}
+	for _, p := range positive {
+		if p.value < 1 {
+			add("limits.%s: %d is not positive", p.field, p.value)
+		}
+	}
+}
+
+func (p Policy) check(add addFunc) {
+	checkChoice(add, "policy.cold_start", p.ColdStart, "ramp", "none")
+	checkChoice(add, "policy.stragglers", p.Stragglers, "measured", "reported", "none")
+	checkChoice(add, "policy.hot_keys", p.HotKeys, "split", "none")
+	checkChoice(add, "policy.queue", p.Queue, "fair", "fifo")
+	checkChoice(add, "policy.retries", p.Retries, "budget", "naive")
+}
+
+func checkChoice(add addFunc, field, value string, choices ...string) {
+	for _, c := range choices {
+		if value == c {
+			return
+		}
+	}
+	add("%s: %q is not one of %s", field, value, strings.Join(choices, ", "))
+}
--- /dev/null
+++ b/daemon/cmd/sesamemoord/commands.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+// Exit codes.
+const (
+	exitFailure  = subcommands.ExitStatus(1)
+	exitSettings = subcommands.ExitStatus(2)
+)
+
+// stopTimeout bounds the stop of all plug-ins after the grace time.
+const stopTimeout = 5 * time.Second
+
+// loadArg reads the settings file named by the only argument.
+func loadArg(f *flag.FlagSet) (settings.Daemon, bool) {
+	if f.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "sesamemoord: one settings file is required")
+		return settings.Daemon{}, false
+	}
+	set, err := settings.LoadDaemon(f.Arg(0))
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sesamemoord:", err)
+		return settings.Daemon{}, false
+	}
+	return set, true
+}
+
+type checkCommand struct{}
+
+func (*checkCommand) Name() string           { return "check" }
+func (*checkCommand) Synopsis() string       { return "check a settings file" }
+func (*checkCommand) Usage() string          { return "check FILE:\n  Check the settings in FILE and exit.\n" }
+func (*checkCommand) SetFlags(*flag.FlagSet) {}
+
+func (*checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if _, ok := loadArg(f); !ok {
+		return exitSettings
+	}
+	fmt.Println("settings are valid")
+	return subcommands.ExitSuccess
+}
+
+type runCommand struct{}
+
+func (*runCommand) Name() string           { return "run" }
+func (*runCommand) Synopsis() string       { return "run the daemon" }
+func (*runCommand) Usage() string          { return "run FILE:\n  Run the daemon with the settings in FILE.\n" }
+func (*runCommand) SetFlags(*flag.FlagSet) {}
+
+func (*runCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	set, ok := loadArg(f)
+	if !ok {
+		return exitSettings
+	}
+	log, err := newLogger(set)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "sesamemoord:", err)
+		return exitSettings
+	}
+	defer func() { _ = log.Sync() }()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := serve(ctx, set, log); err != nil {
+		log.Error("daemon failed", zap.Error(err))
+		return exitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// serve runs the daemon until ctx ends, then hands over its shards and stops.
+func serve(ctx context.Context, set settings.Daemon, log *zap.Logger) error {
+	var controller *kernel.Controller
+	app := fx.New(
+		kernel.Core(set, log),
+		kernel.Modules(),
+		fx.Populate(&controller),
+		fx.WithLogger(func() fxevent.Logger {
+			l := &fxevent.ZapLogger{Logger: log.Named("fx")}
+			l.UseLogLevel(zapcore.DebugLevel)
+			return l
+		}),
+	)
+	if err := app.Start(ctx); err != nil {
+		return fmt.Errorf("start: %w", err)
+	}
+	log.Info("started", zap.Strings("plugins", kernel.Plugins()))
+	<-ctx.Done()
+	grace := time.Duration(set.ShutdownGraceMS) * time.Millisecond
+	controller.Leave(grace)
+	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout+grace)
+	defer cancel()
+	if err := app.Stop(stopCtx); err != nil {
+		return fmt.Errorf("stop: %w", err)
+	}
+	log.Info("stopped")
+	return nil
+}
+
+func newLogger(set settings.Daemon) (*zap.Logger, error) {
+	cfg := zap.NewProductionConfig()
+	level, err := zapcore.ParseLevel(set.LogLevel)
+	if err != nil {
+		return nil, fmt.Errorf("log level: %w", err)
+	}
+	cfg.Level = zap.NewAtomicLevelAt(level)
+	cfg.Sampling = nil
+	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	log, err := cfg.Build()
+	if err != nil {
+		return nil, fmt.Errorf("logger: %w", err)
+	}
+	return log.With(zap.String("slot", set.Slot), zap.String("data_centre", set.DataCentre)), nil
+}
--- /dev/null
+++ b/daemon/kernel/interfaces.go
@@ -0,0 +1,86 @@
+package kernel
+
+import (
+	"context"
+
+	"go.uber.org/fx"
+
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// Control is the control goroutine as plug-ins see it.
+type Control interface {
+	// Post queues an event. It blocks while the queue is full.
+	Post(ev control.Event)
+	// View returns the newest routing view; it is never nil.
+	View() *view.View
+}
+
+// EffectHandler carries out effects of the control state. It is called on the
+// control goroutine and must not block; it ignores effects of other types.
+type EffectHandler interface {
+	HandleEffect(effect control.Effect)
+}
+
+// Peers calls other daemons.
+type Peers interface {
+	// Call sends a frame to the daemon at addr and returns its answer. The
+	// error is an *outcome.Err that tells whether the frame was sent.
+	Call(ctx context.Context, addr string, frame *wire.Frame) (*wire.Frame, error)
+}
+
+// FrameHandler answers one kind of peer frame.
+type FrameHandler interface {
+	// Handles reports whether the handler answers frames like this one.
+	Handles(frame *wire.Frame) bool
+	// HandleFrame returns the answer; its id is filled in by the caller. It
+	// may block; it runs on a goroutine of its own.
+	HandleFrame(ctx context.Context, from string, frame *wire.Frame) *wire.Frame
+}
+
+// Executor runs requests on the backend server beside this daemon.
+type Executor interface {
+	Execute(ctx context.Context, req *wire.Request) *wire.Response
+}
+
+// Limiter grants a team's requests within its fleet-wide rate.
+type Limiter interface {
+	// Take takes one token of the team's bucket. The error is an *outcome.Err.
+	Take(ctx context.Context, team string) error
+}
+
+// Explainer keeps recent decisions for operators.
+type Explainer interface {
+	// Explain returns the recent log lines that mention the request id.
+	Explain(requestID string) []string
+}
+
+// Fx groups to which plug-ins contribute.
+const (
+	effectGroup = `group:"effects"`
+	frameGroup  = `group:"frames"`
+)
+
+// AsEffectHandler annotates a constructor of an EffectHandler.
+func AsEffectHandler(constructor any) any {
+	return fx.Annotate(constructor, fx.As(new(EffectHandler)), fx.ResultTags(effectGroup))
+}
+
+// AsFrameHandler annotates a constructor of a FrameHandler.
+func AsFrameHandler(constructor any) any {
+	return fx.Annotate(constructor, fx.As(new(FrameHandler)), fx.ResultTags(frameGroup))
+}
+
+// EffectHandlers receives the group of effect handlers.
+type EffectHandlers struct {
+	fx.In
+	Handlers []EffectHandler `group:"effects"`
+}
+
+// FrameHandlers receives the group of frame handlers.
+type FrameHandlers struct {
+	fx.In
+	Handlers []FrameHandler `group:"frames"`
+}
--- /dev/null
+++ b/daemon/plugins/peer/releases.go
@@ -0,0 +1,86 @@
+package peer
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+// releaseTimeout bounds one release message with its answer.
+const releaseTimeout = 1 * time.Second
+
+// releases carries release messages between the control states of daemons.
+type releases struct {
+	peers   kernel.Peers
+	control kernel.Control
+	mu      sync.Mutex
+	ticket  uint64
+	waiting map[uint64]chan *wire.ReleaseAnswer
+}
+
+func newReleases(p kernel.Peers, c kernel.Control) *releases {
+	return &releases{peers: p, control: c, waiting: map[uint64]chan *wire.ReleaseAnswer{}}
+}
+
+// HandleEffect implements kernel.EffectHandler.
+func (r *releases) HandleEffect(effect control.Effect) {
+	switch e := effect.(type) {
+	case control.SendRelease:
+		go r.send(e)
+	case control.AnswerRelease:
+		r.answer(e)
+	}
+}
+
+func (r *releases) send(e control.SendRelease) {
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	defer cancel()
+	answered := control.ReleaseAnswered{Shard: e.Shard, Generation: e.Msg.GetRef().GetGeneration()}
+	frame, err := r.peers.Call(ctx, e.PeerAddr, &wire.Frame{Body: &wire.Frame_Release{Release: e.Msg}})
+	if err != nil {
+		answered.Reason = err.Error()
+	} else {
+		answered.Accepted = frame.GetReleaseAnswer().GetAccepted()
+		answered.Reason = frame.GetReleaseAnswer().GetReason()
+	}
+	r.control.Post(answered)
+}
+
+func (r *releases) answer(e control.AnswerRelease) {
+	r.mu.Lock()
+	ch, ok := r.waiting[e.Ticket]
+	delete(r.waiting, e.Ticket)
+	r.mu.Unlock()
+	if ok {
+		ch <- e.Answer
+	}
+}
+
+// Handles implements kernel.FrameHandler.
+func (r *releases) Handles(frame *wire.Frame) bool { return frame.GetRelease() != nil }
+
+// HandleFrame implements kernel.FrameHandler.
+func (r *releases) HandleFrame(ctx context.Context, _ string, frame *wire.Frame) *wire.Frame {
+	ch := make(chan *wire.ReleaseAnswer, 1)
+	r.mu.Lock()
+	r.ticket++
+	ticket := r.ticket
+	r.waiting[ticket] = ch
+	r.mu.Unlock()
+	r.control.Post(control.ReleaseReceived{Msg: frame.GetRelease(), Ticket: ticket})
+	select {
+	case answer := <-ch:
+		return &wire.Frame{Body: &wire.Frame_ReleaseAnswer{ReleaseAnswer: answer}}
+	case <-ctx.Done():
+		return nil
+	}
+}
+
+var (
+	_ kernel.EffectHandler = (*releases)(nil)
+	_ kernel.FrameHandler  = (*releases)(nil)
+)
--- /dev/null
+++ b/daemon/plugins/platform/platform.go
@@ -0,0 +1,172 @@
+// Package platform connects the daemon to the platform's append-only log: it
+// reads the configuration and placement streams and appends records.
+package platform
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.platform", Module: module})
+}
+
+func module() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			fx.Annotate(newLog, fx.As(new(logstream.Log))),
+			newAppender,
+			kernel.AsEffectHandler(func(a *appender) *appender { return a }),
+		),
+		fx.Invoke(startReaders, startAppender),
+	)
+}
+
+func newLog(set settings.Daemon) *logstream.HTTP { return logstream.NewHTTP(set.PlatformURL) }
+
+const (
+	readMax      = 1024
+	readWaitMS   = 1000
+	readRetry    = 200 * time.Millisecond
+	appendQueue  = 4096
+	appendWorker = 4
+	appendWait   = 2 * time.Second
+)
+
+// reader follows one stream.
+type reader struct {
+	stream  string
+	log     logstream.Log
+	control kernel.Control
+	clock   clock.Clock
+	logger  *zap.Logger
+}
+
+func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, c kernel.Control, clk clock.Clock, log *zap.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
+				r := &reader{stream: stream, log: l, control: c, clock: clk, logger: log.Named("platform")}
+				wg.Go(func() { r.run(ctx) })
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			wg.Wait()
+			return nil
+		},
+	})
+}
+
+func (r *reader) run(ctx context.Context) {
+	from := uint64(1)
+	wait := 0
+	for ctx.Err() == nil {
+		sent := r.clock.Now()
+		batch, err := r.log.Read(ctx, r.stream, from, readMax, wait)
+		if err != nil {
+			r.failed(ctx, err)
+			continue
+		}
+		wait = readWaitMS
+		if n := len(batch.Records); n > 0 {
+			from = batch.Records[n-1].Offset + 1
+		}
+		r.control.Post(control.Records{Stream: r.stream, Entries: batch.Records, Next: batch.Next, AsOf: sent})
+	}
+}
+
+func (r *reader) failed(ctx context.Context, err error) {
+	if errors.Is(err, context.Canceled) {
+		return
+	}
+	r.logger.Debug("read failed", zap.String("stream", r.stream), zap.Error(err))
+	select {
+	case <-ctx.Done():
+	case <-time.After(readRetry):
+	}
+}
+
+// appender carries out Append effects.
+type appender struct {
+	log    logstream.Log
+	logger *zap.Logger
+	queue  chan control.Append
+}
+
+func newAppender(l logstream.Log, log *zap.Logger) *appender {
+	return &appender{log: l, logger: log.Named("platform"), queue: make(chan control.Append, appendQueue)}
+}
+
+// HandleEffect implements kernel.EffectHandler. A record that finds the queue
+// full is dropped; the control state appends it again.
+func (a *appender) HandleEffect(effect control.Effect) {
+	e, ok := effect.(control.Append)
+	if !ok {
+		return
+	}
+	select {
+	case a.queue <- e:
+	default:
+		a.logger.Warn("append queue full", zap.String("stream", e.Stream))
+	}
+}
+
+func startAppender(lc fx.Lifecycle, a *appender) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for range appendWorker {
+				wg.Go(func() { a.run(ctx) })
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			wg.Wait()
+			return nil
+		},
+	})
+}
+
+func (a *appender) run(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case e := <-a.queue:
+			a.append(ctx, e)
+		}
+	}
+}
+
+func (a *appender) append(ctx context.Context, e control.Append) {
+	data, err := proto.Marshal(e.Record)
+	if err != nil {
+		a.logger.Error("encode record", zap.Error(err))
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, appendWait)
+	defer cancel()
+	if _, err := a.log.Append(ctx, e.Stream, data); err != nil {
+		a.logger.Debug("append failed", zap.String("stream", e.Stream), zap.Error(err))
+	}
+}
+
+var _ kernel.EffectHandler = (*appender)(nil)
--- /dev/null
+++ b/daemon/plugins/plugins.go
@@ -0,0 +1,12 @@
+// Package plugins links all plug-ins of the daemon.
+package plugins
+
+import (
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/admin"    // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/entry"    // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/keeper"   // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/owner"    // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/peer"     // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/platform" // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/witness"  // register
+)
