Executor: admission, request ids, provable refusals, grants, drain

Requests wait for a slot in core/admit and are checked against view, lease and quiesced token immediately before dispatch; the connection checks the lease once more at the write. "Not run" is claimed only while the connection has written nothing, and is barred from writing afterwards: the transport can still be about to write when it reports a cancelled request.

Faults found: quiesce looked for running requests on a goroutine of its own, before the view without the shard was published, so a request could start after the release; an empty body together with an Idempotency-Key header let the transport send a request twice; the grant was sent once and not awaited.

A leaving backend server is drained: shards go to their standbys, then the incarnation ends (control.BackendLeaving). Before, its shards were dropped.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -107,6 +107,8 @@
 		s.backendUp(e)
 	case BackendDown:
 		s.backendDown(e)
+	case BackendLeaving:
+		s.backendLeaving()
 	case Suspicion:
 		s.suspect(e.Incarnation, "request failed")
 	case ReleaseReceived:
@@ -127,6 +129,7 @@
 	s.tickRights()
 	s.tickPlanner()
 	s.tickOutbox()
+	s.tickDrain()
 	s.tickShutdown()
 }
 
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -39,6 +39,10 @@
 // BackendDown tells that the backend server is gone or is about to leave.
 type BackendDown struct{ Reason string }
 
+// BackendLeaving tells that the backend server wants to stop: its shards are
+// handed over first. A BackendUp takes the wish back.
+type BackendLeaving struct{}
+
 // Suspicion tells that a request to an incarnation's daemon failed.
 type Suspicion struct{ Incarnation uint64 }
 
@@ -72,6 +76,7 @@
 func (Datagram) event()        {}
 func (BackendUp) event()       {}
 func (BackendDown) event()     {}
+func (BackendLeaving) event()  {}
 func (Suspicion) event()       {}
 func (ReleaseReceived) event() {}
 func (ReleaseAnswered) event() {}
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -21,6 +21,7 @@
 // ready; and again from join after the lease broke.
 type membership struct {
 	backend     *BackendUp // nil while no backend server is announced
+	draining    bool       // the backend server wants to stop
 	announced   bool       // announce record sent
 	joinID      [16]byte   // id of the join in flight; zero if none
 	joinSent    clock.Instant
@@ -138,6 +139,7 @@
 
 func (s *State) backendUp(e BackendUp) {
 	m := &s.member
+	m.draining = false
 	if m.backend != nil && *m.backend == e {
 		return
 	}
@@ -156,6 +158,7 @@
 		return
 	}
 	m.backend = nil
+	m.draining = false
 	s.dirty = true
 	if m.holder == nil {
 		return
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -156,7 +156,7 @@
 // shouldRelease reports whether the owner of sh is to hand it over now: it
 // was asked to, or is itself out of service, and the standby can take it.
 func (s *State) shouldRelease(sh *fold.Shard) bool {
-	if !sh.Handover && !s.selfOut() && !s.stopping {
+	if !sh.Handover && !s.selfOut() && !s.stopping && !s.member.draining {
 		return false
 	}
 	standby, ok := s.fold.Members[sh.Standby]
@@ -186,6 +186,8 @@
 	switch {
 	case s.stopping:
 		return "shutdown"
+	case s.member.draining:
+		return "backend server leaves"
 	case s.selfOut():
 		return "taken out of service"
 	case sh.Handover:
@@ -253,7 +255,7 @@
 		return "unknown shard"
 	case !s.leaseHeld():
 		return "no lease"
-	case s.stopping:
+	case s.stopping || s.member.draining:
 		return "shutting down"
 	case sh.Generation != generation || sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
 		return "replay shows another placement"
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -24,7 +24,7 @@
 		Held:          s.held(),
 		ConfigFresh:   s.freshness[logstream.ConfigStream],
 		Lease:         s.cell,
-		SelfOut:       s.selfOut(),
+		SelfOut:       s.selfOut() || s.member.draining,
 		Leaving:       s.stopping,
 	}
 }
--- a/core/dedup/dedup.go
+++ b/core/dedup/dedup.go
@@ -160,6 +160,13 @@
 	}
 }
 
+// Requeue marks a dispatched request that did not run as waiting again.
+func (t *Table) Requeue(id ID) {
+	if r := t.find(id); r != nil {
+		r.state = Waiting
+	}
+}
+
 // End records how a dispatched request ended. One that did not run leaves no row.
 func (t *Table) End(id ID, ran outcome.Ran, status uint32) {
 	r := t.find(id)
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -45,6 +45,25 @@
 	Execute(ctx context.Context, req *wire.Request) *wire.Response
 }
 
+// BackendReport is an announcement of the backend server beside this daemon.
+type BackendReport struct {
+	Name        string
+	Service     string
+	Addr        string
+	BootID      string // changes with each start of the server's process
+	Slots       uint32
+	Connections uint32 // that the server accepts; 0 if not stated
+	ChecksFence bool
+	Cold        bool
+}
+
+// BackendObserver takes in announcements before the control state does.
+type BackendObserver interface {
+	BackendReported(r BackendReport)
+	// Running returns the number of requests that run on the server.
+	Running() int
+}
+
 // Limiter grants a team's requests within its fleet-wide rate.
 type Limiter interface {
 	// Take takes one token of the team's bucket. The error is an *outcome.Err.
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -27,32 +27,17 @@
 	return fx.Options(fx.Provide(newAdmin), fx.Invoke(start))
 }
 
-// announceTimeout is the time without announcements after which the backend
-// server counts as gone.
-const announceTimeout = 3 * time.Second
-
-// Announcement is what a backend server posts to its daemon about once a
-// second.
-type Announcement struct {
-	Name        string `json:"name"`
-	Service     string `json:"service"`
-	Addr        string `json:"addr"`
-	Slots       uint32 `json:"slots"`
-	ChecksFence bool   `json:"checks_fence"`
-	Cold        bool   `json:"cold"`
-	Leaving     bool   `json:"leaving"`
-}
-
 type admin struct {
-	control kernel.Control
-	clock   clock.Clock
-	set     settings.Daemon
-	mu      sync.Mutex
-	last    time.Time // of the newest announcement
+	control  kernel.Control
+	observer kernel.BackendObserver
+	clock    clock.Clock
+	set      settings.Daemon
+	mu       sync.Mutex
+	last     time.Time // of the newest announcement
 }
 
-func newAdmin(c kernel.Control, clk clock.Clock, set settings.Daemon) *admin {
-	return &admin{control: c, clock: clk, set: set}
+func newAdmin(c kernel.Control, o kernel.BackendObserver, clk clock.Clock, set settings.Daemon) *admin {
+	return &admin{control: c, observer: o, clock: clk, set: set}
 }
 
 func start(lc fx.Lifecycle, a *admin, m *kernel.Metrics) {
@@ -82,30 +67,6 @@
 	})
 }
 
-func (a *admin) announce(c *gin.Context) {
-	var body Announcement
-	if err := c.ShouldBindJSON(&body); err != nil {
-		c.JSON(http.StatusBadRequest, gin.H{"error": err.Error()})
-		return
-	}
-	if body.Name == "" || body.Service == "" || body.Addr == "" || body.Slots == 0 {
-		c.JSON(http.StatusBadRequest, gin.H{"error": "name, service, addr and slots are required"})
-		return
-	}
-	if body.Leaving {
-		a.control.Post(control.BackendDown{Reason: "backend server leaves"})
-		c.Status(http.StatusNoContent)
-		return
-	}
-	a.mu.Lock()
-	a.last = time.Now()
-	a.mu.Unlock()
-	a.control.Post(control.BackendUp{
-		Name: body.Name, Service: body.Service, Addr: body.Addr, Slots: body.Slots, ChecksFence: body.ChecksFence,
-	})
-	c.Status(http.StatusNoContent)
-}
-
 // watch reports the backend server as gone when its announcements stop.
 func (a *admin) watch(stop <-chan struct{}) {
 	ticker := time.NewTicker(announceTimeout / 6)
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -8,16 +8,18 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
+	"net/url"
 	"strconv"
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
-	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
-// Headers of the protocol with backend servers.
+// Headers of the protocol with backend servers, see docs/BACKEND.md.
 const (
 	headerToken    = "X-Sesamemoor-Generation" // fencing token
 	headerShard    = "X-Sesamemoor-Shard"
@@ -25,34 +27,54 @@
 	headerRequest  = "X-Request-Id"
 	headerDeadline = "X-Sesamemoor-Deadline-Ms" // time left when sent
 	headerRefused  = "X-Sesamemoor-Refused"     // "fenced" or "shed": the request did not run
+	// HeaderCrash names the crash in the response to each request that was in
+	// flight at it. It is seen by daemons only.
+	HeaderCrash = "X-Sesamemoor-Crash-Id"
 )
 
-// maxAnswerBytes bounds a backend server's answer.
-const maxAnswerBytes = 8 << 20
-
-// grantTimeout bounds one grant message.
-const grantTimeout = 500 * time.Millisecond
+const (
+	// maxAnswerBytes bounds a backend server's answer.
+	maxAnswerBytes = 8 << 20
+	// maxRefusalBytes bounds what is read of a refusal's body.
+	maxRefusalBytes = 4 << 10
+)
 
 // backend is the HTTP client of the backend server beside the daemon.
 type backend struct {
 	control kernel.Control
-	client  *http.Client
+	clock   clock.Clock
+	client  *http.Client // requests, on guarded connections
+	grants  *http.Client // grants, on connections of their own
+	crashes crashes
 }
 
-func newBackend(c kernel.Control, conns int) *backend {
-	transport := &http.Transport{
+func newBackend(c kernel.Control, clk clock.Clock, conns int) *backend {
+	b := &backend{control: c, clock: clk, crashes: crashes{clock: clk}}
+	b.client = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout:     idleTimeout,
+		DialContext:         guardedDialer(b.leaseHeld),
 		DisableCompression:  true,
-	}
-	return &backend{control: c, client: &http.Client{Transport: transport, CheckRedirect: noRedirect}}
+	}}
+	b.grants = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+		MaxConnsPerHost: 1,
+		IdleConnTimeout: idleTimeout,
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+	}}
+	return b
 }
 
-const dialTimeout = 500 * time.Millisecond
-
 func noRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
+func (b *backend) leaseHeld() bool { return b.control.View().Lease.Valid(b.clock.Now()) }
+
+// restarted closes idle connections to the server's earlier process.
+func (b *backend) restarted(bootID string) {
+	b.crashes.restarted(bootID)
+	b.client.CloseIdleConnections()
+}
+
 // addr returns the address of the backend server, or "" while there is none.
 func (b *backend) addr() string {
 	if server := b.control.View().Backend; server != nil {
@@ -61,35 +83,66 @@
 	return ""
 }
 
-// grant tells the backend server that shard is its under the fencing token.
-func (b *backend) grant(id view.ShardID, token uint64) {
-	addr := b.addr()
-	if addr == "" {
-		return
+// sendGrant tells the backend server that the shard is its under the token.
+func (b *backend) sendGrant(ctx context.Context, key grantKey) error {
+	query := url.Values{
+		"service":    {key.shard.Service},
+		"shard":      {strconv.FormatUint(uint64(key.shard.Shard), 10)},
+		"generation": {strconv.FormatUint(key.token, 10)},
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), grantTimeout)
-	defer cancel()
-	url := fmt.Sprintf("http://%s/sesamemoor/grant?service=%s&shard=%d&generation=%d", addr, id.Service, id.Shard, token)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, nil)
+	target := url.URL{Scheme: "http", Host: b.addr(), Path: "/sesamemoor/grant", RawQuery: query.Encode()}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), nil)
 	if err != nil {
-		return
+		return fmt.Errorf("owner: grant: %w", err)
 	}
-	if resp, err := b.client.Do(req); err == nil {
-		_ = resp.Body.Close()
+	resp, err := b.grants.Do(req)
+	if err != nil {
+		return fmt.Errorf("owner: grant: %w", err)
 	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("owner: grant: status %d", resp.StatusCode)
+	}
+	return nil
 }
 
+// onceBody is a request body that the transport cannot rewind. Without a way
+// to rewind, it never sends a request again after writing a part of it, even
+// one with an empty body and a header that marks it as idempotent.
+type onceBody struct{ io.Reader }
+
+func (onceBody) Close() error { return nil }
+
 // run sends the request to the backend server and returns its whole answer.
 func (b *backend) run(ctx context.Context, req *wire.Request, token uint64, timeout time.Duration) *wire.Response {
 	addr := b.addr()
 	if addr == "" {
 		return refusal(outcome.New(outcome.NoOwner, "no backend server"))
 	}
-	httpReq, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+addr+req.GetPath(), bytes.NewReader(req.GetBody()))
+	trace := &connTrace{}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { trace.got(info.Conn) },
+	})
+	httpReq, err := newRequest(ctx, addr, req, token, timeout)
 	if err != nil {
 		return refusal(outcome.New(outcome.BadRequest, "%v", err))
 	}
-	httpReq.GetBody = nil // never replayed by the transport
+	start := time.Now()
+	httpResp, err := b.client.Do(httpReq)
+	if err != nil {
+		return b.failure(ctx, addr, trace, err)
+	}
+	resp := answer(ctx, httpResp, token)
+	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
+	return resp
+}
+
+func newRequest(ctx context.Context, addr string, req *wire.Request, token uint64, timeout time.Duration) (*http.Request, error) {
+	httpReq, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+addr+req.GetPath(), onceBody{bytes.NewReader(req.GetBody())})
+	if err != nil {
+		return nil, err
+	}
+	httpReq.ContentLength = int64(len(req.GetBody()))
 	for _, h := range req.GetHeaders() {
 		httpReq.Header.Add(h.GetName(), h.GetValue())
 	}
@@ -98,48 +151,57 @@
 	httpReq.Header.Set(headerTeam, req.GetTeam())
 	httpReq.Header.Set(headerRequest, req.GetRequestId())
 	httpReq.Header.Set(headerDeadline, strconv.FormatInt(timeout.Milliseconds(), 10))
-	start := time.Now()
-	httpResp, err := b.client.Do(httpReq)
-	if err != nil {
-		return refusal(classify(ctx, err))
-	}
-	resp := answer(ctx, httpResp, token)
-	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
-	return resp
+	return httpReq, nil
 }
 
-// classify maps a transport error to its kind.
-func classify(ctx context.Context, err error) error {
-	var op *net.OpError
+// failure maps a transport error to its kind. "Not run" is claimed only when
+// no byte of the request was written.
+func (b *backend) failure(ctx context.Context, addr string, trace *connTrace, err error) *wire.Response {
+	wrote := trace.wrote()
 	switch {
-	case errors.As(err, &op) && op.Op == "dial":
-		return outcome.New(outcome.OwnerUnreachable, "backend server: %v", err)
+	case errors.Is(err, errLeaseOver) && !wrote:
+		return refusal(outcome.New(outcome.LeaseLost, "%v", err))
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !wrote:
+		return refusal(outcome.New(outcome.DeadlineNotRun, "no connection to the backend server in time"))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return outcome.New(outcome.DeadlineMaybeRan, "backend server gave no answer in time")
-	case errors.Is(ctx.Err(), context.Canceled):
-		return outcome.New(outcome.CancelledMaybeRan, "cancelled")
-	default:
-		return outcome.New(outcome.BackendCrashed, "%v", err)
+		return refusal(outcome.New(outcome.DeadlineMaybeRan, "backend server gave no answer in time"))
+	case ctx.Err() != nil && !wrote:
+		return refusal(outcome.New(outcome.CancelledNotRun, "cancelled"))
+	case ctx.Err() != nil:
+		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
+	case !wrote:
+		return refusal(outcome.New(outcome.OwnerUnreachable, "backend server: %v", err))
+	case listens(addr):
+		return refusal(outcome.New(outcome.ConnectionLost, "backend server: %v", err))
 	}
+	return b.crashed(err)
+}
+
+func (b *backend) crashed(err error) *wire.Response {
+	id := b.crashes.id()
+	resp := refusal(outcome.New(outcome.BackendCrashed, "crash %s: %v", id, err))
+	resp.Headers = []*wire.Header{{Name: HeaderCrash, Value: id}}
+	return resp
 }
 
 // answer reads the whole answer; a part of one is an error.
 func answer(ctx context.Context, httpResp *http.Response, token uint64) *wire.Response {
 	defer httpResp.Body.Close()
-	switch httpResp.Header.Get(headerRefused) {
-	case "fenced":
-		return refusal(outcome.New(outcome.Fenced, "backend server holds a newer grant"))
-	case "shed":
-		return refusal(outcome.New(outcome.BackendShed, "backend server shed the request"))
+	if err := refused(httpResp); err != nil {
+		return refusal(err)
+	}
+	if !hasEnd(httpResp) {
+		return refusal(outcome.New(outcome.AnswerCut, "answer has neither a length nor a last chunk"))
 	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxAnswerBytes+1))
-	if err != nil {
-		if ctx.Err() != nil {
-			return refusal(classify(ctx, err))
-		}
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
+		return refusal(outcome.New(outcome.DeadlineMaybeRan, "answer not whole in time"))
+	case ctx.Err() != nil && err != nil:
+		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
+	case err != nil:
 		return refusal(outcome.New(outcome.AnswerCut, "%v", err))
-	}
-	if len(body) > maxAnswerBytes {
+	case len(body) > maxAnswerBytes:
 		return refusal(outcome.New(outcome.AnswerTooLarge, "answer exceeds %d bytes", maxAnswerBytes))
 	}
 	resp := &wire.Response{
@@ -156,3 +218,25 @@
 	}
 	return resp
 }
+
+// refused returns the error of a refusal by the backend server, after which
+// the connection can be used again.
+func refused(httpResp *http.Response) error {
+	var err error
+	switch httpResp.Header.Get(headerRefused) {
+	case "fenced":
+		err = outcome.New(outcome.Fenced, "backend server holds a newer grant")
+	case "shed":
+		err = outcome.New(outcome.BackendShed, "backend server shed the request")
+	default:
+		return nil
+	}
+	_, _ = io.CopyN(io.Discard, httpResp.Body, maxRefusalBytes)
+	return err
+}
+
+// hasEnd reports whether a cut of the answer would be seen.
+func hasEnd(httpResp *http.Response) bool {
+	chunked := len(httpResp.TransferEncoding) > 0
+	return httpResp.ContentLength >= 0 || chunked || httpResp.Request.Method == http.MethodHead
+}
--- /dev/null
+++ b/daemon/plugins/owner/conn.go
@@ -0,0 +1,87 @@
+package owner
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	dialTimeout = 500 * time.Millisecond
+	// idleTimeout closes connections before backend servers commonly do, so
+	// that a request rarely meets a connection that is just being closed.
+	idleTimeout = 4 * time.Second
+)
+
+// errLeaseOver is the write error of a connection when the lease has ended.
+var errLeaseOver = errors.New("lease ended before the request was written")
+
+// States of a guarded connection with regard to its current request.
+const (
+	unwritten uint32 = iota
+	written
+	barred
+)
+
+// guardedConn is a connection to the backend server that writes only while the
+// lease is held, and knows whether the current request has written anything.
+type guardedConn struct {
+	net.Conn
+	held  func() bool
+	state atomic.Uint32
+}
+
+// begin marks the start of a request that got this connection.
+func (c *guardedConn) begin() { c.state.CompareAndSwap(written, unwritten) }
+
+// bar reports whether the current request has written nothing, and sees to it
+// that it never will: the transport may still be about to write when it
+// reports a cancelled request.
+func (c *guardedConn) bar() bool {
+	if c.state.CompareAndSwap(unwritten, barred) {
+		_ = c.Close()
+	}
+	return c.state.Load() == barred
+}
+
+// Write checks the lease immediately before the bytes leave.
+func (c *guardedConn) Write(b []byte) (int, error) {
+	if !c.held() {
+		return 0, errLeaseOver
+	}
+	if !c.state.CompareAndSwap(unwritten, written) && c.state.Load() == barred {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(b)
+}
+
+// guardedDialer dials guarded connections.
+func guardedDialer(held func() bool) func(context.Context, string, string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		conn, err := dialer.DialContext(ctx, network, addr)
+		if err != nil {
+			return nil, err
+		}
+		return &guardedConn{Conn: conn, held: held}, nil
+	}
+}
+
+// connTrace remembers the connection of one request.
+type connTrace struct{ conn atomic.Pointer[guardedConn] }
+
+func (t *connTrace) got(conn net.Conn) {
+	if c, ok := conn.(*guardedConn); ok {
+		c.begin()
+		t.conn.Store(c)
+	}
+}
+
+// wrote reports whether any byte of the request may have been handed to the
+// network. When it reports false, none ever will be.
+func (t *connTrace) wrote() bool {
+	c := t.conn.Load()
+	return c != nil && !c.bar()
+}
--- /dev/null
+++ b/daemon/plugins/owner/execute.go
@@ -0,0 +1,170 @@
+package owner
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/admit"
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/dedup"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const (
+	// dispatchMargin is the part of the lease left unused by the deadline of
+	// a request to the backend server.
+	dispatchMargin = 20 * time.Millisecond
+	// maxSheds is the number of times that a request is offered to the
+	// backend server while it sheds.
+	maxSheds = 4
+	// shedBackoff is the pause after the first shed; it doubles.
+	shedBackoff = 10 * time.Millisecond
+)
+
+// Execute implements kernel.Executor.
+func (e *executor) Execute(ctx context.Context, req *wire.Request) *wire.Response {
+	timeout := time.Duration(req.GetTimeoutMs()) * time.Millisecond
+	deadline := e.clock.Now().Add(timeout)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp := e.execute(ctx, req, deadline)
+	e.log.Info("run",
+		zap.String("request_id", req.GetRequestId()),
+		zap.String("team", req.GetTeam()),
+		zap.String("service", req.GetService()),
+		zap.Uint32("shard", req.GetShard()),
+		zap.Uint64("generation", resp.GetGeneration()),
+		zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
+		zap.String("reason", resp.GetDetail()),
+		zap.Uint32("us", resp.GetServiceTimeUs()),
+	)
+	return resp
+}
+
+// execute keeps the request id around the run, where the caller chose it.
+func (e *executor) execute(ctx context.Context, req *wire.Request, deadline clock.Instant) *wire.Response {
+	id := view.ShardID{Service: req.GetService(), Shard: req.GetShard()}
+	held, err := e.check(id)
+	if err != nil {
+		return refusal(err)
+	}
+	r := &run{request: req, shard: id, token: held.Token, deadline: deadline}
+	if req.GetIdempotent() || !req.GetCallerId() {
+		return e.admit(ctx, r)
+	}
+	r.id = &dedup.ID{Shard: id, Team: req.GetTeam(), ID: req.GetRequestId()}
+	if err := e.ids.begin(*r.id, r.token); err != nil {
+		return refusal(err)
+	}
+	resp := e.admit(ctx, r)
+	if !r.settled {
+		e.ids.end(*r.id, r.token, outcome.NotRun, 0)
+	}
+	return resp
+}
+
+// run is one request on its way to the backend server.
+type run struct {
+	request  *wire.Request
+	shard    view.ShardID
+	token    uint64
+	deadline clock.Instant
+	id       *dedup.ID // nil when the request id is not kept
+	settled  bool      // the end of the run is recorded under id
+}
+
+// admit waits for the grant and a slot and dispatches; again after a pause
+// while the backend server sheds.
+func (e *executor) admit(ctx context.Context, r *run) *wire.Response {
+	if e.checksFence() {
+		if err := e.grants.wait(ctx, grantKey{r.shard, r.token}); err != nil {
+			return refusal(err)
+		}
+	}
+	pause := shedBackoff
+	for try := 1; ; try++ {
+		resp := e.attempt(ctx, r)
+		if outcome.Kind(resp.GetKind()) != outcome.BackendShed || try == maxSheds {
+			return resp
+		}
+		select {
+		case <-ctx.Done():
+			return resp
+		case <-time.After(pause):
+			pause *= 2
+		}
+	}
+}
+
+// attempt takes a slot and runs the request once.
+func (e *executor) attempt(ctx context.Context, r *run) *wire.Response {
+	ticket := &admit.Ticket{Team: r.request.GetTeam(), Shard: r.shard, Deadline: r.deadline}
+	lost := func() bool { return !holds(e.control.View(), r.shard) }
+	if err := e.gate.acquire(ctx, ticket, lost); err != nil {
+		return refusal(err)
+	}
+	resp := e.dispatch(ctx, r)
+	e.gate.release(ticket, resultOf(outcome.Kind(resp.GetKind())))
+	return resp
+}
+
+func resultOf(k outcome.Kind) admit.Result {
+	switch k {
+	case outcome.OK:
+		return admit.Answered
+	case outcome.BackendShed:
+		return admit.Shed
+	default:
+		return admit.Failed
+	}
+}
+
+// dispatch checks ownership once more and sends the request with a deadline
+// inside the lease.
+func (e *executor) dispatch(ctx context.Context, r *run) *wire.Response {
+	if err := e.enter(r.shard, r.token); err != nil {
+		return refusal(err)
+	}
+	defer e.exit(r.shard)
+	now := e.clock.Now()
+	lease := e.control.View().Lease
+	timeout := min(r.deadline.Sub(now), lease.Deadline().Sub(now)-dispatchMargin)
+	if timeout <= 0 {
+		return refusal(outcome.New(outcome.LeaseLost, "too little of the lease is left"))
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	if r.id != nil {
+		e.ids.dispatch(*r.id, r.token)
+	}
+	resp := e.backend.run(ctx, r.request, r.token, timeout)
+	e.settle(r, resp)
+	return resp
+}
+
+// settle records the end of a run before the shard can count as idle, so that
+// a release carries it.
+func (e *executor) settle(r *run, resp *wire.Response) {
+	kind := outcome.Kind(resp.GetKind())
+	if r.id == nil {
+		return
+	}
+	if kind == outcome.BackendShed {
+		e.ids.requeue(*r.id, r.token)
+		return
+	}
+	r.settled = true
+	e.ids.end(*r.id, r.token, kind.Answer().Ran, resp.GetStatus())
+}
+
+// Handles implements kernel.FrameHandler.
+func (e *executor) Handles(frame *wire.Frame) bool { return frame.GetRequest() != nil }
+
+// HandleFrame implements kernel.FrameHandler.
+func (e *executor) HandleFrame(ctx context.Context, _ string, frame *wire.Frame) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_Response{Response: e.Execute(ctx, frame.GetRequest())}}
+}
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -3,9 +3,7 @@
 package owner
 
 import (
-	"context"
 	"sync"
-	"time"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -28,35 +26,48 @@
 		fx.Provide(
 			newExecutor,
 			func(e *executor) kernel.Executor { return e },
+			func(e *executor) kernel.BackendObserver { return e },
 			kernel.AsEffectHandler(func(e *executor) *executor { return e }),
 			kernel.AsFrameHandler(func(e *executor) *executor { return e }),
 		),
+		fx.Invoke(registerMetrics),
 	)
 }
 
-// dispatchMargin is the part of the lease left unused by the deadline of a
-// request to the backend server.
-const dispatchMargin = 20 * time.Millisecond
-
 // executor is the traffic side of ownership.
+//
+// Invariant: after quiesce of a shard under a token was posted, no request of
+// the shard is dispatched under that token.
 type executor struct {
 	control kernel.Control
 	clock   clock.Clock
 	log     *zap.Logger
+	limits  settings.Limits
 	backend *backend
+	grants  *grants
+	gate    *gate
+	ids     *ids
 
 	mu       sync.Mutex
 	running  map[view.ShardID]int
+	closed   map[view.ShardID]uint64 // newest token under which the shard was quiesced
 	draining map[view.ShardID]control.Quiesce
+	report   kernel.BackendReport // newest announcement
 }
 
 func newExecutor(c kernel.Control, clk clock.Clock, set settings.Daemon, log *zap.Logger) *executor {
+	b := newBackend(c, clk, set.Limits.BackendConns)
 	return &executor{
 		control:  c,
 		clock:    clk,
 		log:      log.Named("owner"),
-		backend:  newBackend(c, set.Limits.BackendConns),
+		limits:   set.Limits,
+		backend:  b,
+		grants:   newGrants(b.sendGrant),
+		gate:     newGate(clk, set),
+		ids:      newIDs(clk, set.Limits.RequestIDs),
 		running:  map[view.ShardID]int{},
+		closed:   map[view.ShardID]uint64{},
 		draining: map[view.ShardID]control.Quiesce{},
 	}
 }
@@ -65,28 +76,50 @@
 func (e *executor) HandleEffect(effect control.Effect) {
 	switch ef := effect.(type) {
 	case control.Quiesce:
-		go e.quiesce(ef)
+		e.quiesce(ef)
 	case control.TakeOver:
-		go e.backend.grant(ef.Shard, ef.Token)
+		e.takeOver(ef)
+	case control.Publish:
+		e.gate.withdraw(func(id view.ShardID) bool { return !holds(ef.View, id) })
 	}
 }
 
+func holds(v *view.View, id view.ShardID) bool {
+	_, ok := v.Held[id]
+	return ok
+}
+
+// takeOver starts the shard's request-id history before the view shows the
+// shard as held.
+func (e *executor) takeOver(t control.TakeOver) {
+	e.ids.acquire(t, e.control.View())
+	if e.checksFence() {
+		go e.grants.request(grantKey{t.Shard, t.Token})
+	}
+}
+
+// quiesce closes the shard for its token and reports when nothing runs any
+// more. The shard's waiting requests are refused at once.
 func (e *executor) quiesce(q control.Quiesce) {
 	e.mu.Lock()
+	e.closed[q.Shard] = max(e.closed[q.Shard], q.Token)
 	idle := e.running[q.Shard] == 0
 	if !idle {
 		e.draining[q.Shard] = q
 	}
 	e.mu.Unlock()
+	e.gate.withdraw(func(id view.ShardID) bool { return id == q.Shard })
 	if idle {
-		e.control.Post(control.Quiesced{Shard: q.Shard, Token: q.Token})
+		go e.postQuiesced(q)
 	}
 }
 
-// enter counts a request of the shard as running if the view holds it.
-func (e *executor) enter(id view.ShardID) (view.Held, error) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
+func (e *executor) postQuiesced(q control.Quiesce) {
+	e.control.Post(control.Quiesced{Shard: q.Shard, Token: q.Token, Marks: e.ids.marks(q.Shard)})
+}
+
+// check returns the standing of a shard in the newest view.
+func (e *executor) check(id view.ShardID) (view.Held, error) {
 	v := e.control.View()
 	held, ok := v.Held[id]
 	if !ok {
@@ -95,10 +128,25 @@
 	if !v.Lease.Valid(e.clock.Now()) {
 		return view.Held{}, outcome.New(outcome.LeaseLost, "shard %s/%d", id.Service, id.Shard)
 	}
-	e.running[id]++
 	return held, nil
 }
 
+// enter counts a request of the shard as running, if the shard is held under
+// token now.
+func (e *executor) enter(id view.ShardID, token uint64) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held, err := e.check(id)
+	if err != nil {
+		return err
+	}
+	if held.Token != token || e.closed[id] >= token {
+		return outcome.New(outcome.NotOwner, "shard %s/%d is handed over", id.Service, id.Shard)
+	}
+	e.running[id]++
+	return nil
+}
+
 func (e *executor) exit(id view.ShardID) {
 	e.mu.Lock()
 	e.running[id]--
@@ -110,47 +158,47 @@
 	}
 	e.mu.Unlock()
 	if idle && draining {
-		e.control.Post(control.Quiesced{Shard: q.Shard, Token: q.Token})
+		e.postQuiesced(q)
 	}
 }
 
-// Execute implements kernel.Executor.
-func (e *executor) Execute(ctx context.Context, req *wire.Request) *wire.Response {
-	id := view.ShardID{Service: req.GetService(), Shard: req.GetShard()}
-	held, err := e.enter(id)
-	if err != nil {
-		return refusal(err)
-	}
-	defer e.exit(id)
-	lease := e.control.View().Lease
-	timeout := min(
-		time.Duration(req.GetTimeoutMs())*time.Millisecond,
-		lease.Deadline().Sub(e.clock.Now())-dispatchMargin,
-	)
-	if timeout <= 0 {
-		return refusal(outcome.New(outcome.LeaseLost, "too little of the lease is left"))
+// Running implements kernel.BackendObserver.
+func (e *executor) Running() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	total := 0
+	for _, n := range e.running {
+		total += n
 	}
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	resp := e.backend.run(ctx, req, held.Token, timeout)
-	e.log.Info("run",
-		zap.String("request_id", req.GetRequestId()),
-		zap.String("team", req.GetTeam()),
-		zap.String("service", req.GetService()),
-		zap.Uint32("shard", req.GetShard()),
-		zap.Uint64("generation", held.Token),
-		zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
-		zap.Uint32("us", resp.GetServiceTimeUs()),
-	)
-	return resp
+	return total
 }
 
-// Handles implements kernel.FrameHandler.
-func (e *executor) Handles(frame *wire.Frame) bool { return frame.GetRequest() != nil }
+// BackendReported implements kernel.BackendObserver.
+func (e *executor) BackendReported(r kernel.BackendReport) {
+	e.mu.Lock()
+	last := e.report
+	e.report = r
+	e.mu.Unlock()
+	restarted := last.BootID != r.BootID || last.Addr != r.Addr
+	if restarted {
+		e.grants.forget()
+		e.backend.restarted(r.BootID)
+	}
+	slots := int(r.Slots)
+	if r.Connections > 0 {
+		slots = min(slots, int(r.Connections))
+	}
+	e.gate.setSlots(min(slots, e.limits.BackendConns))
+	if restarted || r.Cold && !last.Cold {
+		e.log.Info("cold start", zap.String("backend_server", r.Name), zap.String("boot_id", r.BootID))
+		e.gate.turnCold()
+	}
+}
 
-// HandleFrame implements kernel.FrameHandler.
-func (e *executor) HandleFrame(ctx context.Context, _ string, frame *wire.Frame) *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Response{Response: e.Execute(ctx, frame.GetRequest())}}
+func (e *executor) checksFence() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.report.ChecksFence
 }
 
 // refusal turns an error into a response.
@@ -160,7 +208,8 @@
 }
 
 var (
-	_ kernel.Executor      = (*executor)(nil)
-	_ kernel.EffectHandler = (*executor)(nil)
-	_ kernel.FrameHandler  = (*executor)(nil)
+	_ kernel.Executor        = (*executor)(nil)
+	_ kernel.EffectHandler   = (*executor)(nil)
+	_ kernel.FrameHandler    = (*executor)(nil)
+	_ kernel.BackendObserver = (*executor)(nil)
 )
