Scenario harness: scripted failures of real processes

Fleets of daemon processes on loopback networks of their own, with proxies between them that cut and silence traffic for each pair.

--- /dev/null
+++ b/ctl/scenario/expect_test.go
@@ -0,0 +1,227 @@
+package scenario
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// cmdExpect checks a property of the last request or of the stopped watch:
+//
+//	expect status|outcome|ran VALUE[,VALUE...]
+//	expect sound                    answers agree with runs; ownership exclusive
+//	expect outage below D           longest time a key went unserved
+//	expect outcomes only A,B,C      kinds seen by the watch
+//	expect some OUTCOME             a kind the watch must have seen
+//	expect errors 0                 connections to entries that failed
+//	expect runs ID N                times a request id ran
+func (s *scenario) cmdExpect(_ *testscript.TestScript, args []string) error {
+	switch args[0] {
+	case "status", "outcome", "ran":
+		if !slices.Contains(strings.Split(args[1], ","), s.vars[args[0]]) {
+			return fmt.Errorf("%s is %q, not %s", args[0], s.vars[args[0]], args[1])
+		}
+		return nil
+	case "sound":
+		return s.expectSound()
+	case "outage":
+		return s.expectOutage(args[2])
+	case "outcomes":
+		return s.expectOutcomes(strings.Split(args[2], ","))
+	case "some":
+		return s.expectSome(args[1])
+	case "errors":
+		return s.expectErrors(args[1])
+	case "runs":
+		return s.expectRuns(args[1], args[2])
+	default:
+		return fmt.Errorf("unknown property %q", args[0])
+	}
+}
+
+// maxReported bounds the problems in one failure message.
+const maxReported = 10
+
+func (s *scenario) expectSound() error {
+	if len(s.samples) == 0 {
+		return errors.New("no requests were watched")
+	}
+	runs, err := s.fleet.collectRuns()
+	if err != nil {
+		return err
+	}
+	problems := append(checkAccounts(s.samples, runs), checkOwnership(runs)...)
+	if len(problems) > 0 {
+		return fmt.Errorf("%d problems:\n%s", len(problems), strings.Join(problems[:min(len(problems), maxReported)], "\n"))
+	}
+	return nil
+}
+
+func (s *scenario) expectOutage(bound string) error {
+	limit, err := time.ParseDuration(bound)
+	if err != nil {
+		return err
+	}
+	if len(s.samples) == 0 {
+		return errors.New("no requests were watched")
+	}
+	var end time.Time
+	for _, r := range s.samples {
+		if r.start.After(end) {
+			end = r.start
+		}
+	}
+	worst := endedOutage(s.samples, s.watch.period, end)
+	if worst.duration >= limit {
+		return fmt.Errorf("%s went unserved for %s from %s", worst.key, worst.duration, worst.from.Format(time.RFC3339Nano))
+	}
+	return nil
+}
+
+func (s *scenario) expectOutcomes(allowed []string) error {
+	for _, r := range s.samples {
+		if r.err == nil && !slices.Contains(allowed, r.outcome) {
+			return fmt.Errorf("request %s through %s at %s: outcome %s", r.id, r.entry, r.start.Format(time.RFC3339Nano), r.outcome)
+		}
+	}
+	return nil
+}
+
+func (s *scenario) expectSome(outcome string) error {
+	for _, r := range s.samples {
+		if r.outcome == outcome {
+			return nil
+		}
+	}
+	return fmt.Errorf("no request ended with %s", outcome)
+}
+
+func (s *scenario) expectErrors(count string) error {
+	want, err := strconv.Atoi(count)
+	if err != nil {
+		return err
+	}
+	var failed []string
+	for _, r := range s.samples {
+		if r.err != nil {
+			failed = append(failed, fmt.Sprintf("%s at %s: %v", r.entry, r.start.Format(time.RFC3339Nano), r.err))
+		}
+	}
+	if len(failed) != want {
+		return fmt.Errorf("%d errors: %s", len(failed), strings.Join(failed[:min(len(failed), maxReported)], "\n"))
+	}
+	return nil
+}
+
+func (s *scenario) expectRuns(id, count string) error {
+	want, err := strconv.Atoi(count)
+	if err != nil {
+		return err
+	}
+	runs, err := s.fleet.collectRuns()
+	if err != nil {
+		return err
+	}
+	n := 0
+	for _, r := range runs {
+		if r.RequestID == id {
+			n++
+		}
+	}
+	if n != want {
+		return fmt.Errorf("request %s ran %d times", id, n)
+	}
+	return nil
+}
+
+// cmdEventually: eventually BOUND CONDITION... waits for
+//
+//	served                       all shards held, served through every daemon
+//	config VERSION DAEMON...     the daemons have the version in force
+//	held NAME none|some          a daemon holds no shards, or some
+//	answer ENTRY KEY OUTCOME [name=value...]  a lookup ends with the outcome
+//	idle DC                      no new work starts on the data centre's backend servers
+func (s *scenario) cmdEventually(ts *testscript.TestScript, args []string) error {
+	bound, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	condition, err := s.condition(ts, args[1], args[2:])
+	if err != nil {
+		return err
+	}
+	return eventually(bound, condition)
+}
+
+func (s *scenario) condition(ts *testscript.TestScript, name string, args []string) (func() error, error) {
+	switch name {
+	case "served":
+		return s.allServed, nil
+	case "config":
+		return s.configIs(args)
+	case "held":
+		return s.heldIs(args[0], args[1])
+	case "answer":
+		return func() error {
+			if err := s.cmdRequest(ts, append([]string{args[0], http.MethodGet, args[1]}, args[3:]...)); err != nil {
+				return err
+			}
+			return s.cmdExpect(ts, []string{"outcome", args[2]})
+		}, nil
+	default:
+		return nil, fmt.Errorf("unknown condition %q", name)
+	}
+}
+
+func (s *scenario) configIs(args []string) (func() error, error) {
+	want, err := strconv.ParseUint(args[0], 10, 64)
+	if err != nil {
+		return nil, err
+	}
+	return func() error {
+		for _, name := range args[1:] {
+			m, err := s.fleet.member(name)
+			if err != nil {
+				return err
+			}
+			st, err := s.fleet.status(m)
+			if err != nil {
+				return err
+			}
+			if st.ConfigVersion != want {
+				return fmt.Errorf("%s has version %d", name, st.ConfigVersion)
+			}
+		}
+		return nil
+	}, nil
+}
+
+func (s *scenario) heldIs(name, want string) (func() error, error) {
+	var members []*member
+	for _, m := range s.fleet.members {
+		if m.daemon.name == name || m.dc == name {
+			members = append(members, m)
+		}
+	}
+	if len(members) == 0 {
+		return nil, fmt.Errorf("no daemon or data centre %q", name)
+	}
+	return func() error {
+		for _, m := range members {
+			st, err := s.fleet.status(m)
+			if err != nil {
+				return err
+			}
+			if (want == "none") != (len(st.Held) == 0) {
+				return fmt.Errorf("%s holds %d shards", m.daemon.name, len(st.Held))
+			}
+		}
+		return nil
+	}, nil
+}
--- /dev/null
+++ b/ctl/scenario/fleet_test.go
@@ -0,0 +1,388 @@
+package scenario
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/keyhash"
+	"github.com/sesamemoor/sesamemoor/ctl/emulate/platform"
+)
+
+const (
+	hashSecret = "scenario-hash-secret"
+	region     = "kr-south"
+	peerPort   = 7100
+	witPort    = 7200
+	entryPort  = 7300
+	adminPort  = 7400
+	backPort   = 7500
+	logPort    = 7000
+)
+
+// Host number ranges within the fleet's own loopback network.
+const (
+	hostDaemon   = 0
+	hostProxy    = 40
+	hostLogProxy = 80
+	hostPlatform = 200
+)
+
+// block numbers the loopback networks of the fleets of this test process.
+var block atomic.Int32
+
+// process is a started process or a stand-in of one.
+type process struct {
+	name string
+	args []string
+	log  *os.File
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// fleet is the processes of one scenario.
+type fleet struct {
+	dir     string
+	prefix  string // "127.A.B."
+	dcs     []string
+	service string
+	shards  int
+	members []*member
+	net     *network
+	log     *platform.Server
+	logAddr string
+	closers []io.Closer
+	client  *http.Client
+	keys    map[string]string // caller key by team
+	version uint64
+}
+
+// member is a daemon with its backend server.
+type member struct {
+	index   int
+	dc      string
+	ip      netip.Addr
+	daemon  *process
+	backend *process
+}
+
+func (f *fleet) addr(host, port int) string { return fmt.Sprintf("%s%d:%d", f.prefix, host, port) }
+
+// newFleet prepares a fleet whose files are in dir.
+func newFleet(dir string, opts fleetOptions) (*fleet, error) {
+	f := &fleet{
+		dir:     dir,
+		prefix:  fmt.Sprintf("127.%d.%d.", 10+os.Getpid()%240, block.Add(1)),
+		dcs:     opts.dcs,
+		service: opts.service,
+		shards:  opts.shards,
+		net:     newNetwork(),
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		keys:    map[string]string{},
+	}
+	if err := f.startPlatform(); err != nil {
+		return nil, err
+	}
+	for i := range opts.size {
+		if err := f.addMember(i+1, opts); err != nil {
+			return nil, err
+		}
+	}
+	return f, nil
+}
+
+type fleetOptions struct {
+	size        int
+	dcs         []string
+	service     string
+	shards      int
+	slots       int
+	checksFence bool
+	serviceTime time.Duration
+	backendArgs []string
+}
+
+func (f *fleet) startPlatform() error {
+	f.log = platform.New()
+	f.logAddr = f.addr(hostPlatform, logPort)
+	l, err := net.Listen("tcp", f.logAddr)
+	if err != nil {
+		return err
+	}
+	srv := &http.Server{Handler: f.log.Handler()}
+	go func() { _ = srv.Serve(l) }()
+	f.closers = append(f.closers, srv)
+	return nil
+}
+
+func (f *fleet) platformAddr() netip.Addr {
+	return netip.MustParseAddr(fmt.Sprintf("%s%d", f.prefix, hostPlatform))
+}
+
+func (f *fleet) addMember(i int, opts fleetOptions) error {
+	m := &member{index: i, dc: opts.dcs[(i-1)%len(opts.dcs)], ip: netip.MustParseAddr(fmt.Sprintf("%s%d", f.prefix, hostDaemon+i))}
+	if err := f.startProxies(m); err != nil {
+		return err
+	}
+	settings := map[string]any{
+		"slot": fmt.Sprintf("d%d", i), "data_centre": m.dc, "region": region,
+		"peer_addr": f.addr(i, peerPort), "witness_addr": f.addr(i, witPort),
+		"entry_addr": f.addr(i, entryPort), "admin_addr": f.addr(i, adminPort),
+		"advertise": map[string]string{
+			"peer_addr": f.addr(hostProxy+i, peerPort), "witness_addr": f.addr(hostProxy+i, witPort),
+		},
+		"platform_url":    "http://" + f.addr(hostLogProxy+i, logPort),
+		"key_hash_secret": hashSecret,
+	}
+	data, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return err
+	}
+	file := filepath.Join(f.dir, fmt.Sprintf("d%d.json", i))
+	if err := os.WriteFile(file, data, 0o644); err != nil {
+		return err
+	}
+	m.daemon = &process{name: fmt.Sprintf("d%d", i), args: []string{daemonBinary, "run", file}}
+	args := []string{ctlBinary, "emulate-backend", "-name", fmt.Sprintf("b%d", i), "-service", opts.service,
+		"-listen", f.addr(i, backPort), "-daemon", f.addr(i, adminPort), "-slots", fmt.Sprint(opts.slots),
+		"-service-time", opts.serviceTime.String()}
+	if opts.checksFence {
+		args = append(args, "-checks-fence")
+	}
+	m.backend = &process{name: fmt.Sprintf("b%d", i), args: append(args, opts.backendArgs...)}
+	f.members = append(f.members, m)
+	return nil
+}
+
+func (f *fleet) startProxies(m *member) error {
+	i := m.index
+	peer, err := f.net.proxyTCP(f.addr(hostProxy+i, peerPort), f.addr(i, peerPort), m.ip, netip.Addr{})
+	if err != nil {
+		return err
+	}
+	wit, err := f.net.proxyUDP(f.addr(hostProxy+i, witPort), f.addr(i, witPort), m.ip)
+	if err != nil {
+		return err
+	}
+	log, err := f.net.proxyTCP(f.addr(hostLogProxy+i, logPort), f.logAddr, f.platformAddr(), m.ip)
+	if err != nil {
+		return err
+	}
+	f.closers = append(f.closers, peer, wit, log)
+	return nil
+}
+
+// start starts all processes.
+func (f *fleet) start() error {
+	for _, m := range f.members {
+		if err := m.daemon.start(f.dir); err != nil {
+			return err
+		}
+		if err := m.backend.start(f.dir); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// stop ends all processes of the fleet.
+func (f *fleet) stop() {
+	for _, m := range f.members {
+		m.daemon.kill()
+		m.backend.kill()
+	}
+	for _, c := range f.closers {
+		_ = c.Close()
+	}
+	f.client.CloseIdleConnections()
+}
+
+func (f *fleet) member(name string) (*member, error) {
+	for _, m := range f.members {
+		if m.daemon.name == name || m.backend.name == name {
+			return m, nil
+		}
+	}
+	return nil, fmt.Errorf("no process %q", name)
+}
+
+// process returns the process with the given name.
+func (f *fleet) process(name string) (*process, error) {
+	m, err := f.member(name)
+	if err != nil {
+		return nil, err
+	}
+	if m.daemon.name == name {
+		return m.daemon, nil
+	}
+	return m.backend, nil
+}
+
+// hosts returns the hosts that a name stands for: a daemon, "platform", or all
+// daemons of a data centre.
+func (f *fleet) hosts(name string) ([]netip.Addr, error) {
+	if name == "platform" {
+		return []netip.Addr{f.platformAddr()}, nil
+	}
+	var list []netip.Addr
+	for _, m := range f.members {
+		if m.daemon.name == name || m.dc == name {
+			list = append(list, m.ip)
+		}
+	}
+	if len(list) == 0 {
+		return nil, fmt.Errorf("no daemon or data centre %q", name)
+	}
+	return list, nil
+}
+
+func (p *process) start(dir string) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	log, err := os.OpenFile(filepath.Join(dir, p.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(p.args[0], p.args[1:]...)
+	cmd.Stdout = log
+	cmd.Stderr = log
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	p.cmd = cmd
+	p.done = make(chan struct{})
+	go func(done chan struct{}) {
+		_ = cmd.Wait()
+		close(done)
+	}(p.done)
+	return nil
+}
+
+func (p *process) signal(sig syscall.Signal) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return fmt.Errorf("%s is not running", p.name)
+	}
+	return p.cmd.Process.Signal(sig)
+}
+
+// kill ends the process at once and waits for it.
+func (p *process) kill() {
+	p.mu.Lock()
+	cmd, done := p.cmd, p.done
+	p.cmd = nil
+	p.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(syscall.SIGCONT)
+	_ = cmd.Process.Kill()
+	<-done
+}
+
+// terminate asks the process to stop and waits until it did.
+func (p *process) terminate(bound time.Duration) error {
+	if err := p.signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	p.mu.Lock()
+	done, cmd := p.done, p.cmd
+	p.mu.Unlock()
+	select {
+	case <-done:
+	case <-time.After(bound):
+		return fmt.Errorf("%s did not stop within %s", p.name, bound)
+	}
+	p.mu.Lock()
+	p.cmd = nil
+	p.mu.Unlock()
+	if code := cmd.ProcessState.ExitCode(); code != 0 {
+		return fmt.Errorf("%s ended with code %d", p.name, code)
+	}
+	return nil
+}
+
+// daemonStatus is the part of a daemon's status that scenarios look at.
+type daemonStatus struct {
+	LeaseHeld     bool   `json:"lease_held"`
+	ConfigVersion uint64 `json:"config_version"`
+	Held          []struct {
+		Service    string `json:"service"`
+		Shard      uint32 `json:"shard"`
+		Generation uint64 `json:"generation"`
+	} `json:"held"`
+}
+
+// statusTimeout bounds one status request.
+const statusTimeout = time.Second
+
+func (f *fleet) status(m *member) (*daemonStatus, error) {
+	client := &http.Client{Timeout: statusTimeout}
+	resp, err := client.Get("http://" + f.addr(m.index, adminPort) + "/v1/status")
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	st := new(daemonStatus)
+	return st, json.NewDecoder(resp.Body).Decode(st)
+}
+
+// patch applies a merge patch on the newest version through sesamemoorctl.
+func (f *fleet) patch(base uint64, patch string) (string, error) {
+	cmd := exec.Command(ctlBinary, "config-patch", "-platform", "http://"+f.logAddr, "-base", fmt.Sprint(base))
+	cmd.Stdin = strings.NewReader(patch)
+	var out bytes.Buffer
+	cmd.Stdout = &out
+	cmd.Stderr = &out
+	err := cmd.Run()
+	return out.String(), err
+}
+
+// configure creates the service, its route and the teams.
+func (f *fleet) configure(teams map[string]teamOptions) error {
+	dcs := map[string]any{}
+	for _, dc := range f.dcs {
+		dcs[dc] = map[string]string{"region": region}
+	}
+	all := map[string]any{}
+	for name, t := range teams {
+		f.keys[name] = "smk_" + name
+		all[name] = map[string]any{
+			"rate": t.rate, "burst": t.burst, "services": []string{f.service},
+			"keys": map[string]any{"k1": map[string]string{"hash": keyhash.Sum([]byte(hashSecret), f.keys[name])}},
+		}
+	}
+	doc, err := json.Marshal(map[string]any{
+		"data_centres": dcs,
+		"services":     map[string]any{f.service: map[string]any{"region": region, "shards": f.shards}},
+		"routes": map[string]any{f.service: map[string]any{
+			"prefix": "/" + f.service, "service": f.service, "key": "path:0"}},
+		"teams": all,
+	})
+	if err != nil {
+		return err
+	}
+	out, err := f.patch(0, string(doc))
+	if err != nil {
+		return fmt.Errorf("configure: %w: %s", err, out)
+	}
+	f.version = 1
+	return nil
+}
+
+type teamOptions struct{ rate, burst float64 }
--- /dev/null
+++ b/ctl/scenario/script_test.go
@@ -0,0 +1,188 @@
+package scenario
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+var daemonBinary, ctlBinary string
+
+// TestMain builds the two programs once.
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "scenario")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	daemonBinary = filepath.Join(dir, "sesamemoord")
+	ctlBinary = filepath.Join(dir, "sesamemoorctl")
+	code := 1
+	if err := build(); err == nil {
+		code = m.Run()
+	} else {
+		fmt.Fprintln(os.Stderr, "build:", err)
+	}
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+func build() error {
+	for out, pkg := range map[string]string{
+		daemonBinary: "github.com/sesamemoor/sesamemoor/daemon/cmd/sesamemoord",
+		ctlBinary:    "github.com/sesamemoor/sesamemoor/ctl/cmd/sesamemoorctl",
+	} {
+		cmd := exec.Command("go", "build", "-o", out, pkg)
+		cmd.Stderr = os.Stderr
+		if err := cmd.Run(); err != nil {
+			return fmt.Errorf("%s: %w", pkg, err)
+		}
+	}
+	return nil
+}
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir: "testdata/scripts",
+		Setup: func(env *testscript.Env) error {
+			s := &scenario{dir: env.WorkDir, vars: map[string]string{}}
+			env.Values["scenario"] = s
+			env.Defer(s.close)
+			return nil
+		},
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"fleet":      command((*scenario).cmdFleet),
+			"crash":      command((*scenario).cmdCrash),
+			"start":      command((*scenario).cmdStart),
+			"terminate":  command((*scenario).cmdTerminate),
+			"freeze":     command((*scenario).cmdFreeze),
+			"thaw":       command((*scenario).cmdThaw),
+			"cut":        command((*scenario).cmdCut),
+			"mute":       command((*scenario).cmdMute),
+			"heal":       command((*scenario).cmdHeal),
+			"platform":   command((*scenario).cmdPlatform),
+			"backend":    command((*scenario).cmdBackend),
+			"patch":      command((*scenario).cmdPatch),
+			"watch":      command((*scenario).cmdWatch),
+			"request":    command((*scenario).cmdRequest),
+			"expect":     command((*scenario).cmdExpect),
+			"eventually": command((*scenario).cmdEventually),
+			"owner":      command((*scenario).cmdOwner),
+			"pause":      command((*scenario).cmdPause),
+		},
+	})
+}
+
+// command adapts a method to testscript. With "!" before it in the script the
+// command must fail.
+func command(run func(*scenario, *testscript.TestScript, []string) error) func(*testscript.TestScript, bool, []string) {
+	return func(ts *testscript.TestScript, neg bool, args []string) {
+		s := ts.Value("scenario").(*scenario)
+		err := run(s, ts, s.expand(args))
+		if neg && err == nil {
+			ts.Fatalf("unexpected success")
+		}
+		if !neg && err != nil {
+			s.report(ts)
+			ts.Fatalf("%v", err)
+		}
+	}
+}
+
+// scenario is the state of one script.
+type scenario struct {
+	dir     string
+	fleet   *fleet
+	watch   *watch
+	samples []sample
+	vars    map[string]string
+}
+
+func (s *scenario) close() {
+	if s.watch != nil {
+		s.watch.cancel()
+	}
+	if s.fleet != nil {
+		s.fleet.stop()
+	}
+	if keep := os.Getenv("SCENARIO_LOGS"); keep != "" {
+		logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
+		for _, file := range logs {
+			if data, err := os.ReadFile(file); err == nil {
+				_ = os.WriteFile(filepath.Join(keep, filepath.Base(s.dir)+"-"+filepath.Base(file)), data, 0o644)
+			}
+		}
+	}
+}
+
+// expand replaces @name by the value of a variable set by the script.
+func (s *scenario) expand(args []string) []string {
+	out := make([]string, len(args))
+	for i, a := range args {
+		out[i] = a
+		if name, ok := strings.CutPrefix(a, "@"); ok {
+			if v, set := s.vars[name]; set {
+				out[i] = v
+			}
+		}
+	}
+	return out
+}
+
+// report logs what is known about the fleet when a step failed.
+func (s *scenario) report(ts *testscript.TestScript) {
+	if s.fleet == nil {
+		return
+	}
+	for _, m := range s.fleet.members {
+		st, err := s.fleet.status(m)
+		if err != nil {
+			ts.Logf("%s: %v", m.daemon.name, err)
+			continue
+		}
+		ts.Logf("%s: lease %v, %d shards held, configuration %d", m.daemon.name, st.LeaseHeld, len(st.Held), st.ConfigVersion)
+	}
+}
+
+// options parses arguments of the form name=value.
+type options map[string]string
+
+func parseOptions(args []string) (options, error) {
+	o := options{}
+	for _, a := range args {
+		name, value, ok := strings.Cut(a, "=")
+		if !ok {
+			return nil, fmt.Errorf("%q is not name=value", a)
+		}
+		o[name] = value
+	}
+	return o, nil
+}
+
+func (o options) number(name string, fallback int) int {
+	if n, err := strconv.Atoi(o[name]); err == nil {
+		return n
+	}
+	return fallback
+}
+
+func (o options) duration(name string, fallback time.Duration) time.Duration {
+	if d, err := time.ParseDuration(o[name]); err == nil {
+		return d
+	}
+	return fallback
+}
+
+func (o options) text(name, fallback string) string {
+	if v, ok := o[name]; ok {
+		return v
+	}
+	return fallback
+}
--- /dev/null
+++ b/ctl/scenario/watch_test.go
@@ -0,0 +1,218 @@
+package scenario
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// sample is one request of a watch with its answer.
+type sample struct {
+	key     string
+	id      string
+	order   bool // not idempotent
+	entry   string
+	start   time.Time
+	end     time.Time
+	status  int
+	outcome string
+	ran     string
+	body    string
+	err     error
+}
+
+// ok reports whether the request got its answer from the backend server.
+func (s sample) ok() bool { return s.err == nil && s.outcome == "ok" && s.status == http.StatusOK }
+
+// watch sends lookups and orders for a set of keys until it is stopped.
+type watch struct {
+	fleet   *fleet
+	team    string
+	timeout time.Duration
+	period  time.Duration
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+
+	mu      sync.Mutex
+	entries []string
+	samples []sample
+}
+
+// startWatch begins watching n keys through the named daemons' entries. Each
+// key gets one lookup per period, and one order for every fourth lookup.
+func (f *fleet) startWatch(team string, n int, entries []string, period, timeout time.Duration) *watch {
+	ctx, cancel := context.WithCancel(context.Background())
+	w := &watch{fleet: f, team: team, timeout: timeout, period: period, cancel: cancel, entries: entries}
+	for i := range n {
+		key := fmt.Sprintf("key-%d", i)
+		w.wg.Go(func() { w.lookups(ctx, key, i) })
+		w.wg.Go(func() { w.orders(ctx, key, i) })
+	}
+	return w
+}
+
+func (w *watch) entry(i int) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.entries[i%len(w.entries)]
+}
+
+// avoid stops sending new requests through the named daemons or those of the
+// named data centres.
+func (w *watch) avoid(names []string) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.entries = slices.DeleteFunc(w.entries, func(entry string) bool {
+		m, err := w.fleet.member(entry)
+		return err != nil || slices.Contains(names, entry) || slices.Contains(names, m.dc)
+	})
+	if len(w.entries) == 0 {
+		return errors.New("no entry is left")
+	}
+	return nil
+}
+
+func (w *watch) lookups(ctx context.Context, key string, offset int) {
+	for i := offset; ctx.Err() == nil; i++ {
+		w.record(w.fleet.send(http.MethodGet, w.entry(i), w.team, key, "", w.timeout))
+		pause(ctx, w.period)
+	}
+}
+
+// orders sends each order with a request id of its own and repeats it with the
+// same id while the answer says that it did not run or may have run.
+func (w *watch) orders(ctx context.Context, key string, offset int) {
+	for i := offset; ctx.Err() == nil; i++ {
+		id := uuid.Must(uuid.NewV7()).String()
+		for range 3 {
+			s := w.fleet.send(http.MethodPost, w.entry(i), w.team, key, id, w.timeout)
+			w.record(s)
+			if s.ran == "ran" {
+				break
+			}
+			pause(ctx, w.period)
+		}
+		pause(ctx, 4*w.period)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (w *watch) record(s sample) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.samples = append(w.samples, s)
+}
+
+// stop ends the watch after the requests in flight and returns all samples.
+func (w *watch) stop() []sample {
+	w.cancel()
+	w.wg.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.samples
+}
+
+// send sends one request through a daemon's entry.
+func (f *fleet) send(method, entry, team, key, id string, timeout time.Duration) sample {
+	s := sample{key: key, id: id, order: method == http.MethodPost, entry: entry, start: time.Now()}
+	defer func() { s.end = time.Now() }()
+	m, err := f.member(entry)
+	if err != nil {
+		s.err = err
+		return s
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/%s/%s", f.addr(m.index, entryPort), f.service, key)
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		s.err = err
+		return s
+	}
+	req.Header.Set("Authorization", "Bearer "+f.keys[team])
+	req.Header.Set("X-Sesamemoor-Timeout-Ms", fmt.Sprint(timeout.Milliseconds()))
+	if id != "" {
+		req.Header.Set("X-Request-Id", id)
+	}
+	return f.finish(req, s)
+}
+
+func (f *fleet) finish(req *http.Request, s sample) sample {
+	resp, err := f.client.Do(req)
+	if err != nil {
+		s.err = err
+		s.end = time.Now()
+		return s
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	s.end = time.Now()
+	s.err = err
+	s.status = resp.StatusCode
+	s.outcome = resp.Header.Get("X-Sesamemoor-Outcome")
+	s.ran = resp.Header.Get("X-Sesamemoor-Ran")
+	s.body = string(body)
+	if s.id == "" {
+		s.id = resp.Header.Get("X-Request-Id")
+	}
+	return s
+}
+
+// outage is the longest time for which a key got no answer from its backend
+// server.
+type outage struct {
+	key      string
+	duration time.Duration
+	from     time.Time
+}
+
+// longestOutage returns the longest gap between two successful lookups of one
+// key, less the period at which lookups were sent.
+func longestOutage(samples []sample, period time.Duration) outage {
+	last := map[string]time.Time{}
+	var worst outage
+	for _, s := range samples {
+		if s.order || !s.ok() {
+			continue
+		}
+		before, seen := last[s.key]
+		if gap := s.end.Sub(before) - period; seen && gap > worst.duration {
+			worst = outage{key: s.key, duration: gap, from: before}
+		}
+		last[s.key] = s.end
+	}
+	return worst
+}
+
+// endedOutage is longestOutage with the time from the last success of each key
+// to the end of the watch taken in.
+func endedOutage(samples []sample, period time.Duration, end time.Time) outage {
+	worst := longestOutage(samples, period)
+	last := map[string]time.Time{}
+	for _, s := range samples {
+		if !s.order && s.ok() {
+			last[s.key] = s.end
+		} else if _, ok := last[s.key]; !ok {
+			last[s.key] = s.start
+		}
+	}
+	for key, at := range last {
+		if gap := end.Sub(at) - period; gap > worst.duration {
+			worst = outage{key: key, duration: gap, from: at}
+		}
+	}
+	return worst
+}
