loadstat: load of shards and keys, speed of members

Per-daemon meter with a space-saving sketch of hot keys, and the book that a balancer keeps of its members' reports: weights by measured service time against the service's median with hysteresis, and keys hot against the mean load. Not wired in yet. The sketch is checked against full counts.

--- /dev/null
+++ b/core/loadstat/book.go
@@ -0,0 +1,206 @@
+package loadstat
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const (
+	// reportLife is the time for which a report counts.
+	reportLife = 15 * time.Second
+	// smoothing is the weight of a new report against the ones before.
+	smoothing = 0.4
+	// minSamples is the number of requests from which on a report says
+	// something about a backend server's speed.
+	minSamples = 10
+	// stragglerRatio is the service time, relative to the median of the
+	// service's members, from which on a member counts as a straggler.
+	stragglerRatio = 1.6
+	// recoveredRatio is the ratio below which it no longer does.
+	recoveredRatio = 1.25
+	// minWeight bounds the capacity taken from a straggler.
+	minWeight = 0.1
+)
+
+// Book holds the newest reports of the members of a region. It is owned by one
+// goroutine.
+type Book struct {
+	members map[uint64]*memberLoad
+}
+
+type memberLoad struct {
+	service   string
+	at        clock.Instant
+	latencyUS float64 // smoothed service time; 0 while unknown
+	straggler bool
+	shards    map[uint32]float64 // smoothed requests per second
+	hotKeys   []HotKey
+}
+
+// HotKey is a key that makes up a large part of a member's load.
+type HotKey struct {
+	Service string
+	Hash    uint64
+	Shard   uint32
+	Rate    float64 // requests per second
+}
+
+// NewBook returns a book without reports.
+func NewBook() *Book { return &Book{members: map[uint64]*memberLoad{}} }
+
+// Take takes in a report that arrived at now.
+func (b *Book) Take(now clock.Instant, r *wire.LoadReport) {
+	m, ok := b.members[r.GetIncarnation()]
+	if !ok {
+		m = &memberLoad{shards: map[uint32]float64{}}
+		b.members[r.GetIncarnation()] = m
+	}
+	m.service = r.GetService()
+	m.at = now
+	m.takeShards(r.GetShards())
+	m.takeLatency(r)
+	m.hotKeys = m.hotKeys[:0]
+	for _, k := range r.GetHotKeys() {
+		m.hotKeys = append(m.hotKeys, HotKey{
+			Service: r.GetService(), Hash: k.GetKeyHash(), Shard: k.GetShard(), Rate: float64(k.GetRateMilli()) / milli,
+		})
+	}
+}
+
+func (m *memberLoad) takeShards(shards []*wire.ShardLoad) {
+	reported := make(map[uint32]bool, len(shards))
+	for _, s := range shards {
+		rate := float64(s.GetRateMilli()) / milli
+		before, known := m.shards[s.GetShard()]
+		if known {
+			rate = smoothing*rate + (1-smoothing)*before
+		}
+		m.shards[s.GetShard()] = rate
+		reported[s.GetShard()] = true
+	}
+	for shard := range m.shards {
+		if !reported[shard] {
+			delete(m.shards, shard)
+		}
+	}
+}
+
+func (m *memberLoad) takeLatency(r *wire.LoadReport) {
+	if r.GetLatencySamples() < minSamples {
+		return
+	}
+	latency := float64(r.GetLatencyUs())
+	if m.latencyUS > 0 {
+		latency = smoothing*latency + (1-smoothing)*m.latencyUS
+	}
+	m.latencyUS = latency
+}
+
+// expire drops the reports that are too old.
+func (b *Book) expire(now clock.Instant) {
+	for inc, m := range b.members {
+		if now.Sub(m.at) > reportLife {
+			delete(b.members, inc)
+		}
+	}
+}
+
+// Load returns the load of each shard in requests per second and the weight of
+// each member: 1 for full capacity, less for a straggler. Members without a
+// recent report are absent.
+func (b *Book) Load(now clock.Instant) (map[view.ShardID]float64, map[uint64]float64) {
+	b.expire(now)
+	shards := map[view.ShardID]float64{}
+	weights := map[uint64]float64{}
+	medians := b.medians()
+	for inc, m := range b.members {
+		for shard, rate := range m.shards {
+			shards[view.ShardID{Service: m.service, Shard: shard}] = rate
+		}
+		weights[inc] = m.weight(medians[m.service])
+	}
+	return shards, weights
+}
+
+// weight judges a member's speed against the median service time. Between the
+// two ratios its standing stays as it is, so that it does not flap.
+func (m *memberLoad) weight(medianUS float64) float64 {
+	if m.latencyUS == 0 || medianUS == 0 {
+		return 1
+	}
+	ratio := m.latencyUS / medianUS
+	switch {
+	case ratio >= stragglerRatio:
+		m.straggler = true
+	case ratio < recoveredRatio:
+		m.straggler = false
+	}
+	if !m.straggler {
+		return 1
+	}
+	return max(minWeight, 1/ratio)
+}
+
+// medians returns the median service time of each service's members.
+func (b *Book) medians() map[string]float64 {
+	byService := map[string][]float64{}
+	for _, m := range b.members {
+		if m.latencyUS > 0 {
+			byService[m.service] = append(byService[m.service], m.latencyUS)
+		}
+	}
+	medians := make(map[string]float64, len(byService))
+	for service, list := range byService {
+		slices.Sort(list)
+		medians[service] = list[(len(list)-1)/2]
+	}
+	return medians
+}
+
+// HotKeys returns the keys that alone carry at least share of the mean load of
+// their service's members, hottest first.
+func (b *Book) HotKeys(now clock.Instant, share float64) []HotKey {
+	b.expire(now)
+	means := b.meanLoad()
+	var list []HotKey
+	for _, m := range b.members {
+		for _, k := range m.hotKeys {
+			if k.Rate >= share*means[m.service] && k.Rate > 0 {
+				list = append(list, k)
+			}
+		}
+	}
+	slices.SortFunc(list, func(x, y HotKey) int {
+		if x.Rate != y.Rate {
+			if x.Rate > y.Rate {
+				return -1
+			}
+			return 1
+		}
+		if x.Hash < y.Hash {
+			return -1
+		}
+		return 1
+	})
+	return list
+}
+
+// meanLoad returns the mean request rate of each service's members.
+func (b *Book) meanLoad() map[string]float64 {
+	sum := map[string]float64{}
+	count := map[string]float64{}
+	for _, m := range b.members {
+		count[m.service]++
+		for _, rate := range m.shards {
+			sum[m.service] += rate
+		}
+	}
+	for service := range sum {
+		sum[service] /= count[service]
+	}
+	return sum
+}
--- /dev/null
+++ b/core/loadstat/hotkeys.go
@@ -0,0 +1,104 @@
+package loadstat
+
+import (
+	"cmp"
+	"container/heap"
+	"slices"
+)
+
+// KeyCount is a key with an estimate of its requests. The true number lies in
+// [Count-Error, Count].
+type KeyCount struct {
+	Hash  uint64
+	Shard uint32
+	Count float64
+	Error float64
+}
+
+// TopKeys finds the most requested keys of a stream in bounded memory by the
+// space-saving algorithm. Every key whose share of the stream exceeds
+// 1/capacity is among its entries.
+type TopKeys struct {
+	capacity int
+	entries  map[uint64]*keyEntry
+	order    keyHeap // least count first
+}
+
+type keyEntry struct {
+	KeyCount
+	index int
+}
+
+// NewTopKeys returns a sketch with room for capacity keys.
+func NewTopKeys(capacity int) *TopKeys {
+	return &TopKeys{capacity: capacity, entries: make(map[uint64]*keyEntry, capacity)}
+}
+
+// Add counts one request of a key.
+func (t *TopKeys) Add(hash uint64, shard uint32) {
+	if e, ok := t.entries[hash]; ok {
+		e.Count++
+		e.Shard = shard
+		heap.Fix(&t.order, e.index)
+		return
+	}
+	if len(t.order) < t.capacity {
+		e := &keyEntry{KeyCount: KeyCount{Hash: hash, Shard: shard, Count: 1}}
+		t.entries[hash] = e
+		heap.Push(&t.order, e)
+		return
+	}
+	least := t.order[0]
+	delete(t.entries, least.Hash)
+	least.KeyCount = KeyCount{Hash: hash, Shard: shard, Count: least.Count + 1, Error: least.Count}
+	t.entries[hash] = least
+	heap.Fix(&t.order, 0)
+}
+
+// Top returns the keys whose certain count is at least min, most first.
+func (t *TopKeys) Top(min float64) []KeyCount {
+	var list []KeyCount
+	for _, e := range t.order {
+		if e.Count-e.Error >= min {
+			list = append(list, e.KeyCount)
+		}
+	}
+	slices.SortFunc(list, func(a, b KeyCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Hash, b.Hash))
+	})
+	return list
+}
+
+// Reset forgets all counts.
+func (t *TopKeys) Reset() {
+	clear(t.entries)
+	t.order = t.order[:0]
+}
+
+// keyHeap orders entries by ascending count.
+type keyHeap []*keyEntry
+
+func (h keyHeap) Len() int           { return len(h) }
+func (h keyHeap) Less(i, j int) bool { return h[i].Count < h[j].Count }
+func (h keyHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push implements heap.Interface.
+func (h *keyHeap) Push(x any) {
+	e := x.(*keyEntry)
+	e.index = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *keyHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+var _ heap.Interface = (*keyHeap)(nil)
--- /dev/null
+++ b/core/loadstat/loadstat_test.go
@@ -0,0 +1,132 @@
+package loadstat
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// The naive twin counts every key. The sketch must hold every key above its
+// guaranteed share, and bound each true count.
+func TestTopKeysAgainstFullCounts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.IntRange(1, 20).Draw(t, "capacity")
+		stream := rapid.SliceOfN(rapid.Uint64Range(0, 60), 0, 400).Draw(t, "stream")
+		sketch := NewTopKeys(capacity)
+		full := map[uint64]float64{}
+		for _, key := range stream {
+			sketch.Add(key, 0)
+			full[key]++
+		}
+		top := sketch.Top(0)
+		held := map[uint64]KeyCount{}
+		for _, k := range top {
+			held[k.Hash] = k
+			if full[k.Hash] > k.Count || full[k.Hash] < k.Count-k.Error {
+				t.Fatalf("key %d: true count %v outside [%v, %v]", k.Hash, full[k.Hash], k.Count-k.Error, k.Count)
+			}
+		}
+		for key, count := range full {
+			if _, ok := held[key]; !ok && count > float64(len(stream))/float64(capacity) {
+				t.Fatalf("key %d with %v of %d requests is missing", key, count, len(stream))
+			}
+		}
+	})
+}
+
+func report(inc uint64, latencyUS uint32, rates ...uint64) *wire.LoadReport {
+	r := &wire.LoadReport{Incarnation: inc, Service: "storefront", LatencyUs: latencyUS, LatencySamples: 100, WindowMs: 1000}
+	for i, rate := range rates {
+		r.Shards = append(r.Shards, &wire.ShardLoad{Shard: uint32(inc)*10 + uint32(i), RateMilli: rate * milli})
+	}
+	return r
+}
+
+func TestStragglerIsWeighedByMeasuredLatency(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := clock.Instant(time.Second)
+	for inc := uint64(1); inc <= 4; inc++ {
+		b.Take(now, report(inc, 2000, 10))
+	}
+	b.Take(now, report(5, 10_000, 10))
+	_, weights := b.Load(now)
+	is.Equal(weights[1], 1.0)
+	is.True(weights[5] < 0.25)
+	is.True(weights[5] >= minWeight)
+}
+
+// Between the two ratios a member keeps its standing.
+func TestStragglerStandingHasHysteresis(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := clock.Instant(time.Second)
+	latency := func(us uint32) float64 {
+		for inc := uint64(1); inc <= 4; inc++ {
+			b.Take(now, report(inc, 1000, 10))
+		}
+		for range 20 { // past the smoothing
+			b.Take(now, report(5, us, 10))
+		}
+		_, weights := b.Load(now)
+		return weights[5]
+	}
+	is.Equal(latency(1400), 1.0)
+	is.True(latency(2000) < 1)
+	is.True(latency(1400) < 1)
+	is.Equal(latency(1100), 1.0)
+}
+
+func TestReportsExpire(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	b.Take(clock.Instant(time.Second), report(1, 1000, 10))
+	shards, _ := b.Load(clock.Instant(time.Second).Add(reportLife + time.Second))
+	is.Equal(len(shards), 0)
+}
+
+func TestMeterReportsRatesAndHotKeys(t *testing.T) {
+	is := is.New(t)
+	m := NewMeter(clock.Instant(0))
+	for i := range 1000 {
+		m.Arrived(uint32(i%4), uint64(i))
+	}
+	for range 500 {
+		m.Arrived(1, 77_777)
+	}
+	m.Served(3 * time.Millisecond)
+	m.Served(5 * time.Millisecond)
+	v := &view.View{Incarnation: 9, Backend: &view.Backend{Service: "storefront"}}
+	r := m.Report(clock.Instant(2*time.Second), v)
+	is.Equal(r.GetLatencyUs(), uint32(4000))
+	is.Equal(len(r.GetHotKeys()), 1)
+	is.Equal(r.GetHotKeys()[0].GetKeyHash(), uint64(77_777))
+	rates := map[uint32]uint64{}
+	for _, s := range r.GetShards() {
+		rates[s.GetShard()] = s.GetRateMilli()
+	}
+	is.Equal(rates[0], uint64(125*milli))
+	is.Equal(rates[1], uint64(375*milli))
+	is.Equal(len(m.Report(clock.Instant(4*time.Second), v).GetShards()), 0)
+}
+
+func TestHotKeysAreJudgedAgainstMeanLoad(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := clock.Instant(time.Second)
+	for inc := uint64(1); inc <= 3; inc++ {
+		b.Take(now, report(inc, 1000, 100))
+	}
+	hot := report(4, 1000, 500)
+	hot.HotKeys = []*wire.KeyLoad{{KeyHash: 7, Shard: 40, RateMilli: 300 * milli}, {KeyHash: 8, Shard: 40, RateMilli: 10 * milli}}
+	b.Take(now, hot)
+	list := b.HotKeys(now, 0.2)
+	is.Equal(len(list), 1)
+	is.Equal(list[0].Hash, uint64(7))
+}
--- /dev/null
+++ b/core/loadstat/meter.go
@@ -0,0 +1,97 @@
+// Package loadstat measures the load of shards, keys and backend servers, and
+// derives from the members' reports what placement should take into account:
+// the load of each shard and the speed of each member.
+package loadstat
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const (
+	// topKeyCapacity is the number of keys that a meter follows.
+	topKeyCapacity = 256
+	// hotShare is the share of a member's requests from which on a key is
+	// reported as hot.
+	hotShare = 0.05
+	// milli converts rates to thousandths per second.
+	milli = 1000
+)
+
+// Meter counts what a daemon's backend server ran since the last report. It is
+// safe for concurrent use.
+type Meter struct {
+	mu      sync.Mutex
+	since   clock.Instant
+	shards  map[uint32]int64
+	keys    *TopKeys
+	latency time.Duration // sum of service times
+	samples int64         // requests behind latency
+	total   int64
+}
+
+// NewMeter returns a meter that starts counting at now.
+func NewMeter(now clock.Instant) *Meter {
+	return &Meter{since: now, shards: map[uint32]int64{}, keys: NewTopKeys(topKeyCapacity)}
+}
+
+// Arrived counts a request of a shard's key that reached the owner, whether or
+// not it will be served.
+func (m *Meter) Arrived(shard uint32, keyHash uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.shards[shard]++
+	m.keys.Add(keyHash, shard)
+	m.total++
+}
+
+// Served takes in the service time of a request that the backend server ran.
+func (m *Meter) Served(serviceTime time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.latency += serviceTime
+	m.samples++
+}
+
+// Report returns the counts since the last report as rates and starts anew.
+func (m *Meter) Report(now clock.Instant, v *view.View) *wire.LoadReport {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	window := now.Sub(m.since)
+	if window <= 0 || v.Backend == nil {
+		return nil
+	}
+	report := &wire.LoadReport{
+		Incarnation: v.Incarnation, Service: v.Backend.Service, WindowMs: uint32(window.Milliseconds()),
+	}
+	for shard, count := range m.shards {
+		report.Shards = append(report.Shards, &wire.ShardLoad{Shard: shard, RateMilli: rateMilli(float64(count), window)})
+	}
+	for _, k := range m.keys.Top(max(1, hotShare*float64(m.total))) {
+		report.HotKeys = append(report.HotKeys, &wire.KeyLoad{
+			KeyHash: k.Hash, Shard: k.Shard, RateMilli: rateMilli(k.Count-k.Error, window)})
+	}
+	if m.samples > 0 {
+		report.LatencyUs = uint32((m.latency / time.Duration(m.samples)).Microseconds())
+		report.LatencySamples = uint32(m.samples)
+	}
+	m.reset(now)
+	return report
+}
+
+func (m *Meter) reset(now clock.Instant) {
+	m.since = now
+	clear(m.shards)
+	m.keys.Reset()
+	m.latency = 0
+	m.samples = 0
+	m.total = 0
+}
+
+func rateMilli(count float64, window time.Duration) uint64 {
+	return uint64(count * milli / window.Seconds())
+}
