--- a/ctl/cmd/sesamemoorctl/emulate.go
+++ b/ctl/cmd/sesamemoorctl/emulate.go
@@ -2,37 +2,90 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/google/subcommands"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/sesamemoor/sesamemoor/ctl/emulate/backend"
 	"github.com/sesamemoor/sesamemoor/ctl/emulate/platform"
 )
 
-type emulatePlatformCommand struct{ listen string }
+func emulateCommands() []subcommands.Command {
+	return []subcommands.Command{&emulatePlatformCommand{}, &emulateBackendCommand{}}
+}
+
+// emulatePlatformCommand runs a stand-in of the platform's log.
+type emulatePlatformCommand struct {
+	listen    string
+	retention platform.Retention
+	faults    platform.Faults
+	outage    string
+}
 
-func (*emulatePlatformCommand) Name() string     { return "emulate-platform" }
+func (*emulatePlatformCommand) Name() string     { return "platform" }
 func (*emulatePlatformCommand) Synopsis() string { return "run a stand-in of the platform's log" }
-func (*emulatePlatformCommand) Usage() string    { return "emulate-platform -listen ADDR\n" }
+func (*emulatePlatformCommand) Usage() string {
+	return "platform -listen ADDR[,ADDR...] [FLAGS]:\n  Run a log; PUT /admin/faults switches its faults.\n"
+}
+
 func (c *emulatePlatformCommand) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.listen, "listen", "127.0.0.1:7000", "address")
+	f.StringVar(&c.listen, "listen", "127.0.0.1:7000", "addresses, separated by commas")
+	f.IntVar(&c.retention.Records, "keep-records", 0, "records kept in each stream; 0 keeps all")
+	f.DurationVar(&c.retention.Age, "keep-time", 0, "time that records are kept; 0 keeps all")
+	f.StringVar(&c.outage, "outage", "", "start with an outage: error, refuse or hang")
+	f.Int64Var(&c.faults.DelayMS, "delay-ms", 0, "added to each request")
+	f.IntVar(&c.faults.LoseAnswer, "lose-answers", 0, "answers to the first N appends are lost")
+	f.Float64Var(&c.faults.MaxAppendRate, "max-append-rps", 0, "appends per second; 0 means no limit")
 }
 
-func (c *emulatePlatformCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	return listen(c.listen, platform.New().Handler())
+func (c *emulatePlatformCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.faults.Outage = platform.Outage(c.outage)
+	log := platform.NewRetaining(c.retention)
+	if err := log.SetFaults(c.faults); err != nil {
+		return finish(fmt.Errorf("%w: %w", errUsage, err))
+	}
+	return finish(serveAll(ctx, strings.Split(c.listen, ","), log.Handler()))
 }
 
-type emulateBackendCommand struct{ opts backend.Options }
+// serveAll serves h at all addresses until ctx ends.
+func serveAll(ctx context.Context, addrs []string, h http.Handler) error {
+	group, ctx := errgroup.WithContext(ctx)
+	for _, addr := range addrs {
+		srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
+		group.Go(func() error {
+			err := srv.ListenAndServe()
+			if errors.Is(err, http.ErrServerClosed) {
+				return nil
+			}
+			return err
+		})
+		group.Go(func() error {
+			<-ctx.Done()
+			return srv.Close()
+		})
+	}
+	return group.Wait()
+}
+
+// emulateBackendCommand runs a stand-in of a backend server.
+type emulateBackendCommand struct {
+	opts   backend.Options
+	faults backend.Faults
+}
 
-func (*emulateBackendCommand) Name() string     { return "emulate-backend" }
+func (*emulateBackendCommand) Name() string     { return "backend" }
 func (*emulateBackendCommand) Synopsis() string { return "run a stand-in of a backend server" }
 func (*emulateBackendCommand) Usage() string {
-	return "emulate-backend -name N -service S -listen ADDR -daemon ADDR\n"
+	return "backend -name NAME -service SERVICE -listen ADDR -daemon ADDR [FLAGS]:\n" +
+		"  Run a backend server; /emulate/runs lists what ran, PUT /emulate/faults switches faults.\n"
 }
 
 func (c *emulateBackendCommand) SetFlags(f *flag.FlagSet) {
@@ -41,21 +94,27 @@
 	f.StringVar(&c.opts.Addr, "listen", "", "address")
 	f.StringVar(&c.opts.DaemonAdmin, "daemon", "", "admin address of the daemon")
 	f.IntVar(&c.opts.Slots, "slots", 9, "requests run at once")
+	f.IntVar(&c.opts.MaxConns, "connections", 0, "connections held at once; 0 means no limit")
+	f.DurationVar(&c.opts.ConnectTime, "connect-time", 0, "added to a new connection")
 	f.BoolVar(&c.opts.ChecksFence, "checks-fence", false, "reject stale generations")
 	f.DurationVar(&c.opts.ServiceTime, "service-time", 2*time.Millisecond, "time to run a request")
+	f.DurationVar(&c.opts.WarmUp, "warm-up", 0, "time from cold to full capacity; 0 starts warm")
+	f.DurationVar(&c.opts.Stall, "stall", 3*time.Second, "time down after more load than it bears while cold")
+	f.DurationVar(&c.opts.ReportLag, "report-lag", 5*time.Second, "age of the load that it reports")
+	f.BoolVar(&c.opts.ExitOnCrash, "exit-on-crash", false, "a crash ends the process")
+	f.Float64Var(&c.faults.SlowFactor, "slow-factor", 1, "service time multiplied")
 }
 
 func (c *emulateBackendCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	s := backend.New(c.opts)
-	go func() { _ = s.Announce(ctx) }()
-	return listen(c.opts.Addr, s.Handler())
-}
-
-func listen(addr string, h http.Handler) subcommands.ExitStatus {
-	srv := &http.Server{Addr: addr, Handler: h, ReadHeaderTimeout: 5 * time.Second}
-	if err := srv.ListenAndServe(); err != nil {
-		fmt.Fprintln(os.Stderr, "sesamemoorctl:", err)
-		return subcommands.ExitFailure
+	if c.opts.Name == "" || c.opts.Service == "" || c.opts.DaemonAdmin == "" || c.opts.Slots < 1 {
+		return finish(fmt.Errorf("%w: -name, -service, -daemon and positive -slots are required", errUsage))
+	}
+	c.opts.Exit = os.Exit
+	listener, err := net.Listen("tcp", c.opts.Addr)
+	if err != nil {
+		return finish(err)
 	}
-	return subcommands.ExitSuccess
+	server := backend.New(c.opts)
+	server.SetFaults(c.faults)
+	return finish(server.Run(ctx, listener))
 }
--- /dev/null
+++ b/ctl/cmd/sesamemoorctl/inspect.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"github.com/sesamemoor/sesamemoor/ctl/operator"
+	"github.com/sesamemoor/sesamemoor/ctl/toolsettings"
+)
+
+// keeperService is the internal service of the teams' buckets.
+const keeperService = "_keeper"
+
+// statusCommand shows the daemons.
+type statusCommand struct{ action }
+
+func (*statusCommand) Name() string     { return "status" }
+func (*statusCommand) Synopsis() string { return "ask the daemons for their state" }
+func (*statusCommand) Usage() string    { return "status [FLAGS]\n" }
+
+func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.run = showStatus
+	return c.action.Execute(ctx, f)
+}
+
+func showStatus(ctx context.Context, env *environment, _ []string) error {
+	daemons, err := env.daemons()
+	if err != nil {
+		return err
+	}
+	statuses := daemons.Status(ctx)
+	return env.print(statuses, func(w *tabwriter.Writer) {
+		fmt.Fprintln(w, "DAEMON\tDATA CENTRE\tLEASE\tSHARDS\tKEEPER SHARDS\tCONFIG\tAGE MS\tBACKEND SERVER")
+		for _, st := range statuses {
+			fmt.Fprintln(w, statusLine(st))
+		}
+	})
+}
+
+func statusLine(st operator.DaemonStatus) string {
+	if st.Error != "" {
+		return fmt.Sprintf("%s\tunreachable: %s", st.Admin, st.Error)
+	}
+	lease := "none"
+	switch {
+	case st.Leaving:
+		lease = "leaving"
+	case st.LeaseHeld:
+		lease = "held"
+	}
+	keeper := st.Shards(keeperService)
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s", st.Slot, st.DataCentre, lease,
+		len(st.Held)-keeper, keeper, st.ConfigVersion, st.ConfigAgeMS, st.BackendServer)
+}
+
+// explainCommand shows what daemons decided about a request or key.
+type explainCommand struct {
+	action
+	service string
+	key     string
+}
+
+func (*explainCommand) Name() string     { return "explain" }
+func (*explainCommand) Synopsis() string { return "show what daemons decided about a request or key" }
+func (*explainCommand) Usage() string {
+	return "explain [FLAGS] REQUEST-ID\nexplain [FLAGS] -service SERVICE -key KEY\n"
+}
+
+func (c *explainCommand) SetFlags(f *flag.FlagSet) {
+	c.action.SetFlags(f)
+	f.StringVar(&c.service, "service", "", "service of the key")
+	f.StringVar(&c.key, "key", "", "key of the request")
+}
+
+func (c *explainCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	c.name = "explain"
+	c.usage = "REQUEST-ID | -service SERVICE -key KEY"
+	if c.service == "" || c.key == "" {
+		c.args = 1
+	}
+	c.run = c.explain
+	return c.action.Execute(ctx, f)
+}
+
+func (c *explainCommand) explain(ctx context.Context, env *environment, args []string) error {
+	daemons, err := env.daemons()
+	if err != nil {
+		return err
+	}
+	id := ""
+	if len(args) == 1 {
+		id = args[0]
+	}
+	answers := daemons.Explain(ctx, id, c.service, c.key)
+	err = env.print(answers, func(w *tabwriter.Writer) { printExplanations(w, answers) })
+	if err != nil {
+		return err
+	}
+	if !known(answers) {
+		return fmt.Errorf("no daemon that answered knows about it")
+	}
+	return nil
+}
+
+func known(answers []operator.Explanation) bool {
+	return slices.ContainsFunc(answers, func(a operator.Explanation) bool { return a.Shard != nil || len(a.Lines) > 0 })
+}
+
+func printExplanations(w *tabwriter.Writer, answers []operator.Explanation) {
+	var lines []string
+	for _, a := range answers {
+		switch {
+		case a.Error != "":
+			fmt.Fprintf(w, "%s: no answer: %s\n", a.Admin, a.Error)
+		case a.Shard != nil:
+			s := a.Shard
+			fmt.Fprintf(w, "%s sees %s/%d: generation %d, owner %s (%s), standby %s, config %d\n",
+				a.Slot, s.Service, s.Shard, s.Generation, orNone(s.Owner), orNone(s.OwnerServer), orNone(s.Standby), s.ConfigVersion)
+		}
+		for _, line := range a.Lines {
+			lines = append(lines, string(line))
+		}
+	}
+	slices.SortStableFunc(lines, func(a, b string) int { return strings.Compare(lineTime(a), lineTime(b)) })
+	for _, line := range lines {
+		fmt.Fprintln(w, line)
+	}
+}
+
+func orNone(s string) string {
+	if s == "" {
+		return "none"
+	}
+	return s
+}
+
+// lineTime returns the time of a log line, which sorts as text.
+func lineTime(line string) string {
+	var head struct {
+		Time string `json:"ts"`
+	}
+	_ = json.Unmarshal([]byte(line), &head) // a line without time sorts first
+	return head.Time
+}
+
+// checkCommand checks a settings file of the tool.
+type checkCommand struct{}
+
+func (*checkCommand) Name() string           { return "check" }
+func (*checkCommand) Synopsis() string       { return "check a settings file of this tool" }
+func (*checkCommand) Usage() string          { return "check FILE\n" }
+func (*checkCommand) SetFlags(*flag.FlagSet) {}
+
+func (*checkCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() != 1 {
+		fmt.Fprintln(os.Stderr, "sesamemoorctl: usage: check FILE")
+		return subcommands.ExitUsageError
+	}
+	if _, err := toolsettings.Load(f.Arg(0)); err != nil {
+		return finish(err)
+	}
+	fmt.Println("settings are valid")
+	return subcommands.ExitSuccess
+}
--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -5,115 +5,242 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/gin-gonic/gin"
-)
-
-// Options describe the emulated backend server.
-type Options struct {
-	Name        string
-	Service     string
-	Addr        string // own address, announced to the daemon
-	DaemonAdmin string // admin address of the daemon beside it
-	Slots       int
-	ChecksFence bool
-	ServiceTime time.Duration
-}
 
-// Run is one request that ran.
-type Run struct {
-	RequestID  string `json:"request_id"`
-	Team       string `json:"team"`
-	Shard      string `json:"shard"`
-	Generation string `json:"generation"`
-	Method     string `json:"method"`
-	At         int64  `json:"at_us"` // wall clock at start, microseconds since 1970
-}
+	"github.com/sesamemoor/sesamemoor/core/keyhash"
+)
 
 // Server is the stand-in.
 type Server struct {
 	opts  Options
-	slots chan struct{}
-	mu    sync.Mutex
-	runs  []Run
+	conns *connections
+
+	mu       sync.Mutex
+	capacity *capacity
+	runs     []Run
+	dropped  int
+	shed     int
+	fenced   int
+	crashes  int
+	keysSeen int
+	grants   map[string]uint64 // shard to newest generation
+	faults   Faults
+	changed  chan struct{} // closed and replaced when the faults change
+	crashed  chan struct{} // closed and replaced by a crash
+	reports  []report      // loads measured, oldest first
+
+	drained   chan struct{}
+	drainOnce sync.Once
 }
 
 // New returns a backend server; Announce makes it known.
 func New(opts Options) *Server {
-	return &Server{opts: opts, slots: make(chan struct{}, opts.Slots)}
+	return &Server{
+		opts:     opts,
+		conns:    newConnections(opts),
+		capacity: newCapacity(opts, time.Now()),
+		grants:   map[string]uint64{},
+		changed:  make(chan struct{}),
+		crashed:  make(chan struct{}),
+		drained:  make(chan struct{}),
+	}
 }
 
 // Handler returns the HTTP interface: any path is a request; /sesamemoor/grant
-// takes grants and /emulate/runs lists what ran.
+// takes grants, /load reports load, and /emulate/ is for experimenters.
 func (s *Server) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
-	engine.POST("/sesamemoor/grant", func(c *gin.Context) { c.Status(http.StatusNoContent) })
-	engine.GET("/emulate/runs", func(c *gin.Context) {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		c.JSON(http.StatusOK, s.runs)
-	})
+	engine.POST("/sesamemoor/grant", s.grant)
+	engine.GET("/load", s.getLoad)
+	engine.GET("/emulate/runs", s.getRuns)
+	engine.GET("/emulate/state", s.getState)
+	engine.PUT("/emulate/faults", s.putFaults)
+	engine.POST("/emulate/cold", s.postCold)
+	engine.POST("/emulate/crash", func(c *gin.Context) { s.crash() })
 	engine.NoRoute(s.serve)
 	return engine
 }
 
+// serve takes a request through admission, its run and its answer.
 func (s *Server) serve(c *gin.Context) {
-	select {
-	case s.slots <- struct{}{}:
-		defer func() { <-s.slots }()
-	default:
-		c.Header("X-Sesamemoor-Refused", "shed")
-		c.Status(http.StatusServiceUnavailable)
-		return
-	}
 	body, err := io.ReadAll(c.Request.Body)
 	if err != nil {
 		c.Status(http.StatusBadRequest)
 		return
 	}
+	ctx, cancel := deadline(c.Request)
+	defer cancel()
+	s.thaw(ctx)
+	if !s.fence(c.GetHeader(headerShard), c.GetHeader(headerGeneration)) {
+		refuse(c, "fenced")
+		return
+	}
+	index, took, ok := s.begin(c.Request, body)
+	if !ok {
+		refuse(c, "shed")
+		return
+	}
+	if c.GetHeader(headerCrash) != "" || bytes.HasPrefix(body, []byte(crashMark)) {
+		s.end(index, "crash")
+		s.crash()
+		panic(http.ErrAbortHandler)
+	}
+	cut := s.work(ctx, took)
+	s.end(index, cut)
+	switch cut {
+	case "crash", "cancelled":
+		panic(http.ErrAbortHandler)
+	case "deadline":
+		c.String(http.StatusGatewayTimeout, "deadline passed while running\n")
+	default:
+		c.String(http.StatusOK, "%s %s %s %d %s", s.opts.Name, c.Request.Method, c.Request.RequestURI, len(body), c.GetHeader(headerRequest))
+	}
+}
+
+func refuse(c *gin.Context, reason string) {
+	c.Header(headerRefused, reason)
+	c.Status(http.StatusServiceUnavailable)
+}
+
+// deadline returns the request's context with the deadline that came with it.
+func deadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+	if err != nil || ms < 0 {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// begin takes a slot and records the run.
+func (s *Server) begin(r *http.Request, body []byte) (index int, took time.Duration, ok bool) {
+	run := Run{
+		RequestID:  r.Header.Get(headerRequest),
+		Team:       r.Header.Get(headerTeam),
+		URI:        r.RequestURI,
+		Shard:      r.Header.Get(headerShard),
+		Generation: r.Header.Get(headerGeneration),
+		Method:     r.Method,
+		KeySeen:    hasCallerKey(r.Header, body),
+	}
 	s.mu.Lock()
-	s.runs = append(s.runs, Run{
-		RequestID:  c.GetHeader("X-Request-Id"),
-		Team:       c.GetHeader("X-Sesamemoor-Team"),
-		Shard:      c.GetHeader("X-Sesamemoor-Shard"),
-		Generation: c.GetHeader("X-Sesamemoor-Generation"),
-		Method:     c.Request.Method,
-		At:         time.Now().UnixMicro(),
-	})
+	defer s.mu.Unlock()
+	if run.KeySeen {
+		s.keysSeen++
+	}
+	now := time.Now()
+	if !s.capacity.admit(now) {
+		s.shed++
+		return 0, 0, false
+	}
+	run.At = now.UnixMicro()
+	took = s.capacity.serviceTime(now, s.faults.SlowFactor)
+	if len(s.runs) >= maxRuns {
+		s.dropped++
+		return -1, took, true
+	}
+	s.runs = append(s.runs, run)
+	return len(s.runs) - 1, took, true
+}
+
+func hasCallerKey(h http.Header, body []byte) bool {
+	if h.Get("Authorization") != "" || h.Get("X-Api-Key") != "" || bytes.Contains(body, []byte(keyhash.Prefix)) {
+		return true
+	}
+	for _, values := range h {
+		for _, v := range values {
+			if strings.Contains(v, keyhash.Prefix) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// work lets the service time pass and returns what cut it short, if anything.
+func (s *Server) work(ctx context.Context, took time.Duration) string {
+	s.mu.Lock()
+	crashed := s.crashed
 	s.mu.Unlock()
-	time.Sleep(s.opts.ServiceTime)
-	c.String(http.StatusOK, "%s %s %s %d %s", s.opts.Name, c.Request.Method, c.Request.RequestURI, len(body), c.GetHeader("X-Request-Id"))
+	if cut := wait(ctx, crashed, took); cut != "" {
+		return cut
+	}
+	s.mu.Lock()
+	stall := s.capacity.stall(time.Now())
+	s.mu.Unlock()
+	if cut := wait(ctx, crashed, stall); cut != "" {
+		return cut
+	}
+	s.thaw(ctx)
+	return wait(ctx, crashed, 0)
 }
 
-// Announce tells the daemon about this server every second until ctx ends.
-func (s *Server) Announce(ctx context.Context) error {
-	body, err := json.Marshal(map[string]any{
-		"name": s.opts.Name, "service": s.opts.Service, "addr": s.opts.Addr,
-		"slots": s.opts.Slots, "checks_fence": s.opts.ChecksFence,
-	})
-	if err != nil {
-		return fmt.Errorf("backend: announcement: %w", err)
+func wait(ctx context.Context, crashed <-chan struct{}, d time.Duration) string {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-crashed:
+		return "crash"
+	case <-ctx.Done():
+		if ctx.Err() == context.DeadlineExceeded {
+			return "deadline"
+		}
+		return "cancelled"
+	case <-timer.C:
+		return ""
 	}
-	url := "http://" + s.opts.DaemonAdmin + "/v1/announce"
+}
+
+func (s *Server) end(index int, cut string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.capacity.release()
+	if index < 0 {
+		return
+	}
+	s.runs[index].Cut = cut
+	if cut != "crash" {
+		s.runs[index].End = time.Now().UnixMicro()
+	}
+}
+
+// thaw waits while the server is frozen.
+func (s *Server) thaw(ctx context.Context) {
 	for {
-		resp, err := http.Post(url, "application/json", bytes.NewReader(body))
-		pause := time.Second
-		if err != nil {
-			pause = 100 * time.Millisecond
-		} else {
-			_ = resp.Body.Close()
+		s.mu.Lock()
+		frozen, changed := s.faults.Frozen, s.changed
+		s.mu.Unlock()
+		if !frozen {
+			return
 		}
 		select {
+		case <-changed:
 		case <-ctx.Done():
-			return nil
-		case <-time.After(pause):
+			return
 		}
 	}
 }
+
+// crash ends the process, or drops all connections and requests and starts
+// cold. The record of runs outlives it.
+func (s *Server) crash() {
+	s.mu.Lock()
+	s.crashes++
+	close(s.crashed)
+	s.crashed = make(chan struct{})
+	s.grants = map[string]uint64{}
+	s.capacity.boot(time.Now())
+	s.mu.Unlock()
+	if s.opts.ExitOnCrash {
+		s.opts.Exit(1)
+		return
+	}
+	s.conns.dropAll()
+}
--- a/ctl/emulate/platform/platform.go
+++ b/ctl/emulate/platform/platform.go
@@ -3,7 +3,6 @@
 package platform
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -11,75 +10,51 @@
 	"time"
 
 	"github.com/gin-gonic/gin"
+	"golang.org/x/time/rate"
 
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 )
 
-// Faults are the ways in which the stand-in can misbehave.
-type Faults struct {
-	Down       bool  `json:"down"`        // requests get no useful answer
-	DelayMS    int64 `json:"delay_ms"`    // added to each request
-	LoseAnswer int   `json:"lose_answer"` // answers to the next N appends are lost after taking effect
-}
-
 // Server is the stand-in.
 type Server struct {
+	retention Retention
+
 	mu      sync.Mutex
 	streams map[string]*stream
 	faults  Faults
+	changed chan struct{} // closed and replaced when the faults change
+	appends *rate.Limiter // nil without limit
 }
 
-// stream is one append-only stream; records[i] has offset first+i.
-type stream struct {
-	first   uint64
-	records [][]byte
-	grown   chan struct{} // closed and replaced by each append
-}
+// New returns an empty log that keeps everything.
+func New() *Server { return NewRetaining(Retention{}) }
 
-// New returns an empty log.
-func New() *Server { return &Server{streams: map[string]*stream{}} }
+// NewRetaining returns an empty log that trims its streams.
+func NewRetaining(r Retention) *Server {
+	return &Server{retention: r, streams: map[string]*stream{}, changed: make(chan struct{})}
+}
 
-// Handler returns the HTTP interface: the protocol of package logstream and
-// /admin/faults and /admin/trim.
+// Handler returns the HTTP interface: the protocol of package logstream, and
+// GET and PUT /admin/faults and POST /admin/trim.
 func (s *Server) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.POST("/v1/streams/:stream/records", s.faulty(s.append))
 	engine.GET("/v1/streams/:stream/records", s.faulty(s.read))
-	engine.PUT("/admin/faults", s.setFaults)
+	engine.GET("/admin/faults", s.getFaults)
+	engine.PUT("/admin/faults", s.putFaults)
 	engine.POST("/admin/trim", s.trim)
 	return engine
 }
 
-func (s *Server) faulty(next gin.HandlerFunc) gin.HandlerFunc {
-	return func(c *gin.Context) {
-		s.mu.Lock()
-		f := s.faults
-		s.mu.Unlock()
-		if f.DelayMS > 0 {
-			sleep(c.Request.Context(), time.Duration(f.DelayMS)*time.Millisecond)
-		}
-		if f.Down {
-			c.Status(http.StatusServiceUnavailable)
-			return
-		}
-		next(c)
-	}
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
+// stream returns the named stream as retention leaves it; mu is held.
 func (s *Server) stream(name string) *stream {
 	st, ok := s.streams[name]
 	if !ok {
-		st = &stream{first: 1, grown: make(chan struct{})}
+		st = newStream()
 		s.streams[name] = st
 	}
+	st.retain(s.retention, time.Now())
 	return st
 }
 
@@ -90,11 +65,12 @@
 		return
 	}
 	s.mu.Lock()
-	st := s.stream(c.Param("stream"))
-	st.records = append(st.records, data)
-	offset := st.first + uint64(len(st.records)) - 1
-	close(st.grown)
-	st.grown = make(chan struct{})
+	if s.appends != nil && !s.appends.Allow() {
+		s.mu.Unlock()
+		c.Status(http.StatusTooManyRequests)
+		return
+	}
+	offset := s.stream(c.Param("stream")).append(data, time.Now())
 	lose := s.faults.LoseAnswer > 0
 	if lose {
 		s.faults.LoseAnswer--
@@ -107,27 +83,40 @@
 	c.JSON(http.StatusOK, gin.H{"offset": offset})
 }
 
-func (s *Server) read(c *gin.Context) {
+// readQuery is the query of a read.
+type readQuery struct {
+	from  uint64
+	limit int
+	wait  time.Duration
+}
+
+func parseRead(c *gin.Context) (readQuery, string) {
 	from, err := strconv.ParseUint(c.Query("from"), 10, 64)
 	if err != nil {
-		c.JSON(http.StatusBadRequest, gin.H{"error": "from: not an offset"})
-		return
+		return readQuery{}, "from: not an offset"
 	}
 	limit, err := strconv.Atoi(c.DefaultQuery("max", "100"))
 	if err != nil || limit < 1 {
-		c.JSON(http.StatusBadRequest, gin.H{"error": "max: not a positive number"})
-		return
+		return readQuery{}, "max: not a positive number"
 	}
 	waitMS, err := strconv.Atoi(c.DefaultQuery("wait_ms", "0"))
 	if err != nil || waitMS < 0 {
-		c.JSON(http.StatusBadRequest, gin.H{"error": "wait_ms: not a number"})
+		return readQuery{}, "wait_ms: not a number"
+	}
+	return readQuery{from, limit, time.Duration(waitMS) * time.Millisecond}, ""
+}
+
+func (s *Server) read(c *gin.Context) {
+	query, problem := parseRead(c)
+	if problem != "" {
+		c.JSON(http.StatusBadRequest, gin.H{"error": problem})
 		return
 	}
-	deadline := time.Now().Add(time.Duration(waitMS) * time.Millisecond)
+	deadline := time.Now().Add(query.wait)
 	for {
 		s.mu.Lock()
 		st := s.stream(c.Param("stream"))
-		batch, trimmed := st.read(from, limit)
+		batch, trimmed := st.read(query.from, query.limit)
 		grown := st.grown
 		s.mu.Unlock()
 		if trimmed {
@@ -136,7 +125,7 @@
 		}
 		left := time.Until(deadline)
 		if len(batch.Records) > 0 || left <= 0 {
-			c.JSON(http.StatusOK, batch)
+			s.answerRead(c, batch)
 			return
 		}
 		select {
@@ -148,27 +137,9 @@
 	}
 }
 
-func (st *stream) read(from uint64, limit int) (logstream.Batch, bool) {
-	batch := logstream.Batch{First: st.first, Next: st.first + uint64(len(st.records)), Records: []logstream.Entry{}}
-	if from < st.first {
-		return batch, true
-	}
-	for offset := from; offset < batch.Next && len(batch.Records) < limit; offset++ {
-		batch.Records = append(batch.Records, logstream.Entry{Offset: offset, Data: st.records[offset-st.first]})
-	}
-	return batch, false
-}
-
-func (s *Server) setFaults(c *gin.Context) {
-	var f Faults
-	if err := c.ShouldBindJSON(&f); err != nil {
-		c.JSON(http.StatusBadRequest, gin.H{"error": err.Error()})
-		return
-	}
-	s.mu.Lock()
-	s.faults = f
-	s.mu.Unlock()
-	c.Status(http.StatusNoContent)
+// answerRead answers a read that waited, unless an outage began meanwhile.
+func (s *Server) answerRead(c *gin.Context, batch logstream.Batch) {
+	s.unlessOut(c, func(c *gin.Context) { c.JSON(http.StatusOK, batch) })
 }
 
 func (s *Server) trim(c *gin.Context) {
@@ -182,10 +153,6 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	st := s.stream(body.Stream)
-	next := st.first + uint64(len(st.records))
-	before := min(max(body.Before, st.first), next)
-	st.records = append([][]byte(nil), st.records[before-st.first:]...)
-	st.first = before
+	s.stream(body.Stream).trim(body.Before)
 	c.Status(http.StatusNoContent)
 }
--- /dev/null
+++ b/ctl/load/plots.go
@@ -0,0 +1,89 @@
+package load
+
+import (
+	"fmt"
+	"path/filepath"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+)
+
+// Size of a plot.
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 12 * vg.Centimeter
+)
+
+// curve is one line of a plot; y[i] belongs to second i.
+type curve struct {
+	name string
+	y    []float64
+}
+
+// WritePlots writes PNG files to dir: latency percentiles, and throughput and
+// refusals of each team, over time.
+func (r Report) WritePlots(dir string) error {
+	if err := drawPlot(filepath.Join(dir, "latency.png"), "latency from the intended send time", "ms", r.latencyCurves()); err != nil {
+		return err
+	}
+	served := r.teamCurves(func(s second) []int { return s.ok })
+	if err := drawPlot(filepath.Join(dir, "throughput.png"), "requests served by team", "requests/s", served); err != nil {
+		return err
+	}
+	refused := r.teamCurves(func(s second) []int { return s.refused })
+	return drawPlot(filepath.Join(dir, "refusals.png"), "requests refused by team", "requests/s", refused)
+}
+
+func (r Report) latencyCurves() []curve {
+	var curves []curve
+	for _, percent := range []float64{50, 99, 99.9} {
+		c := curve{name: fmt.Sprintf("p%g", percent)}
+		for _, s := range r.timeline {
+			c.y = append(c.y, quantileMS(s.latency, percent))
+		}
+		curves = append(curves, c)
+	}
+	return curves
+}
+
+func (r Report) teamCurves(counts func(second) []int) []curve {
+	var curves []curve
+	for i, t := range r.Teams {
+		c := curve{name: t.Team}
+		for _, s := range r.timeline {
+			c.y = append(c.y, float64(counts(s)[i]))
+		}
+		curves = append(curves, c)
+	}
+	return curves
+}
+
+func drawPlot(file, title, unit string, curves []curve) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "s"
+	p.Y.Label.Text = unit
+	p.Y.Min = 0
+	p.Legend.Top = true
+	p.Add(plotter.NewGrid())
+	for i, c := range curves {
+		points := make(plotter.XYs, len(c.y))
+		for x, y := range c.y {
+			points[x] = plotter.XY{X: float64(x), Y: y}
+		}
+		line, err := plotter.NewLine(points)
+		if err != nil {
+			return fmt.Errorf("plot %s: %w", file, err)
+		}
+		line.Color = plotutil.Color(i)
+		line.Dashes = plotutil.Dashes(i / len(plotutil.DefaultColors))
+		p.Add(line)
+		p.Legend.Add(c.name, line)
+	}
+	if err := p.Save(plotWidth, plotHeight, file); err != nil {
+		return fmt.Errorf("plot %s: %w", file, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/ctl/toolsettings/toolsettings.go
@@ -0,0 +1,93 @@
+// Package toolsettings reads the settings file of sesamemoorctl: JSON with
+// comments, checked as a whole.
+package toolsettings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/url"
+	"os"
+	"strings"
+
+	"github.com/tailscale/hujson"
+
+	"github.com/sesamemoor/sesamemoor/core/keyhash"
+)
+
+// Environment variables that stand in for flags and settings.
+const (
+	EnvFile   = "SESAMEMOORCTL_SETTINGS"
+	EnvSecret = "SESAMEMOOR_KEY_HASH_SECRET"
+)
+
+// DefaultPlatformURL is used when neither file nor flag names one.
+const DefaultPlatformURL = "http://127.0.0.1:7000"
+
+// Settings are the settings of the tool.
+type Settings struct {
+	PlatformURL   string   `json:"platform_url"`
+	AdminAddrs    []string `json:"admin_addrs"`     // admin addresses of the daemons
+	KeyHashSecret string   `json:"key_hash_secret"` // needed only to issue caller keys
+}
+
+// ErrInvalid reports settings that cannot be used. The message lists every
+// problem found, one a line, with its field path.
+var ErrInvalid = errors.New("invalid tool settings")
+
+// Load reads the file at path, or the defaults if path is empty, and takes the
+// hash secret from the environment when the file has none.
+func Load(path string) (Settings, error) {
+	s := Settings{PlatformURL: DefaultPlatformURL}
+	if path != "" {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+		}
+		if s, err = Parse(data); err != nil {
+			return Settings{}, fmt.Errorf("%s: %w", path, err)
+		}
+	}
+	if s.KeyHashSecret == "" {
+		s.KeyHashSecret = os.Getenv(EnvSecret)
+	}
+	return s, nil
+}
+
+// Parse decodes settings from JSON with comments and checks them.
+func Parse(data []byte) (Settings, error) {
+	standard, err := hujson.Standardize(bytes.Clone(data))
+	if err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	s := Settings{PlatformURL: DefaultPlatformURL}
+	dec := json.NewDecoder(bytes.NewReader(standard))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&s); err != nil {
+		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+	}
+	if problems := s.Problems(); len(problems) > 0 {
+		return Settings{}, fmt.Errorf("%w:\n  %s", ErrInvalid, strings.Join(problems, "\n  "))
+	}
+	return s, nil
+}
+
+// Problems returns every rule that s breaks, each with its field path.
+func (s Settings) Problems() []string {
+	var list []string
+	if u, err := url.Parse(s.PlatformURL); err != nil || u.Scheme != "http" || u.Host == "" {
+		list = append(list, fmt.Sprintf("platform_url: %q is not an http URL", s.PlatformURL))
+	}
+	for i, addr := range s.AdminAddrs {
+		host, _, err := net.SplitHostPort(addr)
+		if err != nil || net.ParseIP(host) == nil {
+			list = append(list, fmt.Sprintf("admin_addrs[%d]: %q is not IP:PORT", i, addr))
+		}
+	}
+	if s.KeyHashSecret != "" && len(s.KeyHashSecret) < keyhash.MinSecretBytes {
+		list = append(list, fmt.Sprintf("key_hash_secret: shorter than %d bytes", keyhash.MinSecretBytes))
+	}
+	return list
+}
