Test the executor against raw backend servers

Found on the way: a request for a quiesced shard entered the queue while the old view was still published and waited there until its deadline; the quiesced token is now part of every check.

--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -103,7 +103,10 @@
 // attempt takes a slot and runs the request once.
 func (e *executor) attempt(ctx context.Context, r *run) *wire.Response {
 	ticket := &admit.Ticket{Team: r.request.GetTeam(), Shard: r.shard, Deadline: r.deadline}
-	lost := func() bool { return !holds(e.control.View(), r.shard) }
+	lost := func() bool {
+		_, err := e.check(r.shard)
+		return err != nil
+	}
 	if err := e.gate.acquire(ctx, ticket, lost); err != nil {
 		return refusal(err)
 	}
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -120,11 +120,20 @@
 
 // check returns the standing of a shard in the newest view.
 func (e *executor) check(id view.ShardID) (view.Held, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.checkLocked(id)
+}
+
+func (e *executor) checkLocked(id view.ShardID) (view.Held, error) {
 	v := e.control.View()
 	held, ok := v.Held[id]
 	if !ok {
 		return view.Held{}, outcome.New(outcome.NotOwner, "shard %s/%d", id.Service, id.Shard)
 	}
+	if e.closed[id] >= held.Token {
+		return view.Held{}, outcome.New(outcome.NotOwner, "shard %s/%d is handed over", id.Service, id.Shard)
+	}
 	if !v.Lease.Valid(e.clock.Now()) {
 		return view.Held{}, outcome.New(outcome.LeaseLost, "shard %s/%d", id.Service, id.Shard)
 	}
@@ -136,12 +145,12 @@
 func (e *executor) enter(id view.ShardID, token uint64) error {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	held, err := e.check(id)
+	held, err := e.checkLocked(id)
 	if err != nil {
 		return err
 	}
-	if held.Token != token || e.closed[id] >= token {
-		return outcome.New(outcome.NotOwner, "shard %s/%d is handed over", id.Service, id.Shard)
+	if held.Token != token {
+		return outcome.New(outcome.NotOwner, "shard %s/%d changed hands", id.Service, id.Shard)
 	}
 	e.running[id]++
 	return nil
--- /dev/null
+++ b/daemon/plugins/owner/owner_test.go
@@ -0,0 +1,259 @@
+package owner
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+func kindOf(resp *wire.Response) outcome.Kind { return outcome.Kind(resp.GetKind()) }
+
+// TestNeverSentTwice has the server close the connection after reading each
+// request on a connection that was used before: the case in which net/http
+// sends idempotent requests again.
+func TestNeverSentTwice(t *testing.T) {
+	for name, body := range map[string]string{"empty body": "", "body": "order"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := newRawServer(t, func(n int64, r *http.Request) string {
+				_, _ = io.ReadAll(r.Body)
+				if n == 1 {
+					return okAnswer
+				}
+				return ""
+			})
+			b := newBench(t, server.addr, nil)
+			b.report(server.addr, false)
+			b.hold(2, nil)
+			is.Equal(kindOf(b.Execute(context.Background(), request("order-1", body))), outcome.OK)
+			second := request("order-2", body)
+			second.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "order-2"}}
+			resp := b.Execute(context.Background(), second)
+			is.Equal(kindOf(resp), outcome.ConnectionLost) // may have run; the server lives
+			is.Equal(server.requests.Load(), int64(2))
+			is.Equal(kindOf(b.Execute(context.Background(), request("order-2", body))), outcome.UnknownHistory)
+			is.Equal(kindOf(b.Execute(context.Background(), request("order-1", body))), outcome.DuplicateRan)
+			is.Equal(server.requests.Load(), int64(2))
+		})
+	}
+}
+
+func TestBadAnswersAreErrors(t *testing.T) {
+	for name, tc := range map[string]struct {
+		answer string
+		want   outcome.Kind
+	}{
+		"cut":       {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf", outcome.AnswerCut},
+		"cut chunk": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", outcome.AnswerCut},
+		"no length": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", outcome.AnswerCut},
+		"too large": {"HTTP/1.1 200 OK\r\nContent-Length: 8388609\r\n\r\n" + strings.Repeat("x", 8388609), outcome.AnswerTooLarge},
+		"fenced":    {"HTTP/1.1 409 Conflict\r\nX-Sesamemoor-Refused: fenced\r\nContent-Length: 0\r\n\r\n", outcome.Fenced},
+		"error":     {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", outcome.OK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := newRawServer(t, func(int64, *http.Request) string { return tc.answer })
+			b := newBench(t, server.addr, nil)
+			b.report(server.addr, false)
+			b.hold(2, nil)
+			done := make(chan *wire.Response, 1)
+			go func() { done <- b.Execute(context.Background(), request("", "")) }()
+			if strings.Contains(name, "cut") {
+				for server.requests.Load() == 0 {
+					time.Sleep(time.Millisecond)
+				}
+				// The rest never comes: the server closes the connection.
+				time.AfterFunc(50*time.Millisecond, server.stop)
+			}
+			if name == "no length" {
+				time.AfterFunc(50*time.Millisecond, server.stop)
+			}
+			is.Equal(kindOf(<-done), tc.want)
+		})
+	}
+}
+
+func TestShedsAreTriedAgainAndLowerTheLimit(t *testing.T) {
+	is := is.New(t)
+	shed := "HTTP/1.1 503 Service Unavailable\r\nX-Sesamemoor-Refused: shed\r\nContent-Length: 0\r\n\r\n"
+	server := newRawServer(t, func(n int64, _ *http.Request) string {
+		if n < 3 {
+			return shed
+		}
+		return okAnswer
+	})
+	b := newBench(t, server.addr, func(s *settings.Daemon) { s.Policy.ColdStart = "none" })
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.OK)
+	is.Equal(server.requests.Load(), int64(3))
+	is.Equal(b.gate.figures().sheds, uint64(2))
+}
+
+func TestUnreachableServerDidNotRun(t *testing.T) {
+	is := is.New(t)
+	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	server.stop()
+	resp := b.Execute(context.Background(), request("order-1", ""))
+	is.Equal(kindOf(resp), outcome.OwnerUnreachable)
+	is.Equal(b.ids.len(), 0) // and may be sent again
+}
+
+// TestOneCrashOneID breaks several requests in flight by one crash.
+func TestOneCrashOneID(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{}, 2)
+	block := make(chan struct{})
+	t.Cleanup(func() { close(block) })
+	server := newRawServer(t, func(int64, *http.Request) string {
+		arrived <- struct{}{}
+		<-block
+		return ""
+	})
+	b := newBench(t, server.addr, func(s *settings.Daemon) { s.Policy.ColdStart = "none" })
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	answers := make(chan *wire.Response, 2)
+	for range 2 {
+		go func() { answers <- b.Execute(context.Background(), request("", "x")) }()
+	}
+	await(t, arrived, "first request")
+	await(t, arrived, "second request")
+	server.stop()
+	first, second := <-answers, <-answers
+	is.Equal(kindOf(first), outcome.BackendCrashed)
+	is.Equal(kindOf(second), outcome.BackendCrashed)
+	is.Equal(first.Headers[0].GetName(), HeaderCrash)
+	is.Equal(first.Headers[0].GetValue(), second.Headers[0].GetValue())
+}
+
+// TestLeaseEndsWhileWaiting ends the lease between admission and the write.
+func TestLeaseEndsWhileWaiting(t *testing.T) {
+	is := is.New(t)
+	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	trace := &connTrace{}
+	conn, err := guardedDialer(b.backend.leaseHeld)(context.Background(), "tcp", server.addr)
+	is.NoErr(err)
+	trace.got(conn)
+	b.lease.Set(clock.Boot{}.Now())
+	_, err = conn.Write([]byte("POST / HTTP/1.1\r\n"))
+	is.Equal(err, errLeaseOver)
+	is.True(!trace.wrote())
+	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.LeaseLost)
+	is.Equal(server.requests.Load(), int64(0))
+}
+
+// TestBarredConnectionNeverWrites claims "not run" before a late write.
+func TestBarredConnectionNeverWrites(t *testing.T) {
+	is := is.New(t)
+	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
+	conn, err := guardedDialer(func() bool { return true })(context.Background(), "tcp", server.addr)
+	is.NoErr(err)
+	trace := &connTrace{}
+	trace.got(conn)
+	is.True(!trace.wrote())
+	_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
+	is.True(err != nil)
+	is.True(!trace.wrote())
+}
+
+// TestQuiesceWaitsForRunningAndRefusesWaiting releases a shard with one request
+// on the server and one in the queue.
+func TestQuiesceWaitsForRunningAndRefusesWaiting(t *testing.T) {
+	is := is.New(t)
+	arrived := make(chan struct{}, 1)
+	goOn := make(chan struct{})
+	server := newRawServer(t, func(int64, *http.Request) string {
+		arrived <- struct{}{}
+		<-goOn
+		return okAnswer
+	})
+	b := newBench(t, server.addr, nil) // the ramp lets one run
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	running := make(chan *wire.Response, 1)
+	waiting := make(chan *wire.Response, 1)
+	go func() { running <- b.Execute(context.Background(), request("order-1", "")) }()
+	await(t, arrived, "first request")
+	go func() { waiting <- b.Execute(context.Background(), request("order-2", "")) }()
+	for b.gate.figures().waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	b.HandleEffect(control.Quiesce{Shard: shard, Token: 2})
+	is.Equal(kindOf(<-waiting), outcome.NotOwner) // before the first one ends
+	is.Equal(kindOf(b.Execute(context.Background(), request("order-3", ""))), outcome.NotOwner)
+	b.publish(map[view.ShardID]view.Held{})
+	is.Equal(len(b.control.events), 0)
+	close(goOn)
+	is.Equal(kindOf(<-running), outcome.OK)
+	q := awaitQuiesced(t, b.control)
+	is.Equal(len(q.Marks), 2) // horizon and order-1
+	is.Equal(q.Marks[1].GetRequestId(), "order-1")
+	is.Equal(server.requests.Load(), int64(1))
+
+	// The new owner knows order-1 and runs order-2.
+	other := newBench(t, server.addr, nil)
+	other.report(server.addr, false)
+	other.hold(3, q.Marks)
+	go func() { <-arrived }()
+	is.Equal(kindOf(other.Execute(context.Background(), request("order-1", ""))), outcome.DuplicateRan)
+	is.Equal(kindOf(other.Execute(context.Background(), request("order-2", ""))), outcome.OK)
+}
+
+// TestGrantComesFirst checks that no request of a shard is sent before the
+// grant is acknowledged, and that a restart of the server repeats it.
+func TestGrantComesFirst(t *testing.T) {
+	is := is.New(t)
+	var log []string
+	refusals := 2
+	server := newRawServer(t, func(n int64, r *http.Request) string {
+		if n > 0 {
+			log = append(log, "request "+r.Header.Get(headerToken))
+			return okAnswer
+		}
+		if refusals > 0 {
+			refusals--
+			return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+		}
+		log = append(log, "grant "+r.URL.Query().Get("generation"))
+		return "HTTP/1.1 204 No Content\r\n\r\n"
+	})
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, true)
+	b.hold(6, nil)
+	is.Equal(kindOf(b.Execute(context.Background(), request("", ""))), outcome.OK)
+	is.Equal(kindOf(b.Execute(context.Background(), request("", ""))), outcome.OK)
+	is.Equal(log, []string{"grant 6", "request 6", "request 6"})
+	b.executor.grants.forget()
+	is.Equal(kindOf(b.Execute(context.Background(), request("", ""))), outcome.OK)
+	is.Equal(log[3:], []string{"grant 6", "request 6"})
+}
+
+func TestAfterALapseACallersIDMayHaveRun(t *testing.T) {
+	is := is.New(t)
+	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, false)
+	b.hold(3, nil)
+	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.UnknownHistory)
+	is.Equal(kindOf(b.Execute(context.Background(), request("", ""))), outcome.OK) // the entry's own id
+	is.Equal(server.requests.Load(), int64(1))
+}
