Teams: batched slices, exact burst, waiting through a keeper's loss

Each request asked the keeper for one token, and failed at once while the keeper was gone. Now a daemon asks once for all waiting requests of a team and for tokens ahead while the bucket is at least half full; requests wait within their deadlines for the next keeper and for its first token; one request at a time waits up to 100 ms for the next token instead of being refused.

Tokens are used up to a slice's life after they were handed out. Chosen: the bucket does not fill while bucket and slices together hold the burst.

Faults found: a release of the keeper's shard did not end its grants before the new keeper began; a raised rate was credited for time before it was raised.

--- /dev/null
+++ b/core/bucket/bucket_test.go
@@ -0,0 +1,225 @@
+package bucket
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+// global is the naive version: one bucket that sees everything at once.
+type global struct {
+	tokens float64
+	at     time.Duration
+}
+
+// take reports whether n tokens were within rate·t + burst.
+func (g *global) take(now time.Duration, rate, burst, n float64) bool {
+	g.tokens = min(burst, g.tokens+rate*(now-g.at).Seconds())
+	g.at = now
+	g.tokens -= n
+	return g.tokens > -1e-6
+}
+
+const drift = 0.02
+
+// host is a daemon's clock.
+type host struct{ rate float64 }
+
+func (h host) at(now time.Duration) clock.Instant {
+	return clock.Instant(float64(now+time.Hour) * h.rate)
+}
+
+// message is a keeper's answer on its way.
+type message struct {
+	stock    int
+	question *Question
+	grant    Grant
+}
+
+func TestHandedOutNeverPassesRateAndBurst(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := Terms{
+			Rate:  float64(rapid.IntRange(1, 200).Draw(t, "rate")),
+			Burst: float64(rapid.IntRange(1, 300).Draw(t, "burst")),
+		}
+		strict := terms.Burst >= terms.bound() // uses are bounded too
+		drawHost := func() host { return host{rapid.Float64Range(1-drift, 1+drift).Draw(t, "clock")} }
+		var now time.Duration
+		granted, used := &global{tokens: terms.Burst}, &global{tokens: terms.Burst}
+		keeperHost := drawHost()
+		keeper := NewFull(keeperHost.at(now))
+		keeper.Set(keeperHost.at(now), terms)
+		type limiter struct {
+			host
+			stock *Stock
+		}
+		var limiters []limiter
+		for range 3 {
+			limiters = append(limiters, limiter{drawHost(), &Stock{}})
+		}
+		var inFlight []message
+		// use checks n tokens that leave a stock now.
+		use := func(t *rapid.T, n int) {
+			if strict && !used.take(now, terms.Rate*(1+drift), terms.Burst, float64(n)) {
+				t.Fatalf("%v tokens too many used", -used.tokens)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"arrive": func(t *rapid.T) {
+				l := rapid.SampledFrom(limiters).Draw(t, "limiter")
+				for range rapid.IntRange(1, 50).Draw(t, "requests") {
+					if v, _ := l.stock.Arrive(l.at(now), &Waiter{}); v == Taken {
+						use(t, 1)
+					}
+				}
+			},
+			"ask": func(t *rapid.T) { // the keeper answers; the answer travels
+				i := rapid.IntRange(0, 2).Draw(t, "limiter")
+				q := limiters[i].stock.Ask(limiters[i].at(now))
+				if q == nil {
+					t.Skip()
+				}
+				g := keeper.Take(keeperHost.at(now), terms, float64(q.Need), float64(q.Extra))
+				if !granted.take(now, terms.Rate*(1+drift), terms.Burst, g.Tokens) {
+					t.Fatalf("%v tokens too many handed out", -granted.tokens)
+				}
+				inFlight = append(inFlight, message{i, q, g})
+			},
+			"deliver": func(t *rapid.T) { // or lose, or repeat
+				if len(inFlight) == 0 {
+					t.Skip()
+				}
+				i := rapid.IntRange(0, len(inFlight)-1).Draw(t, "message")
+				m := inFlight[i]
+				l := limiters[m.stock]
+				switch rapid.SampledFrom([]string{"once", "twice", "lost"}).Draw(t, "fate") {
+				case "once":
+					inFlight = append(inFlight[:i:i], inFlight[i+1:]...)
+				case "lost":
+					inFlight = append(inFlight[:i:i], inFlight[i+1:]...)
+					l.stock.Fail(m.question)
+					return
+				}
+				taken, _, _ := l.stock.Answer(l.at(now), m.question, m.grant)
+				use(t, len(taken))
+			},
+			"keeper lost": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "gap")) * time.Millisecond
+				keeperHost = drawHost()
+				keeper = NewEmpty(keeperHost.at(now))
+				keeper.Set(keeperHost.at(now), terms)
+			},
+			"change": func(t *rapid.T) {
+				strict = false
+				granted.take(now, terms.Rate*(1+drift), terms.Burst, 0)
+				terms.Rate = float64(rapid.IntRange(1, 200).Draw(t, "rate"))
+				terms.Burst = float64(rapid.IntRange(1, 300).Draw(t, "burst"))
+				keeper.Set(keeperHost.at(now), terms)
+				granted.tokens = min(granted.tokens, terms.Burst)
+			},
+			"sleep": func(t *rapid.T) {
+				now += time.Duration(rapid.IntRange(0, 1000).Draw(t, "ms")) * time.Millisecond
+			},
+		})
+	})
+}
+
+func TestLowerRateCountsAtOnce(t *testing.T) {
+	is := is.New(t)
+	b := NewEmpty(0)
+	at := func(s int) clock.Instant { return clock.Instant(s) * clock.Instant(time.Second) }
+	b.Take(at(1), Terms{Rate: 100, Burst: 1000}, 0, 0)
+	is.Equal(math.Round(b.tokens), 48.0) // nothing for a slice's life after the keeper before
+	g := b.Take(at(2), Terms{Rate: 10, Burst: 1000}, 1000, 0)
+	is.Equal(g.Tokens, 57.0)
+	is.Equal(g.Wait.Round(time.Millisecond), 50*time.Millisecond)
+}
+
+func TestSmallBurstStillGivesATokenAtATime(t *testing.T) {
+	is := is.New(t)
+	b := NewFull(0)
+	terms := Terms{Rate: 50, Burst: 1}
+	is.Equal(b.Take(0, terms, 1, 0).Tokens, 1.0)
+	is.Equal(b.Take(0, terms, 1, 0).Tokens, 0.0)
+	is.Equal(b.Take(clock.Instant(21*time.Millisecond), terms, 5, 5).Tokens, 1.0)
+}
+
+func TestLateAnswerIsWorthNothing(t *testing.T) {
+	is := is.New(t)
+	s := &Stock{}
+	w := &Waiter{}
+	v, _ := s.Arrive(1, w)
+	is.Equal(v, Waiting)
+	q := s.Ask(1)
+	is.Equal(q.Need, 1)
+	is.Equal(s.Ask(1), nil) // one question at a time
+	late := clock.Instant(1).Add(100 * time.Millisecond)
+	taken, refused, _ := s.Answer(late, q, Grant{Tokens: 1, Life: 100 * time.Millisecond})
+	is.Equal(len(taken)+len(refused), 0)
+	is.Equal(s.Ask(late).Need, 1) // it is asked again
+	is.Equal(s.Held(late), 0)
+}
+
+func TestFailedQuestionKeepsItsRequestsWaiting(t *testing.T) {
+	is := is.New(t)
+	s := &Stock{}
+	first, gone, second := &Waiter{}, &Waiter{}, &Waiter{}
+	s.Arrive(1, first)
+	s.Arrive(1, gone)
+	q := s.Ask(1)
+	s.Arrive(2, second)
+	s.Cancel(gone)
+	s.Fail(q)
+	q = s.Ask(3)
+	is.Equal(q.waiters, []*Waiter{first, second})
+	is.True(first.outage && !second.outage)
+	taken, refused, wait := s.Answer(4, q, Grant{Tokens: 1, Life: time.Second, Wait: time.Second})
+	is.Equal(taken, []*Waiter{first})
+	is.Equal(refused, []*Waiter{second})
+	is.Equal(wait, time.Second)
+	v, _ := s.Arrive(5, &Waiter{})
+	is.Equal(v, Refused) // the keeper has none before
+}
+
+// TestOutageKeepsWaitingForAnEmptyKeeper has a request wait through the loss
+// of a keeper and then for the first token of the next one.
+func TestOutageKeepsWaitingForAnEmptyKeeper(t *testing.T) {
+	is := is.New(t)
+	s := &Stock{}
+	w := &Waiter{}
+	s.Arrive(1, w)
+	s.Fail(s.Ask(1))
+	now := clock.Instant(2 * time.Second)
+	taken, refused, _ := s.Answer(now, s.Ask(now), Grant{Life: minLife, Wait: time.Second})
+	is.Equal(len(taken)+len(refused), 0)
+	is.Equal(s.Ask(now), nil)
+	is.Equal(s.AskAt(), now.Add(time.Second))
+	q := s.Ask(s.AskAt())
+	taken, _, _ = s.Answer(q.Sent, q, Grant{Tokens: 1, Life: minLife})
+	is.Equal(taken, []*Waiter{w})
+}
+
+// TestWaitLeadsToAToken asks again after the wait that the bucket named.
+func TestWaitLeadsToAToken(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		terms := Terms{
+			Rate:  float64(rapid.IntRange(1, 200).Draw(t, "rate")),
+			Burst: float64(rapid.IntRange(1, 300).Draw(t, "burst")),
+		}
+		b := NewEmpty(0)
+		now := clock.Instant(0)
+		for range rapid.IntRange(1, 10).Draw(t, "questions") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 300).Draw(t, "ms")) * time.Millisecond)
+			b.Take(now, terms, float64(rapid.IntRange(0, 300).Draw(t, "need")), 0)
+		}
+		g := b.Take(now, terms, 1000, 0)
+		if g.Wait == 0 || g.Wait < maxWait && b.Take(now.Add(g.Wait+time.Microsecond), terms, 1, 0).Tokens != 1 {
+			t.Fatalf("no token after %v", g.Wait)
+		}
+	})
+}
--- /dev/null
+++ b/core/bucket/model_test.go
@@ -0,0 +1,177 @@
+package bucket
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+// event is something that happens at an instant of the model.
+type event struct {
+	at clock.Instant
+	n  uint64 // order of events at the same instant
+	do func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].n < e[j].n
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	last := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return last
+}
+
+// model is one team's requests at several daemons, a keeper one millisecond
+// away, and a single global bucket that sees the same requests.
+type model struct {
+	rand    *rand.Rand
+	now     clock.Instant
+	count   uint64
+	queue   events
+	terms   Terms
+	keeper  *Bucket
+	global  global
+	stocks  []*Stock
+	refused int // requests refused
+	excess  int // of them, those that the global bucket let pass
+	passed  int
+	asked   int
+}
+
+const oneWay = time.Millisecond
+
+func newModel(terms Terms, daemons int) *model {
+	m := &model{rand: rand.New(rand.NewPCG(1, 2)), terms: terms, keeper: NewFull(0), global: global{tokens: terms.Burst}}
+	for range daemons {
+		m.stocks = append(m.stocks, &Stock{})
+	}
+	return m
+}
+
+func (m *model) after(d time.Duration, do func()) {
+	m.count++
+	heap.Push(&m.queue, event{m.now.Add(d), m.count, do})
+}
+
+func (m *model) run(until time.Duration) {
+	for len(m.queue) > 0 && m.queue[0].at < clock.Instant(until) {
+		e := heap.Pop(&m.queue).(event)
+		m.now = e.at
+		e.do()
+	}
+}
+
+// request arrives at a daemon.
+func (m *model) request(daemon int) {
+	allowed := m.global.tokens + m.terms.Rate*(time.Duration(m.now)-m.global.at).Seconds()
+	within := math.Min(allowed, m.terms.Burst) >= 1
+	if within {
+		m.global.take(time.Duration(m.now), m.terms.Rate, m.terms.Burst, 1)
+	}
+	s := m.stocks[daemon]
+	switch v, _ := s.Arrive(m.now, &Waiter{Data: within}); v {
+	case Taken:
+		m.passed++
+	case Refused:
+		m.refuse(within)
+	}
+	m.ask(s)
+}
+
+func (m *model) refuse(within bool) {
+	m.refused++
+	if within {
+		m.excess++
+	}
+}
+
+func (m *model) ask(s *Stock) {
+	q := s.Ask(m.now)
+	if q == nil {
+		if at := s.AskAt(); at > m.now {
+			m.after(at.Sub(m.now), func() { m.ask(s) })
+		}
+		return
+	}
+	m.asked++
+	m.after(oneWay, func() {
+		g := m.keeper.Take(m.now, m.terms, float64(q.Need), float64(q.Extra))
+		m.after(oneWay, func() {
+			taken, refused, _ := s.Answer(m.now, q, g)
+			m.passed += len(taken)
+			for _, w := range refused {
+				m.refuse(w.Data.(bool))
+			}
+			m.ask(s)
+		})
+	})
+}
+
+// poisson sends requests at a rate to the daemon that pick names.
+func (m *model) poisson(rate float64, pick func() int) {
+	gap := time.Duration(m.rand.ExpFloat64() / rate * float64(time.Second))
+	m.after(gap, func() {
+		m.request(pick())
+		m.poisson(rate, pick)
+	})
+}
+
+func TestRefusalsWithinRate(t *testing.T) {
+	const daemons = 11
+	const lasts = 10 * time.Minute
+	for name, pick := range map[string]func(*model) func() int{
+		"spread": func(m *model) func() int { return func() int { return m.rand.IntN(daemons) } },
+		"jumping": func(m *model) func() int {
+			return func() int { return int(time.Duration(m.now)/time.Second) % daemons }
+		},
+	} {
+		for _, terms := range []Terms{{Rate: 100, Burst: 100}, {Rate: 400, Burst: 800}, {Rate: 20, Burst: 40}} {
+			t.Run(name, func(t *testing.T) {
+				is := is.New(t)
+				m := newModel(terms, daemons)
+				m.poisson(0.9*terms.Rate, pick(m))
+				m.run(lasts)
+				total := m.passed + m.refused
+				t.Logf("rate %v burst %v: %d requests, %d refused, %d of them within rate, %d questions",
+					terms.Rate, terms.Burst, total, m.refused, m.excess, m.asked)
+				is.True(float64(m.excess) < 0.001*float64(total))
+			})
+		}
+	}
+}
+
+// TestLoudTeamGetsItsWholeRate sends five times the rate from all daemons.
+func TestLoudTeamGetsItsWholeRate(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Rate: 100, Burst: 100}
+	m := newModel(terms, 11)
+	m.poisson(5*terms.Rate, func() int { return m.rand.IntN(11) })
+	m.run(time.Minute)
+	limit := terms.Rate*60 + terms.Burst
+	t.Logf("%d passed of at most %v, %d questions", m.passed, limit, m.asked)
+	is.True(float64(m.passed) <= limit)
+	is.True(float64(m.passed) >= 0.98*limit)
+}
+
+// TestSmallestTeamLosesNothing sends a request every few seconds.
+func TestSmallestTeamLosesNothing(t *testing.T) {
+	is := is.New(t)
+	m := newModel(Terms{Rate: 1, Burst: 2}, 11)
+	m.poisson(0.3, func() int { return m.rand.IntN(11) })
+	m.run(time.Hour)
+	t.Logf("%d passed, %d refused, %d of them within rate", m.passed, m.refused, m.excess)
+	is.Equal(m.excess, 0)
+}
--- a/core/outcome/outcome.go
+++ b/core/outcome/outcome.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"time"
 )
 
 // Ran tells whether the backend server ran a request.
@@ -148,8 +149,9 @@
 
 // Err is an error of one closed kind.
 type Err struct {
-	Kind   Kind
-	Detail string
+	Kind       Kind
+	Detail     string
+	RetryAfter time.Duration // when the caller may come again; 0 if not known
 }
 
 // Error returns the kind's name with the detail.
--- a/daemon/plugins/keeper/keeper.go
+++ b/daemon/plugins/keeper/keeper.go
@@ -1,6 +1,6 @@
 // Package keeper limits teams to their fleet-wide rates. One daemon keeps each
 // team's bucket: the owner of an internal shard. It hands out slices of tokens
-// to the other daemons.
+// to the other daemons. docs/LIMITS.md tells what was weighed.
 package keeper
 
 import (
@@ -12,6 +12,8 @@
 
 	"github.com/sesamemoor/sesamemoor/core/bucket"
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -23,32 +25,121 @@
 }
 
 func module() fx.Option {
-	return fx.Options(fx.Provide(
-		newKeeper,
-		newLimiter,
-		func(l *limiter) kernel.Limiter { return l },
-		kernel.AsFrameHandler(func(k *keeper) *keeper { return k }),
-	))
+	return fx.Options(
+		fx.Provide(
+			newKeeper,
+			newLimiter,
+			func(l *limiter) kernel.Limiter { return l },
+			kernel.AsEffectHandler(func(k *keeper) *keeper { return k }),
+			kernel.AsFrameHandler(func(k *keeper) *keeper { return k }),
+		),
+		fx.Invoke(registerMetrics),
+	)
 }
 
-// sliceLife is the time for which a slice may be used after it was asked for.
-const sliceLife = 500 * time.Millisecond
+// milli is the unit of tokens in messages.
+const milli = 1000
 
 // keeper holds the buckets of the teams whose shards this daemon owns.
+//
+// Invariant: a bucket exists only for a shard that was held, under the token
+// with which it was set up; no token is handed out after the shard was
+// quiesced or the lease had ended.
 type keeper struct {
 	control kernel.Control
 	clock   clock.Clock
+
 	mu      sync.Mutex
 	buckets map[string]*teamBucket
+	closed  map[view.ShardID]uint64 // newest token under which the shard was quiesced
+	version uint64                  // of the configuration that the buckets follow
+	granted uint64                  // tokens handed out
+	short   uint64                  // questions answered with fewer tokens than needed
 }
 
 type teamBucket struct {
-	bucket bucket.Bucket
+	bucket *bucket.Bucket
 	token  uint64 // generation under which the bucket was set up
 }
 
 func newKeeper(c kernel.Control, clk clock.Clock) *keeper {
-	return &keeper{control: c, clock: clk, buckets: map[string]*teamBucket{}}
+	return &keeper{control: c, clock: clk, buckets: map[string]*teamBucket{}, closed: map[view.ShardID]uint64{}}
+}
+
+// HandleEffect implements kernel.EffectHandler.
+func (k *keeper) HandleEffect(effect control.Effect) {
+	switch e := effect.(type) {
+	case control.Quiesce:
+		k.close(e)
+	case control.Publish:
+		k.follow(e.View)
+	}
+}
+
+// close ends the grants of a shard that is handed over.
+func (k *keeper) close(q control.Quiesce) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.closed[q.Shard] = max(k.closed[q.Shard], q.Token)
+}
+
+// follow sets up buckets of acquired shards, and tells all buckets of changed
+// terms at once.
+func (k *keeper) follow(v *view.View) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.version == v.ConfigVersion && !k.acquired(v) {
+		return
+	}
+	k.version = v.ConfigVersion
+	now := k.clock.Now()
+	for name, team := range v.Config.Teams {
+		if id, held, ok := heldShard(v, name); ok {
+			k.bucketOf(v, name, id, held, now).Set(now, termsOf(team))
+		}
+	}
+}
+
+// acquired reports whether v holds a shard for a team without a bucket under
+// the shard's token.
+func (k *keeper) acquired(v *view.View) bool {
+	for name := range v.Config.Teams {
+		if _, held, ok := heldShard(v, name); ok {
+			if tb := k.buckets[name]; tb == nil || tb.token != held.Token {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func heldShard(v *view.View, team string) (view.ShardID, view.Held, bool) {
+	id, _, ok := v.Lookup(view.KeeperService, team)
+	held, owned := v.Held[id]
+	return id, held, ok && owned
+}
+
+func termsOf(t fleet.Team) bucket.Terms { return bucket.Terms{Rate: t.Rate, Burst: t.Burst} }
+
+// bucketOf returns the team's bucket under the shard's token. A new one starts
+// empty at the instant of acquisition, since the keeper before may have handed
+// out everything up to then; full if there was none before.
+func (k *keeper) bucketOf(v *view.View, team string, id view.ShardID, held view.Held, now clock.Instant) *bucket.Bucket {
+	tb, ok := k.buckets[team]
+	if ok && tb.token == held.Token {
+		return tb.bucket
+	}
+	tb = &teamBucket{token: held.Token}
+	switch {
+	case v.NeverOwned(id, held.Token):
+		tb.bucket = bucket.NewFull(now)
+	case ok || held.Since == 0: // terms may have changed since the acquisition
+		tb.bucket = bucket.NewEmpty(now)
+	default:
+		tb.bucket = bucket.NewEmpty(held.Since)
+	}
+	k.buckets[team] = tb
+	return tb.bucket
 }
 
 // Handles implements kernel.FrameHandler.
@@ -59,79 +150,49 @@
 	return &wire.Frame{Body: &wire.Frame_SliceAnswer{SliceAnswer: k.grant(frame.GetSliceRequest())}}
 }
 
-// grant hands out tokens of a team's bucket.
+// grant hands out tokens of a team's bucket. All that it decides counts as of
+// the instant at which the lease was seen to be held, whatever pause follows:
+// the life of the slice began when the request was sent, before that.
 func (k *keeper) grant(req *wire.SliceRequest) *wire.SliceAnswer {
+	k.mu.Lock()
+	defer k.mu.Unlock()
 	v := k.control.View()
 	now := k.clock.Now()
-	id, _, ok := v.Lookup(view.KeeperService, req.GetTeam())
-	held, owned := v.Held[id]
+	id, held, owned := heldShard(v, req.GetTeam())
 	team, known := v.Config.Teams[req.GetTeam()]
-	if !ok || !owned || !known || !v.Lease.Valid(now) {
+	if !owned || !known || !v.Lease.Valid(now) || k.closed[id] >= held.Token {
 		return &wire.SliceAnswer{Kind: uint32(outcome.KeeperUnavailable)}
 	}
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	tb, ok := k.buckets[req.GetTeam()]
-	if !ok || tb.token != held.Token {
-		tb = &teamBucket{bucket: bucket.NewEmpty(now), token: held.Token}
-		k.buckets[req.GetTeam()] = tb
-	}
-	granted := tb.bucket.TakeUpTo(now, team.Rate, team.Burst, float64(req.GetWantMilli())/1000)
-	if granted == 0 {
-		return &wire.SliceAnswer{Kind: uint32(outcome.RateLimited), KeeperGeneration: held.Token}
-	}
-	return &wire.SliceAnswer{
-		GrantedMilli:     uint64(granted * 1000),
-		ExpiresMs:        uint64(sliceLife.Milliseconds()),
+	need := float64(req.GetWantMilli() / milli)
+	b := k.bucketOf(v, req.GetTeam(), id, held, now)
+	g := b.Take(now, termsOf(team), need, float64(req.GetExtraMilli()/milli))
+	k.granted += uint64(g.Tokens)
+	answer := &wire.SliceAnswer{
+		GrantedMilli:     uint64(g.Tokens) * milli,
+		ExpiresMs:        uint64(g.Life.Milliseconds()),
+		AheadMs:          uint64(g.Ahead.Milliseconds()),
+		WaitMs:           uint64(g.Wait.Milliseconds()),
 		Kind:             uint32(outcome.OK),
 		KeeperGeneration: held.Token,
 	}
-}
-
-// limiter takes tokens for the requests that enter at this daemon.
-type limiter struct {
-	control kernel.Control
-	peers   kernel.Peers
-	local   *keeper
-}
-
-func newLimiter(c kernel.Control, p kernel.Peers, k *keeper) *limiter {
-	return &limiter{control: c, peers: p, local: k}
-}
-
-// Take implements kernel.Limiter.
-func (l *limiter) Take(ctx context.Context, team string) error {
-	v := l.control.View()
-	_, shard, ok := v.Lookup(view.KeeperService, team)
-	if !ok || shard.Owner == nil {
-		return outcome.New(outcome.KeeperUnavailable, "no keeper for team %s", team)
-	}
-	req := &wire.SliceRequest{Team: team, WantMilli: 1000}
-	answer, err := l.ask(ctx, v, shard, req)
-	if err != nil {
-		return err
-	}
-	if answer.GetGrantedMilli() < 1000 {
-		return outcome.New(outcome.Kind(answer.GetKind()), "team %s", team)
+	if g.Tokens < need {
+		k.short++
+		answer.Kind = uint32(outcome.RateLimited)
 	}
-	return nil
+	return answer
 }
 
-func (l *limiter) ask(ctx context.Context, v *view.View, shard view.Shard, req *wire.SliceRequest) (*wire.SliceAnswer, error) {
-	if shard.Owner.Incarnation == v.Incarnation {
-		return l.local.grant(req), nil
-	}
-	frame, err := l.peers.Call(ctx, shard.Owner.PeerAddr, &wire.Frame{Body: &wire.Frame_SliceRequest{SliceRequest: req}})
-	if err != nil {
-		return nil, outcome.New(outcome.KeeperUnavailable, "%v", err)
-	}
-	if frame.GetSliceAnswer() == nil {
-		return nil, outcome.New(outcome.KeeperUnavailable, "answer of another kind")
+// grantOf is the grant that an answer carries.
+func grantOf(a *wire.SliceAnswer) bucket.Grant {
+	return bucket.Grant{
+		Tokens: float64(a.GetGrantedMilli() / milli),
+		Life:   time.Duration(a.GetExpiresMs()) * time.Millisecond,
+		Ahead:  time.Duration(a.GetAheadMs()) * time.Millisecond,
+		Wait:   time.Duration(a.GetWaitMs()) * time.Millisecond,
 	}
-	return frame.GetSliceAnswer(), nil
 }
 
 var (
-	_ kernel.Limiter      = (*limiter)(nil)
-	_ kernel.FrameHandler = (*keeper)(nil)
+	_ kernel.FrameHandler  = (*keeper)(nil)
+	_ kernel.EffectHandler = (*keeper)(nil)
 )
--- /dev/null
+++ b/daemon/plugins/keeper/keeper_test.go
@@ -0,0 +1,252 @@
+package keeper
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const team = "dealer"
+
+// bubbleClock is the virtual clock of a synctest bubble.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
+
+// node is one daemon's keeper and limiter.
+type node struct {
+	*keeper
+	*limiter
+	fleet *testFleet
+	view  *view.View
+	dead  bool
+}
+
+func (n *node) View() *view.View {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	return n.view
+}
+
+func (n *node) Post(control.Event) {}
+
+// testFleet is a few nodes that call each other by name, a millisecond apart.
+type testFleet struct {
+	mu    sync.Mutex
+	nodes map[string]*node
+	calls int
+}
+
+const oneWay = time.Millisecond
+
+// Call implements kernel.Peers. A dead node does not answer.
+func (f *testFleet) Call(ctx context.Context, addr string, frame *wire.Frame) (*wire.Frame, error) {
+	f.mu.Lock()
+	f.calls++
+	n := f.nodes[addr]
+	dead := n.dead
+	f.mu.Unlock()
+	if dead {
+		<-ctx.Done()
+		return nil, outcome.New(outcome.ConnectionLost, "no answer")
+	}
+	time.Sleep(2 * oneWay)
+	return n.keeper.HandleFrame(ctx, "", frame), nil
+}
+
+// newTestFleet returns nodes a, b and c; a owns the team's shard, b is its
+// standby.
+func newTestFleet(terms fleet.Team) *testFleet {
+	f := &testFleet{nodes: map[string]*node{}}
+	lease := new(view.LeaseCell)
+	lease.Set(bubbleClock{}.Now().Add(time.Hour))
+	for i, name := range []string{"a", "b", "c"} {
+		n := &node{fleet: f}
+		n.view = &view.View{
+			Incarnation:   uint64(i + 1),
+			ConfigVersion: 1,
+			Config:        &fleet.Config{Teams: map[string]fleet.Team{team: terms}},
+			Lease:         lease,
+			Services:      map[string]*view.Service{view.KeeperService: {Base: 1, Shards: []view.Shard{f.shard()}}},
+			Held:          map[view.ShardID]view.Held{},
+		}
+		n.keeper = newKeeper(n, bubbleClock{})
+		n.limiter = newLimiter(n, f, n.keeper, bubbleClock{})
+		f.nodes[name] = n
+	}
+	return f
+}
+
+func (f *testFleet) shard() view.Shard {
+	return view.Shard{
+		Owner:   &view.Member{Incarnation: 1, PeerAddr: "a"},
+		Standby: &view.Member{Incarnation: 2, PeerAddr: "b"},
+	}
+}
+
+var keeperShard = view.ShardID{Service: view.KeeperService}
+
+// hold makes a node the keeper under token.
+func (f *testFleet) hold(name string, token uint64) {
+	n := f.nodes[name]
+	v := *n.View()
+	v.Held = map[view.ShardID]view.Held{keeperShard: {Token: token, Since: bubbleClock{}.Now()}}
+	f.set(n, &v)
+}
+
+func (f *testFleet) set(n *node, v *view.View) {
+	f.mu.Lock()
+	n.view = v
+	f.mu.Unlock()
+	n.keeper.HandleEffect(control.Publish{View: v})
+}
+
+func take(n *node, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	return n.limiter.Take(ctx, team)
+}
+
+func TestRequestsWaitForTheNextKeeper(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 100, Burst: 100})
+		f.hold("a", 2)
+		is.NoErr(take(f.nodes["c"], time.Second))
+		f.mu.Lock()
+		f.nodes["a"].dead = true
+		f.mu.Unlock()
+		time.AfterFunc(1500*time.Millisecond, func() { f.hold("b", 3) })
+		time.Sleep(time.Second) // what was asked for ahead expires
+		start := time.Now()
+		is.NoErr(take(f.nodes["c"], 2*time.Second))
+		is.True(time.Since(start) >= 500*time.Millisecond)
+		// Without a keeper in time it is refused, and was not run.
+		f.mu.Lock()
+		f.nodes["b"].dead = true
+		f.mu.Unlock()
+		is.Equal(outcome.Of(take(f.nodes["c"], 300*time.Millisecond)), outcome.KeeperUnavailable)
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestNewKeeperStartsEmptyAndTheFirstOneFull(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 1, Burst: 5})
+		f.hold("a", 2)
+		ask := func(name string) uint64 {
+			return f.nodes[name].keeper.grant(&wire.SliceRequest{Team: team, WantMilli: 10 * milli}).GetGrantedMilli()
+		}
+		is.Equal(ask("a"), uint64(5*milli))
+		f.hold("b", 3)
+		is.Equal(ask("b"), uint64(0))
+		time.Sleep(2600 * time.Millisecond)
+		is.Equal(ask("b"), uint64(2*milli))
+	})
+}
+
+func TestNoGrantAfterQuiesceOrLease(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 100, Burst: 100})
+		f.hold("a", 2)
+		k := f.nodes["a"].keeper
+		kind := func() outcome.Kind {
+			return outcome.Kind(k.grant(&wire.SliceRequest{Team: team, WantMilli: milli}).GetKind())
+		}
+		is.Equal(kind(), outcome.OK)
+		k.HandleEffect(control.Quiesce{Shard: keeperShard, Token: 2})
+		is.Equal(kind(), outcome.KeeperUnavailable) // the view shows the shard as held still
+		f.hold("a", 4)
+		time.Sleep(time.Second)
+		is.Equal(kind(), outcome.OK)
+		f.nodes["a"].View().Lease.Set(bubbleClock{}.Now())
+		is.Equal(kind(), outcome.KeeperUnavailable)
+	})
+}
+
+// TestOneQuestionForManyRequests sends a crowd at once through one daemon.
+func TestOneQuestionForManyRequests(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 1000, Burst: 1000})
+		f.hold("a", 2)
+		var wg sync.WaitGroup
+		errs := make(chan error, 500)
+		for range 500 {
+			wg.Go(func() { errs <- take(f.nodes["c"], time.Second) })
+		}
+		wg.Wait()
+		close(errs)
+		for err := range errs {
+			is.NoErr(err)
+		}
+		is.True(f.calls <= 3)
+		time.Sleep(time.Minute)
+	})
+}
+
+// TestTeamOverItsRate sends five times the rate from all daemons.
+func TestTeamOverItsRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 50, Burst: 50})
+		f.hold("a", 2)
+		const lasts = 10 * time.Second
+		passed, refused := 0, 0
+		var mu sync.Mutex
+		var wg sync.WaitGroup
+		for i := range int(lasts / (4 * time.Millisecond)) {
+			n := f.nodes[[]string{"a", "b", "c"}[i%3]]
+			wg.Go(func() {
+				err := take(n, time.Second)
+				mu.Lock()
+				defer mu.Unlock()
+				switch outcome.Of(err) {
+				case outcome.OK:
+					passed++
+				case outcome.RateLimited:
+					refused++
+				default:
+					t.Errorf("%v", err)
+				}
+			})
+			time.Sleep(4 * time.Millisecond)
+		}
+		wg.Wait()
+		is.Equal(passed+refused, int(lasts/(4*time.Millisecond)))
+		limit := 50 + 50*int(lasts/time.Second)
+		is.True(passed <= limit)
+		is.True(passed >= limit*98/100)
+		time.Sleep(time.Minute)
+	})
+}
+
+func TestRefusalTellsWhenToComeAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 1, Burst: 1})
+		f.hold("a", 2)
+		is.NoErr(take(f.nodes["c"], time.Second))
+		err := take(f.nodes["c"], time.Second)
+		is.Equal(outcome.Of(err), outcome.RateLimited)
+		var refusal *outcome.Err
+		is.True(errors.As(err, &refusal))
+		is.True(refusal.RetryAfter > 900*time.Millisecond)
+		is.Equal(f.nodes["c"].refused[outcome.RateLimited], uint64(1))
+		time.Sleep(time.Minute)
+	})
+}
--- /dev/null
+++ b/daemon/plugins/keeper/metrics.go
@@ -0,0 +1,38 @@
+package keeper
+
+import (
+	"context"
+	"fmt"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+// registerMetrics exposes the figures of the keeper and the limiter.
+func registerMetrics(m *kernel.Metrics, k *keeper, l *limiter) error {
+	counter := func(name, description string) metric.Int64ObservableCounter {
+		c, _ := m.Int64ObservableCounter(name, metric.WithDescription(description))
+		return c
+	}
+	granted := counter("sesamemoor_keeper_tokens", "Tokens handed out by this daemon as keeper.")
+	short := counter("sesamemoor_keeper_short_answers", "Questions answered with fewer tokens than needed.")
+	refused := counter("sesamemoor_limiter_refusals", "Requests refused for want of a token, by outcome.")
+	observe := func(_ context.Context, o metric.Observer) error {
+		k.mu.Lock()
+		o.ObserveInt64(granted, int64(k.granted))
+		o.ObserveInt64(short, int64(k.short))
+		k.mu.Unlock()
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		for kind, n := range l.refused {
+			o.ObserveInt64(refused, int64(n), metric.WithAttributes(attribute.String("outcome", kind.String())))
+		}
+		return nil
+	}
+	if _, err := m.RegisterCallback(observe, granted, short, refused); err != nil {
+		return fmt.Errorf("keeper: metrics: %w", err)
+	}
+	return nil
+}
--- a/daemon/plugins/owner/fake_test.go
+++ b/daemon/plugins/owner/fake_test.go
@@ -174,4 +174,3 @@
 		t.Fatalf("no %s", what)
 	}
 }
-
