--- a/ctl/scenario/checks_test.go
+++ b/ctl/scenario/checks_test.go
@@ -20,9 +20,9 @@
 	Shard      string `json:"shard"`
 	Generation string `json:"generation"`
 	Method     string `json:"method"`
-	StartUS    int64  `json:"start_us"`
+	StartUS    int64  `json:"at_us"`
 	EndUS      int64  `json:"end_us"` // 0 while it runs
-	SawKey     bool   `json:"saw_caller_key"`
+	SawKey     bool   `json:"key_seen"`
 }
 
 // collectRuns returns what all running backend servers recorded so far.
--- a/ctl/scenario/expect_test.go
+++ b/ctl/scenario/expect_test.go
@@ -71,13 +71,7 @@
 	if len(s.samples) == 0 {
 		return errors.New("no requests were watched")
 	}
-	var end time.Time
-	for _, r := range s.samples {
-		if r.start.After(end) {
-			end = r.start
-		}
-	}
-	worst := endedOutage(s.samples, s.watch.period, end)
+	worst := endedOutage(s.samples, s.watch.period, s.watch.stopped)
 	if worst.duration >= limit {
 		return fmt.Errorf("%s went unserved for %s from %s", worst.key, worst.duration, worst.from.Format(time.RFC3339Nano))
 	}
--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -156,7 +156,7 @@
 		return err
 	}
 	m.daemon = &process{name: fmt.Sprintf("d%d", i), args: []string{daemonBinary, "run", file}}
-	args := []string{ctlBinary, "emulate-backend", "-name", fmt.Sprintf("b%d", i), "-service", opts.service,
+	args := []string{ctlBinary, "emulate", "backend", "-name", fmt.Sprintf("b%d", i), "-service", opts.service,
 		"-listen", f.addr(i, backPort), "-daemon", f.addr(i, adminPort), "-slots", fmt.Sprint(opts.slots),
 		"-service-time", opts.serviceTime.String()}
 	if opts.checksFence {
@@ -344,7 +344,7 @@
 
 // patch applies a merge patch on the newest version through sesamemoorctl.
 func (f *fleet) patch(base uint64, patch string) (string, error) {
-	cmd := exec.Command(ctlBinary, "config-patch", "-platform", "http://"+f.logAddr, "-base", fmt.Sprint(base))
+	cmd := exec.Command(ctlBinary, "config", "patch", "-platform", "http://"+f.logAddr, "-base", fmt.Sprint(base))
 	cmd.Stdin = strings.NewReader(patch)
 	var out bytes.Buffer
 	cmd.Stdout = &out
--- a/ctl/scenario/watch_test.go
+++ b/ctl/scenario/watch_test.go
@@ -43,6 +43,7 @@
 	mu      sync.Mutex
 	entries []string
 	samples []sample
+	stopped time.Time // when stop was asked for
 }
 
 // startWatch begins watching n keys through the named daemons' entries. Each
@@ -118,6 +119,7 @@
 
 // stop ends the watch after the requests in flight and returns all samples.
 func (w *watch) stop() []sample {
+	w.stopped = time.Now()
 	w.cancel()
 	w.wg.Wait()
 	w.mu.Lock()
