--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core daemon ctl
 PACKAGES := ./core/... ./daemon/... ./ctl/...
 
-.PHONY: all build test lint unit generate demo
+.PHONY: all build test lint unit generate demo capacity
 
 all: build
 
@@ -24,3 +24,8 @@
 # Needs protoc and protoc-gen-go.
 generate:
 	cd core/wire && protoc --go_out=. --go_opt=paths=source_relative record.proto peer.proto
+
+# The slopes behind docs/CAPACITY.md.
+capacity: build
+	bin/sesamemoorctl capacity
+	go test -run '^$$' -bench . -benchtime 1s ./core/...
--- /dev/null
+++ b/ctl/cmd/sesamemoorctl/capacity.go
@@ -0,0 +1,83 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+
+	"github.com/sesamemoor/sesamemoor/ctl/capacity"
+)
+
+// maxCapacityDaemons bounds the control states in one process.
+const maxCapacityDaemons = 1000
+
+// capacityCommand measures how control work grows with the fleet.
+type capacityCommand struct {
+	sizes  string
+	shards int
+	output string
+}
+
+func (*capacityCommand) Name() string     { return "capacity" }
+func (*capacityCommand) Synopsis() string { return "measure how control work grows with the fleet" }
+func (*capacityCommand) Usage() string {
+	return "capacity [FLAGS]:\n  Run the control states of fleets of several sizes in this process, in virtual time.\n"
+}
+
+func (c *capacityCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.sizes, "sizes", "3,10,30,100", "numbers of daemons")
+	f.IntVar(&c.shards, "shards-per-daemon", 16, "shards of the service for each daemon")
+	f.StringVar(&c.output, "o", "table", "output: table or json")
+}
+
+func (c *capacityCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	sizes, err := parseSizes(c.sizes)
+	if err != nil || f.NArg() != 0 || c.shards < 1 || (c.output != "table" && c.output != "json") {
+		fmt.Fprintln(os.Stderr, "sesamemoorctl: usage: capacity [-sizes N,N...] [-shards-per-daemon N] [-o table|json]")
+		return subcommands.ExitUsageError
+	}
+	var rows []capacity.Row
+	for _, n := range sizes {
+		p := capacity.DefaultParams(n)
+		p.ShardsPerDaemon = c.shards
+		row, err := capacity.Measure(p)
+		if err != nil {
+			return finish(err)
+		}
+		rows = append(rows, row)
+	}
+	return finish(c.print(rows))
+}
+
+func parseSizes(text string) ([]int, error) {
+	var sizes []int
+	for _, field := range strings.Split(text, ",") {
+		n, err := strconv.Atoi(field)
+		if err != nil || n < 1 || n > maxCapacityDaemons {
+			return nil, fmt.Errorf("size %q is not in 1 to %d", field, maxCapacityDaemons)
+		}
+		sizes = append(sizes, n)
+	}
+	return sizes, nil
+}
+
+func (c *capacityCommand) print(rows []capacity.Row) error {
+	if c.output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(rows)
+	}
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "daemons\tshards\tplaced s\tdatagrams out/s\tin/s\twitness B/s\tcontrol CPU %\theap KB\tappends/loss\tbytes/loss\tms/loss\tappends/start\tbytes/start\t")
+	for _, r := range rows {
+		fmt.Fprintf(w, "%d\t%d\t%.1f\t%.1f\t%.1f\t%.0f\t%.3f\t%.0f\t%.0f\t%.0f\t%.2f\t%.1f\t%.0f\t\n",
+			r.Daemons, r.Shards, r.Place.Seconds(), r.DatagramsOut, r.DatagramsIn, r.WitnessBytes, 100*r.CPU,
+			r.Heap/1024, r.LossAppends, r.LossAppendBytes, r.LossCPU.Seconds()*1000, r.StartAppends, r.StartAppendBytes)
+	}
+	return w.Flush()
+}
