fold: replay no longer depends on when the configuration was read

Cause: shards existed only after the configuration stream had named their service, so a daemon that read the placement stream first rejected records that all others accepted, and kept another placement for good. Records now name shards themselves, within bounds; the configuration only sets the number of hash shards, which is fixed for each service (replay of the configuration refuses to change it, also through removal and return).

--- a/Makefile
+++ b/Makefile
@@ -23,4 +23,4 @@
 
 # Needs protoc and protoc-gen-go.
 generate:
-	cd core/wire && protoc --go_out=. --go_opt=paths=source_relative record.proto peer.proto
+	cd core/wire && protoc --go_out=. --go_opt=paths=source_relative record.proto peer.proto state.proto
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -65,6 +65,7 @@
 		return
 	}
 	if _, ok := s.fold.Slots[s.opts.Slot]; !ok {
+		m.announced = len(s.outbox.pending) > 0 // replay forgot a slot long unused
 		return
 	}
 	witnesses := s.chooseWitnesses()
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -51,7 +51,7 @@
 	if me == 0 {
 		return
 	}
-	if m := s.self(); m != nil && m.Phase == fold.Gone && s.member.holder != nil {
+	if m := s.self(); s.member.holder != nil && (m == nil || m.Phase == fold.Gone) {
 		s.decide(Decision{Action: "lease_lost", Reason: "replay shows the incarnation as gone", Member: me})
 		s.leaveIncarnation()
 		return
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
@@ -12,6 +14,9 @@
 	members := map[fold.Incarnation]*view.Member{}
 	services := make(map[string]*view.Service, len(s.fold.Services))
 	for name, svc := range s.fold.Services {
+		if svc.Base == 0 {
+			continue // named by records, but not by the configuration
+		}
 		services[name] = s.serviceView(svc, members)
 	}
 	return &view.View{
@@ -38,7 +43,7 @@
 }
 
 func (s *State) serviceView(svc *fold.Service, members map[fold.Incarnation]*view.Member) *view.Service {
-	out := &view.Service{Base: svc.Base, Split: svc.Split, Shards: make([]view.Shard, len(svc.Shards))}
+	out := &view.Service{Base: svc.Base, Split: maps.Clone(svc.Split), Shards: make([]view.Shard, len(svc.Shards))}
 	for i := range svc.Shards {
 		sh := &svc.Shards[i]
 		out.Shards[i] = view.Shard{
--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -5,6 +5,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sesamemoor/sesamemoor/core/idwindow"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -19,7 +20,12 @@
 	Version uint64
 	Doc     []byte  // JSON document of the current version
 	Config  *Config // parsed Doc; treated as immutable
-	seen    map[[16]byte]uint64
+	// Newer counts the records that this code is too old to understand. They
+	// have no effect here.
+	Newer uint64
+
+	counts map[string]uint32 // shard count of each service that ever was
+	seen   *idwindow.Window
 }
 
 // Verdict tells what a configuration record did.
@@ -31,7 +37,9 @@
 
 // NewHistory returns the state before the first record.
 func NewHistory() *History {
-	return &History{Next: 1, Doc: []byte("{}"), Config: &Config{}, seen: map[[16]byte]uint64{}}
+	return &History{
+		Next: 1, Doc: []byte("{}"), Config: &Config{}, counts: map[string]uint32{}, seen: idwindow.New(),
+	}
 }
 
 // Apply replays the record at offset.
@@ -45,23 +53,36 @@
 		return nil, refuse("not a record: %v", err)
 	}
 	if rec.GetVersion() > RecordVersion {
+		h.Newer++
 		return rec, refuse("record version %d is newer than %d", rec.GetVersion(), RecordVersion)
 	}
-	if len(rec.GetId()) != 16 {
+	if len(rec.GetId()) != idwindow.IDBytes {
 		return rec, refuse("record id of %d bytes", len(rec.GetId()))
 	}
-	id := [16]byte(rec.GetId())
-	if at, dup := h.seen[id]; dup {
-		return rec, refuse("record id seen before at offset %d", at)
+	if !h.seen.Add(idwindow.ID(rec.GetId())) {
+		return rec, refuse("record id seen before")
 	}
-	h.seen[id] = offset
-	body, ok := rec.GetBody().(*wire.Record_ConfigPatch)
-	if !ok {
-		return rec, refuse("not a configuration patch")
+	return rec, h.applyBody(rec)
+}
+
+func (h *History) applyBody(rec *wire.Record) Verdict {
+	switch body := rec.GetBody().(type) {
+	case *wire.Record_ConfigPatch:
+		return h.patch(body.ConfigPatch)
+	case *wire.Record_Snapshot:
+		return Verdict{Reason: ReasonSnapshot}
+	case nil:
+		if len(rec.ProtoReflect().GetUnknown()) > 0 {
+			h.Newer++
+		}
 	}
-	return rec, h.patch(body.ConfigPatch)
+	return refuse("not a configuration patch")
 }
 
+// ReasonSnapshot is the reason of the verdict on a snapshot record, which
+// makes no version.
+const ReasonSnapshot = "snapshot"
+
 func (h *History) patch(p *wire.ConfigPatch) Verdict {
 	if p.GetBaseVersion() != h.Version {
 		return refuse("base version %d is not the current version %d", p.GetBaseVersion(), h.Version)
@@ -70,12 +91,29 @@
 	if err != nil {
 		return refuse("%v", err)
 	}
+	if err := h.checkCounts(cfg); err != nil {
+		return refuse("%v", err)
+	}
 	h.Doc = doc
 	h.Config = cfg
 	h.Version++
 	return Verdict{Accepted: true, Version: h.Version}
 }
 
+// checkCounts refuses to change the shard count of a service, also of one that
+// was removed and comes back: its shards keep their owners and generations.
+func (h *History) checkCounts(cfg *Config) error {
+	for name, svc := range cfg.Services {
+		if count, ok := h.counts[name]; ok && count != svc.Shards {
+			return fmt.Errorf("%w: services.%s.shards: %d cannot become %d", ErrInvalid, name, count, svc.Shards)
+		}
+	}
+	for name, svc := range cfg.Services {
+		h.counts[name] = svc.Shards
+	}
+	return nil
+}
+
 func refuse(format string, args ...any) Verdict {
 	return Verdict{Reason: fmt.Sprintf(format, args...)}
 }
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -9,9 +9,17 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/sesamemoor/sesamemoor/core/idwindow"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
+const (
+	// MaxShards bounds the shard numbers of a service.
+	MaxShards = 1 << 20
+	// maxNamed bounds the shards that records name, over all services.
+	maxNamed = 1 << 22
+)
+
 // RecordVersion is the newest record format that this code understands.
 const RecordVersion = 1
 
@@ -70,9 +78,10 @@
 // count on are split keys.
 type Service struct {
 	Shards []Shard
-	Base   uint32            // number of hash shards
+	Base   uint32            // number of hash shards, from the configuration
 	Split  map[uint64]uint32 // key hash to shard number
 	Free   []uint32          // numbers of merged split shards for reuse
+	named  int               // one more than the highest shard that a record named
 }
 
 // State is the folded placement of a region.
@@ -81,7 +90,15 @@
 	Slots    map[string]*Slot
 	Members  map[Incarnation]*Member
 	Services map[string]*Service
-	seen     *idWindow
+	// Newer counts the records that this code is too old to understand. They
+	// have no effect here.
+	Newer uint64
+	// Epoch changes with each change of slots or members. It is local.
+	Epoch uint64
+
+	seen  *idwindow.Window
+	gone  []Incarnation // ended members that are kept, oldest first
+	named int           // sum over services
 }
 
 // New returns the state before the first record.
@@ -91,7 +108,7 @@
 		Slots:    map[string]*Slot{},
 		Members:  map[Incarnation]*Member{},
 		Services: map[string]*Service{},
-		seen:     newIDWindow(),
+		seen:     idwindow.New(),
 	}
 }
 
@@ -118,12 +135,13 @@
 		return nil, rejected("not a record: %v", err)
 	}
 	if rec.GetVersion() > RecordVersion {
+		s.Newer++
 		return rec, rejected("record version %d is newer than %d", rec.GetVersion(), RecordVersion)
 	}
-	if len(rec.GetId()) != 16 {
+	if len(rec.GetId()) != idwindow.IDBytes {
 		return rec, rejected("record id of %d bytes", len(rec.GetId()))
 	}
-	if !s.seen.add([16]byte(rec.GetId())) {
+	if !s.seen.Add(idwindow.ID(rec.GetId())) {
 		return rec, rejected("record id seen before")
 	}
 	return rec, s.applyBody(offset, rec)
@@ -152,27 +170,73 @@
 	case *wire.Record_ChangeWitnesses:
 		return s.changeWitnesses(rec.GetAuthor(), body.ChangeWitnesses)
 	case *wire.Record_SplitKey:
-		return s.splitKey(body.SplitKey)
+		return s.splitKey(rec.GetAuthor(), body.SplitKey)
 	case *wire.Record_MergeKey:
-		return s.mergeKey(body.MergeKey)
+		return s.mergeKey(rec.GetAuthor(), body.MergeKey)
 	case *wire.Record_Snapshot:
 		return accepted()
 	default:
-		return rejected("unknown record kind")
+		return s.unknown(rec)
 	}
 }
 
-// EnsureService makes room for a service's hash shards. It is driven by the
-// configuration; growing a service's shard count is not supported.
+// unknown rejects a record without a body that this code knows.
+func (s *State) unknown(rec *wire.Record) Verdict {
+	if rec.GetBody() == nil && len(rec.ProtoReflect().GetUnknown()) == 0 {
+		return rejected("record without body")
+	}
+	s.Newer++
+	return rejected("unknown record kind")
+}
+
+// EnsureService makes room for a service's hash shards and names their number.
+// It is driven by the configuration, which replay does not wait for: whether a
+// record is accepted never depends on it. The number of a service is fixed.
 func (s *State) EnsureService(name string, shards uint32) *Service {
+	svc := s.service(name)
+	svc.Base = shards
+	svc.grow(int(shards))
+	return svc
+}
+
+// service returns the row of a service, made on first use.
+func (s *State) service(name string) *Service {
 	svc, ok := s.Services[name]
 	if !ok {
-		svc = &Service{Shards: make([]Shard, shards), Base: shards, Split: map[uint64]uint32{}}
+		svc = &Service{Split: map[uint64]uint32{}}
 		s.Services[name] = svc
 	}
 	return svc
 }
 
+func (svc *Service) grow(n int) {
+	if n > len(svc.Shards) {
+		svc.Shards = append(svc.Shards, make([]Shard, n-len(svc.Shards))...)
+	}
+}
+
+// name makes room for a shard that a record names for the first time. It
+// reports false when the record must be rejected: numbers and their sum are
+// bounded, so that no record makes replay take unbounded memory.
+func (s *State) name(service string, number uint32) bool {
+	if !validName(service) || number >= MaxShards {
+		return false
+	}
+	n := int(number) + 1
+	added := n
+	if svc, ok := s.Services[service]; ok {
+		added = max(0, n-svc.named)
+	}
+	if s.named+added > maxNamed {
+		return false
+	}
+	svc := s.service(service)
+	svc.grow(n)
+	svc.named = max(svc.named, n)
+	s.named += added
+	return true
+}
+
 // shard returns the shard that ref names if its generation matches.
 func (s *State) shard(ref *wire.ShardRef) (*Shard, error) {
 	svc, ok := s.Services[ref.GetService()]
--- a/core/fold/hash.go
+++ b/core/fold/hash.go
@@ -5,7 +5,7 @@
 // KeyHash returns the hash of a key by which it is placed.
 func KeyHash(key string) uint64 { return xxhash.Sum64String(key) }
 
-// ShardOf returns the shard number of a key hash.
+// ShardOf returns the shard number of a key hash. Base must not be zero.
 func (svc *Service) ShardOf(hash uint64) uint32 {
 	if n, ok := svc.Split[hash]; ok {
 		return n
--- a/core/fold/members.go
+++ b/core/fold/members.go
@@ -1,15 +1,33 @@
 package fold
 
 import (
+	"fmt"
 	"slices"
 
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
+// Limits of membership records.
+const (
+	maxNameBytes = 128
+	// MaxWitnesses bounds a witness set.
+	MaxWitnesses = 7
+	// goneKept is the number of ended members that are remembered, so that
+	// their slots rank last as witnesses.
+	goneKept = 1024
+)
+
+func validName(name string) bool { return name != "" && len(name) <= maxNameBytes }
+
 func (s *State) announce(offset uint64, a *wire.Announce) Verdict {
-	if a.GetSlot() == "" || a.GetWitnessAddr() == "" {
+	if !validName(a.GetSlot()) || !validName(a.GetWitnessAddr()) {
 		return rejected("announce without slot or witness address")
 	}
+	for _, field := range []string{a.GetDataCentre(), a.GetRegion(), a.GetPeerAddr(), a.GetEntryAddr()} {
+		if len(field) > maxNameBytes {
+			return rejected("announce with a field of %d bytes", len(field))
+		}
+	}
 	s.Slots[a.GetSlot()] = &Slot{
 		Name:        a.GetSlot(),
 		DataCentre:  a.GetDataCentre(),
@@ -19,6 +37,7 @@
 		EntryAddr:   a.GetEntryAddr(),
 		Offset:      offset,
 	}
+	s.Epoch++
 	return accepted()
 }
 
@@ -26,9 +45,13 @@
 	if _, ok := s.Slots[j.GetSlot()]; !ok {
 		return rejected("slot %q was not announced", j.GetSlot())
 	}
-	if len(j.GetWitnesses())%2 == 0 {
-		return rejected("%d witnesses", len(j.GetWitnesses()))
+	if !validName(j.GetService()) || len(j.GetBackendServer()) > maxNameBytes || len(j.GetBackendAddr()) > maxNameBytes {
+		return rejected("join with an empty or long name")
+	}
+	if reason := checkWitnesses(j.GetWitnesses()); reason != "" {
+		return rejected("%s", reason)
 	}
+	s.dropEarlier(j.GetSlot())
 	s.Members[offset] = &Member{
 		Incarnation:   offset,
 		Slot:          j.GetSlot(),
@@ -39,22 +62,90 @@
 		ChecksFence:   j.GetChecksFence(),
 		Witnesses:     slices.Clone(j.GetWitnesses()),
 	}
+	s.Epoch++
 	return accepted()
 }
 
+// checkWitnesses returns why a witness set is not usable, or "".
+func checkWitnesses(set []string) string {
+	if len(set)%2 == 0 || len(set) > MaxWitnesses {
+		return fmt.Sprintf("%d witnesses", len(set))
+	}
+	for i, w := range set {
+		if !validName(w) || slices.Contains(set[:i], w) {
+			return fmt.Sprintf("witness %q is empty, long or named twice", w)
+		}
+	}
+	return ""
+}
+
+// dropEarlier forgets the slot's incarnations that never came into service or
+// have ended. One that is in service stays until it lapses or leaves.
+func (s *State) dropEarlier(slot string) {
+	for inc, m := range s.Members {
+		if m.Slot == slot && m.Phase != InService {
+			delete(s.Members, inc)
+		}
+	}
+	s.gone = slices.DeleteFunc(s.gone, func(inc Incarnation) bool { return s.Members[inc] == nil })
+}
+
+// keepGone remembers an ended member and forgets the oldest ones beyond the
+// bound, with their slots where no member uses them.
+func (s *State) keepGone(inc Incarnation) {
+	s.gone = append(s.gone, inc)
+	for len(s.gone) > goneKept {
+		old := s.Members[s.gone[0]]
+		delete(s.Members, s.gone[0])
+		s.gone = s.gone[1:]
+		if !s.slotUsed(old.Slot) {
+			delete(s.Slots, old.Slot)
+		}
+	}
+}
+
+// slotUsed reports whether a member runs in the slot or is witnessed by it.
+func (s *State) slotUsed(slot string) bool {
+	for _, m := range s.Members {
+		if m.Slot == slot || m.Phase != Gone && slices.Contains(m.Witnesses, slot) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) ready(r *wire.Ready) Verdict {
 	m, ok := s.Members[r.GetIncarnation()]
 	if !ok || m.Phase != Joined {
 		return rejected("incarnation %d is not waiting", r.GetIncarnation())
 	}
 	m.Phase = InService
+	s.Epoch++
 	return accepted()
 }
 
 func (s *State) lapse(l *wire.Lapse) Verdict {
+	m, ok := s.Members[l.GetIncarnation()]
+	if !ok || m.Phase == Gone {
+		return rejected("incarnation %d is not a member", l.GetIncarnation())
+	}
+	if !sealedByMajority(m.Witnesses, l.GetSealedBy()) {
+		return rejected("incarnation %d: no majority of its witnesses sealed", l.GetIncarnation())
+	}
 	return s.end(l.GetIncarnation())
 }
 
+// sealedByMajority reports whether more than half of the witnesses sealed.
+func sealedByMajority(witnesses, sealedBy []string) bool {
+	count := 0
+	for _, w := range witnesses {
+		if slices.Contains(sealedBy, w) {
+			count++
+		}
+	}
+	return 2*count > len(witnesses)
+}
+
 func (s *State) leave(author Incarnation, l *wire.Leave) Verdict {
 	if author != l.GetIncarnation() {
 		return rejected("author %d is not incarnation %d", author, l.GetIncarnation())
@@ -70,6 +161,8 @@
 		return rejected("incarnation %d is not a member", inc)
 	}
 	m.Phase = Gone
+	s.Epoch++
+	s.keepGone(inc)
 	for _, svc := range s.Services {
 		for i := range svc.Shards {
 			svc.Shards[i].end(inc)
@@ -126,8 +219,8 @@
 	if !ok || m.Phase == Gone || author != c.GetIncarnation() {
 		return rejected("author %d may not change witnesses of %d", author, c.GetIncarnation())
 	}
-	if len(c.GetWitnesses())%2 == 0 {
-		return rejected("%d witnesses", len(c.GetWitnesses()))
+	if reason := checkWitnesses(c.GetWitnesses()); reason != "" {
+		return rejected("%s", reason)
 	}
 	m.Witnesses = slices.Clone(c.GetWitnesses())
 	return accepted()
--- a/core/fold/shards.go
+++ b/core/fold/shards.go
@@ -1,6 +1,8 @@
 package fold
 
 import (
+	"slices"
+
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -18,10 +20,17 @@
 }
 
 func (s *State) proposeOne(pl *wire.Placement) bool {
-	sh, err := s.shard(pl.GetRef())
+	ref := pl.GetRef()
+	if ref.GetGeneration() == 0 && !s.name(ref.GetService(), ref.GetShard()) {
+		return false
+	}
+	sh, err := s.shard(ref)
 	if err != nil {
 		return false
 	}
+	if slices.Contains(s.Services[ref.GetService()].Free, ref.GetShard()) {
+		return false
+	}
 	if pl.GetStandby() != 0 && !s.inService(pl.GetStandby()) {
 		return false
 	}
@@ -34,6 +43,9 @@
 	if pl.GetStandby() == sh.Owner || pl.GetStandby() == sh.Standby {
 		return false
 	}
+	if sh.HasPending && pl.GetStandby() == sh.Pending {
+		return false
+	}
 	if sh.Standby == 0 {
 		sh.setStandby(pl.GetStandby())
 		return true
@@ -106,17 +118,3 @@
 	}
 	return accepted()
 }
-
-// splitKey gives a key its own shard. The new shard copies owner and standby
-// of its parent at a generation above every one used for its number before.
-func (s *State) splitKey(sp *wire.SplitKey) Verdict {
-	parent, err := s.shard(sp.GetParent())
-	if err != nil {
-		return rejected("%v", err)
-	}
-	return rejected("split of shard with owner %d: not supported yet", parent.Owner)
-}
-
-func (s *State) mergeKey(m *wire.MergeKey) Verdict {
-	return rejected("merge of key %x: not supported yet", m.GetKeyHash())
-}
