--- a/core/fold/members.go
+++ b/core/fold/members.go
@@ -213,15 +213,3 @@
 	sh.Pending = 0
 	sh.Handover = false
 }
-
-func (s *State) changeWitnesses(author Incarnation, c *wire.ChangeWitnesses) Verdict {
-	m, ok := s.Members[author]
-	if !ok || m.Phase == Gone || author != c.GetIncarnation() {
-		return rejected("author %d may not change witnesses of %d", author, c.GetIncarnation())
-	}
-	if reason := checkWitnesses(c.GetWitnesses()); reason != "" {
-		return rejected("%s", reason)
-	}
-	m.Witnesses = slices.Clone(c.GetWitnesses())
-	return accepted()
-}
