--- a/Makefile
+++ b/Makefile
@@ -21,6 +21,11 @@
 unit:
 	go test -race -count=1 -timeout 20m $(PACKAGES)
 
+# EXAMPLE is a directory of examples/.
+EXAMPLE ?= hanbit
+demo: build
+	scripts/demo.sh $(EXAMPLE)
+
 # Needs protoc and protoc-gen-go.
 generate:
 	cd core/wire && protoc --go_out=. --go_opt=paths=source_relative record.proto peer.proto
--- a/ctl/cmd/sesamemoorctl/inspect.go
+++ b/ctl/cmd/sesamemoorctl/inspect.go
@@ -12,31 +12,56 @@
 
 	"github.com/google/subcommands"
 
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/ctl/operator"
 	"github.com/sesamemoor/sesamemoor/ctl/toolsettings"
 )
 
-// keeperService is the internal service of the teams' buckets.
-const keeperService = "_keeper"
-
 // statusCommand shows the daemons.
-type statusCommand struct{ action }
+type statusCommand struct {
+	action
+	ready           bool
+	skipUnreachable bool
+}
 
 func (*statusCommand) Name() string     { return "status" }
 func (*statusCommand) Synopsis() string { return "ask the daemons for their state" }
 func (*statusCommand) Usage() string    { return "status [FLAGS]\n" }
 
+func (c *statusCommand) SetFlags(f *flag.FlagSet) {
+	c.action.SetFlags(f)
+	f.BoolVar(&c.ready, "ready", false, "wait until every daemon has its lease and backend server and every shard an owner")
+	f.BoolVar(&c.skipUnreachable, "skip-unreachable", false, "with -ready, do not wait for daemons that do not answer")
+}
+
 func (c *statusCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	c.run = showStatus
+	c.run = c.show
 	return c.action.Execute(ctx, f)
 }
 
-func showStatus(ctx context.Context, env *environment, _ []string) error {
+func (c *statusCommand) show(ctx context.Context, env *environment, _ []string) error {
 	daemons, err := env.daemons()
 	if err != nil {
 		return err
 	}
-	statuses := daemons.Status(ctx)
+	if !c.ready {
+		return printStatus(env, daemons.Status(ctx))
+	}
+	history, _, err := env.config().Replay(ctx)
+	if err != nil {
+		return err
+	}
+	statuses, missing := daemons.WaitReady(ctx, history.Config, c.skipUnreachable)
+	if err := printStatus(env, statuses); err != nil {
+		return err
+	}
+	if len(missing) > 0 {
+		return fmt.Errorf("%w: not ready after %s: %s", errTimedOut, env.timeout, strings.Join(missing, "; "))
+	}
+	return nil
+}
+
+func printStatus(env *environment, statuses []operator.DaemonStatus) error {
 	return env.print(statuses, func(w *tabwriter.Writer) {
 		fmt.Fprintln(w, "DAEMON\tDATA CENTRE\tLEASE\tSHARDS\tKEEPER SHARDS\tCONFIG\tAGE MS\tBACKEND SERVER")
 		for _, st := range statuses {
@@ -56,7 +81,7 @@
 	case st.LeaseHeld:
 		lease = "held"
 	}
-	keeper := st.Shards(keeperService)
+	keeper := st.Shards(view.KeeperService)
 	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s", st.Slot, st.DataCentre, lease,
 		len(st.Held)-keeper, keeper, st.ConfigVersion, st.ConfigAgeMS, st.BackendServer)
 }
--- a/ctl/cmd/sesamemoorctl/main.go
+++ b/ctl/cmd/sesamemoorctl/main.go
@@ -50,5 +50,6 @@
 	return []subcommands.Command{
 		&group{name: "emulate", synopsis: "run stand-ins of the surroundings", commands: emulateCommands()},
 		&loadCommand{},
+		&exampleCommand{},
 	}
 }
--- a/ctl/cmd/sesamemoorctl/team.go
+++ b/ctl/cmd/sesamemoorctl/team.go
@@ -237,36 +237,3 @@
 		})
 	}}
 }
-
-// outCommands are the subcommands of drain (out) and return (not out).
-func outCommands(out bool) []subcommands.Command {
-	verb := "return"
-	if out {
-		verb = "drain"
-	}
-	return []subcommands.Command{
-		outCommand("data-centre", verb+" a data centre", func(c *fleet.Config, name string) (configEdit, error) {
-			if _, ok := c.DataCentres[name]; !ok {
-				return configEdit{}, fmt.Errorf("%w: no data centre %q", operator.ErrRejected, name)
-			}
-			return configEdit{DataCentres: map[string]outEdit{name: {out}}}, nil
-		}),
-		outCommand("backend-server", verb+" a backend server", func(_ *fleet.Config, name string) (configEdit, error) {
-			return configEdit{BackendServers: map[string]outEdit{name: {out}}}, nil
-		}),
-	}
-}
-
-func outCommand(name, synopsis string, edit func(c *fleet.Config, name string) (configEdit, error)) subcommands.Command {
-	var change changeFlags
-	return &action{name: name, usage: "[FLAGS] NAME", args: 1, synopsis: synopsis, flags: change.set,
-		run: func(ctx context.Context, env *environment, args []string) error {
-			return change.apply(ctx, env, func(c *fleet.Config) ([]byte, error) {
-				patch, err := edit(c, args[0])
-				if err != nil {
-					return nil, err
-				}
-				return json.Marshal(patch)
-			})
-		}}
-}
--- a/ctl/emulate/backend/experiment.go
+++ b/ctl/emulate/backend/experiment.go
@@ -15,6 +15,10 @@
 		c.JSON(http.StatusBadRequest, gin.H{"error": "generation: not a number"})
 		return
 	}
+	if c.Query("service") != s.opts.Service {
+		c.Status(http.StatusNoContent) // a shard that this server never runs
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	shard := c.Query("shard")
--- a/ctl/operator/daemons.go
+++ b/ctl/operator/daemons.go
@@ -120,17 +120,13 @@
 // Wait polls until every daemon has the version or ctx ends. With
 // skipUnreachable, daemons that do not answer do not hold it up.
 func (d *Daemons) Wait(ctx context.Context, version uint64, skipUnreachable bool) ([]Force, bool) {
-	for {
-		rows := forceOf(d.Status(ctx), version)
-		if allInForce(rows, skipUnreachable) {
-			return rows, true
+	statuses, missing := d.poll(ctx, func(statuses []DaemonStatus) []string {
+		if allInForce(forceOf(statuses, version), skipUnreachable) {
+			return nil
 		}
-		select {
-		case <-ctx.Done():
-			return rows, false
-		case <-time.After(pollInterval):
-		}
-	}
+		return []string{"not in force"}
+	})
+	return forceOf(statuses, version), len(missing) == 0
 }
 
 func forceOf(statuses []DaemonStatus, version uint64) []Force {
