explain: recent decisions of each daemon on its admin port

The admin server takes further routes from an fx group; kernel.Core keeps the newest decision lines in a bounded ring. The unused kernel.Explainer goes.

--- a/ctl/load/report.go
+++ b/ctl/load/report.go
@@ -35,7 +35,7 @@
 	OK                int     `json:"ok"`
 	Share             float64 `json:"ok_share"`
 	RateLimited       int     `json:"rate_limited"`
-	RefusedWithinRate int     `json:"refused_within_rate"` // by the limiter, although one global bucket would have let it pass
+	RefusedWithinRate int     `json:"refused_within_rate"` // by the limiter, beyond those that one global bucket refuses
 	Refused           int     `json:"refused_otherwise"`
 	P50MS             float64 `json:"p50_ms"`
 	P99MS             float64 `json:"p99_ms"`
@@ -108,25 +108,26 @@
 	rep := TeamReport{Team: t.Name}
 	hist := newHistogram()
 	ideal := newIdealBucket(t.Limit, t.Burst)
+	unavoidable := 0
 	for _, r := range results {
 		if r.Team != index {
 			continue
 		}
 		rep.Requests++
-		allowed := ideal.take(r.At)
+		if !ideal.take(r.At) {
+			unavoidable++
+		}
 		switch {
 		case r.Outcome == outcomeOK:
 			rep.OK++
 			recordLatency(hist, r.Latency)
 		case limiterRefusals[r.Outcome]:
 			rep.RateLimited++
-			if allowed {
-				rep.RefusedWithinRate++
-			}
 		default:
 			rep.Refused++
 		}
 	}
+	rep.RefusedWithinRate = max(0, rep.RateLimited-unavoidable)
 	if rep.Requests > 0 {
 		rep.Share = float64(rep.OK) / float64(rep.Requests)
 	}
@@ -147,8 +148,8 @@
 	return &idealBucket{rate: rate, burst: burst, tokens: burst}
 }
 
-// take reports whether the bucket lets a request pass at an instant. A rate of
-// zero means that the limit is not known.
+// take reports whether the bucket lets a request pass at an instant. Without a
+// known limit it refuses nothing that the limiter refuses, so take is false.
 func (b *idealBucket) take(at time.Duration) bool {
 	if b.rate == 0 {
 		return false
--- a/ctl/load/timeline.go
+++ b/ctl/load/timeline.go
@@ -37,15 +37,17 @@
 }
 
 // OutageReport is the unavailable time of keys. A key is unavailable from the
-// first request that failed for want of service until the next that is served.
+// first request that failed for want of service. The time ends somewhere
+// between the last such request and the next that is served: the first is the
+// lower bound, the second the upper. Bounds are wide for keys with few requests.
 type OutageReport struct {
-	Keys        int     `json:"keys"`          // that were unavailable at some time
-	LongestMS   float64 `json:"longest_ms"`    // of one key
-	P99MS       float64 `json:"p99_ms"`        // over the outages of all keys
-	TotalMS     float64 `json:"total_ms"`      // summed over keys
+	Keys        int     `json:"keys"`        // that were unavailable at some time
+	AtLeastMS   float64 `json:"at_least_ms"` // longest lower bound of one key
+	AtMostMS    float64 `json:"at_most_ms"`  // longest upper bound of one key
+	P99AtMostMS float64 `json:"p99_at_most_ms"`
 	NotReturned int     `json:"not_returned"`  // keys not served again before the end of the run
-	LongestKey  string  `json:"longest_key"`   // path
-	LongestAtMS float64 `json:"longest_at_ms"` // since the start of the run
+	Longest     string  `json:"longest_key"`   // path of the longest lower bound
+	LongestAtMS float64 `json:"longest_at_ms"` // its start, since the start of the run
 }
 
 // callerFaults are outcomes that are not for want of service.
@@ -62,44 +64,54 @@
 	return !slices.ContainsFunc(callerFaults, func(k outcome.Kind) bool { return k.String() == name })
 }
 
+// outage is the unavailable time of one key so far.
+type outage struct{ first, last time.Duration }
+
 // outages finds the unavailable times of keys in results ordered by time.
 func outages(results []Result) OutageReport {
 	var rep OutageReport
-	since := map[string]time.Duration{}
+	open := map[string]outage{}
 	keys := map[string]bool{}
 	hist := newHistogram()
 	for _, r := range results {
-		from, failing := since[r.Path]
+		o, failing := open[r.Path]
 		switch {
 		case r.Outcome == outcomeOK && failing:
-			delete(since, r.Path)
-			rep.add(r.Path, from, r.At-from)
-			recordLatency(hist, r.At-from)
-		case r.Outcome != outcomeOK && !failing && wantsService(r.Outcome):
-			since[r.Path] = r.At
+			delete(open, r.Path)
+			rep.AtMostMS = max(rep.AtMostMS, milliseconds(r.At-o.first))
+			recordLatency(hist, r.At-o.first)
+		case r.Outcome != outcomeOK && wantsService(r.Outcome):
+			if !failing {
+				o.first = r.At
+			}
+			o.last = r.At
+			open[r.Path] = o
 			keys[r.Path] = true
+			rep.add(r.Path, o)
 		}
 	}
 	rep.Keys = len(keys)
-	rep.NotReturned = len(since)
-	rep.P99MS = quantileMS(hist, 99)
+	rep.NotReturned = len(open)
+	rep.P99AtMostMS = quantileMS(hist, 99)
 	return rep
 }
 
-func (o *OutageReport) add(key string, from, d time.Duration) {
-	ms := float64(d.Microseconds()) / 1000
-	o.TotalMS += ms
-	if ms > o.LongestMS {
-		o.LongestMS = ms
-		o.LongestKey = key
-		o.LongestAtMS = float64(from.Microseconds()) / 1000
+func milliseconds(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+func (o *OutageReport) add(key string, seen outage) {
+	ms := milliseconds(seen.last - seen.first)
+	if ms > o.AtLeastMS || o.Longest == "" {
+		o.AtLeastMS = ms
+		o.Longest = key
+		o.LongestAtMS = milliseconds(seen.first)
 	}
 }
 
 func (o OutageReport) write(w io.Writer) {
 	fmt.Fprintln(w, "\nunavailable time\tvalue")
 	fmt.Fprintf(w, "keys unavailable at some time\t%d\n", o.Keys)
-	fmt.Fprintf(w, "longest, one key\t%.0f ms (%s at %.1f s)\n", o.LongestMS, o.LongestKey, o.LongestAtMS/1000)
-	fmt.Fprintf(w, "p99 over outages\t%.0f ms\n", o.P99MS)
+	fmt.Fprintf(w, "longest, one key, at least\t%.0f ms (%s at %.1f s)\n", o.AtLeastMS, o.Longest, o.LongestAtMS/1000)
+	fmt.Fprintf(w, "longest, one key, at most\t%.0f ms\n", o.AtMostMS)
+	fmt.Fprintf(w, "p99 over outages, at most\t%.0f ms\n", o.P99AtMostMS)
 	fmt.Fprintf(w, "not served again before the end\t%d\n", o.NotReturned)
 }
--- /dev/null
+++ b/daemon/decisions/decisions.go
@@ -0,0 +1,137 @@
+// Package decisions keeps the daemon's recent decision log lines in memory, so
+// that operators can ask about a request, shard or team without reading logs.
+package decisions
+
+import (
+	"bytes"
+	"encoding/json"
+	"sync"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Messages of the log lines that are decisions.
+var messages = map[string]bool{"request": true, "run": true, "placement": true, "limit": true}
+
+// line is a log line that is encoded only when somebody asks for it.
+type line struct {
+	entry  zapcore.Entry
+	fields []zapcore.Field
+}
+
+// Ring holds the newest lines. It is safe for concurrent use.
+type Ring struct {
+	mu    sync.Mutex
+	lines []line
+	next  int // where the next line goes
+	full  bool
+}
+
+// NewRing returns a ring of at most size lines.
+func NewRing(size int) *Ring { return &Ring{lines: make([]line, size)} }
+
+// Attach returns a logger that writes to log and keeps decisions in the ring.
+func (r *Ring) Attach(log *zap.Logger) *zap.Logger {
+	return log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewTee(core, &ringCore{ring: r})
+	}))
+}
+
+func (r *Ring) add(l line) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lines[r.next] = l
+	r.next = (r.next + 1) % len(r.lines)
+	r.full = r.full || r.next == 0
+}
+
+// ordered returns the lines, oldest first.
+func (r *Ring) ordered() []line {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.full {
+		return append([]line(nil), r.lines[:r.next]...)
+	}
+	return append(append([]line(nil), r.lines[r.next:]...), r.lines[:r.next]...)
+}
+
+// Request returns the lines about a request id as JSON, oldest first.
+func (r *Ring) Request(id string) []json.RawMessage {
+	return r.find(func(l line) bool { return l.text("request_id") == id })
+}
+
+// Shard returns the placement lines about a shard as JSON, oldest first.
+func (r *Ring) Shard(service string, shard uint32) []json.RawMessage {
+	return r.find(func(l line) bool {
+		return l.entry.Message == "placement" && l.text("service") == service && l.number("shard") == int64(shard)
+	})
+}
+
+func (r *Ring) find(matches func(line) bool) []json.RawMessage {
+	found := []json.RawMessage{}
+	for _, l := range r.ordered() {
+		if matches(l) {
+			found = append(found, l.encode())
+		}
+	}
+	return found
+}
+
+func (l line) field(key string) zapcore.Field {
+	for _, f := range l.fields {
+		if f.Key == key {
+			return f
+		}
+	}
+	return zapcore.Field{}
+}
+
+func (l line) text(key string) string { return l.field(key).String }
+
+func (l line) number(key string) int64 { return l.field(key).Integer }
+
+func (l line) encode() json.RawMessage {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	buf, err := zapcore.NewJSONEncoder(config).EncodeEntry(l.entry, l.fields)
+	if err != nil {
+		return json.RawMessage(`{"msg":"log line cannot be encoded"}`)
+	}
+	defer buf.Free()
+	return bytes.Clone(bytes.TrimSpace(buf.Bytes()))
+}
+
+// ringCore is the zap core that fills a ring.
+type ringCore struct {
+	ring    *Ring
+	context []zapcore.Field
+}
+
+// Enabled implements zapcore.LevelEnabler.
+func (c *ringCore) Enabled(level zapcore.Level) bool { return level >= zapcore.InfoLevel }
+
+// With implements zapcore.Core.
+func (c *ringCore) With(fields []zapcore.Field) zapcore.Core {
+	joined := append(append([]zapcore.Field(nil), c.context...), fields...)
+	return &ringCore{ring: c.ring, context: joined}
+}
+
+// Check implements zapcore.Core.
+func (c *ringCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if !messages[entry.Message] || !c.Enabled(entry.Level) {
+		return checked
+	}
+	return checked.AddCore(entry, c)
+}
+
+// Write implements zapcore.Core.
+func (c *ringCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	kept := make([]zapcore.Field, 0, len(c.context)+len(fields))
+	kept = append(append(kept, c.context...), fields...)
+	c.ring.add(line{entry, kept})
+	return nil
+}
+
+// Sync implements zapcore.Core.
+func (c *ringCore) Sync() error { return nil }
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -15,11 +15,15 @@
 	"github.com/sesamemoor/sesamemoor/core/lease"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/decisions"
 )
 
 // eventQueue is the number of events that wait for the control goroutine.
 const eventQueue = 8192
 
+// decisionLines is the number of decisions kept for operators' questions.
+const decisionLines = 4096
+
 // Controller runs the control state on one goroutine.
 type Controller struct {
 	clock    clock.Clock
@@ -165,8 +169,10 @@
 
 // Core provides the kernel's own parts to fx.
 func Core(set settings.Daemon, log *zap.Logger) fx.Option {
+	ring := decisions.NewRing(decisionLines)
+	log = ring.Attach(log)
 	return fx.Options(
-		fx.Supply(set),
+		fx.Supply(set, ring),
 		fx.Provide(
 			func() *zap.Logger { return log },
 			func() clock.Clock { return clock.Boot{} },
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"go.uber.org/fx"
 
@@ -51,16 +52,18 @@
 	Take(ctx context.Context, team string) error
 }
 
-// Explainer keeps recent decisions for operators.
-type Explainer interface {
-	// Explain returns the recent log lines that mention the request id.
-	Explain(requestID string) []string
+// AdminRoute is a handler that a plug-in adds to the admin server.
+type AdminRoute struct {
+	Method  string
+	Path    string
+	Handler http.Handler
 }
 
 // Fx groups to which plug-ins contribute.
 const (
 	effectGroup = `group:"effects"`
 	frameGroup  = `group:"frames"`
+	routeGroup  = `group:"admin_routes"`
 )
 
 // AsEffectHandler annotates a constructor of an EffectHandler.
@@ -84,3 +87,14 @@
 	fx.In
 	Handlers []FrameHandler `group:"frames"`
 }
+
+// AsAdminRoute annotates a constructor of an AdminRoute.
+func AsAdminRoute(constructor any) any {
+	return fx.Annotate(constructor, fx.ResultTags(routeGroup))
+}
+
+// AdminRoutes receives the group of admin routes.
+type AdminRoutes struct {
+	fx.In
+	Routes []AdminRoute `group:"admin_routes"`
+}
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -55,7 +55,7 @@
 	return &admin{control: c, clock: clk, set: set}
 }
 
-func start(lc fx.Lifecycle, a *admin, m *kernel.Metrics) {
+func start(lc fx.Lifecycle, a *admin, m *kernel.Metrics, group kernel.AdminRoutes) {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
 	engine.POST("/v1/announce", a.announce)
@@ -63,6 +63,9 @@
 	engine.GET("/healthz", func(c *gin.Context) { c.String(http.StatusOK, "ok\n") })
 	engine.GET("/readyz", a.ready)
 	engine.GET("/metrics", gin.WrapH(m.Handler()))
+	for _, r := range group.Routes {
+		engine.Handle(r.Method, r.Path, gin.WrapH(r.Handler))
+	}
 	srv := &http.Server{Handler: engine, ReadHeaderTimeout: 5 * time.Second}
 	stop := make(chan struct{})
 	lc.Append(fx.Hook{
