--- a/ctl/cmd/sesamemoorctl/main.go
+++ b/ctl/cmd/sesamemoorctl/main.go
@@ -51,5 +51,6 @@
 		&group{name: "emulate", synopsis: "run stand-ins of the surroundings", commands: emulateCommands()},
 		&loadCommand{},
 		&capacityCommand{},
+		&exampleCommand{},
 	}
 }
