peer: two links, handshake, silent links, truthful sending

A session has a link for requests and one for control. A link that owes answers and brings no byte for 0.8 s ends; one-time requests go out on a quiet link only after a ping. 'Not sent' is claimed only while no byte of the frame was handed to the connection. Frames carry a deadline on the receiver's clock and are not run after it. Ruled out: yamux keep-alives alone (1.5 s and more at 500 ms, and a datagram for each idle peer); closing the session as soon as the last answer is queued (the stop test lost that answer).

--- /dev/null
+++ b/daemon/plugins/peer/client.go
@@ -0,0 +1,249 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const (
+	// beatInterval is the period in which links with waiting calls are checked.
+	beatInterval = 200 * time.Millisecond
+	// pingMisses and silentMisses are numbers of successive checks without a
+	// byte from the peer after which it is pinged and given up. Checks are
+	// counted, not time, so that a pause of this process condemns no peer.
+	pingMisses   = 1
+	silentMisses = 4
+	// quietLimit is the time without bytes from the peer after which a request
+	// that must not run twice is sent only once the peer answered a ping.
+	quietLimit = 400 * time.Millisecond
+	// confirmTimeout bounds the wait for the answer to a ping.
+	confirmTimeout = 300 * time.Millisecond
+	// syncInterval is the period in which the peer's clock is read again.
+	syncInterval = 10 * time.Second
+	// syncTrip is the longest round trip from which the peer's clock is taken.
+	syncTrip = 100 * time.Millisecond
+)
+
+// errNotSent tells that a link ended before the frame was handed to it.
+var errNotSent = outcome.New(outcome.OwnerUnreachable, "link ended before sending")
+
+// clientLink is the calling end of a link.
+type clientLink struct {
+	*pipe
+	clock clock.Clock
+	// offset is the peer's clock less this host's, in nanoseconds, never more
+	// than the true difference.
+	offset    atomic.Int64
+	lastHeard atomic.Int64 // instant of the newest frame
+	lastSync  clock.Instant
+	onCrossed func() // called before the link ends on an answer to another call
+
+	mu      sync.Mutex
+	nextID  uint64
+	waiting map[uint64]*call
+
+	seen   uint64 // bytes read at the last beat
+	misses int
+}
+
+// startClientLink runs the link after its handshake, which read the peer's
+// clock.
+func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, onCrossed func()) *clientLink {
+	l := &clientLink{pipe: p, clock: clk, waiting: map[uint64]*call{}, lastSync: clk.Now(), onCrossed: onCrossed}
+	l.offset.Store(offset)
+	l.lastHeard.Store(int64(clk.Now()))
+	go l.writeLoop()
+	go l.readLoop(r)
+	return l
+}
+
+// call sends a frame and waits for its answer. The error tells whether the
+// frame was sent: a kind that did not run if provably not.
+func (l *clientLink) call(ctx context.Context, frame *wire.Frame) (*wire.Frame, error) {
+	c := newCall(rand.Uint64())
+	id, ok := l.register(c)
+	if !ok {
+		return nil, errNotSent
+	}
+	defer l.unregister(id)
+	frame.Id = id
+	frame.Tag = c.tag
+	frame.DeadlineUs = l.peerDeadline(ctx)
+	data, err := encode(frame)
+	if err != nil {
+		return nil, err
+	}
+	select {
+	case l.out <- outFrame{data: data, call: c}:
+	case <-l.closed:
+		return nil, errNotSent
+	case <-ctx.Done():
+		return nil, endedNotRun(ctx)
+	}
+	select {
+	case answer, ok := <-c.done:
+		if !ok {
+			return nil, lost(c)
+		}
+		return answer, nil
+	case <-ctx.Done():
+		return nil, l.giveUp(ctx, c, id)
+	}
+}
+
+// peerDeadline returns the deadline of ctx on the peer's clock in microseconds.
+func (l *clientLink) peerDeadline(ctx context.Context) int64 {
+	at, ok := ctx.Deadline()
+	if !ok {
+		return 0
+	}
+	onPeer := l.clock.Now().Add(time.Until(at)).Add(time.Duration(l.offset.Load()))
+	return max(1, int64(onPeer)/int64(time.Microsecond))
+}
+
+func endedNotRun(ctx context.Context) error {
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return outcome.New(outcome.CancelledNotRun, "cancelled before sending")
+	}
+	return outcome.New(outcome.DeadlineNotRun, "not sent in time")
+}
+
+func lost(c *call) error {
+	if c.withdraw(callBuffered) {
+		return errNotSent
+	}
+	return outcome.New(outcome.ConnectionLost, "link lost before the answer")
+}
+
+// giveUp ends a call whose context ended, and tells the peer if it may run it.
+func (l *clientLink) giveUp(ctx context.Context, c *call, id uint64) error {
+	if c.withdraw(callQueued) {
+		return endedNotRun(ctx)
+	}
+	if data, err := encode(&wire.Frame{Id: id, Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}}); err == nil {
+		l.offer(outFrame{data: data})
+	}
+	if errors.Is(ctx.Err(), context.Canceled) {
+		return outcome.New(outcome.CancelledMaybeRan, "cancelled after sending")
+	}
+	return outcome.New(outcome.DeadlineMaybeRan, "no answer in time")
+}
+
+func (l *clientLink) register(c *call) (uint64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.alive() {
+		return 0, false
+	}
+	l.nextID++
+	l.waiting[l.nextID] = c
+	return l.nextID, true
+}
+
+func (l *clientLink) unregister(id uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.waiting, id)
+}
+
+func (l *clientLink) waits() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.waiting)
+}
+
+func (l *clientLink) readLoop(r *frameReader) {
+	defer l.end()
+	for {
+		frame, _, err := r.next()
+		if err != nil {
+			return
+		}
+		l.lastHeard.Store(int64(l.clock.Now()))
+		if !l.deliver(frame) {
+			l.onCrossed()
+			return
+		}
+	}
+}
+
+// deliver hands an answer to its call. Answers that nothing waits for are
+// dropped. It returns false for the answer to another call.
+func (l *clientLink) deliver(frame *wire.Frame) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c, ok := l.waiting[frame.GetId()]
+	if !ok {
+		return true
+	}
+	if frame.GetTag() != c.tag {
+		return false
+	}
+	delete(l.waiting, frame.GetId())
+	c.done <- frame
+	return true
+}
+
+// end closes the link; calls that wait get no answer.
+func (l *clientLink) end() {
+	l.shut()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for id, c := range l.waiting {
+		delete(l.waiting, id)
+		close(c.done)
+	}
+}
+
+// quiet reports whether nothing came from the peer lately.
+func (l *clientLink) quiet() bool {
+	return l.clock.Now().Sub(clock.Instant(l.lastHeard.Load())) > quietLimit
+}
+
+// confirm pings the peer, reports whether it answered, and reads its clock.
+func (l *clientLink) confirm(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	sent := l.clock.Now()
+	answer, err := l.call(ctx, &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{}}})
+	if err != nil || answer.GetPong() == nil {
+		return false
+	}
+	now := l.clock.Now()
+	if now.Sub(sent) <= syncTrip {
+		l.offset.Store(clockOffset(answer.GetPong().GetClockUs(), now))
+	}
+	return true
+}
+
+// clockOffset returns a lower bound of the peer's clock less this host's, in
+// nanoseconds, from a reading that arrived at now.
+func clockOffset(peerUs int64, now clock.Instant) int64 {
+	return peerUs*int64(time.Microsecond) - int64(now)
+}
+
+// beat checks a link once and reports whether the peer fell silent. It is
+// called every beatInterval by one goroutine.
+func (l *clientLink) beat() (silent bool) {
+	heard := l.heard.Load()
+	if l.waits() == 0 || heard != l.seen {
+		l.seen = heard
+		l.misses = 0
+		return false
+	}
+	l.misses++
+	if l.misses == pingMisses {
+		if data, err := encode(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{}}}); err == nil {
+			l.offer(outFrame{data: data})
+		}
+	}
+	return l.misses >= silentMisses
+}
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -1,240 +1,265 @@
-// Package peer carries numbered frames between daemons over yamux sessions:
-// one long-lived stream for each peer and direction, with coalesced writes.
 package peer
 
 import (
 	"context"
 	"errors"
 	"fmt"
-	"io"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"time"
 
-	"github.com/hashicorp/yamux"
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
-func init() {
-	kernel.Register(kernel.Plugin{ID: "sesamemoor.peer", Module: module})
-}
-
-func module() fx.Option {
-	return fx.Options(
-		fx.Provide(
-			newNetwork,
-			func(n *network) kernel.Peers { return n },
-			newReleases,
-			kernel.AsEffectHandler(func(r *releases) *releases { return r }),
-			kernel.AsFrameHandler(func(r *releases) *releases { return r }),
-		),
-		fx.Invoke(startServer),
-	)
-}
-
 const (
-	dialTimeout = 500 * time.Millisecond
-	keepAlive   = 500 * time.Millisecond
-	// stallTimeout ends a session that does not answer keep-alives or take
-	// bytes.
-	stallTimeout = 1 * time.Second
+	// idleTimeout ends a session without calls.
+	idleTimeout = 30 * time.Second
+	// redialFirst and redialMost bound the pause after a failed dial; it
+	// doubles with each failure in a row.
+	redialFirst = 20 * time.Millisecond
+	redialMost  = 1 * time.Second
+	// sendTries is the number of sessions on which a frame is tried while it
+	// provably was not sent.
+	sendTries = 2
 )
 
-func yamuxConfig() *yamux.Config {
-	cfg := yamux.DefaultConfig()
-	cfg.KeepAliveInterval = keepAlive
-	cfg.ConnectionWriteTimeout = stallTimeout
-	cfg.MaxStreamWindowSize = 4 << 20
-	cfg.LogOutput = io.Discard
-	return cfg
+// network calls peers over one session to each.
+type network struct {
+	log     *zap.Logger
+	clock   clock.Clock
+	metrics *instruments
+	dialer  net.Dialer
+	hello   *wire.Hello
+	stop    chan struct{}
+
+	mu    sync.Mutex
+	peers map[string]*remote
 }
 
-// network calls peers over one link to each.
-type network struct {
-	log    *zap.Logger
-	dialer net.Dialer
-	mu     sync.Mutex
-	dial   map[string]*dialing
+// remote is what is known about one address.
+type remote struct {
+	dial     *dialing
+	failures int
+	next     clock.Instant // earliest instant of the next dial
 }
 
-// dialing is the link to one address, or the attempt to make it.
+// dialing is the session with a peer, or the attempt to make it.
 type dialing struct {
-	ready chan struct{}
-	link  *link
-	err   error
+	ready   chan struct{}
+	session *session
+	err     error
 }
 
 // newNetwork dials from the IP number of the daemon's own peer address.
-func newNetwork(set settings.Daemon, log *zap.Logger) (*network, error) {
+func newNetwork(set settings.Daemon, clk clock.Clock, m *instruments, log *zap.Logger) (*network, error) {
 	host, _, err := net.SplitHostPort(set.PeerAddr)
 	if err != nil {
 		return nil, fmt.Errorf("peer: address: %w", err)
 	}
-	dialer := net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}}
-	return &network{log: log.Named("peer"), dialer: dialer, dial: map[string]*dialing{}}, nil
+	return &network{
+		log:     log.Named("peer"),
+		clock:   clk,
+		metrics: m,
+		dialer:  net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}},
+		hello:   &wire.Hello{Slot: set.Slot, DataCentre: set.DataCentre, ProtocolVersion: protocolVersion},
+		stop:    make(chan struct{}),
+		peers:   map[string]*remote{},
+	}, nil
+}
+
+func startNetwork(lc fx.Lifecycle, n *network) {
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			go n.watch()
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			close(n.stop)
+			n.closeAll()
+			return nil
+		},
+	})
 }
 
 // Call implements kernel.Peers.
 func (n *network) Call(ctx context.Context, addr string, frame *wire.Frame) (*wire.Frame, error) {
-	l, err := n.link(ctx, addr)
-	if err != nil {
-		return nil, outcome.New(outcome.OwnerUnreachable, "%s: %v", addr, err)
+	for try := 1; ; try++ {
+		s, err := n.session(ctx, addr)
+		if err != nil {
+			return nil, err
+		}
+		answer, err := n.callOn(ctx, s, frame)
+		if !errors.Is(err, errNotSent) || try == sendTries {
+			return answer, err
+		}
+	}
+}
+
+// callOn calls over one session. A request that must not run twice goes out
+// only on a link that is known to be alive.
+func (n *network) callOn(ctx context.Context, s *session, frame *wire.Frame) (*wire.Frame, error) {
+	s.touch()
+	l := s.link(frame)
+	req := frame.GetRequest()
+	if req != nil && !req.GetIdempotent() && l.quiet() && !l.confirm(ctx) {
+		n.drop(s, "no answer to a ping")
+		return nil, errNotSent
 	}
 	return l.call(ctx, frame)
 }
 
-func (n *network) link(ctx context.Context, addr string) (*link, error) {
-	n.mu.Lock()
-	d, ok := n.dial[addr]
-	if !ok || d.dead() {
-		d = &dialing{ready: make(chan struct{})}
-		n.dial[addr] = d
-		go n.connect(addr, d)
+func (n *network) session(ctx context.Context, addr string) (*session, error) {
+	d, err := n.dialing(addr)
+	if err != nil {
+		return nil, err
 	}
-	n.mu.Unlock()
 	select {
 	case <-d.ready:
-		return d.link, d.err
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, endedNotRun(ctx)
+	}
+	if d.err != nil {
+		return nil, outcome.New(outcome.OwnerUnreachable, "%s: %v", addr, d.err)
 	}
+	return d.session, nil
 }
 
-// dead reports whether the attempt failed or its link ended.
+// dialing returns the current session or attempt, or starts an attempt unless
+// the pause after the last failure still runs.
+func (n *network) dialing(addr string) (*dialing, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r, ok := n.peers[addr]
+	if !ok {
+		r = &remote{}
+		n.peers[addr] = r
+	}
+	if r.dial != nil && !r.dial.dead() {
+		return r.dial, nil
+	}
+	if n.clock.Now().Before(r.next) {
+		return nil, outcome.New(outcome.OwnerUnreachable, "%s: pause before the next dial", addr)
+	}
+	r.dial = &dialing{ready: make(chan struct{})}
+	go n.connect(addr, r, r.dial)
+	return r.dial, nil
+}
+
+// dead reports whether the attempt failed or its session ended.
 func (d *dialing) dead() bool {
 	select {
 	case <-d.ready:
-		return d.err != nil || !d.link.alive()
+		return d.err != nil || !d.session.alive()
 	default:
 		return false
 	}
 }
 
-func (n *network) connect(addr string, d *dialing) {
+func (n *network) connect(addr string, r *remote, d *dialing) {
 	defer close(d.ready)
 	conn, err := n.dialer.Dial("tcp", addr)
-	if err != nil {
-		d.err = err
-		return
+	if err == nil {
+		d.session, err = openSession(conn, n.hello, n.clock, func() { n.crossed(addr) })
 	}
-	session, err := yamux.Client(conn, yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
-		d.err = err
-		return
-	}
-	stream, err := session.Open()
-	if err != nil {
-		_ = session.Close()
-		d.err = err
+	d.err = err
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if err == nil {
+		r.failures = 0
 		return
 	}
-	d.link = newLink(stream, nil)
-	go func() {
-		select {
-		case <-session.CloseChan():
-		case <-d.link.closed:
-		}
-		d.link.close()
-		_ = session.Close()
-	}()
+	r.failures++
+	r.next = n.clock.Now().Add(redialPause(r.failures))
 }
 
-// server answers frames of other daemons.
-type server struct {
-	listener net.Listener
-	handlers []kernel.FrameHandler
-	log      *zap.Logger
-	ctx      context.Context
-	cancel   context.CancelFunc
-	mu       sync.Mutex
-	sessions map[*yamux.Session]struct{}
+// redialPause returns the pause after a number of failures in a row: between
+// half of the doubled pause and the whole.
+func redialPause(failures int) time.Duration {
+	pause := redialFirst << min(failures-1, 10)
+	pause = min(pause, redialMost)
+	return pause/2 + rand.N(pause/2)
 }
 
-func startServer(lc fx.Lifecycle, set settings.Daemon, group kernel.FrameHandlers, log *zap.Logger) {
-	ctx, cancel := context.WithCancel(context.Background())
-	s := &server{
-		handlers: group.Handlers, log: log.Named("peer"), ctx: ctx, cancel: cancel,
-		sessions: map[*yamux.Session]struct{}{},
-	}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", set.PeerAddr)
-			if err != nil {
-				return fmt.Errorf("peer: %w", err)
-			}
-			s.listener = listener
-			go s.accept()
-			return nil
-		},
-		OnStop: func(context.Context) error { return s.stop() },
-	})
+func (n *network) crossed(addr string) {
+	n.log.Warn("link closed", zap.Stringer("kind", outcome.Malformed),
+		zap.String("peer", addr), zap.String("reason", "answer to another call"))
 }
 
-func (s *server) accept() {
+// watch checks all sessions every beatInterval.
+func (n *network) watch() {
+	ticker := time.NewTicker(beatInterval)
+	defer ticker.Stop()
 	for {
-		conn, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		select {
+		case <-n.stop:
 			return
+		case <-ticker.C:
+			n.beat()
 		}
-		if err != nil {
-			continue
-		}
-		go s.serve(conn)
 	}
 }
 
-func (s *server) serve(conn net.Conn) {
-	session, err := yamux.Server(conn, yamuxConfig())
-	if err != nil {
-		_ = conn.Close()
-		return
-	}
-	s.mu.Lock()
-	s.sessions[session] = struct{}{}
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		delete(s.sessions, session)
-		s.mu.Unlock()
-		_ = session.Close()
-	}()
-	for {
-		stream, err := session.Accept()
-		if err != nil {
-			return
+// beat closes sessions that fell silent or idle and forgets dead addresses.
+func (n *network) beat() {
+	now := n.clock.Now()
+	for addr, s := range n.sessions(now) {
+		switch {
+		case s.beat():
+			n.metrics.silent()
+			n.drop(s, "peer "+addr+" fell silent")
+		case s.idle(now):
+			s.close()
 		}
-		newLink(stream, func(f *wire.Frame) *wire.Frame { return s.handle(conn.RemoteAddr().String(), f) })
 	}
 }
 
-func (s *server) handle(from string, frame *wire.Frame) *wire.Frame {
-	for _, h := range s.handlers {
-		if h.Handles(frame) {
-			return h.HandleFrame(s.ctx, from, frame)
+// sessions returns the live sessions and forgets addresses without one whose
+// last failure is long past.
+func (n *network) sessions(now clock.Instant) map[string]*session {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	live := make(map[string]*session, len(n.peers))
+	for addr, r := range n.peers {
+		switch {
+		case r.dial == nil || r.dial.dead():
+			if now.Sub(r.next) > idleTimeout {
+				delete(n.peers, addr)
+			}
+		case r.dial.open():
+			live[addr] = r.dial.session
 		}
 	}
-	if frame.GetCancel() == nil {
-		s.log.Warn("frame of unknown kind", zap.String("from", from))
+	n.metrics.links(len(live))
+	return live
+}
+
+// open reports whether the attempt is over.
+func (d *dialing) open() bool {
+	select {
+	case <-d.ready:
+		return true
+	default:
+		return false
 	}
-	return nil
 }
 
-func (s *server) stop() error {
-	s.cancel()
-	err := s.listener.Close()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for session := range s.sessions {
-		_ = session.Close()
+func (n *network) drop(s *session, reason string) {
+	n.log.Warn("link closed", zap.Stringer("kind", outcome.ConnectionLost), zap.String("reason", reason))
+	s.close()
+}
+
+func (n *network) closeAll() {
+	for _, s := range n.sessions(n.clock.Now()) {
+		s.close()
 	}
-	return err
 }
 
 var _ kernel.Peers = (*network)(nil)
--- a/daemon/plugins/peer/releases.go
+++ b/daemon/plugins/peer/releases.go
@@ -71,6 +71,7 @@
 	ticket := r.ticket
 	r.waiting[ticket] = ch
 	r.mu.Unlock()
+	defer r.forget(ticket)
 	r.control.Post(control.ReleaseReceived{Msg: frame.GetRelease(), Ticket: ticket})
 	select {
 	case answer := <-ch:
@@ -80,6 +81,12 @@
 	}
 }
 
+func (r *releases) forget(ticket uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.waiting, ticket)
+}
+
 var (
 	_ kernel.EffectHandler = (*releases)(nil)
 	_ kernel.FrameHandler  = (*releases)(nil)
--- /dev/null
+++ b/daemon/plugins/peer/serverlink.go
@@ -0,0 +1,213 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// serverLink is the answering end of a link.
+type serverLink struct {
+	*pipe
+	srv  *server
+	from string
+	ctx  context.Context // ends with the link
+	stop context.CancelFunc
+
+	mu      sync.Mutex
+	running map[uint64]context.CancelFunc // by frame id
+}
+
+func newServerLink(s *server, conn net.Conn, from string) *serverLink {
+	ctx, stop := context.WithCancel(s.ctx)
+	return &serverLink{
+		pipe: newPipe(conn), srv: s, from: from, ctx: ctx, stop: stop,
+		running: map[uint64]context.CancelFunc{},
+	}
+}
+
+// run answers frames until the link ends. Requests whose link ended are
+// cancelled: nobody can receive their answers.
+func (l *serverLink) run() {
+	defer l.stop()
+	defer l.shut()
+	r := newFrameReader(l.pipe)
+	if err := l.greet(r); err != nil {
+		l.srv.closed(l.from, err)
+		return
+	}
+	go l.writeLoop()
+	for {
+		frame, size, err := r.next()
+		if err == nil {
+			err = l.receive(frame, size)
+		}
+		if err != nil {
+			l.srv.closed(l.from, err)
+			return
+		}
+	}
+}
+
+// greet exchanges hellos.
+func (l *serverLink) greet(r *frameReader) error {
+	if err := l.conn.SetDeadline(time.Now().Add(helloTimeout)); err != nil {
+		return err
+	}
+	frame, _, err := r.next()
+	if err != nil {
+		return err
+	}
+	if err := checkHello(frame); err != nil {
+		return err
+	}
+	hello := &wire.Hello{
+		Slot: l.srv.hello.GetSlot(), DataCentre: l.srv.hello.GetDataCentre(),
+		ProtocolVersion: protocolVersion, ClockUs: l.clockUs(),
+	}
+	data, err := encode(&wire.Frame{Id: frame.GetId(), Body: &wire.Frame_Hello{Hello: hello}})
+	if err != nil {
+		return err
+	}
+	defer recycle(data)
+	if _, err := l.conn.Write(*data); err != nil {
+		return err
+	}
+	return l.conn.SetDeadline(time.Time{})
+}
+
+// receive takes in one frame after the hello. An error ends the link.
+func (l *serverLink) receive(frame *wire.Frame, size int) error {
+	switch frame.GetBody().(type) {
+	case *wire.Frame_Cancel:
+		l.cancelRunning(frame.GetId())
+		return nil
+	case *wire.Frame_Ping:
+		pong := &wire.Pong{ClockUs: l.clockUs()}
+		l.send(frame, &wire.Frame{Body: &wire.Frame_Pong{Pong: pong}}, nil)
+		return nil
+	case nil:
+		return outcome.New(outcome.Malformed, "frame without a known body")
+	}
+	return l.start(frame, size)
+}
+
+// start runs a frame on a goroutine of its own, within the bounds of the link
+// and the server and before its deadline.
+func (l *serverLink) start(frame *wire.Frame, size int) error {
+	ctx, cancel, inTime := l.frameContext(frame)
+	if !inTime {
+		cancel()
+		l.refuse(frame, outcome.New(outcome.DeadlineNotRun, "arrived after its deadline"))
+		return nil
+	}
+	l.mu.Lock()
+	_, dup := l.running[frame.GetId()]
+	full := len(l.running) >= maxRunning
+	if !dup && !full {
+		l.running[frame.GetId()] = cancel
+	}
+	l.mu.Unlock()
+	if dup {
+		cancel()
+		return outcome.New(outcome.Malformed, "frame id %d is in use", frame.GetId())
+	}
+	if full {
+		cancel()
+		l.refuse(frame, outcome.New(outcome.Overloaded, "%d frames are running", maxRunning))
+		return nil
+	}
+	if err := l.srv.begin(frame, size); err != nil {
+		l.cancelRunning(frame.GetId())
+		l.refuse(frame, err)
+		return nil
+	}
+	go l.answer(ctx, frame, size)
+	return nil
+}
+
+// frameContext returns the context of a frame, and false if its deadline
+// passed.
+func (l *serverLink) frameContext(frame *wire.Frame) (context.Context, context.CancelFunc, bool) {
+	us := frame.GetDeadlineUs()
+	if us <= 0 {
+		ctx, cancel := context.WithCancel(l.ctx)
+		return ctx, cancel, true
+	}
+	left := time.Duration(us-l.clockUs()) * time.Microsecond
+	ctx, cancel := context.WithTimeout(l.ctx, left)
+	return ctx, cancel, left > 0
+}
+
+func (l *serverLink) answer(ctx context.Context, frame *wire.Frame, size int) {
+	defer l.cancelRunning(frame.GetId())
+	written := make(chan struct{})
+	defer l.srv.finish(frame, size)
+	answer := l.srv.handle(ctx, l.from, frame)
+	if answer == nil || !l.send(frame, answer, written) {
+		return
+	}
+	select {
+	case <-written:
+	case <-l.closed:
+	}
+}
+
+// refuse answers a request that did not run. Other frames go unanswered.
+func (l *serverLink) refuse(frame *wire.Frame, err *outcome.Err) {
+	if frame.GetRequest() == nil {
+		return
+	}
+	resp := &wire.Response{Kind: uint32(err.Kind), Status: uint32(err.Kind.Answer().Status), Detail: err.Detail}
+	l.send(frame, &wire.Frame{Body: &wire.Frame_Response{Response: resp}}, nil)
+}
+
+// send queues the answer to a frame and closes written, if not nil, once it is
+// on the connection. Without written the answer is dropped while the queue is
+// full. An answer too large for the protocol is replaced by one that says so.
+func (l *serverLink) send(frame, answer *wire.Frame, written chan struct{}) bool {
+	data, err := encodeAnswer(frame, answer)
+	if err != nil {
+		tooLarge := &wire.Response{Kind: uint32(outcome.AnswerTooLarge), Detail: err.Error()}
+		data, err = encodeAnswer(frame, &wire.Frame{Body: &wire.Frame_Response{Response: tooLarge}})
+	}
+	if err != nil {
+		return false
+	}
+	if written == nil {
+		return l.offer(outFrame{data: data})
+	}
+	select {
+	case l.out <- outFrame{data: data, sent: func() { close(written) }}:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+func encodeAnswer(frame, answer *wire.Frame) (*[]byte, error) {
+	answer.Id = frame.GetId()
+	answer.Tag = frame.GetTag()
+	return encode(answer)
+}
+
+// cancelRunning ends the context of a running frame, if there is one.
+func (l *serverLink) cancelRunning(id uint64) {
+	l.mu.Lock()
+	cancel, ok := l.running[id]
+	delete(l.running, id)
+	l.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+// clockUs returns this host's clock in microseconds.
+func (l *serverLink) clockUs() int64 { return microseconds(l.srv.clock.Now()) }
+
+func microseconds(at clock.Instant) int64 { return int64(at) / int64(time.Microsecond) }
