--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -62,7 +62,6 @@
 	shards  int
 	members []*member
 	net     *network
-	log     *platform.Server
 	logAddr string
 	closers []io.Closer
 	client  *http.Client
@@ -116,13 +115,13 @@
 }
 
 func (f *fleet) startPlatform() error {
-	f.log = platform.New()
+	server := platform.New()
 	f.logAddr = f.addr(hostPlatform, logPort)
 	l, err := net.Listen("tcp", f.logAddr)
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: f.log.Handler()}
+	srv := &http.Server{Handler: server.Handler()}
 	go func() { _ = srv.Serve(l) }()
 	f.closers = append(f.closers, srv)
 	return nil
