--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -43,11 +43,10 @@
 // block numbers the loopback networks of the fleets of this test process.
 var block atomic.Int32
 
-// process is a started process or a stand-in of one.
+// process is a program of the fleet, running or not.
 type process struct {
 	name string
 	args []string
-	log  *os.File
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
