Give backend servers the deadline as an instant

Cause: a frozen backend server that thawed read requests from its socket and ran them after the shard had moved on; the relative deadline began to count only when it read them, and its own newest grant was still the old one. Ruled out: the owner's daemon sending late (the runs carried ids answered deadline_may_have_run before the freeze ended).

The request now carries its expiry on the wall clock of the host that daemon and backend server share, and the emulated backend server refuses an expired one.

--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -79,6 +79,10 @@
 	ctx, cancel := deadline(c.Request)
 	defer cancel()
 	s.thaw(ctx)
+	if expired(c.Request) {
+		refuse(c, "expired")
+		return
+	}
 	if !s.fence(c.GetHeader(headerShard), c.GetHeader(headerGeneration)) {
 		refuse(c, "fenced")
 		return
@@ -119,6 +123,13 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
+// expired reports whether the request's deadline passed before it was read, as
+// happens to a server that was frozen.
+func expired(r *http.Request) bool {
+	us, err := strconv.ParseInt(r.Header.Get(headerExpires), 10, 64)
+	return err == nil && time.Now().UnixMicro() >= us
+}
+
 // begin takes a slot and records the run.
 func (s *Server) begin(r *http.Request, body []byte) (index int, took time.Duration, ok bool) {
 	run := Run{
--- a/ctl/emulate/backend/options.go
+++ b/ctl/emulate/backend/options.go
@@ -38,6 +38,7 @@
 	headerShard      = "X-Sesamemoor-Shard"
 	headerGeneration = "X-Sesamemoor-Generation"
 	headerDeadline   = "X-Sesamemoor-Deadline-Ms"
+	headerExpires    = "X-Sesamemoor-Expires-Us"
 	headerRefused    = "X-Sesamemoor-Refused"
 	headerCrash      = "X-Emulate-Crash" // crashes the server that runs the request
 	crashMark        = "emulate:crash"   // the same at the start of a body
--- /dev/null
+++ b/ctl/scenario/checks_self_test.go
@@ -0,0 +1,86 @@
+package scenario
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// The checks of this package must fail on what they are meant to find.
+
+func answered(id, outcome, ran string, order bool) sample {
+	return sample{id: id, order: order, status: 200, outcome: outcome, ran: ran, body: "b1 GET /x 0 " + id}
+}
+
+func TestAccountsFindDoubleRun(t *testing.T) {
+	is := is.New(t)
+	runs := []run{{Backend: "b1", RequestID: "1", Method: "POST"}, {Backend: "b2", RequestID: "1", Method: "POST"}}
+	is.Equal(len(checkAccounts([]sample{answered("1", "ok", "ran", true)}, runs)), 1)
+}
+
+func TestAccountsFindUntrueRefusal(t *testing.T) {
+	is := is.New(t)
+	runs := []run{{Backend: "b1", RequestID: "1", Method: "POST"}}
+	is.Equal(len(checkAccounts([]sample{answered("1", "overloaded", "not-run", true)}, runs)), 1)
+}
+
+func TestAccountsFindWrongAnswer(t *testing.T) {
+	is := is.New(t)
+	s := answered("req-1", "ok", "ran", false)
+	s.body = "b1 GET /x 0 req-2"
+	is.Equal(len(checkAccounts([]sample{s}, []run{{RequestID: "req-1", Method: "GET"}})), 1)
+}
+
+func TestAccountsFindCallerKey(t *testing.T) {
+	is := is.New(t)
+	runs := []run{{RequestID: "1", Method: "GET", SawKey: true}}
+	is.Equal(len(checkAccounts([]sample{answered("1", "ok", "ran", false)}, runs)), 1)
+}
+
+func TestOwnershipFindsTwoOwners(t *testing.T) {
+	is := is.New(t)
+	overlap := []run{
+		{Backend: "b1", Shard: "3", Generation: "2", StartUS: 10, EndUS: 30},
+		{Backend: "b2", Shard: "3", Generation: "3", StartUS: 20, EndUS: 40},
+	}
+	is.Equal(len(checkOwnership(overlap)), 1)
+	shared := []run{
+		{Backend: "b1", Shard: "3", Generation: "2", StartUS: 10, EndUS: 20},
+		{Backend: "b2", Shard: "3", Generation: "2", StartUS: 30, EndUS: 40},
+	}
+	is.Equal(len(checkOwnership(shared)), 1)
+	back := []run{
+		{Backend: "b2", Shard: "3", Generation: "3", StartUS: 10, EndUS: 20},
+		{Backend: "b1", Shard: "3", Generation: "2", StartUS: 30, EndUS: 40},
+	}
+	is.Equal(len(checkOwnership(back)), 1)
+	is.Equal(len(checkOwnership([]run{back[1], {Backend: "b2", Shard: "3", Generation: "3", StartUS: 50, EndUS: 60}})), 0)
+}
+
+func TestOutageFindsGapAndUnservedEnd(t *testing.T) {
+	is := is.New(t)
+	at := func(ms int) time.Time { return time.UnixMilli(int64(ms)) }
+	served := func(ms int) sample {
+		s := answered("1", "ok", "ran", false)
+		s.key, s.start, s.end = "k", at(ms), at(ms+1)
+		return s
+	}
+	samples := []sample{served(0), served(3000)}
+	is.Equal(longestOutage(samples, 50*time.Millisecond).duration, 2950*time.Millisecond)
+	is.Equal(endedOutage(samples, 0, at(9001)).duration, 6*time.Second)
+}
+
+func TestWithinFindsExcess(t *testing.T) {
+	is := is.New(t)
+	var samples []sample
+	var runs []run
+	for i := range 20 {
+		id := string(rune('a' + i))
+		samples = append(samples, sample{id: id, start: time.UnixMicro(int64(1_000_000 + i))})
+		runs = append(runs, run{RequestID: id, StartUS: int64(1_000_100 + i)})
+	}
+	is.True(checkWithin(samples, runs, 10, 5) != nil)
+	is.NoErr(checkWithin(samples, runs, 10, 20))
+	is.True(checkWithin(samples, nil, 10, 20) != nil) // nothing to check is not a pass
+}
--- a/ctl/scenario/checks_test.go
+++ b/ctl/scenario/checks_test.go
@@ -1,7 +1,9 @@
 package scenario
 
 import (
+	"cmp"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"net/http"
 	"slices"
@@ -186,3 +188,42 @@
 	}
 	return problems
 }
+
+// span is the time in which a request's token was taken: between its sending
+// and the start of its run.
+type span struct{ from, to int64 } // microseconds since 1970
+
+// checkWithin reports a window of time in which more requests surely took their
+// token than rate and burst allow.
+func checkWithin(samples []sample, runs []run, rate, burst float64) error {
+	sent := map[string]int64{}
+	for _, s := range samples {
+		if at, ok := sent[s.id]; !ok || s.start.UnixMicro() < at {
+			sent[s.id] = s.start.UnixMicro()
+		}
+	}
+	var spans []span
+	for _, r := range runs {
+		if from, ok := sent[r.RequestID]; ok {
+			spans = append(spans, span{from: from, to: r.StartUS})
+		}
+	}
+	if len(spans) == 0 {
+		return errors.New("no runs to check")
+	}
+	slices.SortFunc(spans, func(a, b span) int { return cmp.Compare(a.to, b.to) })
+	for _, first := range spans {
+		count := 0.0
+		for _, s := range spans {
+			if s.from < first.from {
+				continue
+			}
+			count++
+			seconds := float64(s.to-first.from) / 1e6
+			if count > rate*seconds+burst {
+				return fmt.Errorf("%.0f requests within %.3f s", count, seconds)
+			}
+		}
+	}
+	return nil
+}
--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
@@ -313,26 +314,69 @@
 	ts.Logf("%d requests: %v; longest outage %s of %s", len(s.samples), counts, worst.duration, worst.key)
 }
 
-// cmdRequest: request ENTRY METHOD KEY [team=T] [id=ID] [timeout=D] [caller-key=K]
-// sets status, outcome, ran and body for expect.
+// cmdRequest: request ENTRY METHOD KEY [team=T] [id=ID] [timeout=D]
+// [caller-key=K] [crash=true] sets status, outcome and ran for expect.
 func (s *scenario) cmdRequest(_ *testscript.TestScript, args []string) error {
-	o, err := parseOptions(args[3:])
+	r, err := s.request(args)
 	if err != nil {
 		return err
 	}
-	team := o.text("team", "dealer")
-	if key, ok := o["caller-key"]; ok {
-		team = "caller " + key
-		s.fleet.keys[team] = key
-	}
-	r := s.fleet.send(args[1], args[0], team, args[2], o["id"], o.duration("timeout", 2*time.Second))
 	if r.err != nil {
 		return r.err
 	}
 	s.vars["status"] = strconv.Itoa(r.status)
 	s.vars["outcome"] = r.outcome
 	s.vars["ran"] = r.ran
-	s.vars["took_ms"] = strconv.FormatInt(r.end.Sub(r.start).Milliseconds(), 10)
+	return nil
+}
+
+func (s *scenario) request(args []string) (sample, error) {
+	o, err := parseOptions(args[3:])
+	if err != nil {
+		return sample{}, err
+	}
+	team := o.text("team", "dealer")
+	if key, ok := o["caller-key"]; ok {
+		team = "caller " + key
+		s.fleet.keys[team] = key
+	}
+	header := map[string]string{}
+	if o["crash"] == "true" {
+		header["X-Emulate-Crash"] = "1"
+	}
+	return s.fleet.sendWith(args[1], args[0], team, args[2], o["id"], o.duration("timeout", 2*time.Second), header), nil
+}
+
+// cmdRepeat: repeat N PERIOD ENTRY METHOD KEY [...] sends a request N times.
+func (s *scenario) cmdRepeat(_ *testscript.TestScript, args []string) error {
+	n, err := strconv.Atoi(args[0])
+	if err != nil {
+		return err
+	}
+	period, err := time.ParseDuration(args[1])
+	if err != nil {
+		return err
+	}
+	s.repeats = nil
+	for range n {
+		next := time.Now().Add(period)
+		r, err := s.request(args[2:])
+		if err != nil {
+			return err
+		}
+		s.repeats = append(s.repeats, r)
+		time.Sleep(time.Until(next))
+	}
+	return nil
+}
+
+// cmdNewID: newid NAME stores a new time-ordered request id.
+func (s *scenario) cmdNewID(_ *testscript.TestScript, args []string) error {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return err
+	}
+	s.vars[args[0]] = id.String()
 	return nil
 }
 
--- a/ctl/scenario/expect_test.go
+++ b/ctl/scenario/expect_test.go
@@ -21,6 +21,8 @@
 //	expect some OUTCOME             a kind the watch must have seen
 //	expect errors 0                 connections to entries that failed
 //	expect runs ID N                times a request id ran
+//	expect repeated OUTCOME N       answers of the last repeat
+//	expect within rate=R burst=B    runs of the watched team against its limit
 func (s *scenario) cmdExpect(_ *testscript.TestScript, args []string) error {
 	switch args[0] {
 	case "status", "outcome", "ran":
@@ -40,6 +42,10 @@
 		return s.expectErrors(args[1])
 	case "runs":
 		return s.expectRuns(args[1], args[2])
+	case "repeated":
+		return s.expectRepeated(args[1], args[2])
+	case "within":
+		return s.expectWithin(args[1:])
 	default:
 		return fmt.Errorf("unknown property %q", args[0])
 	}
@@ -134,6 +140,34 @@
 	return nil
 }
 
+func (s *scenario) expectRepeated(outcome, count string) error {
+	want, err := strconv.Atoi(count)
+	if err != nil {
+		return err
+	}
+	counts := map[string]int{}
+	for _, r := range s.repeats {
+		counts[r.outcome]++
+	}
+	if counts[outcome] != want {
+		return fmt.Errorf("answers: %v", counts)
+	}
+	return nil
+}
+
+// expectWithin checks the runs of the watched team against its rate and burst.
+func (s *scenario) expectWithin(args []string) error {
+	o, err := parseOptions(args)
+	if err != nil {
+		return err
+	}
+	runs, err := s.fleet.collectRuns()
+	if err != nil {
+		return err
+	}
+	return checkWithin(s.samples, runs, float64(o.number("rate", 0)), float64(o.number("burst", 0)))
+}
+
 // cmdEventually: eventually BOUND CONDITION... waits for
 //
 //	served                       all shards held, served through every daemon
--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -76,6 +78,8 @@
 			"eventually": command((*scenario).cmdEventually),
 			"owner":      command((*scenario).cmdOwner),
 			"pause":      command((*scenario).cmdPause),
+			"newid":      command((*scenario).cmdNewID),
+			"repeat":     command((*scenario).cmdRepeat),
 		},
 	})
 }
@@ -101,7 +105,8 @@
 	dir     string
 	fleet   *fleet
 	watch   *watch
-	samples []sample
+	samples []sample // of the stopped watch
+	repeats []sample // of the last repeat
 	vars    map[string]string
 }
 
@@ -124,13 +129,12 @@
 
 // expand replaces @name by the value of a variable set by the script.
 func (s *scenario) expand(args []string) []string {
-	out := make([]string, len(args))
-	for i, a := range args {
-		out[i] = a
-		if name, ok := strings.CutPrefix(a, "@"); ok {
-			if v, set := s.vars[name]; set {
-				out[i] = v
-			}
+	names := slices.Collect(maps.Keys(s.vars))
+	slices.SortFunc(names, func(a, b string) int { return len(b) - len(a) })
+	out := slices.Clone(args)
+	for i := range out {
+		for _, name := range names {
+			out[i] = strings.ReplaceAll(out[i], "@"+name, s.vars[name])
 		}
 	}
 	return out
--- a/ctl/scenario/watch_test.go
+++ b/ctl/scenario/watch_test.go
@@ -129,6 +129,11 @@
 
 // send sends one request through a daemon's entry.
 func (f *fleet) send(method, entry, team, key, id string, timeout time.Duration) sample {
+	return f.sendWith(method, entry, team, key, id, timeout, nil)
+}
+
+// sendWith is send with further header fields.
+func (f *fleet) sendWith(method, entry, team, key, id string, timeout time.Duration, header map[string]string) sample {
 	s := sample{key: key, id: id, order: method == http.MethodPost, entry: entry, start: time.Now()}
 	defer func() { s.end = time.Now() }()
 	m, err := f.member(entry)
@@ -149,6 +154,9 @@
 	if id != "" {
 		req.Header.Set("X-Request-Id", id)
 	}
+	for name, value := range header {
+		req.Header.Set(name, value)
+	}
 	return f.finish(req, s)
 }
 
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -26,6 +26,7 @@
 	headerTeam     = "X-Sesamemoor-Team"
 	headerRequest  = "X-Request-Id"
 	headerDeadline = "X-Sesamemoor-Deadline-Ms" // time left when sent
+	headerExpires  = "X-Sesamemoor-Expires-Us"  // the same as wall clock of this host, microseconds since 1970
 	headerRefused  = "X-Sesamemoor-Refused"     // "fenced" or "shed": the request did not run
 	// HeaderCrash names the crash in the response to each request that was in
 	// flight at it. It is seen by daemons only.
@@ -151,6 +152,7 @@
 	httpReq.Header.Set(headerTeam, req.GetTeam())
 	httpReq.Header.Set(headerRequest, req.GetRequestId())
 	httpReq.Header.Set(headerDeadline, strconv.FormatInt(timeout.Milliseconds(), 10))
+	httpReq.Header.Set(headerExpires, strconv.FormatInt(time.Now().Add(timeout).UnixMicro(), 10))
 	return httpReq, nil
 }
 
