--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 MODULES := core daemon ctl
 PACKAGES := ./core/... ./daemon/... ./ctl/...
 
-.PHONY: all build test lint unit generate demo
+.PHONY: all build test lint unit generate demo capacity
 
 all: build
 
@@ -21,6 +21,16 @@
 unit:
 	go test -race -count=1 -timeout 20m $(PACKAGES)
 
+# EXAMPLE is a directory of examples/.
+EXAMPLE ?= hanbit
+demo: build
+	scripts/demo.sh $(EXAMPLE)
+
 # Needs protoc and protoc-gen-go.
 generate:
-	cd core/wire && protoc --go_out=. --go_opt=paths=source_relative record.proto peer.proto
+	cd core/wire && protoc --go_out=. --go_opt=paths=source_relative record.proto peer.proto state.proto
+
+# The slopes behind docs/CAPACITY.md.
+capacity: build
+	bin/sesamemoorctl capacity
+	go test -run '^$$' -bench . -benchtime 1s ./core/...
--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -43,11 +43,10 @@
 // block numbers the loopback networks of the fleets of this test process.
 var block atomic.Int32
 
-// process is a started process or a stand-in of one.
+// process is a program of the fleet, running or not.
 type process struct {
 	name string
 	args []string
-	log  *os.File
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -62,7 +61,6 @@
 	shards  int
 	members []*member
 	net     *network
-	log     *platform.Server
 	logAddr string
 	closers []io.Closer
 	client  *http.Client
@@ -116,13 +114,13 @@
 }
 
 func (f *fleet) startPlatform() error {
-	f.log = platform.New()
+	server := platform.New()
 	f.logAddr = f.addr(hostPlatform, logPort)
 	l, err := net.Listen("tcp", f.logAddr)
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: f.log.Handler()}
+	srv := &http.Server{Handler: server.Handler()}
 	go func() { _ = srv.Serve(l) }()
 	f.closers = append(f.closers, srv)
 	return nil
@@ -156,7 +154,7 @@
 		return err
 	}
 	m.daemon = &process{name: fmt.Sprintf("d%d", i), args: []string{daemonBinary, "run", file}}
-	args := []string{ctlBinary, "emulate-backend", "-name", fmt.Sprintf("b%d", i), "-service", opts.service,
+	args := []string{ctlBinary, "emulate", "backend", "-name", fmt.Sprintf("b%d", i), "-service", opts.service,
 		"-listen", f.addr(i, backPort), "-daemon", f.addr(i, adminPort), "-slots", fmt.Sprint(opts.slots),
 		"-service-time", opts.serviceTime.String()}
 	if opts.checksFence {
@@ -344,7 +342,7 @@
 
 // patch applies a merge patch on the newest version through sesamemoorctl.
 func (f *fleet) patch(base uint64, patch string) (string, error) {
-	cmd := exec.Command(ctlBinary, "config-patch", "-platform", "http://"+f.logAddr, "-base", fmt.Sprint(base))
+	cmd := exec.Command(ctlBinary, "config", "patch", "-platform", "http://"+f.logAddr, "-base", fmt.Sprint(base))
 	cmd.Stdin = strings.NewReader(patch)
 	var out bytes.Buffer
 	cmd.Stdout = &out
