Tie each write to the lease that admitted the request; no chunked empty bodies

A connection checked whichever lease was current; after a pause that could be the next incarnation's. The request's own end of the lease is checked now.

--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -55,7 +54,7 @@
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     idleTimeout,
-		DialContext:         guardedDialer(b.leaseHeld),
+		DialContext:         guardedDialer(clk, b.leaseHeld),
 		DisableCompression:  true,
 	}}
 	b.grants = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
@@ -107,20 +106,13 @@
 	return nil
 }
 
-// onceBody is a request body that the transport cannot rewind. Without a way
-// to rewind, it never sends a request again after writing a part of it, even
-// one with an empty body and a header that marks it as idempotent.
-type onceBody struct{ io.Reader }
-
-func (onceBody) Close() error { return nil }
-
 // run sends the request to the backend server and returns its whole answer.
 func (b *backend) run(ctx context.Context, req *wire.Request, token uint64, timeout time.Duration) *wire.Response {
 	addr := b.addr()
 	if addr == "" {
 		return refusal(outcome.New(outcome.NoOwner, "no backend server"))
 	}
-	trace := &connTrace{}
+	trace := &connTrace{until: b.clock.Now().Add(timeout)}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { trace.got(info.Conn) },
 	})
@@ -138,24 +130,6 @@
 	return resp
 }
 
-func newRequest(ctx context.Context, addr string, req *wire.Request, token uint64, timeout time.Duration) (*http.Request, error) {
-	httpReq, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+addr+req.GetPath(), onceBody{bytes.NewReader(req.GetBody())})
-	if err != nil {
-		return nil, err
-	}
-	httpReq.ContentLength = int64(len(req.GetBody()))
-	for _, h := range req.GetHeaders() {
-		httpReq.Header.Add(h.GetName(), h.GetValue())
-	}
-	httpReq.Header.Set(headerToken, strconv.FormatUint(token, 10))
-	httpReq.Header.Set(headerShard, strconv.FormatUint(uint64(req.GetShard()), 10))
-	httpReq.Header.Set(headerTeam, req.GetTeam())
-	httpReq.Header.Set(headerRequest, req.GetRequestId())
-	httpReq.Header.Set(headerDeadline, strconv.FormatInt(timeout.Milliseconds(), 10))
-	httpReq.Header.Set(headerExpires, strconv.FormatInt(time.Now().Add(timeout).UnixMicro(), 10))
-	return httpReq, nil
-}
-
 // failure maps a transport error to its kind. "Not run" is claimed only when
 // no byte of the request was written.
 func (b *backend) failure(ctx context.Context, addr string, trace *connTrace, err error) *wire.Response {
--- a/daemon/plugins/owner/conn.go
+++ b/daemon/plugins/owner/conn.go
@@ -6,6 +6,8 @@
 	"net"
 	"sync/atomic"
 	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
 )
 
 const (
@@ -30,11 +32,17 @@
 type guardedConn struct {
 	net.Conn
 	held  func() bool
+	clock clock.Clock
+	until atomic.Int64 // instant at which the current request's part of the lease ends
 	state atomic.Uint32
 }
 
-// begin marks the start of a request that got this connection.
-func (c *guardedConn) begin() { c.state.CompareAndSwap(written, unwritten) }
+// begin marks the start of a request that got this connection. It may be
+// written before until.
+func (c *guardedConn) begin(until clock.Instant) {
+	c.until.Store(int64(until))
+	c.state.CompareAndSwap(written, unwritten)
+}
 
 // bar reports whether the current request has written nothing, and sees to it
 // that it never will: the transport may still be about to write when it
@@ -46,9 +54,10 @@
 	return c.state.Load() == barred
 }
 
-// Write checks the lease immediately before the bytes leave.
+// Write checks the lease immediately before the bytes leave: the lease under
+// which the request was admitted, which another may have followed meanwhile.
 func (c *guardedConn) Write(b []byte) (int, error) {
-	if !c.held() {
+	if int64(c.clock.Now()) >= c.until.Load() || !c.held() {
 		return 0, errLeaseOver
 	}
 	if !c.state.CompareAndSwap(unwritten, written) && c.state.Load() == barred {
@@ -58,23 +67,26 @@
 }
 
 // guardedDialer dials guarded connections.
-func guardedDialer(held func() bool) func(context.Context, string, string) (net.Conn, error) {
+func guardedDialer(clk clock.Clock, held func() bool) func(context.Context, string, string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn, held: held}, nil
+		return &guardedConn{Conn: conn, held: held, clock: clk}, nil
 	}
 }
 
 // connTrace remembers the connection of one request.
-type connTrace struct{ conn atomic.Pointer[guardedConn] }
+type connTrace struct {
+	until clock.Instant // see guardedConn.begin
+	conn  atomic.Pointer[guardedConn]
+}
 
 func (t *connTrace) got(conn net.Conn) {
 	if c, ok := conn.(*guardedConn); ok {
-		c.begin()
+		c.begin(t.until)
 		t.conn.Store(c)
 	}
 }
--- a/daemon/plugins/owner/fake_test.go
+++ b/daemon/plugins/owner/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -133,6 +134,7 @@
 			n = s.requests.Add(1)
 		}
 		text := respond(n, r)
+		_, _ = io.Copy(io.Discard, r.Body)
 		if _, err := conn.Write([]byte(text)); err != nil || text == "" {
 			return
 		}
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -24,11 +24,24 @@
 // request on a connection that was used before: the case in which net/http
 // sends idempotent requests again.
 func TestNeverSentTwice(t *testing.T) {
-	for name, body := range map[string]string{"empty body": "", "body": "order"} {
+	for name, tc := range map[string]struct{ method, body string }{
+		"empty POST": {http.MethodPost, ""},
+		"POST":       {http.MethodPost, "order"},
+		"GET":        {http.MethodGet, ""},
+	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
+			request := func(id, body string) *wire.Request {
+				r := request(id, body)
+				r.Method = tc.method
+				return r
+			}
+			body := tc.body
 			server := newRawServer(t, func(n int64, r *http.Request) string {
 				_, _ = io.ReadAll(r.Body)
+				if len(r.TransferEncoding) > 0 || r.ContentLength != int64(len(body)) {
+					return "HTTP/1.1 400 Bad Request\r\n\r\n"
+				}
 				if n == 1 {
 					return okAnswer
 				}
@@ -39,7 +52,10 @@
 			b.hold(2, nil)
 			is.Equal(kindOf(b.Execute(context.Background(), request("order-1", body))), outcome.OK)
 			second := request("order-2", body)
-			second.Headers = []*wire.Header{{Name: "Idempotency-Key", Value: "order-2"}}
+			second.Headers = []*wire.Header{
+				{Name: "Idempotency-Key", Value: "order-2"},
+				{Name: "x-idempotency-key", Value: "order-2"},
+			}
 			resp := b.Execute(context.Background(), second)
 			is.Equal(kindOf(resp), outcome.ConnectionLost) // may have run; the server lives
 			is.Equal(server.requests.Load(), int64(2))
@@ -149,8 +165,8 @@
 	b := newBench(t, server.addr, nil)
 	b.report(server.addr, false)
 	b.hold(2, nil)
-	trace := &connTrace{}
-	conn, err := guardedDialer(b.backend.leaseHeld)(context.Background(), "tcp", server.addr)
+	trace := &connTrace{until: clock.Boot{}.Now().Add(time.Hour)}
+	conn, err := guardedDialer(clock.Boot{}, b.backend.leaseHeld)(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
 	trace.got(conn)
 	b.lease.Set(clock.Boot{}.Now())
@@ -165,9 +181,9 @@
 func TestBarredConnectionNeverWrites(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
-	conn, err := guardedDialer(func() bool { return true })(context.Background(), "tcp", server.addr)
+	conn, err := guardedDialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
-	trace := &connTrace{}
+	trace := &connTrace{until: clock.Boot{}.Now().Add(time.Hour)}
 	trace.got(conn)
 	is.True(!trace.wrote())
 	_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
@@ -257,3 +273,17 @@
 	is.Equal(kindOf(b.Execute(context.Background(), request("", ""))), outcome.OK) // the entry's own id
 	is.Equal(server.requests.Load(), int64(1))
 }
+
+// TestAnotherLeaseDoesNotCover has the lease that admitted a request followed
+// by another before the write.
+func TestAnotherLeaseDoesNotCover(t *testing.T) {
+	is := is.New(t)
+	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
+	conn, err := guardedDialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
+	is.NoErr(err)
+	trace := &connTrace{until: clock.Boot{}.Now()}
+	trace.got(conn)
+	_, err = conn.Write([]byte("POST / HTTP/1.1\r\n"))
+	is.Equal(err, errLeaseOver)
+	is.True(!trace.wrote())
+}
