--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -35,6 +35,9 @@
 	maxWait = time.Second
 	// minWait bounds the questions about one token.
 	minWait = time.Millisecond
+	// recovery is the time after a keeper's empty start in which requests wait
+	// for tokens instead of being refused.
+	recovery = 5 * time.Second
 )
 
 // Life returns the time for which a slice with tokens asked for ahead may be
@@ -75,11 +78,15 @@
 	terms  Terms  // of the last call
 	lent   []lent // by ascending expiry
 	full   bool   // starts with the burst of the first call's terms
+
+	recovered clock.Instant // end of the recovery after an empty start
 }
 
 // NewEmpty returns a bucket without tokens at now. A new keeper starts empty:
 // the one before it may have handed out everything up to now.
-func NewEmpty(now clock.Instant) *Bucket { return &Bucket{at: now} }
+func NewEmpty(now clock.Instant) *Bucket {
+	return &Bucket{at: now, recovered: now.Add(recovery)}
+}
 
 // NewFull returns a full bucket, for a team of which no token can have been
 // handed out before.
@@ -91,6 +98,9 @@
 	Life   time.Duration // time for which they may be used, see Terms.Life
 	Ahead  time.Duration // the life of tokens asked for ahead
 	Wait   time.Duration // until the next token, if fewer than needed were granted
+	// Recover is the time for which requests are to wait for tokens instead
+	// of being refused, after an empty start.
+	Recover time.Duration
 }
 
 // Set tells the terms in force. A bucket is set up by its first call of Set or
@@ -113,6 +123,7 @@
 	g := Grant{Tokens: n, Life: life, Ahead: terms.Life()}
 	if n < need {
 		g.Wait = b.untilNext()
+		g.Recover = max(0, b.recovered.Sub(now))
 	}
 	return g
 }
--- a/core/bucket/model_test.go
+++ b/core/bucket/model_test.go
@@ -49,6 +49,7 @@
 	excess  int // of them, those that the global bucket let pass
 	passed  int
 	asked   int
+	longest time.Duration // wait for a token
 }
 
 const oneWay = time.Millisecond
@@ -108,10 +109,20 @@
 	}
 	m.asked++
 	m.after(oneWay, func() {
+		if m.keeper == nil {
+			m.after(25*time.Millisecond, func() {
+				s.Fail(q)
+				m.ask(s)
+			})
+			return
+		}
 		g := m.keeper.Take(m.now, m.terms, float64(q.Need), float64(q.Extra))
 		m.after(oneWay, func() {
 			taken, refused, _ := s.Answer(m.now, q, g)
 			m.passed += len(taken)
+			for _, w := range taken {
+				m.longest = max(m.longest, m.now.Sub(w.since))
+			}
 			for _, w := range refused {
 				m.refuse(w.Data.(bool))
 			}
@@ -166,6 +177,36 @@
 	is.True(float64(m.passed) >= 0.98*limit)
 }
 
+// TestKeeperChangesRefuseLittle replaces the keeper each half minute: no answer
+// for 1.5 s, then an empty bucket. The single global bucket stays.
+func TestKeeperChangesRefuseLittle(t *testing.T) {
+	is := is.New(t)
+	for _, share := range []float64{0.3, 0.5, 0.7} {
+		terms := Terms{Rate: 100, Burst: 100}
+		m := newModel(terms, 11)
+		m.poisson(share*terms.Rate, func() int { return m.rand.IntN(11) })
+		var change func()
+		change = func() {
+			m.keeper = nil
+			m.after(1500*time.Millisecond, func() {
+				m.keeper = NewEmpty(m.now)
+				m.keeper.Set(m.now, terms)
+			})
+			m.after(30*time.Second, change)
+		}
+		m.after(10*time.Second, change)
+		m.run(10 * time.Minute)
+		waiting := 0
+		for _, s := range m.stocks {
+			waiting += len(s.waiting)
+		}
+		t.Logf("%v of the rate: %d passed, %d refused, %d of them within rate, %d wait; longest wait %v",
+			share, m.passed, m.refused, m.excess, waiting, m.longest)
+		is.True(float64(m.excess) < 0.001*float64(m.passed))
+		is.True(m.longest < 1500*time.Millisecond+3*time.Second)
+	}
+}
+
 // TestSmallestTeamLosesNothing sends a request every few seconds.
 func TestSmallestTeamLosesNothing(t *testing.T) {
 	is := is.New(t)
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -27,8 +27,8 @@
 	Data  any
 	since clock.Instant
 	gone  bool
-	// outage tells that no keeper answered for it. The next keeper starts
-	// without tokens, so the request waits on instead of being refused.
+	// outage tells that no keeper answered for it, or one that had started
+	// without tokens. The request waits on instead of being refused.
 	outage bool
 }
 
@@ -55,6 +55,7 @@
 
 	refuseUntil clock.Instant // the keeper has no token before
 	aheadFrom   clock.Instant // nothing is asked for ahead before
+	recoverTill clock.Instant // requests wait until then instead of being refused
 }
 
 // Question is a question to the keeper on its way.
@@ -97,6 +98,12 @@
 
 // patient reports whether w may wait for the next token.
 func (s *Stock) patient(now clock.Instant, w *Waiter, wait time.Duration) bool {
+	if now < s.recoverTill {
+		w.outage = true
+	}
+	if w.outage {
+		return true
+	}
 	return len(s.waiting) == 0 && now.Sub(w.since)+wait <= patience
 }
 
@@ -214,6 +221,7 @@
 	if g.Wait > 0 {
 		s.refuseUntil = now.Add(g.Wait)
 	}
+	s.recoverTill = now.Add(g.Recover)
 	if int(g.Tokens) <= q.Need { // nothing to spare for now
 		s.aheadFrom = now.Add(max(g.Ahead, minLife))
 	}
@@ -226,7 +234,7 @@
 			s.waiting = append(slices.Clone(q.waiters[i:]), s.waiting...)
 			s.dropGone()
 			return taken, refused, g.Wait
-		case g.Wait > 0 && (w.outage || s.patient(now, w, g.Wait)):
+		case g.Wait > 0 && s.patient(now, w, g.Wait):
 			s.waiting = append(s.waiting, w)
 		default:
 			refused = append(refused, w)
--- a/daemon/plugins/keeper/keeper.go
+++ b/daemon/plugins/keeper/keeper.go
@@ -172,6 +172,7 @@
 		ExpiresMs:        uint64(g.Life.Milliseconds()),
 		AheadMs:          uint64(g.Ahead.Milliseconds()),
 		WaitMs:           uint64(g.Wait.Milliseconds()),
+		RecoverMs:        uint64(g.Recover.Milliseconds()),
 		Kind:             uint32(outcome.OK),
 		KeeperGeneration: held.Token,
 	}
@@ -189,6 +190,8 @@
 		Life:   time.Duration(a.GetExpiresMs()) * time.Millisecond,
 		Ahead:  time.Duration(a.GetAheadMs()) * time.Millisecond,
 		Wait:   time.Duration(a.GetWaitMs()) * time.Millisecond,
+
+		Recover: time.Duration(a.GetRecoverMs()) * time.Millisecond,
 	}
 }
 
