Balance by measured load: reports to planners, splits of hot keys

Members report rates of their shards and service times to the region's first planner, often only while they deviate from the mean or median it answered with, so that a planner's share stays within 1 KB/s whatever the fleet. Planning takes the load of shards and the speed of members into account once 90% of a service's members have reported, and holds a service as it is while too few have.

An overloaded member splits its hottest keys off its shards. Weighed: splits proposed by the planner (the parent may be at its standby ahead of the log) and splits by the owner, which holds the shard back while its record is on the way; the owner's is the safe one and was taken. The owner looks a key's shard up again at dispatch, and a shard counts as busy while a request of a key now in it runs: otherwise an entry daemon with an old view could have a key run at two owners. Request ids are copied to the split shard once the view shows it.

First try, reverted: splitting every key above 20% of the mean. Keys are split only by members 15% over the mean now.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/loadstat"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -52,6 +53,11 @@
 	sealers map[uint64]*sealing
 	outbox  *outbox
 	planner planner
+	loads   *loadstat.Book
+
+	splitID   [16]byte                 // record of the newest split or merge
+	splitting []view.ShardID           // shards that it names
+	coldSince map[uint64]clock.Instant // by hash of a split key; zero while it has load
 
 	cell     *view.LeaseCell
 	dirty    bool
@@ -72,6 +78,8 @@
 		rights:    map[view.ShardID]*right{},
 		sealers:   map[uint64]*sealing{},
 		outbox:    newOutbox(),
+		loads:     loadstat.NewBook(),
+		coldSince: map[uint64]clock.Instant{},
 		cell:      new(view.LeaseCell),
 		dirty:     true,
 	}
@@ -117,6 +125,10 @@
 		s.releaseAnswered(e)
 	case Quiesced:
 		s.quiesced(e)
+	case LoadReceived:
+		s.loadReceived(e)
+	case OwnLoad:
+		s.ownLoad(e)
 	case Shutdown:
 		s.shutdown()
 	}
@@ -173,6 +185,9 @@
 	if join := rec.GetJoin(); join != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
+	if sp := rec.GetSplitKey(); sp != nil {
+		s.splitSeen(sp)
+	}
 	s.notePlan(rec)
 	s.followPlacement()
 }
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -124,10 +124,14 @@
 
 // TakeOver tells traffic that the shard was acquired: grant the token to the
 // backend server and take in the request ids that came with a release.
+//
+// A shard made by a split names the shard that held its key in From; its request
+// ids are taken from there once the view shows the split.
 type TakeOver struct {
 	Shard view.ShardID
 	Token uint64
 	Marks []*wire.RequestMark
+	From  view.ShardID // zero unless the shard was split off
 }
 
 // Decision is a placement decision for the log.
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -31,6 +31,7 @@
 	out       [][16]byte    // records of the last round that replay has not shown
 	workSince clock.Instant // since when rounds find something to do; zero if the last did not
 	heard     clock.Instant // when replay last showed another planner's record
+	since     clock.Instant // when this daemon became planner; zero while it is not
 }
 
 // planBasis is what a plan is made on. Equal bases give equal plans.
@@ -63,6 +64,7 @@
 	}
 	p.next = s.now.Add(planInterval)
 	rank := slices.Index(s.planners(), s.member.incarnation)
+	s.notePlanner(rank >= 0)
 	if rank < 0 || s.proposalsOut() || !s.planDue() {
 		return
 	}
@@ -76,6 +78,16 @@
 	}
 }
 
+// notePlanner remembers since when this daemon plans.
+func (s *State) notePlanner(planning bool) {
+	switch {
+	case !planning:
+		s.planner.since = 0
+	case s.planner.since == 0:
+		s.planner.since = s.now
+	}
+}
+
 // proposalsOut reports whether records of the last round are still on their
 // way. Plans made meanwhile would be on the same base and pile up while the log
 // is slow or down.
@@ -114,7 +126,7 @@
 	p := &s.planner
 	p.planned = planBasis{replay: s.fold.Next, config: s.history.Version}
 	p.made = s.now
-	return placement.Make(s.fold, s.history.Config, placement.Load{}, placement.DefaultLimits)
+	return placement.Make(s.fold, s.history.Config, s.placementLoad(), placement.DefaultLimits)
 }
 
 // propose appends the plan's records once each. A lost one is planned again.
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -26,6 +26,7 @@
 		Config:        s.history.Config,
 		Callers:       callers(s.history.Config),
 		Services:      services,
+		Planners:      s.plannerViews(members),
 		Held:          s.held(),
 		ConfigFresh:   s.freshness[logstream.ConfigStream],
 		Lease:         s.cell,
@@ -55,6 +56,14 @@
 	return out
 }
 
+func (s *State) plannerViews(members map[fold.Incarnation]*view.Member) []*view.Member {
+	var list []*view.Member
+	for _, inc := range s.planners() {
+		list = append(list, s.memberView(inc, members))
+	}
+	return list
+}
+
 func (s *State) memberView(inc fold.Incarnation, members map[fold.Incarnation]*view.Member) *view.Member {
 	if inc == 0 {
 		return nil
--- a/core/fold/hash.go
+++ b/core/fold/hash.go
@@ -10,5 +10,8 @@
 	if n, ok := svc.Split[hash]; ok {
 		return n
 	}
-	return uint32(hash % uint64(svc.Base))
+	return svc.HashShard(hash)
 }
+
+// HashShard returns the shard number of a key hash that is not split.
+func (svc *Service) HashShard(hash uint64) uint32 { return uint32(hash % uint64(svc.Base)) }
--- a/core/loadstat/book.go
+++ b/core/loadstat/book.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/view"
@@ -10,8 +9,8 @@
 )
 
 const (
-	// reportLife is the time for which a report counts.
-	reportLife = 15 * time.Second
+	// reportLives is the number of intervals for which a report counts.
+	reportLives = 4
 	// smoothing is the weight of a new report against the ones before.
 	smoothing = 0.4
 	// minSamples is the number of requests from which on a report says
@@ -38,15 +37,6 @@
 	latencyUS float64 // smoothed service time; 0 while unknown
 	straggler bool
 	shards    map[uint32]float64 // smoothed requests per second
-	hotKeys   []HotKey
-}
-
-// HotKey is a key that makes up a large part of a member's load.
-type HotKey struct {
-	Service string
-	Hash    uint64
-	Shard   uint32
-	Rate    float64 // requests per second
 }
 
 // NewBook returns a book without reports.
@@ -63,12 +53,6 @@
 	m.at = now
 	m.takeShards(r.GetShards())
 	m.takeLatency(r)
-	m.hotKeys = m.hotKeys[:0]
-	for _, k := range r.GetHotKeys() {
-		m.hotKeys = append(m.hotKeys, HotKey{
-			Service: r.GetService(), Hash: k.GetKeyHash(), Shard: k.GetShard(), Rate: float64(k.GetRateMilli()) / milli,
-		})
-	}
 }
 
 func (m *memberLoad) takeShards(shards []*wire.ShardLoad) {
@@ -102,13 +86,20 @@
 
 // expire drops the reports that are too old.
 func (b *Book) expire(now clock.Instant) {
+	life := reportLives * Interval(len(b.members))
 	for inc, m := range b.members {
-		if now.Sub(m.at) > reportLife {
+		if now.Sub(m.at) > life {
 			delete(b.members, inc)
 		}
 	}
 }
 
+// Has reports whether a recent report of the member is there.
+func (b *Book) Has(inc uint64) bool {
+	_, ok := b.members[inc]
+	return ok
+}
+
 // Load returns the load of each shard in requests per second and the weight of
 // each member: 1 for full capacity, less for a straggler. Members without a
 // recent report are absent.
@@ -161,34 +152,6 @@
 	return medians
 }
 
-// HotKeys returns the keys that alone carry at least share of the mean load of
-// their service's members, hottest first.
-func (b *Book) HotKeys(now clock.Instant, share float64) []HotKey {
-	b.expire(now)
-	means := b.meanLoad()
-	var list []HotKey
-	for _, m := range b.members {
-		for _, k := range m.hotKeys {
-			if k.Rate >= share*means[m.service] && k.Rate > 0 {
-				list = append(list, k)
-			}
-		}
-	}
-	slices.SortFunc(list, func(x, y HotKey) int {
-		if x.Rate != y.Rate {
-			if x.Rate > y.Rate {
-				return -1
-			}
-			return 1
-		}
-		if x.Hash < y.Hash {
-			return -1
-		}
-		return 1
-	})
-	return list
-}
-
 // meanLoad returns the mean request rate of each service's members.
 func (b *Book) meanLoad() map[string]float64 {
 	sum := map[string]float64{}
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -38,6 +38,9 @@
 	// MemberWeight is the part of its nominal capacity that a member bears;
 	// absent members bear all of it.
 	MemberWeight map[fold.Incarnation]float64
+	// Hold names the services whose shards stay with their owners for now,
+	// because too little was measured to say which should move.
+	Hold map[string]bool
 }
 
 // Plan is what one round of planning proposes. Empty slices mean nothing to do.
@@ -67,7 +70,9 @@
 		if r == nil {
 			continue
 		}
-		limits.MaxMoves -= r.balance(limits)
+		if !load.Hold[name] {
+			limits.MaxMoves -= r.balance(limits)
+		}
 		r.fill(limits)
 	}
 	return *plan
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -51,6 +51,12 @@
 	EntryAddr   string `json:"entry_addr"`
 }
 
+// Values of the policies.
+const (
+	StragglersMeasured = "measured"
+	HotKeysSplit       = "split"
+)
+
 // Lease holds the durations of membership leases.
 type Lease struct {
 	TermMS    int64 `json:"term_ms"`
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -86,6 +86,7 @@
 	Config        *fleet.Config
 	Callers       map[string]Caller // by hex key hash; withdrawn keys are absent
 	Services      map[string]*Service
+	Planners      []*Member // members that plan for the region, first to act first
 	Held          map[ShardID]Held
 	// ConfigFresh is the latest instant as of which this daemon knows that
 	// it has read the whole configuration stream.
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"go.uber.org/fx"
 
@@ -65,6 +66,14 @@
 	Running() int
 }
 
+// LoadMeter takes note of the load of this daemon's shards.
+type LoadMeter interface {
+	// Arrived counts a request that reached its owner, served or not.
+	Arrived(shard view.ShardID, keyHash uint64)
+	// Served takes in the service time of a request that ran.
+	Served(serviceTime time.Duration)
+}
+
 // Limiter grants a team's requests within its fleet-wide rate.
 type Limiter interface {
 	// Take takes one token of the team's bucket. The error is an *outcome.Err.
--- /dev/null
+++ b/daemon/plugins/balance/balance.go
@@ -0,0 +1,165 @@
+// Package balance measures the load of this daemon's shards and reports it to
+// the region's planner, which moves shards away from overloaded and slow
+// members. Keys that are hot by themselves get shards of their own.
+package balance
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/loadstat"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.balance", Module: module})
+}
+
+func module() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			newMeter,
+			func(m *meter) kernel.LoadMeter { return m },
+			newReporter,
+			newReceiver,
+			kernel.AsEffectHandler(func(r *receiver) *receiver { return r }),
+			kernel.AsFrameHandler(func(r *receiver) *receiver { return r }),
+		),
+		fx.Invoke(startReporter),
+	)
+}
+
+// callTimeout bounds one report with its answer.
+const callTimeout = 1 * time.Second
+
+// meter counts the load of the backend server's own service.
+type meter struct {
+	control kernel.Control
+	meter   *loadstat.Meter
+}
+
+func newMeter(c kernel.Control, clk clock.Clock) *meter {
+	return &meter{control: c, meter: loadstat.NewMeter(clk.Now())}
+}
+
+// Arrived implements kernel.LoadMeter.
+func (m *meter) Arrived(id view.ShardID, keyHash uint64) {
+	if b := m.control.View().Backend; b != nil && b.Service == id.Service {
+		m.meter.Arrived(id.Shard, keyHash)
+	}
+}
+
+// Served implements kernel.LoadMeter.
+func (m *meter) Served(serviceTime time.Duration) { m.meter.Served(serviceTime) }
+
+// reporter sends this daemon's load reports.
+type reporter struct {
+	control kernel.Control
+	peers   kernel.Peers
+	clock   clock.Clock
+	log     *zap.Logger
+	meter   *meter
+	policy  settings.Policy
+
+	planner uint64 // incarnation that answered last
+	answer  *wire.LoadAnswer
+	next    clock.Instant // when a report is due that nothing hurries
+}
+
+func newReporter(c kernel.Control, p kernel.Peers, clk clock.Clock, m *meter, set settings.Daemon, log *zap.Logger) *reporter {
+	return &reporter{control: c, peers: p, clock: clk, meter: m, policy: set.Policy, log: log.Named("balance")}
+}
+
+func startReporter(lc fx.Lifecycle, r *reporter) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			wg.Go(func() { r.run(ctx) })
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			wg.Wait()
+			return nil
+		},
+	})
+}
+
+// run measures one window after another.
+func (r *reporter) run(ctx context.Context) {
+	wait := time.Duration(rand.Int64N(int64(loadstat.MinInterval)))
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(wait):
+			wait = loadstat.MinInterval
+		}
+		r.window(ctx)
+	}
+}
+
+// window ends one window of measurement: it reports if a report is due or
+// hurried, and lets control look at this daemon's hot keys.
+func (r *reporter) window(ctx context.Context) {
+	v := r.control.View()
+	report := r.meter.meter.Report(r.clock.Now(), v)
+	if report == nil || v.Incarnation == 0 {
+		return
+	}
+	r.applyPolicy(report)
+	r.report(ctx, v, report)
+	if r.answer != nil && r.policy.HotKeys == settings.HotKeysSplit {
+		r.control.Post(control.OwnLoad{Report: report, Answer: r.answer})
+	}
+}
+
+// applyPolicy removes from the report what the settings leave out of account.
+func (r *reporter) applyPolicy(report *wire.LoadReport) {
+	if r.policy.Stragglers != settings.StragglersMeasured {
+		report.LatencyUs = 0
+		report.LatencySamples = 0
+	}
+}
+
+// report sends the report to the first planner that takes it.
+func (r *reporter) report(ctx context.Context, v *view.View, report *wire.LoadReport) {
+	if len(v.Planners) > 0 && v.Planners[0].Incarnation != r.planner {
+		r.answer = nil
+	}
+	if r.clock.Now() < r.next && !loadstat.Hurried(report, r.answer) {
+		return
+	}
+	for _, planner := range v.Planners {
+		answer := r.send(ctx, planner, report)
+		if !answer.GetAccepted() {
+			continue
+		}
+		r.planner = planner.Incarnation
+		r.answer = answer
+		r.next = r.clock.Now().Add(time.Duration(answer.GetNextMs()) * time.Millisecond)
+		return
+	}
+}
+
+func (r *reporter) send(ctx context.Context, planner *view.Member, report *wire.LoadReport) *wire.LoadAnswer {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	frame, err := r.peers.Call(ctx, planner.PeerAddr, &wire.Frame{Body: &wire.Frame_LoadReport{LoadReport: report}})
+	if err != nil {
+		r.log.Debug("load report failed", zap.Uint64("planner", planner.Incarnation), zap.Error(err))
+		return nil
+	}
+	return frame.GetLoadAnswer()
+}
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -27,7 +27,7 @@
 	headerRequest  = "X-Request-Id"
 	headerDeadline = "X-Sesamemoor-Deadline-Ms" // time left when sent
 	headerExpires  = "X-Sesamemoor-Expires-Us"  // the same as wall clock of this host, microseconds since 1970
-	headerRefused  = "X-Sesamemoor-Refused"     // "fenced" or "shed": the request did not run
+	headerRefused  = "X-Sesamemoor-Refused"     // "fenced", "expired" or "shed": the request did not run
 	// HeaderCrash names the crash in the response to each request that was in
 	// flight at it. It is seen by daemons only.
 	HeaderCrash = "X-Sesamemoor-Crash-Id"
@@ -228,6 +228,8 @@
 	switch httpResp.Header.Get(headerRefused) {
 	case "fenced":
 		err = outcome.New(outcome.Fenced, "backend server holds a newer grant")
+	case "expired":
+		err = outcome.New(outcome.DeadlineNotRun, "backend server read the request too late")
 	case "shed":
 		err = outcome.New(outcome.BackendShed, "backend server shed the request")
 	default:
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -9,6 +9,7 @@
 	"github.com/sesamemoor/sesamemoor/core/admit"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/dedup"
+	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -48,11 +49,13 @@
 // execute keeps the request id around the run, where the caller chose it.
 func (e *executor) execute(ctx context.Context, req *wire.Request, deadline clock.Instant) *wire.Response {
 	id := view.ShardID{Service: req.GetService(), Shard: req.GetShard()}
-	held, err := e.check(id)
+	fl := flight{shard: id, keyHash: fold.KeyHash(req.GetKey())}
+	held, err := e.check(fl)
 	if err != nil {
 		return refusal(err)
 	}
-	r := &run{request: req, shard: id, token: held.Token, deadline: deadline}
+	e.load.Arrived(id, fl.keyHash)
+	r := &run{request: req, flight: fl, shard: id, token: held.Token, deadline: deadline}
 	if req.GetIdempotent() || !req.GetCallerId() {
 		return e.admit(ctx, r)
 	}
@@ -70,6 +73,7 @@
 // run is one request on its way to the backend server.
 type run struct {
 	request  *wire.Request
+	flight   flight
 	shard    view.ShardID
 	token    uint64
 	deadline clock.Instant
@@ -104,7 +108,7 @@
 func (e *executor) attempt(ctx context.Context, r *run) *wire.Response {
 	ticket := &admit.Ticket{Team: r.request.GetTeam(), Shard: r.shard, Deadline: r.deadline}
 	lost := func() bool {
-		_, err := e.check(r.shard)
+		_, err := e.check(r.flight)
 		return err != nil
 	}
 	if err := e.gate.acquire(ctx, ticket, lost); err != nil {
@@ -129,26 +133,40 @@
 // dispatch checks ownership once more and sends the request with a deadline
 // inside the lease.
 func (e *executor) dispatch(ctx context.Context, r *run) *wire.Response {
-	if err := e.enter(r.shard, r.token); err != nil {
-		return refusal(err)
+	// The row is marked before the last check, so that a copy of the table made
+	// after a split holds every request that passed the check before it.
+	if r.id != nil {
+		e.ids.dispatch(*r.id, r.token)
 	}
-	defer e.exit(r.shard)
+	number, err := e.enter(r.flight, r.token)
+	if err != nil {
+		return e.notDispatched(r, err)
+	}
+	defer e.exit(number)
 	now := e.clock.Now()
 	lease := e.control.View().Lease
 	timeout := min(r.deadline.Sub(now), lease.Deadline().Sub(now)-dispatchMargin)
 	if timeout <= 0 {
-		return refusal(outcome.New(outcome.LeaseLost, "too little of the lease is left"))
+		return e.notDispatched(r, outcome.New(outcome.LeaseLost, "too little of the lease is left"))
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if r.id != nil {
-		e.ids.dispatch(*r.id, r.token)
-	}
 	resp := e.backend.run(ctx, r.request, r.token, timeout)
+	if outcome.Kind(resp.GetKind()) == outcome.OK {
+		e.load.Served(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond)
+	}
 	e.settle(r, resp)
 	return resp
 }
 
+// notDispatched takes the mark of a request that failed the last check back.
+func (e *executor) notDispatched(r *run, err error) *wire.Response {
+	if r.id != nil {
+		e.ids.requeue(*r.id, r.token)
+	}
+	return refusal(err)
+}
+
 // settle records the end of a run before the shard can count as idle, so that
 // a release carries it.
 func (e *executor) settle(r *run, resp *wire.Response) {
--- a/daemon/plugins/owner/ids.go
+++ b/daemon/plugins/owner/ids.go
@@ -38,6 +38,15 @@
 	i.table.Acquire(i.clock.Now(), t.Shard, t.Token, origin, t.Marks)
 }
 
+// split starts the history of a shard that was split off another with what is
+// known of the other's request ids.
+func (i *ids) split(t control.TakeOver) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	now := i.clock.Now()
+	i.table.Acquire(now, t.Shard, t.Token, dedup.Released, i.table.Marks(now, t.From))
+}
+
 func (i *ids) begin(id dedup.ID, token uint64) error {
 	i.mu.Lock()
 	defer i.mu.Unlock()
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -43,30 +43,34 @@
 	clock   clock.Clock
 	log     *zap.Logger
 	limits  settings.Limits
+	load    kernel.LoadMeter
 	backend *backend
 	grants  *grants
 	gate    *gate
 	ids     *ids
 
+	splits []control.TakeOver // shards split off since the last view; control goroutine only
+
 	mu       sync.Mutex
-	running  map[view.ShardID]int
+	running  *inflight
 	closed   map[view.ShardID]uint64 // newest token under which the shard was quiesced
 	draining map[view.ShardID]control.Quiesce
 	report   kernel.BackendReport // newest announcement
 }
 
-func newExecutor(c kernel.Control, clk clock.Clock, set settings.Daemon, log *zap.Logger) *executor {
+func newExecutor(c kernel.Control, clk clock.Clock, load kernel.LoadMeter, set settings.Daemon, log *zap.Logger) *executor {
 	b := newBackend(c, clk, set.Limits.BackendConns)
 	return &executor{
 		control:  c,
 		clock:    clk,
 		log:      log.Named("owner"),
 		limits:   set.Limits,
+		load:     load,
 		backend:  b,
 		grants:   newGrants(b.sendGrant),
 		gate:     newGate(clk, set),
 		ids:      newIDs(clk, set.Limits.RequestIDs),
-		running:  map[view.ShardID]int{},
+		running:  newInflight(),
 		closed:   map[view.ShardID]uint64{},
 		draining: map[view.ShardID]control.Quiesce{},
 	}
@@ -80,6 +84,7 @@
 	case control.TakeOver:
 		e.takeOver(ef)
 	case control.Publish:
+		e.finishSplits()
 		e.gate.withdraw(func(id view.ShardID) bool { return !holds(ef.View, id) })
 	}
 }
@@ -92,18 +97,32 @@
 // takeOver starts the shard's request-id history before the view shows the
 // shard as held.
 func (e *executor) takeOver(t control.TakeOver) {
-	e.ids.acquire(t, e.control.View())
+	if t.From != (view.ShardID{}) {
+		e.splits = append(e.splits, t)
+	} else {
+		e.ids.acquire(t, e.control.View())
+	}
 	if e.checksFence() {
 		go e.grants.request(grantKey{t.Shard, t.Token})
 	}
 }
 
+// finishSplits copies request ids to the shards that were split off, now that
+// the view shows the split: no request of a split key is dispatched under its
+// former shard any more. Those that waited there find their place again.
+func (e *executor) finishSplits() {
+	for _, t := range e.splits {
+		e.ids.split(t)
+	}
+	e.splits = e.splits[:0]
+}
+
 // quiesce closes the shard for its token and reports when nothing runs any
 // more. The shard's waiting requests are refused at once.
 func (e *executor) quiesce(q control.Quiesce) {
 	e.mu.Lock()
 	e.closed[q.Shard] = max(e.closed[q.Shard], q.Token)
-	idle := e.running[q.Shard] == 0
+	idle := !e.running.busy(q.Shard, e.control.View())
 	if !idle {
 		e.draining[q.Shard] = q
 	}
@@ -118,15 +137,21 @@
 	e.control.Post(control.Quiesced{Shard: q.Shard, Token: q.Token, Marks: e.ids.marks(q.Shard)})
 }
 
-// check returns the standing of a shard in the newest view.
-func (e *executor) check(id view.ShardID) (view.Held, error) {
+// check returns the standing of a key's shard in the newest view.
+func (e *executor) check(fl flight) (view.Held, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.checkLocked(id)
+	return e.checkLocked(fl)
 }
 
-func (e *executor) checkLocked(id view.ShardID) (view.Held, error) {
+// checkLocked looks the key up again: an entry daemon that has not read a split
+// or merge names the shard that held the key before.
+func (e *executor) checkLocked(fl flight) (view.Held, error) {
 	v := e.control.View()
+	id := fl.shard
+	if shardOf(v, id.Service, fl.keyHash) != id {
+		return view.Held{}, outcome.New(outcome.NotOwner, "the key belongs to another shard than %s/%d", id.Service, id.Shard)
+	}
 	held, ok := v.Held[id]
 	if !ok {
 		return view.Held{}, outcome.New(outcome.NotOwner, "shard %s/%d", id.Service, id.Shard)
@@ -141,32 +166,34 @@
 }
 
 // enter counts a request of the shard as running, if the shard is held under
-// token now.
-func (e *executor) enter(id view.ShardID, token uint64) error {
+// token now. It returns the request's number for exit.
+func (e *executor) enter(fl flight, token uint64) (uint64, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	held, err := e.checkLocked(id)
+	held, err := e.checkLocked(fl)
 	if err != nil {
-		return err
+		return 0, err
 	}
 	if held.Token != token {
-		return outcome.New(outcome.NotOwner, "shard %s/%d changed hands", id.Service, id.Shard)
+		return 0, outcome.New(outcome.NotOwner, "shard %s/%d changed hands", fl.shard.Service, fl.shard.Shard)
 	}
-	e.running[id]++
-	return nil
+	return e.running.begin(fl), nil
 }
 
-func (e *executor) exit(id view.ShardID) {
+// exit ends a request and reports the shards for which it was the last one.
+func (e *executor) exit(number uint64) {
+	v := e.control.View()
+	var idle []control.Quiesce
 	e.mu.Lock()
-	e.running[id]--
-	q, draining := e.draining[id]
-	idle := e.running[id] == 0
-	if idle {
-		delete(e.running, id)
-		delete(e.draining, id)
+	e.running.end(number)
+	for id, q := range e.draining {
+		if !e.running.busy(id, v) {
+			delete(e.draining, id)
+			idle = append(idle, q)
+		}
 	}
 	e.mu.Unlock()
-	if idle && draining {
+	for _, q := range idle {
 		e.postQuiesced(q)
 	}
 }
@@ -175,11 +202,7 @@
 func (e *executor) Running() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	total := 0
-	for _, n := range e.running {
-		total += n
-	}
-	return total
+	return len(e.running.flights)
 }
 
 // BackendReported implements kernel.BackendObserver.
--- a/daemon/plugins/peer/releases.go
+++ b/daemon/plugins/peer/releases.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/control"
@@ -17,13 +16,11 @@
 type releases struct {
 	peers   kernel.Peers
 	control kernel.Control
-	mu      sync.Mutex
-	ticket  uint64
-	waiting map[uint64]chan *wire.ReleaseAnswer
+	tickets kernel.Tickets[*wire.ReleaseAnswer]
 }
 
 func newReleases(p kernel.Peers, c kernel.Control) *releases {
-	return &releases{peers: p, control: c, waiting: map[uint64]chan *wire.ReleaseAnswer{}}
+	return &releases{peers: p, control: c}
 }
 
 // HandleEffect implements kernel.EffectHandler.
@@ -32,7 +29,7 @@
 	case control.SendRelease:
 		go r.send(e)
 	case control.AnswerRelease:
-		r.answer(e)
+		r.tickets.Answer(e.Ticket, e.Answer)
 	}
 }
 
@@ -50,41 +47,18 @@
 	r.control.Post(answered)
 }
 
-func (r *releases) answer(e control.AnswerRelease) {
-	r.mu.Lock()
-	ch, ok := r.waiting[e.Ticket]
-	delete(r.waiting, e.Ticket)
-	r.mu.Unlock()
-	if ok {
-		ch <- e.Answer
-	}
-}
-
 // Handles implements kernel.FrameHandler.
 func (r *releases) Handles(frame *wire.Frame) bool { return frame.GetRelease() != nil }
 
 // HandleFrame implements kernel.FrameHandler.
 func (r *releases) HandleFrame(ctx context.Context, _ string, frame *wire.Frame) *wire.Frame {
-	ch := make(chan *wire.ReleaseAnswer, 1)
-	r.mu.Lock()
-	r.ticket++
-	ticket := r.ticket
-	r.waiting[ticket] = ch
-	r.mu.Unlock()
-	defer r.forget(ticket)
-	r.control.Post(control.ReleaseReceived{Msg: frame.GetRelease(), Ticket: ticket})
-	select {
-	case answer := <-ch:
-		return &wire.Frame{Body: &wire.Frame_ReleaseAnswer{ReleaseAnswer: answer}}
-	case <-ctx.Done():
+	answer, ok := r.tickets.Ask(ctx, func(ticket uint64) {
+		r.control.Post(control.ReleaseReceived{Msg: frame.GetRelease(), Ticket: ticket})
+	})
+	if !ok {
 		return nil
 	}
-}
-
-func (r *releases) forget(ticket uint64) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.waiting, ticket)
+	return &wire.Frame{Body: &wire.Frame_ReleaseAnswer{ReleaseAnswer: answer}}
 }
 
 var (
--- a/daemon/plugins/plugins.go
+++ b/daemon/plugins/plugins.go
@@ -3,6 +3,7 @@
 
 import (
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/admin"    // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/balance"  // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/entry"    // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/explain"  // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/keeper"   // register
