entry: strict targets and keys, retries by placement change, quarantine, metrics

A request that failed because its shard changes hands waits for the view, or an owner learned from an answer, to change; earlier tries cost a token of the service's budget. After a try that may have run no later failure claims 'not run'. Paths that a backend server could read differently are refused, and so is the caller key anywhere but in its one header. Callers are taken off before control and the peer server stop.

--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -174,7 +174,6 @@
 			func(c *Controller) Control { return c },
 			newMetrics,
 		),
-		fx.Invoke(startController),
 	)
 }
 
--- a/daemon/kernel/kernel.go
+++ b/daemon/kernel/kernel.go
@@ -13,9 +13,20 @@
 	"go.uber.org/fx"
 )
 
+// Stage orders the start of plug-ins: by stage, then by ID. They stop in the
+// opposite order.
+type Stage int
+
+// The stages. Callers are let in last and taken off first.
+const (
+	StageInner Stage = iota
+	StageEdge
+)
+
 // Plugin is a part of the daemon that registers itself.
 type Plugin struct {
 	ID     string // dotted, for example "sesamemoor.entry"
+	Stage  Stage
 	Module func() fx.Option
 }
 
@@ -43,11 +54,22 @@
 	return ids
 }
 
-// Modules returns the fx modules of all registered plug-ins.
+// Modules returns the fx modules of all registered plug-ins and of the control
+// goroutine. Control starts when the inner plug-ins can carry out its effects,
+// and outlives the callers' requests at the edge.
 func Modules() fx.Option {
+	options := stageModules(StageInner)
+	options = append(options, fx.Module("sesamemoor.control", fx.Invoke(startController)))
+	options = append(options, stageModules(StageEdge)...)
+	return fx.Options(options...)
+}
+
+func stageModules(stage Stage) []fx.Option {
 	var options []fx.Option
 	for _, id := range Plugins() {
-		options = append(options, fx.Module(id, plugins[id].Module()))
+		if plugins[id].Stage == stage {
+			options = append(options, fx.Module(id, plugins[id].Module()))
+		}
 	}
-	return fx.Options(options...)
+	return options
 }
--- a/daemon/plugins/entry/address.go
+++ b/daemon/plugins/entry/address.go
@@ -1,123 +1,109 @@
 package entry
 
 import (
+	"bytes"
 	"net/http"
+	"slices"
 	"strconv"
-	"strings"
+
+	"github.com/cespare/xxhash/v2"
 
 	"github.com/sesamemoor/sesamemoor/core/fleet"
-	"github.com/sesamemoor/sesamemoor/core/keyhash"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
-	"github.com/sesamemoor/sesamemoor/core/wire"
-	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
 // maxKeyBytes bounds the key of a request.
 const maxKeyBytes = 1024
 
-// hopHeaders are not passed on in either direction.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true, "Content-Length": true,
+// methods are those passed on. A closed list keeps secrets out of the method.
+var methods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut,
+	http.MethodPatch, http.MethodDelete, http.MethodOptions,
 }
 
-// secretHeaders carry the caller key and never leave the entry daemon.
-var secretHeaders = map[string]bool{"Authorization": true, "X-Api-Key": true}
-
-// authenticator finds the team behind a caller key.
-type authenticator struct {
-	control kernel.Control
-	secret  []byte
-}
-
-func (a *authenticator) authenticate(v *view.View, r *http.Request) (view.Caller, error) {
-	key := callerKey(r)
-	if key == "" {
-		return view.Caller{}, outcome.New(outcome.Unauthenticated, "no caller key")
-	}
-	caller, ok := v.Callers[keyhash.Sum(a.secret, key)]
-	if !ok {
-		return view.Caller{}, outcome.New(outcome.Unauthenticated, "caller key is not valid")
+// address fills in everything about the request but its owner.
+func (e *entry) address(v *view.View, w http.ResponseWriter, r *http.Request, x *exchange) error {
+	if !slices.Contains(methods, r.Method) {
+		return outcome.New(outcome.BadRequest, "method is not one of %v", methods)
 	}
-	return caller, nil
-}
-
-func callerKey(r *http.Request) string {
-	if key, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer "); ok {
-		return key
+	if err := checkTarget(r.URL); err != nil {
+		return err
 	}
-	return r.Header.Get("X-Api-Key")
-}
-
-// address fills in everything about the request but its owner.
-func (e *entry) address(v *view.View, r *http.Request, req *wire.Request) error {
 	route, ok := v.Config.MatchRoute(r.URL.Path)
 	if !ok {
-		return outcome.New(outcome.UnknownRoute, "%s", r.URL.Path)
+		return outcome.New(outcome.UnknownRoute, "no route for this path")
 	}
+	req := x.req
+	req.Service = route.Service
 	svc := v.Config.Services[route.Service]
-	if !mayUse(v.Config.Teams[req.Team], route.Service) {
-		return outcome.New(outcome.Forbidden, "team %s may not use %s", req.Team, route.Service)
-	}
-	source, err := fleet.ParseKeySource(route.Key)
-	if err != nil {
-		return outcome.New(outcome.BadRequest, "route: %v", err)
+	if !slices.Contains(v.Config.Teams[req.GetTeam()].Services, route.Service) {
+		return outcome.New(outcome.Forbidden, "team %s may not use %s", req.GetTeam(), route.Service)
 	}
-	key := source.Extract(route.Prefix, r.URL.Path, r.Header)
-	if key == "" || len(key) > maxKeyBytes {
-		return outcome.New(outcome.BadRequest, "no key of 1 to %d bytes at %s", maxKeyBytes, route.Key)
+	var err error
+	if req.Key, err = keyOf(route, r); err != nil {
+		return err
 	}
-	req.TimeoutMs, err = timeoutOf(r, svc)
-	if err != nil {
+	if req.TimeoutMs, err = timeoutOf(r.Header, svc); err != nil {
 		return err
 	}
-	req.Body, err = readBody(r, svc.BodyLimit())
-	if err != nil {
+	if req.Body, err = readBody(w, r, svc.BodyLimit()); err != nil {
 		return err
 	}
-	req.Service = route.Service
-	req.Key = key
 	req.Method = r.Method
 	req.Path = r.URL.RequestURI()
 	req.Idempotent = route.IsIdempotent(r.Method)
-	req.Headers = forwardHeaders(r.Header)
-	return nil
+	req.Headers = forwardHeaders(r.Header, x.key)
+	req.Fingerprint = fingerprint(x)
+	return checkSecret(x, r.URL)
 }
 
-func mayUse(t fleet.Team, service string) bool {
-	for _, s := range t.Services {
-		if s == service {
-			return true
-		}
+// keyOf returns the request's key from the place that its route names.
+func keyOf(route fleet.Route, r *http.Request) (string, error) {
+	source, err := fleet.ParseKeySource(route.Key)
+	if err != nil {
+		return "", outcome.New(outcome.BadRequest, "route: %v", err)
 	}
-	return false
+	if source.Header != "" && len(r.Header.Values(source.Header)) > 1 {
+		return "", outcome.New(outcome.BadRequest, "more than one %s", source.Header)
+	}
+	key := source.Extract(route.Prefix, r.URL.Path, r.Header)
+	if key == "" || len(key) > maxKeyBytes {
+		return "", outcome.New(outcome.BadRequest, "no key of 1 to %d bytes at %s", maxKeyBytes, route.Key)
+	}
+	return key, nil
 }
 
-func timeoutOf(r *http.Request, svc fleet.Service) (uint64, error) {
-	text := r.Header.Get(HeaderTimeout)
-	if text == "" {
+// timeoutOf returns the time that the caller gives the request, in milliseconds.
+func timeoutOf(h http.Header, svc fleet.Service) (uint64, error) {
+	values := h.Values(HeaderTimeout)
+	if len(values) == 0 {
 		if svc.DefaultTimeoutMS > 0 {
 			return uint64(svc.DefaultTimeoutMS), nil
 		}
 		return fleet.DefaultTimeoutMS, nil
 	}
-	ms, err := strconv.ParseUint(text, 10, 32)
-	if err != nil || ms == 0 {
-		return 0, outcome.New(outcome.BadRequest, "%s: %q is not a positive number", HeaderTimeout, text)
+	ms, err := strconv.ParseUint(values[0], 10, 32)
+	if len(values) > 1 || err != nil || ms == 0 || ms > maxTimeoutMS {
+		return 0, outcome.New(outcome.BadRequest, "%s is not one number from 1 to %d", HeaderTimeout, maxTimeoutMS)
 	}
 	return ms, nil
 }
 
-func forwardHeaders(h http.Header) []*wire.Header {
-	var list []*wire.Header
-	for name, values := range h {
-		if hopHeaders[name] || secretHeaders[name] || strings.HasPrefix(name, "X-Sesamemoor-") {
-			continue
-		}
-		for _, value := range values {
-			list = append(list, &wire.Header{Name: name, Value: value})
-		}
+// maxTimeoutMS bounds the time that a caller gives a request.
+const maxTimeoutMS = 600_000
+
+// fingerprint tells requests apart that could crash a backend server. It is
+// never 0.
+func fingerprint(x *exchange) uint64 {
+	h := xxhash.New()
+	for _, part := range []string{x.req.GetTeam(), x.req.GetService(), x.req.GetMethod(), x.req.GetPath(), x.req.GetKey()} {
+		_, _ = h.WriteString(part)
+		_, _ = h.Write([]byte{0})
 	}
-	return list
+	_, _ = h.Write(x.req.GetBody())
+	return max(1, h.Sum64())
 }
+
+// containsSecret reports whether text holds the caller key.
+func containsSecret(text []byte, key string) bool { return bytes.Contains(text, []byte(key)) }
--- /dev/null
+++ b/daemon/plugins/entry/answer.go
@@ -0,0 +1,167 @@
+package entry
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// Refusal is the body of an answer that is not the backend server's.
+type Refusal struct {
+	Outcome   string `json:"outcome"`
+	Ran       string `json:"ran"`
+	Detail    string `json:"detail"`
+	RequestID string `json:"request_id"`
+}
+
+// retryAfter is the advice in seconds to callers that may send again.
+const retryAfter = "1"
+
+func refusal(err error) *wire.Response {
+	kind := outcome.Of(err)
+	detail := ""
+	var e *outcome.Err
+	if errors.As(err, &e) {
+		detail = e.Detail
+	}
+	return &wire.Response{Kind: uint32(kind), Status: uint32(kind.Answer().Status), Detail: detail}
+}
+
+// writeAnswer sends the owner's answer, or the refusal of its kind, whole.
+// While the daemon leaves, it asks the caller to use another connection.
+func writeAnswer(w http.ResponseWriter, r *http.Request, req *wire.Request, resp *wire.Response, leaving bool) {
+	kind := outcome.Kind(resp.GetKind())
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	h := w.Header()
+	if leaving {
+		h.Set("Connection", "close")
+	}
+	if kind == outcome.OK {
+		answerHeaders(h, r.Method, resp)
+	}
+	h.Set(HeaderRequestID, req.GetRequestId())
+	h.Set(HeaderOutcome, kind.String())
+	h.Set(HeaderRan, kind.Answer().Ran.String())
+	if kind == outcome.OK {
+		w.WriteHeader(int(resp.GetStatus()))
+		_, _ = w.Write(resp.GetBody())
+		return
+	}
+	writeRefusal(w, kind, resp, req)
+}
+
+// answerHeaders copies the backend server's headers. The length is that of the
+// body that follows; only an answer to HEAD keeps the one it came with.
+func answerHeaders(h http.Header, method string, resp *wire.Response) {
+	dropped := connectionHeaders(resp.GetHeaders())
+	for _, field := range resp.GetHeaders() {
+		name := http.CanonicalHeaderKey(field.GetName())
+		if hopHeaders[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
+			continue
+		}
+		h.Add(name, field.GetValue())
+	}
+	status := int(resp.GetStatus())
+	switch {
+	case status == http.StatusNoContent || status == http.StatusNotModified:
+	case method == http.MethodHead:
+		if length := headerValue(resp.GetHeaders(), "Content-Length"); length != "" {
+			h.Set("Content-Length", length)
+		}
+	default:
+		h.Set("Content-Length", strconv.Itoa(len(resp.GetBody())))
+	}
+}
+
+func headerValue(fields []*wire.Header, name string) string {
+	for _, f := range fields {
+		if http.CanonicalHeaderKey(f.GetName()) == name {
+			return f.GetValue()
+		}
+	}
+	return ""
+}
+
+// connectionHeaders returns the headers that a Connection header names.
+func connectionHeaders(fields []*wire.Header) map[string]bool {
+	var named map[string]bool
+	for _, f := range fields {
+		if http.CanonicalHeaderKey(f.GetName()) == "Connection" {
+			named = addTokens(named, f.GetValue())
+		}
+	}
+	return named
+}
+
+func addTokens(set map[string]bool, list string) map[string]bool {
+	if set == nil {
+		set = map[string]bool{}
+	}
+	for token := range strings.SplitSeq(list, ",") {
+		set[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
+	}
+	return set
+}
+
+func writeRefusal(w http.ResponseWriter, kind outcome.Kind, resp *wire.Response, req *wire.Request) {
+	answer := kind.Answer()
+	body, err := json.Marshal(Refusal{
+		Outcome: kind.String(), Ran: answer.Ran.String(), Detail: resp.GetDetail(), RequestID: req.GetRequestId(),
+	})
+	if err != nil {
+		body = []byte("{}")
+	}
+	if answer.RetrySafe {
+		w.Header().Set("Retry-After", retryAfter)
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
+	w.WriteHeader(answer.Status)
+	_, _ = w.Write(append(body, '\n'))
+}
+
+// logRequest writes the line of the routing decision.
+func (e *entry) logRequest(x *exchange, resp *wire.Response, took time.Duration) {
+	kind := outcome.Kind(resp.GetKind())
+	answer := kind.Answer()
+	level := zap.InfoLevel
+	switch answer.Level {
+	case outcome.Warn:
+		level = zap.WarnLevel
+	case outcome.Error:
+		level = zap.ErrorLevel
+	}
+	line := e.log.Check(level, "request")
+	if line == nil {
+		return
+	}
+	owner := ""
+	if x.target != nil {
+		owner = x.target.Slot
+	}
+	generation := resp.GetGeneration()
+	if generation == 0 {
+		generation = x.req.GetGeneration()
+	}
+	line.Write(
+		zap.String("request_id", x.req.GetRequestId()),
+		zap.String("team", x.req.GetTeam()),
+		zap.String("service", x.req.GetService()),
+		zap.Uint32("shard", x.req.GetShard()),
+		zap.Uint64("generation", generation),
+		zap.String("owner", owner),
+		zap.String("reason", resp.GetDetail()),
+		zap.Stringer("outcome", kind),
+		zap.Stringer("ran", answer.Ran),
+		zap.Uint32("attempts", x.req.GetAttempt()),
+		zap.Float64("ms", float64(took.Microseconds())/1000),
+	)
+}
--- /dev/null
+++ b/daemon/plugins/entry/instruments.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/metric"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+// instruments are the metrics of the callers' side.
+type instruments struct {
+	requests    metric.Int64Counter
+	latency     metric.Float64Histogram
+	attempts    metric.Int64Counter
+	retries     metric.Int64Counter
+	quarantines metric.Int64Counter
+}
+
+// latencyBounds are the bucket bounds of the latency histogram in seconds.
+var latencyBounds = []float64{.0005, .001, .002, .005, .01, .02, .05, .1, .2, .5, 1, 2, 5}
+
+func newInstruments(m *kernel.Metrics) (*instruments, error) {
+	i := new(instruments)
+	var errs [5]error
+	i.requests, errs[0] = m.Int64Counter("sesamemoor_requests",
+		metric.WithDescription("answered requests by service and outcome kind"))
+	i.latency, errs[1] = m.Float64Histogram("sesamemoor_request_seconds", metric.WithUnit("s"),
+		metric.WithDescription("time from the request's header to its answer"),
+		metric.WithExplicitBucketBoundaries(latencyBounds...))
+	i.attempts, errs[2] = m.Int64Counter("sesamemoor_request_attempts",
+		metric.WithDescription("tries of requests at owners"))
+	i.retries, errs[3] = m.Int64Counter("sesamemoor_request_retries",
+		metric.WithDescription("tries after the first"))
+	i.quarantines, errs[4] = m.Int64Counter("sesamemoor_requests_quarantined",
+		metric.WithDescription("requests refused because they crashed backend servers"))
+	return i, errors.Join(errs[:]...)
+}
+
+func service(req *wire.Request) attribute.KeyValue {
+	return attribute.String("service", req.GetService())
+}
+
+func (i *instruments) request(req *wire.Request, kind outcome.Kind, took time.Duration) {
+	ctx := context.Background()
+	byKind := metric.WithAttributeSet(attribute.NewSet(service(req), attribute.String("kind", kind.String())))
+	byService := metric.WithAttributeSet(attribute.NewSet(service(req)))
+	i.requests.Add(ctx, 1, byKind)
+	i.latency.Record(ctx, took.Seconds(), byService)
+	i.attempts.Add(ctx, int64(req.GetAttempt()), byService)
+}
+
+func (i *instruments) retry(req *wire.Request) {
+	i.retries.Add(context.Background(), 1, metric.WithAttributes(service(req)))
+}
+
+func (i *instruments) quarantined(req *wire.Request) {
+	i.quarantines.Add(context.Background(), 1, metric.WithAttributes(service(req)))
+}
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -2,85 +2,262 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/retry"
+	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
-// retryPause is the time between tries while a shard changes hands.
-const retryPause = 20 * time.Millisecond
+const (
+	// naivePause is the time between tries of the naive policy.
+	naivePause = 20 * time.Millisecond
+	// minTry is the least time left for a try.
+	minTry = time.Millisecond
+)
 
 // router passes requests to the owners of their keys.
 type router struct {
-	control kernel.Control
-	peers   kernel.Peers
-	local   kernel.Executor
+	control   kernel.Control
+	peers     kernel.Peers
+	local     kernel.Executor
+	clock     clock.Clock
+	metrics   *instruments
+	naive     bool
+	changes   *changes
+	learned   *learnedOwners
+	suspicion *suspicionLimit
+
+	mu      sync.Mutex
+	budgets map[string]*retry.Budget // by service
+}
+
+func newRouter(set settings.Daemon, c kernel.Control, p kernel.Peers, x kernel.Executor, clk clock.Clock, m *instruments) *router {
+	return &router{
+		control: c, peers: p, local: x, clock: clk, metrics: m,
+		naive:     set.Policy.Retries == "naive",
+		changes:   newChanges(c),
+		learned:   newLearnedOwners(),
+		suspicion: newSuspicionLimit(clk),
+		budgets:   map[string]*retry.Budget{},
+	}
+}
+
+// placement is what a try relied on.
+type placement struct {
+	owner, standby uint64 // incarnations
+	generation     uint64
+}
+
+// attempts is the state of the tries of one request.
+type attempts struct {
+	placed    placement
+	alternate bool   // the next try goes to the other of owner and standby
+	hint      uint64 // incarnation that the last answer named as owner
+	mayRun    error  // the first failure after which the request may have run
 }
 
-// route tries owner and standby in turn until one runs the request, it may
-// have run, or the deadline passes. A request that is not idempotent is tried
-// again only if the try before it provably did not run.
-func (t *router) route(ctx context.Context, req *wire.Request) (*wire.Response, error) {
+// route tries the request until it is answered, must not be tried again, or
+// its deadline passes. A failure that says "not run" holds for all tries.
+func (t *router) route(ctx context.Context, x *exchange) (*wire.Response, error) {
+	budget := t.budget(x.req.GetService())
+	budget.Earn(t.clock.Now())
+	var a attempts
 	for {
-		resp, err := t.try(ctx, req)
+		x.req.Attempt++
+		resp, err := t.try(ctx, x, &a)
 		if err == nil {
 			return resp, nil
 		}
 		kind := outcome.Of(err)
-		if !kind.Answer().Reroutable && !(req.Idempotent && kind == outcome.ConnectionLost) {
-			return nil, err
+		if a.mayRun == nil && kind.Answer().Ran != outcome.NotRun {
+			a.mayRun = err
 		}
-		select {
-		case <-ctx.Done():
-			return nil, err
-		case <-time.After(retryPause):
+		verdict := retry.Decide(kind, x.req.GetIdempotent())
+		if verdict == retry.Stop || !t.pause(ctx, x, &a, verdict, budget) {
+			return resp, a.worst(err)
 		}
-		req.Attempt++
+		t.metrics.retry(x.req)
 	}
 }
 
-// try sends the request to one daemon: the owner on odd attempts, the standby,
-// which may have taken over, on even ones.
-func (t *router) try(ctx context.Context, req *wire.Request) (*wire.Response, error) {
-	v := t.control.View()
-	id, shard, ok := v.Lookup(req.GetService(), req.GetKey())
+// worst returns err unless it claims that the request did not run although an
+// earlier try may have run it.
+func (a *attempts) worst(err error) error {
+	if a.mayRun != nil && outcome.Of(err).Answer().Ran == outcome.NotRun {
+		return a.mayRun
+	}
+	return err
+}
+
+func (t *router) budget(service string) *retry.Budget {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.budgets[service]
 	if !ok {
-		return nil, outcome.New(outcome.NoOwner, "service %s has no placement", req.GetService())
+		b = retry.NewBudget(t.clock.Now())
+		t.budgets[service] = b
+	}
+	return b
+}
+
+// pause waits until the request may be tried again: at once after a change of
+// placement if it did not run, otherwise with a token of the budget after the
+// backoff. It returns false if the deadline passes first.
+func (t *router) pause(ctx context.Context, x *exchange, a *attempts, verdict retry.Verdict, budget *retry.Budget) bool {
+	if t.naive {
+		return sleep(ctx, naivePause)
+	}
+	for waits := int(x.req.GetAttempt()); ; waits++ {
+		timer := time.NewTimer(retry.Backoff(waits))
+		due := false
+		for !due {
+			changed, done := t.changes.wait()
+			if verdict == retry.Await && t.placementOf(x) != a.placed {
+				done()
+				timer.Stop()
+				a.alternate = false
+				return true
+			}
+			select {
+			case <-ctx.Done():
+				done()
+				timer.Stop()
+				return false
+			case <-changed:
+			case <-timer.C:
+				due = true
+			}
+			done()
+		}
+		if budget.Take(t.clock.Now()) {
+			a.alternate = !a.alternate
+			return true
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// lookup returns the request's shard with what was learned beyond the view.
+func (t *router) lookup(v *view.View, x *exchange) (view.ShardID, view.Shard, error) {
+	id, shard, ok := v.Lookup(x.req.GetService(), x.req.GetKey())
+	if !ok {
+		return id, shard, outcome.New(outcome.NoOwner, "service %s has no placement", x.req.GetService())
+	}
+	return id, t.learned.apply(id, shard), nil
+}
+
+func placementFrom(shard view.Shard) placement {
+	p := placement{generation: shard.Generation}
+	if shard.Owner != nil {
+		p.owner = shard.Owner.Incarnation
+	}
+	if shard.Standby != nil {
+		p.standby = shard.Standby.Incarnation
+	}
+	return p
+}
+
+func (t *router) placementOf(x *exchange) placement {
+	_, shard, _ := t.lookup(t.control.View(), x)
+	return placementFrom(shard)
+}
+
+// target returns the daemon for the next try: the owner, or the standby if it
+// was named as owner or the owner failed and nothing newer is known.
+func (a *attempts) target(shard view.Shard) *view.Member {
+	if shard.Standby == nil {
+		return shard.Owner
 	}
-	target := shard.Owner
-	if req.GetAttempt()%2 == 0 && shard.Standby != nil {
-		target = shard.Standby
+	if a.alternate || a.hint == shard.Standby.Incarnation {
+		return shard.Standby
+	}
+	return shard.Owner
+}
+
+// try sends the request to one daemon. It returns the answer also with an
+// error of the answer's kind.
+func (t *router) try(ctx context.Context, x *exchange, a *attempts) (*wire.Response, error) {
+	v := t.control.View()
+	id, shard, err := t.lookup(v, x)
+	a.placed = placementFrom(shard)
+	if err != nil {
+		return nil, err
 	}
+	x.req.Shard = id.Shard
+	x.req.Generation = shard.Generation
+	target := a.target(shard)
 	if target == nil {
 		return nil, outcome.New(outcome.NoOwner, "shard %s/%d", id.Service, id.Shard)
 	}
-	req.Shard = id.Shard
-	req.Generation = shard.Generation
-	deadline, _ := ctx.Deadline()
-	left := time.Until(deadline)
-	if left < time.Millisecond {
-		return nil, outcome.New(outcome.DeadlineNotRun, "deadline passed")
+	x.target = target
+	if allowed := v.Config.Teams[x.req.GetTeam()].DataCentres; len(allowed) > 0 && !slices.Contains(allowed, target.DataCentre) {
+		return nil, outcome.New(outcome.Forbidden, "team %s may not use data centre %s", x.req.GetTeam(), target.DataCentre)
 	}
-	req.TimeoutMs = uint64(left.Milliseconds())
-	resp, err := t.send(ctx, v, target, req)
+	if err := setTimeLeft(ctx, x.req); err != nil {
+		return nil, err
+	}
+	resp, err := t.send(ctx, v, target, x.req)
 	if err != nil {
-		t.control.Post(control.Suspicion{Incarnation: target.Incarnation})
+		t.suspect(target, outcome.Of(err))
 		return nil, err
 	}
-	kind := outcome.Kind(resp.GetKind())
-	if kind == outcome.OK && int(resp.GetBodyLength()) != len(resp.GetBody()) {
-		return nil, outcome.New(outcome.AnswerCut, "answer of %d bytes instead of %d", len(resp.GetBody()), resp.GetBodyLength())
+	a.hint = resp.GetOwnerHint()
+	if err := checkAnswer(resp); err != nil {
+		return resp, err
 	}
-	if kind != outcome.OK {
-		return nil, outcome.New(kind, "%s", resp.GetDetail())
+	if resp.GetGeneration() > shard.Generation {
+		t.learned.note(id, resp.GetGeneration(), target)
+		t.changes.notify()
 	}
 	return resp, nil
 }
 
+func setTimeLeft(ctx context.Context, req *wire.Request) error {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return nil
+	}
+	left := time.Until(deadline)
+	if left < minTry {
+		return outcome.New(outcome.DeadlineNotRun, "deadline passed")
+	}
+	req.TimeoutMs = uint64(left.Milliseconds())
+	return nil
+}
+
+// checkAnswer returns the error of an answer that is not whole, not valid or
+// not a success.
+func checkAnswer(resp *wire.Response) error {
+	kind := outcome.Kind(resp.GetKind())
+	switch {
+	case kind != outcome.OK:
+		return outcome.New(kind, "%s", resp.GetDetail())
+	case int(resp.GetBodyLength()) != len(resp.GetBody()):
+		return outcome.New(outcome.AnswerCut, "answer of %d bytes instead of %d", len(resp.GetBody()), resp.GetBodyLength())
+	case resp.GetStatus() < 200 || resp.GetStatus() > 599:
+		return outcome.New(outcome.BackendError, "status %d", resp.GetStatus())
+	}
+	return nil
+}
+
 func (t *router) send(ctx context.Context, v *view.View, target *view.Member, req *wire.Request) (*wire.Response, error) {
 	if target.Incarnation == v.Incarnation {
 		return t.local.Execute(ctx, req), nil
@@ -94,3 +271,11 @@
 	}
 	return answer.GetResponse(), nil
 }
+
+// suspect tells the control state about a daemon that does not answer.
+func (t *router) suspect(target *view.Member, kind outcome.Kind) {
+	lost := kind == outcome.OwnerUnreachable || kind == outcome.ConnectionLost || kind == outcome.DeadlineMaybeRan
+	if lost && t.suspicion.allow(target.Incarnation) {
+		t.control.Post(control.Suspicion{Incarnation: target.Incarnation})
+	}
+}
--- /dev/null
+++ b/daemon/plugins/entry/serve.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/gin-gonic/gin"
+	"github.com/google/uuid"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// exchange is one request of a caller on its way through this daemon.
+type exchange struct {
+	req    *wire.Request
+	key    string       // the caller key; never leaves this daemon
+	target *view.Member // the daemon tried last, or nil
+}
+
+func (e *entry) serve(c *gin.Context) {
+	started := time.Now()
+	x := &exchange{req: &wire.Request{RequestId: uuid.NewString()}}
+	resp, err := e.process(c.Writer, c.Request, x)
+	if err != nil {
+		resp = refusal(err)
+	}
+	took := time.Since(started)
+	e.logRequest(x, resp, took)
+	e.metrics.request(x.req, outcome.Kind(resp.GetKind()), took)
+	writeAnswer(c.Writer, c.Request, x.req, resp, e.ctrl.View().Leaving)
+}
+
+// process takes a request from the caller's bytes to the owner's answer.
+func (e *entry) process(w http.ResponseWriter, r *http.Request, x *exchange) (*wire.Response, error) {
+	if err := x.takeID(r.Header); err != nil {
+		return nil, err
+	}
+	v := e.ctrl.View()
+	team, err := e.auth.authenticate(v, r.Header, x)
+	if err != nil {
+		return nil, err
+	}
+	x.req.Team = team
+	if err := e.gate.enter(team); err != nil {
+		return nil, err
+	}
+	defer e.gate.leave(team)
+	if err := e.address(v, w, r, x); err != nil {
+		return nil, err
+	}
+	return e.run(r.Context(), x)
+}
+
+// run passes an addressed request on within its timeout.
+func (e *entry) run(ctx context.Context, x *exchange) (*wire.Response, error) {
+	if e.suspects.table.Refuses(x.req.GetFingerprint(), e.clock.Now()) {
+		e.metrics.quarantined(x.req)
+		return nil, outcome.New(outcome.Quarantined, "this request crashed backend servers")
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(x.req.GetTimeoutMs())*time.Millisecond)
+	defer cancel()
+	if err := e.limits.Take(ctx, x.req.GetTeam()); err != nil {
+		return nil, err
+	}
+	resp, err := e.router.route(ctx, x)
+	e.suspects.observe(x, resp, err)
+	return resp, err
+}
+
+// readBody reads the whole body within the service's limit.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.ContentLength > limit {
+		return nil, outcome.New(outcome.BodyTooLarge, "body of %d bytes exceeds %d", r.ContentLength, limit)
+	}
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	ctl := http.NewResponseController(w)
+	_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
+	if err != nil {
+		return nil, outcome.New(outcome.BadRequest, "body: %v", err)
+	}
+	if int64(len(body)) > limit {
+		return nil, outcome.New(outcome.BodyTooLarge, "body exceeds %d bytes", limit)
+	}
+	_ = ctl.SetReadDeadline(time.Time{})
+	return body, nil
+}
