--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"go.uber.org/fx"
 
@@ -45,22 +46,43 @@
 	Execute(ctx context.Context, req *wire.Request) *wire.Response
 }
 
+// BackendReport is an announcement of the backend server beside this daemon.
+type BackendReport struct {
+	Name        string
+	Service     string
+	Addr        string
+	BootID      string // changes with each start of the server's process
+	Slots       uint32
+	Connections uint32 // that the server accepts; 0 if not stated
+	ChecksFence bool
+	Cold        bool
+}
+
+// BackendObserver takes in announcements before the control state does.
+type BackendObserver interface {
+	BackendReported(r BackendReport)
+	// Running returns the number of requests that run on the server.
+	Running() int
+}
+
 // Limiter grants a team's requests within its fleet-wide rate.
 type Limiter interface {
 	// Take takes one token of the team's bucket. The error is an *outcome.Err.
 	Take(ctx context.Context, team string) error
 }
 
-// Explainer keeps recent decisions for operators.
-type Explainer interface {
-	// Explain returns the recent log lines that mention the request id.
-	Explain(requestID string) []string
+// AdminRoute is a handler that a plug-in adds to the admin server.
+type AdminRoute struct {
+	Method  string
+	Path    string
+	Handler http.Handler
 }
 
 // Fx groups to which plug-ins contribute.
 const (
 	effectGroup = `group:"effects"`
 	frameGroup  = `group:"frames"`
+	routeGroup  = `group:"admin_routes"`
 )
 
 // AsEffectHandler annotates a constructor of an EffectHandler.
@@ -84,3 +106,14 @@
 	fx.In
 	Handlers []FrameHandler `group:"frames"`
 }
+
+// AsAdminRoute annotates a constructor of an AdminRoute.
+func AsAdminRoute(constructor any) any {
+	return fx.Annotate(constructor, fx.ResultTags(routeGroup))
+}
+
+// AdminRoutes receives the group of admin routes.
+type AdminRoutes struct {
+	fx.In
+	Routes []AdminRoute `group:"admin_routes"`
+}
