--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -15,12 +15,16 @@
 
 const (
 	// beatInterval is the period in which links with waiting calls are checked.
-	beatInterval = 200 * time.Millisecond
-	// pingMisses and silentMisses are numbers of successive checks without a
-	// byte from the peer after which it is pinged and given up. Checks are
-	// counted, not time, so that a pause of this process condemns no peer.
+	beatInterval = 100 * time.Millisecond
+	// pingMisses, doubtMisses and silentMisses are numbers of successive checks
+	// without a byte from the peer after which it is pinged, the other sessions
+	// are pinged, and it is given up. Checks are counted, not time, so that a
+	// pause of this process condemns no peer.
 	pingMisses   = 1
-	silentMisses = 4
+	doubtMisses  = 3
+	silentMisses = 6
+	// probeTimeout bounds the ping that tests a session without calls.
+	probeTimeout = 2 * time.Second
 	// quietLimit is the time without bytes from the peer after which a request
 	// that must not run twice is sent only once the peer answered a ping.
 	quietLimit = 400 * time.Millisecond
@@ -208,9 +212,10 @@
 	return l.clock.Now().Sub(clock.Instant(l.lastHeard.Load())) > quietLimit
 }
 
-// confirm pings the peer, reports whether it answered, and reads its clock.
-func (l *clientLink) confirm(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+// confirm pings the peer, reports whether it answered within the timeout, and
+// reads its clock.
+func (l *clientLink) confirm(ctx context.Context, timeout time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent := l.clock.Now()
 	answer, err := l.call(ctx, &wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{}}})
@@ -230,20 +235,38 @@
 	return peerUs*int64(time.Microsecond) - int64(now)
 }
 
-// beat checks a link once and reports whether the peer fell silent. It is
-// called every beatInterval by one goroutine.
-func (l *clientLink) beat() (silent bool) {
+// health is what a check says about a link.
+type health uint8
+
+const (
+	healthy health = iota
+	doubtful
+	silent
+)
+
+// beat checks a link once. It is called every beatInterval by one goroutine.
+func (l *clientLink) beat() health {
 	heard := l.heard.Load()
 	if l.waits() == 0 || heard != l.seen {
 		l.seen = heard
 		l.misses = 0
-		return false
+		return healthy
 	}
 	l.misses++
-	if l.misses == pingMisses {
-		if data, err := encode(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{}}}); err == nil {
-			l.offer(outFrame{data: data})
-		}
+	switch {
+	case l.misses == pingMisses:
+		l.ping()
+	case l.misses == doubtMisses:
+		return doubtful
+	case l.misses >= silentMisses:
+		return silent
+	}
+	return healthy
+}
+
+// ping asks the peer for a sign of life.
+func (l *clientLink) ping() {
+	if data, err := encode(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{}}}); err == nil {
+		l.offer(outFrame{data: data})
 	}
-	return l.misses >= silentMisses
 }
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -109,7 +109,7 @@
 	s.touch()
 	l := s.link(frame)
 	req := frame.GetRequest()
-	if req != nil && !req.GetIdempotent() && l.quiet() && !l.confirm(ctx) {
+	if req != nil && !req.GetIdempotent() && l.quiet() && !l.confirm(ctx, confirmTimeout) {
 		n.drop(s, "no answer to a ping")
 		return nil, errNotSent
 	}
@@ -207,18 +207,29 @@
 	}
 }
 
-// beat closes sessions that fell silent or idle and forgets dead addresses.
+// beat closes sessions that fell silent or idle. What makes one session silent
+// may have hit the others too, so a doubtful one has them probed.
 func (n *network) beat() {
 	now := n.clock.Now()
-	for addr, s := range n.sessions(now) {
+	live := n.sessions(now)
+	worst := healthy
+	for addr, s := range live {
+		state := s.beat()
+		worst = max(worst, state)
 		switch {
-		case s.beat():
+		case state == silent:
 			n.metrics.silent()
 			n.drop(s, "peer "+addr+" fell silent")
 		case s.idle(now):
 			s.close()
 		}
 	}
+	if worst == healthy {
+		return
+	}
+	for _, s := range live {
+		s.probe()
+	}
 }
 
 // sessions returns the live sessions and forgets addresses without one whose
--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -246,6 +246,31 @@
 	is.Equal(runs.Load(), int64(2))
 }
 
+// One silent session has the others tested: they are gone before they are used.
+func TestSilentSessionHasOthersProbed(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	n := startTestNetwork(t, clock.Boot{})
+	var proxies []*proxy
+	for range 3 {
+		s, _ := startTestServer(t, echo(&runs))
+		p := startProxy(t, s.listener.Addr().String())
+		_, err := n.Call(within(t, lossBound), p.addr(), request("a", true))
+		is.NoErr(err)
+		proxies = append(proxies, p)
+	}
+	for _, p := range proxies {
+		p.each(func(c *proxied) { c.swallow.Store(true) })
+	}
+	_, err := n.Call(within(t, 10*time.Second), proxies[0].addr(), request("b", true))
+	is.Equal(outcome.Of(err), outcome.ConnectionLost)
+	deadline := time.Now().Add(lossBound)
+	for len(n.sessions(n.clock.Now())) > 0 {
+		is.True(time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func TestQuietLinkIsConfirmedBeforeOneTimeRequest(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int64
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -20,6 +20,7 @@
 	traffic  *clientLink // callers' requests
 	control  *clientLink // everything else
 	lastUsed atomic.Int64
+	probing  atomic.Bool
 	clock    clock.Clock
 }
 
@@ -120,12 +121,21 @@
 	return now.Sub(clock.Instant(s.lastUsed.Load())) > idleTimeout && s.traffic.waits()+s.control.waits() == 0
 }
 
-// beat checks both links once and reports whether the peer fell silent.
-func (s *session) beat() bool {
-	traffic := s.traffic.beat()
-	control := s.control.beat()
+// beat checks both links once and returns the worse of them.
+func (s *session) beat() health {
 	s.syncClock()
-	return traffic || control
+	return max(s.traffic.beat(), s.control.beat())
+}
+
+// probe pings the peer, so that beat notices if it is silent.
+func (s *session) probe() {
+	if !s.probing.CompareAndSwap(false, true) {
+		return
+	}
+	go func() {
+		defer s.probing.Store(false)
+		s.control.confirm(context.Background(), probeTimeout)
+	}()
 }
 
 // syncClock reads the peer's clock again while the session is in use.
@@ -136,6 +146,6 @@
 			continue
 		}
 		l.lastSync = now
-		go l.confirm(context.Background())
+		go l.confirm(context.Background(), probeTimeout)
 	}
 }
