--- a/ctl/cmd/sesamemoorctl/inspect.go
+++ b/ctl/cmd/sesamemoorctl/inspect.go
@@ -140,23 +140,37 @@
 }
 
 func printExplanations(w *tabwriter.Writer, answers []operator.Explanation) {
-	var lines []string
+	printRoutes(w, answers)
+	lines := []explainedLine{}
 	for _, a := range answers {
-		switch {
-		case a.Error != "":
+		if a.Error != "" {
 			fmt.Fprintf(w, "%s: no answer: %s\n", a.Admin, a.Error)
-		case a.Shard != nil:
-			s := a.Shard
-			fmt.Fprintf(w, "%s sees %s/%d: generation %d, owner %s (%s), standby %s, config %d\n",
-				a.Slot, s.Service, s.Shard, s.Generation, orNone(s.Owner), orNone(s.OwnerServer), orNone(s.Standby), s.ConfigVersion)
 		}
-		for _, line := range a.Lines {
-			lines = append(lines, string(line))
+		for _, text := range a.Lines {
+			lines = append(lines, explainedLine{slot: a.Slot, text: string(text), time: lineTime(text)})
 		}
 	}
-	slices.SortStableFunc(lines, func(a, b string) int { return strings.Compare(lineTime(a), lineTime(b)) })
+	slices.SortStableFunc(lines, func(a, b explainedLine) int { return strings.Compare(a.time, b.time) })
 	for _, line := range lines {
-		fmt.Fprintln(w, line)
+		fmt.Fprintf(w, "%s: %s\n", line.slot, line.text)
+	}
+}
+
+// explainedLine is a log line with its daemon.
+type explainedLine struct{ slot, text, time string }
+
+// printRoutes prints each route of the key with the daemons that see it.
+func printRoutes(w *tabwriter.Writer, answers []operator.Explanation) {
+	seenBy := map[operator.ShardRoute][]string{}
+	for _, a := range answers {
+		if a.Shard != nil {
+			seenBy[*a.Shard] = append(seenBy[*a.Shard], a.Slot)
+		}
+	}
+	for s, slots := range seenBy {
+		fmt.Fprintf(w, "%s/%d: generation %d, owner %s (%s), standby %s, configuration %d, seen by %s\n",
+			s.Service, s.Shard, s.Generation, orNone(s.Owner), orNone(s.OwnerServer), orNone(s.Standby),
+			s.ConfigVersion, strings.Join(slots, " "))
 	}
 }
 
@@ -168,11 +182,11 @@
 }
 
 // lineTime returns the time of a log line, which sorts as text.
-func lineTime(line string) string {
+func lineTime(line json.RawMessage) string {
 	var head struct {
 		Time string `json:"ts"`
 	}
-	_ = json.Unmarshal([]byte(line), &head) // a line without time sorts first
+	_ = json.Unmarshal(line, &head) // a line without time sorts first
 	return head.Time
 }
 
--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -5,14 +5,18 @@
 import (
 	"bytes"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 )
 
-// Messages of the log lines that are decisions.
-var messages = map[string]bool{"request": true, "run": true, "placement": true, "limit": true}
+// A log line is a decision if it has this message or this field.
+const (
+	placementMessage = "placement"
+	requestField     = "request_id"
+)
 
 // line is a log line that is encoded only when somebody asks for it.
 type line struct {
@@ -58,13 +62,13 @@
 
 // Request returns the lines about a request id as JSON, oldest first.
 func (r *Ring) Request(id string) []json.RawMessage {
-	return r.find(func(l line) bool { return l.text("request_id") == id })
+	return r.find(func(l line) bool { return l.text(requestField) == id })
 }
 
 // Shard returns the placement lines about a shard as JSON, oldest first.
 func (r *Ring) Shard(service string, shard uint32) []json.RawMessage {
 	return r.find(func(l line) bool {
-		return l.entry.Message == "placement" && l.text("service") == service && l.number("shard") == int64(shard)
+		return l.entry.Message == placementMessage && l.text("service") == service && l.number("shard") == int64(shard)
 	})
 }
 
@@ -119,7 +123,7 @@
 
 // Check implements zapcore.Core.
 func (c *ringCore) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
-	if !messages[entry.Message] || !c.Enabled(entry.Level) {
+	if !c.Enabled(entry.Level) {
 		return checked
 	}
 	return checked.AddCore(entry, c)
@@ -127,11 +131,18 @@
 
 // Write implements zapcore.Core.
 func (c *ringCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	if entry.Message != placementMessage && !hasRequest(fields) {
+		return nil
+	}
 	kept := make([]zapcore.Field, 0, len(c.context)+len(fields))
 	kept = append(append(kept, c.context...), fields...)
 	c.ring.add(line{entry, kept})
 	return nil
 }
 
+func hasRequest(fields []zapcore.Field) bool {
+	return slices.ContainsFunc(fields, func(f zapcore.Field) bool { return f.Key == requestField })
+}
+
 // Sync implements zapcore.Core.
 func (c *ringCore) Sync() error { return nil }
