--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -79,6 +79,10 @@
 	ctx, cancel := deadline(c.Request)
 	defer cancel()
 	s.thaw(ctx)
+	if ctx.Err() != nil {
+		refuse(c, "shed") // too late to start
+		return
+	}
 	if !s.fence(c.GetHeader(headerShard), c.GetHeader(headerGeneration)) {
 		refuse(c, "fenced")
 		return
--- /dev/null
+++ b/ctl/emulate/backend/backend_test.go
@@ -0,0 +1,207 @@
+package backend
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// bound is the longest that a step of a test may take.
+const bound = 5 * time.Second
+
+func startServer(t *testing.T, opts Options) (*Server, string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	opts.Name, opts.Service = "b1", "s"
+	s := New(opts)
+	go func() { _ = s.Serve(listener) }()
+	return s, "http://" + listener.Addr().String()
+}
+
+func request(ctx context.Context, method, url, body string, headers ...string) (*http.Response, string, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, strings.NewReader(body))
+	if err != nil {
+		return nil, "", err
+	}
+	req.GetBody = nil
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Do(req)
+	if err != nil {
+		return nil, "", err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return resp, string(data), err
+}
+
+// waitFor polls the server's state until ok or the bound passes.
+func waitFor(t *testing.T, s *Server, ok func(State) bool) {
+	t.Helper()
+	for end := time.Now().Add(bound); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if ok(s.State()) {
+			return
+		}
+	}
+	t.Fatalf("state after %s: %+v", bound, s.State())
+}
+
+func TestEchoNamesTheRequest(t *testing.T) {
+	is := is.New(t)
+	s, url := startServer(t, Options{Slots: 2})
+	resp, body, err := request(t.Context(), "POST", url+"/s/k?x=1", "abc", headerRequest, "r1", headerTeam, "team")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(body, "b1 POST /s/k?x=1 3 r1")
+	is.Equal(len(s.runs), 1)
+	is.Equal(s.runs[0].Team, "team")
+	is.True(s.runs[0].End >= s.runs[0].At)
+}
+
+func TestMoreThanSlotsIsShed(t *testing.T) {
+	is := is.New(t)
+	s, url := startServer(t, Options{Slots: 1, ServiceTime: bound})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _, _, _ = request(ctx, "GET", url+"/s/k", "") }()
+	waitFor(t, s, func(st State) bool { return st.Running == 1 })
+	resp, _, err := request(t.Context(), "GET", url+"/s/k", "")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(headerRefused), "shed")
+	cancel() // a closed connection cancels the run
+	waitFor(t, s, func(st State) bool { return st.Running == 0 })
+	is.Equal(s.runs[0].Cut, "cancelled")
+	is.Equal(len(s.runs), 1) // a shed request is not a run
+}
+
+func TestDeadlineEndsTheRun(t *testing.T) {
+	is := is.New(t)
+	s, url := startServer(t, Options{Slots: 1, ServiceTime: bound})
+	resp, _, err := request(t.Context(), "GET", url+"/s/k", "", headerDeadline, "20")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(s.runs[0].Cut, "deadline")
+}
+
+func TestFencing(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		is := is.New(t)
+		s, url := startServer(t, Options{Slots: 1, ChecksFence: checks})
+		_, _, err := request(t.Context(), "POST", url+"/sesamemoor/grant?service=s&shard=3&generation=7", "")
+		is.NoErr(err)
+		// Another service's grant has no effect.
+		_, _, err = request(t.Context(), "POST", url+"/sesamemoor/grant?service=_keeper&shard=3&generation=9", "")
+		is.NoErr(err)
+		resp, _, err := request(t.Context(), "GET", url+"/s/k", "", headerShard, "3", headerGeneration, "6")
+		is.NoErr(err)
+		is.Equal(resp.Header.Get(headerRefused) == "fenced", checks)
+		resp, _, err = request(t.Context(), "GET", url+"/s/k", "", headerShard, "3", headerGeneration, "7")
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, http.StatusOK)
+		is.Equal(s.State().Fenced > 0, checks)
+	}
+}
+
+func TestMarkedRequestCrashesTheServer(t *testing.T) {
+	is := is.New(t)
+	s, url := startServer(t, Options{Slots: 4, ServiceTime: bound, WarmUp: time.Hour})
+	before := s.State().BootID
+	other := make(chan error, 1)
+	go func() {
+		_, _, err := request(t.Context(), "GET", url+"/s/other", "")
+		other <- err
+	}()
+	waitFor(t, s, func(st State) bool { return st.Running == 1 })
+	s.mu.Lock()
+	s.capacity.started = time.Now().Add(-2 * time.Hour) // warm
+	s.mu.Unlock()
+	_, _, err := request(t.Context(), "POST", url+"/s/k", crashMark)
+	is.True(err != nil)       // no answer
+	is.True((<-other) != nil) // nor for the request beside it
+	waitFor(t, s, func(st State) bool { return st.Running == 0 })
+	st := s.State()
+	is.Equal(st.Crashes, 1)
+	is.True(st.BootID != before)
+	is.True(st.Cold)
+	is.Equal(st.Runs, 2) // the record outlives the crash
+}
+
+func TestCallerKeyIsNoticed(t *testing.T) {
+	for _, headers := range [][]string{{"Authorization", "Bearer x"}, {"X-Api-Key", "x"}, {"X-Other", "smk_abc"}} {
+		is := is.New(t)
+		s, url := startServer(t, Options{Slots: 1})
+		_, _, err := request(t.Context(), "GET", url+"/s/k", "", headers...)
+		is.NoErr(err)
+		is.Equal(s.State().KeysSeen, 1)
+	}
+}
+
+func TestFrozenServerGoesOnAfterwards(t *testing.T) {
+	is := is.New(t)
+	s, url := startServer(t, Options{Slots: 1})
+	s.SetFaults(Faults{Frozen: true})
+	resp, _, err := request(t.Context(), "GET", url+"/s/k", "", headerDeadline, "50")
+	is.NoErr(err)
+	is.Equal(resp.Header.Get(headerRefused), "shed") // not started after its deadline
+	s.SetFaults(Faults{})
+	resp, _, err = request(t.Context(), "GET", url+"/s/k", "")
+	is.NoErr(err)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(len(s.runs), 1)
+}
+
+func TestConnectionsBeyondTheLimitAreClosed(t *testing.T) {
+	is := is.New(t)
+	s, url := startServer(t, Options{Slots: 2, MaxConns: 1, ServiceTime: bound})
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	go func() { _, _, _ = request(ctx, "GET", url+"/s/k", "") }()
+	waitFor(t, s, func(st State) bool { return st.Running == 1 })
+	_, _, err := request(t.Context(), "GET", url+"/s/k", "")
+	is.True(err != nil)
+}
+
+func TestColdServerFallsOverUnderFullLoad(t *testing.T) {
+	is := is.New(t)
+	start := time.Now()
+	c := newCapacity(Options{Slots: 10, ServiceTime: time.Millisecond, WarmUp: 10 * time.Second, Stall: 3 * time.Second}, start)
+	is.Equal(c.bears(start), 2)
+	is.Equal(c.serviceTime(start, 0), coldSlowdown*time.Millisecond)
+	is.True(c.admit(start))
+	is.True(c.admit(start))
+	is.True(!c.admit(start)) // the third is more than it bears
+	is.Equal(c.fellOver, 1)
+	is.Equal(c.stall(start), 3*time.Second)
+	c.release()
+	c.release()
+	is.True(!c.admit(start.Add(2 * time.Second))) // still down
+	up := start.Add(3 * time.Second)
+	is.True(c.admit(up)) // cold again
+	is.Equal(c.bears(up), 2)
+	warm := up.Add(10 * time.Second)
+	is.Equal(c.bears(warm), 10)
+	is.Equal(c.serviceTime(warm, 5), 5*time.Millisecond) // straggler
+}
+
+func TestReportedLoadLags(t *testing.T) {
+	is := is.New(t)
+	s := New(Options{Slots: 2, ReportLag: time.Second})
+	start := time.Now()
+	s.sample(start)
+	s.capacity.running = 2
+	s.sample(start.Add(900 * time.Millisecond))
+	is.Equal(s.reported().Running, 0)
+	s.sample(start.Add(2 * time.Second))
+	is.Equal(s.reported().Running, 2)
+}
--- /dev/null
+++ b/ctl/operator/config_test.go
@@ -0,0 +1,112 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/ctl/emulate/platform"
+)
+
+// waitBound is the letter's bound for a change of configuration.
+const waitBound = 7 * time.Second
+
+func newConfig(t *testing.T) (*Config, *platform.Server) {
+	log := platform.New()
+	srv := httptest.NewServer(log.Handler())
+	t.Cleanup(srv.Close)
+	return &Config{Log: logstream.NewHTTP(srv.URL), Operator: "test"}, log
+}
+
+func dataCentrePatch(name string) []byte {
+	return fmt.Appendf(nil, `{"data_centres":{%q:{"region":"r"}}}`, name)
+}
+
+func TestOfRacingPatchesOneWins(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+	defer cancel()
+	c, _ := newConfig(t)
+	const operators = 5
+	errs := make([]error, operators)
+	var wg sync.WaitGroup
+	for i := range operators {
+		wg.Go(func() { _, errs[i] = c.Patch(ctx, 0, dataCentrePatch(fmt.Sprint("d", i)), "") })
+	}
+	wg.Wait()
+	won := 0
+	for _, err := range errs {
+		if err == nil {
+			won++
+			continue
+		}
+		is.True(errors.Is(err, ErrRejected))
+	}
+	is.Equal(won, 1)
+	history, _, err := c.Replay(ctx)
+	is.NoErr(err)
+	is.Equal(history.Version, uint64(1))
+}
+
+func TestRacingEditsAllLandWithRetries(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+	defer cancel()
+	c, _ := newConfig(t)
+	const operators = 4
+	var wg sync.WaitGroup
+	errs := make([]error, operators)
+	for i := range operators {
+		edit := func(*fleet.Config) ([]byte, error) { return dataCentrePatch(fmt.Sprint("d", i)), nil }
+		wg.Go(func() { _, errs[i] = c.Apply(ctx, edit, "", operators) })
+	}
+	wg.Wait()
+	is.NoErr(errors.Join(errs...))
+	history, _, err := c.Replay(ctx)
+	is.NoErr(err)
+	is.Equal(len(history.Config.DataCentres), operators)
+}
+
+func TestLostAnswerIsResolvedByRecordID(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+	defer cancel()
+	c, log := newConfig(t)
+	is.NoErr(log.SetFaults(platform.Faults{LoseAnswer: 1}))
+	version, err := c.Patch(ctx, 0, dataCentrePatch("d"), "")
+	is.NoErr(err)
+	is.Equal(version, uint64(1))
+	_, changes, err := c.Replay(ctx)
+	is.NoErr(err)
+	is.Equal(len(changes), 1) // found, not appended again
+}
+
+func TestUnknownOutcomeIsSaidSo(t *testing.T) {
+	is := is.New(t)
+	c, log := newConfig(t)
+	ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+	defer cancel()
+	// The log goes away between the check of the patch and its append.
+	c.Log = &cutBeforeAppend{Log: c.Log, cut: func() { _ = log.SetFaults(platform.Faults{Outage: platform.Error}) }}
+	_, err := c.Patch(ctx, 0, dataCentrePatch("d"), "")
+	is.True(errors.Is(err, ErrUnknownOutcome))
+}
+
+// cutBeforeAppend calls cut before each append.
+type cutBeforeAppend struct {
+	logstream.Log
+	cut func()
+}
+
+func (l *cutBeforeAppend) Append(ctx context.Context, stream string, data []byte) (uint64, error) {
+	l.cut()
+	return l.Log.Append(ctx, stream, data)
+}
