--- a/ctl/cmd/sesamemoorctl/main.go
+++ b/ctl/cmd/sesamemoorctl/main.go
@@ -50,6 +50,7 @@
 	return []subcommands.Command{
 		&group{name: "emulate", synopsis: "run stand-ins of the surroundings", commands: emulateCommands()},
 		&loadCommand{},
+		&capacityCommand{},
 		&exampleCommand{},
 	}
 }
--- a/ctl/emulate/backend/backend_test.go
+++ b/ctl/emulate/backend/backend_test.go
@@ -153,7 +153,7 @@
 	s.SetFaults(Faults{Frozen: true})
 	resp, _, err := request(t.Context(), "GET", url+"/s/k", "", headerDeadline, "50")
 	is.NoErr(err)
-	is.Equal(resp.Header.Get(headerRefused), "shed") // not started after its deadline
+	is.Equal(resp.Header.Get(headerRefused), "expired") // not started after its deadline
 	s.SetFaults(Faults{})
 	resp, _, err = request(t.Context(), "GET", url+"/s/k", "")
 	is.NoErr(err)
--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -43,11 +43,10 @@
 // block numbers the loopback networks of the fleets of this test process.
 var block atomic.Int32
 
-// process is a started process or a stand-in of one.
+// process is a program of the fleet, running or not.
 type process struct {
 	name string
 	args []string
-	log  *os.File
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
@@ -62,7 +61,6 @@
 	shards  int
 	members []*member
 	net     *network
-	log     *platform.Server
 	logAddr string
 	closers []io.Closer
 	client  *http.Client
@@ -116,13 +114,13 @@
 }
 
 func (f *fleet) startPlatform() error {
-	f.log = platform.New()
+	server := platform.New()
 	f.logAddr = f.addr(hostPlatform, logPort)
 	l, err := net.Listen("tcp", f.logAddr)
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{Handler: f.log.Handler()}
+	srv := &http.Server{Handler: server.Handler()}
 	go func() { _ = srv.Serve(l) }()
 	f.closers = append(f.closers, srv)
 	return nil
