--- a/ctl/load/timeline.go
+++ b/ctl/load/timeline.go
@@ -53,7 +53,7 @@
 // callerFaults are outcomes that are not for want of service.
 var callerFaults = []outcome.Kind{
 	outcome.BadRequest, outcome.UnknownRoute, outcome.Unauthenticated, outcome.Forbidden, outcome.BodyTooLarge,
-	outcome.RateLimited, outcome.KeeperUnavailable, outcome.Quarantined, outcome.DuplicateRan, outcome.UnknownHistory,
+	outcome.RateLimited, outcome.KeeperUnavailable, outcome.Quarantined, outcome.DuplicateRan,
 	outcome.InProgress,
 }
 
