--- a/ctl/emulate/backend/backend_test.go
+++ b/ctl/emulate/backend/backend_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -205,3 +207,36 @@
 	s.sample(start.Add(2 * time.Second))
 	is.Equal(s.reported().Running, 2)
 }
+
+func TestStoppedServerLeavesFirst(t *testing.T) {
+	is := is.New(t)
+	told := make(chan announcement, 100)
+	daemon := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		var a announcement
+		_ = json.NewDecoder(r.Body).Decode(&a)
+		told <- a
+		_ = json.NewEncoder(w).Encode(map[string]any{"drained": a.Leaving, "held": 0})
+	}))
+	defer daemon.Close()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	s := New(Options{Name: "b1", Service: "s", Addr: listener.Addr().String(), Slots: 3, DaemonAdmin: daemon.Listener.Addr().String()})
+	ctx, stop := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx, listener) }()
+	first := <-told
+	is.Equal(first.Slots, 3)
+	is.True(!first.Leaving)
+	stop()
+	is.NoErr(<-done)
+	last := first
+	for len(told) > 0 {
+		last = <-told
+	}
+	is.True(last.Leaving)
+	select {
+	case <-s.Drained():
+	default:
+		t.Fatal("stopped without the daemon's leave")
+	}
+}
--- a/ctl/emulate/platform/platform_test.go
+++ b/ctl/emulate/platform/platform_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"net"
+	"net/http"
 	"net/http/httptest"
 	"testing"
 	"time"
@@ -117,3 +119,26 @@
 	is.True(s.SetFaults(Faults{Cut: []string{"localhost"}}) != nil)
 	is.True(s.SetFaults(Faults{DelayMS: -1}) != nil)
 }
+
+// A client is cut by the address that it reaches the log at, so that processes
+// of one host can be cut apart.
+func TestCutByListeningAddress(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	logs := map[string]*logstream.HTTP{}
+	for _, ip := range []string{"127.0.0.1", "127.0.0.2"} {
+		listener, err := net.Listen("tcp", ip+":0")
+		is.NoErr(err)
+		srv := &http.Server{Handler: s.Handler(), ReadHeaderTimeout: time.Second}
+		go func() { _ = srv.Serve(listener) }()
+		t.Cleanup(func() { _ = srv.Close() })
+		logs[ip] = logstream.NewHTTP("http://" + listener.Addr().String())
+	}
+	is.NoErr(s.SetFaults(Faults{Cut: []string{"127.0.0.2"}}))
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	_, err := logs["127.0.0.2"].Append(ctx, "s", []byte("x"))
+	is.True(errors.Is(err, logstream.ErrUnavailable))
+	_, err = logs["127.0.0.1"].Append(t.Context(), "s", []byte("x"))
+	is.NoErr(err)
+}
--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -129,14 +129,16 @@
 	return checked.AddCore(entry, c)
 }
 
-// Write implements zapcore.Core.
+// Write implements zapcore.Core. It keeps the fields: callers of a logger do not
+// change a field list that they have passed on.
 func (c *ringCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
 	if entry.Message != placementMessage && !hasRequest(fields) {
 		return nil
 	}
-	kept := make([]zapcore.Field, 0, len(c.context)+len(fields))
-	kept = append(append(kept, c.context...), fields...)
-	c.ring.add(line{entry, kept})
+	if len(c.context) > 0 {
+		fields = append(append([]zapcore.Field(nil), c.context...), fields...)
+	}
+	c.ring.add(line{entry, fields})
 	return nil
 }
 
