view, entry: refuse open routes when knowledge of the configuration is stale

The age of configuration knowledge moves to a cell that traffic reads, so that a quiet stream no longer builds a view each second. Views list the daemons in service and count records that are too new to be understood.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -27,9 +27,12 @@
 	WitnessAddr string
 	EntryAddr   string
 
-	Lease     lease.Params
-	Settle    time.Duration // wait for other slots before the first join
-	Witnesses int           // wanted size of the witness set, odd
+	Lease lease.Params
+	// StaleConfig is the age of configuration knowledge after which open
+	// routes are refused.
+	StaleConfig time.Duration
+	Settle      time.Duration // wait for other slots before the first join
+	Witnesses   int           // wanted size of the witness set, odd
 
 	Rand *rand.Rand // source of record ids and jitter
 }
@@ -41,10 +44,9 @@
 	now     clock.Instant
 	effects []Effect
 
-	fold      *fold.State
-	history   *fleet.History
-	caughtUp  bool // the placement stream was read to its head once
-	freshness map[string]clock.Instant
+	fold     *fold.State
+	history  *fleet.History
+	caughtUp bool // the placement stream was read to its head once
 
 	witness *lease.Witness
 	member  membership
@@ -53,6 +55,10 @@
 	outbox  *outbox
 	planner planner
 
+	fresh       *view.Freshness
+	newer       uint64 // records too new to be understood
+	daemonCache daemonList
+
 	cell     *view.LeaseCell
 	dirty    bool
 	stopping bool
@@ -62,18 +68,18 @@
 // New returns the control state of a daemon that started at now.
 func New(opts Options, now clock.Instant) *State {
 	s := &State{
-		opts:      opts,
-		started:   now,
-		now:       now,
-		fold:      fold.New(),
-		history:   fleet.NewHistory(),
-		freshness: map[string]clock.Instant{},
-		witness:   lease.NewWitness(opts.Lease, now),
-		rights:    map[view.ShardID]*right{},
-		sealers:   map[uint64]*sealing{},
-		outbox:    newOutbox(),
-		cell:      new(view.LeaseCell),
-		dirty:     true,
+		opts:    opts,
+		started: now,
+		now:     now,
+		fold:    fold.New(),
+		history: fleet.NewHistory(),
+		witness: lease.NewWitness(opts.Lease, now),
+		rights:  map[view.ShardID]*right{},
+		sealers: map[uint64]*sealing{},
+		outbox:  newOutbox(),
+		cell:    new(view.LeaseCell),
+		fresh:   view.NewFreshness(opts.StaleConfig),
+		dirty:   true,
 	}
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
 	return s
@@ -117,6 +123,8 @@
 		s.releaseAnswered(e)
 	case Quiesced:
 		s.quiesced(e)
+	case LogOutage:
+		s.logOutage(e)
 	case Shutdown:
 		s.shutdown()
 	}
@@ -153,8 +161,8 @@
 	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
 		s.caughtUp = true
-		s.freshness[e.Stream] = max(s.freshness[e.Stream], e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) takePlacementRecord(entry logstream.Entry) {
@@ -190,10 +198,10 @@
 		s.decide(Decision{Action: "configuration", Generation: verdict.Version})
 		s.configChanged()
 	}
-	if e.AsOf != 0 && s.history.Next >= e.Next && e.AsOf > s.freshness[e.Stream] {
-		s.freshness[e.Stream] = e.AsOf
-		s.dirty = true
+	if e.AsOf != 0 && s.history.Next >= e.Next {
+		s.fresh.Advance(e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) configChanged() {
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -5,7 +5,6 @@
 
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
-	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
 
@@ -27,7 +26,9 @@
 		Callers:       callers(s.history.Config),
 		Services:      services,
 		Held:          s.held(),
-		ConfigFresh:   s.freshness[logstream.ConfigStream],
+		Fresh:         s.fresh,
+		Daemons:       s.daemons(),
+		NewerRecords:  s.newer,
 		Lease:         s.cell,
 		SelfOut:       s.selfOut() || s.member.draining,
 		Leaving:       s.stopping,
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -87,9 +87,13 @@
 	Callers       map[string]Caller // by hex key hash; withdrawn keys are absent
 	Services      map[string]*Service
 	Held          map[ShardID]Held
-	// ConfigFresh is the latest instant as of which this daemon knows that
-	// it has read the whole configuration stream.
-	ConfigFresh clock.Instant
+	// Fresh tells how old the knowledge of the configuration is.
+	Fresh *Freshness
+	// Daemons lists the daemons in service of the region, by data centre. All
+	// daemons that have read the same records list them in the same order.
+	Daemons []Daemon
+	// NewerRecords counts the records that this daemon is too old to understand.
+	NewerRecords uint64
 	// LeaseDeadline is the instant before which owned shards may be
 	// dispatched; zero without a lease. It is renewed more often than views
 	// are built, see Holder.
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -67,9 +67,10 @@
 			Renew: time.Duration(set.Lease.RenewMS) * time.Millisecond,
 			Drift: float64(set.Lease.DriftPPM) / 1e6,
 		},
-		Settle:    time.Duration(set.Lease.SettleMS) * time.Millisecond,
-		Witnesses: set.Lease.Witnesses,
-		Rand:      rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		StaleConfig: time.Duration(set.Limits.StaleConfigMS) * time.Millisecond,
+		Settle:      time.Duration(set.Lease.SettleMS) * time.Millisecond,
+		Witnesses:   set.Lease.Witnesses,
+		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -95,7 +95,7 @@
 // ready answers 200 while this daemon can route: it has read a configuration.
 func (a *admin) ready(c *gin.Context) {
 	v := a.control.View()
-	if v.ConfigFresh == 0 {
+	if v.Fresh.Known() == 0 {
 		c.String(http.StatusServiceUnavailable, "configuration not read yet\n")
 		return
 	}
@@ -131,7 +131,7 @@
 		Incarnation:   v.Incarnation,
 		LeaseHeld:     v.Lease.Valid(now),
 		ConfigVersion: v.ConfigVersion,
-		ConfigAgeMS:   now.Sub(v.ConfigFresh).Milliseconds(),
+		ConfigAgeMS:   now.Sub(v.Fresh.Known()).Milliseconds(),
 		Leaving:       v.Leaving,
 		Held:          []HeldStatus{},
 	}
--- a/daemon/plugins/entry/entry.go
+++ b/daemon/plugins/entry/entry.go
@@ -17,6 +17,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -104,6 +105,9 @@
 		return nil, outcome.New(outcome.Overloaded, "too many requests at this daemon")
 	}
 	v := e.ctrl.View()
+	if v.Fresh.Stale(clock.Boot{}.Now()) {
+		return nil, outcome.New(outcome.ConfigStale, "configuration not confirmed for too long")
+	}
 	caller, err := e.auth.authenticate(v, r)
 	if err != nil {
 		return nil, err
