--- a/core/control/control.go
+++ b/core/control/control.go
@@ -55,6 +55,10 @@
 	outbox  *outbox
 	planner planner
 
+	boots             map[string]*bootstrap
+	snapshots         map[string]*snapshots
+	nextSnapshotCheck clock.Instant
+
 	fresh       *view.Freshness
 	newer       uint64 // records too new to be understood
 	daemonCache daemonList
@@ -68,18 +72,20 @@
 // New returns the control state of a daemon that started at now.
 func New(opts Options, now clock.Instant) *State {
 	s := &State{
-		opts:    opts,
-		started: now,
-		now:     now,
-		fold:    fold.New(),
-		history: fleet.NewHistory(),
-		witness: lease.NewWitness(opts.Lease, now),
-		rights:  map[view.ShardID]*right{},
-		sealers: map[uint64]*sealing{},
-		outbox:  newOutbox(),
-		cell:    new(view.LeaseCell),
-		fresh:   view.NewFreshness(opts.StaleConfig),
-		dirty:   true,
+		opts:      opts,
+		started:   now,
+		now:       now,
+		fold:      fold.New(),
+		history:   fleet.NewHistory(),
+		witness:   lease.NewWitness(opts.Lease, now),
+		rights:    map[view.ShardID]*right{},
+		sealers:   map[uint64]*sealing{},
+		outbox:    newOutbox(),
+		cell:      new(view.LeaseCell),
+		boots:     map[string]*bootstrap{},
+		snapshots: map[string]*snapshots{},
+		fresh:     view.NewFreshness(opts.StaleConfig),
+		dirty:     true,
 	}
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
 	return s
@@ -123,6 +129,8 @@
 		s.releaseAnswered(e)
 	case Quiesced:
 		s.quiesced(e)
+	case Trimmed:
+		s.trimmed(e)
 	case LogOutage:
 		s.logOutage(e)
 	case Shutdown:
@@ -136,6 +144,7 @@
 	s.tickSealers()
 	s.tickRights()
 	s.tickPlanner()
+	s.tickSnapshots()
 	s.tickOutbox()
 	s.tickDrain()
 	s.tickShutdown()
@@ -149,6 +158,7 @@
 func (s *State) placementStream() string { return logstream.PlacementStream(s.opts.Region) }
 
 func (s *State) takeRecords(e Records) {
+	e = s.collect(e)
 	if e.Stream == logstream.ConfigStream {
 		s.takeConfig(e)
 		return
@@ -172,6 +182,7 @@
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
+		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -190,7 +201,13 @@
 		if entry.Offset < s.history.Next {
 			continue
 		}
-		_, verdict := s.history.Apply(entry.Offset, entry.Data)
+		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
+		if rec != nil {
+			s.noteSnapshot(e.Stream, rec)
+		}
+		if verdict.Reason == fleet.ReasonSnapshot {
+			continue
+		}
 		if !verdict.Accepted {
 			s.decide(Decision{Action: "reject_configuration", Reason: verdict.Reason})
 			continue
--- /dev/null
+++ b/core/control/snapshots.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/snapshot"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const (
+	// snapshotInterval is the longest time between snapshots of a stream. The
+	// platform must keep records for several times as long.
+	snapshotInterval = 10 * time.Minute
+	// snapshotRecords is the number of records after which a snapshot is due.
+	snapshotRecords = 8192
+	// snapshotStagger is the extra time that each further planner leaves to
+	// those before it, and the time between tries.
+	snapshotStagger = 15 * time.Second
+)
+
+// Trimmed tells that records of a stream from the replay position on were
+// trimmed, and that reading goes on at First.
+type Trimmed struct {
+	Stream string
+	First  uint64
+}
+
+func (Trimmed) event() {}
+
+// bootstrap collects records of a stream until they hold a whole snapshot.
+type bootstrap struct {
+	first     uint64
+	entries   []logstream.Entry
+	assembler *snapshot.Assembler
+}
+
+// snapshots remembers when a stream's next snapshot is due.
+type snapshots struct {
+	records int           // read since the last one was seen
+	seen    clock.Instant // when that was
+	next    clock.Instant // not before
+}
+
+// trimmed starts collecting records for a snapshot. What the daemon holds
+// stays in force until the snapshot is whole.
+func (s *State) trimmed(e Trimmed) {
+	s.boots[e.Stream] = &bootstrap{first: e.First, assembler: snapshot.NewAssembler(e.Stream)}
+	s.decide(Decision{Action: "read_snapshot", Reason: "records of " + e.Stream + " were trimmed"})
+}
+
+// collect takes in records of a stream that waits for a snapshot and returns
+// those to be replayed: all from the snapshot on, once it is whole.
+func (s *State) collect(e Records) Records {
+	b, ok := s.boots[e.Stream]
+	if !ok {
+		return e
+	}
+	for _, entry := range e.Entries {
+		if entry.Offset < b.first {
+			continue
+		}
+		b.entries = append(b.entries, entry)
+		asOf, state, whole := b.add(entry)
+		if whole && asOf >= b.first && s.restore(e.Stream, asOf, state) {
+			delete(s.boots, e.Stream)
+		}
+	}
+	if s.boots[e.Stream] != nil {
+		return Records{Stream: e.Stream}
+	}
+	return Records{Stream: e.Stream, Entries: b.entries, Next: e.Next, AsOf: e.AsOf}
+}
+
+func (b *bootstrap) add(entry logstream.Entry) (asOf uint64, state []byte, whole bool) {
+	rec := new(wire.Record)
+	if err := proto.Unmarshal(entry.Data, rec); err != nil || rec.GetSnapshot() == nil {
+		return 0, nil, false
+	}
+	return b.assembler.Add(rec.GetSnapshot())
+}
+
+// restore replaces the folded state of a stream. It reports false for a state
+// that cannot be used.
+func (s *State) restore(stream string, asOf uint64, state []byte) bool {
+	if stream == logstream.ConfigStream {
+		return s.restoreConfig(asOf, state)
+	}
+	return s.restorePlacement(asOf, state)
+}
+
+func (s *State) restoreConfig(asOf uint64, state []byte) bool {
+	h, err := fleet.Decode(state)
+	if err != nil || h.Next != asOf || h.Next < s.history.Next || h.Version < s.history.Version {
+		return false
+	}
+	s.history = h
+	s.decide(Decision{Action: "configuration", Reason: "snapshot", Generation: h.Version})
+	s.configChanged()
+	return true
+}
+
+// restorePlacement jumps over records that this daemon has not read. Its marks
+// of takeovers, consents and releases refer to what it had read, so it gives
+// its incarnation up, as after a lost lease, and joins anew.
+func (s *State) restorePlacement(asOf uint64, state []byte) bool {
+	f, err := fold.Decode(state)
+	if err != nil || f.Next != asOf || f.Next < s.fold.Next {
+		return false
+	}
+	if s.member.holder != nil {
+		s.decide(Decision{Action: "leave", Reason: "records were missed", Member: s.member.incarnation})
+		s.leaveIncarnation()
+	}
+	s.member.joinID = [16]byte{}
+	f.Epoch = s.fold.Epoch + 1
+	s.fold = f
+	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
+	s.configChanged()
+	return true
+}
+
+// noteSnapshot counts the records since the last snapshot of a stream.
+func (s *State) noteSnapshot(stream string, rec *wire.Record) {
+	sn := s.snapshotsOf(stream)
+	part := rec.GetSnapshot()
+	switch {
+	case part == nil:
+		sn.records++
+	case part.GetPart()+1 == part.GetParts():
+		sn.records = 0
+		sn.seen = s.now
+	}
+}
+
+func (s *State) snapshotsOf(stream string) *snapshots {
+	sn, ok := s.snapshots[stream]
+	if !ok {
+		sn = &snapshots{seen: s.started}
+		s.snapshots[stream] = sn
+	}
+	return sn
+}
+
+// tickSnapshots writes snapshots that are due. The first planners of a region
+// do, one after the other if the one before does not.
+func (s *State) tickSnapshots() {
+	if !s.leaseHeld() || s.stopping || s.now < s.nextSnapshotCheck {
+		return
+	}
+	s.nextSnapshotCheck = s.now.Add(time.Second)
+	rank := slices.Index(s.planners(), s.member.incarnation)
+	if rank < 0 {
+		return
+	}
+	for _, stream := range []string{logstream.ConfigStream, s.placementStream()} {
+		sn := s.snapshotsOf(stream)
+		if s.boots[stream] != nil || !sn.due(s.now) {
+			continue
+		}
+		if sn.next == 0 {
+			sn.next = s.now.Add(time.Duration(rank)*snapshotStagger + s.jitter(snapshotStagger/2))
+		}
+		if s.now >= sn.next {
+			sn.next = 0
+			sn.seen = s.now.Add(-snapshotInterval + plannerCount*snapshotStagger) // try again then
+			sn.records = 0
+			s.writeSnapshot(stream)
+		}
+	}
+}
+
+func (sn *snapshots) due(now clock.Instant) bool {
+	due := sn.records >= snapshotRecords || now >= sn.seen.Add(snapshotInterval)
+	if !due {
+		sn.next = 0
+	}
+	return due
+}
+
+func (s *State) jitter(limit time.Duration) time.Duration {
+	return time.Duration(s.opts.Rand.Int64N(int64(limit)))
+}
+
+// writeSnapshot appends the parts of a snapshot once each.
+func (s *State) writeSnapshot(stream string) {
+	encode, next := s.fold.Encode, s.fold.Next
+	if stream == logstream.ConfigStream {
+		encode, next = s.history.Encode, s.history.Next
+	}
+	state, err := encode()
+	if err != nil {
+		s.decide(Decision{Action: "write_snapshot", Reason: err.Error()})
+		return
+	}
+	parts := snapshot.Cut(stream, next, state)
+	for _, part := range parts {
+		id := snapshot.RecordID(part)
+		s.emit(Append{Stream: stream, Record: &wire.Record{
+			Id: id[:], Version: fold.RecordVersion, Author: s.member.incarnation, Body: &wire.Record_Snapshot{Snapshot: part},
+		}})
+	}
+	s.decide(Decision{Action: "write_snapshot", Reason: "of " + stream, Count: len(parts)})
+}
--- /dev/null
+++ b/core/fleet/encode.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/idwindow"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// ErrState reports bytes that Encode cannot have written.
+var ErrState = errors.New("fleet: not an encoded history")
+
+// Encode returns the current version as bytes. Equal histories give equal bytes.
+func (h *History) Encode() ([]byte, error) {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.ConfigState{
+		Next: h.Next, Version: h.Version, Doc: h.Doc, RecentIds: h.seen.Encode(), ShardCounts: h.counts, Newer: h.Newer,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("fleet: encode: %w", err)
+	}
+	return data, nil
+}
+
+// Decode returns the history that Encode wrote.
+func Decode(data []byte) (*History, error) {
+	in := new(wire.ConfigState)
+	if err := proto.Unmarshal(data, in); err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrState, err)
+	}
+	window, ok := idwindow.Decode(in.GetRecentIds())
+	if !ok || in.GetNext() == 0 {
+		return nil, fmt.Errorf("%w: offset or record ids", ErrState)
+	}
+	cfg, err := Parse(in.GetDoc())
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrState, err)
+	}
+	h := NewHistory()
+	h.Next, h.Version, h.Doc, h.Config, h.seen, h.Newer = in.GetNext(), in.GetVersion(), in.GetDoc(), cfg, window, in.GetNewer()
+	for name, count := range in.GetShardCounts() {
+		h.counts[name] = count
+	}
+	return h, nil
+}
--- a/core/logstream/http.go
+++ b/core/logstream/http.go
@@ -19,7 +19,7 @@
 const maxBatchBytes = 64 << 20
 
 // answerSlack is the time that a read may take beyond its wait.
-const answerSlack = 2 * time.Second
+const answerSlack = 5 * time.Second
 
 // HTTP is a Log reached over HTTP.
 type HTTP struct {
--- a/daemon/plugins/platform/platform.go
+++ b/daemon/plugins/platform/platform.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync"
 	"time"
 
@@ -12,7 +11,6 @@
 	"go.uber.org/zap"
 	"google.golang.org/protobuf/proto"
 
-	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/settings"
@@ -37,71 +35,11 @@
 func newLog(set settings.Daemon) *logstream.HTTP { return logstream.NewHTTP(set.PlatformURL) }
 
 const (
-	readMax      = 1024
-	readWaitMS   = 1000
-	readRetry    = 200 * time.Millisecond
 	appendQueue  = 4096
 	appendWorker = 4
 	appendWait   = 2 * time.Second
 )
 
-// reader follows one stream.
-type reader struct {
-	stream  string
-	log     logstream.Log
-	control kernel.Control
-	clock   clock.Clock
-	logger  *zap.Logger
-}
-
-func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, c kernel.Control, clk clock.Clock, log *zap.Logger) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
-				r := &reader{stream: stream, log: l, control: c, clock: clk, logger: log.Named("platform")}
-				wg.Go(func() { r.run(ctx) })
-			}
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			wg.Wait()
-			return nil
-		},
-	})
-}
-
-func (r *reader) run(ctx context.Context) {
-	from := uint64(1)
-	wait := 0
-	for ctx.Err() == nil {
-		sent := r.clock.Now()
-		batch, err := r.log.Read(ctx, r.stream, from, readMax, wait)
-		if err != nil {
-			r.failed(ctx, err)
-			continue
-		}
-		wait = readWaitMS
-		if n := len(batch.Records); n > 0 {
-			from = batch.Records[n-1].Offset + 1
-		}
-		r.control.Post(control.Records{Stream: r.stream, Entries: batch.Records, Next: batch.Next, AsOf: sent})
-	}
-}
-
-func (r *reader) failed(ctx context.Context, err error) {
-	if errors.Is(err, context.Canceled) {
-		return
-	}
-	r.logger.Debug("read failed", zap.String("stream", r.stream), zap.Error(err))
-	select {
-	case <-ctx.Done():
-	case <-time.After(readRetry):
-	}
-}
-
 // appender carries out Append effects.
 type appender struct {
 	log    logstream.Log
--- /dev/null
+++ b/daemon/plugins/platform/reader.go
@@ -0,0 +1,103 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+const (
+	readMax    = 1024
+	readWaitMS = 1000
+	// readRetry is the pause after a failed read; it doubles with each further
+	// failure up to readRetryMax. Up to as much again is added at random.
+	readRetry    = 100 * time.Millisecond
+	readRetryMax = 800 * time.Millisecond
+)
+
+// reader follows one stream, from a peer where there is one to follow, else
+// from the platform.
+type reader struct {
+	stream string
+	log    logstream.Log
+	relay  kernel.Relay
+	clock  clock.Clock
+	logger *zap.Logger
+	primed bool // the platform or a peer answered once
+	pause  time.Duration
+}
+
+func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, relay kernel.Relay, clk clock.Clock, log *zap.Logger) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg sync.WaitGroup
+	lc.Append(fx.Hook{
+		OnStart: func(context.Context) error {
+			for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
+				r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("platform")}
+				wg.Go(func() { r.run(ctx) })
+			}
+			return nil
+		},
+		OnStop: func(context.Context) error {
+			cancel()
+			wg.Wait()
+			return nil
+		},
+	})
+}
+
+func (r *reader) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		from := r.relay.Next(r.stream)
+		batch, asOf, err := r.read(ctx, from)
+		switch {
+		case err == nil:
+			r.pause = 0
+			r.primed = true
+			r.relay.Take(r.stream, from, batch, asOf)
+		case errors.Is(err, logstream.ErrTrimmed):
+			r.logger.Warn("records were trimmed; starting from a snapshot",
+				zap.String("stream", r.stream), zap.Uint64("from", from), zap.Uint64("first", batch.First))
+			r.relay.Restart(r.stream, batch.First)
+		default:
+			r.logger.Debug("read failed", zap.String("stream", r.stream), zap.Error(err))
+			r.backOff(ctx)
+		}
+	}
+}
+
+// read reads from the peer to follow or else from the platform. The instant is
+// that of the sending: the answer to a read proves the head as of then, however
+// long the read waited.
+func (r *reader) read(ctx context.Context, from uint64) (logstream.Batch, clock.Instant, error) {
+	batch, asOf, err := r.relay.Read(ctx, r.stream, from)
+	if err == nil {
+		return batch, asOf, nil
+	}
+	wait := readWaitMS
+	if !r.primed {
+		wait = 0
+	}
+	sent := r.clock.Now()
+	batch, err = r.log.Read(ctx, r.stream, from, readMax, wait)
+	return batch, sent, err
+}
+
+// backOff waits before the next read.
+func (r *reader) backOff(ctx context.Context) {
+	r.pause = min(max(2*r.pause, readRetry), readRetryMax)
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.pause + rand.N(r.pause)):
+	}
+}
--- a/daemon/plugins/plugins.go
+++ b/daemon/plugins/plugins.go
@@ -9,5 +9,6 @@
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/owner"    // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/peer"     // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/platform" // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/relay"    // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/witness"  // register
 )
--- /dev/null
+++ b/daemon/plugins/relay/relay.go
@@ -0,0 +1,177 @@
+// Package relay passes log records between daemons. A few daemons of each data
+// centre read from the platform; the others follow one of them, or one that
+// does, in a tree of small fan-out. A daemon that is cut from the log learns of
+// new records from peers in other data centres.
+package relay
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/fx"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+func init() {
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.relay", Module: module})
+}
+
+func module() fx.Option {
+	return fx.Options(
+		fx.Provide(
+			newRelay,
+			func(r *relay) kernel.Relay { return r },
+			kernel.AsFrameHandler(func(r *relay) *relay { return r }),
+		),
+		fx.Invoke(startSurvey),
+	)
+}
+
+const (
+	// configWait is the longest wait for news of the configuration. Knowledge
+	// of its head is renewed that often.
+	configWait = 1500 * time.Millisecond
+	// placementWait is the longest wait for placement records. Their head need
+	// not be known.
+	placementWait = 10 * time.Second
+	// callSlack is the time that a peer may take beyond its wait.
+	callSlack = 500 * time.Millisecond
+	// silentFor is the time during which a peer that did not answer is not
+	// asked again; up to half of it is added at random.
+	silentFor = 4 * time.Second
+)
+
+// relay implements kernel.Relay and kernel.FrameHandler.
+type relay struct {
+	slot       string
+	dataCentre string
+	control    kernel.Control
+	peers      kernel.Peers
+	clock      clock.Clock
+	log        *zap.Logger
+	stores     map[string]*store
+
+	mu     sync.Mutex
+	silent map[string]clock.Instant // peers not to be asked before the instant
+}
+
+func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
+	r := &relay{
+		slot: set.Slot, dataCentre: set.DataCentre, control: c, peers: p, clock: clk,
+		log: log.Named("relay"), stores: map[string]*store{}, silent: map[string]clock.Instant{},
+	}
+	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
+		r.stores[stream] = newStore(stream, c.Post)
+	}
+	return r
+}
+
+// Next implements kernel.Relay.
+func (r *relay) Next(stream string) uint64 { return r.stores[stream].position() }
+
+// Take implements kernel.Relay.
+func (r *relay) Take(stream string, from uint64, batch logstream.Batch, asOf clock.Instant) {
+	r.stores[stream].take(from, batch, asOf)
+}
+
+// Restart implements kernel.Relay.
+func (r *relay) Restart(stream string, first uint64) { r.stores[stream].restart(first) }
+
+// Read implements kernel.Relay.
+func (r *relay) Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
+	addr := parent(r.control.View().Daemons, r.slot, r.dataCentre)
+	if addr == "" || !r.mayAsk(addr) {
+		return logstream.Batch{}, 0, kernel.ErrNoPeer
+	}
+	batch, asOf, err := r.ask(ctx, addr, stream, from, waitOf(stream))
+	if err != nil {
+		r.markSilent(addr)
+		r.log.Info("peer does not pass records on", zap.String("peer", addr), zap.Error(err))
+	}
+	return batch, asOf, err
+}
+
+func waitOf(stream string) time.Duration {
+	if stream == logstream.ConfigStream {
+		return configWait
+	}
+	return placementWait
+}
+
+func (r *relay) mayAsk(addr string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.clock.Now() >= r.silent[addr]
+}
+
+func (r *relay) markSilent(addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	for other, until := range r.silent {
+		if now >= until {
+			delete(r.silent, other)
+		}
+	}
+	r.silent[addr] = now.Add(silentFor + rand.N(silentFor/2))
+}
+
+// ask reads from a peer. The instant is the one as of which the peer knew the
+// head, on this host's clock: the peer tells it relative to the arrival of the
+// question, which was sent no later than that.
+func (r *relay) ask(ctx context.Context, addr, stream string, from uint64, wait time.Duration) (logstream.Batch, clock.Instant, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
+	defer cancel()
+	sent := r.clock.Now()
+	frame, err := r.peers.Call(ctx, addr, &wire.Frame{Body: &wire.Frame_ReadRecords{ReadRecords: &wire.ReadRecords{
+		Stream: stream, From: from, Max: answerRecords, WaitMs: uint32(wait.Milliseconds())}}})
+	if err != nil {
+		return logstream.Batch{}, 0, fmt.Errorf("relay: %s: %w", addr, err)
+	}
+	answer := frame.GetRecordBatch()
+	switch {
+	case answer == nil || answer.GetStream() != stream:
+		return logstream.Batch{}, 0, fmt.Errorf("relay: %s: answer of another kind", addr)
+	case answer.GetFirst() > from:
+		return logstream.Batch{}, 0, fmt.Errorf("relay: %s holds records from %d only: %w", addr, answer.GetFirst(), logstream.ErrTrimmed)
+	}
+	batch := logstream.Batch{First: answer.GetFirst(), Next: answer.GetNext()}
+	for _, e := range answer.GetEntries() {
+		batch.Records = append(batch.Records, logstream.Entry{Offset: e.GetOffset(), Data: e.GetData()})
+	}
+	if answer.GetNext() == 0 {
+		return batch, 0, nil
+	}
+	asOf := sent.Add(-time.Duration(answer.GetHeadAgeMs()) * time.Millisecond)
+	return batch, min(asOf, r.clock.Now()), nil
+}
+
+// Handles implements kernel.FrameHandler.
+func (r *relay) Handles(frame *wire.Frame) bool { return frame.GetReadRecords() != nil }
+
+// HandleFrame implements kernel.FrameHandler.
+func (r *relay) HandleFrame(ctx context.Context, _ string, frame *wire.Frame) *wire.Frame {
+	q := frame.GetReadRecords()
+	s, ok := r.stores[q.GetStream()]
+	if !ok {
+		return &wire.Frame{Body: &wire.Frame_RecordBatch{RecordBatch: &wire.RecordBatch{}}}
+	}
+	wait := min(time.Duration(q.GetWaitMs())*time.Millisecond, waitOf(q.GetStream()))
+	wake := q.GetStream() == logstream.ConfigStream
+	batch := s.answer(r.clock.Now, q.GetFrom(), int(q.GetMax()), wait, wake, ctx.Done())
+	return &wire.Frame{Body: &wire.Frame_RecordBatch{RecordBatch: batch}}
+}
+
+var (
+	_ kernel.Relay        = (*relay)(nil)
+	_ kernel.FrameHandler = (*relay)(nil)
+)
--- /dev/null
+++ b/daemon/plugins/relay/tree.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"slices"
+
+	"github.com/sesamemoor/sesamemoor/core/view"
+)
+
+const (
+	// readers is the number of daemons of a data centre that read from the
+	// platform.
+	readers = 3
+	// fanOut is the number of daemons that follow one daemon.
+	fanOut = 3
+)
+
+// parent returns the peer address that the daemon in slot follows, or "" when
+// it reads from the platform: the first daemons of a data centre do, and one
+// that is not in service yet. Daemons is the list of a view.
+func parent(daemons []view.Daemon, slot, dataCentre string) string {
+	list := inDataCentre(daemons, dataCentre)
+	i := slices.IndexFunc(list, func(d view.Daemon) bool { return d.Slot == slot })
+	if i < readers {
+		return ""
+	}
+	return list[i/fanOut-1].PeerAddr
+}
+
+// inDataCentre returns the part of the list that is in a data centre.
+func inDataCentre(daemons []view.Daemon, dataCentre string) []view.Daemon {
+	first := slices.IndexFunc(daemons, func(d view.Daemon) bool { return d.DataCentre == dataCentre })
+	if first < 0 {
+		return nil
+	}
+	last := first
+	for last < len(daemons) && daemons[last].DataCentre == dataCentre {
+		last++
+	}
+	return daemons[first:last]
+}
+
+// dataCentres returns the names of the data centres with a daemon in service.
+func dataCentres(daemons []view.Daemon) []string {
+	var names []string
+	for _, d := range daemons {
+		if len(names) == 0 || names[len(names)-1] != d.DataCentre {
+			names = append(names, d.DataCentre)
+		}
+	}
+	return names
+}
