--- a/core/fold/encode_test.go
+++ b/core/fold/encode_test.go
@@ -156,6 +156,7 @@
 	}
 	b.ReportMetric(float64(liveBytes()-before)/benchShards, "held-B/shard")
 	runtime.KeepAlive(s)
+	runtime.KeepAlive(data)
 }
 
 func liveBytes() int64 {
--- /dev/null
+++ b/daemon/plugins/relay/relay_test.go
@@ -0,0 +1,377 @@
+package relay
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+// bubbleClock is the clock of a synctest bubble.
+type bubbleClock struct{}
+
+func (bubbleClock) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
+
+// node is one daemon's relay with its surroundings.
+type node struct {
+	*relay
+	world  *world
+	name   string
+	dc     string
+	cutLog atomic.Bool
+	dead   atomic.Bool
+	bytes  atomic.Int64 // of frames sent and received
+
+	mu     sync.Mutex
+	got    map[uint64]time.Time // when each configuration record came
+	last   uint64
+	outage clock.Instant
+}
+
+// world is a log and a network between relays.
+type world struct {
+	t       *testing.T
+	mu      sync.Mutex
+	records [][]byte
+	grown   chan struct{}
+	logDown atomic.Bool
+	nodes   map[string]*node
+	cut     map[string]bool // data centres whose daemons reach only one another
+	daemons []view.Daemon
+	running sync.WaitGroup
+}
+
+var errCut = errors.New("cut")
+
+func newWorld(t *testing.T, dcs, perDC int) *world {
+	w := &world{t: t, nodes: map[string]*node{}, cut: map[string]bool{}, grown: make(chan struct{})}
+	for d := range dcs {
+		for i := range perDC {
+			name := fmt.Sprintf("dc%d-%02d", d, i)
+			w.daemons = append(w.daemons, view.Daemon{Slot: name, DataCentre: fmt.Sprintf("dc%d", d), PeerAddr: name})
+		}
+	}
+	for _, d := range w.daemons {
+		n := &node{world: w, name: d.Slot, dc: d.DataCentre, got: map[uint64]time.Time{}}
+		n.relay = newRelay(settings.Daemon{Slot: d.Slot, DataCentre: d.DataCentre, Region: "r"}, n, n, bubbleClock{}, zap.NewNop())
+		w.nodes[d.Slot] = n
+	}
+	return w
+}
+
+// run starts the readers and surveys of all nodes until ctx ends.
+func (w *world) run(ctx context.Context) {
+	for _, n := range w.nodes {
+		w.running.Go(func() { n.surveys(ctx) })
+		for stream := range n.stores {
+			w.running.Go(func() { n.follow(ctx, stream) })
+		}
+	}
+}
+
+// follow reads as the platform plug-in does.
+func (n *node) follow(ctx context.Context, stream string) {
+	for ctx.Err() == nil && !n.dead.Load() {
+		from := n.Next(stream)
+		batch, asOf, err := n.Read(ctx, stream, from)
+		if err != nil {
+			asOf = n.clock.Now()
+			batch, err = n.world.read(ctx, n, stream, from)
+		}
+		if err != nil {
+			time.Sleep(200 * time.Millisecond)
+			continue
+		}
+		n.Take(stream, from, batch, asOf)
+	}
+}
+
+// read is the platform's long poll; only the configuration has records.
+func (w *world) read(ctx context.Context, n *node, stream string, from uint64) (logstream.Batch, error) {
+	deadline := time.After(time.Second)
+	for {
+		if w.logDown.Load() || n.cutLog.Load() {
+			return logstream.Batch{}, logstream.ErrUnavailable
+		}
+		w.mu.Lock()
+		batch := logstream.Batch{First: 1, Next: 1}
+		if stream == logstream.ConfigStream {
+			batch.Next = uint64(len(w.records)) + 1
+		}
+		for o := from; o < batch.Next; o++ {
+			batch.Records = append(batch.Records, logstream.Entry{Offset: o, Data: w.records[o-1]})
+		}
+		grown := w.grown
+		w.mu.Unlock()
+		if len(batch.Records) > 0 {
+			return batch, nil
+		}
+		select {
+		case <-grown:
+		case <-deadline:
+			return batch, nil
+		case <-ctx.Done():
+			return batch, ctx.Err()
+		}
+	}
+}
+
+func (w *world) append(data []byte) uint64 {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.records = append(w.records, data)
+	close(w.grown)
+	w.grown = make(chan struct{})
+	return uint64(len(w.records))
+}
+
+// hop is the one-way time of a message between daemons.
+const hop = time.Millisecond
+
+// Call implements kernel.Peers.
+func (n *node) Call(ctx context.Context, addr string, frame *wire.Frame) (*wire.Frame, error) {
+	peer := n.world.nodes[addr]
+	n.world.mu.Lock()
+	cut := n.dc != peer.dc && (n.world.cut[n.dc] || n.world.cut[peer.dc])
+	n.world.mu.Unlock()
+	if cut || peer.dead.Load() || n.dead.Load() {
+		<-ctx.Done()
+		return nil, errCut
+	}
+	time.Sleep(hop)
+	answer := peer.HandleFrame(ctx, n.name, proto.CloneOf(frame))
+	time.Sleep(hop)
+	size := int64(proto.Size(frame) + proto.Size(answer))
+	n.bytes.Add(size)
+	peer.bytes.Add(size)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return proto.CloneOf(answer), nil
+}
+
+// View implements kernel.Control.
+func (n *node) View() *view.View { return &view.View{Daemons: n.world.daemons} }
+
+// Post implements kernel.Control.
+func (n *node) Post(ev control.Event) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	switch e := ev.(type) {
+	case control.Records:
+		for _, entry := range e.Entries {
+			if e.Stream != logstream.ConfigStream {
+				continue
+			}
+			if entry.Offset != n.last+1 {
+				n.world.t.Errorf("%s: record %d after %d", n.name, entry.Offset, n.last)
+			}
+			n.last = entry.Offset
+			n.got[entry.Offset] = time.Now()
+		}
+	case control.LogOutage:
+		n.outage = e.AsOf
+	}
+}
+
+func (n *node) has(offset uint64) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.got[offset].IsZero()
+}
+
+// age is the age of the knowledge of the configuration, an outage of the log
+// counted as view.Freshness does.
+func (n *node) age() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.clock.Now().Sub(max(n.config().known(), n.outage))
+}
+
+// bubble runs a test in virtual time and ends the world's goroutines.
+func bubble(t *testing.T, dcs, perDC int, f func(w *world)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		w := newWorld(t, dcs, perDC)
+		w.run(ctx)
+		time.Sleep(3 * time.Second) // virtual: all have read the streams once
+		f(w)
+		cancel()
+		w.running.Wait()
+	})
+}
+
+// Bounds of the brief and the letter.
+const (
+	fewSeconds   = 5 * time.Second
+	inForceLimit = 7 * time.Second
+	staleLimit   = 5 * time.Second // settings.Default().Limits.StaleConfigMS
+)
+
+var record = binary.BigEndian.AppendUint64(make([]byte, 300), 1)
+
+func TestTreeHasSmallFanOutAndReachesAll(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(t, 2, 667)
+	children := map[string]int{}
+	deepest := 0
+	for _, d := range w.daemons {
+		depth := 0
+		for slot := d.Slot; ; depth++ {
+			up := parent(w.daemons, slot, d.DataCentre)
+			if up == "" {
+				break
+			}
+			if depth == 0 {
+				children[up]++
+			}
+			slot = up
+		}
+		deepest = max(deepest, depth)
+	}
+	for _, n := range children {
+		is.True(n <= fanOut)
+	}
+	t.Logf("667 daemons in a data centre: depth %d", deepest)
+	is.True(deepest <= 6)
+}
+
+// TestRecordsReachAllAndKnowledgeStaysFresh also counts the bytes of frames.
+func TestRecordsReachAllAndKnowledgeStaysFresh(t *testing.T) {
+	bubble(t, 3, 40, func(w *world) {
+		is := is.New(t)
+		for _, n := range w.nodes {
+			n.bytes.Store(0)
+		}
+		offset := w.append(record)
+		sent := time.Now()
+		worst := time.Duration(0)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range w.nodes {
+				worst = max(worst, n.age())
+			}
+		}
+		most := int64(0)
+		for _, n := range w.nodes {
+			is.True(n.has(offset))
+			is.True(n.got[offset].Sub(sent) < inForceLimit)
+			most = max(most, n.bytes.Load())
+		}
+		t.Logf("oldest knowledge %v, most frame bytes/s of a daemon %d", worst, most/10)
+		is.True(worst < staleLimit)
+	})
+}
+
+// TestDataCentreCutFromTheLogLearnsFromPeers is the withdrawn key's case.
+func TestDataCentreCutFromTheLogLearnsFromPeers(t *testing.T) {
+	bubble(t, 3, 7, func(w *world) {
+		is := is.New(t)
+		for _, n := range w.nodes {
+			n.cutLog.Store(n.dc == "dc1")
+		}
+		time.Sleep(10 * time.Second)
+		offset := w.append(record)
+		time.Sleep(fewSeconds)
+		for _, n := range w.nodes {
+			is.True(n.has(offset))
+			is.True(n.age() < staleLimit)
+			is.Equal(n.outage, clock.Instant(0)) // others read the log: no outage
+		}
+	})
+}
+
+// TestLogDownForAllIsToldFromBeingCutOff: with the log down for all, knowledge
+// counts as fresh before the limit and at all times after; a data centre that
+// is cut from both the log and its peers goes stale within the limit.
+func TestLogDownForAllIsToldFromBeingCutOff(t *testing.T) {
+	bubble(t, 3, 5, func(w *world) {
+		is := is.New(t)
+		w.logDown.Store(true)
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range w.nodes {
+				is.True(n.age() < staleLimit)
+			}
+		}
+		w.mu.Lock()
+		w.cut["dc2"] = true
+		w.mu.Unlock()
+		time.Sleep(staleLimit + surveyInterval)
+		for _, n := range w.nodes {
+			is.Equal(n.age() > staleLimit, n.dc == "dc2")
+		}
+		w.logDown.Store(false) // for the others; dc2 is cut from the log too
+		for _, n := range w.nodes {
+			n.cutLog.Store(n.dc == "dc2")
+		}
+		offset := w.append(record)
+		time.Sleep(fewSeconds)
+		for _, n := range w.nodes {
+			is.Equal(n.has(offset), n.dc != "dc2")
+			is.Equal(n.age() > staleLimit, n.dc == "dc2")
+		}
+	})
+}
+
+// TestLostParentsAreReplaced: a quarter of the daemons is lost at once.
+func TestLostParentsAreReplaced(t *testing.T) {
+	bubble(t, 2, 20, func(w *world) {
+		is := is.New(t)
+		for i, d := range w.daemons {
+			w.nodes[d.Slot].dead.Store(i%4 == 0)
+		}
+		offset := w.append(record)
+		time.Sleep(inForceLimit)
+		for _, n := range w.nodes {
+			is.True(n.dead.Load() || n.has(offset))
+			is.True(n.dead.Load() || n.age() < staleLimit)
+		}
+	})
+}
+
+func TestStoreIgnoresAnswersThatLeaveAGap(t *testing.T) {
+	is := is.New(t)
+	var posted []control.Event
+	s := newStore("s", func(ev control.Event) { posted = append(posted, ev) })
+	s.take(3, logstream.Batch{Next: 4, Records: []logstream.Entry{{Offset: 3}}}, 9)
+	is.Equal(len(posted), 0)
+	is.Equal(s.known(), clock.Instant(0))
+	s.take(1, logstream.Batch{Next: 4, Records: []logstream.Entry{{Offset: 1}, {Offset: 2}}}, 9)
+	is.Equal(s.position(), uint64(3))
+	is.Equal(s.known(), clock.Instant(0)) // read on before the head is known
+	s.take(2, logstream.Batch{Next: 4, Records: []logstream.Entry{{Offset: 2}, {Offset: 3}}}, 9)
+	is.Equal(s.position(), uint64(4))
+	is.Equal(s.known(), clock.Instant(9))
+	is.Equal(len(posted), 2)
+}
+
+func TestStoreBoundsWhatItHolds(t *testing.T) {
+	is := is.New(t)
+	s := newStore("s", func(control.Event) {})
+	for o := uint64(1); o <= 100; o++ {
+		s.take(o, logstream.Batch{Next: o + 1, Records: []logstream.Entry{{Offset: o, Data: make([]byte, keptBytes/10)}}}, clock.Instant(o))
+	}
+	is.True(s.bytes <= keptBytes)
+	is.True(s.batch(1, 10).First > 1)              // trimmed here: ask the platform
+	is.Equal(len(s.batch(s.first, 10).Entries), 1) // one record beyond the answer's bound
+}
+
+var _ kernel.Peers = (*node)(nil)
