--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -200,21 +200,22 @@
 // age is the age of the knowledge of the configuration, an outage of the log
 // counted as view.Freshness does.
 func (n *node) age() time.Duration {
+	known := n.config().known()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.clock.Now().Sub(max(n.config().known(), n.outage))
+	return n.clock.Now().Sub(max(known, n.outage))
 }
 
 // bubble runs a test in virtual time and ends the world's goroutines.
-func bubble(t *testing.T, dcs, perDC int, f func(w *world)) {
+func bubble(t *testing.T, dcs, perDC int, f func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := newWorld(t, dcs, perDC)
 		w.run(ctx)
 		time.Sleep(3 * time.Second) // virtual: all have read the streams once
-		f(w)
-		cancel()
-		w.running.Wait()
+		defer w.running.Wait()
+		defer cancel()
+		f(t, w)
 	})
 }
 
@@ -255,7 +256,7 @@
 
 // TestRecordsReachAllAndKnowledgeStaysFresh also counts the bytes of frames.
 func TestRecordsReachAllAndKnowledgeStaysFresh(t *testing.T) {
-	bubble(t, 3, 40, func(w *world) {
+	bubble(t, 3, 40, func(t *testing.T, w *world) {
 		is := is.New(t)
 		for _, n := range w.nodes {
 			n.bytes.Store(0)
@@ -282,7 +283,7 @@
 
 // TestDataCentreCutFromTheLogLearnsFromPeers is the withdrawn key's case.
 func TestDataCentreCutFromTheLogLearnsFromPeers(t *testing.T) {
-	bubble(t, 3, 7, func(w *world) {
+	bubble(t, 3, 7, func(t *testing.T, w *world) {
 		is := is.New(t)
 		for _, n := range w.nodes {
 			n.cutLog.Store(n.dc == "dc1")
@@ -302,7 +303,7 @@
 // counts as fresh before the limit and at all times after; a data centre that
 // is cut from both the log and its peers goes stale within the limit.
 func TestLogDownForAllIsToldFromBeingCutOff(t *testing.T) {
-	bubble(t, 3, 5, func(w *world) {
+	bubble(t, 3, 5, func(t *testing.T, w *world) {
 		is := is.New(t)
 		w.logDown.Store(true)
 		for range 300 {
@@ -333,7 +334,7 @@
 
 // TestLostParentsAreReplaced: a quarter of the daemons is lost at once.
 func TestLostParentsAreReplaced(t *testing.T) {
-	bubble(t, 2, 20, func(w *world) {
+	bubble(t, 2, 20, func(t *testing.T, w *world) {
 		is := is.New(t)
 		for i, d := range w.daemons {
 			w.nodes[d.Slot].dead.Store(i%4 == 0)
