--- a/core/control/control.go
+++ b/core/control/control.go
@@ -28,9 +28,12 @@
 	WitnessAddr string
 	EntryAddr   string
 
-	Lease     lease.Params
-	Settle    time.Duration // wait for other slots before the first join
-	Witnesses int           // wanted size of the witness set, odd
+	Lease lease.Params
+	// StaleConfig is the age of configuration knowledge after which open
+	// routes are refused.
+	StaleConfig time.Duration
+	Settle      time.Duration // wait for other slots before the first join
+	Witnesses   int           // wanted size of the witness set, odd
 
 	Rand *rand.Rand // source of record ids and jitter
 }
@@ -42,10 +45,9 @@
 	now     clock.Instant
 	effects []Effect
 
-	fold      *fold.State
-	history   *fleet.History
-	caughtUp  bool // the placement stream was read to its head once
-	freshness map[string]clock.Instant
+	fold     *fold.State
+	history  *fleet.History
+	caughtUp bool // the placement stream was read to its head once
 
 	witness *lease.Witness
 	member  membership
@@ -59,6 +61,14 @@
 	splitting []view.ShardID           // shards that it names
 	coldSince map[uint64]clock.Instant // by hash of a split key; zero while it has load
 
+	boots             map[string]*bootstrap
+	snapshots         map[string]*snapshots
+	nextSnapshotCheck clock.Instant
+
+	fresh       *view.Freshness
+	newer       uint64 // records too new to be understood
+	daemonCache daemonList
+
 	cell     *view.LeaseCell
 	dirty    bool
 	stopping bool
@@ -73,7 +83,6 @@
 		now:       now,
 		fold:      fold.New(),
 		history:   fleet.NewHistory(),
-		freshness: map[string]clock.Instant{},
 		witness:   lease.NewWitness(opts.Lease, now),
 		rights:    map[view.ShardID]*right{},
 		sealers:   map[uint64]*sealing{},
@@ -81,6 +90,9 @@
 		loads:     loadstat.NewBook(),
 		coldSince: map[uint64]clock.Instant{},
 		cell:      new(view.LeaseCell),
+		boots:     map[string]*bootstrap{},
+		snapshots: map[string]*snapshots{},
+		fresh:     view.NewFreshness(opts.StaleConfig),
 		dirty:     true,
 	}
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
@@ -129,6 +141,10 @@
 		s.loadReceived(e)
 	case OwnLoad:
 		s.ownLoad(e)
+	case Trimmed:
+		s.trimmed(e)
+	case LogOutage:
+		s.logOutage(e)
 	case Shutdown:
 		s.shutdown()
 	}
@@ -140,6 +156,7 @@
 	s.tickSealers()
 	s.tickRights()
 	s.tickPlanner()
+	s.tickSnapshots()
 	s.tickOutbox()
 	s.tickDrain()
 	s.tickShutdown()
@@ -153,6 +170,7 @@
 func (s *State) placementStream() string { return logstream.PlacementStream(s.opts.Region) }
 
 func (s *State) takeRecords(e Records) {
+	e = s.collect(e)
 	if e.Stream == logstream.ConfigStream {
 		s.takeConfig(e)
 		return
@@ -165,8 +183,8 @@
 	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
 		s.caughtUp = true
-		s.freshness[e.Stream] = max(s.freshness[e.Stream], e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) takePlacementRecord(entry logstream.Entry) {
@@ -176,6 +194,7 @@
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
+		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -197,7 +216,13 @@
 		if entry.Offset < s.history.Next {
 			continue
 		}
-		_, verdict := s.history.Apply(entry.Offset, entry.Data)
+		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
+		if rec != nil {
+			s.noteSnapshot(e.Stream, rec)
+		}
+		if verdict.Reason == fleet.ReasonSnapshot {
+			continue
+		}
 		if !verdict.Accepted {
 			s.decide(Decision{Action: "reject_configuration", Reason: verdict.Reason})
 			continue
@@ -205,10 +230,10 @@
 		s.decide(Decision{Action: "configuration", Generation: verdict.Version})
 		s.configChanged()
 	}
-	if e.AsOf != 0 && s.history.Next >= e.Next && e.AsOf > s.freshness[e.Stream] {
-		s.freshness[e.Stream] = e.AsOf
-		s.dirty = true
+	if e.AsOf != 0 && s.history.Next >= e.Next {
+		s.fresh.Advance(e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) configChanged() {
