--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -36,6 +36,7 @@
 		checksFence: o.text("fence", "true") == "true",
 		serviceTime: o.duration("service-time", 2*time.Millisecond),
 		backendArgs: strings.Fields(strings.ReplaceAll(o["backend"], ",", " ")),
+		respawn:     o["respawn"] == "true",
 	}
 	if s.fleet, err = newFleet(s.dir, opts); err != nil {
 		return err
--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -45,11 +45,12 @@
 
 // process is a program of the fleet, running or not.
 type process struct {
-	name string
-	args []string
-	mu   sync.Mutex
-	cmd  *exec.Cmd
-	done chan struct{}
+	name    string
+	args    []string
+	respawn bool // started again when it ends by itself
+	mu      sync.Mutex
+	cmd     *exec.Cmd
+	done    chan struct{}
 }
 
 // fleet is the processes of one scenario.
@@ -111,6 +112,7 @@
 	checksFence bool
 	serviceTime time.Duration
 	backendArgs []string
+	respawn     bool // backend servers are started again after a crash
 }
 
 func (f *fleet) startPlatform() error {
@@ -160,7 +162,7 @@
 	if opts.checksFence {
 		args = append(args, "-checks-fence")
 	}
-	m.backend = &process{name: fmt.Sprintf("b%d", i), args: append(args, opts.backendArgs...)}
+	m.backend = &process{name: fmt.Sprintf("b%d", i), args: append(args, opts.backendArgs...), respawn: opts.respawn}
 	f.members = append(f.members, m)
 	return nil
 }
@@ -263,13 +265,29 @@
 	}
 	p.cmd = cmd
 	p.done = make(chan struct{})
-	go func(done chan struct{}) {
-		_ = cmd.Wait()
-		close(done)
-	}(p.done)
+	go p.watch(dir, cmd, p.done)
 	return nil
 }
 
+// respawnDelay is the time after which a supervisor starts a program again.
+const respawnDelay = 300 * time.Millisecond
+
+// watch waits for the process and starts it again if it ended by itself.
+func (p *process) watch(dir string, cmd *exec.Cmd, done chan struct{}) {
+	_ = cmd.Wait()
+	close(done)
+	if !p.respawn {
+		return
+	}
+	time.Sleep(respawnDelay)
+	p.mu.Lock()
+	byItself := p.cmd == cmd
+	p.mu.Unlock()
+	if byItself {
+		_ = p.start(dir)
+	}
+}
+
 func (p *process) signal(sig syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
