--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -22,8 +22,9 @@
 type membership struct {
 	backend     *BackendUp // nil while no backend server is announced
 	draining    bool       // the backend server wants to stop
-	announced   bool       // announce record sent
-	joinID      [16]byte   // id of the join in flight; zero if none
+	drainSince  clock.Instant
+	announced   bool     // announce record sent
+	joinID      [16]byte // id of the join in flight; zero if none
 	joinSent    clock.Instant
 	incarnation fold.Incarnation
 	holder      *lease.Holder
