Send the deadline by the host's wall clock too

Fencing does not help, as the new owner's grant goes to another backend server. Server and daemon share a host, so the deadline goes along as wall time, and a server refuses what it reads later as expired.

--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -106,17 +106,18 @@
 	return nil
 }
 
-// run sends the request to the backend server and returns its whole answer.
-func (b *backend) run(ctx context.Context, req *wire.Request, token uint64, timeout time.Duration) *wire.Response {
+// run sends the request to the backend server, before until, and returns its
+// whole answer.
+func (b *backend) run(ctx context.Context, req *wire.Request, token uint64, until clock.Instant) *wire.Response {
 	addr := b.addr()
 	if addr == "" {
 		return refusal(outcome.New(outcome.NoOwner, "no backend server"))
 	}
-	trace := &connTrace{until: b.clock.Now().Add(timeout)}
+	trace := &connTrace{until: until}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) { trace.got(info.Conn) },
 	})
-	httpReq, err := newRequest(ctx, addr, req, token, timeout)
+	httpReq, err := newRequest(ctx, addr, req, token, b.deadline(until))
 	if err != nil {
 		return refusal(outcome.New(outcome.BadRequest, "%v", err))
 	}
@@ -130,6 +131,21 @@
 	return resp
 }
 
+// deadline is the end of a request's time on the clocks that a backend server
+// on the same host understands.
+type deadline struct {
+	left time.Duration
+	wall time.Time
+}
+
+// deadline translates an instant. The wall clock is read first, so that a
+// pause in between makes the deadline earlier.
+func (b *backend) deadline(until clock.Instant) deadline {
+	wall := time.Now()
+	left := until.Sub(b.clock.Now())
+	return deadline{left: left, wall: wall.Add(left)}
+}
+
 // failure maps a transport error to its kind. "Not run" is claimed only when
 // no byte of the request was written.
 func (b *backend) failure(ctx context.Context, addr string, trace *connTrace, err error) *wire.Response {
@@ -204,6 +220,8 @@
 		err = outcome.New(outcome.Fenced, "backend server holds a newer grant")
 	case "expired":
 		err = outcome.New(outcome.DeadlineNotRun, "backend server read the request too late")
+	case "expired":
+		err = outcome.New(outcome.DeadlineNotRun, "deadline passed before the backend server read the request")
 	case "shed":
 		err = outcome.New(outcome.BackendShed, "backend server shed the request")
 	default:
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -151,7 +151,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp := e.backend.run(ctx, r.request, r.token, timeout)
+	resp := e.backend.run(ctx, r.request, r.token, now.Add(timeout))
 	if outcome.Kind(resp.GetKind()) == outcome.OK {
 		e.load.Served(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond)
 	}
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -76,6 +77,7 @@
 		"no length": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", outcome.AnswerCut},
 		"too large": {"HTTP/1.1 200 OK\r\nContent-Length: 8388609\r\n\r\n" + strings.Repeat("x", 8388609), outcome.AnswerTooLarge},
 		"fenced":    {"HTTP/1.1 409 Conflict\r\nX-Sesamemoor-Refused: fenced\r\nContent-Length: 0\r\n\r\n", outcome.Fenced},
+		"expired":   {"HTTP/1.1 503 Service Unavailable\r\nX-Sesamemoor-Refused: expired\r\nContent-Length: 0\r\n\r\n", outcome.DeadlineNotRun},
 		"error":     {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", outcome.OK},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -287,3 +289,22 @@
 	is.Equal(err, errLeaseOver)
 	is.True(!trace.wrote())
 }
+
+// TestDeadlineLiesInsideTheLease reads the deadline as a backend server does.
+func TestDeadlineLiesInsideTheLease(t *testing.T) {
+	is := is.New(t)
+	var expires, left int64
+	server := newRawServer(t, func(_ int64, r *http.Request) string {
+		expires, _ = strconv.ParseInt(r.Header.Get(headerExpires), 10, 64)
+		left, _ = strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+		return okAnswer
+	})
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	b.lease.Set(clock.Boot{}.Now().Add(2 * time.Second))
+	lease := time.Now().Add(2 * time.Second)
+	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.OK)
+	is.True(left > 0 && left <= 1980)
+	is.True(expires > 0 && time.UnixMicro(expires).Before(lease))
+}
--- a/daemon/plugins/owner/request.go
+++ b/daemon/plugins/owner/request.go
@@ -7,7 +7,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
@@ -35,7 +34,7 @@
 }
 
 // newRequest returns the request to the backend server.
-func newRequest(ctx context.Context, addr string, req *wire.Request, token uint64, timeout time.Duration) (*http.Request, error) {
+func newRequest(ctx context.Context, addr string, req *wire.Request, token uint64, end deadline) (*http.Request, error) {
 	httpReq, err := http.NewRequestWithContext(ctx, req.GetMethod(), "http://"+addr+req.GetPath(), bodyOf(req))
 	if err != nil {
 		return nil, err
@@ -56,7 +55,8 @@
 	h.Set(headerShard, strconv.FormatUint(uint64(req.GetShard()), 10))
 	h.Set(headerTeam, req.GetTeam())
 	h.Set(headerRequest, req.GetRequestId())
-	h.Set(headerDeadline, strconv.FormatInt(timeout.Milliseconds(), 10))
+	h.Set(headerDeadline, strconv.FormatInt(end.left.Milliseconds(), 10))
+	h.Set(headerExpires, strconv.FormatInt(end.wall.UnixMicro(), 10))
 	return httpReq, nil
 }
 
