--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -220,8 +220,6 @@
 		err = outcome.New(outcome.Fenced, "backend server holds a newer grant")
 	case "expired":
 		err = outcome.New(outcome.DeadlineNotRun, "backend server read the request too late")
-	case "expired":
-		err = outcome.New(outcome.DeadlineNotRun, "deadline passed before the backend server read the request")
 	case "shed":
 		err = outcome.New(outcome.BackendShed, "backend server shed the request")
 	default:
