--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -221,9 +221,9 @@
 
 // Bounds of the brief and the letter.
 const (
-	fewSeconds   = 5 * time.Second
-	inForceLimit = 7 * time.Second
-	staleLimit   = 5 * time.Second // settings.Default().Limits.StaleConfigMS
+	withdrawalBound = 5 * time.Second
+	inForceLimit    = 7 * time.Second
+	staleLimit      = 5 * time.Second // settings.Default().Limits.StaleConfigMS
 )
 
 var record = binary.BigEndian.AppendUint64(make([]byte, 300), 1)
@@ -290,7 +290,7 @@
 		}
 		time.Sleep(10 * time.Second)
 		offset := w.append(record)
-		time.Sleep(fewSeconds)
+		time.Sleep(withdrawalBound)
 		for _, n := range w.nodes {
 			is.True(n.has(offset))
 			is.True(n.age() < staleLimit)
@@ -324,7 +324,7 @@
 			n.cutLog.Store(n.dc == "dc2")
 		}
 		offset := w.append(record)
-		time.Sleep(fewSeconds)
+		time.Sleep(withdrawalBound)
 		for _, n := range w.nodes {
 			is.Equal(n.has(offset), n.dc != "dc2")
 			is.Equal(n.age() > staleLimit, n.dc == "dc2")
