--- a/core/control/control.go
+++ b/core/control/control.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/loadstat"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -27,9 +28,12 @@
 	WitnessAddr string
 	EntryAddr   string
 
-	Lease     lease.Params
-	Settle    time.Duration // wait for other slots before the first join
-	Witnesses int           // wanted size of the witness set, odd
+	Lease lease.Params
+	// StaleConfig is the age of configuration knowledge after which open
+	// routes are refused.
+	StaleConfig time.Duration
+	Settle      time.Duration // wait for other slots before the first join
+	Witnesses   int           // wanted size of the witness set, odd
 
 	Rand *rand.Rand // source of record ids and jitter
 }
@@ -41,10 +45,9 @@
 	now     clock.Instant
 	effects []Effect
 
-	fold      *fold.State
-	history   *fleet.History
-	caughtUp  bool // the placement stream was read to its head once
-	freshness map[string]clock.Instant
+	fold     *fold.State
+	history  *fleet.History
+	caughtUp bool // the placement stream was read to its head once
 
 	witness *lease.Witness
 	member  membership
@@ -52,6 +55,19 @@
 	sealers map[uint64]*sealing
 	outbox  *outbox
 	planner planner
+	loads   *loadstat.Book
+
+	splitID   [16]byte                 // record of the newest split or merge
+	splitting []view.ShardID           // shards that it names
+	coldSince map[uint64]clock.Instant // by hash of a split key; zero while it has load
+
+	boots             map[string]*bootstrap
+	snapshots         map[string]*snapshots
+	nextSnapshotCheck clock.Instant
+
+	fresh       *view.Freshness
+	newer       uint64 // records too new to be understood
+	daemonCache daemonList
 
 	cell     *view.LeaseCell
 	dirty    bool
@@ -67,12 +83,16 @@
 		now:       now,
 		fold:      fold.New(),
 		history:   fleet.NewHistory(),
-		freshness: map[string]clock.Instant{},
 		witness:   lease.NewWitness(opts.Lease, now),
 		rights:    map[view.ShardID]*right{},
 		sealers:   map[uint64]*sealing{},
 		outbox:    newOutbox(),
+		loads:     loadstat.NewBook(),
+		coldSince: map[uint64]clock.Instant{},
 		cell:      new(view.LeaseCell),
+		boots:     map[string]*bootstrap{},
+		snapshots: map[string]*snapshots{},
+		fresh:     view.NewFreshness(opts.StaleConfig),
 		dirty:     true,
 	}
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
@@ -117,6 +137,14 @@
 		s.releaseAnswered(e)
 	case Quiesced:
 		s.quiesced(e)
+	case LoadReceived:
+		s.loadReceived(e)
+	case OwnLoad:
+		s.ownLoad(e)
+	case Trimmed:
+		s.trimmed(e)
+	case LogOutage:
+		s.logOutage(e)
 	case Shutdown:
 		s.shutdown()
 	}
@@ -128,6 +156,7 @@
 	s.tickSealers()
 	s.tickRights()
 	s.tickPlanner()
+	s.tickSnapshots()
 	s.tickOutbox()
 	s.tickDrain()
 	s.tickShutdown()
@@ -141,6 +170,7 @@
 func (s *State) placementStream() string { return logstream.PlacementStream(s.opts.Region) }
 
 func (s *State) takeRecords(e Records) {
+	e = s.collect(e)
 	if e.Stream == logstream.ConfigStream {
 		s.takeConfig(e)
 		return
@@ -153,8 +183,8 @@
 	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
 		s.caughtUp = true
-		s.freshness[e.Stream] = max(s.freshness[e.Stream], e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) takePlacementRecord(entry logstream.Entry) {
@@ -164,6 +194,7 @@
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
+		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -173,6 +204,9 @@
 	if join := rec.GetJoin(); join != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
+	if sp := rec.GetSplitKey(); sp != nil {
+		s.splitSeen(sp)
+	}
 	s.notePlan(rec)
 	s.followPlacement()
 }
@@ -182,7 +216,13 @@
 		if entry.Offset < s.history.Next {
 			continue
 		}
-		_, verdict := s.history.Apply(entry.Offset, entry.Data)
+		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
+		if rec != nil {
+			s.noteSnapshot(e.Stream, rec)
+		}
+		if verdict.Reason == fleet.ReasonSnapshot {
+			continue
+		}
 		if !verdict.Accepted {
 			s.decide(Decision{Action: "reject_configuration", Reason: verdict.Reason})
 			continue
@@ -190,10 +230,10 @@
 		s.decide(Decision{Action: "configuration", Generation: verdict.Version})
 		s.configChanged()
 	}
-	if e.AsOf != 0 && s.history.Next >= e.Next && e.AsOf > s.freshness[e.Stream] {
-		s.freshness[e.Stream] = e.AsOf
-		s.dirty = true
+	if e.AsOf != 0 && s.history.Next >= e.Next {
+		s.fresh.Advance(e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) configChanged() {
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -5,7 +5,6 @@
 
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
-	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
 
@@ -26,8 +25,11 @@
 		Config:        s.history.Config,
 		Callers:       callers(s.history.Config),
 		Services:      services,
+		Planners:      s.plannerViews(members),
 		Held:          s.held(),
-		ConfigFresh:   s.freshness[logstream.ConfigStream],
+		Fresh:         s.fresh,
+		Daemons:       s.daemons(),
+		NewerRecords:  s.newer,
 		Lease:         s.cell,
 		SelfOut:       s.selfOut() || s.member.draining,
 		Leaving:       s.stopping,
@@ -55,6 +57,14 @@
 	return out
 }
 
+func (s *State) plannerViews(members map[fold.Incarnation]*view.Member) []*view.Member {
+	var list []*view.Member
+	for _, inc := range s.planners() {
+		list = append(list, s.memberView(inc, members))
+	}
+	return list
+}
+
 func (s *State) memberView(inc fold.Incarnation, members map[fold.Incarnation]*view.Member) *view.Member {
 	if inc == 0 {
 		return nil
