--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -60,7 +60,7 @@
 		return rec, refuse("record id of %d bytes", len(rec.GetId()))
 	}
 	if !h.seen.Add(idwindow.ID(rec.GetId())) {
-		return rec, refuse("record id seen before")
+		return rec, Verdict{Reason: ReasonDuplicate}
 	}
 	return rec, h.applyBody(rec)
 }
@@ -79,9 +79,11 @@
 	return refuse("not a configuration patch")
 }
 
-// ReasonSnapshot is the reason of the verdict on a snapshot record, which
-// makes no version.
-const ReasonSnapshot = "snapshot"
+// Reasons of verdicts that callers tell apart.
+const (
+	ReasonSnapshot  = "snapshot" // a snapshot record makes no version
+	ReasonDuplicate = "record id seen before"
+)
 
 func (h *History) patch(p *wire.ConfigPatch) Verdict {
 	if p.GetBaseVersion() != h.Version {
--- a/ctl/cmd/sesamemoorctl/config.go
+++ b/ctl/cmd/sesamemoorctl/config.go
@@ -149,10 +149,7 @@
 		return env.print(changes, func(w *tabwriter.Writer) {
 			fmt.Fprintln(w, "OFFSET\tBASE\tVERSION\tTIME\tOPERATOR\tRESULT\tCOMMENT")
 			for _, ch := range changes {
-				result := "accepted"
-				if !ch.Accepted {
-					result = "rejected: " + ch.Reason
-				}
+				result := resultOf(ch)
 				at := time.UnixMilli(ch.TimeMS).UTC().Format(time.RFC3339)
 				fmt.Fprintf(w, "%d\t%d\t%d\t%s\t%s\t%s\t%s\n", ch.Offset, ch.Base, ch.Version, at, ch.Operator, result, ch.Comment)
 			}
@@ -160,6 +157,17 @@
 	}}
 }
 
+func resultOf(ch operator.Change) string {
+	switch {
+	case ch.Accepted:
+		return "accepted"
+	case ch.Unjudged || ch.Reason == fleet.ReasonSnapshot:
+		return ch.Reason
+	default:
+		return "rejected: " + ch.Reason
+	}
+}
+
 func configWait() subcommands.Command {
 	var skip bool
 	return &action{name: "wait", usage: "[FLAGS] VERSION", args: 1, synopsis: "wait until a version is in force at every daemon",
--- a/ctl/emulate/platform/platform.go
+++ b/ctl/emulate/platform/platform.go
@@ -43,7 +43,7 @@
 	engine.GET("/v1/streams/:stream/records", s.faulty(s.read))
 	engine.GET("/admin/faults", s.getFaults)
 	engine.PUT("/admin/faults", s.putFaults)
-	engine.POST("/admin/trim", s.trim)
+	engine.POST("/admin/trim", s.postTrim)
 	return engine
 }
 
@@ -142,7 +142,7 @@
 	s.unlessOut(c, func(c *gin.Context) { c.JSON(http.StatusOK, batch) })
 }
 
-func (s *Server) trim(c *gin.Context) {
+func (s *Server) postTrim(c *gin.Context) {
 	var body struct {
 		Stream string `json:"stream"`
 		Before uint64 `json:"before"`
@@ -151,8 +151,13 @@
 		c.JSON(http.StatusBadRequest, gin.H{"error": err.Error()})
 		return
 	}
+	s.Trim(body.Stream, body.Before)
+	c.Status(http.StatusNoContent)
+}
+
+// Trim drops the records of a stream before an offset.
+func (s *Server) Trim(name string, before uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stream(body.Stream).trim(body.Before)
-	c.Status(http.StatusNoContent)
+	s.stream(name).trim(before)
 }
--- a/ctl/operator/config_test.go
+++ b/ctl/operator/config_test.go
@@ -10,9 +10,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/snapshot"
+	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/ctl/emulate/platform"
 )
 
@@ -110,3 +113,61 @@
 	l.cut()
 	return l.Log.Append(ctx, stream, data)
 }
+
+// appendSnapshot writes the snapshot that a daemon would write now.
+func appendSnapshot(ctx context.Context, is *is.I, c *Config) {
+	history, _, err := c.Replay(ctx)
+	is.NoErr(err)
+	state, err := history.Encode()
+	is.NoErr(err)
+	for _, part := range snapshot.Cut(logstream.ConfigStream, history.Next, state) {
+		id := snapshot.RecordID(part)
+		data, err := proto.Marshal(&wire.Record{
+			Id: id[:], Version: fleet.RecordVersion, Body: &wire.Record_Snapshot{Snapshot: part},
+		})
+		is.NoErr(err)
+		_, err = c.Log.Append(ctx, logstream.ConfigStream, data)
+		is.NoErr(err)
+	}
+}
+
+func TestTrimmedStreamIsReplayedFromSnapshot(t *testing.T) {
+	is := is.New(t)
+	ctx, cancel := context.WithTimeout(t.Context(), waitBound)
+	defer cancel()
+	c, log := newConfig(t)
+	for v := range uint64(3) {
+		_, err := c.Patch(ctx, v, dataCentrePatch(fmt.Sprint("d", v)), "")
+		is.NoErr(err)
+	}
+	appendSnapshot(ctx, is, c) // at offset 4
+	_, err := c.Patch(ctx, 3, dataCentrePatch("d3"), "")
+	is.NoErr(err)
+
+	log.Trim(logstream.ConfigStream, 3)
+	history, changes, err := c.Replay(ctx)
+	is.NoErr(err)
+	is.Equal(history.Version, uint64(4))
+	is.Equal(len(history.Config.DataCentres), 4)
+	is.True(changes[0].Unjudged) // the third patch, which the snapshot contains
+	version, err := c.Patch(ctx, 4, dataCentrePatch("d4"), "")
+	is.NoErr(err)
+	is.Equal(version, uint64(5))
+
+	// Without the snapshot nothing is claimed.
+	log.Trim(logstream.ConfigStream, 5)
+	_, _, err = c.Replay(ctx)
+	is.True(errors.Is(err, logstream.ErrUnavailable))
+}
+
+func TestRecordInsideASnapshotHasUnknownOutcome(t *testing.T) {
+	is := is.New(t)
+	_, err := judged(Change{Unjudged: true})
+	is.True(errors.Is(err, ErrUnknownOutcome))
+	_, err = judged(Change{Reason: fleet.ReasonDuplicate})
+	is.True(errors.Is(err, ErrUnknownOutcome))
+	_, err = judged(Change{Base: 1, Current: 2})
+	is.True(errors.Is(err, ErrRaced))
+	_, err = judged(Change{Base: 2, Current: 2})
+	is.True(errors.Is(err, ErrRejected) && !errors.Is(err, ErrRaced))
+}
