--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -3,8 +3,6 @@
 package settings
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -12,8 +10,6 @@
 	"os"
 	"strings"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
 )
 
@@ -118,15 +114,9 @@
 
 // ParseDaemon decodes settings from JSON with comments and checks them.
 func ParseDaemon(data []byte) (Daemon, error) {
-	standard, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return Daemon{}, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
 	d := Default()
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return Daemon{}, fmt.Errorf("%w: %s%w", ErrInvalid, position(standard, dec.InputOffset()), err)
+	if err := Decode(data, &d); err != nil {
+		return Daemon{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	if problems := d.Problems(); len(problems) > 0 {
 		return Daemon{}, fmt.Errorf("%w:\n  %s", ErrInvalid, strings.Join(problems, "\n  "))
@@ -134,15 +124,6 @@
 	return d, nil
 }
 
-// position returns "line L, column C: " of an offset. Comments were replaced
-// by spaces, so positions are those of the original file.
-func position(data []byte, offset int64) string {
-	before := data[:min(int(offset), len(data))]
-	line := bytes.Count(before, []byte("\n")) + 1
-	column := len(before) - bytes.LastIndexByte(before, '\n')
-	return fmt.Sprintf("line %d, column %d: ", line, column)
-}
-
 // Problems returns every rule that d breaks, each with its field path.
 func (d Daemon) Problems() []string {
 	var list []string
--- a/ctl/deployment/deployment.go
+++ b/ctl/deployment/deployment.go
@@ -3,13 +3,11 @@
 package deployment
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"os"
 
-	"github.com/tailscale/hujson"
+	"github.com/sesamemoor/sesamemoor/core/settings"
 )
 
 // Deployment describes data centres, services and teams.
@@ -49,30 +47,23 @@
 
 // Load reads a deployment from JSON with comments.
 func Load(file string) (Deployment, error) {
-	data, err := readStandard(file)
-	if err != nil {
-		return Deployment{}, err
-	}
 	var d Deployment
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&d); err != nil {
-		return Deployment{}, fmt.Errorf("%w: %s: %w", ErrInvalid, file, err)
+	if err := readInto(file, &d); err != nil {
+		return Deployment{}, err
 	}
 	return d, d.check()
 }
 
-// readStandard reads JSON with comments and returns plain JSON.
-func readStandard(file string) ([]byte, error) {
+// readInto decodes a file of JSON with comments.
+func readInto(file string, into any) error {
 	data, err := os.ReadFile(file)
 	if err != nil {
-		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
+		return fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	standard, err := hujson.Standardize(data)
-	if err != nil {
-		return nil, fmt.Errorf("%w: %s: %w", ErrInvalid, file, err)
+	if err := settings.Decode(data, into); err != nil {
+		return fmt.Errorf("%w: %s: %w", ErrInvalid, file, err)
 	}
-	return standard, nil
+	return nil
 }
 
 func (d Deployment) check() error {
--- a/ctl/deployment/deployment_test.go
+++ b/ctl/deployment/deployment_test.go
@@ -1,6 +1,7 @@
 package deployment
 
 import (
+	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -54,7 +55,9 @@
 
 // checkConfig checks that the configuration covers the deployment.
 func checkConfig(is *is.I, example string) {
-	patch, err := readStandard(filepath.Join(example, "config.json"))
+	var doc map[string]any
+	is.NoErr(readInto(filepath.Join(example, "config.json"), &doc))
+	patch, err := json.Marshal(doc)
 	is.NoErr(err)
 	_, cfg, err := fleet.ApplyPatch([]byte("{}"), patch)
 	is.NoErr(err)
--- a/ctl/deployment/generate.go
+++ b/ctl/deployment/generate.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strings"
@@ -49,8 +50,8 @@
 	if err != nil {
 		return err
 	}
-	shared, err := readStandard(src.Daemon)
-	if err != nil {
+	shared := map[string]any{}
+	if err := readInto(src.Daemon, &shared); err != nil {
 		return err
 	}
 	if last := basePort + portsPerDaemon*(d.workers()+1); basePort < 1024 || last > 65_535 {
@@ -71,7 +72,7 @@
 type generator struct {
 	dir        string
 	base       int
-	shared     []byte
+	shared     map[string]any // settings of all daemons
 	deployment Deployment
 
 	tool     toolsettings.Settings
@@ -103,10 +104,7 @@
 // daemon writes the settings of one daemon and adds its backend server.
 func (g *generator) daemon(s Service, name, dc string, port int) error {
 	addr := func(offset int) string { return fmt.Sprintf("127.0.0.1:%d", port+offset) }
-	set := map[string]any{}
-	if err := json.Unmarshal(g.shared, &set); err != nil {
-		return fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
+	set := maps.Clone(g.shared)
 	set["slot"] = name
 	set["data_centre"] = dc
 	set["region"] = g.deployment.Region
--- a/ctl/load/plan.go
+++ b/ctl/load/plan.go
@@ -3,14 +3,12 @@
 package load
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net/url"
 	"time"
 
-	"github.com/tailscale/hujson"
+	"github.com/sesamemoor/sesamemoor/core/settings"
 )
 
 // Plan describes one run. It is read from JSON with comments.
@@ -50,14 +48,8 @@
 
 // ParsePlan decodes and checks a plan.
 func ParsePlan(data []byte) (Plan, error) {
-	standard, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return Plan{}, fmt.Errorf("%w: %w", ErrPlan, err)
-	}
 	p := Plan{Seed: 1, TimeoutMS: 2000, MaxOutstanding: 2000, Keys: 1000}
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&p); err != nil {
+	if err := settings.Decode(data, &p); err != nil {
 		return Plan{}, fmt.Errorf("%w: %w", ErrPlan, err)
 	}
 	return p, p.Check()
--- a/ctl/toolsettings/toolsettings.go
+++ b/ctl/toolsettings/toolsettings.go
@@ -3,8 +3,6 @@
 package toolsettings
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
@@ -12,9 +10,8 @@
 	"os"
 	"strings"
 
-	"github.com/tailscale/hujson"
-
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
+	"github.com/sesamemoor/sesamemoor/core/settings"
 )
 
 // Environment variables that stand in for flags and settings.
@@ -58,14 +55,8 @@
 
 // Parse decodes settings from JSON with comments and checks them.
 func Parse(data []byte) (Settings, error) {
-	standard, err := hujson.Standardize(bytes.Clone(data))
-	if err != nil {
-		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
-	}
 	s := Settings{PlatformURL: DefaultPlatformURL}
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(&s); err != nil {
+	if err := settings.Decode(data, &s); err != nil {
 		return Settings{}, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
 	if problems := s.Problems(); len(problems) > 0 {
