--- a/daemon/plugins/platform/reader.go
+++ b/daemon/plugins/platform/reader.go
@@ -65,7 +65,7 @@
 			r.pause = 0
 			r.primed = true
 			r.relay.Take(r.stream, from, batch, asOf)
-		case errors.Is(err, logstream.ErrTrimmed):
+		case errors.Is(err, logstream.ErrTrimmed) && batch.First > from:
 			r.logger.Warn("records were trimmed; starting from a snapshot",
 				zap.String("stream", r.stream), zap.Uint64("from", from), zap.Uint64("first", batch.First))
 			r.relay.Restart(r.stream, batch.First)
--- /dev/null
+++ b/daemon/plugins/platform/reader_test.go
@@ -0,0 +1,111 @@
+package platform
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+type bubbleClock struct{}
+
+func (bubbleClock) Now() clock.Instant { return clock.Instant(time.Now().UnixNano()) }
+
+// fakeLog answers a read after a delay, from a stream that starts at first.
+type fakeLog struct {
+	logstream.Log
+	first, next uint64
+	delay       time.Duration
+	down        bool
+	reads       int
+}
+
+func (l *fakeLog) Read(_ context.Context, _ string, from uint64, _, waitMS int) (logstream.Batch, error) {
+	l.reads++
+	time.Sleep(l.delay)
+	batch := logstream.Batch{First: l.first, Next: l.next}
+	switch {
+	case l.down:
+		return logstream.Batch{}, logstream.ErrUnavailable
+	case from < l.first:
+		return batch, logstream.ErrTrimmed
+	}
+	for o := from; o < l.next; o++ {
+		batch.Records = append(batch.Records, logstream.Entry{Offset: o})
+	}
+	if len(batch.Records) == 0 {
+		time.Sleep(time.Duration(waitMS) * time.Millisecond)
+	}
+	return batch, nil
+}
+
+// fakeRelay follows no peer and notes what it takes.
+type fakeRelay struct {
+	next     uint64
+	restarts []uint64
+	asOf     clock.Instant
+	taken    int
+}
+
+func (r *fakeRelay) Next(string) uint64 { return r.next }
+
+func (r *fakeRelay) Take(_ string, _ uint64, batch logstream.Batch, asOf clock.Instant) {
+	r.taken += len(batch.Records)
+	r.next = max(r.next, batch.Next)
+	r.asOf = asOf
+}
+
+func (r *fakeRelay) Restart(_ string, first uint64) {
+	r.restarts = append(r.restarts, first)
+	r.next = first
+}
+
+func (r *fakeRelay) Read(context.Context, string, uint64) (logstream.Batch, clock.Instant, error) {
+	return logstream.Batch{}, 0, kernel.ErrNoPeer
+}
+
+// readFor runs a reader for a time.
+func readFor(t *testing.T, l *fakeLog, relay *fakeRelay, d time.Duration) {
+	r := &reader{stream: logstream.ConfigStream, log: l, relay: relay, clock: bubbleClock{}, logger: zap.NewNop()}
+	ctx, cancel := context.WithTimeout(t.Context(), d)
+	defer cancel()
+	r.run(ctx)
+}
+
+func TestReaderStartsAgainWhereTheStreamStarts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		relay := &fakeRelay{next: 1}
+		readFor(t, &fakeLog{first: 500, next: 510}, relay, 3*time.Second)
+		is.Equal(relay.restarts, []uint64{500})
+		is.Equal(relay.taken, 10)
+	})
+}
+
+// TestReadProvesTheHeadAsOfItsSending: with a slow log the knowledge is as old
+// as the read's start, not its answer.
+func TestReadProvesTheHeadAsOfItsSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		relay := &fakeRelay{next: 1}
+		start := bubbleClock{}.Now()
+		readFor(t, &fakeLog{first: 1, next: 3, delay: 2 * time.Second}, relay, time.Second)
+		is.Equal(relay.asOf, start)
+	})
+}
+
+func TestReaderBacksOffWhileTheLogIsDown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		l := &fakeLog{down: true}
+		readFor(t, l, &fakeRelay{next: 1}, time.Minute)
+		is.True(l.reads <= 2+int(time.Minute/readRetryMax))
+	})
+}
