--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -79,7 +79,7 @@
 	ctx, cancel := deadline(c.Request)
 	defer cancel()
 	s.thaw(ctx)
-	if expired(c.Request) {
+	if expired(c.Request) || ctx.Err() != nil {
 		refuse(c, "expired")
 		return
 	}
