--- a/daemon/plugins/platform/reader.go
+++ b/daemon/plugins/platform/reader.go
@@ -35,6 +35,7 @@
 	logger *zap.Logger
 	primed bool // the platform or a peer answered once
 	pause  time.Duration
+	max    int // records asked for; fewer after a failure, which may be one of size
 }
 
 func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, relay kernel.Relay, clk clock.Clock, log *zap.Logger) {
@@ -43,7 +44,7 @@
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
-				r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("platform")}
+				r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("platform"), max: readMax}
 				wg.Go(func() { r.run(ctx) })
 			}
 			return nil
@@ -89,12 +90,17 @@
 		wait = 0
 	}
 	sent := r.clock.Now()
-	batch, err = r.log.Read(ctx, r.stream, from, readMax, wait)
+	batch, err = r.log.Read(ctx, r.stream, from, max(r.max, 1), wait)
+	if err == nil {
+		r.max = min(2*max(r.max, 1), readMax)
+	}
 	return batch, sent, err
 }
 
-// backOff waits before the next read.
+// backOff waits before the next read, which asks for fewer records: the answer
+// may have been too large to be read.
 func (r *reader) backOff(ctx context.Context) {
+	r.max /= 4
 	r.pause = min(max(2*r.pause, readRetry), readRetryMax)
 	select {
 	case <-ctx.Done():
--- a/daemon/plugins/platform/reader_test.go
+++ b/daemon/plugins/platform/reader_test.go
@@ -24,10 +24,11 @@
 	first, next uint64
 	delay       time.Duration
 	down        bool
+	most        int // records that fit an answer; 0 for any number
 	reads       int
 }
 
-func (l *fakeLog) Read(_ context.Context, _ string, from uint64, _, waitMS int) (logstream.Batch, error) {
+func (l *fakeLog) Read(_ context.Context, _ string, from uint64, limit, waitMS int) (logstream.Batch, error) {
 	l.reads++
 	time.Sleep(l.delay)
 	batch := logstream.Batch{First: l.first, Next: l.next}
@@ -37,7 +38,10 @@
 	case from < l.first:
 		return batch, logstream.ErrTrimmed
 	}
-	for o := from; o < l.next; o++ {
+	if l.most > 0 && limit > l.most {
+		return logstream.Batch{}, logstream.ErrUnavailable
+	}
+	for o := from; o < min(l.next, from+uint64(limit)); o++ {
 		batch.Records = append(batch.Records, logstream.Entry{Offset: o})
 	}
 	if len(batch.Records) == 0 {
@@ -58,7 +62,7 @@
 
 func (r *fakeRelay) Take(_ string, _ uint64, batch logstream.Batch, asOf clock.Instant) {
 	r.taken += len(batch.Records)
-	r.next = max(r.next, batch.Next)
+	r.next += uint64(len(batch.Records))
 	r.asOf = asOf
 }
 
@@ -73,7 +77,7 @@
 
 // readFor runs a reader for a time.
 func readFor(t *testing.T, l *fakeLog, relay *fakeRelay, d time.Duration) {
-	r := &reader{stream: logstream.ConfigStream, log: l, relay: relay, clock: bubbleClock{}, logger: zap.NewNop()}
+	r := &reader{stream: logstream.ConfigStream, log: l, relay: relay, clock: bubbleClock{}, logger: zap.NewNop(), max: readMax}
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
 	r.run(ctx)
@@ -109,3 +113,12 @@
 		is.True(l.reads <= 2+int(time.Minute/readRetryMax))
 	})
 }
+
+func TestReaderAsksForFewerRecordsWhenAnswersAreTooLarge(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		relay := &fakeRelay{next: 1}
+		readFor(t, &fakeLog{first: 1, next: 101, most: 3}, relay, 2*time.Minute)
+		is.Equal(relay.next, uint64(101))
+	})
+}
