--- a/core/control/control.go
+++ b/core/control/control.go
@@ -46,17 +46,49 @@
 	caughtUp  bool // the placement stream was read to its head once
 	freshness map[string]clock.Instant
 
-	witness *lease.Witness
-	member  membership
-	rights  map[view.ShardID]*right
-	sealers map[uint64]*sealing
-	outbox  *outbox
-	planner planner
+	witness   witnessRole
+	newHolder func(lease.Params, clock.Instant, []string) leaseHolder
+	newSealer func(lease.Params, []string) leaseSealer
+	member    membership
+	rights    map[view.ShardID]*right
+	sealers   map[uint64]*sealing
+	lapsed    map[uint64]bool // lapses established here that replay does not show yet
+	outbox    *outbox
+	planner   planner
 
-	cell     *view.LeaseCell
-	dirty    bool
-	stopping bool
-	left     bool
+	cell       *view.LeaseCell // of the present incarnation, never used for another
+	tables     tables
+	dirty      bool     // a new view is due
+	reconsider bool     // replay changed since consents were last considered
+	late       []Effect // effects that come after the step's view
+	stopping   bool
+	left       bool
+	leftAt     clock.Instant // when the daemon ceased to be a member for good
+}
+
+// witnessRole is what the control state needs of a lease.Witness.
+type witnessRole interface {
+	Renew(now clock.Instant, inc uint64, joining bool) (ack, refused bool)
+	Seal(now clock.Instant, inc uint64) (lease.SealState, time.Duration)
+	Expired(now clock.Instant) []lease.Overdue
+}
+
+// leaseHolder is what the control state needs of a lease.Holder.
+type leaseHolder interface {
+	Tick(now clock.Instant) []lease.Renewal
+	Ack(now clock.Instant, witness string, seq uint64)
+	Refuse(witness string)
+	Silent() []string
+	Deadline(now clock.Instant) clock.Instant
+	Broken(now clock.Instant) bool
+}
+
+// leaseSealer is what the control state needs of a lease.Sealer.
+type leaseSealer interface {
+	Tick(now clock.Instant) []lease.Request
+	Answer(now clock.Instant, witness string, seq uint64, state lease.SealState, wait time.Duration)
+	SealedBy(now clock.Instant) []string
+	Lapsed(now clock.Instant) bool
 }
 
 // New returns the control state of a daemon that started at now.
@@ -71,10 +103,18 @@
 		witness:   lease.NewWitness(opts.Lease, now),
 		rights:    map[view.ShardID]*right{},
 		sealers:   map[uint64]*sealing{},
+		lapsed:    map[uint64]bool{},
 		outbox:    newOutbox(),
 		cell:      new(view.LeaseCell),
 		dirty:     true,
+		newHolder: func(p lease.Params, sent clock.Instant, witnesses []string) leaseHolder {
+			return lease.NewHolder(p, sent, witnesses)
+		},
+		newSealer: func(p lease.Params, witnesses []string) leaseSealer {
+			return lease.NewSealer(p, witnesses)
+		},
 	}
+	s.tables.stale = true
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
 	return s
 }
@@ -86,12 +126,15 @@
 		s.now = now
 	}
 	s.effects = s.effects[:0]
+	s.late = s.late[:0]
 	s.checkLease()
 	s.handle(ev)
+	s.refreshTables()
 	if s.dirty {
 		s.dirty = false
 		s.emit(Publish{View: s.buildView()})
 	}
+	s.effects = append(s.effects, s.late...)
 	return s.effects
 }
 
@@ -108,7 +151,7 @@
 	case BackendDown:
 		s.backendDown(e)
 	case Suspicion:
-		s.suspect(e.Incarnation, "request failed")
+		s.suspect(e.Incarnation, "request failed", false)
 	case ReleaseReceived:
 		s.releaseReceived(e)
 	case ReleaseAnswered:
@@ -125,6 +168,7 @@
 	s.tickWitness()
 	s.tickSealers()
 	s.tickRights()
+	s.tickDeparture()
 	s.tickPlanner()
 	s.tickOutbox()
 	s.tickShutdown()
@@ -132,6 +176,10 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
+// emitLate adds an effect that must come after the step's view: traffic must
+// have stopped by that view first.
+func (s *State) emitLate(e Effect) { s.late = append(s.late, e) }
+
 func (s *State) decide(d Decision) { s.emit(d) }
 
 // placementStream returns the stream of this daemon's region.
@@ -145,9 +193,13 @@
 	if e.Stream != s.placementStream() {
 		return
 	}
+	before := s.fold.Next
 	for _, entry := range e.Entries {
 		s.takePlacementRecord(entry)
 	}
+	if s.fold.Next != before {
+		s.followPlacement()
+	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
 		s.caughtUp = true
 		s.freshness[e.Stream] = max(s.freshness[e.Stream], e.AsOf)
@@ -166,11 +218,11 @@
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
 		return
 	}
-	s.dirty = true
-	if join := rec.GetJoin(); join != nil {
+	s.tables.stale = true
+	s.reconsider = true
+	if rec.GetJoin() != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
-	s.followPlacement()
 }
 
 func (s *State) takeConfig(e Records) {
@@ -194,6 +246,8 @@
 
 func (s *State) configChanged() {
 	s.dirty = true
+	s.tables.stale = true
+	s.tables.callers = callers(s.history.Config)
 	for name, svc := range s.history.Config.Services {
 		if svc.Region == s.opts.Region {
 			s.fold.EnsureService(name, svc.Shards)
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -9,7 +9,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fold"
-	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -17,6 +17,12 @@
 // up for a new one. It stays below the time for a first lease.
 const joinRetry = 2 * time.Second
 
+// joinInterval is the least time between two joins.
+const joinInterval = 500 * time.Millisecond
+
+// shunTime is the time for which a witness that never answered is chosen last.
+const shunTime = 30 * time.Second
+
 // membership is this daemon's way into the fleet: announce, join, first lease,
 // ready; and again from join after the lease broke.
 type membership struct {
@@ -25,9 +31,13 @@
 	joinID      [16]byte   // id of the join in flight; zero if none
 	joinSent    clock.Instant
 	incarnation fold.Incarnation
-	holder      *lease.Holder
+	holder      leaseHolder
 	witnesses   []string
 	readySent   bool
+	departing   string                   // why the incarnation hands over and leaves; empty if it stays
+	departSince clock.Instant            // when it began to depart
+	givenUp     map[[16]byte]bool        // joins that replay did not show in time
+	shunned     map[string]clock.Instant // witnesses that did not answer, until then
 }
 
 func (s *State) tickMembership() {
@@ -40,12 +50,31 @@
 		s.tickHolder()
 		return
 	}
-	if m.joinID != [16]byte{} && s.now < m.joinSent.Add(joinRetry) {
+	wait := joinInterval
+	if m.joinID != [16]byte{} {
+		wait = joinRetry
+	}
+	if m.joinSent != 0 && s.now < m.joinSent.Add(wait) {
 		return
 	}
+	s.giveUpJoin()
 	s.join()
 }
 
+// giveUpJoin stops waiting for the join in flight. Should replay show it later,
+// that incarnation is ended.
+func (s *State) giveUpJoin() {
+	m := &s.member
+	if m.joinID == [16]byte{} {
+		return
+	}
+	if m.givenUp == nil {
+		m.givenUp = map[[16]byte]bool{}
+	}
+	m.givenUp[m.joinID] = true
+	m.joinID = [16]byte{}
+}
+
 func (s *State) announcement() *wire.Announce {
 	return &wire.Announce{
 		Slot:        s.opts.Slot,
@@ -90,20 +119,32 @@
 // joinSeen starts the lease when replay shows the join in flight.
 func (s *State) joinSeen(offset uint64, id []byte) {
 	m := &s.member
-	if m.joinID == [16]byte{} || len(id) != 16 || [16]byte(id) != m.joinID {
+	join := [16]byte(id)
+	if m.givenUp[join] {
+		delete(m.givenUp, join)
+		s.sendAs(offset, &wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: offset}}}, false)
+		return
+	}
+	if join != m.joinID {
 		return
 	}
 	m.joinID = [16]byte{}
 	m.incarnation = offset
 	m.readySent = false
-	m.holder = lease.NewHolder(s.opts.Lease, m.joinSent, m.witnesses)
+	m.departing = ""
+	m.holder = s.newHolder(s.opts.Lease, m.joinSent, m.witnesses)
+	s.cell = new(view.LeaseCell)
+	s.dirty = true
+	if s.stopping {
+		s.depart("shutdown")
+	}
 }
 
 func (s *State) tickHolder() {
 	m := &s.member
 	for _, r := range m.holder.Tick(s.now) {
 		s.sendTo(r.Witness, &wire.Datagram{Body: &wire.Datagram_Renew{
-			Renew: &wire.Renew{Incarnation: m.incarnation, Seq: r.Seq}}})
+			Renew: &wire.Renew{Incarnation: m.incarnation, Seq: r.Seq, Joining: r.Joining}}})
 	}
 	if !m.readySent && s.leaseHeld() {
 		m.readySent = true
@@ -120,19 +161,34 @@
 		return
 	}
 	s.decide(Decision{Action: "lease_lost", Reason: "no majority of witnesses acknowledged in time", Member: m.incarnation})
+	s.shunSilent()
 	s.leaveIncarnation()
 }
 
-// leaveIncarnation ends the own incarnation. Nothing runs under it any more.
+// shunSilent remembers the witnesses that never answered, so that the next
+// incarnation chooses others.
+func (s *State) shunSilent() {
+	m := &s.member
+	if m.shunned == nil {
+		m.shunned = map[string]clock.Instant{}
+	}
+	for _, slot := range m.holder.Silent() {
+		m.shunned[slot] = s.now.Add(shunTime)
+	}
+}
+
+// leaveIncarnation ends the own incarnation. Its lease is over, or nothing runs
+// under it any more.
 func (s *State) leaveIncarnation() {
 	m := &s.member
 	s.append(&wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: m.incarnation}}})
 	m.holder = nil
 	m.incarnation = 0
-	m.joinID = [16]byte{}
+	m.departing = ""
 	clear(s.rights)
 	clear(s.sealers)
 	s.cell.Set(0)
+	s.cell = new(view.LeaseCell)
 	s.dirty = true
 }
 
@@ -141,15 +197,15 @@
 	if m.backend != nil && *m.backend == e {
 		return
 	}
-	if m.holder != nil {
+	if m.backend != nil {
 		s.backendDown(BackendDown{Reason: "another backend server announced itself"})
 	}
 	m.backend = &e
 	s.dirty = true
 }
 
-// backendDown ends the incarnation: without a backend server it can do
-// nothing for its shards.
+// backendDown hands over all shards and ends the incarnation: without a backend
+// server it can do nothing for them.
 func (s *State) backendDown(e BackendDown) {
 	m := &s.member
 	if m.backend == nil {
@@ -157,11 +213,8 @@
 	}
 	m.backend = nil
 	s.dirty = true
-	if m.holder == nil {
-		return
-	}
-	s.decide(Decision{Action: "leave", Reason: e.Reason, Member: m.incarnation})
-	s.leaveIncarnation()
+	s.giveUpJoin()
+	s.depart(e.Reason)
 }
 
 // chooseWitnesses picks an odd number of other slots, spread over data
@@ -175,16 +228,16 @@
 		}
 	}
 	slices.SortFunc(slots, func(a, b *fold.Slot) int {
-		if c := cmp.Compare(standing[a.Name], standing[b.Name]); c != 0 {
-			return c
-		}
-		return cmp.Compare(s.witnessWeight(a.Name), s.witnessWeight(b.Name))
+		return cmp.Or(
+			cmp.Compare(standing[a.Name], standing[b.Name]),
+			cmp.Compare(s.witnessWeight(a.Name), s.witnessWeight(b.Name)),
+		)
 	})
 	return spread(slots, s.opts.Witnesses)
 }
 
 // slotStanding ranks slots: 0 with a member in service, 1 without a member
-// so far, 2 when its last member is gone.
+// so far, 2 when its last member is gone, 3 when it did not answer lately.
 func (s *State) slotStanding() map[string]int {
 	standing := map[string]int{}
 	for name := range s.fold.Slots {
@@ -205,6 +258,11 @@
 			standing[m.Slot] = 2
 		}
 	}
+	for slot, until := range s.member.shunned {
+		if s.now < until {
+			standing[slot] = 3
+		}
+	}
 	return standing
 }
 
--- a/core/control/outbox.go
+++ b/core/control/outbox.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -15,13 +17,15 @@
 // outbox holds this daemon's records until replay shows them.
 type outbox struct {
 	pending map[[16]byte]*outgoing
+	order   uint64 // of the newest record
 }
 
 type outgoing struct {
 	stream string
 	record *wire.Record
 	next   clock.Instant
-	once   bool // never repeated
+	once   bool   // never repeated
+	order  uint64 // records are repeated in the order in which they were sent
 }
 
 func newOutbox() *outbox { return &outbox{pending: map[[16]byte]*outgoing{}} }
@@ -44,12 +48,18 @@
 }
 
 func (s *State) send(rec *wire.Record, once bool) [16]byte {
+	return s.sendAs(s.member.incarnation, rec, once)
+}
+
+// sendAs sends a record in the name of one of this process's incarnations.
+func (s *State) sendAs(author fold.Incarnation, rec *wire.Record, once bool) [16]byte {
 	id := s.newID()
 	rec.Id = id[:]
 	rec.Version = fold.RecordVersion
-	rec.Author = s.member.incarnation
+	rec.Author = author
+	s.outbox.order++
 	s.outbox.pending[id] = &outgoing{
-		stream: s.placementStream(), record: rec, next: s.now.Add(appendRetry), once: once,
+		stream: s.placementStream(), record: rec, next: s.now.Add(appendRetry), once: once, order: s.outbox.order,
 	}
 	s.emit(Append{Stream: s.placementStream(), Record: rec})
 	return id
@@ -67,6 +77,7 @@
 }
 
 func (s *State) tickOutbox() {
+	var due []*outgoing
 	for id, out := range s.outbox.pending {
 		if s.now < out.next {
 			continue
@@ -75,6 +86,10 @@
 			delete(s.outbox.pending, id)
 			continue
 		}
+		due = append(due, out)
+	}
+	slices.SortFunc(due, func(a, b *outgoing) int { return cmp.Compare(a.order, b.order) })
+	for _, out := range due {
 		out.next = s.now.Add(appendRetry)
 		s.emit(Append{Stream: out.stream, Record: out.record})
 	}
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -1,6 +1,9 @@
 package control
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -29,9 +32,12 @@
 	consented uint64 // generation g whose standby right was given up, plus one
 	released  uint64 // generation g released, plus one
 
-	releasing  bool   // the shard is being handed to its standby
-	quiesced   bool   // no request of it runs any more
-	releaseGen uint64 // generation under which it is being released
+	releasing  bool          // the shard is being handed to its standby
+	quiesced   bool          // no request of it runs any more
+	answered   bool          // the standby accepted the release
+	recorded   bool          // the release was put into the log for want of an answer
+	releaseGen uint64        // generation under which it is being released
+	releasedAt clock.Instant // when it was quiesced
 	nextSend   clock.Instant
 	marks      []*wire.RequestMark
 }
@@ -56,17 +62,29 @@
 		s.leaveIncarnation()
 		return
 	}
-	for name, svc := range s.fold.Services {
-		for i := range svc.Shards {
-			sh := &svc.Shards[i]
-			id := view.ShardID{Service: name, Shard: uint32(i)}
-			r := s.rights[id]
-			if r == nil && sh.Owner != me {
-				continue
+	for inc := range s.lapsed {
+		if m, ok := s.fold.Members[inc]; !ok || m.Phase == fold.Gone {
+			delete(s.lapsed, inc)
+		}
+	}
+	for _, name := range s.serviceNames() {
+		shards := s.fold.Services[name].Shards
+		for i := range shards {
+			if shards[i].Owner == me {
+				s.right(view.ShardID{Service: name, Shard: uint32(i)})
 			}
-			s.followShard(id, sh, s.right(id))
 		}
 	}
+	for _, id := range s.shardIDs() {
+		s.followShard(id, s.shard(id), s.rights[id])
+	}
+}
+
+// shardIDs returns the shards with a right, in order.
+func (s *State) shardIDs() []view.ShardID {
+	return slices.SortedFunc(maps.Keys(s.rights), func(a, b view.ShardID) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
+	})
 }
 
 func (s *State) followShard(id view.ShardID, sh *fold.Shard, r *right) {
@@ -77,6 +95,9 @@
 			s.abortRelease(r)
 		}
 		mayOwn := r.released == 0 || sh.Generation >= r.released+1
+		if r.owned {
+			s.dirty = true // the recorded generation is part of the view
+		}
 		if !r.owned && !r.releasing && mayOwn {
 			s.acquire(id, r, sh.Generation, true, nil, "replay shows this daemon as owner")
 		}
@@ -87,6 +108,7 @@
 			s.decide(Decision{Action: "drop", Reason: "replay shows another owner", Shard: id, Generation: sh.Generation})
 		}
 		delete(s.rights, id)
+		s.dirty = true
 	}
 }
 
@@ -95,6 +117,8 @@
 func (s *State) abortRelease(r *right) {
 	r.releasing = false
 	r.quiesced = false
+	r.answered = false
+	r.recorded = false
 	r.marks = nil
 }
 
@@ -131,16 +155,14 @@
 		return
 	}
 	s.sendConsents()
-	for id, r := range s.rights {
+	for _, id := range s.shardIDs() {
 		sh := s.shard(id)
-		if sh == nil || sh.Owner != s.member.incarnation {
-			continue
-		}
-		if r.owned && !r.releasing && s.shouldRelease(sh) {
+		r := s.rights[id]
+		if r.owned && s.shouldRelease(sh) {
 			s.startRelease(id, sh, r)
 		}
-		if r.releasing && r.quiesced && s.now >= r.nextSend {
-			s.sendRelease(id, sh, r)
+		if r.releasing && r.quiesced {
+			s.pursueRelease(id, sh, r)
 		}
 	}
 }
@@ -153,19 +175,38 @@
 	return &svc.Shards[id.Shard]
 }
 
-// shouldRelease reports whether the owner of sh is to hand it over now: it
-// was asked to, or is itself out of service, and the standby can take it.
+// shouldRelease reports whether this daemon is to hand over sh now: it leaves,
+// or it was asked to or is itself out of service, and the standby can take it.
+// Planned moves wait while the log is silent: an interrupted one could not be
+// resumed.
 func (s *State) shouldRelease(sh *fold.Shard) bool {
-	if !sh.Handover && !s.selfOut() && !s.stopping {
+	if s.member.departing != "" {
+		return true
+	}
+	if sh.Owner != s.member.incarnation || !sh.Handover && !s.selfOut() {
 		return false
 	}
+	return s.usableStandby(sh) && s.logFresh()
+}
+
+// usableStandby reports whether sh has a standby that may serve it.
+func (s *State) usableStandby(sh *fold.Shard) bool {
 	standby, ok := s.fold.Members[sh.Standby]
-	if !ok || standby.Phase != fold.InService {
+	if !ok || standby.Phase != fold.InService || s.lapsed[sh.Standby] || s.sealers[sh.Standby] != nil {
 		return false
 	}
 	return !placement.IsOut(s.fold, s.history.Config, standby)
 }
 
+// logFreshness is the age of the newest read up to which planned moves start.
+const logFreshness = 2 * time.Second
+
+// logFresh reports whether the placement stream was read lately.
+func (s *State) logFresh() bool {
+	at, ok := s.freshness[s.placementStream()]
+	return ok && s.now.Sub(at) < logFreshness
+}
+
 // selfOut reports whether an operator took this daemon out of service.
 func (s *State) selfOut() bool {
 	m := s.self()
@@ -176,16 +217,21 @@
 	r.owned = false
 	r.releasing = true
 	r.quiesced = false
+	r.answered = false
+	r.recorded = false
 	r.releaseGen = sh.Generation
+	if sh.Owner != s.member.incarnation {
+		r.releaseGen = r.taken // the takeover is not in the log yet
+	}
 	s.dirty = true
-	s.emit(Quiesce{Shard: id, Token: r.token})
+	s.emitLate(Quiesce{Shard: id, Token: r.token})
 	s.decide(Decision{Action: "release", Reason: s.releaseReason(sh), Shard: id, Generation: sh.Generation, Member: sh.Standby})
 }
 
 func (s *State) releaseReason(sh *fold.Shard) string {
 	switch {
-	case s.stopping:
-		return "shutdown"
+	case s.member.departing != "":
+		return s.member.departing
 	case s.selfOut():
 		return "taken out of service"
 	case sh.Handover:
@@ -202,12 +248,51 @@
 		return
 	}
 	r.quiesced = true
+	r.releasedAt = s.now
 	r.marks = e.Marks
-	s.sendRelease(e.Shard, sh, r)
+	s.pursueRelease(e.Shard, sh, r)
+}
+
+const (
+	// standbyPatience is the time without an answer after which the standby of
+	// a release is suspected.
+	standbyPatience = 300 * time.Millisecond
+	// releaseBound is the time without an answer after which a release is put
+	// into the log instead. It leaves time to seal a lost standby first: then
+	// the owner takes up the shard again.
+	releaseBound = 1500 * time.Millisecond
+)
+
+// pursueRelease sends a release until it is answered, and finds another way
+// when the standby stays silent.
+func (s *State) pursueRelease(id view.ShardID, sh *fold.Shard, r *right) {
+	if r.answered && s.now < r.nextSend {
+		return
+	}
+	if s.now >= r.nextSend {
+		s.sendRelease(id, sh, r)
+	}
+	waited := s.now.Sub(r.releasedAt)
+	if waited >= standbyPatience {
+		s.suspect(sh.Standby, "no answer to a release", true)
+	}
+	if waited >= releaseBound && !r.recorded && sh.Standby != 0 && s.mayRelease(sh, r) {
+		r.recorded = true
+		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
+			Incarnation: s.member.incarnation,
+			Refs:        []*wire.ShardRef{{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen}}}}})
+		s.decide(Decision{Action: "record_release", Reason: "the standby does not answer", Shard: id, Generation: r.releaseGen, Member: sh.Standby})
+	}
+}
+
+// mayRelease reports whether replay still shows the placement under which the
+// release of sh began.
+func (s *State) mayRelease(sh *fold.Shard, r *right) bool {
+	return sh.Owner == s.member.incarnation && sh.Generation == r.releaseGen
 }
 
 func (s *State) sendRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	if sh.Generation != r.releaseGen || sh.Owner != s.member.incarnation {
+	if !s.mayRelease(sh, r) {
 		return
 	}
 	standby, ok := s.fold.Members[sh.Standby]
@@ -220,7 +305,7 @@
 	}
 	r.released = r.releaseGen + 1
 	r.nextSend = s.now.Add(releaseRetry)
-	s.emit(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
+	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
 		Owner: s.member.incarnation,
 		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
 		Marks: r.marks,
@@ -230,6 +315,7 @@
 func (s *State) releaseAnswered(e ReleaseAnswered) {
 	if e.Accepted {
 		if r, ok := s.rights[e.Shard]; ok && r.releasing && r.releaseGen == e.Generation {
+			r.answered = true
 			r.nextSend = s.now.Add(appendRetry)
 		}
 		return
@@ -253,8 +339,8 @@
 		return "unknown shard"
 	case !s.leaseHeld():
 		return "no lease"
-	case s.stopping:
-		return "shutting down"
+	case s.member.departing != "" || s.stopping:
+		return "leaving"
 	case sh.Generation != generation || sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
 		return "replay shows another placement"
 	}
@@ -274,11 +360,16 @@
 // sendConsents gives up standby rights for which replay shows a proposed
 // successor, unless the shard was taken over already.
 func (s *State) sendConsents() {
+	if !s.reconsider {
+		return
+	}
+	s.reconsider = false
 	me := s.member.incarnation
 	var refs []*wire.ShardRef
-	for name, svc := range s.fold.Services {
-		for i := range svc.Shards {
-			sh := &svc.Shards[i]
+	for _, name := range s.serviceNames() {
+		shards := s.fold.Services[name].Shards
+		for i := range shards {
+			sh := &shards[i]
 			if sh.Standby != me || !sh.HasPending {
 				continue
 			}
@@ -296,42 +387,3 @@
 	s.append(&wire.Record{Body: &wire.Record_Consent{Consent: &wire.Consent{Incarnation: me, Refs: refs}}})
 	s.decide(Decision{Action: "consent", Reason: "another standby is proposed", Count: len(refs)})
 }
-
-// shutdown starts the orderly departure.
-func (s *State) shutdown() {
-	s.stopping = true
-	s.dirty = true
-}
-
-// tickShutdown ends the departure once no shard is owned or being released.
-func (s *State) tickShutdown() {
-	if !s.stopping || s.left {
-		return
-	}
-	if s.member.holder != nil && s.busyShards() > 0 {
-		return
-	}
-	if s.member.holder != nil {
-		s.decide(Decision{Action: "leave", Reason: "shutdown", Member: s.member.incarnation})
-		s.leaveIncarnation()
-		return
-	}
-	s.left = true
-	s.emit(Left{})
-}
-
-// busyShards counts the shards that still have to be handed over. A shard
-// without a usable standby is given up with the leave record.
-func (s *State) busyShards() int {
-	count := 0
-	for id, r := range s.rights {
-		sh := s.shard(id)
-		if sh == nil || sh.Owner != s.member.incarnation && !r.owned {
-			continue
-		}
-		if r.releasing || s.shouldRelease(sh) {
-			count++
-		}
-	}
-	return count
-}
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -1,26 +1,53 @@
 package control
 
 import (
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
 
-// buildView returns the routing view of the current state.
-func (s *State) buildView() *view.View {
+// tableInterval bounds how often the routing tables of all shards are built.
+// Changes of the own rights are published at once, with the tables in place.
+const tableInterval = 50 * time.Millisecond
+
+// tables are the parts of a view that are shared by all views until replay or
+// the configuration changes.
+type tables struct {
+	services map[string]*view.Service
+	callers  map[string]view.Caller
+	stale    bool
+	next     clock.Instant // when they may be built again
+}
+
+// refreshTables builds the tables anew if they are stale and due.
+func (s *State) refreshTables() {
+	t := &s.tables
+	if !t.stale || s.now < t.next {
+		return
+	}
+	t.stale = false
+	t.next = s.now.Add(tableInterval)
 	members := map[fold.Incarnation]*view.Member{}
-	services := make(map[string]*view.Service, len(s.fold.Services))
+	t.services = make(map[string]*view.Service, len(s.fold.Services))
 	for name, svc := range s.fold.Services {
-		services[name] = s.serviceView(svc, members)
+		t.services[name] = s.serviceView(svc, members)
 	}
+	s.dirty = true
+}
+
+// buildView returns the routing view of the current state.
+func (s *State) buildView() *view.View {
 	return &view.View{
 		Incarnation:   s.member.incarnation,
 		Backend:       s.backendView(),
 		ConfigVersion: s.history.Version,
 		Config:        s.history.Config,
-		Callers:       callers(s.history.Config),
-		Services:      services,
+		Callers:       s.tables.callers,
+		Services:      s.tables.services,
 		Held:          s.held(),
 		ConfigFresh:   s.freshness[logstream.ConfigStream],
 		Lease:         s.cell,
--- /dev/null
+++ b/core/control/walk_test.go
@@ -0,0 +1,241 @@
+package control
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/view"
+)
+
+// roughWeather is the default mix of faults of a walk.
+var roughWeather = chances{
+	Drift: 0.02, Lose: 0.05, Delay: 0.02, Duplicate: 0.02,
+	AppendLost: 0.05, AppendLate: 0.05, AppendTwice: 0.05,
+	Pause: 0.002, Restart: 0.001, Partition: 0.002, Outage: 0.0005,
+	CutLog: 0.001, BackendFlap: 0.0005, Patch: 0.0005, Leave: 0.0002, Stuck: 0.02,
+}
+
+// disturb lets faults happen.
+func (w *world) disturb() {
+	n := w.nodes[w.rng.IntN(len(w.nodes))]
+	other := w.nodes[w.rng.IntN(len(w.nodes))]
+	o := w.odds
+	if w.chance(o.Pause) {
+		n.paused = w.now + w.pauseLength()
+		w.note("%s paused until %v", n.name, n.paused)
+	}
+	if w.chance(o.Restart) || n.stopped && w.chance(0.01) {
+		w.note("%s restarts", n.name)
+		w.restart(n)
+	}
+	if w.chance(o.Partition) {
+		until := w.now + w.pauseLength()
+		w.blocked[[2]int{n.index, other.index}] = until
+		if w.chance(0.7) {
+			w.blocked[[2]int{other.index, n.index}] = until
+		}
+	}
+	if w.chance(o.Outage) {
+		w.logDown = w.now + w.upTo(15*time.Second)
+		w.note("log down until %v", w.logDown)
+	}
+	if w.chance(o.CutLog) {
+		n.cutLog = w.now + w.upTo(12*time.Second)
+	}
+	if w.chance(o.BackendFlap) {
+		n.inbox = append(n.inbox, BackendDown{Reason: "health check failed"})
+		w.at(w.upTo(2*time.Second), func() { n.inbox = append(n.inbox, n.backend) })
+	}
+	if w.chance(o.Patch) {
+		dc := string(rune('a' + w.rng.IntN(3)))
+		w.patch(fmt.Sprintf(`{"data_centres":{%q:{"out":%v}}}`, dc, w.chance(0.5)))
+	}
+	if w.chance(o.Leave) {
+		n.inbox = append(n.inbox, Shutdown{})
+	}
+	w.useShards()
+}
+
+// pauseLength favours lengths around the term and allows long ones.
+func (w *world) pauseLength() time.Duration {
+	if w.chance(0.2) {
+		return w.upTo(30 * time.Second)
+	}
+	return w.upTo(3 * time.Second)
+}
+
+// useShards starts requests, and holds some between loading the view and the
+// check of the lease.
+func (w *world) useShards() {
+	for _, n := range w.nodes {
+		if n.paused > w.now || n.stopped || n.view == nil {
+			continue
+		}
+		if n.stuck == nil && w.chance(w.odds.Stuck) {
+			n.stuck = n.view
+			n.stuckFor = w.now + w.pauseLength()
+		}
+		if !w.chance(0.1) {
+			continue
+		}
+		now := w.clock(n)
+		for _, id := range sortedShards(n.view.Held) {
+			held := n.view.Held[id]
+			if n.view.Lease.Valid(now) && w.chance(0.3) {
+				until := min(now.Add(w.upTo(time.Second)), n.view.Lease.Deadline())
+				n.running = append(n.running, running{shard: id, token: held.Token, until: until})
+			}
+		}
+	}
+}
+
+// sortedShards returns the keys of m in order, so that a seed gives one walk.
+func sortedShards[V any](m map[view.ShardID]V) []view.ShardID {
+	return slices.SortedFunc(maps.Keys(m), func(a, b view.ShardID) int { return cmp.Compare(a.Shard, b.Shard) })
+}
+
+// claim is a daemon's present right or running request for a shard.
+type claim struct {
+	who   string
+	token uint64
+}
+
+// claims returns who could dispatch or runs requests of each shard now. A
+// paused daemon counts: it may go on at this instant.
+func (w *world) claims() map[view.ShardID][]claim {
+	all := map[view.ShardID][]claim{}
+	for _, n := range w.nodes {
+		now := w.clock(n)
+		mine := map[view.ShardID]uint64{}
+		for _, v := range []*view.View{n.view, n.stuck} {
+			if v == nil || n.stopped || !v.Lease.Valid(now) {
+				continue
+			}
+			for id, held := range v.Held {
+				mine[id] = held.Token
+			}
+		}
+		for _, r := range n.running {
+			if now < r.until {
+				mine[r.shard] = max(mine[r.shard], r.token)
+			}
+		}
+		for id, token := range mine {
+			all[id] = append(all[id], claim{who: fmt.Sprintf("%s/%d", n.name, n.boot), token: token})
+		}
+	}
+	return all
+}
+
+// check returns an error when a shard has two owners or tokens do not ascend.
+func (w *world) check() error {
+	claims := w.claims()
+	for _, id := range sortedShards(claims) {
+		list := claims[id]
+		if len(list) > 1 {
+			return fmt.Errorf("shard %d has two owners: %v", id.Shard, list)
+		}
+		c := list[0]
+		if c.token < w.serving[id] {
+			return fmt.Errorf("shard %d: token %d of %s after %d", id.Shard, c.token, c.who, w.serving[id])
+		}
+		w.serving[id] = c.token
+		key := tokenKey{shard: id, token: c.token}
+		if was, ok := w.tokens[key]; ok && was != c.who {
+			return fmt.Errorf("shard %d: token %d of %s was used by %s", id.Shard, c.token, c.who, was)
+		}
+		w.tokens[key] = c.who
+	}
+	return nil
+}
+
+// walk disturbs the world for a time, heals it, and checks that every shard
+// is served again.
+func (w *world) walk(length time.Duration) error {
+	w.start()
+	for w.now < length {
+		w.disturb()
+		w.advance()
+		if err := w.check(); err != nil {
+			return fmt.Errorf("at %v: %w", w.now, err)
+		}
+	}
+	return w.settle()
+}
+
+// settleTime bounds the recovery of all shards after the last fault.
+const settleTime = 30 * time.Second
+
+func (w *world) settle() error {
+	w.odds = chances{Drift: w.odds.Drift}
+	w.logDown = 0
+	clear(w.blocked)
+	w.patch(`{"data_centres":{"a":{"out":false},"b":{"out":false},"c":{"out":false}}}`)
+	for _, n := range w.nodes {
+		n.paused, n.cutLog = 0, 0
+		if n.stopped {
+			w.restart(n)
+		}
+	}
+	end := w.now + settleTime
+	for w.now < end {
+		w.advance()
+		if err := w.check(); err != nil {
+			return fmt.Errorf("at %v: %w", w.now, err)
+		}
+	}
+	return w.checkServed()
+}
+
+func (w *world) checkServed() error {
+	claims := w.claims()
+	for name, svc := range w.replay().Services {
+		for i, sh := range svc.Shards {
+			list := claims[view.ShardID{Service: name, Shard: uint32(i)}]
+			if len(list) != 1 {
+				return fmt.Errorf("shard %d has no owner %v after the faults: recorded %+v", i, settleTime, sh)
+			}
+		}
+	}
+	return nil
+}
+
+// fail reports a counterexample with the end of its trace.
+func (w *world) fail(t *testing.T, seed uint64, err error) {
+	t.Helper()
+	t.Fatalf("seed %d: %v\n%s", seed, err, strings.Join(w.trace[max(0, len(w.trace)-60):], "\n"))
+}
+
+// walkCount returns the number of walks asked for by SESAMEMOOR_WALKS.
+func walkCount(t *testing.T, usual int) int {
+	text := os.Getenv("SESAMEMOOR_WALKS")
+	if text == "" {
+		return usual
+	}
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatalf("SESAMEMOOR_WALKS: %v", err)
+	}
+	return n
+}
+
+func TestWalkHasOneOwnerPerShard(t *testing.T) {
+	first, _ := strconv.ParseUint(os.Getenv("SESAMEMOOR_WALK_SEED"), 10, 64)
+	for i := range walkCount(t, 16) {
+		seed := first + uint64(i) + 1
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			w := newWorld(seed, 5+int(seed%3), 3, roughWeather)
+			if err := w.walk(60 * time.Second); err != nil {
+				w.fail(t, seed, err)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/core/control/walk_world_test.go
@@ -0,0 +1,411 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const (
+	walkStep    = 10 * time.Millisecond
+	walkService = "storefront"
+	walkRegion  = "r"
+)
+
+// chances are the odds of faults in a walk, per message or per step.
+type chances struct {
+	Drift                                    float64 // largest clock rate error of the hosts
+	Lose, Delay, Duplicate                   float64 // per datagram or release message
+	AppendLost, AppendLate, AppendTwice      float64 // per append
+	Pause, Restart, Partition, Outage        float64 // per step
+	CutLog, BackendFlap, Patch, Leave, Stuck float64 // per step
+}
+
+// world is a fleet of control states in virtual time, with a fake log and a
+// fake network.
+type world struct {
+	rng      *rand.Rand
+	odds     chances
+	params   lease.Params
+	now      time.Duration
+	nodes    []*node
+	log, cfg []logstream.Entry
+	configs  int
+	logDown  time.Duration // until then
+	queue    []scheduled
+	blocked  map[[2]int]time.Duration
+	tickets  map[uint64]releaseTicket
+	ticket   uint64
+	prepare  func(*state)        // breaks a rule of a new state
+	after    func(*world, *node) // breaks a rule after a step
+	forge    bool                // consents without asking the standby
+	serving  map[view.ShardID]uint64
+	tokens   map[tokenKey]string
+	trace    []string
+	takeover int
+}
+
+type state = State
+
+type tokenKey struct {
+	shard view.ShardID
+	token uint64
+}
+
+type scheduled struct {
+	due time.Duration
+	run func()
+}
+
+type releaseTicket struct {
+	from, boot int
+	effect     SendRelease
+}
+
+// running is a request that a daemon sent to its backend server.
+type running struct {
+	shard view.ShardID
+	token uint64
+	until clock.Instant
+}
+
+// node is one daemon with its host.
+type node struct {
+	index    int
+	name     string
+	rate     float64
+	base     time.Duration
+	boot     int
+	state    *State
+	view     *view.View
+	stuck    *view.View // loaded by a request that was then paused
+	stuckFor time.Duration
+	running  []running
+	quiesce  []Quiesce
+	paused   time.Duration // until then
+	cutLog   time.Duration // until then
+	inbox    []Event
+	nextTick time.Duration
+	nextRead time.Duration
+	stopped  bool
+	backend  BackendUp
+}
+
+func newWorld(seed uint64, nodes, shards int, odds chances) *world {
+	w := &world{
+		rng:     rand.New(rand.NewPCG(seed, 7)),
+		odds:    odds,
+		params:  lease.Params{Term: 1200 * time.Millisecond, Renew: 400 * time.Millisecond, Drift: max(odds.Drift, 0.01)},
+		blocked: map[[2]int]time.Duration{},
+		tickets: map[uint64]releaseTicket{},
+		serving: map[view.ShardID]uint64{},
+		tokens:  map[tokenKey]string{},
+	}
+	w.patch(fmt.Sprintf(`{"data_centres":{"a":{"region":"r"},"b":{"region":"r"},"c":{"region":"r"}},"services":{"storefront":{"region":"r","shards":%d}}}`, shards))
+	for i := range nodes {
+		n := &node{
+			index: i, name: fmt.Sprintf("d%d", i),
+			rate: 1 + odds.Drift*(2*w.rng.Float64()-1),
+			base: time.Duration(1+w.rng.IntN(1000)) * time.Hour,
+		}
+		n.backend = BackendUp{Name: "b" + n.name, Service: walkService, Addr: n.name, Slots: 4}
+		w.nodes = append(w.nodes, n)
+	}
+	return w
+}
+
+func (w *world) start() {
+	for _, n := range w.nodes {
+		w.restart(n)
+	}
+}
+
+func (w *world) clock(n *node) clock.Instant {
+	return clock.Instant(n.base + time.Duration(float64(w.now)*n.rate))
+}
+
+// restart gives the node a new process with empty memory.
+func (w *world) restart(n *node) {
+	n.boot++
+	n.inbox, n.quiesce, n.running, n.stuck = nil, nil, nil, nil
+	n.paused, n.stopped = 0, false
+	n.nextTick, n.nextRead = w.now, w.now
+	n.state = New(Options{
+		Slot: n.name, DataCentre: string(rune('a' + n.index%3)), Region: walkRegion,
+		PeerAddr: n.name, WitnessAddr: n.name, Lease: w.params, Witnesses: 3,
+		Settle: time.Second,
+		Rand:   rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
+	}, w.clock(n))
+	delete(n.state.fold.Services, view.KeeperService)
+	if w.prepare != nil {
+		w.prepare(n.state)
+	}
+	w.step(n, n.backend)
+}
+
+func (w *world) at(after time.Duration, run func()) {
+	w.queue = append(w.queue, scheduled{due: w.now + after, run: run})
+}
+
+// step delivers one event to a node and carries out the effects.
+func (w *world) step(n *node, ev Event) {
+	if n.stopped {
+		return
+	}
+	for _, effect := range n.state.Step(w.clock(n), ev) {
+		w.carryOut(n, effect)
+	}
+	if w.after != nil {
+		w.after(w, n)
+	}
+}
+
+func (w *world) carryOut(n *node, effect Effect) {
+	switch e := effect.(type) {
+	case Append:
+		w.append(n, e.Record)
+	case SendDatagram:
+		msg := e.Msg
+		w.send(n, e.Addr, func(to *node) { to.inbox = append(to.inbox, Datagram{Msg: msg}) })
+	case SendRelease:
+		w.sendRelease(n, e)
+	case AnswerRelease:
+		w.answerRelease(n, e)
+	case Publish:
+		n.view = e.View
+	case Quiesce:
+		n.quiesce = append(n.quiesce, e)
+	case Decision:
+		if e.Action == "take_over" && e.Reason == "lapse of the owner's lease" {
+			w.takeover++
+		}
+		if strings.HasPrefix(e.Action, "reject") {
+			return
+		}
+		w.note("%s/%d %s %s %d gen %d member %d count %d", n.name, n.boot, e.Action, e.Reason, e.Shard.Shard, e.Generation, e.Member, e.Count)
+	case Left:
+		n.stopped = true
+	}
+}
+
+func (w *world) note(format string, args ...any) {
+	w.trace = append(w.trace, fmt.Sprintf("%7.2f ", w.now.Seconds())+fmt.Sprintf(format, args...))
+	if len(w.trace) > 400 {
+		w.trace = slices.Delete(w.trace, 0, 200)
+	}
+}
+
+func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
+
+func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d))) }
+
+// delay returns the travel time of a message: short, or now and then long
+// enough to arrive after many others.
+func (w *world) delay() time.Duration {
+	if w.chance(w.odds.Delay) {
+		return w.upTo(4 * time.Second)
+	}
+	return time.Millisecond + w.upTo(15*time.Millisecond)
+}
+
+func (w *world) nodeNamed(addr string) *node {
+	for _, n := range w.nodes {
+		if n.name == addr {
+			return n
+		}
+	}
+	return nil
+}
+
+// send carries a message to whatever process runs at addr on arrival.
+func (w *world) send(n *node, addr string, deliver func(*node)) bool {
+	to := w.nodeNamed(addr)
+	if to == nil || w.blocked[[2]int{n.index, to.index}] > w.now || w.chance(w.odds.Lose) {
+		return false
+	}
+	w.at(w.delay(), func() { deliver(to) })
+	if w.chance(w.odds.Duplicate) {
+		w.at(w.delay(), func() { deliver(to) })
+	}
+	return true
+}
+
+func (w *world) sendRelease(n *node, e SendRelease) {
+	w.ticket++
+	ticket := w.ticket
+	w.tickets[ticket] = releaseTicket{from: n.index, boot: n.boot, effect: e}
+	w.send(n, e.PeerAddr, func(to *node) {
+		to.inbox = append(to.inbox, ReleaseReceived{Msg: e.Msg, Ticket: ticket})
+	})
+}
+
+func (w *world) answerRelease(n *node, e AnswerRelease) {
+	t := w.tickets[e.Ticket]
+	w.send(n, w.nodes[t.from].name, func(to *node) {
+		if to.boot != t.boot {
+			return
+		}
+		to.inbox = append(to.inbox, ReleaseAnswered{
+			Shard: t.effect.Shard, Generation: t.effect.Msg.GetRef().GetGeneration(),
+			Accepted: e.Answer.GetAccepted(), Reason: e.Answer.GetReason(),
+		})
+	})
+}
+
+// append schedules a record's way into the log. It goes on without its author.
+func (w *world) append(n *node, rec *wire.Record) {
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		panic(err)
+	}
+	unreachable := w.logDown > w.now || n.cutLog > w.now
+	if w.chance(w.odds.AppendLost) || unreachable && w.chance(0.7) {
+		return
+	}
+	after := 2*time.Millisecond + w.upTo(20*time.Millisecond)
+	if unreachable || w.chance(w.odds.AppendLate) {
+		after = w.upTo(6 * time.Second)
+	}
+	w.at(after, func() { w.appended(data) })
+	if w.chance(w.odds.AppendTwice) {
+		w.at(after+w.upTo(5*time.Second), func() { w.appended(data) })
+	}
+}
+
+func (w *world) appended(data []byte) {
+	if w.logDown > w.now {
+		if w.chance(0.5) {
+			w.at(w.logDown-w.now+w.upTo(time.Second), func() { w.appended(data) })
+		}
+		return
+	}
+	w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+	if w.forge {
+		w.forgeConsents()
+	}
+}
+
+// forgeConsents appends the consents of all standbys at once.
+func (w *world) forgeConsents() {
+	st := w.replay()
+	for name, svc := range st.Services {
+		for i := range svc.Shards {
+			sh := &svc.Shards[i]
+			if !sh.HasPending {
+				continue
+			}
+			w.configs++
+			rec := &wire.Record{Id: fmt.Appendf(nil, "forged%010d", w.configs), Version: 1, Author: sh.Standby,
+				Body: &wire.Record_Consent{Consent: &wire.Consent{Incarnation: sh.Standby, Refs: []*wire.ShardRef{
+					{Service: name, Shard: uint32(i), Generation: sh.Generation}}}}}
+			data, _ := proto.Marshal(rec)
+			w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+		}
+	}
+}
+
+// replay folds the whole log anew.
+func (w *world) replay() *fold.State {
+	st := fold.New()
+	st.EnsureService(walkService, uint32(len(w.nodes[0].state.fold.Services[walkService].Shards)))
+	for _, e := range w.log {
+		st.Apply(e.Offset, e.Data)
+	}
+	return st
+}
+
+func (w *world) patch(merge string) {
+	rec := &wire.Record{Id: fmt.Appendf(nil, "config%010d", len(w.cfg)), Version: 1,
+		Body: &wire.Record_ConfigPatch{ConfigPatch: &wire.ConfigPatch{BaseVersion: uint64(len(w.cfg)), MergePatch: []byte(merge)}}}
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		panic(err)
+	}
+	w.cfg = append(w.cfg, logstream.Entry{Offset: uint64(len(w.cfg) + 1), Data: data})
+}
+
+// advance moves time on by one step.
+func (w *world) advance() {
+	w.now += walkStep
+	w.deliverDue()
+	for _, n := range w.nodes {
+		w.runNode(n)
+	}
+}
+
+func (w *world) deliverDue() {
+	var later []scheduled
+	due := w.queue
+	w.queue = nil
+	for _, m := range due {
+		if m.due > w.now {
+			later = append(later, m)
+			continue
+		}
+		m.run()
+	}
+	w.queue = append(later, w.queue...)
+}
+
+func (w *world) runNode(n *node) {
+	if n.paused > w.now || n.stopped {
+		return
+	}
+	w.finishRequests(n)
+	events := n.inbox
+	n.inbox = nil
+	for _, ev := range events {
+		w.step(n, ev)
+	}
+	if w.now >= n.nextTick {
+		n.nextTick = w.now + TickInterval
+		w.step(n, Tick{})
+	}
+	if w.now >= n.nextRead {
+		n.nextRead = w.now + 10*time.Millisecond + w.upTo(60*time.Millisecond)
+		w.read(n)
+	}
+}
+
+func (w *world) read(n *node) {
+	if w.logDown > w.now || n.cutLog > w.now {
+		return
+	}
+	now := w.clock(n)
+	w.step(n, Records{Stream: logstream.ConfigStream, Entries: w.cfg[n.state.history.Next-1:], Next: uint64(len(w.cfg) + 1), AsOf: now})
+	w.step(n, Records{Stream: logstream.PlacementStream(walkRegion), Entries: w.log[min(n.state.fold.Next-1, uint64(len(w.log))):], Next: uint64(len(w.log) + 1), AsOf: now})
+}
+
+// finishRequests ends requests and answers Quiesce once none of the shard's
+// runs and none is held between loading a view and the check.
+func (w *world) finishRequests(n *node) {
+	if n.stuck != nil && n.stuckFor <= w.now {
+		n.stuck = nil
+	}
+	now := w.clock(n)
+	n.running = slices.DeleteFunc(n.running, func(r running) bool { return now >= r.until })
+	if n.stuck != nil {
+		return
+	}
+	waiting := n.quiesce
+	n.quiesce = nil
+	for _, q := range waiting {
+		busy := slices.ContainsFunc(n.running, func(r running) bool { return r.shard == q.Shard })
+		if busy {
+			n.quiesce = append(n.quiesce, q)
+			continue
+		}
+		n.inbox = append(n.inbox, Quiesced{Shard: q.Shard, Token: q.Token})
+	}
+}
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -14,9 +16,13 @@
 // new suspicion came.
 const sealPatience = 5
 
+// orphanTerms is the time, in terms, after which a witness seals an overdue
+// incarnation itself, since its standbys and the planners may be lost too.
+const orphanTerms = 2
+
 // sealing is the attempt to seal one incarnation's lease.
 type sealing struct {
-	sealer *lease.Sealer
+	sealer leaseSealer
 	until  clock.Instant
 }
 
@@ -31,12 +37,12 @@
 	case *wire.Datagram_SealAnswer:
 		s.sealAnswered(msg.GetFrom(), body.SealAnswer)
 	case *wire.Datagram_Overdue:
-		s.suspect(body.Overdue.GetIncarnation(), "promise of a witness ran out")
+		s.suspect(body.Overdue.GetIncarnation(), "promise of a witness ran out", false)
 	}
 }
 
 func (s *State) renewReceived(from string, r *wire.Renew) {
-	ack, refused := s.witness.Renew(s.now, r.GetIncarnation())
+	ack, refused := s.witness.Renew(s.now, r.GetIncarnation(), r.GetJoining())
 	if !ack && !refused {
 		return
 	}
@@ -85,11 +91,14 @@
 }
 
 // tickWitness tells the standbys and planners of incarnations whose promise
-// ran out here.
+// ran out here. When they do not act, the witness's own daemon does.
 func (s *State) tickWitness() {
-	for _, inc := range s.witness.Expired(s.now) {
-		for _, slot := range s.interestedIn(inc) {
-			s.sendTo(slot, &wire.Datagram{Body: &wire.Datagram_Overdue{Overdue: &wire.Overdue{Incarnation: inc}}})
+	for _, o := range s.witness.Expired(s.now) {
+		for _, slot := range s.interestedIn(o.Incarnation) {
+			s.sendTo(slot, &wire.Datagram{Body: &wire.Datagram_Overdue{Overdue: &wire.Overdue{Incarnation: o.Incarnation}}})
+		}
+		if o.For >= orphanTerms*s.opts.Lease.Term {
+			s.suspect(o.Incarnation, "nobody recorded the lapse", true)
 		}
 	}
 }
@@ -113,7 +122,7 @@
 		incs[planner] = true
 	}
 	var slots []string
-	for other := range incs {
+	for _, other := range slices.Sorted(maps.Keys(incs)) {
 		if om, ok := s.fold.Members[other]; ok && other != inc {
 			slots = append(slots, om.Slot)
 		}
@@ -121,13 +130,14 @@
 	return slots
 }
 
-// suspect starts sealing an incarnation if this daemon would act on its lapse.
-func (s *State) suspect(inc fold.Incarnation, reason string) {
+// suspect starts sealing an incarnation if this daemon would act on its lapse:
+// as a standby of its shards, as a planner, or when asked to in any case.
+func (s *State) suspect(inc fold.Incarnation, reason string, always bool) {
 	m, ok := s.fold.Members[inc]
-	if !ok || m.Phase == fold.Gone || !s.leaseHeld() || inc == s.member.incarnation {
+	if !ok || m.Phase == fold.Gone || !s.leaseHeld() || inc == s.member.incarnation || s.lapsed[inc] {
 		return
 	}
-	if !s.standbyOf(inc) && !s.isPlanner() {
+	if !always && !s.standbyOf(inc) && !s.isPlanner() {
 		return
 	}
 	until := s.now.Add(sealPatience * s.opts.Lease.Term)
@@ -135,7 +145,7 @@
 		sl.until = until
 		return
 	}
-	s.sealers[inc] = &sealing{sealer: lease.NewSealer(s.opts.Lease, m.Witnesses), until: until}
+	s.sealers[inc] = &sealing{sealer: s.newSealer(s.opts.Lease, m.Witnesses), until: until}
 	s.decide(Decision{Action: "seal", Reason: reason, Member: inc})
 	s.tickSealer(inc, s.sealers[inc])
 }
@@ -154,7 +164,8 @@
 }
 
 func (s *State) tickSealers() {
-	for inc, sl := range s.sealers {
+	for _, inc := range slices.Sorted(maps.Keys(s.sealers)) {
+		sl := s.sealers[inc]
 		m, ok := s.fold.Members[inc]
 		if !ok || m.Phase == fold.Gone || s.now >= sl.until {
 			delete(s.sealers, inc)
@@ -179,10 +190,23 @@
 	}
 	sealedBy := sl.sealer.SealedBy(s.now)
 	delete(s.sealers, inc)
+	s.lapsed[inc] = true
+	count := s.inherit(inc)
+	s.append(&wire.Record{Body: &wire.Record_Lapse{Lapse: &wire.Lapse{Incarnation: inc, SealedBy: sealedBy}}})
+	s.decide(Decision{Action: "lapse", Reason: "a majority of witnesses sealed the lease", Member: inc, Count: count})
+}
+
+// inherit takes over the shards of a lapsed incarnation for which this daemon
+// stands by, and returns their number.
+func (s *State) inherit(inc fold.Incarnation) int {
+	if s.member.departing != "" {
+		return 0
+	}
 	count := 0
-	for name, svc := range s.fold.Services {
-		for i := range svc.Shards {
-			sh := &svc.Shards[i]
+	for _, name := range s.serviceNames() {
+		shards := s.fold.Services[name].Shards
+		for i := range shards {
+			sh := &shards[i]
 			if sh.Owner != inc || sh.Standby != s.member.incarnation {
 				continue
 			}
@@ -192,6 +216,10 @@
 			}
 		}
 	}
-	s.append(&wire.Record{Body: &wire.Record_Lapse{Lapse: &wire.Lapse{Incarnation: inc, SealedBy: sealedBy}}})
-	s.decide(Decision{Action: "lapse", Reason: "a majority of witnesses sealed the lease", Member: inc, Count: count})
+	return count
+}
+
+// serviceNames returns the names of all services in order.
+func (s *State) serviceNames() []string {
+	return slices.Sorted(maps.Keys(s.fold.Services))
 }
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -150,7 +150,7 @@
 	case *wire.Record_Takeover:
 		return s.takeover(rec.GetAuthor(), body.Takeover)
 	case *wire.Record_ChangeWitnesses:
-		return s.changeWitnesses(rec.GetAuthor(), body.ChangeWitnesses)
+		return rejected("the witnesses of an incarnation are fixed")
 	case *wire.Record_SplitKey:
 		return s.splitKey(body.SplitKey)
 	case *wire.Record_MergeKey:
--- a/core/fold/fold_test.go
+++ b/core/fold/fold_test.go
@@ -45,7 +45,7 @@
 		Placements: []*wire.Placement{{Ref: ref, Owner: a, Standby: b}}}}})
 	is.True(v.Accepted)
 	before := svc.Shards[0].Generation
-	appendRecord(t, s, &wire.Record{Author: b, Body: &wire.Record_Lapse{Lapse: &wire.Lapse{Incarnation: a}}})
+	appendRecord(t, s, &wire.Record{Author: b, Body: &wire.Record_Lapse{Lapse: &wire.Lapse{Incarnation: a, SealedBy: []string{"w"}}}})
 	is.Equal(svc.Shards[0].Owner, b)
 	is.Equal(svc.Shards[0].Generation, before+1)
 }
--- a/core/fold/members.go
+++ b/core/fold/members.go
@@ -51,7 +51,21 @@
 	return accepted()
 }
 
+// lapse ends an incarnation whose lease a majority of its witnesses sealed.
 func (s *State) lapse(l *wire.Lapse) Verdict {
+	m, ok := s.Members[l.GetIncarnation()]
+	if !ok {
+		return rejected("incarnation %d is not a member", l.GetIncarnation())
+	}
+	sealed := 0
+	for _, w := range m.Witnesses {
+		if slices.Contains(l.GetSealedBy(), w) {
+			sealed++
+		}
+	}
+	if sealed <= len(m.Witnesses)/2 {
+		return rejected("incarnation %d: sealed by %d of %d witnesses", m.Incarnation, sealed, len(m.Witnesses))
+	}
 	return s.end(l.GetIncarnation())
 }
 
@@ -120,15 +134,3 @@
 	sh.Pending = 0
 	sh.Handover = false
 }
-
-func (s *State) changeWitnesses(author Incarnation, c *wire.ChangeWitnesses) Verdict {
-	m, ok := s.Members[author]
-	if !ok || m.Phase == Gone || author != c.GetIncarnation() {
-		return rejected("author %d may not change witnesses of %d", author, c.GetIncarnation())
-	}
-	if len(c.GetWitnesses())%2 == 0 {
-		return rejected("%d witnesses", len(c.GetWitnesses()))
-	}
-	m.Witnesses = slices.Clone(c.GetWitnesses())
-	return accepted()
-}
--- a/core/fold/shards.go
+++ b/core/fold/shards.go
@@ -88,6 +88,8 @@
 	return accepted()
 }
 
+// takeover makes the standby of shards their owner. Its author is the standby
+// that took over, or the owner that stopped and got no answer to its release.
 func (s *State) takeover(author Incarnation, t *wire.Takeover) Verdict {
 	if author != t.GetIncarnation() {
 		return rejected("author %d is not incarnation %d", author, t.GetIncarnation())
@@ -95,7 +97,7 @@
 	count := 0
 	for _, ref := range t.GetRefs() {
 		sh, err := s.shard(ref)
-		if err != nil || sh.Standby != author {
+		if err != nil || sh.Standby == 0 || sh.Standby != author && sh.Owner != author {
 			continue
 		}
 		sh.promote()
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -10,6 +10,7 @@
 type Renewal struct {
 	Witness string
 	Seq     uint64
+	Joining bool // the first lease is not won yet
 }
 
 // Holder is the state of one incarnation's own lease.
@@ -59,7 +60,7 @@
 	renewals := make([]Renewal, 0, len(h.witnesses))
 	for _, w := range h.witnesses {
 		h.remember(w, now)
-		renewals = append(renewals, Renewal{Witness: w, Seq: h.seq})
+		renewals = append(renewals, Renewal{Witness: w, Seq: h.seq, Joining: h.deadline == 0})
 	}
 	return renewals
 }
@@ -129,6 +130,17 @@
 	}
 }
 
+// Silent returns the witnesses that have acknowledged nothing.
+func (h *Holder) Silent() []string {
+	var list []string
+	for _, w := range h.witnesses {
+		if _, ok := h.acked[w]; !ok {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
 // Deadline returns the instant before which the lease is held, or zero when
 // it is not held.
 func (h *Holder) Deadline(now clock.Instant) clock.Instant {
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -39,6 +39,14 @@
 	return scale(firstTerms*p.Term, (1-p.Drift)/(1+p.Drift))
 }
 
+// firstPromise returns the time for which a witness does not seal an
+// incarnation that may still be waiting for its first lease. It covers the
+// whole of firstLease: a seal given earlier could be forgotten in a restart
+// and followed by a first lease.
+func (p Params) firstPromise() time.Duration {
+	return scale(firstTerms*p.Term, (1+p.Drift)/(1-p.Drift))
+}
+
 // abstention returns the time during which a started witness acknowledges
 // nothing: every promise it forgot has ended by then.
 func (p Params) abstention() time.Duration {
--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -17,10 +17,17 @@
 
 // promise is a witness's memory of one incarnation.
 type promise struct {
-	until   clock.Instant // end of the promise or of the waiting period
-	sealed  bool
-	renewed bool // an acknowledgement was given
-	told    bool // the end of the promise was reported by Expired
+	until    clock.Instant // end of the promise or of the waiting period
+	sealed   bool
+	renewed  bool          // an acknowledgement was given
+	nextTell clock.Instant // when Expired reports it again
+	forget   clock.Instant // when no trace is kept any more; each seal answered moves it
+}
+
+// extend moves the end of the promise.
+func (p *promise) extend(until clock.Instant, params Params) {
+	p.until = until
+	p.forget = until.Add(forgetTerms * params.Term)
 }
 
 // Witness keeps promises to incarnations. Its memory is volatile: a restarted
@@ -31,8 +38,12 @@
 	promises map[uint64]*promise
 }
 
-// forgetTerms is the number of terms after which a lapsed promise or seal is
-// forgotten. A holder that was silent that long has a broken lease.
+// retellTerms is the interval, in terms, at which an ended promise is reported
+// again: the messages that follow from a report can be lost.
+const retellTerms = 0.25
+
+// forgetTerms is the number of terms after the end of a promise, or after a
+// seal, when it is forgotten. A holder that was silent that long has a broken lease.
 const forgetTerms = 20
 
 // NewWitness returns a witness without memory that started at started.
@@ -42,7 +53,10 @@
 
 // Renew handles a renewal. It returns ack when the promise was given, and
 // refused when the incarnation is sealed; neither while the witness abstains.
-func (w *Witness) Renew(now clock.Instant, inc uint64) (ack, refused bool) {
+//
+// A joining incarnation is promised the whole time that it has for its first
+// lease, since only a lease once won stays broken after a gap.
+func (w *Witness) Renew(now clock.Instant, inc uint64, joining bool) (ack, refused bool) {
 	p, known := w.promises[inc]
 	if known && p.sealed {
 		return false, true
@@ -54,9 +68,13 @@
 		p = &promise{}
 		w.promises[inc] = p
 	}
-	p.until = now.Add(w.params.Term)
+	term := w.params.Term
+	if joining {
+		term = w.params.firstPromise()
+	}
+	p.extend(now.Add(term), w.params)
 	p.renewed = true
-	p.told = false
+	p.nextTell = p.until
 	return true, false
 }
 
@@ -65,32 +83,37 @@
 func (w *Witness) Seal(now clock.Instant, inc uint64) (SealState, time.Duration) {
 	p, known := w.promises[inc]
 	if !known {
-		wait := scale(firstTerms*w.params.Term, (1+w.params.Drift)/(1-w.params.Drift))
-		p = &promise{until: now.Add(wait)}
+		p = &promise{}
+		p.extend(now.Add(w.params.firstPromise()), w.params)
 		w.promises[inc] = p
 	}
-	if p.sealed {
-		return Sealed, 0
-	}
-	if now < p.until {
+	if !p.sealed && now < p.until {
 		return Live, p.until.Sub(now)
 	}
 	p.sealed = true
+	p.forget = now.Add(forgetTerms * w.params.Term)
 	return Sealed, 0
 }
 
-// Expired returns the incarnations whose promises ran out since the last call,
-// each once for each promise.
-func (w *Witness) Expired(now clock.Instant) []uint64 {
-	var list []uint64
+// Overdue is an incarnation whose promise ran out.
+type Overdue struct {
+	Incarnation uint64
+	For         time.Duration // since the promise ended
+}
+
+// Expired returns the incarnations whose promises ran out, each again every
+// quarter of a term until it is forgotten. Sealed ones are included: the daemon
+// that asked for the seal may be lost.
+func (w *Witness) Expired(now clock.Instant) []Overdue {
+	var list []Overdue
 	for inc, p := range w.promises {
-		if now >= p.until.Add(forgetTerms*w.params.Term) {
+		if now >= p.forget {
 			delete(w.promises, inc)
 			continue
 		}
-		if p.renewed && !p.sealed && !p.told && now >= p.until {
-			p.told = true
-			list = append(list, inc)
+		if p.renewed && now >= p.nextTell {
+			p.nextTell = now.Add(scale(w.params.Term, retellTerms))
+			list = append(list, Overdue{Incarnation: inc, For: now.Sub(p.until)})
 		}
 	}
 	return list
