--- a/core/control/control.go
+++ b/core/control/control.go
@@ -53,6 +53,7 @@
 	rights    map[view.ShardID]*right
 	sealers   map[uint64]*sealing
 	lapsed    map[uint64]bool // lapses established here that replay does not show yet
+	nextWatch clock.Instant   // when the witness role is told of members again
 	outbox    *outbox
 	planner   planner
 
@@ -70,6 +71,7 @@
 type witnessRole interface {
 	Renew(now clock.Instant, inc uint64, joining bool) (ack, refused bool)
 	Seal(now clock.Instant, inc uint64) (lease.SealState, time.Duration)
+	Watch(now clock.Instant, inc uint64)
 	Expired(now clock.Instant) []lease.Overdue
 }
 
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -93,6 +93,7 @@
 // tickWitness tells the standbys and planners of incarnations whose promise
 // ran out here. When they do not act, the witness's own daemon does.
 func (s *State) tickWitness() {
+	s.watchMembers()
 	for _, o := range s.witness.Expired(s.now) {
 		for _, slot := range s.interestedIn(o.Incarnation) {
 			s.sendTo(slot, &wire.Datagram{Body: &wire.Datagram_Overdue{Overdue: &wire.Overdue{Incarnation: o.Incarnation}}})
@@ -103,6 +104,20 @@
 	}
 }
 
+// watchMembers tells the witness role which incarnations replay names it for, so
+// that one that dies is noticed even when all its witnesses have restarted.
+func (s *State) watchMembers() {
+	if !s.caughtUp || s.now < s.nextWatch {
+		return
+	}
+	s.nextWatch = s.now.Add(s.opts.Lease.Term)
+	for inc, m := range s.fold.Members {
+		if m.Phase != fold.Gone && slices.Contains(m.Witnesses, s.opts.Slot) {
+			s.witness.Watch(s.now, inc)
+		}
+	}
+}
+
 // interestedIn returns the slots of the daemons that act on the loss of inc:
 // the standbys of its shards and the first planners.
 func (s *State) interestedIn(inc fold.Incarnation) []string {
--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -1,6 +1,8 @@
 package lease
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -19,7 +21,7 @@
 type promise struct {
 	until    clock.Instant // end of the promise or of the waiting period
 	sealed   bool
-	renewed  bool          // an acknowledgement was given
+	renewed  bool          // an acknowledgement was given, or is awaited; see Watch
 	nextTell clock.Instant // when Expired reports it again
 	forget   clock.Instant // when no trace is kept any more; each seal answered moves it
 }
@@ -95,6 +97,18 @@
 	return Sealed, 0
 }
 
+// Watch makes sure that the witness reports an incarnation which it was chosen
+// for but does not know, having restarted since, when no renewal comes.
+func (w *Witness) Watch(now clock.Instant, inc uint64) {
+	if _, known := w.promises[inc]; known {
+		return
+	}
+	p := &promise{renewed: true}
+	p.extend(now.Add(w.params.firstPromise()), w.params)
+	p.nextTell = p.until
+	w.promises[inc] = p
+}
+
 // Overdue is an incarnation whose promise ran out.
 type Overdue struct {
 	Incarnation uint64
@@ -106,7 +120,8 @@
 // that asked for the seal may be lost.
 func (w *Witness) Expired(now clock.Instant) []Overdue {
 	var list []Overdue
-	for inc, p := range w.promises {
+	for _, inc := range slices.Sorted(maps.Keys(w.promises)) {
+		p := w.promises[inc]
 		if now >= p.forget {
 			delete(w.promises, inc)
 			continue
