--- a/core/control/walk_world_test.go
+++ b/core/control/walk_world_test.go
@@ -42,14 +42,20 @@
 	nodes    []*node
 	log, cfg []logstream.Entry
 	configs  int
+	shards   uint32
 	logDown  time.Duration // until then
 	queue    []scheduled
 	blocked  map[[2]int]time.Duration
 	tickets  map[uint64]releaseTicket
 	ticket   uint64
-	prepare  func(*state)           // breaks a rule of a new state
-	after    func(*world, *node)    // breaks a rule after a step
-	forge    bool                   // consents without asking the standby
+	prepare  func(*state)        // breaks a rule of a new state
+	after    func(*world, *node) // breaks a rule after a step
+	forge    bool                // consents without asking the standby
+	// Further broken rules.
+	keepServing bool // a release is sent while its owner still dispatches
+	noDrain     bool // running requests do not hold up a release or a departure
+	oneCell     bool // all incarnations of a process publish one deadline
+
 	serving  map[view.ShardID]claim // the newest owner with its highest token
 	tokens   map[tokenKey]string
 	trace    []string
@@ -96,6 +102,7 @@
 	paused   time.Duration // until then
 	cutLog   time.Duration // until then
 	inbox    []Event
+	cell     view.LeaseCell
 	nextTick time.Duration
 	nextRead time.Duration
 	stopped  bool
@@ -104,6 +111,7 @@
 
 func newWorld(seed uint64, nodes, shards int, odds chances) *world {
 	w := &world{
+		shards:  uint32(shards),
 		rng:     rand.New(rand.NewPCG(seed, 7)),
 		odds:    odds,
 		params:  lease.Params{Term: 1200 * time.Millisecond, Renew: 400 * time.Millisecond, Drift: max(odds.Drift, 0.01)},
@@ -166,6 +174,7 @@
 	for _, effect := range n.state.Step(w.clock(n), ev) {
 		w.carryOut(n, effect)
 	}
+	n.cell.Set(n.state.cell.Deadline())
 	if w.after != nil {
 		w.after(w, n)
 	}
@@ -183,7 +192,7 @@
 	case AnswerRelease:
 		w.answerRelease(n, e)
 	case Publish:
-		n.view = e.View
+		w.publish(n, e.View)
 	case Quiesce:
 		n.quiesce = append(n.quiesce, e)
 	case Decision:
@@ -199,6 +208,26 @@
 	}
 }
 
+// publish gives traffic a new view, unless a broken rule keeps it from it.
+func (w *world) publish(n *node, v *view.View) {
+	if w.keepServing && anyReleasing(n.state) {
+		return
+	}
+	if w.oneCell {
+		v.Lease = &n.cell
+	}
+	n.view = v
+}
+
+func anyReleasing(s *State) bool {
+	for _, r := range s.rights {
+		if r.releasing {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *world) note(format string, args ...any) {
 	w.trace = append(w.trace, fmt.Sprintf("%7.2f ", w.now.Seconds())+fmt.Sprintf(format, args...))
 	if len(w.trace) > 400 {
@@ -318,7 +347,7 @@
 // replay folds the whole log anew.
 func (w *world) replay() *fold.State {
 	st := fold.New()
-	st.EnsureService(walkService, uint32(len(w.nodes[0].state.fold.Services[walkService].Shards)))
+	st.EnsureService(walkService, w.shards)
 	for _, e := range w.log {
 		st.Apply(e.Offset, e.Data)
 	}
@@ -395,14 +424,14 @@
 	}
 	now := w.clock(n)
 	n.running = slices.DeleteFunc(n.running, func(r running) bool { return now >= r.until })
-	if n.stuck != nil {
+	if n.stuck != nil && !w.noDrain {
 		return
 	}
 	waiting := n.quiesce
 	n.quiesce = nil
 	for _, q := range waiting {
 		busy := slices.ContainsFunc(n.running, func(r running) bool { return r.shard == q.Shard })
-		if busy {
+		if busy && !w.noDrain {
 			n.quiesce = append(n.quiesce, q)
 			continue
 		}
