--- a/core/control/control.go
+++ b/core/control/control.go
@@ -152,6 +152,8 @@
 		s.backendUp(e)
 	case BackendDown:
 		s.backendDown(e)
+	case BackendLeaving:
+		s.backendLeaving()
 	case Suspicion:
 		s.suspect(e.Incarnation, "request failed", false)
 	case ReleaseReceived:
@@ -173,6 +175,7 @@
 	s.tickDeparture()
 	s.tickPlanner()
 	s.tickOutbox()
+	s.tickDrain()
 	s.tickShutdown()
 }
 
@@ -225,6 +228,7 @@
 	if rec.GetJoin() != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
+	s.notePlan(rec)
 }
 
 func (s *State) takeConfig(e Records) {
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -27,6 +27,7 @@
 // ready; and again from join after the lease broke.
 type membership struct {
 	backend     *BackendUp // nil while no backend server is announced
+	draining    bool       // the backend server wants to stop
 	announced   bool       // announce record sent
 	joinID      [16]byte   // id of the join in flight; zero if none
 	joinSent    clock.Instant
@@ -90,10 +91,11 @@
 // stream is read, and enough witnesses are known.
 func (s *State) join() {
 	m := &s.member
-	if m.backend == nil || !s.caughtUp || s.stopping {
+	if m.backend == nil || m.draining || !s.caughtUp || s.stopping {
 		return
 	}
 	if _, ok := s.fold.Slots[s.opts.Slot]; !ok {
+		m.announced = len(s.outbox.pending) > 0 // replay forgot a slot long unused
 		return
 	}
 	witnesses := s.chooseWitnesses()
@@ -194,6 +196,7 @@
 
 func (s *State) backendUp(e BackendUp) {
 	m := &s.member
+	s.resumeBackend()
 	if m.backend != nil && *m.backend == e {
 		return
 	}
@@ -212,6 +215,7 @@
 		return
 	}
 	m.backend = nil
+	m.draining = false
 	s.dirty = true
 	s.giveUpJoin()
 	s.depart(e.Reason)
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"maps"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -34,6 +35,9 @@
 	members := map[fold.Incarnation]*view.Member{}
 	t.services = make(map[string]*view.Service, len(s.fold.Services))
 	for name, svc := range s.fold.Services {
+		if svc.Base == 0 {
+			continue // named by records, but not by the configuration
+		}
 		t.services[name] = s.serviceView(svc, members)
 	}
 	s.dirty = true
@@ -51,7 +55,7 @@
 		Held:          s.held(),
 		ConfigFresh:   s.freshness[logstream.ConfigStream],
 		Lease:         s.cell,
-		SelfOut:       s.selfOut(),
+		SelfOut:       s.selfOut() || s.member.draining,
 		Leaving:       s.stopping,
 	}
 }
@@ -65,7 +69,7 @@
 }
 
 func (s *State) serviceView(svc *fold.Service, members map[fold.Incarnation]*view.Member) *view.Service {
-	out := &view.Service{Base: svc.Base, Split: svc.Split, Shards: make([]view.Shard, len(svc.Shards))}
+	out := &view.Service{Base: svc.Base, Split: maps.Clone(svc.Split), Shards: make([]view.Shard, len(svc.Shards))}
 	for i := range svc.Shards {
 		sh := &svc.Shards[i]
 		out.Shards[i] = view.Shard{
