--- a/core/control/control.go
+++ b/core/control/control.go
@@ -225,6 +225,9 @@
 	}
 	s.tables.stale = true
 	s.reconsider = true
+	if rec.GetAnnounce() != nil || rec.GetSnapshot() != nil {
+		s.tables.members = nil // addresses may have changed
+	}
 	if rec.GetJoin() != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
--- a/core/control/mutation_test.go
+++ b/core/control/mutation_test.go
@@ -146,7 +146,6 @@
 		w.appended(data)
 	}
 	err := w.run(2 * time.Second)
-	t.Log(strings.Join(w.trace[max(0, len(w.trace)-12):], "\n"))
 	return err
 }
 
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -19,6 +20,7 @@
 // the configuration changes.
 type tables struct {
 	services map[string]*view.Service
+	members  map[fold.Incarnation]*view.Member
 	callers  map[string]view.Caller
 	stale    bool
 	next     clock.Instant // when they may be built again
@@ -32,14 +34,18 @@
 	}
 	t.stale = false
 	t.next = s.now.Add(tableInterval)
-	members := map[fold.Incarnation]*view.Member{}
-	t.services = make(map[string]*view.Service, len(s.fold.Services))
+	if t.members == nil {
+		t.members = map[fold.Incarnation]*view.Member{}
+		t.services = nil
+	}
+	services := make(map[string]*view.Service, len(s.fold.Services))
 	for name, svc := range s.fold.Services {
 		if svc.Base == 0 {
 			continue // named by records, but not by the configuration
 		}
-		t.services[name] = s.serviceView(svc, members)
+		services[name] = s.serviceView(svc, t.services[name])
 	}
+	t.services = services
 	s.dirty = true
 }
 
@@ -68,20 +74,30 @@
 	return &view.Backend{Name: b.Name, Service: b.Service, Addr: b.Addr, Slots: b.Slots}
 }
 
-func (s *State) serviceView(svc *fold.Service, members map[fold.Incarnation]*view.Member) *view.Service {
-	out := &view.Service{Base: svc.Base, Split: maps.Clone(svc.Split), Shards: make([]view.Shard, len(svc.Shards))}
+// serviceView returns the routing table of a service, built from
+// the last one. Only shards whose generation moved are looked up anew: no owner or
+// standby changes without it.
+func (s *State) serviceView(svc *fold.Service, last *view.Service) *view.Service {
+	if last == nil || len(last.Shards) != len(svc.Shards) || last.Base != svc.Base {
+		last = &view.Service{Shards: make([]view.Shard, len(svc.Shards))}
+	}
+	out := &view.Service{Base: svc.Base, Split: maps.Clone(svc.Split), Shards: slices.Clone(last.Shards)}
 	for i := range svc.Shards {
 		sh := &svc.Shards[i]
+		if sh.Generation == out.Shards[i].Generation {
+			continue
+		}
 		out.Shards[i] = view.Shard{
-			Owner:      s.memberView(sh.Owner, members),
-			Standby:    s.memberView(sh.Standby, members),
+			Owner:      s.memberView(sh.Owner),
+			Standby:    s.memberView(sh.Standby),
 			Generation: sh.Generation,
 		}
 	}
 	return out
 }
 
-func (s *State) memberView(inc fold.Incarnation, members map[fold.Incarnation]*view.Member) *view.Member {
+func (s *State) memberView(inc fold.Incarnation) *view.Member {
+	members := s.tables.members
 	if inc == 0 {
 		return nil
 	}
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -26,6 +26,7 @@
 	sent      map[string]map[uint64]clock.Instant // unanswered renewals
 	acked     map[string]clock.Instant            // send time of the newest acknowledged renewal
 	nextSend  clock.Instant
+	nextHurry clock.Instant
 	deadline  clock.Instant // zero before the first lease
 	broken    bool
 }
@@ -49,16 +50,52 @@
 	return h
 }
 
+// hurryTerms is the part of a term left of the lease from which on renewals
+// that got no answer are repeated at once, hurryParts times in each interval.
+const (
+	hurryTerms = 0.5
+	hurryParts = 4
+)
+
 // Tick returns the renewals to send at now, if any are due.
 func (h *Holder) Tick(now clock.Instant) []Renewal {
 	h.check(now)
-	if h.broken || now < h.nextSend {
+	switch {
+	case h.broken:
+		return nil
+	case now >= h.nextSend:
+		h.nextSend = now.Add(h.params.Renew)
+		h.nextHurry = now.Add(h.params.Renew / hurryParts)
+		return h.renew(now, h.witnesses)
+	case h.endangered(now) && now >= h.nextHurry:
+		h.nextHurry = now.Add(h.params.Renew / hurryParts)
+		return h.renew(now, h.lagging(now))
+	default:
 		return nil
 	}
-	h.nextSend = now.Add(h.params.Renew)
-	h.seq++
-	renewals := make([]Renewal, 0, len(h.witnesses))
+}
+
+// endangered reports whether the lease ends soon.
+func (h *Holder) endangered(now clock.Instant) bool {
+	return h.deadline != 0 && h.deadline.Sub(now) < scale(h.params.Term, hurryTerms)
+}
+
+// lagging returns the witnesses that acknowledged no renewal of the last
+// interval.
+func (h *Holder) lagging(now clock.Instant) []string {
+	var list []string
 	for _, w := range h.witnesses {
+		if now.Sub(h.acked[w]) > h.params.Renew {
+			list = append(list, w)
+		}
+	}
+	return list
+}
+
+func (h *Holder) renew(now clock.Instant, witnesses []string) []Renewal {
+	h.seq++
+	renewals := make([]Renewal, 0, len(witnesses))
+	for _, w := range witnesses {
 		h.remember(w, now)
 		renewals = append(renewals, Renewal{Witness: w, Seq: h.seq, Joining: h.deadline == 0})
 	}
@@ -67,8 +104,10 @@
 
 func (h *Holder) remember(witness string, now clock.Instant) {
 	pending := h.sent[witness]
-	if len(pending) >= maxUnanswered {
-		delete(pending, h.seq-maxUnanswered)
+	for seq := range pending {
+		if seq+maxUnanswered <= h.seq {
+			delete(pending, seq)
+		}
 	}
 	pending[h.seq] = now
 }
