--- a/core/control/walk_test.go
+++ b/core/control/walk_test.go
@@ -188,9 +188,33 @@
 	if err := w.run(settleTime); err != nil {
 		return err
 	}
+	if err := w.checkTables(); err != nil {
+		return err
+	}
 	return w.checkServed()
 }
 
+// checkTables compares each daemon's routing tables with the replay of the log.
+func (w *world) checkTables() error {
+	svc := w.replay().Services[walkService]
+	for _, n := range w.nodes {
+		for i, sh := range n.view.Services[walkService].Shards {
+			want := svc.Shards[i]
+			if sh.Generation != want.Generation || incarnation(sh.Owner) != want.Owner || incarnation(sh.Standby) != want.Standby {
+				return fmt.Errorf("%s routes shard %d as %+v, recorded %+v", n.name, i, sh, want)
+			}
+		}
+	}
+	return nil
+}
+
+func incarnation(m *view.Member) uint64 {
+	if m == nil {
+		return 0
+	}
+	return m.Incarnation
+}
+
 func (w *world) checkServed() error {
 	claims := w.claims()
 	for name, svc := range w.replay().Services {
@@ -223,13 +247,30 @@
 	return n
 }
 
+// weather returns the odds of a seed's walk.
+func weather(seed uint64) chances {
+	odds := roughWeather
+	switch seed % 4 {
+	case 1:
+		odds.Restart *= 6
+	case 2:
+		odds.Drift = 0.15
+		odds.Partition *= 3
+	case 3:
+		odds.Patch *= 20
+		odds.AppendLate *= 3
+		odds.BackendFlap *= 3
+	}
+	return odds
+}
+
 func TestWalkHasOneOwnerPerShard(t *testing.T) {
 	first, _ := strconv.ParseUint(os.Getenv("SESAMEMOOR_WALK_SEED"), 10, 64)
 	for i := range walkCount(t, 16) {
 		seed := first + uint64(i) + 1
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
 			t.Parallel()
-			w := newWorld(seed, 5+int(seed%3), 3, roughWeather)
+			w := newWorld(seed, 5+int(seed%3), 3, weather(seed))
 			if err := w.walk(60 * time.Second); err != nil {
 				w.fail(t, seed, err)
 			}
--- a/daemon/plugins/witness/witness.go
+++ b/daemon/plugins/witness/witness.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"net"
 	"net/netip"
-	"time"
+	"sync"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
@@ -33,10 +33,16 @@
 // maxDatagram bounds a witness message in bytes.
 const maxDatagram = 1200
 
+// sendQueue is the number of datagrams that wait for the socket. Further ones
+// are dropped, as the network may do; the protocol repeats what matters.
+const sendQueue = 512
+
 // socket sends and receives witness messages.
 type socket struct {
 	conn *net.UDPConn
 	log  *zap.Logger
+	out  chan control.SendDatagram
+	stop chan struct{}
 }
 
 func newSocket(set settings.Daemon, log *zap.Logger) (*socket, error) {
@@ -48,15 +54,44 @@
 	if err != nil {
 		return nil, fmt.Errorf("witness: %w", err)
 	}
-	return &socket{conn: conn, log: log.Named("witness")}, nil
+	return newSocketOn(conn, log), nil
+}
+
+func newSocketOn(conn *net.UDPConn, log *zap.Logger) *socket {
+	return &socket{
+		conn: conn,
+		log:  log.Named("witness"),
+		out:  make(chan control.SendDatagram, sendQueue),
+		stop: make(chan struct{}),
+	}
 }
 
-// HandleEffect implements kernel.EffectHandler.
+// HandleEffect implements kernel.EffectHandler. It never waits for the socket.
 func (s *socket) HandleEffect(effect control.Effect) {
 	e, ok := effect.(control.SendDatagram)
 	if !ok {
 		return
 	}
+	select {
+	case s.out <- e:
+	default:
+		s.log.Debug("datagram dropped", zap.String("addr", e.Addr))
+	}
+}
+
+// send writes queued datagrams until the socket stops.
+func (s *socket) send() {
+	for {
+		select {
+		case e := <-s.out:
+			s.write(e)
+		case <-s.stop:
+			return
+		}
+	}
+}
+
+func (s *socket) write(e control.SendDatagram) {
 	addr, err := netip.ParseAddrPort(e.Addr)
 	if err != nil {
 		s.log.Warn("witness address", zap.String("addr", e.Addr), zap.Error(err))
@@ -67,25 +102,23 @@
 		s.log.Error("encode datagram", zap.Error(err))
 		return
 	}
-	_ = s.conn.SetWriteDeadline(time.Now().Add(time.Millisecond))
 	if _, err := s.conn.WriteToUDPAddrPort(data, addr); err != nil {
 		s.log.Debug("send datagram", zap.Error(err))
 	}
 }
 
 func start(lc fx.Lifecycle, s *socket, c kernel.Control) {
-	done := make(chan struct{})
+	var tasks sync.WaitGroup
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			go func() {
-				defer close(done)
-				s.receive(c)
-			}()
+			tasks.Go(func() { s.receive(c) })
+			tasks.Go(s.send)
 			return nil
 		},
 		OnStop: func(context.Context) error {
+			close(s.stop)
 			err := s.conn.Close()
-			<-done
+			tasks.Wait()
 			return err
 		},
 	})
