--- /dev/null
+++ b/core/control/release.go
@@ -0,0 +1,205 @@
+package control
+
+import (
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/placement"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// releaseRetry is the interval between release messages that got no answer.
+const releaseRetry = 200 * time.Millisecond
+
+// abortRelease ends a release whose standby changed meanwhile. The right of
+// the standby that may have received it has ended with the change.
+func (s *State) abortRelease(r *right) {
+	r.releasing = false
+	r.quiesced = false
+	r.answered = false
+	r.recorded = false
+	r.marks = nil
+}
+
+// shouldRelease reports whether this daemon is to hand over sh now: it leaves,
+// or it was asked to or is itself out of service, and the standby can take it.
+// Planned moves wait while the log is silent: an interrupted one could not be
+// resumed.
+func (s *State) shouldRelease(sh *fold.Shard) bool {
+	if s.member.departing != "" {
+		return true
+	}
+	if sh.Owner != s.member.incarnation || !sh.Handover && !s.selfOut() {
+		return false
+	}
+	return s.usableStandby(sh) && s.logFresh()
+}
+
+// usableStandby reports whether sh has a standby that may serve it.
+func (s *State) usableStandby(sh *fold.Shard) bool {
+	standby, ok := s.fold.Members[sh.Standby]
+	if !ok || standby.Phase != fold.InService || s.lapsed[sh.Standby] || s.sealers[sh.Standby] != nil {
+		return false
+	}
+	return !placement.IsOut(s.fold, s.history.Config, standby)
+}
+
+// logFreshness is the age of the newest read up to which planned moves start.
+const logFreshness = 2 * time.Second
+
+// logFresh reports whether the placement stream was read lately.
+func (s *State) logFresh() bool {
+	at, ok := s.freshness[s.placementStream()]
+	return ok && s.now.Sub(at) < logFreshness
+}
+
+// selfOut reports whether an operator took this daemon out of service.
+func (s *State) selfOut() bool {
+	m := s.self()
+	return m != nil && placement.IsOut(s.fold, s.history.Config, m)
+}
+
+func (s *State) startRelease(id view.ShardID, sh *fold.Shard, r *right) {
+	r.owned = false
+	r.releasing = true
+	r.quiesced = false
+	r.answered = false
+	r.recorded = false
+	r.releaseGen = sh.Generation
+	if sh.Owner != s.member.incarnation {
+		r.releaseGen = r.taken // the takeover is not in the log yet
+	}
+	s.dirty = true
+	s.emitLate(Quiesce{Shard: id, Token: r.token})
+	s.decide(Decision{Action: "release", Reason: s.releaseReason(sh), Shard: id, Generation: sh.Generation, Member: sh.Standby})
+}
+
+func (s *State) releaseReason(sh *fold.Shard) string {
+	switch {
+	case s.member.departing != "":
+		return s.member.departing
+	case s.selfOut():
+		return "taken out of service"
+	case sh.Handover:
+		return "handover was asked for"
+	default:
+		return ""
+	}
+}
+
+func (s *State) quiesced(e Quiesced) {
+	r, ok := s.rights[e.Shard]
+	sh := s.shard(e.Shard)
+	if !ok || sh == nil || !r.releasing || r.token != e.Token {
+		return
+	}
+	r.quiesced = true
+	r.releasedAt = s.now
+	r.marks = e.Marks
+	s.pursueRelease(e.Shard, sh, r)
+}
+
+const (
+	// standbyPatience is the time without an answer after which the standby of
+	// a release is suspected.
+	standbyPatience = 300 * time.Millisecond
+	// releaseBound is the time without an answer after which a release is put
+	// into the log instead. It leaves time to seal a lost standby first: then
+	// the owner takes up the shard again.
+	releaseBound = 1500 * time.Millisecond
+)
+
+// pursueRelease sends a release until it is answered, and finds another way
+// when the standby stays silent.
+func (s *State) pursueRelease(id view.ShardID, sh *fold.Shard, r *right) {
+	if r.answered && s.now < r.nextSend {
+		return
+	}
+	if s.now >= r.nextSend {
+		s.sendRelease(id, sh, r)
+	}
+	waited := s.now.Sub(r.releasedAt)
+	if waited >= standbyPatience {
+		s.suspect(sh.Standby, "no answer to a release", true)
+	}
+	if waited >= releaseBound && !r.recorded && sh.Standby != 0 && s.mayRelease(sh, r) {
+		r.recorded = true
+		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
+			Incarnation: s.member.incarnation,
+			Refs:        []*wire.ShardRef{{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen}}}}})
+		s.decide(Decision{Action: "record_release", Reason: "the standby does not answer", Shard: id, Generation: r.releaseGen, Member: sh.Standby})
+	}
+}
+
+// mayRelease reports whether replay still shows the placement under which the
+// release of sh began.
+func (s *State) mayRelease(sh *fold.Shard, r *right) bool {
+	return sh.Owner == s.member.incarnation && sh.Generation == r.releaseGen
+}
+
+func (s *State) sendRelease(id view.ShardID, sh *fold.Shard, r *right) {
+	if !s.mayRelease(sh, r) {
+		return
+	}
+	standby, ok := s.fold.Members[sh.Standby]
+	if !ok {
+		return
+	}
+	slot, ok := s.fold.Slots[standby.Slot]
+	if !ok {
+		return
+	}
+	r.released = r.releaseGen + 1
+	r.nextSend = s.now.Add(releaseRetry)
+	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
+		Owner: s.member.incarnation,
+		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
+		Marks: r.marks,
+	}})
+}
+
+func (s *State) releaseAnswered(e ReleaseAnswered) {
+	if e.Accepted {
+		if r, ok := s.rights[e.Shard]; ok && r.releasing && r.releaseGen == e.Generation {
+			r.answered = true
+			r.nextSend = s.now.Add(appendRetry)
+		}
+		return
+	}
+	s.decide(Decision{Action: "release_refused", Reason: e.Reason, Shard: e.Shard, Generation: e.Generation})
+}
+
+// releaseReceived takes over a shard from its owner if replay names this
+// daemon as standby at the same generation.
+func (s *State) releaseReceived(e ReleaseReceived) {
+	reason := s.acceptRelease(e.Msg)
+	s.emit(AnswerRelease{Ticket: e.Ticket, Answer: &wire.ReleaseAnswer{Accepted: reason == "", Reason: reason}})
+}
+
+func (s *State) acceptRelease(msg *wire.Release) string {
+	id := view.ShardID{Service: msg.GetRef().GetService(), Shard: msg.GetRef().GetShard()}
+	sh := s.shard(id)
+	generation := msg.GetRef().GetGeneration()
+	switch {
+	case sh == nil:
+		return "unknown shard"
+	case !s.leaseHeld():
+		return "no lease"
+	case s.member.departing != "" || s.stopping:
+		return "leaving"
+	case sh.Generation != generation || sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
+		return "replay shows another placement"
+	}
+	r := s.right(id)
+	if r.consented == generation+1 {
+		return "standby right was given up"
+	}
+	if r.taken == generation+1 {
+		return ""
+	}
+	s.takeOver(id, sh, false, msg.GetMarks())
+	s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
+		Incarnation: s.member.incarnation, Refs: []*wire.ShardRef{msg.GetRef()}}}})
+	return ""
+}
--- /dev/null
+++ b/core/control/walk_network_test.go
@@ -0,0 +1,168 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+func (w *world) chance(p float64) bool { return p > 0 && w.rng.Float64() < p }
+
+func (w *world) upTo(d time.Duration) time.Duration { return time.Duration(w.rng.Int64N(int64(d))) }
+
+// delay returns the travel time of a message: short, or now and then long
+// enough to arrive after many others.
+func (w *world) delay() time.Duration {
+	if w.chance(w.odds.Delay) {
+		return w.upTo(4 * time.Second)
+	}
+	return time.Millisecond + w.upTo(15*time.Millisecond)
+}
+
+func (w *world) nodeNamed(addr string) *node {
+	for _, n := range w.nodes {
+		if n.name == addr {
+			return n
+		}
+	}
+	return nil
+}
+
+// send carries a message to whatever process runs at addr on arrival.
+func (w *world) send(n *node, addr string, deliver func(*node)) bool {
+	to := w.nodeNamed(addr)
+	if to == nil || w.blocked[[2]int{n.index, to.index}] > w.now || w.chance(w.odds.Lose) {
+		return false
+	}
+	w.at(w.delay(), func() { deliver(to) })
+	if w.chance(w.odds.Duplicate) {
+		w.at(w.delay(), func() { deliver(to) })
+	}
+	return true
+}
+
+func (w *world) sendRelease(n *node, e SendRelease) {
+	w.ticket++
+	ticket := w.ticket
+	w.tickets[ticket] = releaseTicket{from: n.index, boot: n.boot, effect: e}
+	w.send(n, e.PeerAddr, func(to *node) {
+		to.inbox = append(to.inbox, ReleaseReceived{Msg: e.Msg, Ticket: ticket})
+	})
+}
+
+func (w *world) answerRelease(n *node, e AnswerRelease) {
+	t := w.tickets[e.Ticket]
+	w.send(n, w.nodes[t.from].name, func(to *node) {
+		if to.boot != t.boot {
+			return
+		}
+		to.inbox = append(to.inbox, ReleaseAnswered{
+			Shard: t.effect.Shard, Generation: t.effect.Msg.GetRef().GetGeneration(),
+			Accepted: e.Answer.GetAccepted(), Reason: e.Answer.GetReason(),
+		})
+	})
+}
+
+// append schedules a record's way into the log. It goes on without its author.
+func (w *world) append(n *node, rec *wire.Record) {
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		panic(err)
+	}
+	if w.hold == n {
+		w.held = append(w.held, data)
+		return
+	}
+	unreachable := w.logDown > w.now || n.cutLog > w.now
+	if w.chance(w.odds.AppendLost) || unreachable && w.chance(0.7) {
+		return
+	}
+	after := 2*time.Millisecond + w.upTo(20*time.Millisecond)
+	if unreachable || w.chance(w.odds.AppendLate) {
+		after = w.upTo(6 * time.Second)
+	}
+	w.at(after, func() { w.appended(data) })
+	if w.chance(w.odds.AppendTwice) {
+		w.at(after+w.upTo(5*time.Second), func() { w.appended(data) })
+	}
+}
+
+func (w *world) appended(data []byte) {
+	if w.logDown > w.now {
+		if w.chance(0.5) {
+			w.at(w.logDown-w.now+w.upTo(time.Second), func() { w.appended(data) })
+		}
+		return
+	}
+	w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+	if w.forge {
+		w.forgeConsents()
+	}
+}
+
+// forgeConsents appends the consents of all standbys at once.
+func (w *world) forgeConsents() {
+	st := w.replay()
+	for name, svc := range st.Services {
+		for i := range svc.Shards {
+			sh := &svc.Shards[i]
+			if !sh.HasPending {
+				continue
+			}
+			w.configs++
+			rec := &wire.Record{Id: fmt.Appendf(nil, "forged%010d", w.configs), Version: 1, Author: sh.Standby,
+				Body: &wire.Record_Consent{Consent: &wire.Consent{Incarnation: sh.Standby, Refs: []*wire.ShardRef{
+					{Service: name, Shard: uint32(i), Generation: sh.Generation}}}}}
+			data, _ := proto.Marshal(rec)
+			w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+		}
+	}
+}
+
+// replay folds the whole log anew.
+func (w *world) replay() *fold.State {
+	st := fold.New()
+	st.EnsureService(walkService, w.shards)
+	for _, e := range w.log {
+		st.Apply(e.Offset, e.Data)
+	}
+	return st
+}
+
+func (w *world) patch(merge string) {
+	rec := &wire.Record{Id: fmt.Appendf(nil, "config%010d", len(w.cfg)), Version: 1,
+		Body: &wire.Record_ConfigPatch{ConfigPatch: &wire.ConfigPatch{BaseVersion: uint64(len(w.cfg)), MergePatch: []byte(merge)}}}
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		panic(err)
+	}
+	w.cfg = append(w.cfg, logstream.Entry{Offset: uint64(len(w.cfg) + 1), Data: data})
+}
+
+// record appends a record in nobody's name.
+func (w *world) record(rec *wire.Record) {
+	w.configs++
+	rec.Id = fmt.Appendf(nil, "record%010d", w.configs)
+	rec.Version = fold.RecordVersion
+	data, err := proto.Marshal(rec)
+	if err != nil {
+		panic(err)
+	}
+	w.appended(data)
+}
+
+// run advances by d and checks each step.
+func (w *world) run(d time.Duration) error {
+	for end := w.now + d; w.now < end; {
+		w.advance()
+		if err := w.check(); err != nil {
+			return fmt.Errorf("at %v: %w", w.now, err)
+		}
+	}
+	return nil
+}
