--- a/core/control/drain.go
+++ b/core/control/drain.go
@@ -1,21 +1,35 @@
 package control
 
-// backendLeaving starts the drain of the backend server: as the owner of its
-// shards this daemon releases them, and it takes over no others.
+// drainReason is the reason of a departure that the backend server asked for.
+const drainReason = "backend server leaves"
+
+// backendLeaving starts the drain of the backend server: its daemon hands over
+// all shards and takes over no others.
 func (s *State) backendLeaving() {
-	if s.member.backend == nil || s.member.draining {
+	m := &s.member
+	if m.backend == nil || m.draining {
 		return
 	}
-	s.member.draining = true
+	m.draining = true
 	s.dirty = true
-	s.decide(Decision{Action: "drain", Reason: "backend server leaves", Member: s.member.incarnation})
+	s.decide(Decision{Action: "drain", Reason: drainReason, Member: m.incarnation})
+	s.giveUpJoin()
+	s.depart(drainReason)
 }
 
-// tickDrain ends the incarnation once the drained shards are handed over. A
-// shard without a usable standby is given up with the leave record.
+// resumeBackend takes back the wish of the backend server to leave. Releases
+// under way go on.
+func (s *State) resumeBackend() {
+	m := &s.member
+	m.draining = false
+	if m.departing == drainReason {
+		m.departing = ""
+	}
+}
+
+// tickDrain forgets the backend server once its incarnation has left.
 func (s *State) tickDrain() {
-	if !s.member.draining || s.busyShards() > 0 {
-		return
+	if s.member.draining && s.member.holder == nil {
+		s.backendDown(BackendDown{Reason: "backend server is drained"})
 	}
-	s.backendDown(BackendDown{Reason: "backend server is drained"})
 }
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -1,18 +1,16 @@
 package control
 
 import (
-	"time"
+	"cmp"
+	"maps"
+	"slices"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fold"
-	"github.com/sesamemoor/sesamemoor/core/placement"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
-// releaseRetry is the interval between release messages that got no answer.
-const releaseRetry = 200 * time.Millisecond
-
 // right is this daemon's standing towards one shard beyond what replay shows.
 //
 // Invariants: a shard is dispatched only while owned is set; owned is cleared
@@ -29,9 +27,12 @@
 	consented uint64 // generation g whose standby right was given up, plus one
 	released  uint64 // generation g released, plus one
 
-	releasing  bool   // the shard is being handed to its standby
-	quiesced   bool   // no request of it runs any more
-	releaseGen uint64 // generation under which it is being released
+	releasing  bool          // the shard is being handed to its standby
+	quiesced   bool          // no request of it runs any more
+	answered   bool          // the standby accepted the release
+	recorded   bool          // the release was put into the log for want of an answer
+	releaseGen uint64        // generation under which it is being released
+	releasedAt clock.Instant // when it was quiesced
 	nextSend   clock.Instant
 	marks      []*wire.RequestMark
 }
@@ -56,17 +57,29 @@
 		s.leaveIncarnation()
 		return
 	}
-	for name, svc := range s.fold.Services {
-		for i := range svc.Shards {
-			sh := &svc.Shards[i]
-			id := view.ShardID{Service: name, Shard: uint32(i)}
-			r := s.rights[id]
-			if r == nil && sh.Owner != me {
-				continue
+	for inc := range s.lapsed {
+		if m, ok := s.fold.Members[inc]; !ok || m.Phase == fold.Gone {
+			delete(s.lapsed, inc)
+		}
+	}
+	for _, name := range s.serviceNames() {
+		shards := s.fold.Services[name].Shards
+		for i := range shards {
+			if shards[i].Owner == me {
+				s.right(view.ShardID{Service: name, Shard: uint32(i)})
 			}
-			s.followShard(id, sh, s.right(id))
 		}
 	}
+	for _, id := range s.shardIDs() {
+		s.followShard(id, s.shard(id), s.rights[id])
+	}
+}
+
+// shardIDs returns the shards with a right, in order.
+func (s *State) shardIDs() []view.ShardID {
+	return slices.SortedFunc(maps.Keys(s.rights), func(a, b view.ShardID) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Shard, b.Shard))
+	})
 }
 
 func (s *State) followShard(id view.ShardID, sh *fold.Shard, r *right) {
@@ -77,6 +90,9 @@
 			s.abortRelease(r)
 		}
 		mayOwn := r.released == 0 || sh.Generation >= r.released+1
+		if r.owned {
+			s.dirty = true // the recorded generation is part of the view
+		}
 		if !r.owned && !r.releasing && mayOwn {
 			s.acquire(id, r, sh.Generation, TakeOver{}, true, "replay shows this daemon as owner")
 		}
@@ -87,17 +103,10 @@
 			s.decide(Decision{Action: "drop", Reason: "replay shows another owner", Shard: id, Generation: sh.Generation})
 		}
 		delete(s.rights, id)
+		s.dirty = true
 	}
 }
 
-// abortRelease ends a release whose standby changed meanwhile. The right of
-// the standby that may have received it has ended with the change.
-func (s *State) abortRelease(r *right) {
-	r.releasing = false
-	r.quiesced = false
-	r.marks = nil
-}
-
 // acquire makes this daemon the dispatcher of a shard under token. how says
 // where its request ids come from; fresh tells that they start anew.
 func (s *State) acquire(id view.ShardID, r *right, token uint64, how TakeOver, fresh bool, reason string) {
@@ -134,16 +143,14 @@
 		return
 	}
 	s.sendConsents()
-	for id, r := range s.rights {
+	for _, id := range s.shardIDs() {
 		sh := s.shard(id)
-		if sh == nil || sh.Owner != s.member.incarnation {
-			continue
-		}
-		if r.owned && !r.releasing && !s.inSplit(id) && s.shouldRelease(sh) {
+		r := s.rights[id]
+		if r.owned && !s.inSplit(id) && s.shouldRelease(sh) {
 			s.startRelease(id, sh, r)
 		}
-		if r.releasing && r.quiesced && s.now >= r.nextSend {
-			s.sendRelease(id, sh, r)
+		if r.releasing && r.quiesced {
+			s.pursueRelease(id, sh, r)
 		}
 	}
 }
@@ -156,134 +163,19 @@
 	return &svc.Shards[id.Shard]
 }
 
-// shouldRelease reports whether the owner of sh is to hand it over now: it
-// was asked to, or is itself out of service, and the standby can take it.
-func (s *State) shouldRelease(sh *fold.Shard) bool {
-	if !sh.Handover && !s.selfOut() && !s.stopping && !s.member.draining {
-		return false
-	}
-	standby, ok := s.fold.Members[sh.Standby]
-	if !ok || standby.Phase != fold.InService {
-		return false
-	}
-	return !placement.IsOut(s.fold, s.history.Config, standby)
-}
-
-// selfOut reports whether an operator took this daemon out of service.
-func (s *State) selfOut() bool {
-	m := s.self()
-	return m != nil && placement.IsOut(s.fold, s.history.Config, m)
-}
-
-func (s *State) startRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	r.owned = false
-	r.releasing = true
-	r.quiesced = false
-	r.releaseGen = sh.Generation
-	s.dirty = true
-	s.emit(Quiesce{Shard: id, Token: r.token})
-	s.decide(Decision{Action: "release", Reason: s.releaseReason(sh), Shard: id, Generation: sh.Generation, Member: sh.Standby})
-}
-
-func (s *State) releaseReason(sh *fold.Shard) string {
-	switch {
-	case s.stopping:
-		return "shutdown"
-	case s.member.draining:
-		return "backend server leaves"
-	case s.selfOut():
-		return "taken out of service"
-	case sh.Handover:
-		return "handover was asked for"
-	default:
-		return ""
-	}
-}
-
-func (s *State) quiesced(e Quiesced) {
-	r, ok := s.rights[e.Shard]
-	sh := s.shard(e.Shard)
-	if !ok || sh == nil || !r.releasing || r.token != e.Token {
-		return
-	}
-	r.quiesced = true
-	r.marks = e.Marks
-	s.sendRelease(e.Shard, sh, r)
-}
-
-func (s *State) sendRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	if sh.Generation != r.releaseGen || sh.Owner != s.member.incarnation {
-		return
-	}
-	standby, ok := s.fold.Members[sh.Standby]
-	if !ok {
-		return
-	}
-	slot, ok := s.fold.Slots[standby.Slot]
-	if !ok {
-		return
-	}
-	r.released = r.releaseGen + 1
-	r.nextSend = s.now.Add(releaseRetry)
-	s.emit(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
-		Owner: s.member.incarnation,
-		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
-		Marks: r.marks,
-	}})
-}
-
-func (s *State) releaseAnswered(e ReleaseAnswered) {
-	if e.Accepted {
-		if r, ok := s.rights[e.Shard]; ok && r.releasing && r.releaseGen == e.Generation {
-			r.nextSend = s.now.Add(appendRetry)
-		}
-		return
-	}
-	s.decide(Decision{Action: "release_refused", Reason: e.Reason, Shard: e.Shard, Generation: e.Generation})
-}
-
-// releaseReceived takes over a shard from its owner if replay names this
-// daemon as standby at the same generation.
-func (s *State) releaseReceived(e ReleaseReceived) {
-	reason := s.acceptRelease(e.Msg)
-	s.emit(AnswerRelease{Ticket: e.Ticket, Answer: &wire.ReleaseAnswer{Accepted: reason == "", Reason: reason}})
-}
-
-func (s *State) acceptRelease(msg *wire.Release) string {
-	id := view.ShardID{Service: msg.GetRef().GetService(), Shard: msg.GetRef().GetShard()}
-	sh := s.shard(id)
-	generation := msg.GetRef().GetGeneration()
-	switch {
-	case sh == nil:
-		return "unknown shard"
-	case !s.leaseHeld():
-		return "no lease"
-	case s.stopping || s.member.draining:
-		return "shutting down"
-	case sh.Generation != generation || sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
-		return "replay shows another placement"
-	}
-	r := s.right(id)
-	if r.consented == generation+1 {
-		return "standby right was given up"
-	}
-	if r.taken == generation+1 {
-		return ""
-	}
-	s.takeOver(id, sh, false, msg.GetMarks())
-	s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
-		Incarnation: s.member.incarnation, Refs: []*wire.ShardRef{msg.GetRef()}}}})
-	return ""
-}
-
 // sendConsents gives up standby rights for which replay shows a proposed
 // successor, unless the shard was taken over already.
 func (s *State) sendConsents() {
+	if !s.reconsider {
+		return
+	}
+	s.reconsider = false
 	me := s.member.incarnation
 	var refs []*wire.ShardRef
-	for name, svc := range s.fold.Services {
-		for i := range svc.Shards {
-			sh := &svc.Shards[i]
+	for _, name := range s.serviceNames() {
+		shards := s.fold.Services[name].Shards
+		for i := range shards {
+			sh := &shards[i]
 			if sh.Standby != me || !sh.HasPending {
 				continue
 			}
@@ -301,42 +193,3 @@
 	s.append(&wire.Record{Body: &wire.Record_Consent{Consent: &wire.Consent{Incarnation: me, Refs: refs}}})
 	s.decide(Decision{Action: "consent", Reason: "another standby is proposed", Count: len(refs)})
 }
-
-// shutdown starts the orderly departure.
-func (s *State) shutdown() {
-	s.stopping = true
-	s.dirty = true
-}
-
-// tickShutdown ends the departure once no shard is owned or being released.
-func (s *State) tickShutdown() {
-	if !s.stopping || s.left {
-		return
-	}
-	if s.member.holder != nil && s.busyShards() > 0 {
-		return
-	}
-	if s.member.holder != nil {
-		s.decide(Decision{Action: "leave", Reason: "shutdown", Member: s.member.incarnation})
-		s.leaveIncarnation()
-		return
-	}
-	s.left = true
-	s.emit(Left{})
-}
-
-// busyShards counts the shards that still have to be handed over. A shard
-// without a usable standby is given up with the leave record.
-func (s *State) busyShards() int {
-	count := 0
-	for id, r := range s.rights {
-		sh := s.shard(id)
-		if sh == nil || sh.Owner != s.member.incarnation && !r.owned {
-			continue
-		}
-		if r.releasing || s.shouldRelease(sh) {
-			count++
-		}
-	}
-	return count
-}
