--- a/core/control/drain.go
+++ b/core/control/drain.go
@@ -1,42 +1,35 @@
 package control
 
-import "time"
+// drainReason is the reason of a departure that the backend server asked for.
+const drainReason = "backend server leaves"
 
-// drainGrace is the time for which a drain waits for standbys of shards that
-// have none.
-const drainGrace = 3 * time.Second
-
-// backendLeaving starts the drain of the backend server: as the owner of its
-// shards this daemon releases them, and it takes over no others.
+// backendLeaving starts the drain of the backend server: its daemon hands over
+// all shards and takes over no others.
 func (s *State) backendLeaving() {
-	if s.member.backend == nil || s.member.draining {
+	m := &s.member
+	if m.backend == nil || m.draining {
 		return
 	}
-	s.member.draining = true
-	s.member.drainSince = s.now
+	m.draining = true
 	s.dirty = true
-	s.decide(Decision{Action: "drain", Reason: "backend server leaves", Member: s.member.incarnation})
+	s.decide(Decision{Action: "drain", Reason: drainReason, Member: m.incarnation})
+	s.giveUpJoin()
+	s.depart(drainReason)
 }
 
-// tickDrain ends the incarnation once the drained shards are handed over. A
-// shard that gets no usable standby within drainGrace is given up with the
-// leave record; its next owner has no request-id history.
-func (s *State) tickDrain() {
-	if !s.member.draining || s.busyShards() > 0 {
-		return
+// resumeBackend takes back the wish of the backend server to leave. Releases
+// under way go on.
+func (s *State) resumeBackend() {
+	m := &s.member
+	m.draining = false
+	if m.departing == drainReason {
+		m.departing = ""
 	}
-	if s.ownsAny() && s.now < s.member.drainSince.Add(drainGrace) {
-		return
-	}
-	s.backendDown(BackendDown{Reason: "backend server is drained"})
 }
 
-// ownsAny reports whether this daemon owns a shard.
-func (s *State) ownsAny() bool {
-	for _, r := range s.rights {
-		if r.owned {
-			return true
-		}
+// tickDrain forgets the backend server once its incarnation has left.
+func (s *State) tickDrain() {
+	if s.member.draining && s.member.holder == nil {
+		s.backendDown(BackendDown{Reason: "backend server is drained"})
 	}
-	return false
 }
