A lost shard ends the wait for its grant

They go back as not_owner now. Fails first: with the check removed TestLostShardEndsTheWaitForItsGrant waits for its deadline.

--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -85,7 +85,7 @@
 // while the backend server sheds.
 func (e *executor) admit(ctx context.Context, r *run) *wire.Response {
 	if e.checksFence() {
-		if err := e.grants.wait(ctx, grantKey{r.shard, r.token}); err != nil {
+		if err := e.grants.wait(ctx, grantKey{r.shard, r.token}, func() error { return e.stillHeld(r) }); err != nil {
 			return refusal(err)
 		}
 	}
@@ -104,13 +104,20 @@
 	}
 }
 
+// stillHeld returns an error that says "not run" once the run's shard is not
+// held under its token.
+func (e *executor) stillHeld(r *run) error {
+	held, err := e.check(r.flight)
+	if err == nil && held.Token != r.token {
+		err = outcome.New(outcome.NotOwner, "shard %s/%d changed hands", r.shard.Service, r.shard.Shard)
+	}
+	return err
+}
+
 // attempt takes a slot and runs the request once.
 func (e *executor) attempt(ctx context.Context, r *run) *wire.Response {
 	ticket := &admit.Ticket{Team: r.request.GetTeam(), Shard: r.shard, Deadline: r.deadline}
-	lost := func() bool {
-		_, err := e.check(r.flight)
-		return err != nil
-	}
+	lost := func() bool { return e.stillHeld(r) != nil }
 	if err := e.gate.acquire(ctx, ticket, lost); err != nil {
 		return refusal(err)
 	}
--- a/daemon/plugins/owner/grants.go
+++ b/daemon/plugins/owner/grants.go
@@ -18,6 +18,9 @@
 	// grantTries bounds the messages of one request for a grant; the next
 	// request for the same grant starts anew.
 	grantTries = 20
+	// holdCheck is the interval at which a request that waits for a grant
+	// looks whether its shard is still held.
+	holdCheck = 25 * time.Millisecond
 )
 
 // grantKey is a shard under a fencing token.
@@ -88,8 +91,11 @@
 	close(done)
 }
 
-// wait returns when the grant is acknowledged. The error says "not run".
-func (g *grants) wait(ctx context.Context, key grantKey) error {
+// wait returns when the grant is acknowledged. The error says "not run"; it
+// comes from check as soon as the shard is not held under the token any more.
+func (g *grants) wait(ctx context.Context, key grantKey, check func() error) error {
+	ticker := time.NewTicker(holdCheck)
+	defer ticker.Stop()
 	for {
 		done := g.request(key)
 		if done == nil {
@@ -97,18 +103,12 @@
 		}
 		select {
 		case <-done:
+		case <-ticker.C:
 		case <-ctx.Done():
 			return outcome.New(outcome.DeadlineNotRun, "backend server did not acknowledge the grant")
 		}
-		if g.overtaken(key) {
-			return outcome.New(outcome.NotOwner, "a newer grant exists")
+		if err := check(); err != nil {
+			return err
 		}
 	}
 }
-
-// overtaken reports whether a newer token of the shard is acknowledged.
-func (g *grants) overtaken(key grantKey) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.acked[key.shard] > key.token
-}
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -265,6 +265,26 @@
 	is.Equal(log[3:], []string{"grant 6", "request 6"})
 }
 
+// TestLostShardEndsTheWaitForItsGrant releases a shard whose backend server
+// never acknowledges the grant.
+func TestLostShardEndsTheWaitForItsGrant(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan struct{}, 100)
+	server := newRawServer(t, func(int64, *http.Request) string {
+		asked <- struct{}{}
+		return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	})
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, true)
+	b.hold(6, nil)
+	answer := make(chan *wire.Response, 1)
+	go func() { answer <- b.Execute(context.Background(), request("order-1", "")) }()
+	await(t, asked, "grant message")
+	b.HandleEffect(control.Quiesce{Shard: shard, Token: 6})
+	is.Equal(kindOf(<-answer), outcome.NotOwner)
+	is.Equal(server.requests.Load(), int64(0))
+}
+
 func TestAfterALapseACallersIDMayHaveRun(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
