--- a/ctl/scenario/checks_test.go
+++ b/ctl/scenario/checks_test.go
@@ -24,6 +24,7 @@
 	Method     string `json:"method"`
 	StartUS    int64  `json:"at_us"`
 	EndUS      int64  `json:"end_us"` // 0 while it runs
+	Cut        string `json:"cut"`    // how it was cut short, if it was
 	SawKey     bool   `json:"key_seen"`
 }
 
@@ -178,8 +179,7 @@
 		var newest run // the run that ends last so far
 		for _, r := range list {
 			if newest.Backend != "" && r.Backend != newest.Backend && r.StartUS < newest.EndUS {
-				problems = append(problems, fmt.Sprintf("shard %s ran on %s (generation %s) and %s (generation %s) at once",
-					shard, newest.Backend, newest.Generation, r.Backend, r.Generation))
+				problems = append(problems, fmt.Sprintf("shard %s ran at once: %+v and %+v", shard, newest, r))
 			}
 			if r.EndUS >= newest.EndUS {
 				newest = r
