load: send requests that may have run again under their ids

As callers do, so that at most once is also tested through resends. The transport's own silent replay of GET is off: it hid lost answers, and the new test counted fewer resends than answers lost.

--- a/ctl/deployment/generate.go
+++ b/ctl/deployment/generate.go
@@ -27,6 +27,7 @@
 const (
 	loadDurationMS = 25_000
 	loadTimeoutMS  = 2500
+	loadResends    = 1
 	loadKeys       = 400
 	loadSkew       = 1.2
 	loadHotMoveMS  = 5000
@@ -135,6 +136,7 @@
 	g.plan.DurationMS = loadDurationMS
 	g.plan.TimeoutMS = loadTimeoutMS
 	g.plan.MaxOutstanding = maxOutstanding
+	g.plan.Resends = loadResends
 	g.plan.Keys = loadKeys
 	g.plan.Skew = loadSkew
 	g.plan.HotMoveMS = loadHotMoveMS
--- a/ctl/load/audit.go
+++ b/ctl/load/audit.go
@@ -22,6 +22,7 @@
 	NotRun       int `json:"not_run"`      // by the answers
 	MayHaveRun   int `json:"may_have_run"` // by the answers
 	Unclear      int `json:"unclear"`      // answers without a claim
+	Resent       int `json:"resent"`       // requests sent again under their ids
 	DoubleRuns   int `json:"double_runs"`  // non-idempotent requests that ran more than once
 	FalseNotRun  int `json:"false_not_run"`
 	FalseRan     int `json:"false_ran"` // "ran" without a run; counted only if all backend servers answered
@@ -76,6 +77,9 @@
 }
 
 func (a *Audit) check(team string, r Result, runs []Run) {
+	if r.Resends > 0 {
+		a.Resent++
+	}
 	if r.Wrong {
 		a.fault(&a.WrongAnswers, r.ID, "answer of another request")
 	}
--- a/ctl/load/load_test.go
+++ b/ctl/load/load_test.go
@@ -27,6 +27,30 @@
 	last string // body of the answer before
 
 	double, lieNotRun, lieRan, cross, silent, wrongTeam, leakKey bool
+
+	loseFirst bool // the first answer to each request is lost after it ran
+	forgetful bool // a request that is sent again runs again
+	seen      map[string]bool
+}
+
+// resent answers a request that ran before, or loses the answer to one that
+// did not. It reports false when the request is to be answered as usual.
+func (f *fakeRouter) resent(w http.ResponseWriter, id string) bool {
+	if !f.loseFirst {
+		return false
+	}
+	if !f.seen[id] {
+		f.seen[id] = true
+		panic(http.ErrAbortHandler)
+	}
+	if f.forgetful {
+		return false
+	}
+	w.Header().Set(headerRequest, id)
+	w.Header().Set(headerOutcome, "duplicate_ran")
+	w.Header().Set(headerRan, string(ClaimRan))
+	w.WriteHeader(http.StatusConflict)
+	return true
 }
 
 func (f *fakeRouter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -46,12 +70,15 @@
 	if f.wrongTeam {
 		run.Team = "another"
 	}
-	if !f.lieRan {
+	if !f.lieRan && (f.forgetful || !f.seen[id]) {
 		f.runs = append(f.runs, run)
 	}
 	if f.double {
 		f.runs = append(f.runs, run)
 	}
+	if f.resent(w, id) {
+		return
+	}
 	answer := fmt.Sprintf("b1 %s %s %d %s", r.Method, r.URL.Path, len(body), id)
 	if f.cross && f.last != "" {
 		answer, f.last = f.last, answer
@@ -78,7 +105,7 @@
 	srv := httptest.NewServer(f)
 	defer srv.Close()
 	plan := Plan{
-		Seed: 1, DurationMS: 200, TimeoutMS: 2000, MaxOutstanding: 100, Keys: 10,
+		Seed: 1, DurationMS: 200, TimeoutMS: 2000, MaxOutstanding: 100, Keys: 10, Resends: 1,
 		Targets: []string{srv.URL}, Backends: []string{srv.URL},
 		// The key names the team, so that the fake can tell it.
 		Teams: []Team{{Name: "t1", Key: "t1", Rate: 200, Paths: []string{"/s"}, Idempotent: 0.5}},
@@ -99,12 +126,22 @@
 	is.True(a.Clean())
 }
 
+func TestResentRequestsAreCountedOnce(t *testing.T) {
+	is := is.New(t)
+	a := audit(t, &fakeRouter{loseFirst: true, seen: map[string]bool{}})
+	is.True(a.Requests > 0)
+	is.Equal(a.Resent, a.Requests)
+	is.Equal(a.Ran, a.Requests)
+	is.True(a.Clean())
+}
+
 func TestAuditCatches(t *testing.T) {
 	for name, tc := range map[string]struct {
 		router  *fakeRouter
 		counter func(Audit) int
 	}{
 		"double runs":       {&fakeRouter{double: true}, func(a Audit) int { return a.DoubleRuns }},
+		"resent runs twice": {&fakeRouter{loseFirst: true, forgetful: true, seen: map[string]bool{}}, func(a Audit) int { return a.DoubleRuns }},
 		"false not run":     {&fakeRouter{lieNotRun: true}, func(a Audit) int { return a.FalseNotRun }},
 		"false ran":         {&fakeRouter{lieRan: true}, func(a Audit) int { return a.FalseRan }},
 		"crossed answers":   {&fakeRouter{cross: true}, func(a Audit) int { return a.WrongAnswers }},
--- a/ctl/load/plan.go
+++ b/ctl/load/plan.go
@@ -17,6 +17,7 @@
 	DurationMS     int64    `json:"duration_ms"`
 	TimeoutMS      int64    `json:"timeout_ms"`      // deadline of each request
 	MaxOutstanding int      `json:"max_outstanding"` // requests not answered yet; more are not sent
+	Resends        int      `json:"resends"`         // times that a request which may have run is sent again under its id
 	Targets        []string `json:"targets"`         // URLs of entry daemons
 	Backends       []string `json:"backends"`        // URLs of emulated backend servers, asked what ran
 	Keys           int      `json:"keys"`            // keys per path
@@ -40,6 +41,7 @@
 const (
 	maxDuration    = 10 * time.Minute
 	maxOutstanding = 20_000
+	maxResends     = 10
 	maxRate        = 20_000 // requests per second of all teams
 )
 
@@ -79,6 +81,8 @@
 		return fmt.Errorf("%w: duration_ms: not in 1 to %d", ErrPlan, maxDuration.Milliseconds())
 	case p.MaxOutstanding < 1 || p.MaxOutstanding > maxOutstanding:
 		return fmt.Errorf("%w: max_outstanding: not in 1 to %d", ErrPlan, maxOutstanding)
+	case p.Resends < 0 || p.Resends > maxResends:
+		return fmt.Errorf("%w: resends: not in 0 to %d", ErrPlan, maxResends)
 	case p.Keys < 1 || p.TimeoutMS < 1 || p.HotMoveMS < 0:
 		return fmt.Errorf("%w: keys and timeout_ms are positive, hot_move_ms is not negative", ErrPlan)
 	case p.Skew != 0 && p.Skew <= 1:
--- a/ctl/load/report.go
+++ b/ctl/load/report.go
@@ -192,6 +192,7 @@
 	}{
 		{"requests", a.Requests}, {"answered ran", a.Ran}, {"answered not run", a.NotRun},
 		{"answered may have run", a.MayHaveRun}, {"without a claim", a.Unclear},
+		{"sent again under their ids", a.Resent},
 		{"double runs of non-idempotent requests", a.DoubleRuns}, {"false \"not run\"", a.FalseNotRun},
 		{"false \"ran\"", a.FalseRan}, {"wrong answers", a.WrongAnswers}, {"runs for the wrong team", a.WrongTeam},
 		{"caller keys seen by backend servers", a.KeysSeen}, {"backend servers asked", a.BackendsAsked},
--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -52,12 +52,16 @@
 	Latency    time.Duration // from the intended send time
 	Outcome    string
 	Claim      Claim
-	Wrong      bool // the answer is another request's
+	Wrong      bool // an answer is another request's
+	Resends    int  // times that it was sent again under its id
 }
 
 // transportSlack is the time that an answer may take beyond the deadline.
 const transportSlack = time.Second
 
+// resendPause is the time before a request is sent again.
+const resendPause = 50 * time.Millisecond
+
 // maxAnswerBytes bounds an answer that is read.
 const maxAnswerBytes = 16 << 20
 
@@ -153,20 +157,35 @@
 	return r
 }
 
-// send tries the targets in turn until one takes the connection.
+// send sends the request, and again under its id while it may have run, within
+// the plan's number of resends.
 func (s *Sender) send(req request, start time.Time) Result {
-	r := Result{Outcome: outcomeUnreachable, Claim: ClaimNotRun}
-	for i := range s.plan.Targets {
-		target := s.plan.Targets[(req.target+i)%len(s.plan.Targets)]
-		got, dialed := s.try(target, req)
-		if dialed {
-			r = got
-			break
+	r := s.sendOnce(req, req.target)
+	for sends := 1; r.Claim == ClaimMaybe && sends <= s.plan.Resends; sends++ {
+		time.Sleep(resendPause)
+		again := s.sendOnce(req, req.target+sends)
+		again.Wrong = again.Wrong || r.Wrong
+		again.Resends = sends
+		if again.Claim == ClaimNotRun {
+			again.Claim = ClaimMaybe // the sending before it may have run
 		}
+		r = again
 	}
 	return r.of(req, time.Since(start.Add(req.at)))
 }
 
+// sendOnce tries the targets in turn, from first on, until one takes the
+// connection.
+func (s *Sender) sendOnce(req request, first int) Result {
+	for i := range s.plan.Targets {
+		target := s.plan.Targets[(first+i)%len(s.plan.Targets)]
+		if r, dialed := s.try(target, req); dialed {
+			return r
+		}
+	}
+	return Result{Outcome: outcomeUnreachable, Claim: ClaimNotRun}
+}
+
 // try sends the request to one target. It reports false if no connection was
 // made, so that the request was certainly not sent.
 func (s *Sender) try(target string, req request) (Result, bool) {
@@ -181,7 +200,7 @@
 	if err != nil {
 		return Result{Outcome: outcomeUnreachable, Claim: ClaimNotRun}, false
 	}
-	httpReq.GetBody = nil // never replayed by the transport
+	neverReplay(httpReq)
 	httpReq.Header.Set(headerRequest, req.id)
 	httpReq.Header.Set(headerTimeout, strconv.FormatInt(s.plan.TimeoutMS, 10))
 	httpReq.Header.Set("Authorization", "Bearer "+s.plan.Teams[req.team].Key)
@@ -197,6 +216,15 @@
 	return judge(req, resp.Header, string(data), len(body)), true
 }
 
+// neverReplay keeps the transport from sending a request again by itself: it
+// does so for bodies that it can read again, and for GET without a body.
+func neverReplay(r *http.Request) {
+	r.GetBody = nil
+	if r.Body == http.NoBody {
+		r.Body = io.NopCloser(strings.NewReader(""))
+	}
+}
+
 func isDial(err error) bool {
 	var op *net.OpError
 	return errors.As(err, &op) && op.Op == "dial"
