Echo the request in answers cut by a deadline too

The stand-in now echoes in every answer and the audit still demands the echo of every answer that ran; statuses from 500 on are counted as answered_5xx, not as served.

--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -5,6 +5,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -103,12 +104,18 @@
 	case "crash", "cancelled":
 		panic(http.ErrAbortHandler)
 	case "deadline":
-		c.String(http.StatusGatewayTimeout, "deadline passed while running\n")
+		c.String(http.StatusGatewayTimeout, "%s", s.echo(c.Request, len(body)))
 	default:
-		c.String(http.StatusOK, "%s %s %s %d %s", s.opts.Name, c.Request.Method, c.Request.RequestURI, len(body), c.GetHeader(headerRequest))
+		c.String(http.StatusOK, "%s", s.echo(c.Request, len(body)))
 	}
 }
 
+// echo is the body of an answer. It names the request, so that crossed answers
+// are found.
+func (s *Server) echo(r *http.Request, bodyBytes int) string {
+	return fmt.Sprintf("%s %s %s %d %s", s.opts.Name, r.Method, r.RequestURI, bodyBytes, r.Header.Get(headerRequest))
+}
+
 func refuse(c *gin.Context, reason string) {
 	c.Header(headerRefused, reason)
 	c.Status(http.StatusServiceUnavailable)
--- a/ctl/emulate/backend/backend_test.go
+++ b/ctl/emulate/backend/backend_test.go
@@ -90,9 +90,10 @@
 func TestDeadlineEndsTheRun(t *testing.T) {
 	is := is.New(t)
 	s, url := startServer(t, Options{Slots: 1, ServiceTime: bound})
-	resp, _, err := request(t.Context(), "GET", url+"/s/k", "", headerDeadline, "20")
+	resp, body, err := request(t.Context(), "GET", url+"/s/k", "", headerDeadline, "20", headerRequest, "r1")
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusGatewayTimeout)
+	is.Equal(body, "b1 GET /s/k 0 r1") // the answer is the request's own all the same
 	is.Equal(s.runs[0].Cut, "deadline")
 }
 
--- a/ctl/load/sender.go
+++ b/ctl/load/sender.go
@@ -40,6 +40,7 @@
 	outcomeUnreachable = "client_unreachable" // no entry daemon took the connection
 	outcomeLost        = "client_lost"        // the connection ended without an answer
 	outcomeNoHeader    = "client_no_outcome"  // an answer that is not the router's
+	outcomeFailed      = "answered_5xx"       // the backend server's own answer, with a status of 500 or more
 )
 
 // Result is what became of one request.
@@ -213,7 +214,7 @@
 	if err != nil {
 		return Result{Outcome: outcomeLost, Claim: ClaimMaybe}, true
 	}
-	return judge(req, resp.Header, string(data), len(body)), true
+	return judge(req, resp, string(data), len(body)), true
 }
 
 // neverReplay keeps the transport from sending a request again by itself: it
@@ -231,7 +232,8 @@
 }
 
 // judge reads the claim of an answer and checks that it is the request's own.
-func judge(req request, h http.Header, body string, bodyBytes int) Result {
+func judge(req request, resp *http.Response, body string, bodyBytes int) Result {
+	h := resp.Header
 	r := Result{Outcome: h.Get(headerOutcome), Claim: Claim(h.Get(headerRan))}
 	switch r.Claim {
 	case ClaimRan, ClaimNotRun, ClaimMaybe:
@@ -245,6 +247,9 @@
 	if r.Outcome == outcomeOK && !echoes(req, body, bodyBytes) {
 		r.Wrong = true
 	}
+	if r.Outcome == outcomeOK && resp.StatusCode >= http.StatusInternalServerError {
+		r.Outcome = outcomeFailed
+	}
 	return r
 }
 
