--- a/core/control/control.go
+++ b/core/control/control.go
@@ -47,15 +47,20 @@
 
 	fold     *fold.State
 	history  *fleet.History
-	caughtUp bool // the placement stream was read to its head once
+	caughtUp bool          // the placement stream was read to its head once
+	readAsOf clock.Instant // instant as of which the whole placement stream is known
 
-	witness *lease.Witness
-	member  membership
-	rights  map[view.ShardID]*right
-	sealers map[uint64]*sealing
-	outbox  *outbox
-	planner planner
-	loads   *loadstat.Book
+	witness   witnessRole
+	newHolder func(lease.Params, clock.Instant, []string) leaseHolder
+	newSealer func(lease.Params, []string) leaseSealer
+	member    membership
+	rights    map[view.ShardID]*right
+	sealers   map[uint64]*sealing
+	lapsed    map[uint64]bool // lapses established here that replay does not show yet
+	nextWatch clock.Instant   // when the witness role is told of members again
+	outbox    *outbox
+	planner   planner
+	loads     *loadstat.Book
 
 	splitID   [16]byte                 // record of the newest split or merge
 	splitting []view.ShardID           // shards that it names
@@ -69,10 +74,40 @@
 	newer       uint64 // records too new to be understood
 	daemonCache daemonList
 
-	cell     *view.LeaseCell
-	dirty    bool
-	stopping bool
-	left     bool
+	cell       *view.LeaseCell // of the present incarnation, never used for another
+	tables     tables
+	dirty      bool     // a new view is due
+	reconsider bool     // replay changed since consents were last considered
+	late       []Effect // effects that come after the step's view
+	stopping   bool
+	left       bool
+	leftAt     clock.Instant // when the daemon ceased to be a member for good
+}
+
+// witnessRole is what the control state needs of a lease.Witness.
+type witnessRole interface {
+	Renew(now clock.Instant, inc uint64, joining bool) (ack, refused bool)
+	Seal(now clock.Instant, inc uint64) (lease.SealState, time.Duration)
+	Watch(now clock.Instant, inc uint64)
+	Expired(now clock.Instant) []lease.Overdue
+}
+
+// leaseHolder is what the control state needs of a lease.Holder.
+type leaseHolder interface {
+	Tick(now clock.Instant) []lease.Renewal
+	Ack(now clock.Instant, witness string, seq uint64)
+	Refuse(witness string)
+	Silent() []string
+	Deadline(now clock.Instant) clock.Instant
+	Broken(now clock.Instant) bool
+}
+
+// leaseSealer is what the control state needs of a lease.Sealer.
+type leaseSealer interface {
+	Tick(now clock.Instant) []lease.Request
+	Answer(now clock.Instant, witness string, seq uint64, state lease.SealState, wait time.Duration)
+	SealedBy(now clock.Instant) []string
+	Lapsed(now clock.Instant) bool
 }
 
 // New returns the control state of a daemon that started at now.
@@ -86,6 +121,7 @@
 		witness:   lease.NewWitness(opts.Lease, now),
 		rights:    map[view.ShardID]*right{},
 		sealers:   map[uint64]*sealing{},
+		lapsed:    map[uint64]bool{},
 		outbox:    newOutbox(),
 		loads:     loadstat.NewBook(),
 		coldSince: map[uint64]clock.Instant{},
@@ -94,7 +130,14 @@
 		snapshots: map[string]*snapshots{},
 		fresh:     view.NewFreshness(opts.StaleConfig),
 		dirty:     true,
+		newHolder: func(p lease.Params, sent clock.Instant, witnesses []string) leaseHolder {
+			return lease.NewHolder(p, sent, witnesses)
+		},
+		newSealer: func(p lease.Params, witnesses []string) leaseSealer {
+			return lease.NewSealer(p, witnesses)
+		},
 	}
+	s.tables.stale = true
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
 	return s
 }
@@ -106,12 +149,15 @@
 		s.now = now
 	}
 	s.effects = s.effects[:0]
+	s.late = s.late[:0]
 	s.checkLease()
 	s.handle(ev)
+	s.refreshTables()
 	if s.dirty {
 		s.dirty = false
 		s.emit(Publish{View: s.buildView()})
 	}
+	s.effects = append(s.effects, s.late...)
 	return s.effects
 }
 
@@ -130,7 +176,7 @@
 	case BackendLeaving:
 		s.backendLeaving()
 	case Suspicion:
-		s.suspect(e.Incarnation, "request failed")
+		s.suspect(e.Incarnation, "request failed", false)
 	case ReleaseReceived:
 		s.releaseReceived(e)
 	case ReleaseAnswered:
@@ -155,6 +201,7 @@
 	s.tickWitness()
 	s.tickSealers()
 	s.tickRights()
+	s.tickDeparture()
 	s.tickPlanner()
 	s.tickSnapshots()
 	s.tickOutbox()
@@ -164,6 +211,10 @@
 
 func (s *State) emit(e Effect) { s.effects = append(s.effects, e) }
 
+// emitLate adds an effect that must come after the step's view: traffic must
+// have stopped by that view first.
+func (s *State) emitLate(e Effect) { s.late = append(s.late, e) }
+
 func (s *State) decide(d Decision) { s.emit(d) }
 
 // placementStream returns the stream of this daemon's region.
@@ -178,11 +229,16 @@
 	if e.Stream != s.placementStream() {
 		return
 	}
+	before := s.fold.Next
 	for _, entry := range e.Entries {
 		s.takePlacementRecord(entry)
 	}
+	if s.fold.Next != before {
+		s.followPlacement()
+	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
 		s.caughtUp = true
+		s.readAsOf = max(s.readAsOf, e.AsOf)
 	}
 	s.noteNewer()
 }
@@ -200,15 +256,18 @@
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
 		return
 	}
-	s.dirty = true
-	if join := rec.GetJoin(); join != nil {
+	s.tables.stale = true
+	s.reconsider = true
+	if rec.GetAnnounce() != nil || rec.GetSnapshot() != nil {
+		s.tables.members = nil // addresses may have changed
+	}
+	if rec.GetJoin() != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
 	if sp := rec.GetSplitKey(); sp != nil {
 		s.splitSeen(sp)
 	}
 	s.notePlan(rec)
-	s.followPlacement()
 }
 
 func (s *State) takeConfig(e Records) {
@@ -238,6 +297,8 @@
 
 func (s *State) configChanged() {
 	s.dirty = true
+	s.tables.stale = true
+	s.tables.callers = callers(s.history.Config)
 	for name, svc := range s.history.Config.Services {
 		if svc.Region == s.opts.Region {
 			s.fold.EnsureService(name, svc.Shards)
