--- a/daemon/decisions/decisions_test.go
+++ b/daemon/decisions/decisions_test.go
@@ -35,3 +35,11 @@
 	is.Equal(len(lines), 1)
 	is.True(strings.Contains(string(lines[0]), "take_over"))
 }
+
+func BenchmarkRing(b *testing.B) {
+	log := NewRing(4096).Attach(zap.NewNop())
+	b.ReportAllocs()
+	for b.Loop() {
+		log.Info("request", zap.String("request_id", "r"), zap.String("outcome", "ok"), zap.Uint32("shard", 1))
+	}
+}
