--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -94,12 +94,15 @@
 		return
 	}
 	if c.GetHeader(headerCrash) != "" || bytes.HasPrefix(body, []byte(crashMark)) {
-		s.end(index, "crash")
+		s.end(index, "crash", time.Time{})
 		s.crash()
 		panic(http.ErrAbortHandler)
 	}
 	cut := s.work(ctx, took)
-	s.end(index, cut)
+	if cut == "" && expired(c.Request) {
+		cut = "deadline" // frozen past it, or too slow: nothing is committed
+	}
+	s.end(index, cut, expiry(c.Request))
 	switch cut {
 	case "crash", "cancelled":
 		panic(http.ErrAbortHandler)
@@ -130,11 +133,20 @@
 	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
 }
 
-// expired reports whether the request's deadline passed before it was read, as
-// happens to a server that was frozen.
+// expired reports whether the request's deadline has passed. It may have passed
+// before a server that was frozen read the request.
 func expired(r *http.Request) bool {
+	at := expiry(r)
+	return !at.IsZero() && !time.Now().Before(at)
+}
+
+// expiry returns the request's deadline by the host's clock, zero if it has none.
+func expiry(r *http.Request) time.Time {
 	us, err := strconv.ParseInt(r.Header.Get(headerExpires), 10, 64)
-	return err == nil && time.Now().UnixMicro() >= us
+	if err != nil {
+		return time.Time{}
+	}
+	return time.UnixMicro(us)
 }
 
 // begin takes a slot and records the run.
@@ -216,7 +228,9 @@
 	}
 }
 
-func (s *Server) end(index int, cut string) {
+// end records the end of a run. A run that was cut did nothing after its
+// expiry, whenever the server notices.
+func (s *Server) end(index int, cut string, expiry time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.capacity.release()
@@ -224,9 +238,14 @@
 		return
 	}
 	s.runs[index].Cut = cut
-	if cut != "crash" {
-		s.runs[index].End = time.Now().UnixMicro()
+	if cut == "crash" {
+		return
+	}
+	end := time.Now()
+	if cut != "" && !expiry.IsZero() && expiry.Before(end) {
+		end = expiry
 	}
+	s.runs[index].End = end.UnixMicro()
 }
 
 // thaw waits while the server is frozen.
--- a/daemon/plugins/owner/request.go
+++ b/daemon/plugins/owner/request.go
@@ -57,6 +57,7 @@
 	h.Set(headerTeam, req.GetTeam())
 	h.Set(headerRequest, req.GetRequestId())
 	h.Set(headerDeadline, strconv.FormatInt(timeout.Milliseconds(), 10))
+	h.Set(headerExpires, strconv.FormatInt(time.Now().Add(timeout).UnixMicro(), 10))
 	return httpReq, nil
 }
 
