--- a/daemon/plugins/owner/request_test.go
+++ b/daemon/plugins/owner/request_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -15,12 +16,24 @@
 // by an instant, not by a duration.
 func TestRequestCarriesItsExpiry(t *testing.T) {
 	is := is.New(t)
-	before := time.Now()
-	httpReq, err := newRequest(context.Background(), "127.0.0.1:1", &wire.Request{Method: "GET", Path: "/"}, 1, time.Second)
+	wall := time.UnixMicro(1_796_358_584_056_708)
+	httpReq, err := newRequest(context.Background(), "127.0.0.1:1", &wire.Request{Method: "GET", Path: "/"}, 1,
+		deadline{left: time.Second, wall: wall})
 	is.NoErr(err)
-	us, err := strconv.ParseInt(httpReq.Header.Get(headerExpires), 10, 64)
-	is.NoErr(err)
-	at := time.UnixMicro(us)
-	is.True(!at.Before(before.Add(time.Second - time.Millisecond)))
-	is.True(!at.After(time.Now().Add(time.Second)))
+	is.Equal(httpReq.Header.Get(headerExpires), strconv.FormatInt(wall.UnixMicro(), 10))
+	is.Equal(httpReq.Header.Get(headerDeadline), "1000")
+}
+
+// The expiry on the wall clock is never later than the instant it stands for.
+func TestDeadlineTranslatesInstant(t *testing.T) {
+	is := is.New(t)
+	clk := clock.Boot{}
+	b := &backend{clock: clk}
+	for range 100 {
+		until := clk.Now().Add(time.Second)
+		wallBefore := time.Now()
+		end := b.deadline(until)
+		is.True(end.left <= time.Second)
+		is.True(!end.wall.After(wallBefore.Add(time.Second + time.Since(wallBefore))))
+	}
 }
