entry: tests; an unread body no longer holds back its refusal

The test of an announced but unsent body hung: net/http reads the rest of a body before it sends the answer, without a deadline. A refusal before the body was read now closes the connection. Callers' keys, paths, headers, tries by kind, placement changes, learned owners and quarantine are tested.

--- a/daemon/plugins/entry/address.go
+++ b/daemon/plugins/entry/address.go
@@ -50,6 +50,7 @@
 	if req.Body, err = readBody(w, r, svc.BodyLimit()); err != nil {
 		return err
 	}
+	x.read = true
 	req.Method = r.Method
 	req.Path = r.URL.RequestURI()
 	req.Idempotent = route.IsIdempotent(r.Method)
--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -36,14 +36,10 @@
 }
 
 // writeAnswer sends the owner's answer, or the refusal of its kind, whole.
-// While the daemon leaves, it asks the caller to use another connection.
-func writeAnswer(w http.ResponseWriter, r *http.Request, req *wire.Request, resp *wire.Response, leaving bool) {
+func writeAnswer(w http.ResponseWriter, r *http.Request, req *wire.Request, resp *wire.Response) {
 	kind := outcome.Kind(resp.GetKind())
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	h := w.Header()
-	if leaving {
-		h.Set("Connection", "close")
-	}
 	if kind == outcome.OK {
 		answerHeaders(h, r.Method, resp)
 	}
--- /dev/null
+++ b/daemon/plugins/entry/router_test.go
@@ -0,0 +1,182 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// script answers each try with the next kind; the last one repeats.
+func script(kinds ...outcome.Kind) func(context.Context, string, *wire.Request) (*wire.Response, error) {
+	var tries atomic.Int64
+	return func(context.Context, string, *wire.Request) (*wire.Response, error) {
+		i := min(int(tries.Add(1))-1, len(kinds)-1)
+		if kinds[i] == outcome.OK {
+			return ok("whole"), nil
+		}
+		return nil, outcome.New(kinds[i], "scripted")
+	}
+}
+
+func TestTriesByKind(t *testing.T) {
+	const (
+		once = http.MethodPost
+		many = http.MethodGet
+	)
+	cases := []struct {
+		name, method string
+		kinds        []outcome.Kind
+		want         outcome.Kind
+		tries        int
+	}{
+		{"lost, idempotent", many, []outcome.Kind{outcome.ConnectionLost, outcome.OK}, outcome.OK, 2},
+		{"lost, one time", once, []outcome.Kind{outcome.ConnectionLost, outcome.OK}, outcome.ConnectionLost, 1},
+		{"not sent, one time", once, []outcome.Kind{outcome.OwnerUnreachable, outcome.OK}, outcome.OK, 2},
+		{"not sent, then lost", once, []outcome.Kind{outcome.NotOwner, outcome.ConnectionLost, outcome.OK}, outcome.ConnectionLost, 2},
+		{"crash, idempotent", many, []outcome.Kind{outcome.BackendCrashed, outcome.OK}, outcome.BackendCrashed, 1},
+		{"shed", many, []outcome.Kind{outcome.BackendShed, outcome.OK}, outcome.BackendShed, 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			s := &surroundings{answer: script(c.kinds...)}
+			_, srv := newTestEntry(t, s)
+			resp, _ := do(t, srv, c.method, "/stock/k", "")
+			is.Equal(resp.Header.Get(HeaderOutcome), c.want.String())
+			is.Equal(s.count(), c.tries)
+		})
+	}
+}
+
+// A try that may have run is not forgotten when later ones certainly did not.
+func TestNotRunHoldsForAllTries(t *testing.T) {
+	is := is.New(t)
+	s := &surroundings{answer: script(outcome.ConnectionLost, outcome.NotOwner)}
+	_, srv := newTestEntry(t, s)
+	resp, _ := do(t, srv, "GET", "/stock/k", "", HeaderTimeout, "300")
+	is.Equal(resp.Header.Get(HeaderOutcome), outcome.ConnectionLost.String())
+	is.Equal(resp.Header.Get(HeaderRan), outcome.MayHaveRun.String())
+	is.True(s.count() >= 2)
+}
+
+func TestWaitsForThePlacementToChange(t *testing.T) {
+	is := is.New(t)
+	s := new(surroundings)
+	failed := make(chan struct{}, 100)
+	s.answer = func(_ context.Context, to string, _ *wire.Request) (*wire.Response, error) {
+		if to == "d4" {
+			return ok("whole"), nil
+		}
+		failed <- struct{}{}
+		return nil, outcome.New(outcome.OwnerUnreachable, "down")
+	}
+	e, srv := newTestEntry(t, s)
+	budget := e.router.budget("stock")
+	for budget.Take(e.clock.Now()) { // changes of placement need no token
+	}
+	go func() {
+		<-failed
+		s.view.Store(placed(member(4, "a"), member(3, "b"), 8))
+	}()
+	resp, _ := do(t, srv, "POST", "/stock/k", "")
+	is.Equal(resp.Header.Get(HeaderOutcome), "ok")
+}
+
+func TestNewOwnerIsLearnedFromItsAnswer(t *testing.T) {
+	is := is.New(t)
+	s := new(surroundings)
+	s.answer = func(_ context.Context, to string, _ *wire.Request) (*wire.Response, error) {
+		if to != "d3" {
+			return nil, outcome.New(outcome.OwnerUnreachable, "down")
+		}
+		resp := ok("whole")
+		resp.Generation = 8 // taken over; the view still shows 7
+		return resp, nil
+	}
+	_, srv := newTestEntry(t, s)
+	for range 5 {
+		resp, _ := do(t, srv, "POST", "/stock/k", "")
+		is.Equal(resp.Header.Get(HeaderOutcome), "ok")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.Equal(s.to, []string{"d2", "d3", "d3", "d3", "d3", "d3"})
+}
+
+func TestDataCentresOfTheTeam(t *testing.T) {
+	is := is.New(t)
+	s := new(surroundings)
+	s.view.Store(placed(member(2, "c"), nil, 7))
+	_, srv := newTestEntry(t, s)
+	resp, _ := do(t, srv, "GET", "/stock/k", "")
+	is.Equal(resp.Header.Get(HeaderOutcome), outcome.Forbidden.String())
+	is.Equal(s.count(), 0)
+}
+
+func TestSecondCrashQuarantines(t *testing.T) {
+	is := is.New(t)
+	s := new(surroundings)
+	var crash atomic.Pointer[string]
+	s.answer = func(_ context.Context, _ string, req *wire.Request) (*wire.Response, error) {
+		id := crash.Load()
+		if id == nil {
+			return ok("whole"), nil
+		}
+		resp := refusal(outcome.New(outcome.BackendCrashed, "gone"))
+		resp.Headers = []*wire.Header{{Name: headerCrash, Value: *id}}
+		return resp, nil
+	}
+	_, srv := newTestEntry(t, s)
+	send := func(body string) string {
+		resp, _ := do(t, srv, "POST", "/stock/k", body)
+		return resp.Header.Get(HeaderOutcome)
+	}
+	first, second := "crash-1", "crash-2"
+	crash.Store(&first)
+	is.Equal(send("poison"), outcome.BackendCrashed.String())
+	is.Equal(send("bystander"), outcome.BackendCrashed.String())
+	crash.Store(nil)
+	is.Equal(send("bystander"), "ok") // cleared
+	crash.Store(&second)
+	is.Equal(send("poison"), outcome.BackendCrashed.String())
+	is.Equal(send("bystander"), outcome.BackendCrashed.String())
+	crash.Store(nil)
+	before := s.count()
+	is.Equal(send("poison"), outcome.Quarantined.String())
+	is.Equal(s.count(), before)
+	is.Equal(send("bystander"), "ok")
+}
+
+// The second crash may be seen by another daemon than the first.
+func TestSuspectsSpread(t *testing.T) {
+	is := is.New(t)
+	s := new(surroundings)
+	e, _ := newTestEntry(t, s)
+	frame := func(id string) *wire.Frame {
+		suspect := &wire.Suspect{Fingerprint: 5, Service: "stock", CrashId: []byte(id)}
+		return &wire.Frame{Body: &wire.Frame_Suspects{Suspects: &wire.Suspects{Suspects: []*wire.Suspect{suspect}}}}
+	}
+	told := func() int {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return len(s.told)
+	}
+	e.suspects.HandleFrame(context.Background(), "peer", frame("a"))
+	is.True(!e.suspects.table.Refuses(5, e.clock.Now()))
+	e.suspects.HandleFrame(context.Background(), "peer", frame("b"))
+	is.True(e.suspects.table.Refuses(5, e.clock.Now()))
+	deadline := time.Now().Add(bound)
+	for told() < 4 { // both pieces of news to both other daemons
+		is.True(time.Now().Before(deadline))
+		time.Sleep(time.Millisecond)
+	}
+	e.suspects.HandleFrame(context.Background(), "peer", frame("b")) // no news
+	is.Equal(told(), 4)
+}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -19,6 +19,7 @@
 	req    *wire.Request
 	key    string       // the caller key; never leaves this daemon
 	target *view.Member // the daemon tried last, or nil
+	read   bool         // the whole body was read
 }
 
 func (e *entry) serve(c *gin.Context) {
@@ -31,7 +32,13 @@
 	took := time.Since(started)
 	e.logRequest(x, resp, took)
 	e.metrics.request(x.req, outcome.Kind(resp.GetKind()), took)
-	writeAnswer(c.Writer, c.Request, x.req, resp, e.ctrl.View().Leaving)
+	// Without close, net/http would wait for the rest of an unread body before
+	// it sends the answer.
+	unread := c.Request.ContentLength != 0 && !x.read
+	if unread || e.ctrl.View().Leaving {
+		c.Header("Connection", "close")
+	}
+	writeAnswer(c.Writer, c.Request, x.req, resp)
 }
 
 // process takes a request from the caller's bytes to the owner's answer.
