--- a/core/control/view.go
+++ b/core/control/view.go
@@ -2,32 +2,68 @@
 
 import (
 	"maps"
+	"slices"
+	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
-	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
 
-// buildView returns the routing view of the current state.
-func (s *State) buildView() *view.View {
-	members := map[fold.Incarnation]*view.Member{}
+// tableInterval bounds how often the routing tables of all shards are built.
+// Changes of the own rights are published at once, with the tables in place.
+const tableInterval = 50 * time.Millisecond
+
+// tables are the parts of a view that are shared by all views until replay or
+// the configuration changes.
+type tables struct {
+	services map[string]*view.Service
+	members  map[fold.Incarnation]*view.Member
+	callers  map[string]view.Caller
+	planners []*view.Member
+	stale    bool
+	next     clock.Instant // when they may be built again
+}
+
+// refreshTables builds the tables anew if they are stale and due.
+func (s *State) refreshTables() {
+	t := &s.tables
+	if !t.stale || s.now < t.next {
+		return
+	}
+	t.stale = false
+	t.next = s.now.Add(tableInterval)
+	if t.members == nil {
+		t.members = map[fold.Incarnation]*view.Member{}
+		t.services = nil
+	}
 	services := make(map[string]*view.Service, len(s.fold.Services))
 	for name, svc := range s.fold.Services {
 		if svc.Base == 0 {
 			continue // named by records, but not by the configuration
 		}
-		services[name] = s.serviceView(svc, members)
+		services[name] = s.serviceView(svc, t.services[name])
 	}
+	t.services = services
+	t.planners = s.plannerViews()
+	s.dirty = true
+}
+
+// buildView returns the routing view of the current state.
+func (s *State) buildView() *view.View {
 	return &view.View{
 		Incarnation:   s.member.incarnation,
 		Backend:       s.backendView(),
 		ConfigVersion: s.history.Version,
 		Config:        s.history.Config,
-		Callers:       callers(s.history.Config),
-		Services:      services,
+		Callers:       s.tables.callers,
+		Services:      s.tables.services,
+		Planners:      s.tables.planners,
 		Held:          s.held(),
-		ConfigFresh:   s.freshness[logstream.ConfigStream],
+		Fresh:         s.fresh,
+		Daemons:       s.daemons(),
+		NewerRecords:  s.newer,
 		Lease:         s.cell,
 		SelfOut:       s.selfOut() || s.member.draining,
 		Leaving:       s.stopping,
@@ -42,20 +78,38 @@
 	return &view.Backend{Name: b.Name, Service: b.Service, Addr: b.Addr, Slots: b.Slots}
 }
 
-func (s *State) serviceView(svc *fold.Service, members map[fold.Incarnation]*view.Member) *view.Service {
-	out := &view.Service{Base: svc.Base, Split: maps.Clone(svc.Split), Shards: make([]view.Shard, len(svc.Shards))}
+// serviceView returns the routing table of a service, built from
+// the last one. Only shards whose generation moved are looked up anew: no owner or
+// standby changes without it.
+func (s *State) serviceView(svc *fold.Service, last *view.Service) *view.Service {
+	if last == nil || len(last.Shards) != len(svc.Shards) || last.Base != svc.Base {
+		last = &view.Service{Shards: make([]view.Shard, len(svc.Shards))}
+	}
+	out := &view.Service{Base: svc.Base, Split: maps.Clone(svc.Split), Shards: slices.Clone(last.Shards)}
 	for i := range svc.Shards {
 		sh := &svc.Shards[i]
+		if sh.Generation == out.Shards[i].Generation {
+			continue
+		}
 		out.Shards[i] = view.Shard{
-			Owner:      s.memberView(sh.Owner, members),
-			Standby:    s.memberView(sh.Standby, members),
+			Owner:      s.memberView(sh.Owner),
+			Standby:    s.memberView(sh.Standby),
 			Generation: sh.Generation,
 		}
 	}
 	return out
 }
 
-func (s *State) memberView(inc fold.Incarnation, members map[fold.Incarnation]*view.Member) *view.Member {
+func (s *State) plannerViews() []*view.Member {
+	var list []*view.Member
+	for _, inc := range s.planners() {
+		list = append(list, s.memberView(inc))
+	}
+	return list
+}
+
+func (s *State) memberView(inc fold.Incarnation) *view.Member {
+	members := s.tables.members
 	if inc == 0 {
 		return nil
 	}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -47,6 +47,9 @@
 		return nil, err
 	}
 	v := e.ctrl.View()
+	if v.Fresh.Stale(e.clock.Now()) {
+		return nil, outcome.New(outcome.ConfigStale, "configuration not confirmed for too long")
+	}
 	team, err := e.auth.authenticate(v, r.Header, x)
 	if err != nil {
 		return nil, err
--- a/daemon/plugins/owner/fake_test.go
+++ b/daemon/plugins/owner/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -57,7 +58,7 @@
 		Held:     map[view.ShardID]view.Held{},
 		Services: map[string]*view.Service{service: {Base: 8, Shards: make([]view.Shard, 8)}},
 	})
-	b.executor = newExecutor(c, clock.Boot{}, set, zap.NewNop())
+	b.executor = newExecutor(c, clock.Boot{}, noLoad{}, set, zap.NewNop())
 	return b
 }
 
@@ -133,6 +134,7 @@
 			n = s.requests.Add(1)
 		}
 		text := respond(n, r)
+		_, _ = io.Copy(io.Discard, r.Body)
 		if _, err := conn.Write([]byte(text)); err != nil || text == "" {
 			return
 		}
@@ -175,3 +177,8 @@
 	}
 }
 
+// noLoad takes no note of load.
+type noLoad struct{}
+
+func (noLoad) Arrived(view.ShardID, uint64) {}
+func (noLoad) Served(time.Duration)         {}
