settings: report every fault of a file in one run

Unknown and repeated fields and wrong types were reported one at a time, since decoding stops at the first.

--- a/core/settings/decode.go
+++ b/core/settings/decode.go
@@ -1,40 +1,52 @@
 package settings
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
+	"strings"
 
 	"github.com/tailscale/hujson"
 )
 
+// FieldError is one fault of a settings file.
+type FieldError struct {
+	Position string // "line L, column C", or empty when the value is not in the file
+	Field    string // path with dots
+	Text     string
+}
+
+// Error returns the fault with its position and field.
+func (e *FieldError) Error() string {
+	var parts []string
+	for _, part := range []string{e.Position, e.Field, e.Text} {
+		if part != "" {
+			parts = append(parts, part)
+		}
+	}
+	return strings.Join(parts, ": ")
+}
+
 // Decode decodes one document of JSON with comments and trailing commas into
-// the value that into points to. Unknown fields and data after the document
-// are errors; an error names its position in the file.
+// the value that into points to. Unknown and repeated fields, wrong types and
+// data after the document are errors. All of them are found in one run, each a
+// *FieldError; fields without fault are decoded nevertheless.
 func Decode(data []byte, into any) error {
-	standard, err := hujson.Standardize(bytes.Clone(data))
+	root, err := hujson.Parse(data)
 	if err != nil {
 		return err // names its position
 	}
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
-	if err := dec.Decode(into); err != nil {
-		return fmt.Errorf("%s%w", position(standard, dec.InputOffset()), err)
+	var c checker
+	c.value(root, reflect.TypeOf(into), "")
+	var errs []error
+	for _, p := range c.problems {
+		errs = append(errs, &FieldError{Position: position(data, p.offset), Field: p.field, Text: p.text})
 	}
-	if dec.More() {
-		return fmt.Errorf("%s%w", position(standard, dec.InputOffset()), errTrailing)
+	root.Standardize()
+	var wrongType *json.UnmarshalTypeError
+	if err := json.Unmarshal(root.Pack(), into); err != nil && !errors.As(err, &wrongType) {
+		errs = append(errs, fmt.Errorf("settings: %w", err))
 	}
-	return nil
-}
-
-var errTrailing = errors.New("data after the document")
-
-// position returns "line L, column C: " of an offset. Comments were replaced
-// by spaces, so positions are those of the original file.
-func position(data []byte, offset int64) string {
-	before := data[:min(int(offset), len(data))]
-	line := bytes.Count(before, []byte("\n")) + 1
-	column := len(before) - bytes.LastIndexByte(before, '\n')
-	return fmt.Sprintf("line %d, column %d: ", line, column)
+	return errors.Join(errs...)
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -115,15 +115,38 @@
 // ParseDaemon decodes settings from JSON with comments and checks them.
 func ParseDaemon(data []byte) (Daemon, error) {
 	d := Default()
+	var problems []string
+	reported := map[string]bool{}
 	if err := Decode(data, &d); err != nil {
-		return Daemon{}, fmt.Errorf("%w: %w", ErrInvalid, err)
+		for _, e := range faults(err) {
+			problems = append(problems, e.Error())
+			var field *FieldError
+			if !errors.As(e, &field) {
+				return Daemon{}, fmt.Errorf("%w:\n  %w", ErrInvalid, e)
+			}
+			reported[field.Field] = true
+		}
+	}
+	for _, p := range d.Problems() {
+		field, _, _ := strings.Cut(p, ":")
+		if !reported[field] {
+			problems = append(problems, p)
+		}
 	}
-	if problems := d.Problems(); len(problems) > 0 {
+	if len(problems) > 0 {
 		return Daemon{}, fmt.Errorf("%w:\n  %s", ErrInvalid, strings.Join(problems, "\n  "))
 	}
 	return d, nil
 }
 
+// faults returns the errors joined in err.
+func faults(err error) []error {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()
+	}
+	return []error{err}
+}
+
 // Problems returns every rule that d breaks, each with its field path.
 func (d Daemon) Problems() []string {
 	var list []string
