--- a/core/settings/decode.go
+++ b/core/settings/decode.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"reflect"
+	"slices"
 	"strings"
 
 	"github.com/tailscale/hujson"
@@ -33,7 +34,7 @@
 // data after the document are errors. All of them are found in one run, each a
 // *FieldError; fields without fault are decoded nevertheless.
 func Decode(data []byte, into any) error {
-	root, err := hujson.Parse(data)
+	root, err := hujson.Parse(append(slices.Clip(data), '\n')) // a comment may end the file
 	if err != nil {
 		return err // names its position
 	}
--- a/daemon/cmd/sesamemoord/commands.go
+++ b/daemon/cmd/sesamemoord/commands.go
@@ -77,6 +77,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	if err := serve(ctx, set, log); err != nil {
 		log.Error("daemon failed", zap.Error(err))
 		return exitFailure
@@ -84,7 +85,8 @@
 	return subcommands.ExitSuccess
 }
 
-// serve runs the daemon until ctx ends, then hands over its shards and stops.
+// serve runs the daemon until ctx ends. Then it hands over its shards while it
+// still serves callers, takes callers off, and stops.
 func serve(ctx context.Context, set settings.Daemon, log *zap.Logger) error {
 	var controller *kernel.Controller
 	app := fx.New(
@@ -102,6 +104,7 @@
 	}
 	log.Info("started", zap.Strings("plugins", kernel.Plugins()))
 	<-ctx.Done()
+	log.Info("leaving")
 	grace := time.Duration(set.ShutdownGraceMS) * time.Millisecond
 	controller.Leave(grace)
 	stopCtx, cancel := context.WithTimeout(context.Background(), stopTimeout+grace)
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -92,14 +92,20 @@
 	}
 }
 
-// ready answers 200 while this daemon can route: it has read a configuration.
+// ready answers 200 while callers should use this daemon: it knows the
+// configuration and is not leaving.
 func (a *admin) ready(c *gin.Context) {
 	v := a.control.View()
-	if v.Fresh.Known() == 0 {
+	switch {
+	case v.Leaving:
+		c.String(http.StatusServiceUnavailable, "leaving\n")
+	case v.Fresh.Known() == 0:
 		c.String(http.StatusServiceUnavailable, "configuration not read yet\n")
-		return
+	case v.Fresh.Stale(a.clock.Now()):
+		c.String(http.StatusServiceUnavailable, "configuration not confirmed for too long\n")
+	default:
+		c.String(http.StatusOK, "ready\n")
 	}
-	c.String(http.StatusOK, "ready\n")
 }
 
 // Status is the answer to GET /v1/status.
