--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -179,7 +179,7 @@
 			func() clock.Clock { return clock.Boot{} },
 			NewController,
 			func(c *Controller) Control { return c },
-			newMetrics,
+			NewMetrics,
 		),
 	)
 }
--- a/daemon/kernel/kernel.go
+++ b/daemon/kernel/kernel.go
@@ -73,3 +73,13 @@
 	}
 	return options
 }
+
+// Select returns the modules of the named plug-ins alone, for tests that join
+// some of them. It panics on an ID that is not registered.
+func Select(ids ...string) fx.Option {
+	var options []fx.Option
+	for _, id := range ids {
+		options = append(options, fx.Module(id, plugins[id].Module()))
+	}
+	return fx.Options(options...)
+}
--- a/daemon/kernel/metrics.go
+++ b/daemon/kernel/metrics.go
@@ -17,7 +17,8 @@
 	registry *prometheus.Registry
 }
 
-func newMetrics() (*Metrics, error) {
+// NewMetrics returns a meter with an endpoint of its own.
+func NewMetrics() (*Metrics, error) {
 	registry := prometheus.NewRegistry()
 	exporter, err := otelprom.New(otelprom.WithRegisterer(registry))
 	if err != nil {
