--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -10,9 +10,9 @@
 	// ratio is the number of retries earned by each request.
 	ratio = 0.08
 	// floor is the number of retries per second allowed without any requests.
-	floor = 2.0
+	floor = 4.0
 	// reserve is the largest number of retries saved up.
-	reserve = 20.0
+	reserve = 100.0
 )
 
 // Budget bounds the retries of one service at one daemon to a share of its
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -59,6 +59,7 @@
 // attempts is the state of the tries of one request.
 type attempts struct {
 	placed    placement
+	losses    int    // tries that cost a token
 	alternate bool   // the next try goes to the other of owner and standby
 	hint      uint64 // incarnation that the last answer named as owner
 	mayRun    error  // the first failure after which the request may have run
@@ -138,12 +139,22 @@
 			done()
 		}
 		if budget.Take(t.clock.Now()) {
-			a.alternate = !a.alternate
+			a.turn(verdict)
 			return true
 		}
 	}
 }
 
+// turn chooses between owner and standby for the next try. The first lost
+// connection says nothing about the owner; all else may mean that it changed.
+func (a *attempts) turn(verdict retry.Verdict) {
+	a.losses++
+	if verdict == retry.Again && a.losses == 1 {
+		return
+	}
+	a.alternate = !a.alternate
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/daemon/plugins/entry/router_test.go
+++ b/daemon/plugins/entry/router_test.go
@@ -110,6 +110,16 @@
 	is.Equal(s.to, []string{"d2", "d3", "d3", "d3", "d3", "d3"})
 }
 
+// A lost connection is tried again at the owner, on a new connection.
+func TestLostConnectionStaysWithTheOwner(t *testing.T) {
+	is := is.New(t)
+	s := &surroundings{answer: script(outcome.ConnectionLost, outcome.OK)}
+	_, srv := newTestEntry(t, s)
+	resp, _ := do(t, srv, "GET", "/stock/k", "")
+	is.Equal(resp.Header.Get(HeaderOutcome), "ok")
+	is.Equal(s.to, []string{"d2", "d2"})
+}
+
 func TestDataCentresOfTheTeam(t *testing.T) {
 	is := is.New(t)
 	s := new(surroundings)
