--- /dev/null
+++ b/core/outcome/doc_test.go
@@ -0,0 +1,63 @@
+package outcome
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "write the table of kinds into docs/PATH.md")
+
+const (
+	docFile  = "../../docs/PATH.md"
+	docBegin = "<!-- kinds: begin -->\n"
+	docEnd   = "<!-- kinds: end -->"
+)
+
+func kindsTable() string {
+	var b strings.Builder
+	b.WriteString("| number | kind | ran | status | the caller may send again | the entry waits for a new owner |\n")
+	b.WriteString("| --- | --- | --- | --- | --- | --- |\n")
+	for _, k := range Kinds() {
+		a := k.Answer()
+		fmt.Fprintf(&b, "| %d | `%s` | %s | %d | %s | %s |\n", k, a.Name, a.Ran, a.Status, yes(a.RetrySafe), yes(a.Reroutable))
+	}
+	return b.String()
+}
+
+func yes(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
+
+// The table in the docs is the table in the code.
+func TestDocumentedKinds(t *testing.T) {
+	is := is.New(t)
+	data, err := os.ReadFile(docFile)
+	is.NoErr(err)
+	head, rest, ok := strings.Cut(string(data), docBegin)
+	is.True(ok)
+	table, tail, ok := strings.Cut(rest, docEnd)
+	is.True(ok)
+	if *update {
+		is.NoErr(os.WriteFile(docFile, []byte(head+docBegin+kindsTable()+docEnd+tail), 0o644))
+		return
+	}
+	is.Equal(table, kindsTable()) // run with -update
+}
+
+func TestKindsAreConsistent(t *testing.T) {
+	is := is.New(t)
+	for _, k := range Kinds() {
+		a := k.Answer()
+		is.True(!a.Reroutable || a.Ran == NotRun) // only what did not run is passed on
+		is.True(!a.RetrySafe || a.Ran == NotRun)
+	}
+	is.Equal(Kind(0).Answer().Ran, MayHaveRun)
+}
--- a/daemon/plugins/entry/entry_test.go
+++ b/daemon/plugins/entry/entry_test.go
@@ -325,3 +325,17 @@
 	g.leave("loud")
 	is.NoErr(g.enter("third"))
 }
+
+func TestWithdrawnKeyIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	s := new(surroundings)
+	_, srv := newTestEntry(t, s)
+	resp, _ := do(t, srv, "GET", "/stock/k", "")
+	is.Equal(resp.Header.Get(HeaderOutcome), "ok")
+	v := *s.View()
+	v.Callers = map[string]view.Caller{}
+	s.view.Store(&v)
+	resp, _ = do(t, srv, "GET", "/stock/k", "") // on the same connection
+	is.Equal(resp.Header.Get(HeaderOutcome), outcome.Unauthenticated.String())
+	is.Equal(s.count(), 1)
+}
--- a/daemon/plugins/entry/instruments.go
+++ b/daemon/plugins/entry/instruments.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
@@ -20,6 +21,8 @@
 	attempts    metric.Int64Counter
 	retries     metric.Int64Counter
 	quarantines metric.Int64Counter
+	labels      sync.Map // label to []metric.AddOption
+	services    sync.Map // service to []metric.RecordOption
 }
 
 // latencyBounds are the bucket bounds of the latency histogram in seconds.
@@ -46,13 +49,40 @@
 	return attribute.String("service", req.GetService())
 }
 
+// label names a set of attributes that repeats.
+type label struct {
+	service string
+	kind    outcome.Kind
+}
+
+// options returns the attributes of l for counting, made once.
+func (i *instruments) options(l label) []metric.AddOption {
+	if known, ok := i.labels.Load(l); ok {
+		return known.([]metric.AddOption)
+	}
+	set := attribute.NewSet(attribute.String("service", l.service), attribute.String("kind", l.kind.String()))
+	made := []metric.AddOption{metric.WithAttributeSet(set)}
+	i.labels.Store(l, made)
+	return made
+}
+
+// recordOptions returns the attributes of a service for the histogram, made
+// once.
+func (i *instruments) recordOptions(service string) []metric.RecordOption {
+	if known, ok := i.services.Load(service); ok {
+		return known.([]metric.RecordOption)
+	}
+	made := []metric.RecordOption{metric.WithAttributeSet(attribute.NewSet(attribute.String("service", service)))}
+	i.services.Store(service, made)
+	return made
+}
+
 func (i *instruments) request(req *wire.Request, kind outcome.Kind, took time.Duration) {
 	ctx := context.Background()
-	byKind := metric.WithAttributeSet(attribute.NewSet(service(req), attribute.String("kind", kind.String())))
-	byService := metric.WithAttributeSet(attribute.NewSet(service(req)))
-	i.requests.Add(ctx, 1, byKind)
-	i.latency.Record(ctx, took.Seconds(), byService)
-	i.attempts.Add(ctx, int64(req.GetAttempt()), byService)
+	options := i.options(label{req.GetService(), kind})
+	i.requests.Add(ctx, 1, options...)
+	i.attempts.Add(ctx, int64(req.GetAttempt()), options...)
+	i.latency.Record(ctx, took.Seconds(), i.recordOptions(req.GetService())...)
 }
 
 func (i *instruments) retry(req *wire.Request) {
--- a/daemon/plugins/entry/secret.go
+++ b/daemon/plugins/entry/secret.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"net/url"
 	"strings"
+	"sync"
 
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
@@ -31,9 +32,36 @@
 	bearer              = "Bearer "
 )
 
+// maxSums bounds the caller keys whose hashes are kept.
+const maxSums = 4096
+
 // authenticator finds the team behind a caller key.
 type authenticator struct {
 	secret []byte
+	mu     sync.RWMutex
+	sums   map[string]string // hash of each valid key seen, by key
+}
+
+// sum returns the keyed hash of a caller key. Hashes are kept only of keys that
+// the view knows; whether a key is valid is looked up anew for each request.
+func (a *authenticator) sum(v *view.View, key string) string {
+	a.mu.RLock()
+	sum, ok := a.sums[key]
+	a.mu.RUnlock()
+	if ok {
+		return sum
+	}
+	sum = keyhash.Sum(a.secret, key)
+	if _, valid := v.Callers[sum]; !valid {
+		return sum
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.sums == nil || len(a.sums) >= maxSums {
+		a.sums = map[string]string{}
+	}
+	a.sums[strings.Clone(key)] = sum
+	return sum
 }
 
 // authenticate returns the team and notes the caller key in x.
@@ -42,7 +70,7 @@
 	if err != nil {
 		return "", err
 	}
-	caller, ok := v.Callers[keyhash.Sum(a.secret, key)]
+	caller, ok := v.Callers[a.sum(v, key)]
 	if !ok {
 		return "", outcome.New(outcome.Unauthenticated, "caller key is not valid")
 	}
