--- a/daemon/kernel/kernel.go
+++ b/daemon/kernel/kernel.go
@@ -59,7 +59,7 @@
 // and outlives the callers' requests at the edge.
 func Modules() fx.Option {
 	options := stageModules(StageInner)
-	options = append(options, fx.Module("sesamemoor.control", fx.Invoke(startController)))
+	options = append(options, fx.Module("sesamemoor.control", fx.Invoke(registerGauges, startController)))
 	options = append(options, stageModules(StageEdge)...)
 	return fx.Options(options...)
 }
