--- a/daemon/kernel/kernel.go
+++ b/daemon/kernel/kernel.go
@@ -59,7 +59,7 @@
 // and outlives the callers' requests at the edge.
 func Modules() fx.Option {
 	options := stageModules(StageInner)
-	options = append(options, fx.Module("sesamemoor.control", fx.Invoke(startController)))
+	options = append(options, fx.Module("sesamemoor.control", fx.Invoke(registerGauges, startController)))
 	options = append(options, stageModules(StageEdge)...)
 	return fx.Options(options...)
 }
@@ -73,3 +73,13 @@
 	}
 	return options
 }
+
+// Select returns the modules of the named plug-ins alone, for tests that join
+// some of them. It panics on an ID that is not registered.
+func Select(ids ...string) fx.Option {
+	var options []fx.Option
+	for _, id := range ids {
+		options = append(options, fx.Module(id, plugins[id].Module()))
+	}
+	return fx.Options(options...)
+}
