--- a/core/control/control.go
+++ b/core/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/sesamemoor/sesamemoor/core/lease"
 	"github.com/sesamemoor/sesamemoor/core/loadstat"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/snapshot"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
@@ -61,7 +62,7 @@
 	splitting []view.ShardID           // shards that it names
 	coldSince map[uint64]clock.Instant // by hash of a split key; zero while it has load
 
-	boots             map[string]*bootstrap
+	boots             map[string]*snapshot.Collector
 	snapshots         map[string]*snapshots
 	nextSnapshotCheck clock.Instant
 
@@ -90,7 +91,7 @@
 		loads:     loadstat.NewBook(),
 		coldSince: map[uint64]clock.Instant{},
 		cell:      new(view.LeaseCell),
-		boots:     map[string]*bootstrap{},
+		boots:     map[string]*snapshot.Collector{},
 		snapshots: map[string]*snapshots{},
 		fresh:     view.NewFreshness(opts.StaleConfig),
 		dirty:     true,
--- a/core/control/snapshots.go
+++ b/core/control/snapshots.go
@@ -4,8 +4,6 @@
 	"slices"
 	"time"
 
-	"google.golang.org/protobuf/proto"
-
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
@@ -35,13 +33,6 @@
 
 func (Trimmed) event() {}
 
-// bootstrap collects records of a stream until they hold a whole snapshot.
-type bootstrap struct {
-	first     uint64
-	entries   []logstream.Entry
-	assembler *snapshot.Assembler
-}
-
 // snapshots remembers when a stream's next snapshot is due.
 type snapshots struct {
 	records int           // read since the last one was seen
@@ -52,39 +43,27 @@
 // trimmed starts collecting records for a snapshot. What the daemon holds
 // stays in force until the snapshot is whole.
 func (s *State) trimmed(e Trimmed) {
-	s.boots[e.Stream] = &bootstrap{first: e.First, assembler: snapshot.NewAssembler(e.Stream)}
+	s.boots[e.Stream] = snapshot.NewCollector(e.Stream, e.First)
 	s.decide(Decision{Action: "read_snapshot", Reason: "records of " + e.Stream + " were trimmed"})
 }
 
 // collect takes in records of a stream that waits for a snapshot and returns
 // those to be replayed: all from the snapshot on, once it is whole.
 func (s *State) collect(e Records) Records {
-	b, ok := s.boots[e.Stream]
+	c, ok := s.boots[e.Stream]
 	if !ok {
 		return e
 	}
 	for _, entry := range e.Entries {
-		if entry.Offset < b.first {
-			continue
-		}
-		b.entries = append(b.entries, entry)
-		asOf, state, whole := b.add(entry)
-		if whole && asOf >= b.first && s.restore(e.Stream, asOf, state) {
+		asOf, state, whole := c.Add(entry)
+		if whole && s.restore(e.Stream, asOf, state) {
 			delete(s.boots, e.Stream)
 		}
 	}
 	if s.boots[e.Stream] != nil {
 		return Records{Stream: e.Stream}
 	}
-	return Records{Stream: e.Stream, Entries: b.entries, Next: e.Next, AsOf: e.AsOf}
-}
-
-func (b *bootstrap) add(entry logstream.Entry) (asOf uint64, state []byte, whole bool) {
-	rec := new(wire.Record)
-	if err := proto.Unmarshal(entry.Data, rec); err != nil || rec.GetSnapshot() == nil {
-		return 0, nil, false
-	}
-	return b.assembler.Add(rec.GetSnapshot())
+	return Records{Stream: e.Stream, Entries: c.Tail(), Next: e.Next, AsOf: e.AsOf}
 }
 
 // restore replaces the folded state of a stream. It reports false for a state
--- a/ctl/operator/config.go
+++ b/ctl/operator/config.go
@@ -15,6 +15,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/snapshot"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -59,25 +60,74 @@
 // Replay reads the whole configuration stream and returns its state and its
 // records.
 func (c *Config) Replay(ctx context.Context) (*fleet.History, []Change, error) {
-	history := fleet.NewHistory()
-	var changes []Change
+	r := &replay{history: fleet.NewHistory()}
 	from := uint64(1)
 	for {
 		batch, err := c.Log.Read(ctx, logstream.ConfigStream, from, readBatch, 0)
+		if errors.Is(err, logstream.ErrTrimmed) && batch.First > from {
+			from = batch.First
+			r.collector = snapshot.NewCollector(logstream.ConfigStream, from)
+			continue
+		}
 		if err != nil {
 			return nil, nil, fmt.Errorf("read configuration: %w", err)
 		}
 		for _, entry := range batch.Records {
-			rec, verdict := history.Apply(entry.Offset, entry.Data)
-			changes = append(changes, describe(entry.Offset, rec, verdict))
+			r.take(entry)
 			from = entry.Offset + 1
 		}
 		if from >= batch.Next {
-			return history, changes, nil
+			return r.result()
 		}
 	}
 }
 
+// replay follows the configuration stream, from a snapshot if its beginning was
+// trimmed.
+type replay struct {
+	history   *fleet.History
+	changes   []Change
+	collector *snapshot.Collector // while no snapshot is whole
+}
+
+func (r *replay) take(entry logstream.Entry) {
+	if r.collector == nil {
+		r.apply(entry)
+		return
+	}
+	_, state, ok := r.collector.Add(entry)
+	if !ok {
+		return
+	}
+	history, err := fleet.Decode(state)
+	if err != nil {
+		return
+	}
+	r.history = history
+	tail := r.collector.Tail()
+	r.collector = nil
+	for _, e := range tail {
+		if e.Offset >= history.Next {
+			r.apply(e)
+		}
+	}
+}
+
+func (r *replay) apply(entry logstream.Entry) {
+	rec, verdict := r.history.Apply(entry.Offset, entry.Data)
+	if verdict.Reason == fleet.ReasonSnapshot {
+		return
+	}
+	r.changes = append(r.changes, describe(entry.Offset, rec, verdict))
+}
+
+func (r *replay) result() (*fleet.History, []Change, error) {
+	if r.collector != nil {
+		return nil, nil, errors.New("read configuration: its beginning was trimmed and no whole snapshot is kept")
+	}
+	return r.history, r.changes, nil
+}
+
 func describe(offset uint64, rec *wire.Record, v fleet.Verdict) Change {
 	ch := Change{Offset: offset, Accepted: v.Accepted, Version: v.Version, Reason: v.Reason}
 	if id, err := uuid.FromBytes(rec.GetId()); err == nil {
