control: a quiet placement stream does not hold up planned moves

Cause: planned moves start only while the placement stream was read within 2 s. A direct reader's knowledge is up to 2 s old by the wait of its long poll, and a daemon that follows a peer hears of a quiet placement stream every 10 s only, so its drain could wait that long. Knowledge of the configuration's head counts as well, and the limit is 3 s. The test is red without the change.

--- a/core/control/planner_test.go
+++ b/core/control/planner_test.go
@@ -41,6 +41,22 @@
 	})
 }
 
+// TestFollowerDrainsWhileThePlacementStreamIsQuiet: a daemon that hears of the
+// placement stream only when it has records still hands over at once.
+func TestFollowerDrainsWhileThePlacementStreamIsQuiet(t *testing.T) {
+	f := startedFleet(t, 4)
+	d := f.daemons[1]
+	d.follows = true
+	for range int(15 * time.Second / TickInterval) {
+		f.tick()
+	}
+	if !d.state.logFresh() {
+		t.Fatal("the log counts as down although its configuration is read")
+	}
+	f.patch(1, `{"backend_servers":{"server-1":{"out":true}}}`)
+	f.until(5*time.Second, "drain", func() bool { return len(d.view.Held) == 0 })
+}
+
 // TestPlansDoNotPileUpWhileTheLogIsDown bounds what a planner sends.
 func TestPlansDoNotPileUpWhileTheLogIsDown(t *testing.T) {
 	is := is.New(t)
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -45,12 +45,16 @@
 	return !placement.IsOut(s.fold, s.history.Config, standby)
 }
 
-// logFreshness is the age of the newest read up to which planned moves start.
-const logFreshness = 2 * time.Second
+// logFreshness is the age of the newest knowledge of the log's head up to which
+// planned moves start. A long poll's answer is up to two of its waits old.
+const logFreshness = 3 * time.Second
 
-// logFresh reports whether the placement stream was read lately.
+// logFresh reports whether the log was read lately. Daemons that follow a peer
+// learn the head of a quiet placement stream seldom, that of the configuration
+// each second or so; either shows that the log takes records.
 func (s *State) logFresh() bool {
-	return s.readAsOf != 0 && s.now.Sub(s.readAsOf) < logFreshness
+	at := max(s.readAsOf, s.fresh.Known())
+	return at != 0 && s.now.Sub(at) < logFreshness
 }
 
 // selfOut reports whether an operator took this daemon out of service.
--- a/core/control/sim_test.go
+++ b/core/control/sim_test.go
@@ -23,6 +23,7 @@
 	view    *view.View
 	inbox   []Event
 	cutLog  bool
+	follows bool // hears of the placement stream only when it has records
 	dead    bool
 	appends int
 	next    map[string]uint64 // next offset to read of each stream
@@ -107,6 +108,9 @@
 			ev.Entries = append(ev.Entries, logstream.Entry{Offset: o, Data: f.log[stream][o-1]})
 		}
 		d.next[stream] = ev.Next
+		if d.follows && len(ev.Entries) == 0 && stream != logstream.ConfigStream {
+			continue
+		}
 		events = append(events, ev)
 	}
 	return events
