--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -5,6 +5,7 @@
 package relay
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -61,13 +62,14 @@
 	stores     map[string]*store
 
 	mu     sync.Mutex
+	source map[string]string        // peer followed for each stream, "" for the platform
 	silent map[string]clock.Instant // peers not to be asked before the instant
 }
 
 func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
 	r := &relay{
 		slot: set.Slot, dataCentre: set.DataCentre, control: c, peers: p, clock: clk,
-		log: log.Named("relay"), stores: map[string]*store{}, silent: map[string]clock.Instant{},
+		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, silent: map[string]clock.Instant{},
 	}
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
 		r.stores[stream] = newStore(stream, c.Post)
@@ -89,7 +91,11 @@
 // Read implements kernel.Relay.
 func (r *relay) Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
 	addr := parent(r.control.View().Daemons, r.slot, r.dataCentre)
-	if addr == "" || !r.mayAsk(addr) {
+	if addr != "" && !r.mayAsk(addr) {
+		addr = ""
+	}
+	r.noteSource(stream, addr)
+	if addr == "" {
 		return logstream.Batch{}, 0, kernel.ErrNoPeer
 	}
 	batch, asOf, err := r.ask(ctx, addr, stream, from, waitOf(stream))
@@ -100,6 +106,17 @@
 	return batch, asOf, err
 }
 
+// noteSource logs where a stream is read from when that changes.
+func (r *relay) noteSource(stream, addr string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if old, ok := r.source[stream]; ok && old == addr {
+		return
+	}
+	r.source[stream] = addr
+	r.log.Info("reading", zap.String("stream", stream), zap.String("from", cmp.Or(addr, "platform")))
+}
+
 func waitOf(stream string) time.Duration {
 	if stream == logstream.ConfigStream {
 		return configWait
--- a/daemon/plugins/relay/survey.go
+++ b/daemon/plugins/relay/survey.go
@@ -105,6 +105,9 @@
 		}
 		answered = true
 		s.take(from, batch, asOf)
+		if n := len(batch.Records); n > 0 {
+			r.log.Info("records came by a survey", zap.String("stream", stream), zap.String("peer", d.PeerAddr), zap.Int("records", n))
+		}
 	}
 	return answered
 }
