--- a/core/control/control.go
+++ b/core/control/control.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/lease"
+	"github.com/sesamemoor/sesamemoor/core/loadstat"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -27,9 +28,12 @@
 	WitnessAddr string
 	EntryAddr   string
 
-	Lease     lease.Params
-	Settle    time.Duration // wait for other slots before the first join
-	Witnesses int           // wanted size of the witness set, odd
+	Lease lease.Params
+	// StaleConfig is the age of configuration knowledge after which open
+	// routes are refused.
+	StaleConfig time.Duration
+	Settle      time.Duration // wait for other slots before the first join
+	Witnesses   int           // wanted size of the witness set, odd
 
 	Rand *rand.Rand // source of record ids and jitter
 }
@@ -41,10 +45,10 @@
 	now     clock.Instant
 	effects []Effect
 
-	fold      *fold.State
-	history   *fleet.History
-	caughtUp  bool // the placement stream was read to its head once
-	freshness map[string]clock.Instant
+	fold          *fold.State
+	history       *fleet.History
+	caughtUp      bool          // the placement stream was read to its head once
+	placementAsOf clock.Instant // newest instant as of which it was read to its head
 
 	witness   witnessRole
 	newHolder func(lease.Params, clock.Instant, []string) leaseHolder
@@ -56,6 +60,19 @@
 	nextWatch clock.Instant   // when the witness role is told of members again
 	outbox    *outbox
 	planner   planner
+	loads     *loadstat.Book
+
+	splitID   [16]byte                 // record of the newest split or merge
+	splitting []view.ShardID           // shards that it names
+	coldSince map[uint64]clock.Instant // by hash of a split key; zero while it has load
+
+	boots             map[string]*bootstrap
+	snapshots         map[string]*snapshots
+	nextSnapshotCheck clock.Instant
+
+	fresh       *view.Freshness
+	newer       uint64 // records too new to be understood
+	daemonCache daemonList
 
 	cell       *view.LeaseCell // of the present incarnation, never used for another
 	tables     tables
@@ -101,13 +118,17 @@
 		now:       now,
 		fold:      fold.New(),
 		history:   fleet.NewHistory(),
-		freshness: map[string]clock.Instant{},
 		witness:   lease.NewWitness(opts.Lease, now),
 		rights:    map[view.ShardID]*right{},
 		sealers:   map[uint64]*sealing{},
 		lapsed:    map[uint64]bool{},
 		outbox:    newOutbox(),
+		loads:     loadstat.NewBook(),
+		coldSince: map[uint64]clock.Instant{},
 		cell:      new(view.LeaseCell),
+		boots:     map[string]*bootstrap{},
+		snapshots: map[string]*snapshots{},
+		fresh:     view.NewFreshness(opts.StaleConfig),
 		dirty:     true,
 		newHolder: func(p lease.Params, sent clock.Instant, witnesses []string) leaseHolder {
 			return lease.NewHolder(p, sent, witnesses)
@@ -162,6 +183,14 @@
 		s.releaseAnswered(e)
 	case Quiesced:
 		s.quiesced(e)
+	case LoadReceived:
+		s.loadReceived(e)
+	case OwnLoad:
+		s.ownLoad(e)
+	case Trimmed:
+		s.trimmed(e)
+	case LogOutage:
+		s.logOutage(e)
 	case Shutdown:
 		s.shutdown()
 	}
@@ -174,6 +203,7 @@
 	s.tickRights()
 	s.tickDeparture()
 	s.tickPlanner()
+	s.tickSnapshots()
 	s.tickOutbox()
 	s.tickDrain()
 	s.tickShutdown()
@@ -191,6 +221,7 @@
 func (s *State) placementStream() string { return logstream.PlacementStream(s.opts.Region) }
 
 func (s *State) takeRecords(e Records) {
+	e = s.collect(e)
 	if e.Stream == logstream.ConfigStream {
 		s.takeConfig(e)
 		return
@@ -207,8 +238,9 @@
 	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
 		s.caughtUp = true
-		s.freshness[e.Stream] = max(s.freshness[e.Stream], e.AsOf)
+		s.placementAsOf = max(s.placementAsOf, e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) takePlacementRecord(entry logstream.Entry) {
@@ -218,6 +250,7 @@
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
+		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -231,6 +264,9 @@
 	if rec.GetJoin() != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
+	if sp := rec.GetSplitKey(); sp != nil {
+		s.splitSeen(sp)
+	}
 	s.notePlan(rec)
 }
 
@@ -239,7 +275,13 @@
 		if entry.Offset < s.history.Next {
 			continue
 		}
-		_, verdict := s.history.Apply(entry.Offset, entry.Data)
+		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
+		if rec != nil {
+			s.noteSnapshot(e.Stream, rec)
+		}
+		if verdict.Reason == fleet.ReasonSnapshot {
+			continue
+		}
 		if !verdict.Accepted {
 			s.decide(Decision{Action: "reject_configuration", Reason: verdict.Reason})
 			continue
@@ -247,10 +289,10 @@
 		s.decide(Decision{Action: "configuration", Generation: verdict.Version})
 		s.configChanged()
 	}
-	if e.AsOf != 0 && s.history.Next >= e.Next && e.AsOf > s.freshness[e.Stream] {
-		s.freshness[e.Stream] = e.AsOf
-		s.dirty = true
+	if e.AsOf != 0 && s.history.Next >= e.Next {
+		s.fresh.Advance(e.AsOf)
 	}
+	s.noteNewer()
 }
 
 func (s *State) configChanged() {
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -50,8 +50,7 @@
 
 // logFresh reports whether the placement stream was read lately.
 func (s *State) logFresh() bool {
-	at, ok := s.freshness[s.placementStream()]
-	return ok && s.now.Sub(at) < logFreshness
+	return s.placementAsOf != 0 && s.now.Sub(s.placementAsOf) < logFreshness
 }
 
 // selfOut reports whether an operator took this daemon out of service.
@@ -113,7 +112,7 @@
 // pursueRelease sends a release until it is answered, and finds another way
 // when the standby stays silent.
 func (s *State) pursueRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	if r.answered && s.now < r.nextSend {
+	if r.answered && s.now < r.nextSend || s.inSplit(id) {
 		return
 	}
 	if s.now >= r.nextSend {
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -8,7 +8,6 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
-	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
 
@@ -21,6 +20,7 @@
 type tables struct {
 	services map[string]*view.Service
 	members  map[fold.Incarnation]*view.Member
+	planners []*view.Member
 	callers  map[string]view.Caller
 	stale    bool
 	next     clock.Instant // when they may be built again
@@ -46,6 +46,7 @@
 		services[name] = s.serviceView(svc, t.services[name])
 	}
 	t.services = services
+	t.planners = s.plannerViews()
 	s.dirty = true
 }
 
@@ -58,8 +59,11 @@
 		Config:        s.history.Config,
 		Callers:       s.tables.callers,
 		Services:      s.tables.services,
+		Planners:      s.tables.planners,
 		Held:          s.held(),
-		ConfigFresh:   s.freshness[logstream.ConfigStream],
+		Fresh:         s.fresh,
+		Daemons:       s.daemons(),
+		NewerRecords:  s.newer,
 		Lease:         s.cell,
 		SelfOut:       s.selfOut() || s.member.draining,
 		Leaving:       s.stopping,
@@ -96,6 +100,15 @@
 	return out
 }
 
+// plannerViews returns the members that plan.
+func (s *State) plannerViews() []*view.Member {
+	var list []*view.Member
+	for _, inc := range s.planners() {
+		list = append(list, s.memberView(inc))
+	}
+	return list
+}
+
 func (s *State) memberView(inc fold.Incarnation) *view.Member {
 	members := s.tables.members
 	if inc == 0 {
