--- a/core/control/control.go
+++ b/core/control/control.go
@@ -45,10 +45,10 @@
 	now     clock.Instant
 	effects []Effect
 
-	fold          *fold.State
-	history       *fleet.History
-	caughtUp      bool          // the placement stream was read to its head once
-	placementAsOf clock.Instant // newest instant as of which it was read to its head
+	fold     *fold.State
+	history  *fleet.History
+	caughtUp bool          // the placement stream was read to its head once
+	readAsOf clock.Instant // instant as of which the whole placement stream is known
 
 	witness   witnessRole
 	newHolder func(lease.Params, clock.Instant, []string) leaseHolder
@@ -238,7 +238,7 @@
 	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
 		s.caughtUp = true
-		s.placementAsOf = max(s.placementAsOf, e.AsOf)
+		s.readAsOf = max(s.readAsOf, e.AsOf)
 	}
 	s.noteNewer()
 }
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -50,7 +50,7 @@
 
 // logFresh reports whether the placement stream was read lately.
 func (s *State) logFresh() bool {
-	return s.placementAsOf != 0 && s.now.Sub(s.placementAsOf) < logFreshness
+	return s.readAsOf != 0 && s.now.Sub(s.readAsOf) < logFreshness
 }
 
 // selfOut reports whether an operator took this daemon out of service.
