--- a/core/control/drain.go
+++ b/core/control/drain.go
@@ -22,7 +22,7 @@
 func (s *State) resumeBackend() {
 	m := &s.member
 	m.draining = false
-	if m.departing == drainReason {
+	if m.departing == drainReason && !s.stopping {
 		m.departing = ""
 	}
 }
--- a/core/control/takeover_test.go
+++ b/core/control/takeover_test.go
@@ -196,6 +196,11 @@
 		{"all well", 2 * time.Second, func(*world, *node) {}},
 		{"log down", 2 * time.Second, func(w *world, _ *node) { w.logDown = time.Hour }},
 		{"standby lost", 3 * time.Second, func(w *world, _ *node) { w.standby(0).paused = time.Hour }},
+		{"backend server drains, then announces itself again", 3 * time.Second, func(w *world, leaver *node) {
+			w.standby(0).paused = time.Hour
+			leaver.inbox = append(leaver.inbox, BackendLeaving{})
+			w.at(50*time.Millisecond, func() { leaver.inbox = append(leaver.inbox, leaver.backend) })
+		}},
 		{"log down and standby lost", 3 * time.Second, func(w *world, _ *node) {
 			w.logDown = time.Hour
 			w.standby(0).paused = time.Hour
@@ -278,3 +283,43 @@
 	ref := &wire.ShardRef{Service: walkService, Shard: shard, Generation: sh.Generation}
 	return &wire.Record{Body: &wire.Record_Handover{Handover: &wire.Handover{Refs: []*wire.ShardRef{ref}}}}
 }
+
+// TestLossIsNoticedAfterWitnessesRestart: an owner is lost and all its witnesses
+// restart before their promises end, so that none of them remembers it.
+func TestLossIsNoticedAfterWitnessesRestart(t *testing.T) {
+	for seed := range uint64(5) {
+		w := settled(t, seed)
+		owner := w.owner(0)
+		owner.paused = time.Hour
+		for _, name := range owner.state.member.witnesses {
+			w.restart(w.nodeNamed(name))
+		}
+		took, err := w.unserved(owner)
+		if err == nil && took > settleTime {
+			err = fmt.Errorf("served again after %v", took)
+		}
+		if err != nil {
+			w.fail(t, seed, err)
+		}
+		t.Logf("seed %d: %v", seed, took)
+	}
+}
+
+// TestLostOverdueIsRepeated: all reports and seal requests are lost for a while
+// after the promises ended; the takeover follows once messages arrive again.
+func TestLostOverdueIsRepeated(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 2)
+	owner := w.owner(0)
+	owner.paused = time.Hour
+	for _, a := range w.nodes {
+		for _, b := range w.nodes {
+			if a != b && (slices.Contains(owner.state.member.witnesses, a.name)) {
+				w.blocked[[2]int{a.index, b.index}] = w.now + 1250*time.Millisecond
+			}
+		}
+	}
+	took, err := w.unserved(owner)
+	is.NoErr(err)
+	is.True(took <= 5*time.Second) // a few seconds, as leases of others may break too
+}
