--- a/core/control/walk_network_test.go
+++ b/core/control/walk_network_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/snapshot"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -166,3 +167,24 @@
 	}
 	return nil
 }
+
+// trim writes a snapshot and lets n find that all records before it are gone.
+func (w *world) trim(n *node) {
+	st := w.replay()
+	state, err := st.Encode()
+	if err != nil {
+		panic(err)
+	}
+	stream := logstream.PlacementStream(walkRegion)
+	first := uint64(len(w.log) + 1)
+	for _, part := range snapshot.Cut(stream, st.Next, state) {
+		id := snapshot.RecordID(part)
+		data, err := proto.Marshal(&wire.Record{Id: id[:], Version: fold.RecordVersion, Body: &wire.Record_Snapshot{Snapshot: part}})
+		if err != nil {
+			panic(err)
+		}
+		w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+	}
+	n.nextOff = first
+	n.inbox = append(n.inbox, Trimmed{Stream: stream, First: first})
+}
--- a/core/control/walk_test.go
+++ b/core/control/walk_test.go
@@ -20,6 +20,7 @@
 	AppendLost: 0.05, AppendLate: 0.05, AppendTwice: 0.05,
 	Pause: 0.002, Restart: 0.001, Partition: 0.002, Outage: 0.0005,
 	CutLog: 0.001, BackendFlap: 0.0005, Patch: 0.0005, Leave: 0.0002, Stuck: 0.02,
+	Trim: 0.0005, Suspect: 0.005,
 }
 
 // disturb lets faults happen.
@@ -53,6 +54,17 @@
 		n.inbox = append(n.inbox, BackendDown{Reason: "health check failed"})
 		w.at(w.upTo(2*time.Second), func() { n.inbox = append(n.inbox, n.backend) })
 	}
+	if w.chance(o.BackendFlap) {
+		n.inbox = append(n.inbox, BackendLeaving{})
+		w.at(w.upTo(2*time.Second), func() { n.inbox = append(n.inbox, n.backend) })
+	}
+	if w.chance(o.Trim) && w.logDown <= w.now && n.nextOff <= uint64(len(w.log)) {
+		w.note("%s finds the log trimmed", n.name)
+		w.trim(n)
+	}
+	if w.chance(o.Suspect) && n.view != nil {
+		n.inbox = append(n.inbox, Suspicion{Incarnation: other.state.member.incarnation})
+	}
 	if w.chance(o.Patch) {
 		dc := string(rune('a' + w.rng.IntN(3)))
 		w.patch(fmt.Sprintf(`{"data_centres":{%q:{"out":%v}}}`, dc, w.chance(0.5)))
--- a/core/control/walk_world_test.go
+++ b/core/control/walk_world_test.go
@@ -26,6 +26,7 @@
 	AppendLost, AppendLate, AppendTwice      float64 // per append
 	Pause, Restart, Partition, Outage        float64 // per step
 	CutLog, BackendFlap, Patch, Leave, Stuck float64 // per step
+	Trim, Suspect                            float64 // per step
 }
 
 // world is a fleet of control states in virtual time, with a fake log and a
@@ -103,6 +104,7 @@
 	cell     view.LeaseCell
 	nextTick time.Duration
 	nextRead time.Duration
+	nextOff  uint64 // placement offset to read next
 	stopped  bool
 	backend  BackendUp
 }
@@ -146,6 +148,7 @@
 	n.boot++
 	n.inbox, n.quiesce, n.running, n.stuck = nil, nil, nil, nil
 	n.paused, n.stopped = 0, false
+	n.nextOff = 1
 	n.nextTick, n.nextRead = w.now, w.now
 	n.state = New(Options{
 		Slot: n.name, DataCentre: string(rune('a' + n.index%3)), Region: walkRegion,
@@ -172,6 +175,7 @@
 	for _, effect := range n.state.Step(w.clock(n), ev) {
 		w.carryOut(n, effect)
 	}
+	delete(n.state.fold.Services, view.KeeperService) // a start from a snapshot adds it
 	n.cell.Set(n.state.cell.Deadline())
 	if w.after != nil {
 		w.after(w, n)
@@ -282,7 +286,9 @@
 	}
 	now := w.clock(n)
 	w.step(n, Records{Stream: logstream.ConfigStream, Entries: w.cfg[n.state.history.Next-1:], Next: uint64(len(w.cfg) + 1), AsOf: now})
-	w.step(n, Records{Stream: logstream.PlacementStream(walkRegion), Entries: w.log[min(n.state.fold.Next-1, uint64(len(w.log))):], Next: uint64(len(w.log) + 1), AsOf: now})
+	entries := w.log[n.nextOff-1:]
+	n.nextOff = uint64(len(w.log) + 1)
+	w.step(n, Records{Stream: logstream.PlacementStream(walkRegion), Entries: entries, Next: n.nextOff, AsOf: now})
 }
 
 // finishRequests ends requests and answers Quiesce once none of the shard's
