--- a/core/control/release.go
+++ b/core/control/release.go
@@ -116,7 +116,7 @@
 // pursueRelease sends a release until it is answered, and finds another way
 // when the standby stays silent.
 func (s *State) pursueRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	if r.answered && s.now < r.nextSend {
+	if r.answered && s.now < r.nextSend || s.inSplit(id) {
 		return
 	}
 	if s.now >= r.nextSend {
