--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -54,7 +54,7 @@
 	}
 	if m := s.self(); s.member.holder != nil && (m == nil || m.Phase == fold.Gone) {
 		s.decide(Decision{Action: "lease_lost", Reason: "replay shows the incarnation as gone", Member: me})
-		s.leaveIncarnation()
+		s.dropIncarnation()
 		return
 	}
 	for inc := range s.lapsed {
@@ -146,7 +146,7 @@
 	for _, id := range s.shardIDs() {
 		sh := s.shard(id)
 		r := s.rights[id]
-		if r.owned && !s.inSplit(id) && s.shouldRelease(sh) {
+		if r.owned && (s.member.departing != "" || !s.inSplit(id)) && s.shouldRelease(sh) {
 			s.startRelease(id, sh, r)
 		}
 		if r.releasing && r.quiesced {
