Notice a silent backend server after 1.5 s

A frozen or dead backend server left its keys unserved for 2.6 to 3.9 s in runs of backend_frozen and backend_leaves: its daemon waited 3 s without announcements before it let the shards go. Announcements stay within one host, so they cost no network.

Scenarios run at most four fleets at once, whatever -parallel says.

--- a/ctl/emulate/backend/announce.go
+++ b/ctl/emulate/backend/announce.go
@@ -14,7 +14,7 @@
 
 // Periods of announcements and load samples.
 const (
-	announceInterval = time.Second
+	announceInterval = 400 * time.Millisecond
 	announceRetry    = 100 * time.Millisecond
 	announceTimeout  = 500 * time.Millisecond
 	sampleInterval   = 100 * time.Millisecond
@@ -112,7 +112,7 @@
 	}
 }
 
-// Announce tells the daemon about this server every second until ctx ends.
+// Announce tells the daemon about this server at every interval until ctx ends.
 func (s *Server) Announce(ctx context.Context) error {
 	for {
 		pause := announceInterval
--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -38,7 +38,9 @@
 		backendArgs: strings.Fields(strings.ReplaceAll(o["backend"], ",", " ")),
 		respawn:     o["respawn"] == "true",
 	}
+	fleetSlots <- struct{}{}
 	if s.fleet, err = newFleet(s.dir, opts); err != nil {
+		<-fleetSlots
 		return err
 	}
 	if err := s.fleet.start(); err != nil {
--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -110,12 +110,19 @@
 	vars    map[string]string
 }
 
+// maxFleets bounds the fleets that run at once: their bounds in time hold for a
+// machine that is not overloaded by the tests themselves.
+const maxFleets = 4
+
+var fleetSlots = make(chan struct{}, maxFleets)
+
 func (s *scenario) close() {
 	if s.watch != nil {
 		s.watch.cancel()
 	}
 	if s.fleet != nil {
 		s.fleet.stop()
+		<-fleetSlots
 	}
 	if keep := os.Getenv("SCENARIO_LOGS"); keep != "" {
 		logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
--- a/daemon/plugins/admin/announce.go
+++ b/daemon/plugins/admin/announce.go
@@ -21,7 +21,7 @@
 const (
 	// announceTimeout is the time without announcements after which the
 	// backend server counts as gone.
-	announceTimeout = 3 * time.Second
+	announceTimeout = 1500 * time.Millisecond
 	// maxAnnouncementBytes bounds one announcement.
 	maxAnnouncementBytes = 16 << 10
 	// maxSlots bounds the slots and connections that a server may state.
