Request ids survive merges and releases that are taken back

A merge returned a key to its hash shard without the rows of the split shard: an id that had run there ran again under the parent. The parent now takes the rows in, and requests of it do not begin between the record and the view. A release that its owner took back counted as a lapse; the rows now stay, and the start of the history moves only if the standby may have dispatched.

The extended property (split, merge, release, taken back release, lapse) also found an older fault: an id older than the retention counted as exactly as old, so a time-ordered id ran again once its row was forgotten for its age.

Seen red with each rule left out (TestNoIDRunsTwiceAcrossMoves with -rapid.checks=20000: merge, horizon of the split shard, horizon after a release that was sent, cap of the age; the directed tests: dispatch of a row that has run, end of such a row, requests that waited through the lapse).

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -268,6 +268,9 @@
 	if sp := rec.GetSplitKey(); sp != nil {
 		s.splitSeen(sp)
 	}
+	if m := rec.GetMergeKey(); m != nil {
+		s.mergeSeen(m)
+	}
 	s.notePlan(rec)
 }
 
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -132,6 +132,27 @@
 	Token uint64
 	Marks []*wire.RequestMark
 	From  view.ShardID // zero unless the shard was split off
+	// Resumed tells that this daemon takes back a shard that it had begun to
+	// release. What it knows of the shard's request ids stays.
+	Resumed Resumed
+}
+
+// Resumed tells how a shard came back to the owner that was releasing it.
+type Resumed uint8
+
+// Ways in which a shard comes back.
+const (
+	NotResumed   Resumed = iota
+	ResumedWhole         // nobody else can have dispatched it meanwhile
+	ResumedLater         // the standby may have dispatched it meanwhile
+)
+
+// Merge tells traffic that the key of a split shard returns to the shard of its
+// hash: request ids of From are taken in once the view shows it.
+type Merge struct {
+	Shard view.ShardID
+	From  view.ShardID
+	Whole bool // this daemon dispatched From up to now
 }
 
 // Decision is a placement decision for the log.
@@ -154,6 +175,7 @@
 func (SendRelease) effect()   {}
 func (AnswerRelease) effect() {}
 func (TakeOver) effect()      {}
+func (Merge) effect()         {}
 func (Decision) effect()      {}
 func (Left) effect()          {}
 
--- a/core/control/load.go
+++ b/core/control/load.go
@@ -193,6 +193,21 @@
 	s.tables.next = 0 // the view must show the split with the new right
 }
 
+// mergeSeen passes the request ids of a merged shard on to the one that its key
+// returns to.
+func (s *State) mergeSeen(m *wire.MergeKey) {
+	parent := view.ShardID{Service: m.GetService(), Shard: m.GetParent().GetShard()}
+	child := view.ShardID{Service: m.GetService(), Shard: m.GetSplit().GetShard()}
+	sh := s.shard(parent)
+	if sh == nil || sh.Owner != s.member.incarnation {
+		return
+	}
+	r, ok := s.rights[child]
+	s.emit(Merge{Shard: parent, From: child, Whole: ok && (r.owned || r.releasing && !r.sent)})
+	s.tables.next = 0 // the view must show the merge at once
+	s.dirty = true    // traffic waits for the next view
+}
+
 func (s *State) splitHottest(report *wire.LoadReport, mean float64) bool {
 	keys := slices.Clone(report.GetHotKeys())
 	slices.SortFunc(keys, func(a, b *wire.KeyLoad) int { return cmp.Compare(b.GetRateMilli(), a.GetRateMilli()) })
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -15,6 +15,10 @@
 // abortRelease ends a release whose standby changed meanwhile. The right of
 // the standby that may have received it has ended with the change.
 func (s *State) abortRelease(r *right) {
+	r.resumed = ResumedWhole
+	if r.sent {
+		r.resumed = ResumedLater
+	}
 	r.releasing = false
 	r.quiesced = false
 	r.answered = false
@@ -69,6 +73,7 @@
 	r.quiesced = false
 	r.answered = false
 	r.recorded = false
+	r.sent = false
 	r.releaseGen = sh.Generation
 	if sh.Owner != s.member.incarnation {
 		r.releaseGen = r.taken // the takeover is not in the log yet
@@ -128,6 +133,7 @@
 	}
 	if waited >= releaseBound && !r.recorded && sh.Standby != 0 && s.mayRelease(sh, r) {
 		r.recorded = true
+		r.sent = true
 		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
 			Incarnation: s.member.incarnation,
 			Refs:        []*wire.ShardRef{{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen}}}}})
@@ -154,6 +160,7 @@
 		return
 	}
 	r.released = r.releaseGen + 1
+	r.sent = true
 	r.nextSend = s.now.Add(releaseRetry)
 	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
 		Owner: s.member.incarnation,
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -31,10 +31,12 @@
 	quiesced   bool          // no request of it runs any more
 	answered   bool          // the standby accepted the release
 	recorded   bool          // the release was put into the log for want of an answer
+	sent       bool          // the standby may have received the release
 	releaseGen uint64        // generation under which it is being released
 	releasedAt clock.Instant // when it was quiesced
 	nextSend   clock.Instant
 	marks      []*wire.RequestMark
+	resumed    Resumed // how an aborted release left the shard, until it is acquired
 }
 
 func (s *State) right(id view.ShardID) *right {
@@ -94,7 +96,7 @@
 			s.dirty = true // the recorded generation is part of the view
 		}
 		if !r.owned && !r.releasing && mayOwn {
-			s.acquire(id, r, sh.Generation, TakeOver{}, true, "replay shows this daemon as owner")
+			s.acquire(id, r, sh.Generation, TakeOver{Resumed: r.resumed}, true, "replay shows this daemon as owner")
 		}
 	case sh.Standby == me && (r.taken == sh.Generation+1 || r.consented == sh.Generation+1):
 		// A takeover or consent ahead of the log; its record is on its way.
@@ -114,6 +116,7 @@
 	r.token = token
 	r.since = s.now
 	r.freshHistory = fresh
+	r.resumed = NotResumed
 	s.dirty = true
 	how.Shard = id
 	how.Token = token
--- a/core/dedup/dedup.go
+++ b/core/dedup/dedup.go
@@ -33,6 +33,8 @@
 	// Retention is the age at which rows are forgotten. It is longer than
 	// ResendWindow by more than a request can take.
 	Retention = 10 * time.Minute
+	// oldest bounds the age that a time-ordered id is taken for.
+	oldest = 100 * 365 * 24 * time.Hour
 	// MaxIDBytes bounds a request id.
 	MaxIDBytes = 128
 )
@@ -147,31 +149,34 @@
 	if age < -SkewBound {
 		return 0, outcome.New(outcome.BadRequest, "request id is %v ahead of this clock", -age)
 	}
-	if age > Retention {
-		age = Retention
-	}
-	return now.Boot.Add(-age - SkewBound), nil
+	return now.Boot.Add(-min(age, oldest) - SkewBound), nil
 }
 
-// Dispatch marks a request as running, before its first byte is written.
-func (t *Table) Dispatch(id ID) {
-	if r := t.find(id); r != nil {
-		r.state = Running
+// Dispatch marks a waiting request as running, before its first byte is
+// written. It reports false when the request must not run: its row is gone, or
+// says since a merge that the id may have run elsewhere.
+func (t *Table) Dispatch(id ID) bool {
+	r := t.find(id)
+	if r == nil || r.state != Waiting {
+		return false
 	}
+	r.state = Running
+	return true
 }
 
 // Requeue marks a dispatched request that did not run as waiting again.
 func (t *Table) Requeue(id ID) {
-	if r := t.find(id); r != nil {
+	if r := t.find(id); r != nil && r.state == Running {
 		r.state = Waiting
 	}
 }
 
-// End records how a dispatched request ended. One that did not run leaves no row.
+// End records how a request ended. One that did not run leaves no row. A row
+// that tells of an earlier run stays as it is.
 func (t *Table) End(id ID, ran outcome.Ran, status uint32) {
 	r := t.find(id)
 	switch {
-	case r == nil:
+	case r == nil || r.state != Waiting && r.state != Running:
 	case ran == outcome.NotRun:
 		t.drop(t.shards[id.Shard].rows[id])
 	case ran == outcome.DidRun:
--- a/core/dedup/history.go
+++ b/core/dedup/history.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,11 @@
 // maxMarks bounds the rows of one shard that move with a release.
 const maxMarks = 20_000
 
+// always is the start of a history that nothing precedes. It is earlier than
+// the oldest id counts for, and far enough from the range of Instant to reckon
+// with.
+const always clock.Instant = math.MinInt64 / 2
+
 // Origin tells how a shard came to its owner.
 type Origin uint8
 
@@ -31,7 +37,7 @@
 	t.shards[id] = sh
 	switch origin {
 	case First:
-		sh.since = now.Add(-2 * Retention)
+		sh.since = always
 	case Released:
 		t.take(now, id, sh, marks)
 	}
@@ -59,6 +65,79 @@
 	}
 }
 
+// Resume lets the history of a shard go on under a new token, after a release
+// that its owner took back. whole tells that nobody else can have dispatched a
+// request of the shard meanwhile; otherwise the rows stay, but the history
+// starts at now. Requests of before that wait are refused, and what becomes of
+// those that run is not learned any more.
+func (t *Table) Resume(now clock.Instant, id view.ShardID, token uint64, whole bool) {
+	sh, ok := t.shards[id]
+	if !ok {
+		t.Acquire(now, id, token, Lapsed, nil)
+		return
+	}
+	sh.token = token
+	if !whole {
+		sh.since = now
+	}
+	for _, el := range sh.rows {
+		switch r := el.Value.(*row); r.state {
+		case Waiting:
+			t.drop(el)
+		case Running:
+			r.state = MayHaveRun
+		}
+	}
+}
+
+// Merge moves the rows of a shard to the one that its key returns to. whole
+// tells that from's history is that of its owner up to now; otherwise the
+// history of into starts at now.
+func (t *Table) Merge(now clock.Instant, into, from view.ShardID, whole bool) {
+	sh, ok := t.shards[into]
+	if !ok {
+		return
+	}
+	old, ok := t.shards[from]
+	if ok {
+		sh.since = max(sh.since, old.since)
+		t.moveRows(sh, into, old)
+		t.Drop(from)
+	}
+	if !ok || !whole {
+		sh.since = max(sh.since, now)
+	}
+	for _, el := range sh.rows {
+		if r := el.Value.(*row); r.state == Waiting && r.at < sh.since {
+			t.drop(el) // its id may have run under from
+		}
+	}
+}
+
+// moveRows adds the rows of requests that were dispatched under old. A row that
+// into has for the same id keeps the later of the two ages.
+func (t *Table) moveRows(sh *shardHistory, into view.ShardID, old *shardHistory) {
+	for id, el := range old.rows {
+		r := *el.Value.(*row)
+		if r.state == Waiting {
+			continue
+		}
+		if r.state == Running {
+			r.state = MayHaveRun
+		}
+		id.Shard, r.id.Shard = into, into
+		if own, ok := sh.rows[id]; ok {
+			known := own.Value.(*row)
+			r.at = max(r.at, known.at)
+			if known.state == Ran {
+				r.state, r.status = Ran, known.status
+			}
+			t.drop(own)
+		}
+		t.insert(sh, &r)
+	}
+}
+
 // Token returns the token under which the shard's history was started, zero
 // when there is none.
 func (t *Table) Token(id view.ShardID) uint64 {
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -142,8 +142,9 @@
 func (e *executor) dispatch(ctx context.Context, r *run) *wire.Response {
 	// The row is marked before the last check, so that a copy of the table made
 	// after a split holds every request that passed the check before it.
-	if r.id != nil {
-		e.ids.dispatch(*r.id, r.token)
+	if r.id != nil && !e.ids.dispatch(*r.id, r.token) {
+		r.settled = true // the row, if any, tells of another run
+		return refusal(outcome.New(outcome.NotOwner, "the history of the request id has moved"))
 	}
 	number, err := e.enter(r.flight, r.token)
 	if err != nil {
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -49,7 +49,7 @@
 	gate    *gate
 	ids     *ids
 
-	splits []control.TakeOver // shards split off since the last view; control goroutine only
+	moves []func() // of request ids by splits and merges since the last view; control goroutine only
 
 	mu       sync.Mutex
 	running  *inflight
@@ -83,8 +83,11 @@
 		e.quiesce(ef)
 	case control.TakeOver:
 		e.takeOver(ef)
+	case control.Merge:
+		e.ids.announceMerge(ef)
+		e.moves = append(e.moves, func() { e.ids.merge(ef) })
 	case control.Publish:
-		e.finishSplits()
+		e.finishMoves()
 		e.gate.withdraw(func(id view.ShardID) bool { return !holds(ef.View, id) })
 	}
 }
@@ -98,7 +101,7 @@
 // shard as held.
 func (e *executor) takeOver(t control.TakeOver) {
 	if t.From != (view.ShardID{}) {
-		e.splits = append(e.splits, t)
+		e.moves = append(e.moves, func() { e.ids.split(t) })
 	} else {
 		e.ids.acquire(t, e.control.View())
 	}
@@ -107,14 +110,15 @@
 	}
 }
 
-// finishSplits copies request ids to the shards that were split off, now that
-// the view shows the split: no request of a split key is dispatched under its
-// former shard any more. Those that waited there find their place again.
-func (e *executor) finishSplits() {
-	for _, t := range e.splits {
-		e.ids.split(t)
+// finishMoves moves request ids between the shards of splits and merges, in
+// their order, now that the view shows them: no request of such a key is
+// dispatched under its former shard any more. Those that waited there find their
+// place again.
+func (e *executor) finishMoves() {
+	for _, move := range e.moves {
+		move()
 	}
-	e.splits = e.splits[:0]
+	e.moves = e.moves[:0]
 }
 
 // quiesce closes the shard for its token and reports when nothing runs any
