--- /dev/null
+++ b/core/control/history_test.go
@@ -0,0 +1,114 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// cool tells the key's owner that its split shard has no load.
+func (f *fakeFleet) cool(d *fakeDaemon) {
+	d.inbox = append(d.inbox, OwnLoad{
+		Report: &wire.LoadReport{Incarnation: d.view.Incarnation, Service: hotService},
+		Answer: &wire.LoadAnswer{MeanRateMilli: 200_000},
+	})
+}
+
+// TestMergePassesRequestIDsOn: the owner of a merged shard is told to take its
+// request ids in, before the view in which the shard is gone.
+func TestMergePassesRequestIDsOn(t *testing.T) {
+	is := is.New(t)
+	f := startedFleet(t, 4)
+	owner := f.dispatcher("hot")
+	f.heat("hot")
+	f.until(2*time.Second, "split", func() bool { return f.splitKnown(owner, "hot") && f.dispatcher("hot") == owner })
+	child, _, _ := owner.view.Lookup(hotService, "hot")
+	f.until(2*coldTime, "merge", func() bool {
+		f.cool(owner)
+		return !f.splitKnown(owner, "hot")
+	})
+	parent, _, _ := owner.view.Lookup(hotService, "hot")
+	is.True(parent != child)
+	is.Equal(owner.merges, []Merge{{Shard: parent, From: child, Whole: true}})
+	is.Equal(f.dispatcher("hot"), owner)
+}
+
+// TestReleaseTakenBack: the owner resumes a shard whose release was aborted, and
+// tells whether the standby may have received it.
+func TestReleaseTakenBack(t *testing.T) {
+	for name, tt := range map[string]struct {
+		sent bool
+		want Resumed
+	}{
+		"before it was sent": {false, ResumedWhole},
+		"after it was sent":  {true, ResumedLater},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startedFleet(t, 4)
+			d := f.dispatcher("k")
+			id, _, _ := d.view.Lookup(hotService, "k")
+			s := d.state
+			sh, r := s.shard(id), s.rights[id]
+			s.startRelease(id, sh, r)
+			if tt.sent {
+				s.quiesced(Quiesced{Shard: id, Token: r.token})
+			}
+			sh.Generation += 2 // the standby has changed
+			s.effects = nil
+			s.followShard(id, sh, r)
+			is.Equal(resumedIn(s.effects, id), []Resumed{tt.want})
+			s.effects = nil
+			s.acquire(id, r, sh.Generation+1, TakeOver{Resumed: r.resumed}, true, "again")
+			is.Equal(resumedIn(s.effects, id), []Resumed{NotResumed}) // it counts once
+		})
+	}
+}
+
+func resumedIn(effects []Effect, id view.ShardID) []Resumed {
+	var how []Resumed
+	for _, e := range effects {
+		if t, ok := e.(TakeOver); ok && t.Shard == id {
+			how = append(how, t.Resumed)
+		}
+	}
+	return how
+}
+
+// TestMergeOfAShardThatMayBeElsewhere: what another daemon may have run under
+// the split shard is not known.
+func TestMergeOfAShardThatMayBeElsewhere(t *testing.T) {
+	is := is.New(t)
+	f := startedFleet(t, 4)
+	d := f.dispatcher("k")
+	parent, _, _ := d.view.Lookup(hotService, "k")
+	child := view.ShardID{Service: hotService, Shard: 12}
+	record := &wire.MergeKey{
+		Service: hotService, KeyHash: fold.KeyHash("k"),
+		Parent: &wire.ShardRef{Service: hotService, Shard: parent.Shard},
+		Split:  &wire.ShardRef{Service: hotService, Shard: child.Shard},
+	}
+	for _, tt := range []struct {
+		right *right
+		whole bool
+	}{
+		{nil, false},
+		{&right{}, false},
+		{&right{owned: true}, true},
+		{&right{releasing: true}, true},
+		{&right{releasing: true, sent: true}, false},
+	} {
+		delete(d.state.rights, child)
+		if tt.right != nil {
+			d.state.rights[child] = tt.right
+		}
+		d.state.effects = nil
+		d.state.mergeSeen(record)
+		is.Equal(d.state.effects, []Effect{Merge{Shard: parent, From: child, Whole: tt.whole}})
+	}
+}
--- a/core/control/sim_test.go
+++ b/core/control/sim_test.go
@@ -26,6 +26,7 @@
 	follows bool // hears of the placement stream only when it has records
 	dead    bool
 	appends int
+	merges  []Merge
 	next    map[string]uint64 // next offset to read of each stream
 }
 
@@ -128,6 +129,8 @@
 			f.post(e.Addr, Datagram{Msg: proto.CloneOf(e.Msg)})
 		case Publish:
 			d.view = e.View
+		case Merge:
+			d.merges = append(d.merges, e)
 		case Quiesce:
 			d.inbox = append(d.inbox, Quiesced{Shard: e.Shard, Token: e.Token})
 		case SendRelease:
