A team over its rate is refused as rate_limited, not as keeper_unavailable

A request of which one question got no answer waited to its deadline, also when the next answer was that the bucket is empty, and was then told that no keeper had answered. Now the newest answer counts: it is refused unless the keeper recovers from an empty start, and a deadline met while the keeper is short ends as rate_limited. Requests that arrive while a question is on its way are refused with its answer instead of up to a second later. Retry-After names the bucket's time.

Two tests change: they took an unanswered question for an empty start. They now use the answer that an empty start really gives (Recover), and a new one holds the other case.

--- a/core/bucket/bucket_test.go
+++ b/core/bucket/bucket_test.go
@@ -177,7 +177,8 @@
 	s.Fail(q)
 	q = s.Ask(3)
 	is.Equal(q.waiters, []*Waiter{first, second})
-	is.True(first.outage && !second.outage)
+	_, short := s.Short(3)
+	is.True(!short) // they wait for want of an answer
 	taken, refused, wait := s.Answer(4, q, Grant{Tokens: 1, Life: time.Second, Wait: time.Second})
 	is.Equal(taken, []*Waiter{first})
 	is.Equal(refused, []*Waiter{second})
@@ -195,8 +196,10 @@
 	s.Arrive(1, w)
 	s.Fail(s.Ask(1))
 	now := clock.Instant(2 * time.Second)
-	taken, refused, _ := s.Answer(now, s.Ask(now), Grant{Life: minLife, Wait: time.Second})
+	taken, refused, _ := s.Answer(now, s.Ask(now), Grant{Life: minLife, Wait: time.Second, Recover: recovery})
 	is.Equal(len(taken)+len(refused), 0)
+	left, short := s.Short(now)
+	is.True(short && left == time.Second)
 	is.Equal(s.Ask(now), nil)
 	is.Equal(s.AskAt(), now.Add(time.Second))
 	q := s.Ask(s.AskAt())
@@ -204,6 +207,24 @@
 	is.Equal(taken, []*Waiter{w})
 }
 
+// TestOverRateAfterAnOutageIsRefused has requests wait while one question gets
+// no answer; the keeper that answers the next one is at the end of its tokens
+// without having started empty.
+func TestOverRateAfterAnOutageIsRefused(t *testing.T) {
+	is := is.New(t)
+	s := &Stock{}
+	first, second, third := &Waiter{}, &Waiter{}, &Waiter{}
+	s.Arrive(1, first)
+	s.Fail(s.Ask(1))
+	s.Arrive(2, second)
+	q := s.Ask(3)
+	s.Arrive(4, third) // while the question is on its way
+	taken, refused, wait := s.Answer(5, q, Grant{Life: minLife, Wait: patience * 2})
+	is.Equal(len(taken), 0)
+	is.Equal(refused, []*Waiter{first, second, third})
+	is.Equal(wait, patience*2)
+}
+
 // TestWaitLeadsToAToken asks again after the wait that the bucket named.
 func TestWaitLeadsToAToken(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -27,9 +27,6 @@
 	Data  any
 	since clock.Instant
 	gone  bool
-	// outage tells that no keeper answered for it, or one that had started
-	// without tokens. The request waits on instead of being refused.
-	outage bool
 }
 
 // slice is a number of tokens that may be used until an instant.
@@ -54,6 +51,7 @@
 	arrivals float64 // within the window
 
 	refuseUntil clock.Instant // the keeper has no token before
+	short       bool          // what the keeper told last is that it has no token
 	aheadFrom   clock.Instant // nothing is asked for ahead before
 	recoverTill clock.Instant // requests wait until then instead of being refused
 }
@@ -96,17 +94,21 @@
 	return Waiting, 0
 }
 
-// patient reports whether w may wait for the next token.
+// patient reports whether w may wait for the next token: one request at a time
+// for a short time, all while a keeper recovers from an empty start.
 func (s *Stock) patient(now clock.Instant, w *Waiter, wait time.Duration) bool {
 	if now < s.recoverTill {
-		w.outage = true
-	}
-	if w.outage {
 		return true
 	}
 	return len(s.waiting) == 0 && now.Sub(w.since)+wait <= patience
 }
 
+// Short returns the time to the next token, if a keeper's newest answer was
+// that it has none. Otherwise requests wait for want of an answer.
+func (s *Stock) Short(now clock.Instant) (time.Duration, bool) {
+	return max(s.refuseUntil.Sub(now), minWait), s.short
+}
+
 // AskAt returns the instant at which Ask is worth calling again while requests
 // wait and no question is on its way; zero if none wait.
 func (s *Stock) AskAt() clock.Instant {
@@ -218,23 +220,26 @@
 		s.slices = append(s.slices, slice{tokens: int(g.Tokens), until: until})
 		slices.SortFunc(s.slices, func(a, b slice) int { return int(a.until - b.until) })
 	}
-	if g.Wait > 0 {
+	s.short = g.Wait > 0
+	if s.short {
 		s.refuseUntil = now.Add(g.Wait)
 	}
 	s.recoverTill = now.Add(g.Recover)
 	if int(g.Tokens) <= q.Need { // nothing to spare for now
 		s.aheadFrom = now.Add(max(g.Ahead, minLife))
 	}
-	for i, w := range q.waiters {
+	waiters := append(slices.Clone(q.waiters), s.waiting...)
+	s.waiting = nil
+	for i, w := range waiters {
 		switch {
 		case w.gone:
 		case s.take(now):
 			taken = append(taken, w)
-		case late && g.Tokens > 0:
-			s.waiting = append(slices.Clone(q.waiters[i:]), s.waiting...)
+		case late && g.Tokens > 0 || !s.short:
+			s.waiting = append(s.waiting, waiters[i:]...)
 			s.dropGone()
 			return taken, refused, g.Wait
-		case g.Wait > 0 && s.patient(now, w, g.Wait):
+		case s.patient(now, w, g.Wait):
 			s.waiting = append(s.waiting, w)
 		default:
 			refused = append(refused, w)
@@ -249,10 +254,8 @@
 		return
 	}
 	s.asked = nil
+	s.short = false
 	s.aheadFrom = q.Sent.Add(minLife)
-	for _, w := range q.waiters {
-		w.outage = true
-	}
 	s.waiting = append(q.waiters, s.waiting...)
 	s.dropGone()
 }
--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -35,6 +36,15 @@
 	return &wire.Response{Kind: uint32(kind), Status: uint32(kind.Answer().Status), Detail: detail}
 }
 
+// adviseRetry names the time after which err lets the caller come again, in
+// whole seconds rounded up.
+func adviseRetry(h http.Header, err error) {
+	var e *outcome.Err
+	if errors.As(err, &e) && e.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(e.RetryAfter.Seconds()))))
+	}
+}
+
 // writeAnswer sends the owner's answer, or the refusal of its kind, whole.
 func writeAnswer(w http.ResponseWriter, r *http.Request, req *wire.Request, resp *wire.Response) {
 	kind := outcome.Kind(resp.GetKind())
@@ -115,7 +125,7 @@
 	if err != nil {
 		body = []byte("{}")
 	}
-	if answer.RetrySafe {
+	if answer.RetrySafe && w.Header().Get("Retry-After") == "" {
 		w.Header().Set("Retry-After", retryAfter)
 	}
 	w.Header().Set("Content-Type", "application/json")
--- a/daemon/plugins/entry/entry_test.go
+++ b/daemon/plugins/entry/entry_test.go
@@ -45,11 +45,12 @@
 	to     []string        // the daemon that each went to
 	answer func(ctx context.Context, to string, req *wire.Request) (*wire.Response, error)
 	told   []*wire.Suspect
+	limit  error // of the team's rate
 }
 
 func (s *surroundings) Post(control.Event)                 {}
 func (s *surroundings) View() *view.View                   { return s.view.Load() }
-func (s *surroundings) Take(context.Context, string) error { return nil }
+func (s *surroundings) Take(context.Context, string) error { return s.limit }
 
 func (s *surroundings) deliver(ctx context.Context, to string, req *wire.Request) (*wire.Response, error) {
 	s.mu.Lock()
@@ -339,3 +340,16 @@
 	is.Equal(resp.Header.Get(HeaderOutcome), outcome.Unauthenticated.String())
 	is.Equal(s.count(), 1)
 }
+
+// TestRefusalNamesTheTimeToComeAgain rounds up to the header's whole seconds.
+func TestRefusalNamesTheTimeToComeAgain(t *testing.T) {
+	is := is.New(t)
+	for wait, want := range map[time.Duration]string{0: "1", 20 * time.Millisecond: "1", 3100 * time.Millisecond: "4"} {
+		err := outcome.New(outcome.RateLimited, "over the rate")
+		err.RetryAfter = wait
+		_, srv := newTestEntry(t, &surroundings{limit: err})
+		resp, _ := do(t, srv, http.MethodGet, "/stock/1", "")
+		is.Equal(resp.StatusCode, http.StatusTooManyRequests)
+		is.Equal(resp.Header.Get("Retry-After"), want)
+	}
+}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -28,6 +28,7 @@
 	resp, err := e.process(c.Writer, c.Request, x)
 	if err != nil {
 		resp = refusal(err)
+		adviseRetry(c.Writer.Header(), err)
 	}
 	took := time.Since(started)
 	e.logRequest(x, resp, took)
--- a/daemon/plugins/keeper/keeper_test.go
+++ b/daemon/plugins/keeper/keeper_test.go
@@ -250,3 +250,19 @@
 		time.Sleep(time.Minute)
 	})
 }
+
+// TestDeadlineWhileTheKeeperIsShort: a request that waits until its deadline for
+// a token of a keeper that has none is over the rate; the keeper did answer.
+func TestDeadlineWhileTheKeeperIsShort(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 1, Burst: 1})
+		f.hold("a", 4) // starts empty
+		err := take(f.nodes["c"], 300*time.Millisecond)
+		is.Equal(outcome.Of(err), outcome.RateLimited)
+		var refusal *outcome.Err
+		is.True(errors.As(err, &refusal))
+		is.True(refusal.RetryAfter > 0)
+		time.Sleep(time.Minute)
+	})
+}
--- a/daemon/plugins/keeper/limiter.go
+++ b/daemon/plugins/keeper/limiter.go
@@ -25,7 +25,8 @@
 )
 
 // limiter takes tokens for the requests that enter at this daemon. While no
-// keeper answers, requests wait within their deadlines.
+// keeper answers, or one that started empty, requests wait within their
+// deadlines.
 type limiter struct {
 	control kernel.Control
 	peers   kernel.Peers
@@ -105,15 +106,28 @@
 
 // giveUp ends the wait of a request whose context is done.
 func (l *limiter) giveUp(ctx context.Context, team string, w *bucket.Waiter) error {
-	l.mu.Lock()
-	if ts, ok := l.teams[team]; ok {
-		ts.stock.Cancel(w)
-	}
-	l.mu.Unlock()
-	if ctx.Err() == context.Canceled {
+	wait, short := l.cancel(team, w)
+	switch {
+	case ctx.Err() == context.Canceled:
 		return outcome.New(outcome.CancelledNotRun, "cancelled while waiting for a token")
+	case short:
+		return overRate(team, wait)
+	default:
+		return outcome.New(outcome.KeeperUnavailable, "no keeper for team %s answered in time", team)
+	}
+}
+
+// cancel takes a request out of its stock. It reports whether the request
+// waited for a token that the keeper does not have, and how long until the next.
+func (l *limiter) cancel(team string, w *bucket.Waiter) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	ts, ok := l.teams[team]
+	if !ok {
+		return 0, false
 	}
-	return outcome.New(outcome.KeeperUnavailable, "no keeper for team %s answered in time", team)
+	ts.stock.Cancel(w)
+	return ts.stock.Short(l.clock.Now())
 }
 
 func overRate(team string, wait time.Duration) *outcome.Err {
