A bucket's level goes with the planned release of its keeper

The next keeper started empty after a release too, so a team within its rate waited or was refused. The level and what is in slices now travel with the release; a lapse is still "everything spent". A release that was taken back before it left the daemon keeps the bucket.

Keeper shards are quiesced by the keeper itself now, and are not granted to the backend server.

--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -68,7 +68,7 @@
 // calls: the lower ones count for the time between two calls.
 //
 // Invariants, on the keepers' clocks: the tokens handed out in any interval, by
-// a Bucket and those that started empty after it, never pass rate·t + burst.
+// a Bucket and those that started empty or with its level after it, never pass rate·t + burst.
 // Nor do the tokens used, however late in the lives of their slices: the bucket
 // does not fill while bucket and slices together hold the burst. A burst below
 // Terms.bound is passed by the difference.
@@ -78,6 +78,7 @@
 	terms  Terms  // of the last call
 	lent   []lent // by ascending expiry
 	full   bool   // starts with the burst of the first call's terms
+	moved  bool   // starts with the level of another keeper's bucket
 
 	recovered clock.Instant // end of the recovery after an empty start
 }
@@ -176,9 +177,12 @@
 		return
 	}
 	b.terms = terms
-	if b.full {
+	switch {
+	case b.full:
 		b.tokens = terms.Burst
 		return
+	case b.moved:
+		return
 	}
 	b.lent = []lent{{terms.Burst, b.at.Add(keeperLife(terms.Life()))}}
 }
--- a/core/bucket/bucket_test.go
+++ b/core/bucket/bucket_test.go
@@ -114,6 +114,16 @@
 				keeper = NewEmpty(keeperHost.at(now))
 				keeper.Set(keeperHost.at(now), terms)
 			},
+			"keeper releases": func(t *rapid.T) {
+				level := keeper.Level(keeperHost.at(now))
+				now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "transit")) * time.Millisecond
+				if rapid.Bool().Draw(t, "taken back") {
+					return
+				}
+				keeperHost = drawHost()
+				keeper = NewAt(keeperHost.at(now), level)
+				keeper.Set(keeperHost.at(now), terms)
+			},
 			"change": func(t *rapid.T) {
 				strict = false
 				granted.take(now, terms.Rate*(1+drift), terms.Burst, 0)
@@ -244,3 +254,18 @@
 		}
 	})
 }
+
+// TestMovedBucketCountsTheSlicesOfBefore: tokens that the keeper before lent
+// keep the bucket from filling until they cannot be used any more.
+func TestMovedBucketCountsTheSlicesOfBefore(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Rate: 100, Burst: 100}
+	ms := func(n int) clock.Instant { return clock.Instant(time.Duration(n) * time.Millisecond) }
+	b := NewFull(0)
+	is.Equal(b.Take(0, terms, 0, 40).Tokens, 40.0)
+	next := NewAt(ms(10), b.Level(ms(10)))
+	is.Equal(next.Take(ms(100), terms, 100, 0).Tokens, 60.0)
+	again := NewAt(ms(10), b.Level(ms(10)))
+	again.Set(ms(10), terms)
+	is.Equal(again.Take(ms(310), terms, 100, 0).Tokens, 80.0) // at the rate once the slices have ended
+}
--- a/core/bucket/model_test.go
+++ b/core/bucket/model_test.go
@@ -207,6 +207,40 @@
 	}
 }
 
+// TestReleaseRefusesNothing hands the bucket over every ten seconds, 50 ms
+// without an answer each time. The baseline starts the next keeper empty.
+func TestReleaseRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Rate: 100, Burst: 100}
+	const lasts = 10 * time.Minute
+	run := func(next func(clock.Instant, Level) *Bucket) *model {
+		m := newModel(terms, 11)
+		m.poisson(0.9*terms.Rate, func() int { return m.rand.IntN(11) })
+		var release func()
+		release = func() {
+			level := m.keeper.Level(m.now)
+			m.keeper = nil
+			m.after(50*time.Millisecond, func() {
+				m.keeper = next(m.now, level)
+				m.keeper.Set(m.now, terms)
+			})
+			m.after(10*time.Second, release)
+		}
+		m.after(10*time.Second, release)
+		m.run(lasts)
+		return m
+	}
+	empty := run(func(now clock.Instant, _ Level) *Bucket { return NewEmpty(now) })
+	moved := run(NewAt)
+	t.Logf("empty: %d passed, %d refused within rate, longest wait %v", empty.passed, empty.excess, empty.longest)
+	t.Logf("moved: %d passed, %d refused within rate, longest wait %v", moved.passed, moved.excess, moved.longest)
+	is.True(float64(moved.excess) < 0.001*float64(moved.passed))
+	is.True(moved.longest < time.Second)
+	is.True(moved.longest < empty.longest)
+	limit := terms.Rate*lasts.Seconds() + terms.Burst
+	is.True(float64(moved.passed) <= limit)
+}
+
 // TestSmallestTeamLosesNothing sends a request every few seconds.
 func TestSmallestTeamLosesNothing(t *testing.T) {
 	is := is.New(t)
--- a/core/bucket/walk_test.go
+++ b/core/bucket/walk_test.go
@@ -127,6 +127,22 @@
 	w.keeper.Set(w.keeperNow(), w.terms)
 }
 
+// releaseKeeper has the keeper hand its level to another one. The message takes
+// a while, in which nobody hands out tokens; or it is not sent in the end, and
+// the same keeper goes on.
+func (w *walk) releaseKeeper() {
+	level := w.keeper.Level(w.keeperNow())
+	for range w.rand.IntN(100) {
+		w.step()
+	}
+	if w.rand.IntN(3) == 0 {
+		return
+	}
+	w.clocks[3] = host{1 - drift + 2*drift*w.rand.Float64()}
+	w.keeper = NewAt(w.keeperNow(), level)
+	w.keeper.Set(w.keeperNow(), w.terms)
+}
+
 func TestWalkStaysWithinRateAndBurst(t *testing.T) {
 	for seed := range uint64(200) {
 		w := newWalk(seed)
@@ -138,6 +154,9 @@
 			if w.rand.IntN(4) == 0 {
 				w.replaceKeeper()
 			}
+			if w.rand.IntN(4) == 0 {
+				w.releaseKeeper()
+			}
 		}
 		if w.over > 0 {
 			t.Fatalf("seed %d: %v tokens beyond rate %v and burst %v", seed, w.over, w.terms.Rate, w.terms.Burst)
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -66,6 +66,8 @@
 	Shard view.ShardID
 	Token uint64
 	Marks []*wire.RequestMark
+	// Levels are those of the buckets, if the shard is a keeper's.
+	Levels []*wire.BucketLevel
 }
 
 // Shutdown asks the daemon to hand over its shards and leave.
@@ -131,7 +133,9 @@
 	Shard view.ShardID
 	Token uint64
 	Marks []*wire.RequestMark
-	From  view.ShardID // zero unless the shard was split off
+	// Levels are those that came with a release of a keeper shard.
+	Levels []*wire.BucketLevel
+	From   view.ShardID // zero unless the shard was split off
 	// Resumed tells that this daemon takes back a shard that it had begun to
 	// release. What it knows of the shard's request ids stays.
 	Resumed Resumed
--- a/core/control/history_test.go
+++ b/core/control/history_test.go
@@ -112,3 +112,43 @@
 		is.Equal(d.state.effects, []Effect{Merge{Shard: parent, From: child, Whole: tt.whole}})
 	}
 }
+
+// TestLevelsGoWithARelease follows the level of a bucket from the keeper that
+// hands over to the one that takes over. The repeated message counts once.
+func TestLevelsGoWithARelease(t *testing.T) {
+	is := is.New(t)
+	f := startedFleet(t, 4)
+	owner := f.daemons[0]
+	var id view.ShardID
+	for held := range owner.view.Held {
+		if held.Service == view.KeeperService {
+			id = held
+		}
+	}
+	s := owner.state
+	sh, r := s.shard(id), s.rights[id]
+	standby := f.byIncarnation(sh.Standby)
+	levels := []*wire.BucketLevel{{Team: "dealer", TokensMilli: 1500}}
+	s.startRelease(id, sh, r)
+	s.effects = nil
+	s.late = nil
+	s.quiesced(Quiesced{Shard: id, Token: r.token, Levels: levels})
+	var msg *wire.Release
+	for _, e := range s.late {
+		if send, ok := e.(SendRelease); ok {
+			msg = send.Msg
+		}
+	}
+	is.True(msg != nil)
+	var taken []TakeOver
+	for range 2 {
+		for _, e := range standby.state.Step(f.now, ReleaseReceived{Msg: msg}) {
+			if t, ok := e.(TakeOver); ok && t.Shard == id {
+				taken = append(taken, t)
+			}
+		}
+	}
+	is.Equal(len(taken), 1)
+	is.Equal(taken[0].Token, sh.Generation+1)
+	is.Equal(taken[0].Levels, levels)
+}
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -24,6 +24,7 @@
 	r.answered = false
 	r.recorded = false
 	r.marks = nil
+	r.levels = nil
 }
 
 // shouldRelease reports whether this daemon is to hand over sh now: it leaves,
@@ -105,6 +106,7 @@
 	r.quiesced = true
 	r.releasedAt = s.now
 	r.marks = e.Marks
+	r.levels = e.Levels
 	s.pursueRelease(e.Shard, sh, r)
 }
 
@@ -165,7 +167,7 @@
 	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
 		Owner: s.member.incarnation,
 		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
-		Marks: r.marks,
+		Marks: r.marks, Levels: r.levels,
 	}})
 }
 
@@ -208,7 +210,7 @@
 	if r.taken == generation+1 {
 		return ""
 	}
-	s.takeOver(id, sh, false, msg.GetMarks())
+	s.takeOver(id, sh, false, TakeOver{Marks: msg.GetMarks(), Levels: msg.GetLevels()})
 	s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
 		Incarnation: s.member.incarnation, Refs: []*wire.ShardRef{msg.GetRef()}}}})
 	return ""
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -36,6 +36,7 @@
 	releasedAt clock.Instant // when it was quiesced
 	nextSend   clock.Instant
 	marks      []*wire.RequestMark
+	levels     []*wire.BucketLevel
 	resumed    Resumed // how an aborted release left the shard, until it is acquired
 }
 
@@ -124,8 +125,9 @@
 	s.decide(Decision{Action: "take_over", Reason: reason, Shard: id, Generation: token, Member: s.member.incarnation})
 }
 
-// takeOver acquires a shard as its recorded standby, ahead of the log.
-func (s *State) takeOver(id view.ShardID, sh *fold.Shard, fresh bool, marks []*wire.RequestMark) bool {
+// takeOver acquires a shard as its recorded standby, ahead of the log. how
+// carries what came with the owner's release; fresh tells that there was none.
+func (s *State) takeOver(id view.ShardID, sh *fold.Shard, fresh bool, how TakeOver) bool {
 	r := s.right(id)
 	if r.consented == sh.Generation+1 || r.taken == sh.Generation+1 {
 		return false
@@ -135,7 +137,7 @@
 	if fresh {
 		reason = "lapse of the owner's lease"
 	}
-	s.acquire(id, r, sh.Generation+1, TakeOver{Marks: marks}, fresh, reason)
+	s.acquire(id, r, sh.Generation+1, how, fresh, reason)
 	return true
 }
 
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -226,7 +226,7 @@
 				continue
 			}
 			id := view.ShardID{Service: name, Shard: uint32(i)}
-			if s.takeOver(id, sh, true, nil) {
+			if s.takeOver(id, sh, true, TakeOver{}) {
 				count++
 			}
 		}
--- a/daemon/plugins/keeper/keeper.go
+++ b/daemon/plugins/keeper/keeper.go
@@ -42,7 +42,7 @@
 
 // keeper holds the buckets of the teams whose shards this daemon owns.
 //
-// Invariant: a bucket exists only for a shard that was held, under the token
+// Invariants: a bucket exists only for a shard that was held, under the token
 // with which it was set up; no token is handed out after the shard was
 // quiesced or the lease had ended.
 type keeper struct {
@@ -51,6 +51,7 @@
 
 	mu      sync.Mutex
 	buckets map[string]*teamBucket
+	levels  map[string]movedLevel   // that came with a release and are not in use yet
 	closed  map[view.ShardID]uint64 // newest token under which the shard was quiesced
 	version uint64                  // of the configuration that the buckets follow
 	granted uint64                  // tokens handed out
@@ -59,30 +60,36 @@
 
 type teamBucket struct {
 	bucket *bucket.Bucket
-	token  uint64 // generation under which the bucket was set up
+	shard  view.ShardID
+	token  uint64 // generation under which the shard is held
 }
 
 func newKeeper(c kernel.Control, clk clock.Clock) *keeper {
-	return &keeper{control: c, clock: clk, buckets: map[string]*teamBucket{}, closed: map[view.ShardID]uint64{}}
+	return &keeper{
+		control: c, clock: clk,
+		buckets: map[string]*teamBucket{},
+		levels:  map[string]movedLevel{},
+		closed:  map[view.ShardID]uint64{},
+	}
 }
 
 // HandleEffect implements kernel.EffectHandler.
 func (k *keeper) HandleEffect(effect control.Effect) {
 	switch e := effect.(type) {
 	case control.Quiesce:
-		k.close(e)
+		if e.Shard.Service == view.KeeperService {
+			levels := k.close(e)
+			go k.control.Post(control.Quiesced{Shard: e.Shard, Token: e.Token, Levels: levels})
+		}
+	case control.TakeOver:
+		if e.Shard.Service == view.KeeperService {
+			k.takeOver(e)
+		}
 	case control.Publish:
 		k.follow(e.View)
 	}
 }
 
-// close ends the grants of a shard that is handed over.
-func (k *keeper) close(q control.Quiesce) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.closed[q.Shard] = max(k.closed[q.Shard], q.Token)
-}
-
 // follow sets up buckets of acquired shards, and tells all buckets of changed
 // terms at once.
 func (k *keeper) follow(v *view.View) {
@@ -122,15 +129,20 @@
 func termsOf(t fleet.Team) bucket.Terms { return bucket.Terms{Rate: t.Rate, Burst: t.Burst} }
 
 // bucketOf returns the team's bucket under the shard's token. A new one starts
-// empty at the instant of acquisition, since the keeper before may have handed
-// out everything up to then; full if there was none before.
+// at the level that came with the release; full if there was no keeper before;
+// otherwise empty at the instant of acquisition, since the keeper before may
+// have handed out everything up to then.
 func (k *keeper) bucketOf(v *view.View, team string, id view.ShardID, held view.Held, now clock.Instant) *bucket.Bucket {
 	tb, ok := k.buckets[team]
 	if ok && tb.token == held.Token {
 		return tb.bucket
 	}
-	tb = &teamBucket{token: held.Token}
+	tb = &teamBucket{shard: id, token: held.Token}
+	level, moved := k.levels[team]
+	delete(k.levels, team)
 	switch {
+	case moved && level.shard == id && level.token == held.Token:
+		tb.bucket = bucket.NewAt(now, level.level)
 	case v.NeverOwned(id, held.Token):
 		tb.bucket = bucket.NewFull(now)
 	case ok || held.Since == 0: // terms may have changed since the acquisition
--- a/daemon/plugins/keeper/keeper_test.go
+++ b/daemon/plugins/keeper/keeper_test.go
@@ -29,9 +29,10 @@
 type node struct {
 	*keeper
 	*limiter
-	fleet *testFleet
-	view  *view.View
-	dead  bool
+	fleet  *testFleet
+	view   *view.View
+	dead   bool
+	posted []control.Event
 }
 
 func (n *node) View() *view.View {
@@ -40,7 +41,11 @@
 	return n.view
 }
 
-func (n *node) Post(control.Event) {}
+func (n *node) Post(ev control.Event) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	n.posted = append(n.posted, ev)
+}
 
 // testFleet is a few nodes that call each other by name, a millisecond apart.
 type testFleet struct {
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -77,12 +77,18 @@
 }
 
 // HandleEffect implements kernel.EffectHandler.
+//
+// Shards of the keeper service have no requests; their keeper answers Quiesce.
 func (e *executor) HandleEffect(effect control.Effect) {
 	switch ef := effect.(type) {
 	case control.Quiesce:
-		e.quiesce(ef)
+		if ef.Shard.Service != view.KeeperService {
+			e.quiesce(ef)
+		}
 	case control.TakeOver:
-		e.takeOver(ef)
+		if ef.Shard.Service != view.KeeperService {
+			e.takeOver(ef)
+		}
 	case control.Merge:
 		e.ids.announceMerge(ef)
 		e.moves = append(e.moves, func() { e.ids.merge(ef) })
