--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -77,6 +77,7 @@
 			"expect":     command((*scenario).cmdExpect),
 			"eventually": command((*scenario).cmdEventually),
 			"owner":      command((*scenario).cmdOwner),
+			"keeper":     command((*scenario).cmdKeeper),
 			"pause":      command((*scenario).cmdPause),
 			"newid":      command((*scenario).cmdNewID),
 			"repeat":     command((*scenario).cmdRepeat),
