--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -206,7 +206,7 @@
 	default:
 		return fmt.Errorf("unknown state %q", args[0])
 	}
-	return s.fleet.put("http://"+s.fleet.logAddr+"/admin/faults", faults)
+	return s.fleet.call(http.MethodPut, "http://"+s.fleet.logAddr+"/admin/faults", faults)
 }
 
 // cmdBackend: backend NAME FIELD=VALUE... sets faults of a backend server.
@@ -229,15 +229,16 @@
 			faults[name] = b
 		}
 	}
-	return s.fleet.put("http://"+s.fleet.addr(m.index, backPort)+"/emulate/faults", faults)
+	return s.fleet.call(http.MethodPut, "http://"+s.fleet.addr(m.index, backPort)+"/emulate/faults", faults)
 }
 
-func (f *fleet) put(url string, body any) error {
+// call sends a JSON body to a stand-in.
+func (f *fleet) call(method, url string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
--- a/ctl/scenario/expect_test.go
+++ b/ctl/scenario/expect_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"net/http"
@@ -21,6 +22,7 @@
 //	expect some OUTCOME             a kind the watch must have seen
 //	expect errors 0                 connections to entries that failed
 //	expect runs ID N                times a request id ran
+//	expect state B FIELD N          a count in a backend server's state
 //	expect repeated OUTCOME N       answers of the last repeat
 //	expect within rate=R burst=B    runs of the watched team against its limit
 func (s *scenario) cmdExpect(_ *testscript.TestScript, args []string) error {
@@ -42,6 +44,8 @@
 		return s.expectErrors(args[1])
 	case "runs":
 		return s.expectRuns(args[1], args[2])
+	case "state":
+		return s.expectState(args[1], args[2], args[3])
 	case "repeated":
 		return s.expectRepeated(args[1], args[2])
 	case "within":
@@ -140,6 +144,28 @@
 	return nil
 }
 
+// expectState compares a number in a backend server's state.
+func (s *scenario) expectState(name, field, value string) error {
+	m, err := s.fleet.member(name)
+	if err != nil {
+		return err
+	}
+	resp, err := s.fleet.client.Get("http://" + s.fleet.addr(m.index, backPort) + "/emulate/state")
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	state := map[string]any{}
+	if err := json.NewDecoder(resp.Body).Decode(&state); err != nil {
+		return err
+	}
+	got, ok := state[field]
+	if !ok || fmt.Sprint(got) != value {
+		return fmt.Errorf("%s of %s is %v", field, name, got)
+	}
+	return nil
+}
+
 func (s *scenario) expectRepeated(outcome, count string) error {
 	want, err := strconv.Atoi(count)
 	if err != nil {
@@ -174,7 +200,8 @@
 //	config VERSION DAEMON...     the daemons have the version in force
 //	held NAME none|some          a daemon holds no shards, or some
 //	answer ENTRY KEY OUTCOME [name=value...]  a lookup ends with the outcome
-//	idle DC                      no new work starts on the data centre's backend servers
+//	warm B...                    the backend servers bear full load
+//	snapshot STREAM              a whole snapshot is in the log; older records are trimmed
 func (s *scenario) cmdEventually(ts *testscript.TestScript, args []string) error {
 	bound, err := time.ParseDuration(args[0])
 	if err != nil {
@@ -193,6 +220,17 @@
 		return s.allServed, nil
 	case "config":
 		return s.configIs(args)
+	case "warm":
+		return func() error {
+			for _, name := range args {
+				if err := s.expectState(name, "cold", "false"); err != nil {
+					return err
+				}
+			}
+			return nil
+		}, nil
+	case "snapshot":
+		return func() error { return s.fleet.trimBehindSnapshot(args[0]) }, nil
 	case "held":
 		return s.heldIs(args[0], args[1])
 	case "answer":
--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -79,6 +79,8 @@
 			"owner":      command((*scenario).cmdOwner),
 			"pause":      command((*scenario).cmdPause),
 			"newid":      command((*scenario).cmdNewID),
+			"cold":       command((*scenario).cmdCold),
+			"flood":      command((*scenario).cmdFlood),
 			"repeat":     command((*scenario).cmdRepeat),
 		},
 	})
