--- a/core/control/walk_test.go
+++ b/core/control/walk_test.go
@@ -148,6 +148,9 @@
 
 // check returns an error when a shard has two owners or tokens do not ascend.
 func (w *world) check() error {
+	if w.early != nil {
+		return w.early
+	}
 	claims := w.claims()
 	for _, id := range sortedShards(claims) {
 		list := claims[id]
--- a/core/control/walk_world_test.go
+++ b/core/control/walk_world_test.go
@@ -58,6 +58,7 @@
 	serving  map[view.ShardID]claim // the newest owner with its highest token
 	tokens   map[tokenKey]string
 	trace    []string
+	early    error // an effect that came before the view it depends on
 	takeover int
 }
 
@@ -196,6 +197,9 @@
 	case Publish:
 		w.publish(n, e.View)
 	case Quiesce:
+		if _, held := n.view.Held[e.Shard]; held && !w.keepServing {
+			w.early = fmt.Errorf("%s quiesces shard %d while its view holds it", n.name, e.Shard.Shard)
+		}
 		n.quiesce = append(n.quiesce, e)
 	case Decision:
 		if e.Action == "take_over" && e.Reason == "lapse of the owner's lease" {
