--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -182,8 +182,14 @@
 // leaveIncarnation ends the own incarnation. Its lease is over, or nothing runs
 // under it any more.
 func (s *State) leaveIncarnation() {
+	s.append(&wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: s.member.incarnation}}})
+	s.dropIncarnation()
+}
+
+// dropIncarnation stops dispatch and renewal at once and says nothing: requests
+// may still run, inside the lease, so others must wait for its lapse.
+func (s *State) dropIncarnation() {
 	m := &s.member
-	s.append(&wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: m.incarnation}}})
 	m.holder = nil
 	m.incarnation = 0
 	m.departing = ""
