--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -112,7 +112,9 @@
 // have delivered the answers that arrived before.
 func (s *session) close() { _ = s.mux.Close() }
 
-func (s *session) alive() bool { return s.traffic.alive() && s.control.alive() }
+func (s *session) alive() bool {
+	return !s.mux.IsClosed() && s.traffic.alive() && s.control.alive()
+}
 
 func (s *session) touch() { s.lastUsed.Store(int64(s.clock.Now())) }
 
