control: views never pair held shards with an old table of split keys

Cause: routing tables are built at most every 50 ms, the shards held are published at once. A daemon that read many records in one go acquired a parent while its tables still sent the split key there, so for up to 50 ms it and the split key's owner would both have run it.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -268,6 +268,9 @@
 	if sp := rec.GetSplitKey(); sp != nil {
 		s.splitSeen(sp)
 	}
+	if rec.GetSplitKey() != nil || rec.GetMergeKey() != nil {
+		s.tables.next = 0 // the shards held are judged by the keys of the tables
+	}
 	s.notePlan(rec)
 }
 
--- a/core/control/snapshots.go
+++ b/core/control/snapshots.go
@@ -103,6 +103,8 @@
 	s.fold = f
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
 	s.configChanged()
+	s.tables.members = nil
+	s.tables.next = 0
 	return true
 }
 
