--- a/core/control/snapshots.go
+++ b/core/control/snapshots.go
@@ -95,13 +95,15 @@
 		return false
 	}
 	if s.member.holder != nil {
-		s.decide(Decision{Action: "leave", Reason: "records were missed", Member: s.member.incarnation})
-		s.leaveIncarnation()
+		s.decide(Decision{Action: "abandon", Reason: "records were missed", Member: s.member.incarnation})
+		s.dropIncarnation()
 	}
 	s.member.joinID = [16]byte{}
 	f.Epoch = s.fold.Epoch + 1
 	s.fold = f
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
+	s.tables.members = nil
+	s.reconsider = true
 	s.configChanged()
 	s.tables.members = nil
 	s.tables.next = 0
