--- a/core/control/snapshots.go
+++ b/core/control/snapshots.go
@@ -105,6 +105,8 @@
 	s.tables.members = nil
 	s.reconsider = true
 	s.configChanged()
+	s.tables.members = nil
+	s.tables.next = 0
 	return true
 }
 
