--- a/core/control/control.go
+++ b/core/control/control.go
@@ -249,9 +249,9 @@
 		return
 	}
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
+	s.noteSnapshot(s.placementStream(), rec)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
-		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -280,9 +280,7 @@
 			continue
 		}
 		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
-		if rec != nil {
-			s.noteSnapshot(e.Stream, rec)
-		}
+		s.noteSnapshot(e.Stream, rec)
 		if verdict.Reason == fleet.ReasonSnapshot {
 			continue
 		}
--- a/core/control/snapshots.go
+++ b/core/control/snapshots.go
@@ -110,7 +110,8 @@
 	return true
 }
 
-// noteSnapshot counts the records since the last snapshot of a stream.
+// noteSnapshot counts the records since the last snapshot of a stream. rec is nil
+// for one that could not be decoded: it takes room in the log all the same.
 func (s *State) noteSnapshot(stream string, rec *wire.Record) {
 	sn := s.snapshotsOf(stream)
 	part := rec.GetSnapshot()
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -122,7 +122,11 @@
 		return refusal(err)
 	}
 	resp := e.dispatch(ctx, r)
-	e.gate.release(ticket, resultOf(outcome.Kind(resp.GetKind())))
+	kind := outcome.Kind(resp.GetKind())
+	if kind == outcome.BackendCrashed || kind == outcome.OwnerUnreachable {
+		e.gate.turnCold() // it starts cold, before its first announcement says so
+	}
+	e.gate.release(ticket, resultOf(kind))
 	return resp
 }
 
