Grow a cold server's limit by its service times, with a slow memory of warm ones

The limit grew one slot each 200 ms as soon as service times were below twice the warm ones, and the warm time itself crept up by 1% with each answer of the cold server (20 ms to about 28 ms within 1.7 s in one trace), so growth began at 56 ms. Ruled out: the time before the first announcement after the crash (the limit was one from the first broken connection on).

The warm time now follows higher ones with a time constant of one minute, and growth needs service times below 1.5 times the warm one.

--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -20,13 +20,14 @@
 	coldFactor = 3
 	// holdFactor is the service time, against that of the warm server, above
 	// which a limit does not grow.
-	holdFactor = 2
+	holdFactor = 1.5
 	// sampleLife is the age at which service times say nothing any more.
 	sampleLife = time.Second
-	// fastWeight and slowWeight are the weights of a new sample in the mean
-	// of late and in the mean of the warm server.
+	// fastWeight is the weight of a new sample in the mean of late.
 	fastWeight = 0.2
-	slowWeight = 0.01
+	// warmMemory is the time constant with which the service time of the warm
+	// server follows higher ones. It is long against a cold start.
+	warmMemory = time.Minute
 )
 
 // Ramp is the limit on running requests of one backend server: additive
@@ -86,9 +87,10 @@
 	if r.mean == 0 || now.Sub(r.sample) > sampleLife {
 		r.mean = took
 	}
+	since := min(now.Sub(r.sample), sampleLife)
 	r.sample = now
 	r.mean += time.Duration(fastWeight * float64(took-r.mean))
-	r.learnWarm(took)
+	r.learnWarm(took, since)
 	r.answers++
 	r.grow(now)
 }
@@ -96,14 +98,14 @@
 // learnWarm lets the service time of the warm server follow that of late: at
 // once downwards, slowly upwards. A cold server's times raise it too, so that
 // a server that has become slower for good is not held back for ever.
-func (r *Ramp) learnWarm(took time.Duration) {
+func (r *Ramp) learnWarm(took, since time.Duration) {
 	switch {
 	case r.warm == 0:
 		r.warm = took
 	case r.mean < r.warm:
 		r.warm = r.mean
 	default:
-		r.warm += time.Duration(slowWeight * float64(r.mean-r.warm))
+		r.warm += time.Duration(float64(since) / float64(warmMemory) * float64(r.mean-r.warm))
 	}
 }
 
@@ -112,7 +114,7 @@
 	if r.limit >= r.slots || r.answers < r.limit || now.Sub(r.grownAt) < growInterval {
 		return
 	}
-	if r.enabled && r.mean > holdFactor*r.warm {
+	if r.enabled && float64(r.mean) > holdFactor*float64(r.warm) {
 		return
 	}
 	r.limit++
