Pool the buffers of peer links and shorten their queues

A session held 345 KB at its two ends together (BenchmarkSessionMemory, 200 sessions after a 512-byte request), most of it read buffers of 32 KiB and write queues of 1,024 frames for each of its four link ends. With 1,714 peers in a region that is 591 MB a daemon.

--- a/daemon/plugins/peer/frame.go
+++ b/daemon/plugins/peer/frame.go
@@ -21,12 +21,12 @@
 	// readChunk is the first step in which the buffer of a frame grows, in bytes.
 	readChunk = 16 << 10
 	// readBuffer is the size of the buffer of a link, in bytes.
-	readBuffer = 32 << 10
-	// keepBuffer is the largest buffer kept for the next frame, in bytes.
+	readBuffer = 4 << 10
+	// keepBuffer is the largest buffer returned to the pool, in bytes.
 	keepBuffer = 256 << 10
 )
 
-// buffers holds encoded frames on their way to a writer.
+// buffers holds encoded frames between a link's reader or writer and the coder.
 var buffers = sync.Pool{New: func() any { return new([]byte) }}
 
 // encode returns the frame with its length in a pooled buffer. It fails with
@@ -53,10 +53,10 @@
 	}
 }
 
-// frameReader decodes frames from a stream.
+// frameReader decodes frames from a stream. It holds no memory between frames
+// but its read buffer, since a daemon has thousands of links.
 type frameReader struct {
-	r   io.Reader
-	buf []byte
+	r io.Reader
 }
 
 // next returns the next frame and its size in bytes. The error is an
@@ -70,34 +70,32 @@
 	if n > maxFrameBytes {
 		return nil, 0, outcome.New(outcome.Malformed, "frame of %d bytes exceeds %d", n, maxFrameBytes)
 	}
-	data, err := f.fill(int(n))
-	if err != nil {
+	buf := buffers.Get().(*[]byte)
+	defer recycle(buf)
+	if err := f.fill(buf, int(n)); err != nil {
 		return nil, 0, err
 	}
 	frame := new(wire.Frame)
-	if err := proto.Unmarshal(data, frame); err != nil {
+	if err := proto.Unmarshal(*buf, frame); err != nil {
 		return nil, 0, outcome.New(outcome.Malformed, "frame not decodable: %v", err)
 	}
 	return frame, int(n), nil
 }
 
-// fill reads n bytes. The buffer grows as bytes arrive, never ahead of them by
+// fill reads n bytes into buf. It grows as bytes arrive, never ahead of them by
 // more than their number and readChunk.
-func (f *frameReader) fill(n int) ([]byte, error) {
-	buf := f.buf[:0]
-	for len(buf) < n {
-		have := len(buf)
+func (f *frameReader) fill(buf *[]byte, n int) error {
+	data := (*buf)[:0]
+	for len(data) < n {
+		have := len(data)
 		step := min(n-have, max(readChunk, have))
-		buf = slices.Grow(buf, step)[:have+step]
-		if _, err := io.ReadFull(f.r, buf[have:]); err != nil {
-			return nil, err
+		data = slices.Grow(data, step)[:have+step]
+		if _, err := io.ReadFull(f.r, data[have:]); err != nil {
+			return err
 		}
 	}
-	f.buf = nil
-	if cap(buf) <= keepBuffer {
-		f.buf = buf
-	}
-	return buf, nil
+	*buf = data
+	return nil
 }
 
 func newFrameReader(r io.Reader) *frameReader {
--- a/daemon/plugins/peer/pipe.go
+++ b/daemon/plugins/peer/pipe.go
@@ -10,7 +10,7 @@
 
 const (
 	// writeQueue is the number of frames that wait for the writer of a link.
-	writeQueue = 1024
+	writeQueue = 128
 	// writeTimeout ends a link whose peer takes no bytes.
 	writeTimeout = 2 * time.Second
 	// coalesceBytes is the size up to which queued frames are written at once.
@@ -36,7 +36,7 @@
 	closed chan struct{}
 	once   sync.Once
 	heard  atomic.Uint64 // bytes read
-	buf    []byte
+	buf    []byte        // of the batch being written, from the pool
 	calls  []*call
 	sent   []func()
 }
@@ -95,7 +95,12 @@
 
 // writeBatch writes f together with the frames queued behind it.
 func (p *pipe) writeBatch(f outFrame) error {
-	p.buf = p.buf[:0]
+	buf := buffers.Get().(*[]byte)
+	defer func() {
+		*buf, p.buf = p.buf, nil
+		recycle(buf)
+	}()
+	p.buf = (*buf)[:0]
 	p.calls = p.calls[:0]
 	p.sent = p.sent[:0]
 	for {
@@ -146,8 +151,5 @@
 	for _, sent := range p.sent {
 		sent()
 	}
-	if cap(p.buf) > keepBuffer {
-		p.buf = nil
-	}
 	return nil
 }
