Open the control link of a session when it is first needed

A daemon sends requests to all peers of its region but control messages to few, so most sessions never use their second link. It is opened by the first control message now; a session found silent is probed over the other one. A link's end closes its session itself instead of through a goroutine, and a session counts as dead as soon as it was closed: without that a retry went out on the closed session (TestQuietLinkIsConfirmedBeforeOneTimeRequest failed until mended).

--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -60,14 +60,17 @@
 }
 
 // startClientLink runs the link after its handshake, which read the peer's
-// clock.
-func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, onCrossed func()) *clientLink {
+// clock. onEnd is called after the link has ended.
+func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, onCrossed, onEnd func()) *clientLink {
 	l := &clientLink{pipe: p, clock: clk, waiting: map[uint64]*call{}, lastSync: clk.Now(), onCrossed: onCrossed}
 	l.offset.Store(offset)
 	l.lastHeard.Store(int64(clk.Now()))
 	l.touch()
 	go l.writeLoop()
-	go l.readLoop(r)
+	go func() {
+		defer onEnd()
+		l.readLoop(r)
+	}()
 	return l
 }
 
@@ -233,6 +236,15 @@
 	return true
 }
 
+// syncClock reads the peer's clock again on a link that is in use.
+func (l *clientLink) syncClock(now clock.Instant) {
+	if now.Sub(l.lastSync) < syncInterval || now.Sub(clock.Instant(l.lastUsed.Load())) > syncInterval {
+		return
+	}
+	l.lastSync = now
+	go l.confirm(context.Background(), probeTimeout)
+}
+
 // clockOffset returns a lower bound of the peer's clock less this host's, in
 // nanoseconds, from a reading that arrived at now.
 func clockOffset(peerUs int64, now clock.Instant) int64 {
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -106,7 +106,10 @@
 // callOn calls over one session. A request that must not run twice goes out
 // only on a link that is known to be alive.
 func (n *network) callOn(ctx context.Context, s *session, frame *wire.Frame) (*wire.Frame, error) {
-	l := s.link(frame)
+	l, err := s.link(frame)
+	if err != nil {
+		return nil, err
+	}
 	l.touch()
 	req := frame.GetRequest()
 	if req != nil && !req.GetIdempotent() && l.quiet() && !l.confirm(ctx, confirmTimeout) {
@@ -214,7 +217,7 @@
 	live := n.sessions(now)
 	worst := healthy
 	for addr, s := range live {
-		state := s.beat()
+		state := s.beat(now)
 		worst = max(worst, state)
 		switch {
 		case state == silent:
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -14,43 +15,52 @@
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
-// session is a connection to a peer with its two links.
+// session is a connection to a peer with its links. The link for control
+// messages is opened by the first one: a daemon sends requests to all peers of
+// its region, but control messages to few.
 type session struct {
-	mux     *yamux.Session
-	traffic *clientLink // callers' requests
-	control *clientLink // everything else
-	probing atomic.Bool
-	clock   clock.Clock
+	mux       *yamux.Session
+	hello     *wire.Hello
+	onCrossed func()
+	traffic   *clientLink                // callers' requests
+	control   atomic.Pointer[clientLink] // everything else; nil until used
+	opening   sync.Mutex                 // held while the control link is opened
+	probing   atomic.Bool
+	clock     clock.Clock
 }
 
-// openSession makes the links of a fresh connection. It closes the connection
-// when it fails.
+// openSession makes the traffic link of a fresh connection. It closes the
+// connection when it fails.
 func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, onCrossed func()) (*session, error) {
 	mux, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("peer: session: %w", err)
 	}
-	s := &session{mux: mux, clock: clk}
-	if s.traffic, err = s.openLink(hello, onCrossed); err == nil {
-		s.control, err = s.openLink(hello, onCrossed)
-	}
-	if err != nil {
+	s := &session{mux: mux, hello: hello, clock: clk, onCrossed: onCrossed}
+	if s.traffic, err = s.openLink(); err != nil {
 		s.close()
 		return nil, err
 	}
-	go s.watch()
 	return s, nil
 }
 
 // openLink opens a stream and exchanges hellos on it.
-func (s *session) openLink(hello *wire.Hello, onCrossed func()) (*clientLink, error) {
+func (s *session) openLink() (*clientLink, error) {
 	stream, err := s.mux.Open()
 	if err != nil {
 		return nil, fmt.Errorf("peer: stream: %w", err)
 	}
+	l, err := s.greet(stream)
+	if err != nil {
+		_ = stream.Close()
+	}
+	return l, err
+}
+
+func (s *session) greet(stream net.Conn) (*clientLink, error) {
 	p := newPipe(stream)
-	data, err := encode(&wire.Frame{Body: &wire.Frame_Hello{Hello: hello}})
+	data, err := encode(&wire.Frame{Body: &wire.Frame_Hello{Hello: s.hello}})
 	if err != nil {
 		return nil, err
 	}
@@ -73,7 +83,7 @@
 	if err := stream.SetDeadline(time.Time{}); err != nil {
 		return nil, fmt.Errorf("peer: stream: %w", err)
 	}
-	return startClientLink(p, r, s.clock, clockOffset(frame.GetHello().GetClockUs(), now), onCrossed), nil
+	return startClientLink(p, r, s.clock, clockOffset(frame.GetHello().GetClockUs(), now), s.onCrossed, s.close), nil
 }
 
 // checkHello checks the first frame of a link.
@@ -88,40 +98,75 @@
 	return nil
 }
 
-// link returns the link on which the frame travels.
-func (s *session) link(frame *wire.Frame) *clientLink {
+// link returns the link on which the frame travels. An error tells that the
+// frame was not sent.
+func (s *session) link(frame *wire.Frame) (*clientLink, error) {
 	if frame.GetRequest() != nil {
-		return s.traffic
+		return s.traffic, nil
+	}
+	return s.controlLink()
+}
+
+// controlLink returns the link for control messages, and opens it if need be.
+func (s *session) controlLink() (*clientLink, error) {
+	if l := s.control.Load(); l != nil {
+		return l, nil
+	}
+	s.opening.Lock()
+	defer s.opening.Unlock()
+	if l := s.control.Load(); l != nil {
+		return l, nil
+	}
+	l, err := s.openLink()
+	if err != nil {
+		return nil, errNotSent
 	}
-	return s.control
+	s.control.Store(l)
+	return l, nil
 }
 
-// watch closes the whole session when one part of it ends.
-func (s *session) watch() {
-	select {
-	case <-s.mux.CloseChan():
-	case <-s.traffic.closed:
-	case <-s.control.closed:
+// links returns the links that are open.
+func (s *session) links() []*clientLink {
+	if l := s.control.Load(); l != nil {
+		return []*clientLink{s.traffic, l}
 	}
-	s.close()
+	return []*clientLink{s.traffic}
 }
 
-// close ends the connection. The links end by themselves once their readers
+// close ends the connection; the end of one link does, too. The links end by themselves once their readers
 // have delivered the answers that arrived before.
 func (s *session) close() { _ = s.mux.Close() }
 
-func (s *session) alive() bool { return s.traffic.alive() && s.control.alive() }
+func (s *session) alive() bool {
+	if s.mux.IsClosed() {
+		return false
+	}
+	for _, l := range s.links() {
+		if !l.alive() {
+			return false
+		}
+	}
+	return true
+}
 
 // idle reports whether nothing was called for idleTimeout and nothing waits.
 func (s *session) idle(now clock.Instant) bool {
-	used := max(s.traffic.lastUsed.Load(), s.control.lastUsed.Load())
-	return now.Sub(clock.Instant(used)) > idleTimeout && s.traffic.waits()+s.control.waits() == 0
+	for _, l := range s.links() {
+		if now.Sub(clock.Instant(l.lastUsed.Load())) <= idleTimeout || l.waits() > 0 {
+			return false
+		}
+	}
+	return true
 }
 
-// beat checks both links once and returns the worse of them.
-func (s *session) beat() health {
-	s.syncClock()
-	return max(s.traffic.beat(), s.control.beat())
+// beat checks the links once and returns the worst of them.
+func (s *session) beat(now clock.Instant) health {
+	worst := healthy
+	for _, l := range s.links() {
+		l.syncClock(now)
+		worst = max(worst, l.beat())
+	}
+	return worst
 }
 
 // probe pings the peer, so that beat notices if it is silent.
@@ -131,18 +176,6 @@
 	}
 	go func() {
 		defer s.probing.Store(false)
-		s.control.confirm(context.Background(), probeTimeout)
+		s.traffic.confirm(context.Background(), probeTimeout)
 	}()
 }
-
-// syncClock reads the peer's clock again on the links that are in use.
-func (s *session) syncClock() {
-	now := s.clock.Now()
-	for _, l := range []*clientLink{s.traffic, s.control} {
-		if now.Sub(l.lastSync) < syncInterval || now.Sub(clock.Instant(l.lastUsed.Load())) > syncInterval {
-			continue
-		}
-		l.lastSync = now
-		go l.confirm(context.Background(), probeTimeout)
-	}
-}
--- a/daemon/plugins/peer/session_bench_test.go
+++ b/daemon/plugins/peer/session_bench_test.go
@@ -105,7 +105,7 @@
 	for b.Loop() {
 		for _, s := range list {
 			use(s)
-			s.beat()
+			s.beat(s.clock.Now())
 		}
 		time.Sleep(beatInterval)
 	}
