bench: scenarios that compare policies with their baselines

Runs a deployment as plain processes, sends a seeded open-loop load, switches faults and reports imbalance, churn, unavailable time, latencies and refusals beside their limits, as table, JSON and plots.

--- a/Makefile
+++ b/Makefile
@@ -1,8 +1,8 @@
-# Targets: build, test (all checks and tests), demo, generate.
+# Targets: build, test (all checks and tests), demo, bench, capacity, generate.
 MODULES := core daemon ctl
 PACKAGES := ./core/... ./daemon/... ./ctl/...
 
-.PHONY: all build test lint unit generate demo capacity
+.PHONY: all build test lint unit generate demo capacity bench
 
 all: build
 
@@ -34,3 +34,9 @@
 capacity: build
 	bin/sesamemoorctl capacity
 	go test -run '^$$' -bench . -benchtime 1s ./core/...
+
+# The figures of docs/MEASUREMENTS.md; SCENARIO names one scenario.
+SCENARIO ?= all
+SEED ?= 1
+bench: build
+	bin/sesamemoorctl bench -seed $(SEED) $(SCENARIO)
--- /dev/null
+++ b/ctl/bench/fleet.go
@@ -0,0 +1,378 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/keyhash"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/ctl/deployment"
+	"github.com/sesamemoor/sesamemoor/ctl/load"
+	"github.com/sesamemoor/sesamemoor/ctl/operator"
+	"github.com/sesamemoor/sesamemoor/ctl/toolsettings"
+)
+
+// Bounds of the steps of a start.
+const (
+	platformStart = 10 * time.Second
+	fleetStart    = 60 * time.Second
+	faultTimeout  = 2 * time.Second
+	readBatch     = 500
+	startPause    = 50 * time.Millisecond
+)
+
+func decode(data []byte, into proto.Message) error { return proto.Unmarshal(data, into) }
+
+// server is one backend server with its daemon.
+type server struct {
+	name, service, dataCentre string
+	addr, admin               string
+	backendArgs               []string
+	daemonFile                string
+}
+
+// Fleet is a deployment that runs on loopback as plain processes.
+type Fleet struct {
+	Deployment deployment.Deployment
+	Config     *fleet.Config
+
+	dir       string
+	binaries  Binaries
+	tool      toolsettings.Settings
+	plan      load.Plan
+	servers   []server
+	processes map[string]*process
+	client    *http.Client
+}
+
+// Binaries are the programs that a fleet is made of.
+type Binaries struct {
+	Daemon string // sesamemoord
+	Tool   string // sesamemoorctl, for the stand-ins
+}
+
+type process struct {
+	cmd  *exec.Cmd
+	done chan struct{}
+}
+
+// FleetOptions describe how a fleet differs from its example.
+type FleetOptions struct {
+	Example  string // directory with deployment.json, daemon.json and config.json
+	Dir      string // for generated settings and logs
+	BasePort int
+	Policy   map[string]string            // settings of policy
+	Change   func(*deployment.Deployment) // nil changes nothing
+	WarmUp   time.Duration                // of backend servers
+	Binaries Binaries
+}
+
+// StartFleet generates the settings, starts all processes and waits until every
+// shard has an owner. The caller stops it, also after an error.
+func StartFleet(ctx context.Context, o FleetOptions) (*Fleet, error) {
+	f := &Fleet{dir: o.Dir, binaries: o.Binaries, processes: map[string]*process{}, client: &http.Client{Timeout: faultTimeout}}
+	if err := f.generate(o); err != nil {
+		return f, err
+	}
+	if err := f.readServers(o.WarmUp); err != nil {
+		return f, err
+	}
+	if err := f.configure(ctx, o.Example); err != nil {
+		return f, err
+	}
+	for _, s := range f.servers {
+		if err := f.startServer(s); err != nil {
+			return f, err
+		}
+	}
+	return f, f.waitReady(ctx)
+}
+
+func (f *Fleet) waitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, fleetStart)
+	defer cancel()
+	_, missing := operator.NewDaemons(f.tool.AdminAddrs).WaitReady(ctx, f.Config, false)
+	if len(missing) > 0 {
+		return fmt.Errorf("bench: fleet not ready after %s: %s", fleetStart, strings.Join(missing, "; "))
+	}
+	return nil
+}
+
+// generate writes the settings of the processes.
+func (f *Fleet) generate(o FleetOptions) error {
+	if err := os.MkdirAll(filepath.Join(o.Dir, "logs"), 0o755); err != nil {
+		return err
+	}
+	d, err := deployment.Load(filepath.Join(o.Example, "deployment.json"))
+	if err != nil {
+		return err
+	}
+	if o.Change != nil {
+		o.Change(&d)
+	}
+	f.Deployment = d
+	shared := map[string]any{}
+	data, err := os.ReadFile(filepath.Join(o.Example, "daemon.json"))
+	if err != nil {
+		return err
+	}
+	if err := settings.Decode(data, &shared); err != nil {
+		return err
+	}
+	shared["policy"] = o.Policy
+	src := deployment.Source{
+		Deployment: filepath.Join(o.Dir, "deployment.json"), Daemon: filepath.Join(o.Dir, "daemon.json"),
+	}
+	if err := errors.Join(writeJSON(src.Deployment, d), writeJSON(src.Daemon, shared)); err != nil {
+		return err
+	}
+	if err := deployment.Generate(src, o.Dir, o.BasePort); err != nil {
+		return err
+	}
+	return f.readGenerated()
+}
+
+func (f *Fleet) readGenerated() error {
+	var err error
+	if f.tool, err = toolsettings.Load(filepath.Join(f.dir, "tool.json")); err != nil {
+		return err
+	}
+	data, err := os.ReadFile(filepath.Join(f.dir, "load.json"))
+	if err != nil {
+		return err
+	}
+	f.plan, err = load.ParsePlan(data)
+	return err
+}
+
+func writeJSON(file string, value any) error {
+	data, err := json.MarshalIndent(value, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(file, append(data, '\n'), 0o644)
+}
+
+// readServers reads the table that the generator wrote.
+func (f *Fleet) readServers(warmUp time.Duration) error {
+	data, err := os.ReadFile(filepath.Join(f.dir, "backends.tsv"))
+	if err != nil {
+		return err
+	}
+	for line := range strings.Lines(string(data)) {
+		c := strings.Split(strings.TrimSpace(line), "\t")
+		f.servers = append(f.servers, server{
+			name: c[0], service: c[1], dataCentre: c[2], addr: c[3], admin: c[4],
+			daemonFile: filepath.Join(f.dir, "daemons", c[0]+".json"),
+			backendArgs: []string{"emulate", "backend", "-name", c[0], "-service", c[1], "-listen", c[3], "-daemon", c[4],
+				"-slots", c[5], "-connections", c[6], "-connect-time", c[7] + "ms", "-service-time", c[8] + "ms",
+				"-checks-fence=" + c[9], "-warm-up", warmUp.String()},
+		})
+	}
+	return nil
+}
+
+// configure starts the platform and writes configuration, teams and keys.
+func (f *Fleet) configure(ctx context.Context, example string) error {
+	listen := strings.TrimPrefix(f.tool.PlatformURL, "http://")
+	if err := f.start("platform", f.binaries.Tool, "emulate", "platform", "-listen", listen); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, platformStart)
+	defer cancel()
+	cfg := f.config()
+	for {
+		_, _, err := cfg.Replay(ctx)
+		if err == nil {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("bench: platform: %w", err)
+		case <-time.After(startPause):
+		}
+	}
+	doc, err := f.document(example)
+	if err != nil {
+		return err
+	}
+	if _, err := cfg.Patch(ctx, 0, doc, "bench"); err != nil {
+		return err
+	}
+	history, _, err := cfg.Replay(ctx)
+	if err != nil {
+		return err
+	}
+	f.Config = history.Config
+	return nil
+}
+
+func (f *Fleet) config() *operator.Config {
+	return &operator.Config{Log: logstream.NewHTTP(f.tool.PlatformURL), Operator: "bench"}
+}
+
+// document returns the configuration of the example with its teams and a new
+// caller key for each.
+func (f *Fleet) document(example string) ([]byte, error) {
+	data, err := os.ReadFile(filepath.Join(example, "config.json"))
+	if err != nil {
+		return nil, err
+	}
+	doc := map[string]any{}
+	if err := settings.Decode(data, &doc); err != nil {
+		return nil, err
+	}
+	teams := map[string]any{}
+	for i, t := range f.Deployment.Teams {
+		key, err := keyhash.Generate()
+		if err != nil {
+			return nil, err
+		}
+		f.plan.Teams[i].Key = key
+		hash := keyhash.Sum([]byte(f.tool.KeyHashSecret), key)
+		teams[t.Name] = map[string]any{
+			"rate": t.Rate, "burst": t.Burst, "services": t.Services,
+			"keys": map[string]fleet.CallerKey{"bench": {Hash: hash}},
+		}
+	}
+	doc["teams"] = teams
+	return json.Marshal(doc)
+}
+
+func (f *Fleet) startServer(s server) error {
+	if err := f.start("daemon-"+s.name, f.binaries.Daemon, "run", s.daemonFile); err != nil {
+		return err
+	}
+	return f.start("backend-"+s.name, f.binaries.Tool, s.backendArgs...)
+}
+
+// start runs a process with its log in the fleet's directory.
+func (f *Fleet) start(name, binary string, args ...string) error {
+	log, err := os.OpenFile(filepath.Join(f.dir, "logs", name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	cmd := exec.Command(binary, args...)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("bench: start %s: %w", name, err)
+	}
+	p := &process{cmd: cmd, done: make(chan struct{})}
+	go func() {
+		_ = cmd.Wait()
+		close(p.done)
+	}()
+	f.processes[name] = p
+	return nil
+}
+
+// kill ends a process at once.
+func (f *Fleet) kill(name string) {
+	p, ok := f.processes[name]
+	if !ok {
+		return
+	}
+	delete(f.processes, name)
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// Stop ends every process of the fleet.
+func (f *Fleet) Stop() {
+	for name := range f.processes {
+		f.kill(name)
+	}
+}
+
+// in returns the servers of a data centre.
+func (f *Fleet) in(dataCentre string) []server {
+	var list []server
+	for _, s := range f.servers {
+		if s.dataCentre == dataCentre {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+func (f *Fleet) server(name string) server {
+	for _, s := range f.servers {
+		if s.name == name {
+			return s
+		}
+	}
+	return server{}
+}
+
+// emulate sends an experimenter's order to a backend server.
+func (f *Fleet) emulate(ctx context.Context, name, method, path string, body any) error {
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.server(name).addr+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := f.client.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode/100 != 2 {
+		return fmt.Errorf("bench: %s: %s: status %d", name, path, resp.StatusCode)
+	}
+	return nil
+}
+
+// setOut takes a data centre out or returns it.
+func (f *Fleet) setOut(ctx context.Context, dataCentre string, out bool) error {
+	patch, err := json.Marshal(map[string]any{"data_centres": map[string]any{dataCentre: map[string]bool{"out": out}}})
+	if err != nil {
+		return err
+	}
+	edit := func(*fleet.Config) ([]byte, error) { return patch, nil }
+	_, err = f.config().Apply(ctx, edit, "bench", 3)
+	return err
+}
+
+// placementRecords reads the region's whole placement stream.
+func (f *Fleet) placementRecords(ctx context.Context) ([]logstream.Entry, error) {
+	log := logstream.NewHTTP(f.tool.PlatformURL)
+	var list []logstream.Entry
+	for from := uint64(1); ; {
+		batch, err := log.Read(ctx, logstream.PlacementStream(f.Deployment.Region), from, readBatch, 0)
+		if err != nil {
+			return nil, fmt.Errorf("bench: placement stream: %w", err)
+		}
+		list = append(list, batch.Records...)
+		if len(batch.Records) == 0 || list[len(list)-1].Offset+1 >= batch.Next {
+			return list, nil
+		}
+		from = list[len(list)-1].Offset + 1
+	}
+}
+
+// shards returns the number of shards of each service.
+func (f *Fleet) shards() map[string]uint32 {
+	counts := map[string]uint32{}
+	for name, s := range f.Config.Services {
+		counts[name] = uint32(s.Shards)
+	}
+	return counts
+}
--- a/ctl/cmd/sesamemoorctl/main.go
+++ b/ctl/cmd/sesamemoorctl/main.go
@@ -51,6 +51,7 @@
 		&group{name: "emulate", synopsis: "run stand-ins of the surroundings", commands: emulateCommands()},
 		&loadCommand{},
 		&capacityCommand{},
+		&benchCommand{},
 		&exampleCommand{},
 	}
 }
--- a/ctl/load/audit.go
+++ b/ctl/load/audit.go
@@ -10,6 +10,7 @@
 
 // Run is one request that an emulated backend server ran.
 type Run struct {
+	At        int64  `json:"at_us"` // start, wall clock, microseconds since 1970
 	RequestID string `json:"request_id"`
 	Team      string `json:"team"`
 	KeySeen   bool   `json:"key_seen"`
--- a/ctl/load/load_test.go
+++ b/ctl/load/load_test.go
@@ -294,3 +294,23 @@
 		is.True(err != nil)
 	}
 }
+
+func TestHotShareGoesToHotKeys(t *testing.T) {
+	is := is.New(t)
+	plan := Plan{Seed: 7, DurationMS: 10_000, Keys: 1000, HotKeys: 2, HotShare: 0.5, TargetMoveMS: 1000,
+		Targets: []string{"a", "b"}, Teams: []Team{{Name: "t", Rate: 500, Paths: []string{"/s"}}}}
+	sched := newSchedule(plan, 0)
+	hot, all := 0, 0
+	for {
+		r, ok := sched.next()
+		if !ok {
+			break
+		}
+		all++
+		if r.path == "/s/k0" || r.path == "/s/k1" {
+			hot++
+		}
+		is.Equal(r.target, int(r.at/time.Second)%2)
+	}
+	is.True(hot*10 > all*4 && hot*10 < all*6)
+}
--- a/ctl/load/plan.go
+++ b/ctl/load/plan.go
@@ -23,6 +23,9 @@
 	Keys           int      `json:"keys"`            // keys per path
 	Skew           float64  `json:"skew"`            // Zipf exponent above 1; 0 means uniform
 	HotMoveMS      int64    `json:"hot_move_ms"`     // time after which other keys are hot; 0 means never
+	HotKeys        int      `json:"hot_keys"`        // keys per path that share the hot part of the load equally
+	HotShare       float64  `json:"hot_share"`       // part of the load on the hot keys
+	TargetMoveMS   int64    `json:"target_move_ms"`  // time after which the next target gets all requests; 0 spreads them
 	Teams          []Team   `json:"teams"`
 }
 
@@ -85,6 +88,10 @@
 		return fmt.Errorf("%w: resends: not in 0 to %d", ErrPlan, maxResends)
 	case p.Keys < 1 || p.TimeoutMS < 1 || p.HotMoveMS < 0:
 		return fmt.Errorf("%w: keys and timeout_ms are positive, hot_move_ms is not negative", ErrPlan)
+	case p.HotShare < 0 || p.HotShare > 1 || p.HotShare > 0 && p.HotKeys < 1 || p.HotKeys > p.Keys:
+		return fmt.Errorf("%w: hot_share is in 0 to 1 and needs hot_keys in 1 to keys", ErrPlan)
+	case p.TargetMoveMS < 0:
+		return fmt.Errorf("%w: target_move_ms is not negative", ErrPlan)
 	case p.Skew != 0 && p.Skew <= 1:
 		return fmt.Errorf("%w: skew is 0 or above 1", ErrPlan)
 	}
--- a/ctl/load/plots.go
+++ b/ctl/load/plots.go
@@ -16,51 +16,52 @@
 	plotHeight = 12 * vg.Centimeter
 )
 
-// curve is one line of a plot; y[i] belongs to second i.
-type curve struct {
-	name string
-	y    []float64
+// Curve is one line of a plot; Y[i] belongs to second i.
+type Curve struct {
+	Name string
+	Y    []float64
 }
 
 // WritePlots writes PNG files to dir: latency percentiles, and throughput and
 // refusals of each team, over time.
 func (r Report) WritePlots(dir string) error {
-	if err := drawPlot(filepath.Join(dir, "latency.png"), "latency from the intended send time", "ms", r.latencyCurves()); err != nil {
+	if err := DrawPlot(filepath.Join(dir, "latency.png"), "latency from the intended send time", "ms", r.latencyCurves()); err != nil {
 		return err
 	}
 	served := r.teamCurves(func(s second) []int { return s.ok })
-	if err := drawPlot(filepath.Join(dir, "throughput.png"), "requests served by team", "requests/s", served); err != nil {
+	if err := DrawPlot(filepath.Join(dir, "throughput.png"), "requests served by team", "requests/s", served); err != nil {
 		return err
 	}
 	refused := r.teamCurves(func(s second) []int { return s.refused })
-	return drawPlot(filepath.Join(dir, "refusals.png"), "requests refused by team", "requests/s", refused)
+	return DrawPlot(filepath.Join(dir, "refusals.png"), "requests refused by team", "requests/s", refused)
 }
 
-func (r Report) latencyCurves() []curve {
-	var curves []curve
+func (r Report) latencyCurves() []Curve {
+	var curves []Curve
 	for _, percent := range []float64{50, 99, 99.9} {
-		c := curve{name: fmt.Sprintf("p%g", percent)}
+		c := Curve{Name: fmt.Sprintf("p%g", percent)}
 		for _, s := range r.timeline {
-			c.y = append(c.y, quantileMS(s.latency, percent))
+			c.Y = append(c.Y, quantileMS(s.latency, percent))
 		}
 		curves = append(curves, c)
 	}
 	return curves
 }
 
-func (r Report) teamCurves(counts func(second) []int) []curve {
-	var curves []curve
+func (r Report) teamCurves(counts func(second) []int) []Curve {
+	var curves []Curve
 	for i, t := range r.Teams {
-		c := curve{name: t.Team}
+		c := Curve{Name: t.Team}
 		for _, s := range r.timeline {
-			c.y = append(c.y, float64(counts(s)[i]))
+			c.Y = append(c.Y, float64(counts(s)[i]))
 		}
 		curves = append(curves, c)
 	}
 	return curves
 }
 
-func drawPlot(file, title, unit string, curves []curve) error {
+// DrawPlot writes a PNG file of curves over seconds.
+func DrawPlot(file, title, unit string, curves []Curve) error {
 	p := plot.New()
 	p.Title.Text = title
 	p.X.Label.Text = "s"
@@ -69,8 +70,8 @@
 	p.Legend.Top = true
 	p.Add(plotter.NewGrid())
 	for i, c := range curves {
-		points := make(plotter.XYs, len(c.y))
-		for x, y := range c.y {
+		points := make(plotter.XYs, len(c.Y))
+		for x, y := range c.Y {
 			points[x] = plotter.XY{X: float64(x), Y: y}
 		}
 		line, err := plotter.NewLine(points)
@@ -80,7 +81,7 @@
 		line.Color = plotutil.Color(i)
 		line.Dashes = plotutil.Dashes(i / len(plotutil.DefaultColors))
 		p.Add(line)
-		p.Legend.Add(c.name, line)
+		p.Legend.Add(c.Name, line)
 	}
 	if err := p.Save(plotWidth, plotHeight, file); err != nil {
 		return fmt.Errorf("plot %s: %w", file, err)
--- a/ctl/load/schedule.go
+++ b/ctl/load/schedule.go
@@ -51,6 +51,9 @@
 		return request{}, false
 	}
 	r := request{team: s.team, at: s.at, method: http.MethodPost, target: s.rnd.IntN(len(s.plan.Targets))}
+	if s.plan.TargetMoveMS > 0 {
+		r.target = int(s.at.Milliseconds()/s.plan.TargetMoveMS) % len(s.plan.Targets)
+	}
 	if s.rnd.Float64() < t.Idempotent {
 		r.method = http.MethodGet
 		r.idempotent = true
@@ -63,13 +66,25 @@
 
 // key returns the number of a key; the most frequent ones move with time.
 func (s *schedule) key() int {
-	if s.zipf == nil {
+	rank, hot := s.hotRank()
+	switch {
+	case hot:
+	case s.zipf == nil:
 		return s.rnd.IntN(s.plan.Keys)
+	default:
+		rank = int(s.zipf.Uint64())
 	}
-	rank := int(s.zipf.Uint64())
 	moves := 0
 	if s.plan.HotMoveMS > 0 {
 		moves = int(s.at.Milliseconds() / s.plan.HotMoveMS)
 	}
 	return (rank + moves*hotStride) % s.plan.Keys
 }
+
+// hotRank draws one of the equally hot keys, if the request goes to one.
+func (s *schedule) hotRank() (rank int, hot bool) {
+	if s.plan.HotShare == 0 || s.rnd.Float64() >= s.plan.HotShare {
+		return 0, false
+	}
+	return s.rnd.IntN(s.plan.HotKeys), true
+}
