balance: wire the baselines of stragglers and hot keys

policy.stragglers=reported did the same as none, and policy.hot_keys=none still moved shards by measured load. The first now trusts the load that backend servers announce; the second places by hash alone.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -50,6 +50,7 @@
 // Values of the policies.
 const (
 	StragglersMeasured = "measured"
+	StragglersReported = "reported"
 	HotKeysSplit       = "split"
 )
 
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -57,6 +57,7 @@
 	Connections uint32 // that the server accepts; 0 if not stated
 	ChecksFence bool
 	Cold        bool
+	Running     uint32 // requests that it says it runs; may lag or mislead
 }
 
 // BackendObserver takes in announcements before the control state does.
@@ -72,6 +73,8 @@
 	Arrived(shard view.ShardID, keyHash uint64)
 	// Served takes in the service time of a request that ran.
 	Served(serviceTime time.Duration)
+	// Announced takes in the load that the backend server announced.
+	Announced(running uint32)
 }
 
 // Limiter grants a team's requests within its fleet-wide rate.
--- a/daemon/plugins/balance/balance.go
+++ b/daemon/plugins/balance/balance.go
@@ -7,6 +7,7 @@
 	"context"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/fx"
@@ -39,6 +40,14 @@
 	)
 }
 
+// Stand-ins for the measured service time where the settings trust the load
+// that a backend server announces: a time for each request that it says it
+// runs, and a number of samples that the planner takes as enough.
+const (
+	announcedUnitUS  = 1000
+	announcedSamples = 10
+)
+
 // callTimeout bounds one report with its answer.
 const callTimeout = 1 * time.Second
 
@@ -46,6 +55,7 @@
 type meter struct {
 	control kernel.Control
 	meter   *loadstat.Meter
+	running atomic.Uint32 // as the backend server last announced
 }
 
 func newMeter(c kernel.Control, clk clock.Clock) *meter {
@@ -62,6 +72,9 @@
 // Served implements kernel.LoadMeter.
 func (m *meter) Served(serviceTime time.Duration) { m.meter.Served(serviceTime) }
 
+// Announced implements kernel.LoadMeter.
+func (m *meter) Announced(running uint32) { m.running.Store(running) }
+
 // reporter sends this daemon's load reports.
 type reporter struct {
 	control kernel.Control
@@ -127,10 +140,19 @@
 
 // applyPolicy removes from the report what the settings leave out of account.
 func (r *reporter) applyPolicy(report *wire.LoadReport) {
-	if r.policy.Stragglers != settings.StragglersMeasured {
+	switch r.policy.Stragglers {
+	case settings.StragglersMeasured:
+	case settings.StragglersReported:
+		report.LatencyUs = announcedUnitUS * max(1, r.meter.running.Load())
+		report.LatencySamples = announcedSamples
+	default:
 		report.LatencyUs = 0
 		report.LatencySamples = 0
 	}
+	if r.policy.HotKeys != settings.HotKeysSplit {
+		report.Shards = nil
+		report.HotKeys = nil
+	}
 }
 
 // report sends the report to the first planner that takes it.
--- a/daemon/plugins/owner/fake_test.go
+++ b/daemon/plugins/owner/fake_test.go
@@ -182,3 +182,4 @@
 
 func (noLoad) Arrived(view.ShardID, uint64) {}
 func (noLoad) Served(time.Duration)         {}
+func (noLoad) Announced(uint32)             {}
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -216,6 +216,7 @@
 		e.grants.forget()
 		e.backend.restarted(r.BootID)
 	}
+	e.load.Announced(r.Running)
 	slots := int(r.Slots)
 	if r.Connections > 0 {
 		slots = min(slots, int(r.Connections))
