--- a/ctl/bench/counters.go
+++ b/ctl/bench/counters.go
@@ -11,7 +11,7 @@
 
 // Counters of daemons that experiments read.
 const (
-	counterAttempts = "sesamemoor_request_attempts_total"
+	counterRetries  = "sesamemoor_request_retries_total"
 	counterRequests = "sesamemoor_requests_total"
 )
 
--- a/ctl/bench/run.go
+++ b/ctl/bench/run.go
@@ -169,7 +169,7 @@
 
 func (r *Run) count(ctx context.Context, step string) {
 	r.Counts[step] = Counts{
-		Requests: r.Fleet.counter(ctx, counterRequests), Attempts: r.Fleet.counter(ctx, counterAttempts),
+		Requests: r.Fleet.counter(ctx, counterRequests), Retries: r.Fleet.counter(ctx, counterRetries),
 	}
 }
 
--- a/ctl/bench/scenario.go
+++ b/ctl/bench/scenario.go
@@ -94,7 +94,7 @@
 }
 
 // Counts are the daemons' counters at an instant.
-type Counts struct{ Requests, Attempts float64 }
+type Counts struct{ Requests, Retries float64 }
 
 // amplification returns the tries of requests at owners for each request
 // between two steps.
@@ -103,7 +103,7 @@
 	if requests <= 0 {
 		return 0
 	}
-	return (r.Counts[to].Attempts - r.Counts[from].Attempts) / requests
+	return 1 + (r.Counts[to].Retries-r.Counts[from].Retries)/requests
 }
 
 // ServerState is what a stand-in of a backend server counted.
@@ -115,24 +115,12 @@
 // all keeps every request.
 func all(load.Result) bool { return true }
 
-// path keeps the requests of a service.
+// ofService keeps the requests of a service.
 func ofService(name string) func(load.Result) bool {
 	prefix := "/" + name + "/"
 	return func(r load.Result) bool { return len(r.Path) > len(prefix) && r.Path[:len(prefix)] == prefix }
 }
 
-// team keeps the requests of one team by its index in the plan.
-func ofTeams(indexes ...int) func(load.Result) bool {
-	return func(r load.Result) bool {
-		for _, i := range indexes {
-			if r.Team == i {
-				return true
-			}
-		}
-		return false
-	}
-}
-
 func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // latencies returns the percentiles of a window.
