--- a/core/loadstat/book.go
+++ b/core/loadstat/book.go
@@ -22,7 +22,13 @@
 	// recoveredRatio is the ratio below which it no longer does.
 	recoveredRatio = 1.25
 	// minWeight bounds the capacity taken from a straggler.
-	minWeight = 0.1
+	minWeight = 0.02
+	// probeRatio is the ratio that a member without samples comes down to, so
+	// that it gets some load from which it can be measured anew.
+	probeRatio = 2.5
+	// probeDecay is the part of its service time that a member without samples
+	// keeps with each report.
+	probeDecay = 0.95
 )
 
 // Book holds the newest reports of the members of a region. It is owned by one
@@ -35,6 +41,8 @@
 	service   string
 	at        clock.Instant
 	latencyUS float64 // smoothed service time; 0 while unknown
+	sumUS     float64 // service times of samples that were too few so far
+	samples   float64 // their number
 	straggler bool
 	shards    map[uint32]float64 // smoothed requests per second
 }
@@ -52,7 +60,7 @@
 	m.service = r.GetService()
 	m.at = now
 	m.takeShards(r.GetShards())
-	m.takeLatency(r)
+	m.takeLatency(r, b.medians()[m.service])
 }
 
 func (m *memberLoad) takeShards(shards []*wire.ShardLoad) {
@@ -73,11 +81,21 @@
 	}
 }
 
-func (m *memberLoad) takeLatency(r *wire.LoadReport) {
-	if r.GetLatencySamples() < minSamples {
+// takeLatency adds the report's samples to those before until there are enough
+// of them. A straggler that gets no load any more is forgiven slowly, down to
+// probeRatio.
+func (m *memberLoad) takeLatency(r *wire.LoadReport, medianUS float64) {
+	n := float64(r.GetLatencySamples())
+	m.sumUS += n * float64(r.GetLatencyUs())
+	m.samples += n
+	if n == 0 && m.latencyUS > probeRatio*medianUS {
+		m.latencyUS = max(probeDecay*m.latencyUS, probeRatio*medianUS)
+	}
+	if m.samples < minSamples {
 		return
 	}
-	latency := float64(r.GetLatencyUs())
+	latency := m.sumUS / m.samples
+	m.sumUS, m.samples = 0, 0
 	if m.latencyUS > 0 {
 		latency = smoothing*latency + (1-smoothing)*m.latencyUS
 	}
@@ -118,7 +136,8 @@
 }
 
 // weight judges a member's speed against the median service time. Between the
-// two ratios its standing stays as it is, so that it does not flap.
+// two ratios its standing stays as it is, so that it does not flap. A straggler
+// loses more load than its speed asks for: what it keeps is served slowly.
 func (m *memberLoad) weight(medianUS float64) float64 {
 	if m.latencyUS == 0 || medianUS == 0 {
 		return 1
@@ -133,7 +152,7 @@
 	if !m.straggler {
 		return 1
 	}
-	return max(minWeight, 1/ratio)
+	return max(minWeight, 1/(ratio*ratio))
 }
 
 // medians returns the median service time of each service's members.
--- a/core/loadstat/loadstat_test.go
+++ b/core/loadstat/loadstat_test.go
@@ -62,6 +62,48 @@
 	is.True(weights[5] >= minWeight)
 }
 
+// A straggler keeps less than a hundredth of a service of seven members, so
+// that it does not set the 99th percentile.
+func TestStragglerKeepsLittleLoad(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := clock.Instant(time.Second)
+	for inc := uint64(1); inc <= 6; inc++ {
+		b.Take(now, report(inc, 2000, 10))
+	}
+	b.Take(now, report(7, 10_000, 10))
+	_, weights := b.Load(now)
+	is.True(weights[7] < 0.06)
+}
+
+func withSamples(r *wire.LoadReport, n uint32) *wire.LoadReport {
+	r.LatencySamples = n
+	return r
+}
+
+// Few samples in each report add up, and none at all lead to a probe.
+func TestStragglerIsMeasuredAnew(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := clock.Instant(time.Second)
+	for inc := uint64(1); inc <= 4; inc++ {
+		b.Take(now, report(inc, 1000, 10))
+	}
+	b.Take(now, report(5, 10_000, 10))
+	_, weights := b.Load(now)
+	is.Equal(weights[5], minWeight)
+	for range 100 {
+		b.Take(now, withSamples(report(5, 0), 0))
+	}
+	_, weights = b.Load(now)
+	is.True(weights[5] > minWeight && weights[5] < 0.2) // a probe, not its whole part
+	for range 100 {
+		b.Take(now, withSamples(report(5, 1000, 10), 2))
+	}
+	_, weights = b.Load(now)
+	is.Equal(weights[5], 1.0)
+}
+
 // Between the two ratios a member keeps its standing.
 func TestStragglerStandingHasHysteresis(t *testing.T) {
 	is := is.New(t)
--- a/core/placement/round.go
+++ b/core/placement/round.go
@@ -72,7 +72,7 @@
 }
 
 // minWeight keeps the weight of a member positive.
-const minWeight = 0.05
+const minWeight = 0.01
 
 func memberWeight(m *fold.Member, load Load) float64 {
 	w := float64(max(m.Slots, 1))
