--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -60,8 +60,8 @@
 // Queue admits requests to one backend server.
 //
 // Invariants: at most Limit tickets run; no ticket waits while fewer than
-// Limit run, after Dispatch; a ticket leaves the queue exactly once, by
-// Dispatch, a Refusal or Cancel.
+// Limit run, after Dispatch, unless the server rests; a ticket leaves the queue
+// exactly once, by Dispatch, a Refusal or Cancel.
 type Queue struct {
 	opts    Options
 	ramp    *Ramp
@@ -94,6 +94,10 @@
 // Running returns the number of tickets that run.
 func (q *Queue) Running() int { return q.running }
 
+// Resting returns the time after which Dispatch is due again because the
+// backend server rests after a shed, zero if it does not rest.
+func (q *Queue) Resting(now clock.Instant) time.Duration { return q.ramp.resting(now) }
+
 // Waiting returns the number of tickets that wait.
 func (q *Queue) Waiting() int { return q.order.len() }
 
@@ -115,9 +119,13 @@
 	return []Refusal{{victim, outcome.Overloaded}}
 }
 
-// Dispatch starts as many waiting tickets as the limit allows. Tickets whose
-// deadline cannot be met are refused on the way.
+// Dispatch starts as many waiting tickets as the limit allows, none while the
+// backend server rests. Tickets whose deadline cannot be met are refused on the
+// way.
 func (q *Queue) Dispatch(now clock.Instant) (started []*Ticket, refused []Refusal) {
+	if q.ramp.resting(now) > 0 {
+		return nil, nil
+	}
 	for q.running < q.ramp.limit {
 		t := q.order.pop()
 		if t == nil {
--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -21,6 +21,19 @@
 	// holdFactor is the service time, against that of the warm server, above
 	// which a limit does not grow.
 	holdFactor = 2
+	// settleInterval is the time over which the service time of a cold server
+	// is watched: while it falls, the server is not warm.
+	settleInterval = time.Second
+	// settled is the ratio of service times over that interval from which on
+	// the server counts as warm.
+	settled = 0.97
+	// warmFactor is the service time, against that of the warm server, below
+	// which a server bears all its slots.
+	warmFactor = 1.1
+	// probeFirst and probeMost bound the pause after a cold server shed its
+	// only request; the pause doubles with each.
+	probeFirst = 50 * time.Millisecond
+	probeMost  = 800 * time.Millisecond
 	// sampleLife is the age at which service times say nothing any more.
 	sampleLife = time.Second
 	// fastWeight and slowWeight are the weights of a new sample in the mean
@@ -41,6 +54,13 @@
 	mean   time.Duration // service time of late
 	warm   time.Duration // service time of the warm server
 	sample clock.Instant // newest sample
+	known  bool          // warm was seen to have settled
+
+	watched   time.Duration // mean at the start of the interval watched
+	watchedAt clock.Instant
+
+	pause time.Duration // after the newest shed of an only request
+	until clock.Instant // nothing starts before
 
 	grownAt   clock.Instant
 	answers   int // answers since the limit last changed
@@ -71,6 +91,8 @@
 		return
 	}
 	r.cold = true
+	r.watched = 0
+	r.mean = 0
 	r.lower(now, min(coldLimit, r.slots))
 }
 
@@ -87,22 +109,25 @@
 		r.mean = took
 	}
 	r.sample = now
+	r.pause = 0
 	r.mean += time.Duration(fastWeight * float64(took-r.mean))
 	r.learnWarm(took)
 	r.answers++
+	r.watch(now)
 	r.grow(now)
 }
 
 // learnWarm lets the service time of the warm server follow that of late: at
-// once downwards, slowly upwards. A cold server's times raise it too, so that
-// a server that has become slower for good is not held back for ever.
+// once downwards, slowly upwards. A cold server's times raise it only when they
+// have come to rest, see watch, so that a server that has become slower for good
+// is not held back for ever.
 func (r *Ramp) learnWarm(took time.Duration) {
 	switch {
 	case r.warm == 0:
 		r.warm = took
 	case r.mean < r.warm:
 		r.warm = r.mean
-	default:
+	case !r.cold:
 		r.warm += time.Duration(slowWeight * float64(r.mean-r.warm))
 	}
 }
@@ -112,7 +137,7 @@
 	if r.limit >= r.slots || r.answers < r.limit || now.Sub(r.grownAt) < growInterval {
 		return
 	}
-	if r.enabled && r.mean > holdFactor*r.warm {
+	if r.enabled && (r.mean > holdFactor*r.warm || r.limit >= r.bears()) {
 		return
 	}
 	r.limit++
@@ -123,6 +148,49 @@
 	}
 }
 
+// watch decides whether the service time of a cold server has come to rest.
+func (r *Ramp) watch(now clock.Instant) {
+	if !r.cold {
+		return
+	}
+	if r.watched > 0 && now.Sub(r.watchedAt) < settleInterval {
+		return
+	}
+	low, high := min(r.mean, r.watched), max(r.mean, r.watched)
+	if low > 0 && float64(low) >= settled*float64(high) {
+		r.known = true
+		r.warm = r.mean
+	}
+	r.watched = r.mean
+	r.watchedAt = now
+}
+
+// bears returns how many requests a cold server is trusted with: one until its
+// warm service time is known, then a part of its slots by the square of its
+// speed, since it is short of more than time.
+func (r *Ramp) bears() int {
+	if !r.cold {
+		return r.slots
+	}
+	if !r.known {
+		return coldLimit
+	}
+	factor := float64(r.mean) / float64(max(r.warm, 1))
+	if factor < warmFactor {
+		return r.slots
+	}
+	return max(coldLimit, int(float64(r.slots)/(factor*factor)))
+}
+
+// rest lets a server that shed its only request alone for a while.
+func (r *Ramp) rest(now clock.Instant) {
+	r.pause = min(max(2*r.pause, probeFirst), probeMost)
+	r.until = now.Add(r.pause)
+}
+
+// resting returns the time until the next request may start.
+func (r *Ramp) resting(now clock.Instant) time.Duration { return max(0, r.until.Sub(now)) }
+
 // shed takes in a refusal for overload while the given number of other
 // requests ran. The server bears no more than those: the limit falls to them
 // at once, and further by half when sheds go on; or to coldLimit, if service
@@ -133,6 +201,9 @@
 	if !r.enabled {
 		return
 	}
+	if others == 0 {
+		r.rest(now)
+	}
 	if !r.cold && recent && r.jumped(now) {
 		r.turnCold(now)
 		return
--- a/core/admit/ramp_test.go
+++ b/core/admit/ramp_test.go
@@ -117,3 +117,34 @@
 	is.Equal(r.limit, 4)
 	is.True(!r.cold)
 }
+
+// A server that warms up over several seconds is not given more than it bears,
+// however long that takes and whatever it bore before. Service times fall by
+// more than the milliseconds of drive's steps each second.
+func TestRampFollowsSlowWarmUp(t *testing.T) {
+	for _, lasts := range []time.Duration{4 * time.Second, 8 * time.Second, 12 * time.Second} {
+		is := is.New(t)
+		q := New(Options{MaxQueue: 100, Fair: true, Ramp: true})
+		q.SetSlots(1, 9)
+		q.TurnCold(1)
+		first := drive(q, coldServer(1, lasts), 1, lasts+5*time.Second)
+		is.Equal(first.sheds, 0)
+		is.True(first.full > 0)
+		again := clock.Instant(1).Add(lasts + 5*time.Second)
+		q.TurnCold(again)
+		second := drive(q, coldServer(again, lasts), again, lasts+5*time.Second)
+		is.Equal(second.sheds, 0)
+		is.True(second.full > 0)
+	}
+}
+
+// A server that sheds everything is asked seldom, not by each waiting request.
+func TestFallenServerRests(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{MaxQueue: 100, Fair: true, Ramp: true})
+	q.SetSlots(1, 9)
+	q.TurnCold(1)
+	fallen := server{bears: func(clock.Instant) int { return 0 }}
+	f := drive(q, fallen, 1, 3*time.Second)
+	is.True(f.sheds > 0 && f.sheds < 10)
+}
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -8,11 +8,11 @@
 
 const (
 	// ratio is the number of retries earned by each request.
-	ratio = 0.08
+	ratio = 0.06
 	// floor is the number of retries per second allowed without any requests.
-	floor = 2.0
+	floor = 0.5
 	// reserve is the largest number of retries saved up.
-	reserve = 20.0
+	reserve = 5.0
 )
 
 // Budget bounds the retries of one service at one daemon to a share of its
--- /dev/null
+++ b/ctl/bench/tail.go
@@ -0,0 +1,72 @@
+package bench
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+)
+
+// Record is a record of a stream with the time at which it was read.
+type Record struct {
+	logstream.Entry
+	Seen time.Time
+}
+
+const (
+	tailBatch = 500 // records per read
+	tailWait  = 500 // milliseconds that a read waits for the first
+)
+
+// tail reads a stream as it grows.
+type tail struct {
+	stop context.CancelFunc
+	done chan struct{}
+
+	mu      sync.Mutex
+	records []Record
+}
+
+func startTail(log logstream.Log, stream string) *tail {
+	ctx, cancel := context.WithCancel(context.Background())
+	t := &tail{stop: cancel, done: make(chan struct{})}
+	go func() {
+		defer close(t.done)
+		t.run(ctx, log, stream)
+	}()
+	return t
+}
+
+func (t *tail) run(ctx context.Context, log logstream.Log, stream string) {
+	next := uint64(1)
+	for ctx.Err() == nil {
+		batch, err := log.Read(ctx, stream, next, tailBatch, tailWait)
+		if err != nil {
+			select {
+			case <-ctx.Done():
+			case <-time.After(startPause):
+			}
+			continue
+		}
+		now := time.Now()
+		t.mu.Lock()
+		for _, entry := range batch.Records {
+			t.records = append(t.records, Record{entry, now})
+			next = entry.Offset + 1
+		}
+		t.mu.Unlock()
+	}
+}
+
+// read returns the records so far.
+func (t *tail) read() []Record {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Record(nil), t.records...)
+}
+
+func (t *tail) close() {
+	t.stop()
+	<-t.done
+}
--- a/daemon/plugins/owner/gate.go
+++ b/daemon/plugins/owner/gate.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/admit"
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -19,6 +20,8 @@
 	queue *admit.Queue
 	waits map[*admit.Ticket]chan error // capacity 1; nil error: the ticket runs
 	sheds uint64
+
+	waking bool // a dispatch after a rest is due
 }
 
 func newGate(clk clock.Clock, set settings.Daemon) *gate {
@@ -104,13 +107,32 @@
 
 // dispatch starts what may run. The caller holds the lock.
 func (g *gate) dispatch() {
-	started, refused := g.queue.Dispatch(g.clock.Now())
+	now := g.clock.Now()
+	if rest := g.queue.Resting(now); rest > 0 && g.queue.Waiting() > 0 {
+		g.wake(rest)
+		return
+	}
+	started, refused := g.queue.Dispatch(now)
 	for _, t := range started {
 		g.tell(t, nil)
 	}
 	g.settle(refused)
 }
 
+// wake dispatches after a rest. The caller holds the lock.
+func (g *gate) wake(rest time.Duration) {
+	if g.waking {
+		return
+	}
+	g.waking = true
+	time.AfterFunc(rest, func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.waking = false
+		g.dispatch()
+	})
+}
+
 func (g *gate) settle(refused []admit.Refusal) {
 	for _, r := range refused {
 		g.tell(r.Ticket, outcome.New(r.Kind, "in the queue of the backend server"))
