--- a/ctl/bench/run.go
+++ b/ctl/bench/run.go
@@ -72,6 +72,9 @@
 	if err := run.send(ctx, steps, o.Progress, s.Name+", "+v.Name); err != nil {
 		return nil, err
 	}
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
 	return run, run.collect(ctx)
 }
 
