--- a/core/control/control.go
+++ b/core/control/control.go
@@ -249,9 +249,9 @@
 		return
 	}
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
+	s.noteSnapshot(s.placementStream(), rec)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
-		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -271,6 +271,9 @@
 	if m := rec.GetMergeKey(); m != nil {
 		s.mergeSeen(m)
 	}
+	if rec.GetSplitKey() != nil || rec.GetMergeKey() != nil {
+		s.tables.next = 0 // the shards held are judged by the keys of the tables
+	}
 	s.notePlan(rec)
 }
 
@@ -280,9 +283,7 @@
 			continue
 		}
 		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
-		if rec != nil {
-			s.noteSnapshot(e.Stream, rec)
-		}
+		s.noteSnapshot(e.Stream, rec)
 		if verdict.Reason == fleet.ReasonSnapshot {
 			continue
 		}
--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -80,6 +80,8 @@
 			"keeper":     command((*scenario).cmdKeeper),
 			"pause":      command((*scenario).cmdPause),
 			"newid":      command((*scenario).cmdNewID),
+			"cold":       command((*scenario).cmdCold),
+			"flood":      command((*scenario).cmdFlood),
 			"repeat":     command((*scenario).cmdRepeat),
 		},
 	})
