--- a/daemon/plugins/path_test.go
+++ b/daemon/plugins/path_test.go
@@ -38,6 +38,7 @@
 func (s *still) Take(context.Context, string) error { return nil }
 func (s *still) Arrived(view.ShardID, uint64)       {}
 func (s *still) Served(time.Duration)               {}
+func (s *still) Announced(uint32)                   {}
 
 func freeAddr(tb testing.TB) string {
 	tb.Helper()
