Recovery of an empty keeper is for teams within their rate

After an empty start all requests waited up to 5 s, a loud team's too. The keeper now judges by the arrivals that entry daemons tell it: requests wait while a bucket that was never lost could have let them pass. TestLoudTeamDoesNotWaitForARecovery is red without the rule.

--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -38,6 +38,9 @@
 	// recovery is the time after a keeper's empty start in which requests wait
 	// for tokens instead of being refused.
 	recovery = 5 * time.Second
+	// longestGap is the time without a keeper for which a team's requests count
+	// as within its rate when the next one starts empty.
+	longestGap = 2 * time.Second
 )
 
 // Life returns the time for which a slice with tokens asked for ahead may be
@@ -81,6 +84,9 @@
 	moved  bool   // starts with the level of another keeper's bucket
 
 	recovered clock.Instant // end of the recovery after an empty start
+	// due is the most that a bucket which was never lost would hold, judged by
+	// the requests that arrived.
+	due float64
 }
 
 // NewEmpty returns a bucket without tokens at now. A new keeper starts empty:
@@ -108,6 +114,21 @@
 // Take, which must come before any change of the terms.
 func (b *Bucket) Set(now clock.Instant, terms Terms) { b.refill(now, terms) }
 
+// Arrived takes note of n requests that ask for tokens for the first time.
+func (b *Bucket) Arrived(now clock.Instant, terms Terms, n float64) {
+	b.refill(now, terms)
+	b.due = max(0, b.due-n)
+}
+
+// recovery returns the time for which requests are to wait for tokens: none for
+// a team that is over its rate, which waiting would not help.
+func (b *Bucket) recovery(now clock.Instant) time.Duration {
+	if b.due < 1 {
+		return 0
+	}
+	return max(0, b.recovered.Sub(now))
+}
+
 // Take hands out need tokens, or as many as there are, and up to extra more as
 // long as half of the burst stays in the bucket.
 func (b *Bucket) Take(now clock.Instant, terms Terms, need, extra float64) Grant {
@@ -124,7 +145,7 @@
 	g := Grant{Tokens: n, Life: life, Ahead: terms.Life()}
 	if n < need {
 		g.Wait = b.untilNext()
-		g.Recover = max(0, b.recovered.Sub(now))
+		g.Recover = b.recovery(now)
 	}
 	return g
 }
@@ -185,14 +206,20 @@
 		return
 	}
 	b.lent = []lent{{terms.Burst, b.at.Add(keeperLife(terms.Life()))}}
+	b.due = terms.mostDue()
 }
 
+// mostDue returns the tokens that can have become due while there was no keeper.
+func (t Terms) mostDue() float64 { return t.Burst + t.Rate*longestGap.Seconds() }
+
 // flow adds tokens up to an instant.
 func (b *Bucket) flow(until clock.Instant, rate float64) {
 	if until <= b.at {
 		return
 	}
-	b.tokens += rate * until.Sub(b.at).Seconds()
+	tokens := rate * until.Sub(b.at).Seconds()
+	b.tokens += tokens
+	b.due = min(b.due+tokens, b.terms.mostDue())
 	b.at = until
 	b.cap()
 }
--- a/core/bucket/bucket_test.go
+++ b/core/bucket/bucket_test.go
@@ -269,3 +269,19 @@
 	again.Set(ms(10), terms)
 	is.Equal(again.Take(ms(310), terms, 100, 0).Tokens, 80.0) // at the rate once the slices have ended
 }
+
+// TestRecoveryIsForTeamsWithinTheirRate: the keeper lets requests wait after an
+// empty start only while they are no more than a bucket that was never lost
+// could have let pass.
+func TestRecoveryIsForTeamsWithinTheirRate(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Rate: 10, Burst: 20}
+	ms := func(n int) clock.Instant { return clock.Instant(time.Duration(n) * time.Millisecond) }
+	b := NewEmpty(0)
+	b.Arrived(ms(0), terms, 39)
+	is.Equal(b.Take(ms(0), terms, 39, 0).Recover, recovery)
+	b.Arrived(ms(1), terms, 100)
+	is.Equal(b.Take(ms(1), terms, 100, 0).Recover, time.Duration(0))
+	is.Equal(b.Take(ms(1000), terms, 100, 0).Recover, recovery-time.Second) // it is within its rate again
+	is.Equal(b.Take(ms(6000), terms, 100, 0).Recover, time.Duration(0))
+}
--- a/core/bucket/model_test.go
+++ b/core/bucket/model_test.go
@@ -116,6 +116,7 @@
 			})
 			return
 		}
+		m.keeper.Arrived(m.now, m.terms, float64(q.Arrived))
 		g := m.keeper.Take(m.now, m.terms, float64(q.Need), float64(q.Extra))
 		m.after(oneWay, func() {
 			taken, refused, _ := s.Answer(m.now, q, g)
@@ -207,6 +208,34 @@
 	}
 }
 
+// TestLoudTeamDoesNotWaitForARecovery sends more than the rate while keepers are
+// lost: its requests are refused instead of waiting, but for those that arrived
+// while there was no keeper and those that its burst covers.
+func TestLoudTeamDoesNotWaitForARecovery(t *testing.T) {
+	is := is.New(t)
+	for _, share := range []float64{1.5, 5} {
+		terms := Terms{Rate: 100, Burst: 50}
+		m := newModel(terms, 11)
+		m.poisson(share*terms.Rate, func() int { return m.rand.IntN(11) })
+		var worst int
+		m.after(10*time.Second, func() {
+			m.keeper = nil
+			m.after(1500*time.Millisecond, func() { m.keeper = NewEmpty(m.now) })
+			m.after(4500*time.Millisecond, func() { // two seconds after the start and longestGap
+				for _, s := range m.stocks {
+					for _, w := range s.waiting {
+						is.True(m.now.Sub(w.since) < time.Second)
+						worst++
+					}
+				}
+			})
+		})
+		m.run(30 * time.Second)
+		t.Logf("%v of the rate: %d passed, %d refused, %d wait 3 s after the empty start, longest wait %v",
+			share, m.passed, m.refused, worst, m.longest)
+	}
+}
+
 // TestReleaseRefusesNothing hands the bucket over every ten seconds, 50 ms
 // without an answer each time. The baseline starts the next keeper empty.
 func TestReleaseRefusesNothing(t *testing.T) {
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -46,6 +46,7 @@
 	asked   *Question
 	life    time.Duration // of tokens asked for ahead
 
+	fresh    int     // requests that arrived and were not told to the keeper
 	demand   float64 // tokens per second of late
 	window   clock.Instant
 	arrivals float64 // within the window
@@ -58,10 +59,11 @@
 
 // Question is a question to the keeper on its way.
 type Question struct {
-	Need   int
-	Extra  int
-	Demand float64 // tokens per second
-	Sent   clock.Instant
+	Need    int
+	Extra   int
+	Arrived int     // requests since the last question that was answered
+	Demand  float64 // tokens per second
+	Sent    clock.Instant
 
 	waiters []*Waiter
 }
@@ -81,6 +83,7 @@
 func (s *Stock) Arrive(now clock.Instant, w *Waiter) (Verdict, time.Duration) {
 	s.countArrival(now)
 	if len(s.waiting) == 0 && s.take(now) {
+		s.fresh++
 		return Taken, 0
 	}
 	w.since = now
@@ -90,6 +93,7 @@
 	if len(s.waiting) >= maxWaiters {
 		return Refused, demandWindow
 	}
+	s.fresh++
 	s.waiting = append(s.waiting, w)
 	return Waiting, 0
 }
@@ -199,7 +203,7 @@
 	if len(s.waiting) == 0 && !low {
 		return nil
 	}
-	q := &Question{Need: len(s.waiting), Extra: extra, Demand: s.demand, Sent: now, waiters: s.waiting}
+	q := &Question{Need: len(s.waiting), Extra: extra, Arrived: s.fresh, Demand: s.demand, Sent: now, waiters: s.waiting}
 	s.waiting = nil
 	s.asked = q
 	return q
@@ -213,6 +217,7 @@
 		return nil, nil, 0
 	}
 	s.asked = nil
+	s.fresh -= q.Arrived
 	s.life = g.Ahead
 	until := q.Sent.Add(g.Life)
 	late := now >= until
--- a/daemon/plugins/keeper/keeper.go
+++ b/daemon/plugins/keeper/keeper.go
@@ -177,6 +177,7 @@
 	}
 	need := float64(req.GetWantMilli() / milli)
 	b := k.bucketOf(v, req.GetTeam(), id, held, now)
+	b.Arrived(now, termsOf(team), float64(req.GetArrived()))
 	g := b.Take(now, termsOf(team), need, float64(req.GetExtraMilli()/milli))
 	k.granted += uint64(g.Tokens)
 	answer := &wire.SliceAnswer{
--- a/daemon/plugins/keeper/limiter.go
+++ b/daemon/plugins/keeper/limiter.go
@@ -179,6 +179,7 @@
 		WantMilli:   uint64(q.Need) * milli,
 		ExtraMilli:  uint64(q.Extra) * milli,
 		DemandMilli: uint64(q.Demand * milli),
+		Arrived:     uint64(q.Arrived),
 	})
 	l.mu.Lock()
 	defer l.mu.Unlock()
