Retry-After of a slow team is the time to its next token

The wait in an answer is bounded by a second, so that a raised rate counts soon; a refusal named that bound to a team with a token each ten seconds. The answer now carries both.

--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -35,6 +35,8 @@
 	maxWait = time.Second
 	// minWait bounds the questions about one token.
 	minWait = time.Millisecond
+	// never bounds the time to the next token that a refusal names.
+	never = time.Hour
 	// recovery is the time after a keeper's empty start in which requests wait
 	// for tokens instead of being refused.
 	recovery = 5 * time.Second
@@ -104,7 +106,8 @@
 	Tokens float64       // whole tokens
 	Life   time.Duration // time for which they may be used, see Terms.Life
 	Ahead  time.Duration // the life of tokens asked for ahead
-	Wait   time.Duration // until the next token, if fewer than needed were granted
+	Next   time.Duration // until the next token, if fewer than needed were granted
+	Wait   time.Duration // until the keeper is to be asked again: Next, but bounded
 	// Recover is the time for which requests are to wait for tokens instead
 	// of being refused, after an empty start.
 	Recover time.Duration
@@ -144,7 +147,8 @@
 	b.lend(n, life)
 	g := Grant{Tokens: n, Life: life, Ahead: terms.Life()}
 	if n < need {
-		g.Wait = b.untilNext()
+		g.Next = b.untilNext()
+		g.Wait = min(g.Next, maxWait)
 		g.Recover = b.recovery(now)
 	}
 	return g
@@ -239,7 +243,7 @@
 // lets time pass on a copy, slice by slice.
 func (b *Bucket) untilNext() time.Duration {
 	if b.terms.Rate <= 0 {
-		return maxWait
+		return never
 	}
 	c := *b
 	want := math.Floor(c.tokens) + 1
@@ -247,11 +251,12 @@
 		c.flow(c.lent[0].until, c.terms.Rate)
 		c.lent = c.lent[1:]
 	}
-	return min(max(c.reaches(want).Sub(b.at), minWait), maxWait)
+	return min(max(c.reaches(want).Sub(b.at), minWait), never)
 }
 
 // reaches returns the instant at which the bucket holds want tokens if nothing
 // caps it.
 func (b *Bucket) reaches(want float64) clock.Instant {
-	return b.at.Add(time.Duration((want - b.tokens) / b.terms.Rate * float64(time.Second)))
+	seconds := min((want-b.tokens)/b.terms.Rate, never.Seconds())
+	return b.at.Add(time.Duration(seconds * float64(time.Second)))
 }
--- a/core/bucket/bucket_test.go
+++ b/core/bucket/bucket_test.go
@@ -285,3 +285,11 @@
 	is.Equal(b.Take(ms(1000), terms, 100, 0).Recover, recovery-time.Second) // it is within its rate again
 	is.Equal(b.Take(ms(6000), terms, 100, 0).Recover, time.Duration(0))
 }
+
+func TestNextTokenOfAVerySlowTeamIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := NewFull(0)
+	g := b.Take(0, Terms{Rate: 1e-12, Burst: 1}, 5, 0)
+	is.Equal(g.Next, never)
+	is.Equal(g.Wait, maxWait)
+}
--- a/core/bucket/stock.go
+++ b/core/bucket/stock.go
@@ -51,7 +51,8 @@
 	window   clock.Instant
 	arrivals float64 // within the window
 
-	refuseUntil clock.Instant // the keeper has no token before
+	refuseUntil clock.Instant // the keeper is not asked before
+	nextAt      clock.Instant // of the keeper's next token, as it told last
 	short       bool          // what the keeper told last is that it has no token
 	aheadFrom   clock.Instant // nothing is asked for ahead before
 	recoverTill clock.Instant // requests wait until then instead of being refused
@@ -88,7 +89,7 @@
 	}
 	w.since = now
 	if wait := s.refuseUntil.Sub(now); wait > 0 && !s.patient(now, w, wait) {
-		return Refused, wait
+		return Refused, max(wait, s.nextAt.Sub(now))
 	}
 	if len(s.waiting) >= maxWaiters {
 		return Refused, demandWindow
@@ -110,7 +111,7 @@
 // Short returns the time to the next token, if a keeper's newest answer was
 // that it has none. Otherwise requests wait for want of an answer.
 func (s *Stock) Short(now clock.Instant) (time.Duration, bool) {
-	return max(s.refuseUntil.Sub(now), minWait), s.short
+	return max(s.nextAt.Sub(now), minWait), s.short
 }
 
 // AskAt returns the instant at which Ask is worth calling again while requests
@@ -212,7 +213,7 @@
 // Answer takes in the keeper's answer to q and returns the requests that got a
 // token and those that are refused until the returned duration has passed. An
 // answer after the life of its slice is worth nothing; its tokens are spent.
-func (s *Stock) Answer(now clock.Instant, q *Question, g Grant) (taken, refused []*Waiter, wait time.Duration) {
+func (s *Stock) Answer(now clock.Instant, q *Question, g Grant) (taken, refused []*Waiter, next time.Duration) {
 	if q != s.asked {
 		return nil, nil, 0
 	}
@@ -228,6 +229,7 @@
 	s.short = g.Wait > 0
 	if s.short {
 		s.refuseUntil = now.Add(g.Wait)
+		s.nextAt = now.Add(max(g.Next, g.Wait))
 	}
 	s.recoverTill = now.Add(g.Recover)
 	if int(g.Tokens) <= q.Need { // nothing to spare for now
@@ -243,14 +245,14 @@
 		case late && g.Tokens > 0 || !s.short:
 			s.waiting = append(s.waiting, waiters[i:]...)
 			s.dropGone()
-			return taken, refused, g.Wait
+			return taken, refused, max(g.Next, g.Wait)
 		case s.patient(now, w, g.Wait):
 			s.waiting = append(s.waiting, w)
 		default:
 			refused = append(refused, w)
 		}
 	}
-	return taken, refused, g.Wait
+	return taken, refused, max(g.Next, g.Wait)
 }
 
 // Fail tells that q got no answer. Its requests wait again, first in line.
--- a/daemon/plugins/keeper/keeper.go
+++ b/daemon/plugins/keeper/keeper.go
@@ -186,6 +186,7 @@
 		AheadMs:          uint64(g.Ahead.Milliseconds()),
 		WaitMs:           uint64(g.Wait.Milliseconds()),
 		RecoverMs:        uint64(g.Recover.Milliseconds()),
+		NextMs:           uint64(g.Next.Milliseconds()),
 		Kind:             uint32(outcome.OK),
 		KeeperGeneration: held.Token,
 	}
@@ -203,6 +204,7 @@
 		Life:   time.Duration(a.GetExpiresMs()) * time.Millisecond,
 		Ahead:  time.Duration(a.GetAheadMs()) * time.Millisecond,
 		Wait:   time.Duration(a.GetWaitMs()) * time.Millisecond,
+		Next:   time.Duration(a.GetNextMs()) * time.Millisecond,
 
 		Recover: time.Duration(a.GetRecoverMs()) * time.Millisecond,
 	}
--- a/daemon/plugins/keeper/keeper_test.go
+++ b/daemon/plugins/keeper/keeper_test.go
@@ -256,6 +256,27 @@
 	})
 }
 
+// TestRefusalOfASlowTeamNamesItsToken: the time to come again is that of the
+// team's next token, however rarely the daemon asks for it.
+func TestRefusalOfASlowTeamNamesItsToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 0.1, Burst: 1})
+		f.hold("a", 2)
+		is.NoErr(take(f.nodes["c"], time.Second))
+		for range 3 {
+			var refusal *outcome.Err
+			start := time.Now()
+			is.True(errors.As(take(f.nodes["c"], time.Second), &refusal))
+			is.Equal(refusal.Kind, outcome.RateLimited)
+			is.True(refusal.RetryAfter > 5*time.Second)
+			is.True(time.Since(start) <= 100*time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestDeadlineWhileTheKeeperIsShort: a request that waits until its deadline for
 // a token of a keeper that has none is over the rate; the keeper did answer.
 func TestDeadlineWhileTheKeeperIsShort(t *testing.T) {
