--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -78,7 +78,7 @@
 	f := s.fleet
 	held := map[uint32]int{}
 	for _, m := range f.members {
-		if m.daemon.cmd == nil {
+		if m.daemon.running() == nil {
 			continue
 		}
 		st, err := f.status(m)
@@ -95,7 +95,7 @@
 		return fmt.Errorf("%d of %d shards are held", len(held), f.shards)
 	}
 	for _, m := range f.members {
-		if m.daemon.cmd == nil {
+		if m.daemon.running() == nil {
 			continue
 		}
 		if r := f.send(http.MethodGet, m.daemon.name, "dealer", "probe", "", time.Second); !r.ok() {
--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -288,6 +288,13 @@
 	}
 }
 
+// running returns the running process, or nil.
+func (p *process) running() *exec.Cmd {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.cmd
+}
+
 func (p *process) signal(sig syscall.Signal) error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -81,6 +81,7 @@
 			"newid":      command((*scenario).cmdNewID),
 			"cold":       command((*scenario).cmdCold),
 			"flood":      command((*scenario).cmdFlood),
+			"versions":   command((*scenario).cmdVersions),
 			"repeat":     command((*scenario).cmdRepeat),
 		},
 	})
@@ -104,12 +105,13 @@
 
 // scenario is the state of one script.
 type scenario struct {
-	dir     string
-	fleet   *fleet
-	watch   *watch
-	samples []sample // of the stopped watch
-	repeats []sample // of the last repeat
-	vars    map[string]string
+	dir      string
+	fleet    *fleet
+	watch    *watch
+	samples  []sample // of the stopped watch
+	repeats  []sample // of the last repeat
+	vars     map[string]string
+	versions *versionWatch
 }
 
 // maxFleets bounds the fleets that run at once: their bounds in time hold for a
