--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -23,7 +23,9 @@
 	holdFactor = 2
 	// settleInterval is the time over which the service time of a cold server
 	// is watched: while it falls, the server is not warm.
-	settleInterval = time.Second
+	settleInterval = 700 * time.Millisecond
+	// settleMost is the longest such time; it doubles when the server sheds.
+	settleMost = 8 * time.Second
 	// settled is the ratio of service times over that interval from which on
 	// the server counts as warm.
 	settled = 0.97
@@ -56,8 +58,11 @@
 	sample clock.Instant // newest sample
 	known  bool          // warm was seen to have settled
 
-	watched   time.Duration // mean at the start of the interval watched
-	watchedAt clock.Instant
+	interval  time.Duration // over which a cold server is watched
+	watched   time.Duration // mean service time of the interval before
+	watchedAt clock.Instant // start of the interval
+	sum       time.Duration // of service times since
+	count     time.Duration // their number
 
 	pause time.Duration // after the newest shed of an only request
 	until clock.Instant // nothing starts before
@@ -91,8 +96,9 @@
 		return
 	}
 	r.cold = true
-	r.watched = 0
 	r.mean = 0
+	r.interval = settleInterval
+	r.beginWatch(now, 0)
 	r.lower(now, min(coldLimit, r.slots))
 }
 
@@ -113,7 +119,7 @@
 	r.mean += time.Duration(fastWeight * float64(took-r.mean))
 	r.learnWarm(took)
 	r.answers++
-	r.watch(now)
+	r.watch(now, took)
 	r.grow(now)
 }
 
@@ -148,21 +154,37 @@
 	}
 }
 
-// watch decides whether the service time of a cold server has come to rest.
-func (r *Ramp) watch(now clock.Instant) {
+// watch compares the mean service time of a cold server's interval with that of
+// the interval before. When it no longer falls it is that of the warm server.
+func (r *Ramp) watch(now clock.Instant, took time.Duration) {
 	if !r.cold {
 		return
 	}
-	if r.watched > 0 && now.Sub(r.watchedAt) < settleInterval {
+	r.sum += took
+	r.count++
+	if now.Sub(r.watchedAt) < r.interval {
 		return
 	}
-	low, high := min(r.mean, r.watched), max(r.mean, r.watched)
-	if low > 0 && float64(low) >= settled*float64(high) {
+	mean := r.sum / r.count
+	if r.watched > 0 && float64(mean) >= settled*float64(r.watched) {
 		r.known = true
-		r.warm = r.mean
+		r.warm = max(mean, r.mean)
 	}
-	r.watched = r.mean
+	r.beginWatch(now, mean)
+}
+
+func (r *Ramp) beginWatch(now clock.Instant, before time.Duration) {
+	r.watched = before
 	r.watchedAt = now
+	r.sum, r.count = 0, 0
+}
+
+// fell takes in that a server which was taken to be warm enough was not: it is
+// watched for longer.
+func (r *Ramp) fell(now clock.Instant) {
+	r.known = false
+	r.interval = min(2*r.interval, settleMost)
+	r.beginWatch(now, 0)
 }
 
 // bears returns how many requests a cold server is trusted with: one until its
@@ -204,6 +226,9 @@
 	if others == 0 {
 		r.rest(now)
 	}
+	if r.cold && r.known && r.limit > coldLimit {
+		r.fell(now)
+	}
 	if !r.cold && recent && r.jumped(now) {
 		r.turnCold(now)
 		return
--- a/ctl/bench/report.go
+++ b/ctl/bench/report.go
@@ -27,10 +27,11 @@
 
 // VariantReport is what one variant measured.
 type VariantReport struct {
-	Name   string      `json:"name"`
-	Chosen bool        `json:"chosen"` // not a baseline
-	Rows   []Row       `json:"rows"`
-	Load   load.Report `json:"load"`
+	Name     string      `json:"name"`
+	Chosen   bool        `json:"chosen"`       // not a baseline
+	HostLoad string      `json:"load_average"` // of the host at the start
+	Rows     []Row       `json:"rows"`
+	Load     load.Report `json:"load"`
 }
 
 // commonRows are measured for each variant of each scenario.
@@ -44,7 +45,7 @@
 }
 
 func (rep *Report) add(r *Run, chosen bool, rows []Row) {
-	rep.Variants = append(rep.Variants, VariantReport{Name: r.Variant, Chosen: chosen, Rows: append(rows, commonRows(r)...), Load: r.Report})
+	rep.Variants = append(rep.Variants, VariantReport{Name: r.Variant, Chosen: chosen, HostLoad: r.HostLoad, Rows: append(rows, commonRows(r)...), Load: r.Report})
 	if rep.series == nil {
 		rep.series = map[string][]float64{}
 	}
@@ -81,6 +82,11 @@
 		fmt.Fprint(tw, v.Name, "\t")
 	}
 	fmt.Fprintln(tw, "limit\ttarget\t")
+	fmt.Fprint(tw, "load average of the host\t")
+	for _, v := range rep.Variants {
+		fmt.Fprint(tw, strings.Fields(v.HostLoad + " -")[0], "\t")
+	}
+	fmt.Fprintln(tw, "\t\t")
 	for _, metric := range rep.metrics() {
 		rep.writeMetric(tw, metric)
 	}
--- a/ctl/bench/run.go
+++ b/ctl/bench/run.go
@@ -10,6 +10,7 @@
 	"slices"
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/ctl/deployment"
 	"github.com/sesamemoor/sesamemoor/ctl/load"
 )
 
@@ -52,7 +53,7 @@
 	fmt.Fprintf(o.Progress, "%s, %s: starting the fleet\n", s.Name, v.Name)
 	fleet, err := StartFleet(ctx, FleetOptions{
 		Example: filepath.Join(o.Examples, s.Example), Dir: filepath.Join(o.Out, s.Name, v.Name), BasePort: o.BasePort,
-		Policy: v.Policy, Change: s.Change, WarmUp: s.WarmUp, Binaries: o.Binaries,
+		Policy: v.Policy, Change: both(s.Change, v.Change), WarmUp: s.WarmUp, Binaries: o.Binaries,
 	})
 	defer fleet.Stop()
 	if err != nil {
@@ -61,7 +62,7 @@
 	if err := warm(ctx, s.WarmUp); err != nil {
 		return nil, err
 	}
-	run := &Run{Variant: v.Name, Fleet: fleet, Plan: plan(fleet, s, v, o), Done: map[string]time.Time{}, Counts: map[string]Counts{}}
+	run := &Run{Variant: v.Name, HostLoad: loadAverage(), Fleet: fleet, Plan: plan(fleet, s, v, o), Done: map[string]time.Time{}, Counts: map[string]Counts{}}
 	if err := run.Plan.Check(); err != nil {
 		return nil, err
 	}
@@ -78,6 +79,17 @@
 	return run, run.collect(ctx)
 }
 
+// both applies two changes, of which either may be nil.
+func both(first, second func(*deployment.Deployment)) func(*deployment.Deployment) {
+	return func(d *deployment.Deployment) {
+		for _, change := range []func(*deployment.Deployment){first, second} {
+			if change != nil {
+				change(d)
+			}
+		}
+	}
+}
+
 // warm waits until backend servers that started together are warm.
 func warm(ctx context.Context, warmUp time.Duration) error {
 	select {
--- a/ctl/bench/scenario.go
+++ b/ctl/bench/scenario.go
@@ -31,9 +31,10 @@
 type Variant struct {
 	Name   string
 	Policy map[string]string
-	Chosen bool             // not a baseline: targets are for it
-	Load   func(*load.Plan) // changes the scenario's load; nil changes nothing
-	Steps  []Step           // in place of the scenario's, if not nil
+	Chosen bool                         // not a baseline: targets are for it
+	Change func(*deployment.Deployment) // after the scenario's; nil changes nothing
+	Load   func(*load.Plan)             // changes the scenario's load; nil changes nothing
+	Steps  []Step                       // in place of the scenario's, if not nil
 }
 
 // Step is something that the experimenter does at an offset from the start of
@@ -78,19 +79,20 @@
 
 // Run is what one variant did.
 type Run struct {
-	Variant string
-	Start   time.Time // of the load
-	Fleet   *Fleet
-	Plan    load.Plan
-	Results []load.Result
-	Report  load.Report
-	Servers []ServerRuns
-	Silent  int // backend servers whose runs are unknown
-	Moves   []Move
-	Splits  int
-	Done    map[string]time.Time // steps by name: when they were done
-	Counts  map[string]Counts    // of daemons, by step, and at the end under ""
-	States  map[string]ServerState
+	Variant  string
+	HostLoad string    // load averages of the host at the start
+	Start    time.Time // of the load
+	Fleet    *Fleet
+	Plan     load.Plan
+	Results  []load.Result
+	Report   load.Report
+	Servers  []ServerRuns
+	Silent   int // backend servers whose runs are unknown
+	Moves    []Move
+	Splits   int
+	Done     map[string]time.Time // steps by name: when they were done
+	Counts   map[string]Counts    // of daemons, by step, and at the end under ""
+	States   map[string]ServerState
 }
 
 // Counts are the daemons' counters at an instant.
