--- a/core/control/control.go
+++ b/core/control/control.go
@@ -15,6 +15,7 @@
 	"github.com/sesamemoor/sesamemoor/core/lease"
 	"github.com/sesamemoor/sesamemoor/core/loadstat"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/snapshot"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
@@ -66,7 +67,7 @@
 	splitting []view.ShardID           // shards that it names
 	coldSince map[uint64]clock.Instant // by hash of a split key; zero while it has load
 
-	boots             map[string]*bootstrap
+	boots             map[string]*snapshot.Collector
 	snapshots         map[string]*snapshots
 	nextSnapshotCheck clock.Instant
 
@@ -126,7 +127,7 @@
 		loads:     loadstat.NewBook(),
 		coldSince: map[uint64]clock.Instant{},
 		cell:      new(view.LeaseCell),
-		boots:     map[string]*bootstrap{},
+		boots:     map[string]*snapshot.Collector{},
 		snapshots: map[string]*snapshots{},
 		fresh:     view.NewFreshness(opts.StaleConfig),
 		dirty:     true,
@@ -248,9 +249,9 @@
 		return
 	}
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
+	s.noteSnapshot(s.placementStream(), rec)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
-		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -267,6 +268,12 @@
 	if sp := rec.GetSplitKey(); sp != nil {
 		s.splitSeen(sp)
 	}
+	if m := rec.GetMergeKey(); m != nil {
+		s.mergeSeen(m)
+	}
+	if rec.GetSplitKey() != nil || rec.GetMergeKey() != nil {
+		s.tables.next = 0 // the shards held are judged by the keys of the tables
+	}
 	s.notePlan(rec)
 }
 
@@ -276,9 +283,7 @@
 			continue
 		}
 		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
-		if rec != nil {
-			s.noteSnapshot(e.Stream, rec)
-		}
+		s.noteSnapshot(e.Stream, rec)
 		if verdict.Reason == fleet.ReasonSnapshot {
 			continue
 		}
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -15,6 +15,10 @@
 // abortRelease ends a release whose standby changed meanwhile. The right of
 // the standby that may have received it has ended with the change.
 func (s *State) abortRelease(r *right) {
+	r.resumed = ResumedWhole
+	if r.sent {
+		r.resumed = ResumedLater
+	}
 	r.releasing = false
 	r.quiesced = false
 	r.answered = false
@@ -45,12 +49,16 @@
 	return !placement.IsOut(s.fold, s.history.Config, standby)
 }
 
-// logFreshness is the age of the newest read up to which planned moves start.
-const logFreshness = 2 * time.Second
+// logFreshness is the age of the newest knowledge of the log's head up to which
+// planned moves start. A long poll's answer is up to two of its waits old.
+const logFreshness = 3 * time.Second
 
-// logFresh reports whether the placement stream was read lately.
+// logFresh reports whether the log was read lately. Daemons that follow a peer
+// learn the head of a quiet placement stream seldom, that of the configuration
+// each second or so; either shows that the log takes records.
 func (s *State) logFresh() bool {
-	return s.readAsOf != 0 && s.now.Sub(s.readAsOf) < logFreshness
+	at := max(s.readAsOf, s.fresh.Known())
+	return at != 0 && s.now.Sub(at) < logFreshness
 }
 
 // selfOut reports whether an operator took this daemon out of service.
@@ -65,6 +73,7 @@
 	r.quiesced = false
 	r.answered = false
 	r.recorded = false
+	r.sent = false
 	r.releaseGen = sh.Generation
 	if sh.Owner != s.member.incarnation {
 		r.releaseGen = r.taken // the takeover is not in the log yet
@@ -112,7 +121,7 @@
 // pursueRelease sends a release until it is answered, and finds another way
 // when the standby stays silent.
 func (s *State) pursueRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	if r.answered && s.now < r.nextSend {
+	if r.answered && s.now < r.nextSend || s.inSplit(id) {
 		return
 	}
 	if s.now >= r.nextSend {
@@ -124,6 +133,7 @@
 	}
 	if waited >= releaseBound && !r.recorded && sh.Standby != 0 && s.mayRelease(sh, r) {
 		r.recorded = true
+		r.sent = true
 		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
 			Incarnation: s.member.incarnation,
 			Refs:        []*wire.ShardRef{{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen}}}}})
@@ -150,6 +160,7 @@
 		return
 	}
 	r.released = r.releaseGen + 1
+	r.sent = true
 	r.nextSend = s.now.Add(releaseRetry)
 	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
 		Owner: s.member.incarnation,
--- a/core/control/sim_test.go
+++ b/core/control/sim_test.go
@@ -23,8 +23,10 @@
 	view    *view.View
 	inbox   []Event
 	cutLog  bool
+	follows bool // hears of the placement stream only when it has records
 	dead    bool
 	appends int
+	merges  []Merge
 	next    map[string]uint64 // next offset to read of each stream
 }
 
@@ -107,6 +109,9 @@
 			ev.Entries = append(ev.Entries, logstream.Entry{Offset: o, Data: f.log[stream][o-1]})
 		}
 		d.next[stream] = ev.Next
+		if d.follows && len(ev.Entries) == 0 && stream != logstream.ConfigStream {
+			continue
+		}
 		events = append(events, ev)
 	}
 	return events
@@ -124,6 +129,8 @@
 			f.post(e.Addr, Datagram{Msg: proto.CloneOf(e.Msg)})
 		case Publish:
 			d.view = e.View
+		case Merge:
+			d.merges = append(d.merges, e)
 		case Quiesce:
 			d.inbox = append(d.inbox, Quiesced{Shard: e.Shard, Token: e.Token})
 		case SendRelease:
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -20,8 +20,8 @@
 type tables struct {
 	services map[string]*view.Service
 	members  map[fold.Incarnation]*view.Member
-	callers  map[string]view.Caller
 	planners []*view.Member
+	callers  map[string]view.Caller
 	stale    bool
 	next     clock.Instant // when they may be built again
 }
@@ -100,6 +100,7 @@
 	return out
 }
 
+// plannerViews returns the members that plan.
 func (s *State) plannerViews() []*view.Member {
 	var list []*view.Member
 	for _, inc := range s.planners() {
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -12,7 +12,7 @@
 	// floor is the number of retries per second allowed without any requests.
 	floor = 0.5
 	// reserve is the largest number of retries saved up.
-	reserve = 5.0
+	reserve = 30.0
 )
 
 // Budget bounds the retries of one service at one daemon to a share of its
--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -38,7 +38,9 @@
 		backendArgs: strings.Fields(strings.ReplaceAll(o["backend"], ",", " ")),
 		respawn:     o["respawn"] == "true",
 	}
+	fleetSlots <- struct{}{}
 	if s.fleet, err = newFleet(s.dir, opts); err != nil {
+		<-fleetSlots
 		return err
 	}
 	if err := s.fleet.start(); err != nil {
@@ -76,7 +78,7 @@
 	f := s.fleet
 	held := map[uint32]int{}
 	for _, m := range f.members {
-		if m.daemon.cmd == nil {
+		if m.daemon.running() == nil {
 			continue
 		}
 		st, err := f.status(m)
@@ -93,7 +95,7 @@
 		return fmt.Errorf("%d of %d shards are held", len(held), f.shards)
 	}
 	for _, m := range f.members {
-		if m.daemon.cmd == nil {
+		if m.daemon.running() == nil {
 			continue
 		}
 		if r := f.send(http.MethodGet, m.daemon.name, "dealer", "probe", "", time.Second); !r.ok() {
@@ -204,7 +206,7 @@
 	default:
 		return fmt.Errorf("unknown state %q", args[0])
 	}
-	return s.fleet.put("http://"+s.fleet.logAddr+"/admin/faults", faults)
+	return s.fleet.call(http.MethodPut, "http://"+s.fleet.logAddr+"/admin/faults", faults)
 }
 
 // cmdBackend: backend NAME FIELD=VALUE... sets faults of a backend server.
@@ -227,15 +229,16 @@
 			faults[name] = b
 		}
 	}
-	return s.fleet.put("http://"+s.fleet.addr(m.index, backPort)+"/emulate/faults", faults)
+	return s.fleet.call(http.MethodPut, "http://"+s.fleet.addr(m.index, backPort)+"/emulate/faults", faults)
 }
 
-func (f *fleet) put(url string, body any) error {
+// call sends a JSON body to a stand-in.
+func (f *fleet) call(method, url string, body any) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
-	req, err := http.NewRequest(http.MethodPut, url, bytes.NewReader(data))
+	req, err := http.NewRequest(method, url, bytes.NewReader(data))
 	if err != nil {
 		return err
 	}
--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -79,6 +79,9 @@
 			"owner":      command((*scenario).cmdOwner),
 			"pause":      command((*scenario).cmdPause),
 			"newid":      command((*scenario).cmdNewID),
+			"cold":       command((*scenario).cmdCold),
+			"flood":      command((*scenario).cmdFlood),
+			"versions":   command((*scenario).cmdVersions),
 			"repeat":     command((*scenario).cmdRepeat),
 		},
 	})
@@ -102,20 +105,28 @@
 
 // scenario is the state of one script.
 type scenario struct {
-	dir     string
-	fleet   *fleet
-	watch   *watch
-	samples []sample // of the stopped watch
-	repeats []sample // of the last repeat
-	vars    map[string]string
+	dir      string
+	fleet    *fleet
+	watch    *watch
+	samples  []sample // of the stopped watch
+	repeats  []sample // of the last repeat
+	vars     map[string]string
+	versions *versionWatch
 }
 
+// maxFleets bounds the fleets that run at once: their bounds in time hold for a
+// machine that is not overloaded by the tests themselves.
+const maxFleets = 4
+
+var fleetSlots = make(chan struct{}, maxFleets)
+
 func (s *scenario) close() {
 	if s.watch != nil {
 		s.watch.cancel()
 	}
 	if s.fleet != nil {
 		s.fleet.stop()
+		<-fleetSlots
 	}
 	if keep := os.Getenv("SCENARIO_LOGS"); keep != "" {
 		logs, _ := filepath.Glob(filepath.Join(s.dir, "*.log"))
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -85,7 +85,7 @@
 // while the backend server sheds.
 func (e *executor) admit(ctx context.Context, r *run) *wire.Response {
 	if e.checksFence() {
-		if err := e.grants.wait(ctx, grantKey{r.shard, r.token}); err != nil {
+		if err := e.grants.wait(ctx, grantKey{r.shard, r.token}, func() error { return e.stillHeld(r) }); err != nil {
 			return refusal(err)
 		}
 	}
@@ -104,18 +104,29 @@
 	}
 }
 
+// stillHeld returns an error that says "not run" once the run's shard is not
+// held under its token.
+func (e *executor) stillHeld(r *run) error {
+	held, err := e.check(r.flight)
+	if err == nil && held.Token != r.token {
+		err = outcome.New(outcome.NotOwner, "shard %s/%d changed hands", r.shard.Service, r.shard.Shard)
+	}
+	return err
+}
+
 // attempt takes a slot and runs the request once.
 func (e *executor) attempt(ctx context.Context, r *run) *wire.Response {
 	ticket := &admit.Ticket{Team: r.request.GetTeam(), Shard: r.shard, Deadline: r.deadline}
-	lost := func() bool {
-		_, err := e.check(r.flight)
-		return err != nil
-	}
+	lost := func() bool { return e.stillHeld(r) != nil }
 	if err := e.gate.acquire(ctx, ticket, lost); err != nil {
 		return refusal(err)
 	}
 	resp := e.dispatch(ctx, r)
-	e.gate.release(ticket, resultOf(outcome.Kind(resp.GetKind())))
+	kind := outcome.Kind(resp.GetKind())
+	if kind == outcome.BackendCrashed || kind == outcome.OwnerUnreachable {
+		e.gate.turnCold() // it starts cold, before its first announcement says so
+	}
+	e.gate.release(ticket, resultOf(kind))
 	return resp
 }
 
@@ -135,8 +146,9 @@
 func (e *executor) dispatch(ctx context.Context, r *run) *wire.Response {
 	// The row is marked before the last check, so that a copy of the table made
 	// after a split holds every request that passed the check before it.
-	if r.id != nil {
-		e.ids.dispatch(*r.id, r.token)
+	if r.id != nil && !e.ids.dispatch(*r.id, r.token) {
+		r.settled = true // the row, if any, tells of another run
+		return refusal(outcome.New(outcome.NotOwner, "the history of the request id has moved"))
 	}
 	number, err := e.enter(r.flight, r.token)
 	if err != nil {
@@ -151,7 +163,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp := e.backend.run(ctx, r.request, r.token, timeout)
+	resp := e.backend.run(ctx, r.request, r.token, now.Add(timeout))
 	if outcome.Kind(resp.GetKind()) == outcome.OK {
 		e.load.Served(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond)
 	}
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -76,6 +77,7 @@
 		"no length": {"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf", outcome.AnswerCut},
 		"too large": {"HTTP/1.1 200 OK\r\nContent-Length: 8388609\r\n\r\n" + strings.Repeat("x", 8388609), outcome.AnswerTooLarge},
 		"fenced":    {"HTTP/1.1 409 Conflict\r\nX-Sesamemoor-Refused: fenced\r\nContent-Length: 0\r\n\r\n", outcome.Fenced},
+		"expired":   {"HTTP/1.1 503 Service Unavailable\r\nX-Sesamemoor-Refused: expired\r\nContent-Length: 0\r\n\r\n", outcome.DeadlineNotRun},
 		"error":     {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", outcome.OK},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -263,6 +265,26 @@
 	is.Equal(log[3:], []string{"grant 6", "request 6"})
 }
 
+// TestLostShardEndsTheWaitForItsGrant releases a shard whose backend server
+// never acknowledges the grant.
+func TestLostShardEndsTheWaitForItsGrant(t *testing.T) {
+	is := is.New(t)
+	asked := make(chan struct{}, 100)
+	server := newRawServer(t, func(int64, *http.Request) string {
+		asked <- struct{}{}
+		return "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	})
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, true)
+	b.hold(6, nil)
+	answer := make(chan *wire.Response, 1)
+	go func() { answer <- b.Execute(context.Background(), request("", "")) }()
+	await(t, asked, "grant message")
+	b.HandleEffect(control.Quiesce{Shard: shard, Token: 6})
+	is.Equal(kindOf(<-answer), outcome.NotOwner)
+	is.Equal(server.requests.Load(), int64(0))
+}
+
 func TestAfterALapseACallersIDMayHaveRun(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
@@ -287,3 +309,22 @@
 	is.Equal(err, errLeaseOver)
 	is.True(!trace.wrote())
 }
+
+// TestDeadlineLiesInsideTheLease reads the deadline as a backend server does.
+func TestDeadlineLiesInsideTheLease(t *testing.T) {
+	is := is.New(t)
+	var expires, left int64
+	server := newRawServer(t, func(_ int64, r *http.Request) string {
+		expires, _ = strconv.ParseInt(r.Header.Get(headerExpires), 10, 64)
+		left, _ = strconv.ParseInt(r.Header.Get(headerDeadline), 10, 64)
+		return okAnswer
+	})
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	b.lease.Set(clock.Boot{}.Now().Add(2 * time.Second))
+	lease := time.Now().Add(2 * time.Second)
+	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.OK)
+	is.True(left > 0 && left <= 1980)
+	is.True(expires > 0 && time.UnixMicro(expires).Before(lease))
+}
--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -47,6 +47,7 @@
 	// than the true difference.
 	offset    atomic.Int64
 	lastHeard atomic.Int64 // instant of the newest frame
+	lastUsed  atomic.Int64 // instant of the newest call, pings not counted
 	lastSync  clock.Instant
 	onCrossed func() // called before the link ends on an answer to another call
 
@@ -59,16 +60,22 @@
 }
 
 // startClientLink runs the link after its handshake, which read the peer's
-// clock.
-func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, onCrossed func()) *clientLink {
+// clock. onEnd is called after the link has ended.
+func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, onCrossed, onEnd func()) *clientLink {
 	l := &clientLink{pipe: p, clock: clk, waiting: map[uint64]*call{}, lastSync: clk.Now(), onCrossed: onCrossed}
 	l.offset.Store(offset)
 	l.lastHeard.Store(int64(clk.Now()))
+	l.touch()
 	go l.writeLoop()
-	go l.readLoop(r)
+	go func() {
+		defer onEnd()
+		l.readLoop(r)
+	}()
 	return l
 }
 
+func (l *clientLink) touch() { l.lastUsed.Store(int64(l.clock.Now())) }
+
 // call sends a frame and waits for its answer. The error tells whether the
 // frame was sent: a kind that did not run if provably not.
 func (l *clientLink) call(ctx context.Context, frame *wire.Frame) (*wire.Frame, error) {
@@ -229,6 +236,15 @@
 	return true
 }
 
+// syncClock reads the peer's clock again on a link that is in use.
+func (l *clientLink) syncClock(now clock.Instant) {
+	if now.Sub(l.lastSync) < syncInterval || now.Sub(clock.Instant(l.lastUsed.Load())) > syncInterval {
+		return
+	}
+	l.lastSync = now
+	go l.confirm(context.Background(), probeTimeout)
+}
+
 // clockOffset returns a lower bound of the peer's clock less this host's, in
 // nanoseconds, from a reading that arrived at now.
 func clockOffset(peerUs int64, now clock.Instant) int64 {
