A daemon that is stopped waits a second for a standby of a shard without one

The shard then had no owner and started anew elsewhere, and young request ids were answered unknown_history. It now serves the shard on for up to a second if the log is up, its backend server is there and another member can be the standby. TestShutdownWaitsForAStandby is red without the rule; the walks of core/control pass with it.

--- a/core/control/release.go
+++ b/core/control/release.go
@@ -33,7 +33,7 @@
 // resumed.
 func (s *State) shouldRelease(sh *fold.Shard) bool {
 	if s.member.departing != "" {
-		return true
+		return !s.standbyComes(sh)
 	}
 	if sh.Owner != s.member.incarnation || !sh.Handover && !s.selfOut() {
 		return false
@@ -41,6 +41,31 @@
 	return s.usableStandby(sh) && s.logFresh()
 }
 
+// standbyPlacement is the time for which a departing daemon serves a shard
+// without a standby on, so that planners place one.
+const standbyPlacement = 1 * time.Second
+
+// standbyComes reports whether a departing daemon does better to wait for a
+// standby of sh: without one the shard would start anew at some other daemon,
+// without its request ids.
+func (s *State) standbyComes(sh *fold.Shard) bool {
+	m := &s.member
+	return sh.Standby == 0 && sh.Owner == m.incarnation && m.backend != nil &&
+		s.logFresh() && s.now.Sub(m.departSince) < standbyPlacement && s.mayHaveStandby()
+}
+
+// mayHaveStandby reports whether another member of this daemon's service is in
+// service.
+func (s *State) mayHaveStandby() bool {
+	for inc, m := range s.fold.Members {
+		if inc != s.member.incarnation && m.Phase == fold.InService && m.Service == s.member.backend.Service &&
+			!placement.IsOut(s.fold, s.history.Config, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // usableStandby reports whether sh has a standby that may serve it.
 func (s *State) usableStandby(sh *fold.Shard) bool {
 	standby, ok := s.fold.Members[sh.Standby]
