control: a departing daemon passes request ids on before it leaves

Cause: a shutdown left its incarnation 300 ms after a release that got no answer yet, and released a shard at once that had no standby, or one that was lost. The next owner then took the shard by replay of the leave record, without request ids, and answered orders of the next half second with unknown_history.

With the backend server gone shards are released at once as before.

--- a/core/control/departure.go
+++ b/core/control/departure.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -10,6 +11,11 @@
 // replay to show its leave record before it stops.
 const leaveBound = 1 * time.Second
 
+// standbyBound is the time for which a departing daemon goes on serving a shard
+// without a usable standby, so that a planner can name one. Without it the next
+// owner would know nothing of the shard's request ids.
+const standbyBound = 2 * time.Second
+
 // depart starts the orderly end of the incarnation: every shard is quiesced and
 // released to its standby, then the incarnation leaves. It works without the
 // log, as the standbys are told directly.
@@ -37,6 +43,13 @@
 	s.leaveIncarnation()
 }
 
+// departsNow reports whether a departing daemon releases sh now: its standby can
+// take it, or there is no use in waiting for one.
+func (s *State) departsNow(sh *fold.Shard) bool {
+	m := &s.member
+	return m.backend == nil || s.usableStandby(sh) || !s.logFresh() || s.now.Sub(m.departSince) >= standbyBound
+}
+
 // givenUpAll reports whether no shard is dispatched or runs a request, and each
 // standby has answered or had its time.
 func (s *State) givenUpAll() bool {
@@ -55,7 +68,7 @@
 	if !r.quiesced {
 		return false
 	}
-	return r.answered || !hasStandby || s.now.Sub(r.releasedAt) >= standbyPatience
+	return r.answered || !hasStandby || s.now.Sub(r.releasedAt) >= releaseBound
 }
 
 // shutdown starts the orderly departure of the daemon.
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -32,7 +32,7 @@
 // resumed.
 func (s *State) shouldRelease(sh *fold.Shard) bool {
 	if s.member.departing != "" {
-		return true
+		return s.departsNow(sh)
 	}
 	if sh.Owner != s.member.incarnation || !sh.Handover && !s.selfOut() {
 		return false
