--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -21,6 +21,9 @@
 	naivePause = 20 * time.Millisecond
 	// minTry is the least time left for a try.
 	minTry = time.Millisecond
+	// standbyTries is the number of tries at the standby for each one at an
+	// owner that cannot be reached.
+	standbyTries = 3
 )
 
 // router passes requests to the owners of their keys.
@@ -61,6 +64,8 @@
 	placed    placement
 	losses    int    // tries that cost a token
 	alternate bool   // the next try goes to the other of owner and standby
+	atStandby int    // tries at the standby in a row
+	ownerLost bool   // the last try at the owner did not reach it
 	hint      uint64 // incarnation that the last answer named as owner
 	mayRun    error  // the first failure after which the request may have run
 }
@@ -125,6 +130,7 @@
 				done()
 				timer.Stop()
 				a.alternate = false
+				a.atStandby = 0
 				return true
 			}
 			select {
@@ -147,12 +153,20 @@
 
 // turn chooses between owner and standby for the next try. The first lost
 // connection says nothing about the owner; all else may mean that it changed.
+// While the owner cannot be reached, most tries go to the standby.
 func (a *attempts) turn(verdict retry.Verdict) {
 	a.losses++
 	if verdict == retry.Again && a.losses == 1 {
 		return
 	}
+	if a.alternate {
+		a.atStandby++
+	}
+	if a.alternate && a.ownerLost && a.atStandby < standbyTries {
+		return
+	}
 	a.alternate = !a.alternate
+	a.atStandby = 0
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -226,6 +240,9 @@
 		return nil, err
 	}
 	resp, err := t.send(ctx, v, target, x.req)
+	if target == shard.Owner {
+		a.ownerLost = err != nil
+	}
 	if err != nil {
 		t.suspect(target, outcome.Of(err))
 		return nil, err
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -29,6 +29,9 @@
 	// sendTries is the number of sessions on which a frame is tried while it
 	// provably was not sent.
 	sendTries = 2
+	// lostWait is the time for which a call waits for a new session with a peer
+	// that could not be reached last. The dial goes on without it.
+	lostWait = 100 * time.Millisecond
 )
 
 // network calls peers over one session to each.
@@ -48,6 +51,7 @@
 type remote struct {
 	dial     *dialing
 	failures int
+	lost     bool          // the last dial failed, or the last session fell silent
 	next     clock.Instant // earliest instant of the next dial
 }
 
@@ -96,7 +100,7 @@
 		if err != nil {
 			return nil, err
 		}
-		answer, err := n.callOn(ctx, s, frame)
+		answer, err := n.callOn(ctx, addr, s, frame)
 		if !errors.Is(err, errNotSent) || try == sendTries {
 			return answer, err
 		}
@@ -105,11 +109,12 @@
 
 // callOn calls over one session. A request that must not run twice goes out
 // only on a link that is known to be alive.
-func (n *network) callOn(ctx context.Context, s *session, frame *wire.Frame) (*wire.Frame, error) {
+func (n *network) callOn(ctx context.Context, addr string, s *session, frame *wire.Frame) (*wire.Frame, error) {
 	s.touch()
 	l := s.link(frame)
 	req := frame.GetRequest()
 	if req != nil && !req.GetIdempotent() && l.quiet() && !l.confirm(ctx, confirmTimeout) {
+		n.markLost(addr)
 		n.drop(s, "no answer to a ping")
 		return nil, errNotSent
 	}
@@ -117,14 +122,12 @@
 }
 
 func (n *network) session(ctx context.Context, addr string) (*session, error) {
-	d, err := n.dialing(addr)
+	d, lost, err := n.dialing(addr)
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case <-d.ready:
-	case <-ctx.Done():
-		return nil, endedNotRun(ctx)
+	if err := d.wait(ctx, lost); err != nil {
+		return nil, err
 	}
 	if d.err != nil {
 		return nil, outcome.New(outcome.OwnerUnreachable, "%s: %v", addr, d.err)
@@ -132,9 +135,28 @@
 	return d.session, nil
 }
 
+// wait waits until the attempt is over, for a lost peer only for lostWait.
+func (d *dialing) wait(ctx context.Context, lost bool) error {
+	var late <-chan time.Time
+	if lost {
+		timer := time.NewTimer(lostWait)
+		defer timer.Stop()
+		late = timer.C
+	}
+	select {
+	case <-d.ready:
+		return nil
+	case <-late:
+		return outcome.New(outcome.OwnerUnreachable, "no session within %v", lostWait)
+	case <-ctx.Done():
+		return endedNotRun(ctx)
+	}
+}
+
 // dialing returns the current session or attempt, or starts an attempt unless
-// the pause after the last failure still runs.
-func (n *network) dialing(addr string) (*dialing, error) {
+// the pause after the last failure still runs. lost tells that the peer could
+// not be reached last.
+func (n *network) dialing(addr string) (d *dialing, lost bool, err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	r, ok := n.peers[addr]
@@ -143,14 +165,14 @@
 		n.peers[addr] = r
 	}
 	if r.dial != nil && !r.dial.dead() {
-		return r.dial, nil
+		return r.dial, r.lost, nil
 	}
 	if n.clock.Now().Before(r.next) {
-		return nil, outcome.New(outcome.OwnerUnreachable, "%s: pause before the next dial", addr)
+		return nil, true, outcome.New(outcome.OwnerUnreachable, "%s: pause before the next dial", addr)
 	}
 	r.dial = &dialing{ready: make(chan struct{})}
 	go n.connect(addr, r, r.dial)
-	return r.dial, nil
+	return r.dial, r.lost, nil
 }
 
 // dead reports whether the attempt failed or its session ended.
@@ -174,9 +196,11 @@
 	defer n.mu.Unlock()
 	if err == nil {
 		r.failures = 0
+		r.lost = false
 		return
 	}
 	r.failures++
+	r.lost = true
 	r.next = n.clock.Now().Add(redialPause(r.failures))
 }
 
@@ -219,6 +243,7 @@
 		switch {
 		case state == silent:
 			n.metrics.silent()
+			n.markLost(addr)
 			n.drop(s, "peer "+addr+" fell silent")
 		case s.idle(now):
 			s.close()
@@ -262,6 +287,15 @@
 	}
 }
 
+// markLost remembers that a peer's session fell silent.
+func (n *network) markLost(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r, ok := n.peers[addr]; ok {
+		r.lost = true
+	}
+}
+
 func (n *network) drop(s *session, reason string) {
 	n.log.Warn("link closed", zap.Stringer("kind", outcome.ConnectionLost), zap.String("reason", reason))
 	s.close()
