peer: a stopping daemon says goodbye, so that no request is lost between two daemons

The server now says goodbye on each link (a Cancel frame with id 0, which old callers drop) and waits up to 2 s for its callers to close; they send nothing more, wait for the answers to their requests, and close the session. Requests that cross the goodbye are answered as draining.

TestStopLetsRunningRequestsAnswer called through the network while the server stops and expected draining; that call is not sent any more, so the test now checks both that one which crosses the goodbye is answered as draining and that a later one does not go out (owner_unreachable).

--- a/daemon/plugins/entry/router_test.go
+++ b/daemon/plugins/entry/router_test.go
@@ -110,6 +110,27 @@
 	is.Equal(s.to, []string{"d2", "d3", "d3", "d3", "d3", "d3"})
 }
 
+// While the owner cannot be reached, most tries ask the standby whether it took
+// over.
+func TestUnreachableOwnerIsTriedSeldom(t *testing.T) {
+	is := is.New(t)
+	s := new(surroundings)
+	s.answer = func(_ context.Context, to string, _ *wire.Request) (*wire.Response, error) {
+		switch {
+		case to == "d2":
+			return nil, outcome.New(outcome.OwnerUnreachable, "down")
+		case s.count() < 7:
+			return nil, outcome.New(outcome.NotOwner, "not yet")
+		default:
+			return ok("whole"), nil
+		}
+	}
+	_, srv := newTestEntry(t, s)
+	resp, _ := do(t, srv, "POST", "/stock/k", "")
+	is.Equal(resp.Header.Get(HeaderOutcome), "ok")
+	is.Equal(s.to, []string{"d2", "d3", "d3", "d3", "d2", "d3", "d3"})
+}
+
 // A lost connection is tried again at the owner, on a new connection.
 func TestLostConnectionStaysWithTheOwner(t *testing.T) {
 	is := is.New(t)
--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -49,26 +49,35 @@
 	lastHeard atomic.Int64 // instant of the newest frame
 	lastUsed  atomic.Int64 // instant of the newest call, pings not counted
 	lastSync  clock.Instant
-	onCrossed func() // called before the link ends on an answer to another call
+	events    linkEvents
 
 	mu      sync.Mutex
 	nextID  uint64
 	waiting map[uint64]*call
+	leaving bool // the peer takes no more frames
 
 	seen   uint64 // bytes read at the last beat
 	misses int
 }
 
+// linkEvents are called by a link.
+type linkEvents struct {
+	crossed func() // before the link ends on an answer to another call
+	goodbye func() // when the peer takes no more frames
+	drained func() // after a goodbye, when the last call has its answer
+	ended   func() // after the link has ended
+}
+
 // startClientLink runs the link after its handshake, which read the peer's
-// clock. onEnd is called after the link has ended.
-func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, onCrossed, onEnd func()) *clientLink {
-	l := &clientLink{pipe: p, clock: clk, waiting: map[uint64]*call{}, lastSync: clk.Now(), onCrossed: onCrossed}
+// clock.
+func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, events linkEvents) *clientLink {
+	l := &clientLink{pipe: p, clock: clk, waiting: map[uint64]*call{}, lastSync: clk.Now(), events: events}
 	l.offset.Store(offset)
 	l.lastHeard.Store(int64(clk.Now()))
 	l.touch()
 	go l.writeLoop()
 	go func() {
-		defer onEnd()
+		defer l.events.ended()
 		l.readLoop(r)
 	}()
 	return l
@@ -151,7 +160,7 @@
 func (l *clientLink) register(c *call) (uint64, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.alive() {
+	if l.leaving || !l.alive() {
 		return 0, false
 	}
 	l.nextID++
@@ -161,8 +170,23 @@
 
 func (l *clientLink) unregister(id uint64) {
 	l.mu.Lock()
-	defer l.mu.Unlock()
 	delete(l.waiting, id)
+	drained := l.leaving && len(l.waiting) == 0
+	l.mu.Unlock()
+	if drained {
+		l.events.drained()
+	}
+}
+
+// leave lets no more calls on the link. Those that wait get their answers.
+func (l *clientLink) leave() {
+	l.mu.Lock()
+	l.leaving = true
+	drained := len(l.waiting) == 0
+	l.mu.Unlock()
+	if drained {
+		l.events.drained()
+	}
 }
 
 func (l *clientLink) waits() int {
@@ -179,8 +203,12 @@
 			return
 		}
 		l.lastHeard.Store(int64(l.clock.Now()))
+		if isGoodbye(frame) {
+			l.events.goodbye()
+			continue
+		}
 		if !l.deliver(frame) {
-			l.onCrossed()
+			l.events.crossed()
 			return
 		}
 	}
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -43,8 +44,9 @@
 	hello   *wire.Hello
 	stop    chan struct{}
 
-	mu    sync.Mutex
-	peers map[string]*remote
+	mu     sync.Mutex
+	peers  map[string]*remote
+	ending []*session // of peers that are stopping, until the last answer
 }
 
 // remote is what is known about one address.
@@ -182,7 +184,7 @@
 func (d *dialing) dead() bool {
 	select {
 	case <-d.ready:
-		return d.err != nil || !d.session.alive()
+		return d.err != nil || !d.session.usable()
 	default:
 		return false
 	}
@@ -192,7 +194,7 @@
 	defer close(d.ready)
 	conn, err := n.dialer.Dial("tcp", addr)
 	if err == nil {
-		d.session, err = openSession(conn, n.hello, n.clock, func() { n.crossed(addr) })
+		d.session, err = openSession(conn, n.hello, n.clock, func() { n.crossed(addr) }, n.leaving)
 	}
 	d.err = err
 	n.mu.Lock()
@@ -238,6 +240,7 @@
 // may have hit the others too, so a doubtful one has them probed.
 func (n *network) beat() {
 	now := n.clock.Now()
+	n.beatEnding(now)
 	live := n.sessions(now)
 	worst := healthy
 	for addr, s := range live {
@@ -260,6 +263,26 @@
 	}
 }
 
+// leaving takes over a session whose peer is stopping.
+func (n *network) leaving(s *session) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.ending = append(n.ending, s)
+}
+
+// beatEnding closes the sessions of stopping peers that fell silent.
+func (n *network) beatEnding(now clock.Instant) {
+	n.mu.Lock()
+	n.ending = slices.DeleteFunc(n.ending, func(s *session) bool { return !s.alive() })
+	ending := slices.Clone(n.ending)
+	n.mu.Unlock()
+	for _, s := range ending {
+		if s.beat(now) == silent {
+			n.drop(s, "stopping peer fell silent")
+		}
+	}
+}
+
 // sessions returns the live sessions and forgets addresses without one whose
 // last failure is long past.
 func (n *network) sessions(now clock.Instant) map[string]*session {
--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -199,9 +199,11 @@
 		s.finish(request("b", false), 0)
 		time.Sleep(time.Millisecond)
 	}
-	answer, err := n.Call(within(t, lossBound), addr, request("b", false))
+	answer, err := callPastGoodbye(within(t, lossBound), n.sessionTo(addr), request("b", false))
 	is.NoErr(err)
 	is.Equal(outcome.Kind(answer.GetResponse().GetKind()), outcome.Draining)
+	_, err = n.Call(within(t, lossBound), addr, request("b", false))
+	is.Equal(outcome.Of(err), outcome.OwnerUnreachable)
 	close(release)
 	first := <-done
 	is.NoErr(first.err)
--- a/daemon/plugins/peer/server.go
+++ b/daemon/plugins/peer/server.go
@@ -29,7 +29,7 @@
 	// maxRunningBytes bounds the bytes of all frames running at this daemon.
 	maxRunningBytes = 128 << 20
 	// lingerTimeout bounds the wait for peers to close sessions that ended.
-	lingerTimeout = 500 * time.Millisecond
+	lingerTimeout = 2 * time.Second
 	// acceptPause is the pause after a failed accept.
 	acceptPause = 10 * time.Millisecond
 )
@@ -51,6 +51,7 @@
 	mu       sync.Mutex
 	stopping bool
 	sessions map[*yamux.Session]net.Conn
+	links    map[*serverLink]bool // after their hello
 }
 
 func newServer(set settings.Daemon, clk clock.Clock, m *instruments, group kernel.FrameHandlers, log *zap.Logger) *server {
@@ -65,6 +66,7 @@
 		ctx:      ctx,
 		cancel:   cancel,
 		sessions: map[*yamux.Session]net.Conn{},
+		links:    map[*serverLink]bool{},
 	}
 }
 
@@ -185,13 +187,12 @@
 	return nil
 }
 
-// stop takes no new frames, lets running requests answer until ctx ends, and
-// closes all sessions.
+// stop tells all peers that it takes no new frames, lets running requests
+// answer until ctx ends, waits for the peers to close their sessions, and closes
+// what is left.
 func (s *server) stop(ctx context.Context) error {
 	err := s.listener.Close()
-	s.mu.Lock()
-	s.stopping = true
-	s.mu.Unlock()
+	s.sayGoodbye()
 	idle := make(chan struct{})
 	go func() {
 		s.requests.Wait()
@@ -201,6 +202,7 @@
 	case <-idle:
 	case <-ctx.Done():
 	}
+	s.awaitPeers()
 	s.cancel()
 	s.endSessions()
 	return err
--- a/daemon/plugins/peer/serverlink.go
+++ b/daemon/plugins/peer/serverlink.go
@@ -42,6 +42,8 @@
 		return
 	}
 	go l.writeLoop()
+	l.srv.enterLink(l)
+	defer l.srv.exitLink(l)
 	for {
 		frame, size, err := r.next()
 		if err == nil {
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -22,22 +22,24 @@
 	mux       *yamux.Session
 	hello     *wire.Hello
 	onCrossed func()
+	onLeaving func(*session)
 	traffic   *clientLink                // callers' requests
 	control   atomic.Pointer[clientLink] // everything else; nil until used
 	opening   sync.Mutex                 // held while the control link is opened
 	probing   atomic.Bool
+	leaving   atomic.Bool // the peer takes no more frames
 	clock     clock.Clock
 }
 
 // openSession makes the traffic link of a fresh connection. It closes the
 // connection when it fails.
-func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, onCrossed func()) (*session, error) {
+func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, onCrossed func(), onLeaving func(*session)) (*session, error) {
 	mux, err := yamux.Client(conn, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("peer: session: %w", err)
 	}
-	s := &session{mux: mux, hello: hello, clock: clk, onCrossed: onCrossed}
+	s := &session{mux: mux, hello: hello, clock: clk, onCrossed: onCrossed, onLeaving: onLeaving}
 	if s.traffic, err = s.openLink(); err != nil {
 		s.close()
 		return nil, err
@@ -83,9 +85,27 @@
 	if err := stream.SetDeadline(time.Time{}); err != nil {
 		return nil, fmt.Errorf("peer: stream: %w", err)
 	}
-	return startClientLink(p, r, s.clock, clockOffset(frame.GetHello().GetClockUs(), now), s.onCrossed, s.close), nil
+	return startClientLink(p, r, s.clock, clockOffset(frame.GetHello().GetClockUs(), now), s.events()), nil
 }
 
+func (s *session) events() linkEvents {
+	return linkEvents{crossed: s.onCrossed, goodbye: s.leave, drained: s.close, ended: s.close}
+}
+
+// leave takes in that the peer is stopping: no more calls go out, and the
+// session ends once the last request has its answer. Control messages are not
+// waited for.
+func (s *session) leave() {
+	if s.leaving.Swap(true) {
+		return
+	}
+	s.onLeaving(s)
+	s.traffic.leave()
+}
+
+// usable reports whether calls can go out.
+func (s *session) usable() bool { return !s.leaving.Load() && s.alive() }
+
 // checkHello checks the first frame of a link.
 func checkHello(frame *wire.Frame) error {
 	hello := frame.GetHello()
