control: an answered release raises no suspicion, and takeovers share records

While it sought their seals, for 6 s, it released nothing more to them: the shards that came last stayed.

Now an answered release is only repeated; a suspicion counts for three terms, after which a lost daemon would have been sealed; takeovers of one tick share a record; repetitions of a record double from 1 s to 4 s.

TestAnsweredReleaseRaisesNoSuspicion, TestRefutedSuspicionPasses, TestTakeoversShareARecord and TestRepetitionsBecomeRarer are red without it. go test ./core/control: ok.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -56,6 +56,7 @@
 	newSealer func(lease.Params, []string) leaseSealer
 	member    membership
 	rights    map[view.ShardID]*right
+	takeovers []*wire.ShardRef // taken over or released by record since the last tick
 	sealers   map[uint64]*sealing
 	lapsed    map[uint64]bool // lapses established here that replay does not show yet
 	nextWatch clock.Instant   // when the witness role is told of members again
@@ -202,6 +203,7 @@
 	s.tickWitness()
 	s.tickSealers()
 	s.tickRights()
+	s.sendTakeovers()
 	s.tickDeparture()
 	s.tickPlanner()
 	s.tickSnapshots()
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -182,6 +182,7 @@
 // leaveIncarnation ends the own incarnation. Its lease is over, or nothing runs
 // under it any more.
 func (s *State) leaveIncarnation() {
+	s.sendTakeovers()
 	s.append(&wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: s.member.incarnation}}})
 	s.dropIncarnation()
 }
@@ -195,6 +196,7 @@
 	m.departing = ""
 	clear(s.rights)
 	clear(s.sealers)
+	s.takeovers = nil
 	s.cell.Set(0)
 	s.cell = new(view.LeaseCell)
 	s.dirty = true
--- a/core/control/outbox.go
+++ b/core/control/outbox.go
@@ -11,8 +11,12 @@
 )
 
 // appendRetry is the time after which a record that replay has not shown is
-// appended again under the same id.
-const appendRetry = 1 * time.Second
+// appended again under the same id. It doubles up to appendRetryMost, so that a
+// slow log is not filled with copies.
+const (
+	appendRetry     = 1 * time.Second
+	appendRetryMost = 4 * time.Second
+)
 
 // outbox holds this daemon's records until replay shows them.
 type outbox struct {
@@ -24,8 +28,9 @@
 	stream string
 	record *wire.Record
 	next   clock.Instant
-	once   bool   // never repeated
-	order  uint64 // records are repeated in the order in which they were sent
+	pause  time.Duration // until the next repetition
+	once   bool          // never repeated
+	order  uint64        // records are repeated in the order in which they were sent
 }
 
 func newOutbox() *outbox { return &outbox{pending: map[[16]byte]*outgoing{}} }
@@ -59,7 +64,7 @@
 	rec.Author = author
 	s.outbox.order++
 	s.outbox.pending[id] = &outgoing{
-		stream: s.placementStream(), record: rec, next: s.now.Add(appendRetry), once: once, order: s.outbox.order,
+		stream: s.placementStream(), record: rec, next: s.now.Add(appendRetry), pause: appendRetry, once: once, order: s.outbox.order,
 	}
 	s.emit(Append{Stream: s.placementStream(), Record: rec})
 	return id
@@ -90,7 +95,8 @@
 	}
 	slices.SortFunc(due, func(a, b *outgoing) int { return cmp.Compare(a.order, b.order) })
 	for _, out := range due {
-		out.next = s.now.Add(appendRetry)
+		out.pause = min(2*out.pause, appendRetryMost)
+		out.next = s.now.Add(out.pause)
 		s.emit(Append{Stream: out.stream, Record: out.record})
 	}
 }
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/fold"
@@ -43,7 +44,7 @@
 // usableStandby reports whether sh has a standby that may serve it.
 func (s *State) usableStandby(sh *fold.Shard) bool {
 	standby, ok := s.fold.Members[sh.Standby]
-	if !ok || standby.Phase != fold.InService || s.lapsed[sh.Standby] || s.sealers[sh.Standby] != nil {
+	if !ok || standby.Phase != fold.InService || s.lapsed[sh.Standby] || s.doubted(sh.Standby) {
 		return false
 	}
 	return !placement.IsOut(s.fold, s.history.Config, standby)
@@ -127,6 +128,9 @@
 	if s.now >= r.nextSend {
 		s.sendRelease(id, sh, r)
 	}
+	if r.answered {
+		return // the standby's record is on its way
+	}
 	waited := s.now.Sub(r.releasedAt)
 	if waited >= standbyPatience {
 		s.suspect(sh.Standby, "no answer to a release", true)
@@ -134,9 +138,7 @@
 	if waited >= releaseBound && !r.recorded && sh.Standby != 0 && s.mayRelease(sh, r) {
 		r.recorded = true
 		r.sent = true
-		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
-			Incarnation: s.member.incarnation,
-			Refs:        []*wire.ShardRef{{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen}}}}})
+		s.recordTakeover(&wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen})
 		s.decide(Decision{Action: "record_release", Reason: "the standby does not answer", Shard: id, Generation: r.releaseGen, Member: sh.Standby})
 	}
 }
@@ -209,7 +211,24 @@
 		return ""
 	}
 	s.takeOver(id, sh, false, msg.GetMarks())
-	s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
-		Incarnation: s.member.incarnation, Refs: []*wire.ShardRef{msg.GetRef()}}}})
+	s.recordTakeover(msg.GetRef())
 	return ""
 }
+
+// recordTakeover notes a takeover for the next record. Many shards change hands
+// at once when a daemon leaves; one record for each would fill the log.
+func (s *State) recordTakeover(ref *wire.ShardRef) {
+	s.takeovers = append(s.takeovers, ref)
+}
+
+// maxTakeovers bounds the shards that one takeover record names.
+const maxTakeovers = 1000
+
+// sendTakeovers appends the takeovers noted since the last tick.
+func (s *State) sendTakeovers() {
+	for refs := range slices.Chunk(s.takeovers, maxTakeovers) {
+		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
+			Incarnation: s.member.incarnation, Refs: slices.Clone(refs)}}})
+	}
+	s.takeovers = nil
+}
--- /dev/null
+++ b/core/control/release_test.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// TestAnsweredReleaseRaisesNoSuspicion: a standby that accepted a release is
+// neither suspected nor passed over while the log is slow to show its record.
+// A suspected standby would hold up all further releases to it.
+func TestAnsweredReleaseRaisesNoSuspicion(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 3)
+	id := view.ShardID{Service: walkService}
+	sh := w.replay().Services[walkService].Shards[0]
+	owner, standby := w.owner(0), w.standby(0)
+	w.record(handover(0, sh))
+	for r := owner.state.rights[id]; !r.answered; {
+		is.NoErr(w.run(walkStep))
+	}
+	w.logDown = w.now + 4*time.Second
+	for end := w.now + 3*time.Second; w.now < end; {
+		is.NoErr(w.run(walkStep))
+		is.Equal(len(owner.state.sealers), 0)
+		is.True(!owner.state.rights[id].recorded)
+	}
+	_, held := standby.view.Held[id]
+	is.True(held)
+}
+
+// TestRefutedSuspicionPasses: a standby that was suspected in vain can take
+// shards again, although the suspicion is repeated.
+func TestRefutedSuspicionPasses(t *testing.T) {
+	is := is.New(t)
+	w := settled(t, 4)
+	sh := w.replay().Services[walkService].Shards[0]
+	owner := w.owner(0)
+	suspect := func() { owner.state.suspect(sh.Standby, "test", true) }
+	suspect()
+	is.True(!owner.state.usableStandby(&sh))
+	for range 2 * doubtTerms {
+		is.NoErr(w.run(w.params.Term / 2))
+		suspect()
+	}
+	is.True(owner.state.sealers[sh.Standby] != nil)
+	is.True(owner.state.usableStandby(&sh))
+}
+
+// TestTakeoversShareARecord: the shards of a daemon that leaves are recorded
+// together, not one by one.
+func TestTakeoversShareARecord(t *testing.T) {
+	is := is.New(t)
+	w := newWorld(1, 4, 64, chances{})
+	w.start()
+	is.NoErr(w.run(12 * time.Second))
+	leaver := w.owner(0)
+	shards := len(leaver.view.Held)
+	is.True(shards >= 10)
+	from := len(w.log)
+	is.NoErr(w.shutDown(leaver))
+	is.NoErr(w.run(time.Second))
+	records, refs := 0, 0
+	for _, e := range w.log[from:] {
+		rec := new(wire.Record)
+		is.NoErr(proto.Unmarshal(e.Data, rec))
+		if n := len(rec.GetTakeover().GetRefs()); n > 0 {
+			records++
+			refs += n
+		}
+	}
+	is.True(refs >= shards)
+	is.True(records <= 2*len(w.nodes)) // each standby accepts within two ticks
+}
+
+// TestRepetitionsBecomeRarer: a record that the log does not show is repeated
+// after 1 s, 3 s, 7 s, 11 s.
+func TestRepetitionsBecomeRarer(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 1, 1)
+	f.logDown = true
+	d := f.daemons[0]
+	begin := f.now
+	var at []time.Duration
+	for f.now.Sub(begin) < 12*time.Second {
+		before := d.appends
+		f.tick()
+		if d.appends > before {
+			at = append(at, f.now.Sub(begin).Round(time.Second))
+		}
+	}
+	is.Equal(at, []time.Duration{0, 1 * time.Second, 3 * time.Second, 7 * time.Second, 11 * time.Second})
+}
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -23,9 +23,20 @@
 // sealing is the attempt to seal one incarnation's lease.
 type sealing struct {
 	sealer leaseSealer
+	since  clock.Instant
 	until  clock.Instant
 }
 
+// doubtTerms is the time, in terms, for which a suspected daemon is taken for
+// lost. A lost one is sealed by then, by witnesses that have restarted too.
+const doubtTerms = 3
+
+// doubted reports whether an incarnation was suspected lately and may be lost.
+func (s *State) doubted(inc fold.Incarnation) bool {
+	sl, ok := s.sealers[inc]
+	return ok && s.now.Sub(sl.since) < doubtTerms*s.opts.Lease.Term
+}
+
 func (s *State) takeDatagram(msg *wire.Datagram) {
 	switch body := msg.GetBody().(type) {
 	case *wire.Datagram_Renew:
@@ -160,7 +171,7 @@
 		sl.until = until
 		return
 	}
-	s.sealers[inc] = &sealing{sealer: s.newSealer(s.opts.Lease, m.Witnesses), until: until}
+	s.sealers[inc] = &sealing{sealer: s.newSealer(s.opts.Lease, m.Witnesses), since: s.now, until: until}
 	s.decide(Decision{Action: "seal", Reason: reason, Member: inc})
 	s.tickSealer(inc, s.sealers[inc])
 }
