--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -273,7 +273,7 @@
 }
 
 // cmdWatch: watch start keys=24 [entries=d1,d2] [team=dealer] [period=50ms]
-// [timeout=4s] | watch avoid d1... | watch stop. Without entries all daemons
+// [timeout=4s] | watch avoid d1... | watch use d1... | watch stop. Without entries all daemons
 // are used.
 func (s *scenario) cmdWatch(ts *testscript.TestScript, args []string) error {
 	switch args[0] {
@@ -287,6 +287,9 @@
 		return nil
 	case "avoid":
 		return s.watch.avoid(args[1:])
+	case "use":
+		s.watch.use(args[1:])
+		return nil
 	case "stop":
 		s.samples = s.watch.stop()
 		s.logWatch(ts)
--- a/ctl/scenario/watch_test.go
+++ b/ctl/scenario/watch_test.go
@@ -80,6 +80,17 @@
 	return nil
 }
 
+// use sends requests through the named daemons again.
+func (w *watch) use(names []string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, name := range names {
+		if !slices.Contains(w.entries, name) {
+			w.entries = append(w.entries, name)
+		}
+	}
+}
+
 func (w *watch) lookups(ctx context.Context, key string, offset int) {
 	for i := offset; ctx.Err() == nil; i++ {
 		w.record(w.fleet.send(http.MethodGet, w.entry(i), w.team, key, "", w.timeout))
