--- a/core/settings/decode.go
+++ b/core/settings/decode.go
@@ -29,12 +29,24 @@
 	return strings.Join(parts, ": ")
 }
 
+// parse reads JSON with comments. A comment may end the file without a newline.
+func parse(data []byte) (hujson.Value, error) {
+	root, err := hujson.Parse(data)
+	if err == nil {
+		return root, nil
+	}
+	if ended, endedErr := hujson.Parse(append(slices.Clip(data), '\n')); endedErr == nil {
+		return ended, nil
+	}
+	return hujson.Value{}, err
+}
+
 // Decode decodes one document of JSON with comments and trailing commas into
 // the value that into points to. Unknown and repeated fields, wrong types and
 // data after the document are errors. All of them are found in one run, each a
 // *FieldError; fields without fault are decoded nevertheless.
 func Decode(data []byte, into any) error {
-	root, err := hujson.Parse(append(slices.Clip(data), '\n')) // a comment may end the file
+	root, err := parse(data)
 	if err != nil {
 		return err // names its position
 	}
