One type for a daemon's status, one way to run background tasks

The status message stood three times (daemon, operator's tool, scenarios) and the lifecycle of background goroutines four times. status now also tells stale configuration and records that a daemon is too old for.

--- a/ctl/cmd/sesamemoorctl/inspect.go
+++ b/ctl/cmd/sesamemoorctl/inspect.go
@@ -63,7 +63,7 @@
 
 func printStatus(env *environment, statuses []operator.DaemonStatus) error {
 	return env.print(statuses, func(w *tabwriter.Writer) {
-		fmt.Fprintln(w, "DAEMON\tDATA CENTRE\tLEASE\tSHARDS\tKEEPER SHARDS\tCONFIG\tAGE MS\tBACKEND SERVER")
+		fmt.Fprintln(w, "DAEMON\tDATA CENTRE\tLEASE\tSHARDS\tKEEPER SHARDS\tCONFIG\tAGE MS\tBACKEND SERVER\tNOTES")
 		for _, st := range statuses {
 			fmt.Fprintln(w, statusLine(st))
 		}
@@ -82,8 +82,20 @@
 		lease = "held"
 	}
 	keeper := st.Shards(view.KeeperService)
-	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s", st.Slot, st.DataCentre, lease,
-		len(st.Held)-keeper, keeper, st.ConfigVersion, st.ConfigAgeMS, st.BackendServer)
+	return fmt.Sprintf("%s\t%s\t%s\t%d\t%d\t%d\t%d\t%s\t%s", st.Slot, st.DataCentre, lease,
+		len(st.Held)-keeper, keeper, st.ConfigVersion, st.ConfigAgeMS, st.BackendServer, notes(st))
+}
+
+// notes names what an operator should look at.
+func notes(st operator.DaemonStatus) string {
+	var list []string
+	if st.ConfigStale {
+		list = append(list, "configuration stale: callers are refused")
+	}
+	if st.NewerRecords > 0 {
+		list = append(list, fmt.Sprintf("too old for %d records", st.NewerRecords))
+	}
+	return strings.Join(list, "; ")
 }
 
 // explainCommand shows what daemons decided about a request or key.
--- a/ctl/operator/daemons.go
+++ b/ctl/operator/daemons.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/adminapi"
 )
 
 // Bounds of one question to a daemon.
@@ -20,26 +22,11 @@
 	pollInterval   = 50 * time.Millisecond
 )
 
-// HeldShard is a shard that a daemon owns.
-type HeldShard struct {
-	Service    string `json:"service"`
-	Shard      uint32 `json:"shard"`
-	Generation uint64 `json:"generation"`
-}
-
 // DaemonStatus is a daemon's answer about its state.
 type DaemonStatus struct {
-	Admin         string      `json:"admin"`
-	Error         string      `json:"error,omitempty"` // why there is no answer
-	Slot          string      `json:"slot"`
-	DataCentre    string      `json:"data_centre"`
-	Incarnation   uint64      `json:"incarnation"`
-	LeaseHeld     bool        `json:"lease_held"`
-	ConfigVersion uint64      `json:"config_version"`
-	ConfigAgeMS   int64       `json:"config_age_ms"`
-	BackendServer string      `json:"backend_server"`
-	Leaving       bool        `json:"leaving"`
-	Held          []HeldShard `json:"held"`
+	adminapi.Status
+	Admin string `json:"admin"`
+	Error string `json:"error,omitempty"` // why there is no answer
 }
 
 // Shards returns how many shards of the service the daemon owns.
--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -17,6 +17,7 @@
 	"syscall"
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/adminapi"
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
 	"github.com/sesamemoor/sesamemoor/ctl/emulate/platform"
 )
@@ -340,28 +341,17 @@
 	return nil
 }
 
-// daemonStatus is the part of a daemon's status that scenarios look at.
-type daemonStatus struct {
-	LeaseHeld     bool   `json:"lease_held"`
-	ConfigVersion uint64 `json:"config_version"`
-	Held          []struct {
-		Service    string `json:"service"`
-		Shard      uint32 `json:"shard"`
-		Generation uint64 `json:"generation"`
-	} `json:"held"`
-}
-
 // statusTimeout bounds one status request.
 const statusTimeout = time.Second
 
-func (f *fleet) status(m *member) (*daemonStatus, error) {
+func (f *fleet) status(m *member) (*adminapi.Status, error) {
 	client := &http.Client{Timeout: statusTimeout}
 	resp, err := client.Get("http://" + f.addr(m.index, adminPort) + "/v1/status")
 	if err != nil {
 		return nil, err
 	}
 	defer resp.Body.Close()
-	st := new(daemonStatus)
+	st := new(adminapi.Status)
 	return st, json.NewDecoder(resp.Body).Decode(st)
 }
 
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -13,6 +13,7 @@
 	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
 
+	"github.com/sesamemoor/sesamemoor/core/adminapi"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/settings"
@@ -108,44 +109,26 @@
 	}
 }
 
-// Status is the answer to GET /v1/status.
-type Status struct {
-	Slot          string       `json:"slot"`
-	DataCentre    string       `json:"data_centre"`
-	Incarnation   uint64       `json:"incarnation"`
-	LeaseHeld     bool         `json:"lease_held"`
-	ConfigVersion uint64       `json:"config_version"`
-	ConfigAgeMS   int64        `json:"config_age_ms"`
-	BackendServer string       `json:"backend_server"`
-	Leaving       bool         `json:"leaving"`
-	Held          []HeldStatus `json:"held"`
-}
-
-// HeldStatus is one owned shard.
-type HeldStatus struct {
-	Service    string `json:"service"`
-	Shard      uint32 `json:"shard"`
-	Generation uint64 `json:"generation"`
-}
-
 func (a *admin) status(c *gin.Context) {
 	v := a.control.View()
 	now := a.clock.Now()
-	st := Status{
+	st := adminapi.Status{
 		Slot:          a.set.Slot,
 		DataCentre:    a.set.DataCentre,
 		Incarnation:   v.Incarnation,
 		LeaseHeld:     v.Lease.Valid(now),
 		ConfigVersion: v.ConfigVersion,
 		ConfigAgeMS:   now.Sub(v.Fresh.Known()).Milliseconds(),
+		ConfigStale:   v.Fresh.Stale(now),
+		NewerRecords:  v.NewerRecords,
 		Leaving:       v.Leaving,
-		Held:          []HeldStatus{},
+		Held:          []adminapi.HeldShard{},
 	}
 	if v.Backend != nil {
 		st.BackendServer = v.Backend.Name
 	}
 	for id, h := range v.Held {
-		st.Held = append(st.Held, HeldStatus{Service: id.Service, Shard: id.Shard, Generation: h.Token})
+		st.Held = append(st.Held, adminapi.HeldShard{Service: id.Service, Shard: id.Shard, Generation: h.Token})
 	}
 	c.JSON(http.StatusOK, st)
 }
--- a/daemon/plugins/balance/balance.go
+++ b/daemon/plugins/balance/balance.go
@@ -6,7 +6,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -93,21 +92,7 @@
 	return &reporter{control: c, peers: p, clock: clk, meter: m, policy: set.Policy, log: log.Named("balance")}
 }
 
-func startReporter(lc fx.Lifecycle, r *reporter) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			wg.Go(func() { r.run(ctx) })
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			wg.Wait()
-			return nil
-		},
-	})
-}
+func startReporter(lc fx.Lifecycle, r *reporter) { kernel.Background(lc, r.run) }
 
 // run measures one window after another.
 func (r *reporter) run(ctx context.Context) {
--- a/daemon/plugins/platform/platform.go
+++ b/daemon/plugins/platform/platform.go
@@ -4,7 +4,7 @@
 
 import (
 	"context"
-	"sync"
+	"slices"
 	"time"
 
 	"go.uber.org/fx"
@@ -66,21 +66,7 @@
 }
 
 func startAppender(lc fx.Lifecycle, a *appender) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			for range appendWorker {
-				wg.Go(func() { a.run(ctx) })
-			}
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			wg.Wait()
-			return nil
-		},
-	})
+	kernel.Background(lc, slices.Repeat([]func(context.Context){a.run}, appendWorker)...)
 }
 
 func (a *appender) run(ctx context.Context) {
--- a/daemon/plugins/platform/reader.go
+++ b/daemon/plugins/platform/reader.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -39,22 +38,12 @@
 }
 
 func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, relay kernel.Relay, clk clock.Clock, log *zap.Logger) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
-				r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("platform"), max: readMax}
-				wg.Go(func() { r.run(ctx) })
-			}
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			wg.Wait()
-			return nil
-		},
-	})
+	var tasks []func(context.Context)
+	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
+		r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("platform"), max: readMax}
+		tasks = append(tasks, r.run)
+	}
+	kernel.Background(lc, tasks...)
 }
 
 func (r *reader) run(ctx context.Context) {
--- a/daemon/plugins/relay/survey.go
+++ b/daemon/plugins/relay/survey.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -12,6 +11,7 @@
 	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
 const (
@@ -24,21 +24,7 @@
 	surveyTimeout = 700 * time.Millisecond
 )
 
-func startSurvey(lc fx.Lifecycle, r *relay) {
-	ctx, cancel := context.WithCancel(context.Background())
-	var wg sync.WaitGroup
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			wg.Go(func() { r.surveys(ctx) })
-			return nil
-		},
-		OnStop: func(context.Context) error {
-			cancel()
-			wg.Wait()
-			return nil
-		},
-	})
-}
+func startSurvey(lc fx.Lifecycle, r *relay) { kernel.Background(lc, r.surveys) }
 
 func (r *relay) surveys(ctx context.Context) {
 	for {
