Measure two daemons in a region of 1,715 members

'sesamemoorctl capacity -region' runs the control states of a planner and of one other daemon; the other members are records that answer to plans. It prints memory, processor time at rest, and records, bytes, time and the longest step for losses of a member, a rack and a data centre, and for their return.

--- a/ctl/capacity/capacity_test.go
+++ b/ctl/capacity/capacity_test.go
@@ -20,3 +20,17 @@
 	is.True(large.DatagramsOut <= 1.2*small.DatagramsOut)
 	is.True(large.WitnessBytes < budgetBytes)
 }
+
+// A region loses and regains members; the log carries a lost member with far
+// fewer records than it had shards, and every shard gets owner and standby again.
+func TestRegionRecoversWithFewRecords(t *testing.T) {
+	is := is.New(t)
+	p := RegionParams{Members: 120, ShardsPerMember: 16, Teams: 10, AppendRate: 300}
+	r, err := MeasureRegion(p)
+	is.NoErr(err)
+	is.True(r.Heap > 0)
+	loss := r.Events[3]
+	is.Equal(loss.Name, "loss of a member")
+	is.True(loss.Records >= 2) // the lapse and new standbys
+	is.True(loss.Records < p.ShardsPerMember)
+}
--- a/ctl/capacity/fleet.go
+++ b/ctl/capacity/fleet.go
@@ -17,12 +17,13 @@
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/lease"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
 const (
 	service     = "storefront"
-	region      = "kr-south"
+	regionName  = "kr-south"
 	dataCentres = 3
 	// headerBytes is the size of the IPv4 and UDP headers of a datagram.
 	headerBytes = 28
@@ -56,6 +57,7 @@
 	appended  int64 // bytes
 	read      int64 // bytes of records
 	steps     int64
+	views     int64         // published
 	busy      time.Duration // time inside Step
 }
 
@@ -64,7 +66,7 @@
 		sent: c.sent - o.sent, sentBytes: c.sentBytes - o.sentBytes,
 		got: c.got - o.got, gotBytes: c.gotBytes - o.gotBytes,
 		appends: c.appends - o.appends, appended: c.appended - o.appended,
-		read: c.read - o.read, steps: c.steps - o.steps, busy: c.busy - o.busy,
+		read: c.read - o.read, steps: c.steps - o.steps, views: c.views - o.views, busy: c.busy - o.busy,
 	}
 }
 
@@ -74,6 +76,7 @@
 	inbox  []control.Event
 	next   map[string]uint64 // offset to read from, by stream
 	held   int
+	view   *view.View // newest
 	counts counts
 }
 
@@ -84,6 +87,8 @@
 	daemons []*daemon
 	byAddr  map[string]*daemon
 	streams map[string][][]byte
+	stubs   map[string]string // slots whose witnesses always acknowledge, by address
+	longest time.Duration     // longest step since it was set to zero
 }
 
 // NewFleet returns a fleet that has just started, with its configuration in
@@ -100,12 +105,12 @@
 }
 
 func (f *Fleet) configure() error {
-	patch := fmt.Sprintf(`{"services":{%q:{"region":%q,"shards":%d}},"data_centres":{`, service, region, f.params.Daemons*f.params.ShardsPerDaemon)
+	patch := fmt.Sprintf(`{"services":{%q:{"region":%q,"shards":%d}},"data_centres":{`, service, regionName, f.params.Daemons*f.params.ShardsPerDaemon)
 	for i := range dataCentres {
 		if i > 0 {
 			patch += ","
 		}
-		patch += fmt.Sprintf(`"dc%d":{"region":%q}`, i, region)
+		patch += fmt.Sprintf(`"dc%d":{"region":%q}`, i, regionName)
 	}
 	patch += "}}"
 	rec := &wire.Record{Id: make([]byte, 16), Version: fleet.RecordVersion, Body: &wire.Record_ConfigPatch{
@@ -124,7 +129,7 @@
 	d.state = control.New(control.Options{
 		Slot:        fmt.Sprintf("slot-%05d", i),
 		DataCentre:  fmt.Sprintf("dc%d", i%dataCentres),
-		Region:      region,
+		Region:      regionName,
 		PeerAddr:    fmt.Sprintf("10.%d.%d.%d:7100", i>>16, i>>8&255, i&255),
 		WitnessAddr: addr,
 		EntryAddr:   fmt.Sprintf("10.%d.%d.%d:7300", i>>16, i>>8&255, i&255),
@@ -183,7 +188,9 @@
 	}
 	start := time.Now()
 	effects := d.state.Step(f.now, ev)
-	d.counts.busy += time.Since(start)
+	took := time.Since(start)
+	d.counts.busy += took
+	f.longest = max(f.longest, took)
 	d.counts.steps++
 	for _, effect := range effects {
 		f.carryOut(d, effect)
@@ -199,9 +206,13 @@
 		d.counts.sentBytes += int64(proto.Size(e.Msg) + headerBytes)
 		if to, ok := f.byAddr[e.Addr]; ok {
 			to.inbox = append(to.inbox, control.Datagram{Msg: e.Msg})
+		} else if slot, ok := f.stubs[e.Addr]; ok {
+			f.acknowledge(d, slot, e.Msg)
 		}
 	case control.Publish:
 		d.held = len(e.View.Held)
+		d.view = e.View
+		d.counts.views++
 	}
 }
 
--- a/ctl/cmd/sesamemoorctl/capacity.go
+++ b/ctl/cmd/sesamemoorctl/capacity.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"text/tabwriter"
+	"time"
 
 	"github.com/google/subcommands"
 
@@ -22,6 +23,7 @@
 type capacityCommand struct {
 	sizes  string
 	shards int
+	region bool
 	output string
 }
 
@@ -34,6 +36,7 @@
 func (c *capacityCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.sizes, "sizes", "3,10,30,100", "numbers of daemons")
 	f.IntVar(&c.shards, "shards-per-daemon", 16, "shards of the service for each daemon")
+	f.BoolVar(&c.region, "region", false, "instead, measure two daemons in a region of 1,715")
 	f.StringVar(&c.output, "o", "table", "output: table or json")
 }
 
@@ -43,6 +46,9 @@
 		fmt.Fprintln(os.Stderr, "sesamemoorctl: usage: capacity [-sizes N,N...] [-shards-per-daemon N] [-o table|json]")
 		return subcommands.ExitUsageError
 	}
+	if c.region {
+		return finish(c.measureRegion())
+	}
 	var rows []capacity.Row
 	for _, n := range sizes {
 		p := capacity.DefaultParams(n)
@@ -56,6 +62,29 @@
 	return finish(c.print(rows))
 }
 
+// measureRegion prints what a region of the size to design for costs a daemon.
+func (c *capacityCommand) measureRegion() error {
+	r, err := capacity.MeasureRegion(capacity.DefaultRegion())
+	if err != nil {
+		return err
+	}
+	if c.output == "json" {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	fmt.Printf("members %d, shards %d, teams %d\n", r.Members, r.Shards, r.Teams)
+	fmt.Printf("heap of control state and view: %.1f MB\n", r.Heap/1e6)
+	fmt.Printf("control at rest: planner %.3f %%, others %.3f %% of a core\n", 100*r.PlannerCPU, 100*r.FollowerCPU)
+	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, "event\trecords\tKB\tof the planner\ttook s\tplanner ms\tother ms\tlongest step ms\tviews\t")
+	for _, e := range r.Events {
+		fmt.Fprintf(w, "%s\t%d\t%.0f\t%d\t%.1f\t%.0f\t%.0f\t%.1f\t%d\t\n", e.Name, e.Records, float64(e.RecordBytes)/1000,
+			e.Proposals, e.Took.Seconds(), milliseconds(e.Planner), milliseconds(e.Follower), milliseconds(e.Longest), e.Views)
+	}
+	return w.Flush()
+}
+
+func milliseconds(d time.Duration) float64 { return d.Seconds() * 1000 }
+
 func parseSizes(text string) ([]int, error) {
 	var sizes []int
 	for _, field := range strings.Split(text, ",") {
