--- a/core/bucket/model_test.go
+++ b/core/bucket/model_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -216,3 +217,20 @@
 	t.Logf("%d passed, %d refused, %d of them within rate", m.passed, m.refused, m.excess)
 	is.Equal(m.excess, 0)
 }
+
+// BenchmarkLargeTeam counts the questions to the keeper of a team whose requests
+// are spread over all daemons of a region.
+func BenchmarkLargeTeam(b *testing.B) {
+	const daemons, lasts = 1715, 3 * time.Second
+	for _, rate := range []float64{1_000, 10_000, 100_000} {
+		b.Run(strconv.Itoa(int(rate)), func(b *testing.B) {
+			for b.Loop() {
+				m := newModel(Terms{Rate: rate, Burst: 2 * rate}, daemons)
+				m.poisson(0.9*rate, func() int { return m.rand.IntN(daemons) })
+				m.run(lasts)
+				b.ReportMetric(float64(m.asked)/lasts.Seconds(), "questions/s")
+				b.ReportMetric(float64(m.refused)/lasts.Seconds(), "refused/s")
+			}
+		})
+	}
+}
--- a/ctl/cmd/sesamemoorctl/capacity.go
+++ b/ctl/cmd/sesamemoorctl/capacity.go
@@ -74,6 +74,9 @@
 	fmt.Printf("members %d, shards %d, teams %d\n", r.Members, r.Shards, r.Teams)
 	fmt.Printf("heap of control state and view: %.1f MB\n", r.Heap/1e6)
 	fmt.Printf("control at rest: planner %.3f %%, others %.3f %% of a core\n", 100*r.PlannerCPU, 100*r.FollowerCPU)
+	for _, m := range capacity.Messages() {
+		fmt.Printf("%s: %d bytes with headers\n", m.Name, m.Bytes)
+	}
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', tabwriter.AlignRight)
 	fmt.Fprintln(w, "event\trecords\tKB\tof the planner\ttook s\tplanner ms\tother ms\tlongest step ms\tviews\t")
 	for _, e := range r.Events {
--- a/daemon/plugins/path_test.go
+++ b/daemon/plugins/path_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -154,6 +155,7 @@
 		b.Fatal(err)
 	}
 	b.ReportAllocs()
+	before := processorTime(b)
 	b.SetParallelism(4)
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
@@ -163,6 +165,16 @@
 			}
 		}
 	})
+	b.ReportMetric(float64(processorTime(b)-before)/float64(b.N), "cpu-ns/op")
+}
+
+// processorTime returns what this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		b.Fatal(err)
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 // BenchmarkDirect calls the backend server without the system. Figures of the
