--- a/Makefile
+++ b/Makefile
@@ -41,3 +41,4 @@
 	go test -run '^$$' -bench 'IdleSession|SessionInUse' -benchtime 210x ./daemon/plugins/peer
 	go test -run '^$$' -bench 'Direct|OwnerEntry|TwoHops' -benchtime 10000x ./daemon/plugins
 	go test -count=1 -run RecordsReach -v ./daemon/plugins/relay
+	go test -count=1 -run TestKeysAreServedAgainInTime -v ./core/control
