--- a/core/admit/ramp.go
+++ b/core/admit/ramp.go
@@ -21,6 +21,21 @@
 	// holdFactor is the service time, against that of the warm server, above
 	// which a limit does not grow.
 	holdFactor = 2
+	// settleInterval is the time over which the service time of a cold server
+	// is watched: while it falls, the server is not warm.
+	settleInterval = 700 * time.Millisecond
+	// settleMost is the longest such time; it doubles when the server sheds.
+	settleMost = 8 * time.Second
+	// settled is the ratio of service times over that interval from which on
+	// the server counts as warm.
+	settled = 0.97
+	// warmFactor is the service time, against that of the warm server, below
+	// which a server bears all its slots.
+	warmFactor = 1.1
+	// probeFirst and probeMost bound the pause after a cold server shed its
+	// only request; the pause doubles with each.
+	probeFirst = 50 * time.Millisecond
+	probeMost  = 800 * time.Millisecond
 	// sampleLife is the age at which service times say nothing any more.
 	sampleLife = time.Second
 	// fastWeight and slowWeight are the weights of a new sample in the mean
@@ -41,6 +56,16 @@
 	mean   time.Duration // service time of late
 	warm   time.Duration // service time of the warm server
 	sample clock.Instant // newest sample
+	known  bool          // warm was seen to have settled
+
+	interval  time.Duration // over which a cold server is watched
+	watched   time.Duration // mean service time of the interval before
+	watchedAt clock.Instant // start of the interval
+	sum       time.Duration // of service times since
+	count     time.Duration // their number
+
+	pause time.Duration // after the newest shed of an only request
+	until clock.Instant // nothing starts before
 
 	grownAt   clock.Instant
 	answers   int // answers since the limit last changed
@@ -71,6 +96,9 @@
 		return
 	}
 	r.cold = true
+	r.mean = 0
+	r.interval = settleInterval
+	r.beginWatch(now, 0)
 	r.lower(now, min(coldLimit, r.slots))
 }
 
@@ -87,22 +115,25 @@
 		r.mean = took
 	}
 	r.sample = now
+	r.pause = 0
 	r.mean += time.Duration(fastWeight * float64(took-r.mean))
 	r.learnWarm(took)
 	r.answers++
+	r.watch(now, took)
 	r.grow(now)
 }
 
 // learnWarm lets the service time of the warm server follow that of late: at
-// once downwards, slowly upwards. A cold server's times raise it too, so that
-// a server that has become slower for good is not held back for ever.
+// once downwards, slowly upwards. A cold server's times raise it only when they
+// have come to rest, see watch, so that a server that has become slower for good
+// is not held back for ever.
 func (r *Ramp) learnWarm(took time.Duration) {
 	switch {
 	case r.warm == 0:
 		r.warm = took
 	case r.mean < r.warm:
 		r.warm = r.mean
-	default:
+	case !r.cold:
 		r.warm += time.Duration(slowWeight * float64(r.mean-r.warm))
 	}
 }
@@ -112,7 +143,7 @@
 	if r.limit >= r.slots || r.answers < r.limit || now.Sub(r.grownAt) < growInterval {
 		return
 	}
-	if r.enabled && r.mean > holdFactor*r.warm {
+	if r.enabled && (r.mean > holdFactor*r.warm || r.limit >= r.bears()) {
 		return
 	}
 	r.limit++
@@ -123,6 +154,65 @@
 	}
 }
 
+// watch compares the mean service time of a cold server's interval with that of
+// the interval before. When it no longer falls it is that of the warm server.
+func (r *Ramp) watch(now clock.Instant, took time.Duration) {
+	if !r.cold {
+		return
+	}
+	r.sum += took
+	r.count++
+	if now.Sub(r.watchedAt) < r.interval {
+		return
+	}
+	mean := r.sum / r.count
+	if r.watched > 0 && float64(mean) >= settled*float64(r.watched) {
+		r.known = true
+		r.warm = max(mean, r.mean)
+	}
+	r.beginWatch(now, mean)
+}
+
+func (r *Ramp) beginWatch(now clock.Instant, before time.Duration) {
+	r.watched = before
+	r.watchedAt = now
+	r.sum, r.count = 0, 0
+}
+
+// fell takes in that a server which was taken to be warm enough was not: it is
+// watched for longer.
+func (r *Ramp) fell(now clock.Instant) {
+	r.known = false
+	r.interval = min(2*r.interval, settleMost)
+	r.beginWatch(now, 0)
+}
+
+// bears returns how many requests a cold server is trusted with: one until its
+// warm service time is known, then a part of its slots by the square of its
+// speed, since it is short of more than time.
+func (r *Ramp) bears() int {
+	if !r.cold {
+		return r.slots
+	}
+	if !r.known {
+		return coldLimit
+	}
+	factor := float64(r.mean) / float64(max(r.warm, 1))
+	if factor < warmFactor {
+		return r.slots
+	}
+	return max(coldLimit, int(float64(r.slots)/(factor*factor)))
+}
+
+// rest lets a server that shed its only request alone for a while.
+func (r *Ramp) rest(now clock.Instant) {
+	r.pause = min(max(2*r.pause, probeFirst), probeMost)
+	r.until = now.Add(r.pause)
+}
+
+// resting returns the time until the next request may start.
+func (r *Ramp) resting(now clock.Instant) time.Duration { return max(0, r.until.Sub(now)) }
+
 // shed takes in a refusal for overload while the given number of other
 // requests ran. The server bears no more than those: the limit falls to them
 // at once, and further by half when sheds go on; or to coldLimit, if service
@@ -133,6 +223,12 @@
 	if !r.enabled {
 		return
 	}
+	if others == 0 {
+		r.rest(now)
+	}
+	if r.cold && r.known && r.limit > coldLimit {
+		r.fell(now)
+	}
 	if !r.cold && recent && r.jumped(now) {
 		r.turnCold(now)
 		return
--- a/core/admit/ramp_test.go
+++ b/core/admit/ramp_test.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -117,3 +118,53 @@
 	is.Equal(r.limit, 4)
 	is.True(!r.cold)
 }
+
+// A server that warms up over several seconds is not given more than it bears,
+// however long that takes and whatever it bore before. Service times fall by
+// more than the milliseconds of drive's steps each second.
+func TestRampFollowsSlowWarmUp(t *testing.T) {
+	for _, lasts := range []time.Duration{4 * time.Second, 8 * time.Second, 12 * time.Second} {
+		is := is.New(t)
+		q := New(Options{MaxQueue: 100, Fair: true, Ramp: true})
+		q.SetSlots(1, 9)
+		q.TurnCold(1)
+		first := drive(q, coldServer(1, lasts), 1, lasts+5*time.Second)
+		is.Equal(first.sheds, 0)
+		is.True(first.full > 0)
+		again := clock.Instant(1).Add(lasts + 5*time.Second)
+		q.TurnCold(again)
+		second := drive(q, coldServer(again, lasts), again, lasts+5*time.Second)
+		is.Equal(second.sheds, 0)
+		is.True(second.full > 0)
+	}
+}
+
+// A server that sheds everything is asked seldom, not by each waiting request.
+func TestFallenServerRests(t *testing.T) {
+	is := is.New(t)
+	q := New(Options{MaxQueue: 100, Fair: true, Ramp: true})
+	q.SetSlots(1, 9)
+	q.TurnCold(1)
+	fallen := server{bears: func(clock.Instant) int { return 0 }}
+	f := drive(q, fallen, 1, 3*time.Second)
+	is.True(f.sheds > 0 && f.sheds < 10)
+}
+
+// Service times of a warm server on a busy host vary; that must not hold a
+// restarted server at one slot.
+func TestRampBearsNoise(t *testing.T) {
+	is := is.New(t)
+	rnd := rand.New(rand.NewPCG(1, 2))
+	noisy := server{
+		bears:   func(clock.Instant) int { return 9 },
+		service: func(clock.Instant) time.Duration { return time.Duration(4+rnd.IntN(5)) * time.Millisecond },
+	}
+	q := New(Options{MaxQueue: 100, Fair: true, Ramp: true})
+	q.SetSlots(1, 9)
+	for i := range 5 {
+		at := clock.Instant(1).Add(time.Duration(i) * 10 * time.Second)
+		q.TurnCold(at)
+		f := drive(q, noisy, at, 10*time.Second)
+		is.True(f.full > 0 && f.full < 7*time.Second)
+	}
+}
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -56,6 +56,7 @@
 	newSealer func(lease.Params, []string) leaseSealer
 	member    membership
 	rights    map[view.ShardID]*right
+	takeovers []*wire.ShardRef // taken over or released by record since the last tick
 	sealers   map[uint64]*sealing
 	lapsed    map[uint64]bool // lapses established here that replay does not show yet
 	lapseDue  map[uint64]lapseRecord
@@ -207,6 +208,7 @@
 	s.tickSealers()
 	s.tickLapses()
 	s.tickRights()
+	s.sendTakeovers()
 	s.tickDeparture()
 	s.tickPlanner()
 	s.tickSnapshots()
@@ -254,9 +256,9 @@
 		return
 	}
 	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
+	s.noteSnapshot(s.placementStream(), rec)
 	if rec != nil {
 		s.outbox.seen(rec.GetId())
-		s.noteSnapshot(s.placementStream(), rec)
 	}
 	if !verdict.Accepted {
 		s.decide(Decision{Action: "reject_record", Reason: verdict.Reason})
@@ -273,6 +275,12 @@
 	if sp := rec.GetSplitKey(); sp != nil {
 		s.splitSeen(sp)
 	}
+	if m := rec.GetMergeKey(); m != nil {
+		s.mergeSeen(m)
+	}
+	if rec.GetSplitKey() != nil || rec.GetMergeKey() != nil {
+		s.tables.next = 0 // the shards held are judged by the keys of the tables
+	}
 	s.notePlan(rec)
 }
 
@@ -282,9 +290,7 @@
 			continue
 		}
 		rec, verdict := s.history.Apply(entry.Offset, entry.Data)
-		if rec != nil {
-			s.noteSnapshot(e.Stream, rec)
-		}
+		s.noteSnapshot(e.Stream, rec)
 		if verdict.Reason == fleet.ReasonSnapshot {
 			continue
 		}
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"slices"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/fold"
@@ -15,11 +16,16 @@
 // abortRelease ends a release whose standby changed meanwhile. The right of
 // the standby that may have received it has ended with the change.
 func (s *State) abortRelease(r *right) {
+	r.resumed = ResumedWhole
+	if r.sent {
+		r.resumed = ResumedLater
+	}
 	r.releasing = false
 	r.quiesced = false
 	r.answered = false
 	r.recorded = false
 	r.marks = nil
+	r.levels = nil
 }
 
 // shouldRelease reports whether this daemon is to hand over sh now: it leaves,
@@ -28,7 +34,7 @@
 // resumed.
 func (s *State) shouldRelease(sh *fold.Shard) bool {
 	if s.member.departing != "" {
-		return true
+		return s.departsNow(sh)
 	}
 	if sh.Owner != s.member.incarnation || !sh.Handover && !s.selfOut() {
 		return false
@@ -39,7 +45,7 @@
 // usableStandby reports whether sh has a standby that may serve it.
 func (s *State) usableStandby(sh *fold.Shard) bool {
 	standby, ok := s.fold.Members[sh.Standby]
-	if !ok || standby.Phase != fold.InService || s.lapsed[sh.Standby] || s.sealers[sh.Standby] != nil {
+	if !ok || standby.Phase != fold.InService || s.lapsed[sh.Standby] || s.doubted(sh.Standby) {
 		return false
 	}
 	return !placement.IsOut(s.fold, s.history.Config, standby)
@@ -69,6 +75,7 @@
 	r.quiesced = false
 	r.answered = false
 	r.recorded = false
+	r.sent = false
 	r.releaseGen = sh.Generation
 	if sh.Owner != s.member.incarnation {
 		r.releaseGen = r.taken // the takeover is not in the log yet
@@ -100,6 +107,7 @@
 	r.quiesced = true
 	r.releasedAt = s.now
 	r.marks = e.Marks
+	r.levels = e.Levels
 	s.pursueRelease(e.Shard, sh, r)
 }
 
@@ -122,15 +130,17 @@
 	if s.now >= r.nextSend {
 		s.sendRelease(id, sh, r)
 	}
+	if r.answered {
+		return // the standby's record is on its way
+	}
 	waited := s.now.Sub(r.releasedAt)
 	if waited >= standbyPatience {
 		s.suspect(sh.Standby, "no answer to a release", true)
 	}
 	if waited >= releaseBound && !r.recorded && sh.Standby != 0 && s.mayRelease(sh, r) {
 		r.recorded = true
-		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
-			Incarnation: s.member.incarnation,
-			Refs:        []*wire.ShardRef{{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen}}}}})
+		r.sent = true
+		s.recordTakeover(&wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen})
 		s.decide(Decision{Action: "record_release", Reason: "the standby does not answer", Shard: id, Generation: r.releaseGen, Member: sh.Standby})
 	}
 }
@@ -154,11 +164,12 @@
 		return
 	}
 	r.released = r.releaseGen + 1
+	r.sent = true
 	r.nextSend = s.now.Add(releaseRetry)
 	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
 		Owner: s.member.incarnation,
 		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
-		Marks: r.marks,
+		Marks: r.marks, Levels: r.levels,
 	}})
 }
 
@@ -201,8 +212,25 @@
 	if r.taken == generation+1 {
 		return ""
 	}
-	s.takeOver(id, sh, false, msg.GetMarks())
-	s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
-		Incarnation: s.member.incarnation, Refs: []*wire.ShardRef{msg.GetRef()}}}})
+	s.takeOver(id, sh, false, TakeOver{Marks: msg.GetMarks(), Levels: msg.GetLevels()})
+	s.recordTakeover(msg.GetRef())
 	return ""
 }
+
+// recordTakeover notes a takeover for the next record. Many shards change hands
+// at once when a daemon leaves; one record for each would fill the log.
+func (s *State) recordTakeover(ref *wire.ShardRef) {
+	s.takeovers = append(s.takeovers, ref)
+}
+
+// maxTakeovers bounds the shards that one takeover record names.
+const maxTakeovers = 1000
+
+// sendTakeovers appends the takeovers noted since the last tick.
+func (s *State) sendTakeovers() {
+	for refs := range slices.Chunk(s.takeovers, maxTakeovers) {
+		s.append(&wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{
+			Incarnation: s.member.incarnation, Refs: slices.Clone(refs)}}})
+	}
+	s.takeovers = nil
+}
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -31,10 +31,13 @@
 	quiesced   bool          // no request of it runs any more
 	answered   bool          // the standby accepted the release
 	recorded   bool          // the release was put into the log for want of an answer
+	sent       bool          // the standby may have received the release
 	releaseGen uint64        // generation under which it is being released
 	releasedAt clock.Instant // when it was quiesced
 	nextSend   clock.Instant
 	marks      []*wire.RequestMark
+	levels     []*wire.BucketLevel
+	resumed    Resumed // how an aborted release left the shard, until it is acquired
 }
 
 func (s *State) right(id view.ShardID) *right {
@@ -94,7 +97,7 @@
 			s.dirty = true // the recorded generation is part of the view
 		}
 		if !r.owned && !r.releasing && mayOwn {
-			s.acquire(id, r, sh.Generation, TakeOver{}, true, "replay shows this daemon as owner")
+			s.acquire(id, r, sh.Generation, TakeOver{Resumed: r.resumed}, true, "replay shows this daemon as owner")
 		}
 	case sh.Standby == me && (r.taken == sh.Generation+1 || r.consented == sh.Generation+1):
 		// A takeover or consent ahead of the log; its record is on its way.
@@ -114,6 +117,7 @@
 	r.token = token
 	r.since = s.now
 	r.freshHistory = fresh
+	r.resumed = NotResumed
 	s.dirty = true
 	how.Shard = id
 	how.Token = token
@@ -121,8 +125,9 @@
 	s.decide(Decision{Action: "take_over", Reason: reason, Shard: id, Generation: token, Member: s.member.incarnation})
 }
 
-// takeOver acquires a shard as its recorded standby, ahead of the log.
-func (s *State) takeOver(id view.ShardID, sh *fold.Shard, fresh bool, marks []*wire.RequestMark) bool {
+// takeOver acquires a shard as its recorded standby, ahead of the log. how
+// carries what came with the owner's release; fresh tells that there was none.
+func (s *State) takeOver(id view.ShardID, sh *fold.Shard, fresh bool, how TakeOver) bool {
 	r := s.right(id)
 	if r.consented == sh.Generation+1 || r.taken == sh.Generation+1 {
 		return false
@@ -132,7 +137,7 @@
 	if fresh {
 		reason = "lapse of the owner's lease"
 	}
-	s.acquire(id, r, sh.Generation+1, TakeOver{Marks: marks}, fresh, reason)
+	s.acquire(id, r, sh.Generation+1, how, fresh, reason)
 	return true
 }
 
