Take a dispatch's deadline from the lease that was checked

Cause: after the last check of ownership the executor read the lease of the newest view again. A daemon that paused in between, lost its lease, joined anew and won another would have dispatched a shard of its former incarnation on the new lease, beside the standby that had taken it over. Found by reading; the test pauses at that point and was red before (outcome ok, one request at the server).

--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -150,13 +150,12 @@
 		r.settled = true // the row, if any, tells of another run
 		return refusal(outcome.New(outcome.NotOwner, "the history of the request id has moved"))
 	}
-	number, err := e.enter(r.flight, r.token)
+	number, lease, err := e.enter(r.flight, r.token)
 	if err != nil {
 		return e.notDispatched(r, err)
 	}
 	defer e.exit(number)
 	now := e.clock.Now()
-	lease := e.control.View().Lease
 	timeout := min(r.deadline.Sub(now), lease.Deadline().Sub(now)-dispatchMargin)
 	if timeout <= 0 {
 		return e.notDispatched(r, outcome.New(outcome.LeaseLost, "too little of the lease is left"))
--- /dev/null
+++ b/daemon/plugins/owner/lease_test.go
@@ -0,0 +1,58 @@
+package owner
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/view"
+)
+
+// pauseClock calls pause right after the instant of its second call: the first
+// one is that of the last check of ownership.
+type pauseClock struct {
+	calls int
+	pause func()
+}
+
+func (c *pauseClock) Now() clock.Instant {
+	now := clock.Boot{}.Now()
+	c.calls++
+	if c.calls == 2 {
+		c.pause()
+	}
+	return now
+}
+
+// A daemon that pauses after the last check of ownership, loses its lease and
+// wins another under a new incarnation must not dispatch on the new lease.
+func TestLeaseOfAnotherIncarnationDoesNotCoverADispatch(t *testing.T) {
+	is := is.New(t)
+	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
+	b := newBench(t, server.addr, nil)
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	b.executor.clock = &pauseClock{pause: func() {
+		b.lease.Set(0)
+		next := *b.control.View()
+		next.Incarnation++
+		next.Held = map[view.ShardID]view.Held{}
+		next.Lease = new(view.LeaseCell)
+		next.Lease.Set(clock.Boot{}.Now().Add(time.Hour))
+		b.control.view.Store(&next)
+	}}
+	req := request("", "body")
+	r := &run{
+		request: req, shard: shard, token: 2, deadline: clock.Boot{}.Now().Add(bound),
+		flight: flight{shard: shard, keyHash: fold.KeyHash(req.GetKey())},
+	}
+	resp := b.executor.dispatch(context.Background(), r)
+	is.Equal(kindOf(resp), outcome.LeaseLost)
+	is.Equal(server.requests.Load(), int64(0))
+}
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -151,13 +151,12 @@
 func (e *executor) check(fl flight) (view.Held, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return e.checkLocked(fl)
+	return e.checkLocked(e.control.View(), fl)
 }
 
 // checkLocked looks the key up again: an entry daemon that has not read a split
 // or merge names the shard that held the key before.
-func (e *executor) checkLocked(fl flight) (view.Held, error) {
-	v := e.control.View()
+func (e *executor) checkLocked(v *view.View, fl flight) (view.Held, error) {
 	id := fl.shard
 	if shardOf(v, id.Service, fl.keyHash) != id {
 		return view.Held{}, outcome.New(outcome.NotOwner, "the key belongs to another shard than %s/%d", id.Service, id.Shard)
@@ -176,18 +175,21 @@
 }
 
 // enter counts a request of the shard as running, if the shard is held under
-// token now. It returns the request's number for exit.
-func (e *executor) enter(fl flight, token uint64) (uint64, error) {
+// token now. It returns the request's number for exit, and the lease under which
+// the shard is held: after a pause the newest view may be of another incarnation,
+// whose lease says nothing about this shard.
+func (e *executor) enter(fl flight, token uint64) (uint64, *view.LeaseCell, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	held, err := e.checkLocked(fl)
+	v := e.control.View()
+	held, err := e.checkLocked(v, fl)
 	if err != nil {
-		return 0, err
+		return 0, nil, err
 	}
 	if held.Token != token {
-		return 0, outcome.New(outcome.NotOwner, "shard %s/%d changed hands", fl.shard.Service, fl.shard.Shard)
+		return 0, nil, outcome.New(outcome.NotOwner, "shard %s/%d changed hands", fl.shard.Service, fl.shard.Shard)
 	}
-	return e.running.begin(fl), nil
+	return e.running.begin(fl), v.Lease, nil
 }
 
 // exit ends a request and reports the shards for which it was the last one.
