--- a/core/control/control.go
+++ b/core/control/control.go
@@ -56,6 +56,7 @@
 	newSealer func(lease.Params, []string) leaseSealer
 	member    membership
 	rights    map[view.ShardID]*right
+	takeovers []*wire.ShardRef // taken over or released by record since the last tick
 	sealers   map[uint64]*sealing
 	lapsed    map[uint64]bool // lapses established here that replay does not show yet
 	lapseDue  map[uint64]lapseRecord
@@ -207,6 +208,7 @@
 	s.tickSealers()
 	s.tickLapses()
 	s.tickRights()
+	s.sendTakeovers()
 	s.tickDeparture()
 	s.tickPlanner()
 	s.tickSnapshots()
