--- a/core/bucket/model_test.go
+++ b/core/bucket/model_test.go
@@ -2,9 +2,9 @@
 
 import (
 	"container/heap"
+	"fmt"
 	"math"
 	"math/rand/v2"
-	"strconv"
 	"testing"
 	"time"
 
@@ -253,14 +253,17 @@
 }
 
 // BenchmarkLargeTeam counts the questions to the keeper of a team whose requests
-// are spread over all daemons of a region.
+// are spread over all daemons of a region, and over eight of them.
 func BenchmarkLargeTeam(b *testing.B) {
-	const daemons, lasts = 1715, 3 * time.Second
-	for _, rate := range []float64{1_000, 10_000, 100_000} {
-		b.Run(strconv.Itoa(int(rate)), func(b *testing.B) {
+	const lasts = 3 * time.Second
+	for _, row := range []struct {
+		rate    float64
+		daemons int
+	}{{1_000, 1715}, {10_000, 1715}, {100_000, 1715}, {2_000, 1715}, {2_000, 8}} {
+		b.Run(fmt.Sprintf("rate=%v/daemons=%d", row.rate, row.daemons), func(b *testing.B) {
 			for b.Loop() {
-				m := newModel(Terms{Rate: rate, Burst: 2 * rate}, daemons)
-				m.poisson(0.9*rate, func() int { return m.rand.IntN(daemons) })
+				m := newModel(Terms{Rate: row.rate, Burst: 2 * row.rate}, row.daemons)
+				m.poisson(0.9*row.rate, func() int { return m.rand.IntN(row.daemons) })
 				m.run(lasts)
 				b.ReportMetric(float64(m.asked)/lasts.Seconds(), "questions/s")
 				b.ReportMetric(float64(m.refused)/lasts.Seconds(), "refused/s")
