control: the older of two processes in a slot gives up

A process whose replay shows an announce record of its slot that it did not write, after its own, ends its incarnation, joins no more, and gives neither promises nor seals.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -55,6 +55,7 @@
 	newHolder func(lease.Params, clock.Instant, []string) leaseHolder
 	newSealer func(lease.Params, []string) leaseSealer
 	member    membership
+	claim     slotClaim
 	rights    map[view.ShardID]*right
 	takeovers []*wire.ShardRef // taken over or released by record since the last tick
 	sealers   map[uint64]*sealing
@@ -199,6 +200,7 @@
 }
 
 func (s *State) tick() {
+	s.tickSlot()
 	s.tickMembership()
 	s.tickWitness()
 	s.tickSealers()
@@ -237,6 +239,7 @@
 		s.takePlacementRecord(entry)
 	}
 	if s.fold.Next != before {
+		s.followSlot()
 		s.followPlacement()
 	}
 	if e.AsOf != 0 && s.fold.Next >= e.Next {
@@ -264,6 +267,9 @@
 	if rec.GetAnnounce() != nil || rec.GetSnapshot() != nil {
 		s.tables.members = nil // addresses may have changed
 	}
+	if a := rec.GetAnnounce(); a != nil && a.GetSlot() == s.opts.Slot {
+		s.claim.announceSeen(entry.Offset, rec.GetId())
+	}
 	if rec.GetJoin() != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
 	}
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -45,7 +45,7 @@
 	m := &s.member
 	if !m.announced {
 		m.announced = true
-		s.append(&wire.Record{Body: &wire.Record_Announce{Announce: s.announcement()}})
+		s.claim.id = s.append(&wire.Record{Body: &wire.Record_Announce{Announce: s.announcement()}})
 	}
 	if m.holder != nil {
 		s.tickHolder()
@@ -91,7 +91,7 @@
 // stream is read, and enough witnesses are known.
 func (s *State) join() {
 	m := &s.member
-	if m.backend == nil || m.draining || !s.caughtUp || s.stopping {
+	if m.backend == nil || m.draining || !s.caughtUp || s.stopping || s.slotLost() {
 		return
 	}
 	if _, ok := s.fold.Slots[s.opts.Slot]; !ok {
--- a/core/control/walk_world_test.go
+++ b/core/control/walk_world_test.go
@@ -89,7 +89,8 @@
 // node is one daemon with its host.
 type node struct {
 	index    int
-	name     string
+	name     string // also its address
+	slot     string
 	rate     float64
 	base     time.Duration
 	boot     int
@@ -124,7 +125,7 @@
 	w.patch(fmt.Sprintf(`{"data_centres":{"a":{"region":"r"},"b":{"region":"r"},"c":{"region":"r"}},"services":{"storefront":{"region":"r","shards":%d}}}`, shards))
 	for i := range nodes {
 		n := &node{
-			index: i, name: fmt.Sprintf("d%d", i),
+			index: i, name: fmt.Sprintf("d%d", i), slot: fmt.Sprintf("d%d", i),
 			rate: 1 + odds.Drift*(2*w.rng.Float64()-1),
 			base: time.Duration(1+w.rng.IntN(1000)) * time.Hour,
 		}
@@ -152,7 +153,7 @@
 	n.nextOff = 1
 	n.nextTick, n.nextRead = w.now, w.now
 	n.state = New(Options{
-		Slot: n.name, DataCentre: string(rune('a' + n.index%3)), Region: walkRegion,
+		Slot: n.slot, DataCentre: string(rune('a' + n.index%3)), Region: walkRegion,
 		PeerAddr: n.name, WitnessAddr: n.name, Lease: w.params, Witnesses: 3,
 		Settle: time.Second,
 		Rand:   rand.New(rand.NewPCG(w.rng.Uint64(), w.rng.Uint64())),
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -53,6 +53,9 @@
 }
 
 func (s *State) renewReceived(from string, r *wire.Renew) {
+	if s.slotLost() {
+		return // the slot's other process gives promises and seals now
+	}
 	ack, refused := s.witness.Renew(s.now, r.GetIncarnation(), r.GetJoining())
 	if !ack && !refused {
 		return
@@ -75,6 +78,9 @@
 }
 
 func (s *State) sealRequested(from string, r *wire.SealRequest) {
+	if s.slotLost() {
+		return
+	}
 	state, wait := s.witness.Seal(s.now, r.GetIncarnation())
 	answer := &wire.SealAnswer{Incarnation: r.GetIncarnation(), Seq: r.GetSeq()}
 	switch state {
