--- a/core/control/departure.go
+++ b/core/control/departure.go
@@ -44,10 +44,12 @@
 }
 
 // departsNow reports whether a departing daemon releases sh now: its standby can
-// take it, or there is no use in waiting for one.
+// take it, or there is no use in waiting for one. A shard that was taken over
+// ahead of the log has no standby before replay shows that.
 func (s *State) departsNow(sh *fold.Shard) bool {
 	m := &s.member
-	return m.backend == nil || s.usableStandby(sh) || !s.logFresh() || s.now.Sub(m.departSince) >= standbyBound
+	usable := sh.Owner == m.incarnation && s.usableStandby(sh)
+	return m.backend == nil || usable || !s.logFresh() || s.now.Sub(m.departSince) >= standbyBound
 }
 
 // givenUpAll reports whether no shard is dispatched or runs a request, and each
--- a/core/control/release_test.go
+++ b/core/control/release_test.go
@@ -45,7 +45,7 @@
 	suspect := func() { owner.state.suspect(sh.Standby, "test", true) }
 	suspect()
 	is.True(!owner.state.usableStandby(&sh))
-	for range 2 * doubtTerms {
+	for range 2*doubtTerms + 1 {
 		is.NoErr(w.run(w.params.Term / 2))
 		suspect()
 	}
--- a/core/control/takeover_test.go
+++ b/core/control/takeover_test.go
@@ -25,7 +25,15 @@
 	t.Helper()
 	w := newWorld(seed, 6, 12, chances{Drift: 0.0002, Lose: 0.02})
 	w.start()
-	if err := w.run(12*time.Second + w.upTo(time.Second)); err != nil {
+	for !w.protected() {
+		if err := w.run(100 * time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		if w.now > 12*time.Second {
+			t.Fatal("not every shard is placed after 12 s")
+		}
+	}
+	if err := w.run(time.Second + w.upTo(time.Second)); err != nil {
 		t.Fatal(err)
 	}
 	if err := w.checkServed(); err != nil {
@@ -34,6 +42,24 @@
 	return w
 }
 
+// protected reports whether all daemons are in service and every shard has an
+// owner and a standby.
+func (w *world) protected() bool {
+	st := w.replay()
+	inService := 0
+	for _, m := range st.Members {
+		if m.Phase == fold.InService {
+			inService++
+		}
+	}
+	for _, sh := range st.Services[walkService].Shards {
+		if sh.Owner == 0 || sh.Standby == 0 || sh.HasPending || sh.Handover {
+			return false
+		}
+	}
+	return inService == len(w.nodes)
+}
+
 // unserved returns how long it takes until all shards are served again by
 // daemons other than the lost ones.
 func (w *world) unserved(lost ...*node) (time.Duration, error) {
