--- a/core/control/events.go
+++ b/core/control/events.go
@@ -59,6 +59,8 @@
 	Generation uint64
 	Accepted   bool
 	Reason     string
+	Question   bool // the message asked whether the standby could take the shard
+	Silent     bool // no answer came
 }
 
 // Quiesced tells that no request of the shard runs any more under the token.
@@ -109,7 +111,8 @@
 	Token uint64
 }
 
-// SendRelease sends a release message to the standby's daemon.
+// SendRelease sends a release message to the standby's daemon, or the question
+// whether it could take the shard: a message without an owner.
 type SendRelease struct {
 	PeerAddr string
 	Shard    view.ShardID
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -172,6 +172,10 @@
 }
 
 func (s *State) releaseAnswered(e ReleaseAnswered) {
+	if e.Question {
+		s.questionAnswered(e)
+		return
+	}
 	if e.Accepted {
 		if r, ok := s.rights[e.Shard]; ok && r.releasing && r.releaseGen == e.Generation {
 			r.answered = true
@@ -200,14 +204,14 @@
 		return "no lease"
 	case s.member.departing != "" || s.stopping:
 		return "leaving"
-	case sh.Generation != generation || sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
+	case sh.Generation != generation || msg.GetOwner() != 0 && sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
 		return "replay shows another placement"
 	}
 	r := s.right(id)
 	if r.consented == generation+1 {
 		return "standby right was given up"
 	}
-	if r.taken == generation+1 {
+	if r.taken == generation+1 || msg.GetOwner() == 0 {
 		return ""
 	}
 	s.takeOver(id, sh, false, msg.GetMarks())
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -27,6 +27,7 @@
 	consented uint64 // generation g whose standby right was given up, plus one
 	released  uint64 // generation g released, plus one
 
+	question   question      // whether the standby can take the shard
 	releasing  bool          // the shard is being handed to its standby
 	quiesced   bool          // no request of it runs any more
 	answered   bool          // the standby accepted the release
@@ -149,15 +150,24 @@
 	for _, id := range s.shardIDs() {
 		sh := s.shard(id)
 		r := s.rights[id]
-		if r.owned && (s.member.departing != "" || !s.inSplit(id)) && s.shouldRelease(sh) {
-			s.startRelease(id, sh, r)
-		}
+		s.releaseDue(id, sh, r)
 		if r.releasing && r.quiesced {
 			s.pursueRelease(id, sh, r)
 		}
 	}
 }
 
+// releaseDue starts the release of a shard that is to be handed over, once its
+// standby can take it.
+func (s *State) releaseDue(id view.ShardID, sh *fold.Shard, r *right) {
+	if !r.owned || s.member.departing == "" && s.inSplit(id) || !s.shouldRelease(sh) {
+		return
+	}
+	if s.standbyReady(id, sh, r) {
+		s.startRelease(id, sh, r)
+	}
+}
+
 func (s *State) shard(id view.ShardID) *fold.Shard {
 	svc, ok := s.fold.Services[id.Service]
 	if !ok || int(id.Shard) >= len(svc.Shards) {
