--- a/core/bucket/bucket.go
+++ b/core/bucket/bucket.go
@@ -35,9 +35,14 @@
 	maxWait = time.Second
 	// minWait bounds the questions about one token.
 	minWait = time.Millisecond
+	// never bounds the time to the next token that a refusal names.
+	never = time.Hour
 	// recovery is the time after a keeper's empty start in which requests wait
 	// for tokens instead of being refused.
 	recovery = 5 * time.Second
+	// longestGap is the time without a keeper for which a team's requests count
+	// as within its rate when the next one starts empty.
+	longestGap = 2 * time.Second
 )
 
 // Life returns the time for which a slice with tokens asked for ahead may be
@@ -68,7 +73,7 @@
 // calls: the lower ones count for the time between two calls.
 //
 // Invariants, on the keepers' clocks: the tokens handed out in any interval, by
-// a Bucket and those that started empty after it, never pass rate·t + burst.
+// a Bucket and those that started empty or with its level after it, never pass rate·t + burst.
 // Nor do the tokens used, however late in the lives of their slices: the bucket
 // does not fill while bucket and slices together hold the burst. A burst below
 // Terms.bound is passed by the difference.
@@ -78,8 +83,12 @@
 	terms  Terms  // of the last call
 	lent   []lent // by ascending expiry
 	full   bool   // starts with the burst of the first call's terms
+	moved  bool   // starts with the level of another keeper's bucket
 
 	recovered clock.Instant // end of the recovery after an empty start
+	// due is the most that a bucket which was never lost would hold, judged by
+	// the requests that arrived.
+	due float64
 }
 
 // NewEmpty returns a bucket without tokens at now. A new keeper starts empty:
@@ -97,7 +106,8 @@
 	Tokens float64       // whole tokens
 	Life   time.Duration // time for which they may be used, see Terms.Life
 	Ahead  time.Duration // the life of tokens asked for ahead
-	Wait   time.Duration // until the next token, if fewer than needed were granted
+	Next   time.Duration // until the next token, if fewer than needed were granted
+	Wait   time.Duration // until the keeper is to be asked again: Next, but bounded
 	// Recover is the time for which requests are to wait for tokens instead
 	// of being refused, after an empty start.
 	Recover time.Duration
@@ -107,6 +117,21 @@
 // Take, which must come before any change of the terms.
 func (b *Bucket) Set(now clock.Instant, terms Terms) { b.refill(now, terms) }
 
+// Arrived takes note of n requests that ask for tokens for the first time.
+func (b *Bucket) Arrived(now clock.Instant, terms Terms, n float64) {
+	b.refill(now, terms)
+	b.due = max(0, b.due-n)
+}
+
+// recovery returns the time for which requests are to wait for tokens: none for
+// a team that is over its rate, which waiting would not help.
+func (b *Bucket) recovery(now clock.Instant) time.Duration {
+	if b.due < 1 {
+		return 0
+	}
+	return max(0, b.recovered.Sub(now))
+}
+
 // Take hands out need tokens, or as many as there are, and up to extra more as
 // long as half of the burst stays in the bucket.
 func (b *Bucket) Take(now clock.Instant, terms Terms, need, extra float64) Grant {
@@ -122,8 +147,9 @@
 	b.lend(n, life)
 	g := Grant{Tokens: n, Life: life, Ahead: terms.Life()}
 	if n < need {
-		g.Wait = b.untilNext()
-		g.Recover = max(0, b.recovered.Sub(now))
+		g.Next = b.untilNext()
+		g.Wait = min(g.Next, maxWait)
+		g.Recover = b.recovery(now)
 	}
 	return g
 }
@@ -176,19 +202,28 @@
 		return
 	}
 	b.terms = terms
-	if b.full {
+	switch {
+	case b.full:
 		b.tokens = terms.Burst
 		return
+	case b.moved:
+		return
 	}
 	b.lent = []lent{{terms.Burst, b.at.Add(keeperLife(terms.Life()))}}
+	b.due = terms.mostDue()
 }
 
+// mostDue returns the tokens that can have become due while there was no keeper.
+func (t Terms) mostDue() float64 { return t.Burst + t.Rate*longestGap.Seconds() }
+
 // flow adds tokens up to an instant.
 func (b *Bucket) flow(until clock.Instant, rate float64) {
 	if until <= b.at {
 		return
 	}
-	b.tokens += rate * until.Sub(b.at).Seconds()
+	tokens := rate * until.Sub(b.at).Seconds()
+	b.tokens += tokens
+	b.due = min(b.due+tokens, b.terms.mostDue())
 	b.at = until
 	b.cap()
 }
@@ -208,7 +243,7 @@
 // lets time pass on a copy, slice by slice.
 func (b *Bucket) untilNext() time.Duration {
 	if b.terms.Rate <= 0 {
-		return maxWait
+		return never
 	}
 	c := *b
 	want := math.Floor(c.tokens) + 1
@@ -216,11 +251,12 @@
 		c.flow(c.lent[0].until, c.terms.Rate)
 		c.lent = c.lent[1:]
 	}
-	return min(max(c.reaches(want).Sub(b.at), minWait), maxWait)
+	return min(max(c.reaches(want).Sub(b.at), minWait), never)
 }
 
 // reaches returns the instant at which the bucket holds want tokens if nothing
 // caps it.
 func (b *Bucket) reaches(want float64) clock.Instant {
-	return b.at.Add(time.Duration((want - b.tokens) / b.terms.Rate * float64(time.Second)))
+	seconds := min((want-b.tokens)/b.terms.Rate, never.Seconds())
+	return b.at.Add(time.Duration(seconds * float64(time.Second)))
 }
--- a/core/bucket/bucket_test.go
+++ b/core/bucket/bucket_test.go
@@ -114,6 +114,16 @@
 				keeper = NewEmpty(keeperHost.at(now))
 				keeper.Set(keeperHost.at(now), terms)
 			},
+			"keeper releases": func(t *rapid.T) {
+				level := keeper.Level(keeperHost.at(now))
+				now += time.Duration(rapid.IntRange(0, 2000).Draw(t, "transit")) * time.Millisecond
+				if rapid.Bool().Draw(t, "taken back") {
+					return
+				}
+				keeperHost = drawHost()
+				keeper = NewAt(keeperHost.at(now), level)
+				keeper.Set(keeperHost.at(now), terms)
+			},
 			"change": func(t *rapid.T) {
 				strict = false
 				granted.take(now, terms.Rate*(1+drift), terms.Burst, 0)
@@ -244,3 +254,42 @@
 		}
 	})
 }
+
+// TestMovedBucketCountsTheSlicesOfBefore: tokens that the keeper before lent
+// keep the bucket from filling until they cannot be used any more.
+func TestMovedBucketCountsTheSlicesOfBefore(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Rate: 100, Burst: 100}
+	ms := func(n int) clock.Instant { return clock.Instant(time.Duration(n) * time.Millisecond) }
+	b := NewFull(0)
+	is.Equal(b.Take(0, terms, 0, 40).Tokens, 40.0)
+	next := NewAt(ms(10), b.Level(ms(10)))
+	is.Equal(next.Take(ms(100), terms, 100, 0).Tokens, 60.0)
+	again := NewAt(ms(10), b.Level(ms(10)))
+	again.Set(ms(10), terms)
+	is.Equal(again.Take(ms(310), terms, 100, 0).Tokens, 80.0) // at the rate once the slices have ended
+}
+
+// TestRecoveryIsForTeamsWithinTheirRate: the keeper lets requests wait after an
+// empty start only while they are no more than a bucket that was never lost
+// could have let pass.
+func TestRecoveryIsForTeamsWithinTheirRate(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Rate: 10, Burst: 20}
+	ms := func(n int) clock.Instant { return clock.Instant(time.Duration(n) * time.Millisecond) }
+	b := NewEmpty(0)
+	b.Arrived(ms(0), terms, 39)
+	is.Equal(b.Take(ms(0), terms, 39, 0).Recover, recovery)
+	b.Arrived(ms(1), terms, 100)
+	is.Equal(b.Take(ms(1), terms, 100, 0).Recover, time.Duration(0))
+	is.Equal(b.Take(ms(1000), terms, 100, 0).Recover, recovery-time.Second) // it is within its rate again
+	is.Equal(b.Take(ms(6000), terms, 100, 0).Recover, time.Duration(0))
+}
+
+func TestNextTokenOfAVerySlowTeamIsBounded(t *testing.T) {
+	is := is.New(t)
+	b := NewFull(0)
+	g := b.Take(0, Terms{Rate: 1e-12, Burst: 1}, 5, 0)
+	is.Equal(g.Next, never)
+	is.Equal(g.Wait, maxWait)
+}
--- a/core/bucket/model_test.go
+++ b/core/bucket/model_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"math"
 	"math/rand/v2"
+	"strconv"
 	"testing"
 	"time"
 
@@ -116,6 +117,7 @@
 			})
 			return
 		}
+		m.keeper.Arrived(m.now, m.terms, float64(q.Arrived))
 		g := m.keeper.Take(m.now, m.terms, float64(q.Need), float64(q.Extra))
 		m.after(oneWay, func() {
 			taken, refused, _ := s.Answer(m.now, q, g)
@@ -207,6 +209,68 @@
 	}
 }
 
+// TestLoudTeamDoesNotWaitForARecovery sends more than the rate while keepers are
+// lost: its requests are refused instead of waiting, but for those that arrived
+// while there was no keeper and those that its burst covers.
+func TestLoudTeamDoesNotWaitForARecovery(t *testing.T) {
+	is := is.New(t)
+	for _, share := range []float64{1.5, 5} {
+		terms := Terms{Rate: 100, Burst: 50}
+		m := newModel(terms, 11)
+		m.poisson(share*terms.Rate, func() int { return m.rand.IntN(11) })
+		var worst int
+		m.after(10*time.Second, func() {
+			m.keeper = nil
+			m.after(1500*time.Millisecond, func() { m.keeper = NewEmpty(m.now) })
+			m.after(4500*time.Millisecond, func() { // two seconds after the start and longestGap
+				for _, s := range m.stocks {
+					for _, w := range s.waiting {
+						is.True(m.now.Sub(w.since) < time.Second)
+						worst++
+					}
+				}
+			})
+		})
+		m.run(30 * time.Second)
+		t.Logf("%v of the rate: %d passed, %d refused, %d wait 3 s after the empty start, longest wait %v",
+			share, m.passed, m.refused, worst, m.longest)
+	}
+}
+
+// TestReleaseRefusesNothing hands the bucket over every ten seconds, 50 ms
+// without an answer each time. The baseline starts the next keeper empty.
+func TestReleaseRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	terms := Terms{Rate: 100, Burst: 100}
+	const lasts = 10 * time.Minute
+	run := func(next func(clock.Instant, Level) *Bucket) *model {
+		m := newModel(terms, 11)
+		m.poisson(0.9*terms.Rate, func() int { return m.rand.IntN(11) })
+		var release func()
+		release = func() {
+			level := m.keeper.Level(m.now)
+			m.keeper = nil
+			m.after(50*time.Millisecond, func() {
+				m.keeper = next(m.now, level)
+				m.keeper.Set(m.now, terms)
+			})
+			m.after(10*time.Second, release)
+		}
+		m.after(10*time.Second, release)
+		m.run(lasts)
+		return m
+	}
+	empty := run(func(now clock.Instant, _ Level) *Bucket { return NewEmpty(now) })
+	moved := run(NewAt)
+	t.Logf("empty: %d passed, %d refused within rate, longest wait %v", empty.passed, empty.excess, empty.longest)
+	t.Logf("moved: %d passed, %d refused within rate, longest wait %v", moved.passed, moved.excess, moved.longest)
+	is.True(float64(moved.excess) < 0.001*float64(moved.passed))
+	is.True(moved.longest < time.Second)
+	is.True(moved.longest < empty.longest)
+	limit := terms.Rate*lasts.Seconds() + terms.Burst
+	is.True(float64(moved.passed) <= limit)
+}
+
 // TestSmallestTeamLosesNothing sends a request every few seconds.
 func TestSmallestTeamLosesNothing(t *testing.T) {
 	is := is.New(t)
@@ -216,3 +280,20 @@
 	t.Logf("%d passed, %d refused, %d of them within rate", m.passed, m.refused, m.excess)
 	is.Equal(m.excess, 0)
 }
+
+// BenchmarkLargeTeam counts the questions to the keeper of a team whose requests
+// are spread over all daemons of a region.
+func BenchmarkLargeTeam(b *testing.B) {
+	const daemons, lasts = 1715, 3 * time.Second
+	for _, rate := range []float64{1_000, 10_000, 100_000} {
+		b.Run(strconv.Itoa(int(rate)), func(b *testing.B) {
+			for b.Loop() {
+				m := newModel(Terms{Rate: rate, Burst: 2 * rate}, daemons)
+				m.poisson(0.9*rate, func() int { return m.rand.IntN(daemons) })
+				m.run(lasts)
+				b.ReportMetric(float64(m.asked)/lasts.Seconds(), "questions/s")
+				b.ReportMetric(float64(m.refused)/lasts.Seconds(), "refused/s")
+			}
+		})
+	}
+}
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -60,7 +60,8 @@
 	takeovers []*wire.ShardRef // taken over or released by record since the last tick
 	sealers   map[uint64]*sealing
 	lapsed    map[uint64]bool // lapses established here that replay does not show yet
-	nextWatch clock.Instant   // when the witness role is told of members again
+	lapseDue  map[uint64]lapseRecord
+	nextWatch clock.Instant // when the witness role is told of members again
 	outbox    *outbox
 	planner   planner
 	loads     *loadstat.Book
@@ -77,6 +78,8 @@
 	newer       uint64 // records too new to be understood
 	daemonCache daemonList
 
+	plannerCache plannerList
+
 	cell       *view.LeaseCell // of the present incarnation, never used for another
 	tables     tables
 	dirty      bool     // a new view is due
@@ -125,6 +128,7 @@
 		rights:    map[view.ShardID]*right{},
 		sealers:   map[uint64]*sealing{},
 		lapsed:    map[uint64]bool{},
+		lapseDue:  map[uint64]lapseRecord{},
 		outbox:    newOutbox(),
 		loads:     loadstat.NewBook(),
 		coldSince: map[uint64]clock.Instant{},
@@ -204,6 +208,7 @@
 	s.tickMembership()
 	s.tickWitness()
 	s.tickSealers()
+	s.tickLapses()
 	s.tickRights()
 	s.sendTakeovers()
 	s.tickDeparture()
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -25,6 +25,7 @@
 	r.answered = false
 	r.recorded = false
 	r.marks = nil
+	r.levels = nil
 }
 
 // shouldRelease reports whether this daemon is to hand over sh now: it leaves,
@@ -106,6 +107,7 @@
 	r.quiesced = true
 	r.releasedAt = s.now
 	r.marks = e.Marks
+	r.levels = e.Levels
 	s.pursueRelease(e.Shard, sh, r)
 }
 
@@ -167,7 +169,7 @@
 	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
 		Owner: s.member.incarnation,
 		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
-		Marks: r.marks,
+		Marks: r.marks, Levels: r.levels,
 	}})
 }
 
@@ -214,7 +216,7 @@
 	if r.taken == generation+1 || msg.GetOwner() == 0 {
 		return ""
 	}
-	s.takeOver(id, sh, false, msg.GetMarks())
+	s.takeOver(id, sh, false, TakeOver{Marks: msg.GetMarks(), Levels: msg.GetLevels()})
 	s.recordTakeover(msg.GetRef())
 	return ""
 }
--- a/daemon/plugins/keeper/keeper_test.go
+++ b/daemon/plugins/keeper/keeper_test.go
@@ -29,9 +29,10 @@
 type node struct {
 	*keeper
 	*limiter
-	fleet *testFleet
-	view  *view.View
-	dead  bool
+	fleet  *testFleet
+	view   *view.View
+	dead   bool
+	posted []control.Event
 }
 
 func (n *node) View() *view.View {
@@ -40,7 +41,11 @@
 	return n.view
 }
 
-func (n *node) Post(control.Event) {}
+func (n *node) Post(ev control.Event) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	n.posted = append(n.posted, ev)
+}
 
 // testFleet is a few nodes that call each other by name, a millisecond apart.
 type testFleet struct {
@@ -251,6 +256,27 @@
 	})
 }
 
+// TestRefusalOfASlowTeamNamesItsToken: the time to come again is that of the
+// team's next token, however rarely the daemon asks for it.
+func TestRefusalOfASlowTeamNamesItsToken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 0.1, Burst: 1})
+		f.hold("a", 2)
+		is.NoErr(take(f.nodes["c"], time.Second))
+		for range 3 {
+			var refusal *outcome.Err
+			start := time.Now()
+			is.True(errors.As(take(f.nodes["c"], time.Second), &refusal))
+			is.Equal(refusal.Kind, outcome.RateLimited)
+			is.True(refusal.RetryAfter > 5*time.Second)
+			is.True(time.Since(start) <= 100*time.Millisecond)
+			time.Sleep(time.Second)
+		}
+		time.Sleep(time.Minute)
+	})
+}
+
 // TestDeadlineWhileTheKeeperIsShort: a request that waits until its deadline for
 // a token of a keeper that has none is over the rate; the keeper did answer.
 func TestDeadlineWhileTheKeeperIsShort(t *testing.T) {
