--- a/core/control/slot_test.go
+++ b/core/control/slot_test.go
@@ -23,6 +23,7 @@
 // TestTwoProcessesOfASlot: the older process of a slot gives up its incarnation
 // and its witness role for the newer one. At every step each shard has one owner.
 func TestTwoProcessesOfASlot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	for seed := range uint64(8) {
 		w := settled(t, seed)
--- a/core/control/snapshots_test.go
+++ b/core/control/snapshots_test.go
@@ -35,6 +35,7 @@
 // TestNewDaemonStartsFromSnapshot: a daemon that starts after both streams were
 // trimmed ends with the state of the others and becomes a member.
 func TestNewDaemonStartsFromSnapshot(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startedFleet(t, 4)
 	config, placement := f.writeSnapshots()
@@ -58,6 +59,7 @@
 // log jumps over records by a snapshot; no shard has two owners, its old
 // incarnation ends, and it joins anew.
 func TestDaemonThatMissedRecordsGivesUpItsRights(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startedFleet(t, 4)
 	d := f.daemons[3]
@@ -77,6 +79,7 @@
 // TestConfigurationStaysInForceUntilTheSnapshotIsWhole: between trimming and
 // the snapshot the old version is served, and none older ever.
 func TestConfigurationStaysInForceUntilTheSnapshotIsWhole(t *testing.T) {
+	t.Parallel()
 	is := is.New(t)
 	f := startedFleet(t, 3)
 	d := f.daemons[0]
--- a/core/control/split_test.go
+++ b/core/control/split_test.go
@@ -116,6 +116,7 @@
 // TestSplitWalk takes random steps: hot keys, logs cut and healed, servers out
 // and back, daemons lost. No key has two dispatchers at any tick.
 func TestSplitWalk(t *testing.T) {
+	t.Parallel()
 	// The seeds from 153 on found views with an old table of split keys.
 	for _, seed := range []uint64{0, 1, 2, 3, 4, 5, 153, 164, 242, 282, 303} {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) { splitWalk(t, seed) })
--- a/core/control/takeover_test.go
+++ b/core/control/takeover_test.go
@@ -180,6 +180,7 @@
 // a few seconds. In a fleet as small as this one, two losses also take the
 // leases of daemons that had both as witnesses.
 func TestTwoLostAtOnce(t *testing.T) {
+	t.Parallel()
 	const bound = 5 * time.Second
 	tests := []struct {
 		name   string
@@ -217,6 +218,7 @@
 // TestShutdownEndsInTime: a daemon hands over and stops within bounds, whatever
 // else is down, and a shard with a live standby is not left unserved.
 func TestShutdownEndsInTime(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		bound   time.Duration
@@ -256,6 +258,7 @@
 // TestReleaseToSilentStandby: an owner that was asked to hand over to a standby
 // that has just died serves the key again, or another does.
 func TestReleaseToSilentStandby(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := settled(t, seed)
 		st := w.replay()
