--- /dev/null
+++ b/core/control/losses_test.go
@@ -0,0 +1,119 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// TestAnyOneLossWithTheLogDown: whichever daemon is lost, every shard is served
+// again in time without the log.
+func TestAnyOneLossWithTheLogDown(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(2) {
+		for i := range 6 {
+			w := settled(t, 100+seed)
+			w.logDown = time.Hour
+			lost := w.nodes[i]
+			lost.paused = time.Hour
+			w.expectServed(t, seed, w.allShards(), lossBound, lost)
+		}
+	}
+}
+
+// TestAnyTwoLosses: whichever two daemons are lost at once, every shard is
+// served again within a few seconds while the log takes records.
+func TestAnyTwoLosses(t *testing.T) {
+	t.Parallel()
+	const bound = 5 * time.Second
+	eachPair(func(i, j int) {
+		w := settled(t, 200)
+		lost := []*node{w.nodes[i], w.nodes[j]}
+		for _, n := range lost {
+			n.paused = time.Hour
+		}
+		w.expectServed(t, 200, w.allShards(), bound, lost...)
+	})
+}
+
+// TestAnyTwoLossesWithTheLogDown states what two losses leave without the log:
+// the shards whose owner or standby lives and keeps two of its own witnesses,
+// as long as the lost one has two that live to seal it. The others wait for the
+// log.
+func TestAnyTwoLossesWithTheLogDown(t *testing.T) {
+	t.Parallel()
+	kept, all := 0, 0
+	eachPair(func(i, j int) {
+		w := settled(t, 300)
+		lost := []*node{w.nodes[i], w.nodes[j]}
+		shards := w.tolerated(lost)
+		kept += len(shards)
+		all += int(w.shards)
+		w.logDown = time.Hour
+		for _, n := range lost {
+			n.paused = time.Hour
+		}
+		w.expectServed(t, 300, shards, lossBound, lost...)
+	})
+	t.Logf("%d of %d shards are served without the log", kept, all)
+}
+
+func eachPair(f func(i, j int)) {
+	for i := range 6 {
+		for j := range i {
+			f(i, j)
+		}
+	}
+}
+
+func (w *world) allShards() []uint32 {
+	all := make([]uint32, w.shards)
+	for i := range all {
+		all[i] = uint32(i)
+	}
+	return all
+}
+
+func (w *world) expectServed(t *testing.T, seed uint64, shards []uint32, bound time.Duration, lost ...*node) {
+	t.Helper()
+	took, err := w.unservedOf(shards, lost...)
+	if err == nil && took > bound {
+		err = fmt.Errorf("served again after %v", took)
+	}
+	if err != nil {
+		w.fail(t, seed, fmt.Errorf("%s lost: %w", names(lost), err))
+	}
+}
+
+func names(nodes []*node) string {
+	text := ""
+	for _, n := range nodes {
+		text += n.name + " "
+	}
+	return text
+}
+
+// tolerated returns the shards that the loss of some daemons leaves served
+// without the log.
+func (w *world) tolerated(lost []*node) []uint32 {
+	st := w.replay()
+	witnessed := func(n *node) bool {
+		alive := 0
+		for _, name := range n.state.member.witnesses {
+			if !slices.Contains(lost, w.nodeNamed(name)) {
+				alive++
+			}
+		}
+		return alive >= 2
+	}
+	keeps := func(n *node) bool { return !slices.Contains(lost, n) && witnessed(n) }
+	var shards []uint32
+	for i, sh := range st.Services[walkService].Shards {
+		owner, standby := w.nodeNamed(st.Members[sh.Owner].Slot), w.nodeNamed(st.Members[sh.Standby].Slot)
+		if keeps(owner) || keeps(standby) && witnessed(owner) {
+			shards = append(shards, uint32(i))
+		}
+	}
+	return shards
+}
