--- a/core/control/losses_test.go
+++ b/core/control/losses_test.go
@@ -5,6 +5,8 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/fold"
 )
 
 // TestAnyOneLossWithTheLogDown: whichever daemon is lost, every shard is served
@@ -117,3 +119,21 @@
 	}
 	return shards
 }
+
+// protected reports whether all daemons are in service and every shard has an
+// owner and a standby.
+func (w *world) protected() bool {
+	st := w.replay()
+	inService := 0
+	for _, m := range st.Members {
+		if m.Phase == fold.InService {
+			inService++
+		}
+	}
+	for _, sh := range st.Services[walkService].Shards {
+		if sh.Owner == 0 || sh.Standby == 0 || sh.HasPending || sh.Handover {
+			return false
+		}
+	}
+	return inService == len(w.nodes)
+}
--- a/core/control/takeover_test.go
+++ b/core/control/takeover_test.go
@@ -42,24 +42,6 @@
 	return w
 }
 
-// protected reports whether all daemons are in service and every shard has an
-// owner and a standby.
-func (w *world) protected() bool {
-	st := w.replay()
-	inService := 0
-	for _, m := range st.Members {
-		if m.Phase == fold.InService {
-			inService++
-		}
-	}
-	for _, sh := range st.Services[walkService].Shards {
-		if sh.Owner == 0 || sh.Standby == 0 || sh.HasPending || sh.Handover {
-			return false
-		}
-	}
-	return inService == len(w.nodes)
-}
-
 // unserved returns how long it takes until all shards are served again by
 // daemons other than the lost ones.
 func (w *world) unserved(lost ...*node) (time.Duration, error) {
