control: a daemon that stops hands over shards whose split is on its way

A shard in a split is not released, so it was quiesced, never sent, and left to its lapse.

A daemon that stops now releases it, and never takes it or what the split makes up again: the standby may dispatch the key under the shard that it took while the split record, if it comes, gives both back.

--- a/core/control/release.go
+++ b/core/control/release.go
@@ -124,9 +124,15 @@
 // pursueRelease sends a release until it is answered, and finds another way
 // when the standby stays silent.
 func (s *State) pursueRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	if r.answered && s.now < r.nextSend || s.inSplit(id) {
+	if r.answered && s.now < r.nextSend {
 		return
 	}
+	if s.inSplit(id) {
+		if !s.stopping {
+			return
+		}
+		r.final = true
+	}
 	if s.now >= r.nextSend {
 		s.sendRelease(id, sh, r)
 	}
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -30,6 +30,7 @@
 	question   question      // whether the standby can take the shard
 	releasing  bool          // the shard is being handed to its standby
 	quiesced   bool          // no request of it runs any more
+	final      bool          // a split may be on its way; never taken back by this process, which stops
 	answered   bool          // the standby accepted the release
 	recorded   bool          // the release was put into the log for want of an answer
 	sent       bool          // the standby may have received the release
@@ -90,14 +91,14 @@
 	me := s.member.incarnation
 	switch {
 	case sh.Owner == me:
-		if r.releasing && sh.Generation != r.releaseGen {
+		if r.releasing && sh.Generation != r.releaseGen && !r.final {
 			s.abortRelease(r)
 		}
 		mayOwn := r.released == 0 || sh.Generation >= r.released+1
 		if r.owned {
 			s.dirty = true // the recorded generation is part of the view
 		}
-		if !r.owned && !r.releasing && mayOwn {
+		if !r.owned && !r.releasing && mayOwn && !s.releasedInSplit() {
 			s.acquire(id, r, sh.Generation, TakeOver{Resumed: r.resumed}, true, "replay shows this daemon as owner")
 		}
 	case sh.Standby == me && (r.taken == sh.Generation+1 || r.consented == sh.Generation+1):
@@ -111,6 +112,22 @@
 	}
 }
 
+// releasedInSplit reports whether this daemon, which stops, released a shard while
+// a split of it may be on its way. The standby may dispatch the split key under
+// the shard that it took, so this daemon must not under the one that the split
+// makes: it takes up nothing more.
+func (s *State) releasedInSplit() bool {
+	if !s.stopping {
+		return false
+	}
+	for _, r := range s.rights {
+		if r.final {
+			return true
+		}
+	}
+	return false
+}
+
 // acquire makes this daemon the dispatcher of a shard under token. how says
 // where its request ids come from; fresh tells that they start anew.
 func (s *State) acquire(id view.ShardID, r *right, token uint64, how TakeOver, fresh bool, reason string) {
--- a/core/control/sim_test.go
+++ b/core/control/sim_test.go
@@ -33,12 +33,14 @@
 // fakeFleet runs control states in virtual time, with a log and a network that
 // deliver on the next tick.
 type fakeFleet struct {
-	t       testing.TB
-	now     clock.Instant
-	daemons []*fakeDaemon
-	log     map[string][][]byte
-	logDown bool
-	tickets map[uint64]*fakeDaemon
+	t        testing.TB
+	now      clock.Instant
+	daemons  []*fakeDaemon
+	log      map[string][][]byte
+	logDown  bool
+	late     bool           // split records are held back
+	heldBack []*wire.Record // by late
+	tickets  map[uint64]*fakeDaemon
 }
 
 const fakeRegion = "r"
@@ -122,6 +124,10 @@
 		switch e := effect.(type) {
 		case Append:
 			d.appends++
+			if f.late && e.Record.GetSplitKey() != nil {
+				f.heldBack = append(f.heldBack, e.Record)
+				continue
+			}
 			if !f.logDown && !d.cutLog {
 				f.append(e.Stream, e.Record)
 			}
