--- a/core/control/takeover_test.go
+++ b/core/control/takeover_test.go
@@ -25,7 +25,15 @@
 	t.Helper()
 	w := newWorld(seed, 6, 12, chances{Drift: 0.0002, Lose: 0.02})
 	w.start()
-	if err := w.run(12*time.Second + w.upTo(time.Second)); err != nil {
+	for !w.protected() {
+		if err := w.run(100 * time.Millisecond); err != nil {
+			t.Fatal(err)
+		}
+		if w.now > 12*time.Second {
+			t.Fatal("not every shard is placed after 12 s")
+		}
+	}
+	if err := w.run(time.Second + w.upTo(time.Second)); err != nil {
 		t.Fatal(err)
 	}
 	if err := w.checkServed(); err != nil {
@@ -154,6 +162,7 @@
 // a few seconds. In a fleet as small as this one, two losses also take the
 // leases of daemons that had both as witnesses.
 func TestTwoLostAtOnce(t *testing.T) {
+	t.Parallel()
 	const bound = 5 * time.Second
 	tests := []struct {
 		name   string
@@ -191,6 +200,7 @@
 // TestShutdownEndsInTime: a daemon hands over and stops within bounds, whatever
 // else is down, and a shard with a live standby is not left unserved.
 func TestShutdownEndsInTime(t *testing.T) {
+	t.Parallel()
 	tests := []struct {
 		name    string
 		bound   time.Duration
@@ -230,6 +240,7 @@
 // TestReleaseToSilentStandby: an owner that was asked to hand over to a standby
 // that has just died serves the key again, or another does.
 func TestReleaseToSilentStandby(t *testing.T) {
+	t.Parallel()
 	for seed := range uint64(10) {
 		w := settled(t, seed)
 		st := w.replay()
