--- a/core/control/departure.go
+++ b/core/control/departure.go
@@ -47,7 +47,8 @@
 // take it, or there is no use in waiting for one.
 func (s *State) departsNow(sh *fold.Shard) bool {
 	m := &s.member
-	return m.backend == nil || s.usableStandby(sh) || !s.logFresh() || s.now.Sub(m.departSince) >= standbyBound
+	recorded := sh.Owner == m.incarnation // a takeover ahead of the log has no standby yet
+	return m.backend == nil || recorded && s.usableStandby(sh) || !s.logFresh() || s.now.Sub(m.departSince) >= standbyBound
 }
 
 // givenUpAll reports whether no shard is dispatched or runs a request, and each
--- a/core/control/shutdown_test.go
+++ b/core/control/shutdown_test.go
@@ -32,3 +32,19 @@
 	})
 	f.until(2*time.Second, "leave", func() bool { return d.state.left })
 }
+
+// TestShutdownWaitsForATakeoverOnItsWay: a shard that was taken over ahead of
+// the log is served on until replay shows it, with the standby it then gets.
+func TestShutdownWaitsForATakeoverOnItsWay(t *testing.T) {
+	is := is.New(t)
+	f := startedFleet(t, 4)
+	d := f.dispatcher("k")
+	id, _, _ := d.view.Lookup(hotService, "k")
+	s := d.state
+	s.member.departing = "shutdown"
+	s.member.departSince = s.now
+	sh := *s.shard(id)
+	is.True(s.shouldRelease(&sh))
+	sh.Owner, sh.Standby = sh.Standby, sh.Owner // as replay shows it before the record
+	is.True(!s.shouldRelease(&sh))
+}
