--- a/core/fold/fold_test.go
+++ b/core/fold/fold_test.go
@@ -49,3 +49,25 @@
 	is.Equal(svc.Shards[0].Owner, b)
 	is.Equal(svc.Shards[0].Generation, before+1)
 }
+
+// TestJoinEndsWaitingMembersOfItsSlot: a join ends the incarnations of its slot
+// that never came into service, and leaves the one in service to its lapse.
+func TestJoinEndsWaitingMembersOfItsSlot(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	serving := joinReady(t, s, "a")
+	join := func() uint64 {
+		inc, v := appendRecord(t, s, &wire.Record{Body: &wire.Record_Join{Join: &wire.Join{Slot: "a", Service: "storefront", Witnesses: []string{"w"}}}})
+		is.True(v.Accepted)
+		return inc
+	}
+	first := join()
+	second := join()
+	is.True(s.Members[first] == nil)
+	is.Equal(s.Members[serving].Phase, InService)
+	is.Equal(s.Members[second].Phase, Joined)
+	_, v := appendRecord(t, s, &wire.Record{Author: first, Body: &wire.Record_Ready{Ready: &wire.Ready{Incarnation: first}}})
+	is.True(!v.Accepted) // it comes too late
+	_, v = appendRecord(t, s, &wire.Record{Author: second, Body: &wire.Record_Ready{Ready: &wire.Ready{Incarnation: second}}})
+	is.True(v.Accepted)
+}
