--- a/core/control/question.go
+++ b/core/control/question.go
@@ -64,7 +64,8 @@
 	case e.Accepted:
 		r.question.ready = true
 		s.releaseDue(e.Shard, s.shard(e.Shard), r)
-	case !e.Silent:
+	case !e.Silent && !r.question.refused:
 		r.question.refused = true
+		s.decide(Decision{Action: "release_refused", Reason: e.Reason, Shard: e.Shard, Generation: e.Generation})
 	}
 }
