--- a/daemon/plugins/platform/platform.go
+++ b/daemon/plugins/platform/platform.go
@@ -81,7 +81,9 @@
 }
 
 func (a *appender) append(ctx context.Context, e control.Append) {
-	data, err := proto.Marshal(e.Record)
+	rec := proto.CloneOf(e.Record) // the control state may send it again meanwhile
+	rec.AuthorTimeMs = time.Now().UnixMilli()
+	data, err := proto.Marshal(rec)
 	if err != nil {
 		a.logger.Error("encode record", zap.Error(err))
 		return
