--- a/ctl/bench/settings.go
+++ b/ctl/bench/settings.go
@@ -37,7 +37,9 @@
 	if err := settings.Decode(data, &shared); err != nil {
 		return err
 	}
-	shared["policy"] = o.Policy
+	if len(o.Policy) > 0 {
+		shared["policy"] = o.Policy
+	}
 	src := deployment.Source{
 		Deployment: filepath.Join(o.Dir, "deployment.json"), Daemon: filepath.Join(o.Dir, "daemon.json"),
 	}
