platform: sixteen appends at a time

Cause: with the log answering after 0.8 s, four workers made five appends a second; the takeovers of a drain, repeated after 1 s, queued up behind one another. A slow platform sees at most sixteen at once from one daemon.

--- a/daemon/plugins/platform/platform.go
+++ b/daemon/plugins/platform/platform.go
@@ -36,7 +36,7 @@
 
 const (
 	appendQueue  = 4096
-	appendWorker = 4
+	appendWorker = 16
 	appendWait   = 2 * time.Second
 )
 
