--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -204,9 +204,16 @@
 	if t.Burst < 0 || t.Burst > 1e9 {
 		add("teams.%s.burst: %v is not in 0 to 1e9", name, t.Burst)
 	}
-	for _, s := range t.Services {
-		if _, ok := c.Services[s]; !ok {
-			add("teams.%s.services: no service %q", name, s)
+	region := ""
+	for _, service := range t.Services {
+		svc, ok := c.Services[service]
+		switch {
+		case !ok:
+			add("teams.%s.services: no service %q", name, service)
+		case region != "" && svc.Region != region:
+			add("teams.%s.services: %q is not in region %q like the others; a team's bucket is kept in one region", name, service, region)
+		default:
+			region = svc.Region
 		}
 	}
 	for _, d := range t.DataCentres {
