--- a/core/control/load.go
+++ b/core/control/load.go
@@ -190,6 +190,7 @@
 	r := s.right(child)
 	s.acquire(child, r, sh.Generation, TakeOver{From: parent}, from.freshHistory, "split off an own shard")
 	r.since = from.since
+	s.tables.next = 0 // the view must show the split with the new right
 }
 
 // mergeSeen passes the request ids of a merged shard on to the one that its key
