--- a/core/control/control.go
+++ b/core/control/control.go
@@ -35,6 +35,12 @@
 	StaleConfig time.Duration
 	Settle      time.Duration // wait for other slots before the first join
 	Witnesses   int           // wanted size of the witness set, odd
+	// PublishedConfig tells that an outside author publishes whole versions of
+	// the configuration: the stream needs no snapshots.
+	PublishedConfig bool
+	// SnapshotRecords is the number of records after which a snapshot of a
+	// stream is due; 0 means the default.
+	SnapshotRecords int
 
 	Rand *rand.Rand // source of record ids and jitter
 }
@@ -317,8 +323,9 @@
 	s.dirty = true
 	s.tables.stale = true
 	s.tables.callers = callers(s.history.Config)
+	s.tables.hosts = fleet.NewHostTable(s.history.Config)
 	for name, svc := range s.history.Config.Services {
-		if svc.Region == s.opts.Region {
+		if svc.Region == s.opts.Region && !svc.Keyless {
 			s.fold.EnsureService(name, svc.Shards)
 		}
 	}
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -70,6 +70,8 @@
 	Marks []*wire.RequestMark
 	// Levels are those of the buckets, if the shard is a keeper's.
 	Levels []*wire.BucketLevel
+	// Handover is the token that the backend server gave for the shard, or "".
+	Handover string
 }
 
 // Shutdown asks the daemon to hand over its shards and leave.
@@ -138,7 +140,9 @@
 	Marks []*wire.RequestMark
 	// Levels are those that came with a release of a keeper shard.
 	Levels []*wire.BucketLevel
-	From   view.ShardID // zero unless the shard was split off
+	// Handover is the token of the backend server that held the shard, or "".
+	Handover string
+	From     view.ShardID // zero unless the shard was split off
 	// Resumed tells that this daemon takes back a shard that it had begun to
 	// release. What it knows of the shard's request ids stays.
 	Resumed Resumed
--- a/core/control/load.go
+++ b/core/control/load.go
@@ -149,6 +149,9 @@
 	if !s.leaseHeld() || s.stopping || s.selfOut() || s.changing() || e.Answer.GetMeanRateMilli() == 0 {
 		return
 	}
+	if s.history.Config.Services[e.Report.GetService()].KeySpace != 0 {
+		return // ranges have no keys of their own
+	}
 	mean := float64(e.Answer.GetMeanRateMilli()) / rateMilli
 	if totalRate(e.Report) > overload*mean && s.splitHottest(e.Report, mean) {
 		return
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -113,7 +113,7 @@
 // planDue reports whether anything changed since the last round, or that round
 // is long ago.
 func (s *State) planDue() bool {
-	basis := planBasis{replay: s.fold.Next, config: s.history.Version}
+	basis := planBasis{replay: s.fold.Next, config: s.history.Next}
 	return basis != s.planner.planned || s.now >= s.planner.made.Add(replanInterval)
 }
 
@@ -137,7 +137,7 @@
 
 func (s *State) plan() placement.Plan {
 	p := &s.planner
-	p.planned = planBasis{replay: s.fold.Next, config: s.history.Version}
+	p.planned = planBasis{replay: s.fold.Next, config: s.history.Next}
 	p.made = s.now
 	return placement.Make(s.fold, s.history.Config, s.placementLoad(), placement.DefaultLimits)
 }
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -26,6 +26,7 @@
 	r.recorded = false
 	r.marks = nil
 	r.levels = nil
+	r.handover = ""
 }
 
 // shouldRelease reports whether this daemon is to hand over sh now: it leaves,
@@ -108,6 +109,7 @@
 	r.releasedAt = s.now
 	r.marks = e.Marks
 	r.levels = e.Levels
+	r.handover = e.Handover
 	s.pursueRelease(e.Shard, sh, r)
 }
 
@@ -175,7 +177,7 @@
 	s.emitLate(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
 		Owner: s.member.incarnation,
 		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
-		Marks: r.marks, Levels: r.levels,
+		Marks: r.marks, Levels: r.levels, Handover: r.handover,
 	}})
 }
 
@@ -222,7 +224,9 @@
 	if r.taken == generation+1 || msg.GetOwner() == 0 {
 		return ""
 	}
-	s.takeOver(id, sh, false, TakeOver{Marks: msg.GetMarks(), Levels: msg.GetLevels()})
+	s.takeOver(id, sh, false, TakeOver{
+		Marks: msg.GetMarks(), Levels: msg.GetLevels(), Handover: msg.GetHandover(),
+	})
 	s.recordTakeover(msg.GetRef())
 	return ""
 }
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -39,6 +39,7 @@
 	nextSend   clock.Instant
 	marks      []*wire.RequestMark
 	levels     []*wire.BucketLevel
+	handover   string
 	resumed    Resumed // how an aborted release left the shard, until it is acquired
 }
 
--- a/core/control/snapshots.go
+++ b/core/control/snapshots.go
@@ -146,7 +146,10 @@
 	}
 	for _, stream := range []string{logstream.ConfigStream, s.placementStream()} {
 		sn := s.snapshotsOf(stream)
-		if s.boots[stream] != nil || !sn.due(s.now) {
+		if stream == logstream.ConfigStream && s.opts.PublishedConfig {
+			continue
+		}
+		if s.boots[stream] != nil || !sn.due(s.now, s.snapshotRecords()) {
 			continue
 		}
 		if sn.next == 0 {
@@ -161,8 +164,15 @@
 	}
 }
 
-func (sn *snapshots) due(now clock.Instant) bool {
-	due := sn.records >= snapshotRecords || now >= sn.seen.Add(snapshotInterval)
+func (s *State) snapshotRecords() int {
+	if s.opts.SnapshotRecords > 0 {
+		return s.opts.SnapshotRecords
+	}
+	return snapshotRecords
+}
+
+func (sn *snapshots) due(now clock.Instant, records int) bool {
+	due := sn.records >= records || now >= sn.seen.Add(snapshotInterval)
 	if !due {
 		sn.next = 0
 	}
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -22,6 +23,8 @@
 	members  map[fold.Incarnation]*view.Member
 	planners []*view.Member
 	callers  map[string]view.Caller
+	hosts    *fleet.HostTable
+	servers  map[string][]*view.Member // members in service by service
 	stale    bool
 	next     clock.Instant // when they may be built again
 }
@@ -43,10 +46,11 @@
 		if svc.Base == 0 {
 			continue // named by records, but not by the configuration
 		}
-		services[name] = s.serviceView(svc, t.services[name])
+		services[name] = s.serviceView(name, svc, t.services[name])
 	}
 	t.services = services
 	t.planners = s.plannerViews()
+	t.servers = s.serverViews()
 	s.dirty = true
 }
 
@@ -59,6 +63,8 @@
 		Config:        s.history.Config,
 		Callers:       s.tables.callers,
 		Services:      s.tables.services,
+		Hosts:         s.tables.hosts,
+		Servers:       s.tables.servers,
 		Planners:      s.tables.planners,
 		Held:          s.held(),
 		Fresh:         s.fresh,
@@ -81,11 +87,11 @@
 // serviceView returns the routing table of a service, built from
 // the last one. Only shards whose generation moved are looked up anew: no owner or
 // standby changes without it.
-func (s *State) serviceView(svc *fold.Service, last *view.Service) *view.Service {
+func (s *State) serviceView(name string, svc *fold.Service, last *view.Service) *view.Service {
 	if last == nil || len(last.Shards) != len(svc.Shards) || last.Base != svc.Base {
 		last = &view.Service{Shards: make([]view.Shard, len(svc.Shards))}
 	}
-	out := &view.Service{Base: svc.Base, Split: maps.Clone(svc.Split), Shards: slices.Clone(last.Shards)}
+	out := &view.Service{Base: svc.Base, KeySpace: s.history.Config.Services[name].KeySpace, Split: maps.Clone(svc.Split), Shards: slices.Clone(last.Shards)}
 	for i := range svc.Shards {
 		sh := &svc.Shards[i]
 		if sh.Generation == out.Shards[i].Generation {
@@ -100,6 +106,21 @@
 	return out
 }
 
+// serverViews returns the members in service of each service, in ascending
+// order of incarnation.
+func (s *State) serverViews() map[string][]*view.Member {
+	servers := map[string][]*view.Member{}
+	for inc, m := range s.fold.Members {
+		if m.Phase == fold.InService && !s.lapsed[inc] {
+			servers[m.Service] = append(servers[m.Service], s.memberView(inc))
+		}
+	}
+	for _, list := range servers {
+		slices.SortFunc(list, func(a, b *view.Member) int { return cmp.Compare(a.Incarnation, b.Incarnation) })
+	}
+	return servers
+}
+
 // plannerViews returns the members that plan.
 func (s *State) plannerViews() []*view.Member {
 	var list []*view.Member
@@ -121,7 +142,7 @@
 	if !ok {
 		return nil
 	}
-	out := &view.Member{Incarnation: inc, Slot: m.Slot, Service: m.Service, BackendName: m.BackendServer}
+	out := &view.Member{Incarnation: inc, Slot: m.Slot, Service: m.Service, BackendName: m.BackendServer, Slots: m.Slots}
 	if slot, ok := s.fold.Slots[m.Slot]; ok {
 		out.DataCentre = slot.DataCentre
 		out.PeerAddr = slot.PeerAddr
--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -22,6 +22,8 @@
 	Routes         map[string]Route         `json:"routes,omitempty"`
 	Teams          map[string]Team          `json:"teams,omitempty"`
 	BackendServers map[string]BackendServer `json:"backend_servers,omitempty"`
+	HostRoutes     []HostRoute              `json:"host_routes,omitempty"`
+	CallerLimits   CallerLimits             `json:"caller_limits,omitzero"`
 }
 
 // DataCentre is a data centre that traffic may reach.
@@ -36,6 +38,14 @@
 	Shards           uint32 `json:"shards"`
 	MaxBodyBytes     int64  `json:"max_body_bytes,omitempty"`     // 0 means DefaultMaxBodyBytes
 	DefaultTimeoutMS int64  `json:"default_timeout_ms,omitempty"` // 0 means DefaultTimeoutMS
+	// KeySpace is the number of numeric keys, from 0, that the shards divide
+	// into ranges; 0 means that shards are chosen by the hash of a key.
+	KeySpace uint32 `json:"key_space,omitempty"`
+	// Keyless tells that any backend server may run any request; Shards is 0.
+	Keyless     bool    `json:"keyless,omitempty"`
+	Connections uint32  `json:"connections,omitempty"`   // accepted by each backend server; 0 means no limit
+	ColdStartMS int64   `json:"cold_start_ms,omitempty"` // time for which a started backend server stays cold
+	ColdPerS    float64 `json:"cold_per_s,omitempty"`    // requests per second that a cold one bears; 0 means no limit
 }
 
 // Route maps a path prefix to a service.
@@ -55,6 +65,7 @@
 	Burst       float64              `json:"burst"` // requests
 	Services    []string             `json:"services"`
 	DataCentres []string             `json:"data_centres,omitempty"` // empty means all
+	Priority    *uint32              `json:"priority,omitempty"`     // goes before that of the route
 	Keys        map[string]CallerKey `json:"keys,omitempty"`         // by key id
 }
 
@@ -155,6 +166,9 @@
 		checkName(add, "teams", name)
 		c.checkTeam(add, name, t)
 	}
+	for i, r := range c.HostRoutes {
+		c.checkHostRoute(add, i, r)
+	}
 	for name := range c.BackendServers {
 		checkName(add, "backend_servers", name)
 	}
@@ -174,7 +188,13 @@
 	if !nameRule.MatchString(s.Region) {
 		add("services.%s.region: %q is not a name", name, s.Region)
 	}
-	if s.Shards < 1 || s.Shards > MaxShards {
+	if s.Keyless && s.Shards != 0 {
+		add("services.%s.shards: a service without keys has none", name)
+	}
+	if s.KeySpace != 0 && s.KeySpace < s.Shards {
+		add("services.%s.key_space: %d keys for %d shards", name, s.KeySpace, s.Shards)
+	}
+	if !s.Keyless && (s.Shards < 1 || s.Shards > MaxShards) {
 		add("services.%s.shards: %d is not in 1 to %d", name, s.Shards, MaxShards)
 	}
 	if s.MaxBodyBytes < 0 || s.MaxBodyBytes > 8<<20 {
--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -26,6 +26,9 @@
 
 	counts map[string]uint32 // shard count of each service that ever was
 	seen   *idwindow.Window
+
+	published *Config         // newest version by an outside author; nil if there was none
+	out       map[string]bool // data centres that orders took out of service
 }
 
 // Verdict tells what a configuration record did.
@@ -39,6 +42,7 @@
 func NewHistory() *History {
 	return &History{
 		Next: 1, Doc: []byte("{}"), Config: &Config{}, counts: map[string]uint32{}, seen: idwindow.New(),
+		out: map[string]bool{},
 	}
 }
 
@@ -69,6 +73,12 @@
 	switch body := rec.GetBody().(type) {
 	case *wire.Record_ConfigPatch:
 		return h.patch(body.ConfigPatch)
+	case *wire.Record_Published:
+		return h.publish(body.Published)
+	case *wire.Record_DataCentreOrder:
+		return h.order(body.DataCentreOrder)
+	case *wire.Record_Standing:
+		return h.standing(body.Standing)
 	case *wire.Record_Snapshot:
 		return Verdict{Reason: ReasonSnapshot}
 	case nil:
@@ -119,3 +129,73 @@
 func refuse(format string, args ...any) Verdict {
 	return Verdict{Reason: fmt.Sprintf(format, args...)}
 }
+
+// publish takes in a whole version by an outside author.
+func (h *History) publish(p *wire.Published) Verdict {
+	if h.published != nil && p.GetVersion() <= h.Version {
+		return refuse("version %d is not above %d", p.GetVersion(), h.Version)
+	}
+	cfg, err := Parse(p.GetDocument())
+	if err != nil {
+		return refuse("%v", err)
+	}
+	if err := h.checkCounts(cfg); err != nil {
+		return refuse("%v", err)
+	}
+	h.published = cfg
+	h.Version = p.GetVersion()
+	h.combine()
+	return Verdict{Accepted: true, Version: h.Version}
+}
+
+// order takes a data centre out of service or returns it.
+func (h *History) order(o *wire.DataCentreOrder) Verdict {
+	if h.out[o.GetDataCentre()] == o.GetOut() {
+		return refuse("data centre %s: nothing to change", o.GetDataCentre())
+	}
+	if o.GetOut() {
+		h.out[o.GetDataCentre()] = true
+	} else {
+		delete(h.out, o.GetDataCentre())
+	}
+	h.combine()
+	return Verdict{Accepted: true, Version: h.Version}
+}
+
+// standing takes in the sum of records that are no longer kept.
+func (h *History) standing(st *wire.Standing) Verdict {
+	clear(h.out)
+	for _, name := range st.GetOut() {
+		h.out[name] = true
+	}
+	if st.GetPublished() != nil {
+		if v := h.publish(st.GetPublished()); v.Accepted {
+			return v
+		}
+	}
+	h.combine()
+	return Verdict{Accepted: true, Version: h.Version}
+}
+
+// combine makes the configuration in force of the newest published version and
+// the orders.
+func (h *History) combine() {
+	cfg := &Config{}
+	if h.published != nil {
+		*cfg = *h.published
+	}
+	centres := make(map[string]DataCentre, len(cfg.DataCentres)+len(h.out))
+	for name, dc := range cfg.DataCentres {
+		centres[name] = dc
+	}
+	for name := range h.out {
+		dc := centres[name]
+		dc.Out = true
+		centres[name] = dc
+	}
+	cfg.DataCentres = centres
+	h.Config = cfg
+}
+
+// Published reports whether an outside author's version is in force.
+func (h *History) Published() bool { return h.published != nil }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -28,12 +28,24 @@
 	// where they differ from those it listens on.
 	Advertise Advertise `json:"advertise"`
 
+	// Interface selects how the daemon speaks with its surroundings: "native",
+	// the default, or "platform", the dialect of package platform.
+	Interface string `json:"interface"`
+	// ReadyAddr and AnnounceAddr are served with the interface "platform":
+	// readiness, and announcements of the backend server.
+	ReadyAddr    string `json:"ready_addr"`
+	AnnounceAddr string `json:"announce_addr"`
+	// BackendService is the service of the backend server beside this daemon,
+	// named to others as the caller of its requests.
+	BackendService string `json:"backend_service"`
+
 	PlatformURL   string `json:"platform_url"`
 	KeyHashSecret string `json:"key_hash_secret"`
 
 	Lease  Lease  `json:"lease"`
 	Limits Limits `json:"limits"`
 	Policy Policy `json:"policy"`
+	Bounds Bounds `json:"bounds"`
 
 	LogLevel        string `json:"log_level"`         // debug, info, warn or error
 	ShutdownGraceMS int64  `json:"shutdown_grace_ms"` // time for running requests on SIGTERM
@@ -72,6 +84,28 @@
 	StaleConfigMS int64 `json:"stale_config_ms"`     // age of configuration knowledge after which callers are refused
 }
 
+// Interfaces with the surroundings.
+const (
+	InterfaceNative   = "native"
+	InterfacePlatform = "platform"
+)
+
+// Bounds are the figures that a deployment demands of the fleet as a whole.
+type Bounds struct {
+	DrainS              float64 `json:"drain_s"`             // longest time from the acknowledged leave of a backend server to its last request
+	RetryRatio          float64 `json:"retry_ratio"`         // retries for each request of a service
+	RetryWindowS        float64 `json:"retry_window_s"`      // window over which retries are counted
+	RetryExtra          float64 `json:"retry_extra"`         // retries beyond the ratio in a window
+	MaxHoldS            float64 `json:"max_hold_s"`          // longest time for which keys may be granted
+	AnnounceIntervalS   float64 `json:"announce_interval_s"` // period of a backend server's announcements
+	MemoryMB            int64   `json:"memory_mb"`           // memory of the process
+	RangeShards         uint32  `json:"range_shards"`        // shards of a service with numeric keys
+	RecordRing          uint64  `json:"record_ring"`         // newest records of each author that the log keeps for good
+	LogReadersPerCentre int     `json:"log_readers"`         // daemons of a data centre that read the log themselves
+	LogWaitMS           int     `json:"log_wait_ms"`         // longest wait of one read for new records
+	ShutdownListenMS    int64   `json:"shutdown_listen_ms"`  // time for which callers are still taken in on SIGTERM
+}
+
 // Policy selects between a policy and its naive baseline, for experiments.
 type Policy struct {
 	ColdStart  string `json:"cold_start"` // "ramp" or "none"
@@ -91,6 +125,11 @@
 		Policy: Policy{
 			ColdStart: "ramp", Stragglers: "measured", HotKeys: "split", Queue: "fair", Retries: "budget",
 		},
+		Interface: InterfaceNative,
+		Bounds: Bounds{
+			DrainS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 30, MaxHoldS: 10, AnnounceIntervalS: 1,
+			RangeShards: 64, RecordRing: 512, LogReadersPerCentre: 3, LogWaitMS: 1000, ShutdownListenMS: 2500,
+		},
 		LogLevel:        "info",
 		ShutdownGraceMS: 10_000,
 	}
--- a/core/snapshot/snapshot.go
+++ b/core/snapshot/snapshot.go
@@ -14,7 +14,7 @@
 const (
 	// partBytes is the size of the state in one record; with its frame it stays
 	// well below logstream.MaxRecordBytes.
-	partBytes = 512 << 10
+	partBytes = 192 << 10
 	// maxParts bounds a snapshot to 256 MiB.
 	maxParts = 512
 	// maxOpen is the number of snapshots that are put together at a time.
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -24,6 +24,7 @@
 	Service     string
 	BackendName string
 	PeerAddr    string
+	Slots       uint32
 }
 
 // Shard is the route of one shard.
@@ -37,7 +38,24 @@
 type Service struct {
 	Shards []Shard
 	Base   uint32
-	Split  map[uint64]uint32
+	// KeySpace is the number of numeric keys that the shards divide into ranges;
+	// 0 if shards are chosen by hash.
+	KeySpace uint32
+	Split    map[uint64]uint32
+}
+
+// ShardOfNumber returns the shard number of a numeric key.
+func (s *Service) ShardOfNumber(key uint32) uint32 {
+	return uint32(uint64(min(key, s.KeySpace-1)) * uint64(s.Base) / uint64(s.KeySpace))
+}
+
+// Range returns the first and the last numeric key of a shard.
+func (s *Service) Range(shard uint32) (first, last uint32) {
+	start := func(n uint64) uint32 {
+		base := uint64(s.Base)
+		return uint32((n*uint64(s.KeySpace) + base - 1) / base)
+	}
+	return start(uint64(shard)), start(uint64(shard)+1) - 1
 }
 
 // ShardOf returns the shard number of a key hash.
@@ -86,7 +104,9 @@
 	Config        *fleet.Config
 	Callers       map[string]Caller // by hex key hash; withdrawn keys are absent
 	Services      map[string]*Service
-	Planners      []*Member // members that plan for the region, first to act first
+	Hosts         *fleet.HostTable     // nil before the first configuration
+	Servers       map[string][]*Member // members in service by service
+	Planners      []*Member            // members that plan for the region, first to act first
 	Held          map[ShardID]Held
 	// Fresh tells how old the knowledge of the configuration is.
 	Fresh *Freshness
@@ -127,3 +147,13 @@
 	n := svc.ShardOf(fold.KeyHash(key))
 	return ShardID{Service: service, Shard: n}, svc.Shards[n], true
 }
+
+// LookupNumber returns the shard of a numeric key of a service.
+func (v *View) LookupNumber(service string, key uint32) (ShardID, Shard, bool) {
+	svc, ok := v.Services[service]
+	if !ok || svc.KeySpace == 0 {
+		return ShardID{}, Shard{}, false
+	}
+	n := svc.ShardOfNumber(key)
+	return ShardID{Service: service, Shard: n}, svc.Shards[n], true
+}
--- a/daemon/cmd/sesamemoord/commands.go
+++ b/daemon/cmd/sesamemoord/commands.go
@@ -91,7 +91,7 @@
 	var controller *kernel.Controller
 	app := fx.New(
 		kernel.Core(set, log),
-		kernel.Modules(),
+		kernel.Modules(set.Interface),
 		fx.Populate(&controller),
 		fx.WithLogger(func() fxevent.Logger {
 			l := &fxevent.ZapLogger{Logger: log.Named("fx")}
--- a/daemon/cmd/sesamemoord/main.go
+++ b/daemon/cmd/sesamemoord/main.go
@@ -16,6 +16,7 @@
 	"github.com/google/subcommands"
 
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins"
+	_ "github.com/sesamemoor/sesamemoor/platform" // register
 )
 
 func main() {
--- a/daemon/plugins/owner/conn.go
+++ b/daemon/guard/guard.go
@@ -1,4 +1,6 @@
-package owner
+// Package guard makes connections to a backend server that write only while the
+// lease is held, and that know whether a request has written anything.
+package guard
 
 import (
 	"context"
@@ -11,14 +13,15 @@
 )
 
 const (
-	dialTimeout = 500 * time.Millisecond
-	// idleTimeout closes connections before backend servers commonly do, so
+	// DialTimeout bounds the time to connect.
+	DialTimeout = 500 * time.Millisecond
+	// IdleTimeout closes connections before backend servers commonly do, so
 	// that a request rarely meets a connection that is just being closed.
-	idleTimeout = 4 * time.Second
+	IdleTimeout = 4 * time.Second
 )
 
-// errLeaseOver is the write error of a connection when the lease has ended.
-var errLeaseOver = errors.New("lease ended before the request was written")
+// ErrLeaseOver is the write error of a connection when the lease has ended.
+var ErrLeaseOver = errors.New("lease ended before the request was written")
 
 // States of a guarded connection with regard to its current request.
 const (
@@ -58,7 +61,7 @@
 // which the request was admitted, which another may have followed meanwhile.
 func (c *guardedConn) Write(b []byte) (int, error) {
 	if int64(c.clock.Now()) >= c.until.Load() || !c.held() {
-		return 0, errLeaseOver
+		return 0, ErrLeaseOver
 	}
 	if !c.state.CompareAndSwap(unwritten, written) && c.state.Load() == barred {
 		return 0, net.ErrClosed
@@ -66,9 +69,9 @@
 	return c.Conn.Write(b)
 }
 
-// guardedDialer dials guarded connections.
-func guardedDialer(clk clock.Clock, held func() bool) func(context.Context, string, string) (net.Conn, error) {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+// Dialer dials guarded connections.
+func Dialer(clk clock.Clock, held func() bool) func(context.Context, string, string) (net.Conn, error) {
+	dialer := &net.Dialer{Timeout: DialTimeout}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		conn, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
@@ -78,22 +81,23 @@
 	}
 }
 
-// connTrace remembers the connection of one request.
-type connTrace struct {
-	until clock.Instant // see guardedConn.begin
+// Trace remembers the connection of one request.
+type Trace struct {
+	Until clock.Instant // the request may be written before it
 	conn  atomic.Pointer[guardedConn]
 }
 
-func (t *connTrace) got(conn net.Conn) {
+// Got notes the connection that the request was given.
+func (t *Trace) Got(conn net.Conn) {
 	if c, ok := conn.(*guardedConn); ok {
-		c.begin(t.until)
+		c.begin(t.Until)
 		t.conn.Store(c)
 	}
 }
 
-// wrote reports whether any byte of the request may have been handed to the
+// Wrote reports whether any byte of the request may have been handed to the
 // network. When it reports false, none ever will be.
-func (t *connTrace) wrote() bool {
+func (t *Trace) Wrote() bool {
 	c := t.conn.Load()
 	return c != nil && !c.bar()
 }
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -67,13 +67,25 @@
 			Renew: time.Duration(set.Lease.RenewMS) * time.Millisecond,
 			Drift: float64(set.Lease.DriftPPM) / 1e6,
 		},
-		StaleConfig: time.Duration(set.Limits.StaleConfigMS) * time.Millisecond,
-		Settle:      time.Duration(set.Lease.SettleMS) * time.Millisecond,
-		Witnesses:   set.Lease.Witnesses,
-		Rand:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		StaleConfig:     time.Duration(set.Limits.StaleConfigMS) * time.Millisecond,
+		Settle:          time.Duration(set.Lease.SettleMS) * time.Millisecond,
+		Witnesses:       set.Lease.Witnesses,
+		PublishedConfig: set.Interface == settings.InterfacePlatform,
+		SnapshotRecords: snapshotRecords(set),
+		Rand:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
+// snapshotRecords returns the number of records after which a snapshot is due:
+// half of those that the log keeps of one author, so that a snapshot's tail is
+// kept whoever wrote it; 0 for the default.
+func snapshotRecords(set settings.Daemon) int {
+	if set.Interface != settings.InterfacePlatform {
+		return 0
+	}
+	return int(set.Bounds.RecordRing / 2)
+}
+
 // Post implements Control.
 func (c *Controller) Post(ev control.Event) {
 	select {
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -77,6 +77,18 @@
 	Announced(running uint32)
 }
 
+// Suspects keeps requests that crash backend servers away from them. A request
+// is known by its fingerprint.
+type Suspects interface {
+	// Refuses reports whether the request is not to be sent to a backend server.
+	Refuses(fingerprint uint64) bool
+	// Completed tells that the request was answered.
+	Completed(fingerprint uint64, service string)
+	// Crashed tells that the request ran when a server crashed. crashID names
+	// the crash, the same for all requests in flight.
+	Crashed(fingerprint uint64, service, server, crashID string)
+}
+
 // Limiter grants a team's requests within its fleet-wide rate.
 type Limiter interface {
 	// Take takes one token of the team's bucket. The error is an *outcome.Err.
--- a/daemon/kernel/kernel.go
+++ b/daemon/kernel/kernel.go
@@ -28,6 +28,9 @@
 	ID     string // dotted, for example "sesamemoor.entry"
 	Stage  Stage
 	Module func() fx.Option
+	// Interface names the interface of the settings with which the plug-in is
+	// used; empty for all.
+	Interface string
 }
 
 var plugins = map[string]Plugin{}
@@ -54,20 +57,21 @@
 	return ids
 }
 
-// Modules returns the fx modules of all registered plug-ins and of the control
-// goroutine. Control starts when the inner plug-ins can carry out its effects,
+// Modules returns the fx modules of the plug-ins registered for an interface and
+// of the control goroutine. Control starts when the inner plug-ins can carry out its effects,
 // and outlives the callers' requests at the edge.
-func Modules() fx.Option {
-	options := stageModules(StageInner)
+func Modules(iface string) fx.Option {
+	options := stageModules(StageInner, iface)
 	options = append(options, fx.Module("sesamemoor.control", fx.Invoke(registerGauges, startController)))
-	options = append(options, stageModules(StageEdge)...)
+	options = append(options, stageModules(StageEdge, iface)...)
 	return fx.Options(options...)
 }
 
-func stageModules(stage Stage) []fx.Option {
+func stageModules(stage Stage, iface string) []fx.Option {
 	var options []fx.Option
 	for _, id := range Plugins() {
-		if plugins[id].Stage == stage {
+		p := plugins[id]
+		if p.Stage == stage && (p.Interface == "" || p.Interface == iface) {
 			options = append(options, fx.Module(id, plugins[id].Module()))
 		}
 	}
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -21,7 +21,7 @@
 )
 
 func init() {
-	kernel.Register(kernel.Plugin{ID: "sesamemoor.admin", Module: module})
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.admin", Interface: settings.InterfaceNative, Module: module})
 }
 
 func module() fx.Option {
--- a/daemon/plugins/entry/entry.go
+++ b/daemon/plugins/entry/entry.go
@@ -19,17 +19,15 @@
 )
 
 func init() {
-	kernel.Register(kernel.Plugin{ID: "sesamemoor.entry", Stage: kernel.StageEdge, Module: module})
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.entry", Interface: settings.InterfaceNative, Stage: kernel.StageEdge, Module: module})
 }
 
 func module() fx.Option {
 	return fx.Options(
 		fx.Provide(
 			newInstruments,
-			newSuspects,
 			newRouter,
 			newEntry,
-			kernel.AsFrameHandler(func(s *suspects) *suspects { return s }),
 		),
 		fx.Invoke(start),
 	)
@@ -58,7 +56,7 @@
 // entry is the callers' side of the daemon.
 type entry struct {
 	router   *router
-	suspects *suspects
+	suspects kernel.Suspects
 	auth     *authenticator
 	limits   kernel.Limiter
 	ctrl     kernel.Control
@@ -75,7 +73,7 @@
 	Clock    clock.Clock
 	Limiter  kernel.Limiter
 	Router   *router
-	Suspects *suspects
+	Suspects kernel.Suspects
 	Metrics  *instruments
 	Log      *zap.Logger
 }
--- a/daemon/plugins/entry/entry_test.go
+++ b/daemon/plugins/entry/entry_test.go
@@ -29,6 +29,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/plugins/suspects"
 )
 
 const (
@@ -104,7 +105,8 @@
 		Services: map[string]*view.Service{"stock": {Base: 1, Shards: []view.Shard{
 			{Owner: owner, Standby: standby, Generation: generation},
 		}}},
-		Lease: new(view.LeaseCell),
+		Daemons: []view.Daemon{{Slot: "d2", PeerAddr: "d2"}, {Slot: "d3", PeerAddr: "d3"}},
+		Lease:   new(view.LeaseCell),
 	}
 }
 
@@ -130,7 +132,7 @@
 	e := newEntry(entryParams{
 		Settings: set, Control: s, Clock: clock.Boot{}, Limiter: s,
 		Router:   newRouter(set, s, s, s, clock.Boot{}, m),
-		Suspects: newSuspects(s, s, clock.Boot{}, zap.NewNop()), Metrics: m, Log: zap.NewNop(),
+		Suspects: suspects.NewBook(s, s, clock.Boot{}, set, zap.NewNop()), Metrics: m, Log: zap.NewNop(),
 	})
 	srv := httptest.NewUnstartedServer(nil)
 	srv.Config = e.httpServer()
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -14,6 +14,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
 const (
@@ -34,9 +35,9 @@
 	clock     clock.Clock
 	metrics   *instruments
 	naive     bool
-	changes   *changes
-	learned   *learnedOwners
-	suspicion *suspicionLimit
+	changes   *routing.Changes
+	learned   *routing.Learned
+	suspicion *routing.SuspicionLimit
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service
@@ -46,9 +47,9 @@
 	return &router{
 		control: c, peers: p, local: x, clock: clk, metrics: m,
 		naive:     set.Policy.Retries == "naive",
-		changes:   newChanges(c),
-		learned:   newLearnedOwners(),
-		suspicion: newSuspicionLimit(clk),
+		changes:   routing.NewChanges(c),
+		learned:   routing.NewLearned(),
+		suspicion: routing.NewSuspicionLimit(clk),
 		budgets:   map[string]*retry.Budget{},
 	}
 }
@@ -125,7 +126,7 @@
 		timer := time.NewTimer(retry.Backoff(waits))
 		due := false
 		for !due {
-			changed, done := t.changes.wait()
+			changed, done := t.changes.Wait()
 			if verdict == retry.Await && t.placementOf(x) != a.placed {
 				done()
 				timer.Stop()
@@ -186,7 +187,7 @@
 	if !ok {
 		return id, shard, outcome.New(outcome.NoOwner, "service %s has no placement", x.req.GetService())
 	}
-	return id, t.learned.apply(id, shard), nil
+	return id, t.learned.Apply(id, shard), nil
 }
 
 func placementFrom(shard view.Shard) placement {
@@ -252,8 +253,8 @@
 		return resp, err
 	}
 	if resp.GetGeneration() > shard.Generation {
-		t.learned.note(id, resp.GetGeneration(), target)
-		t.changes.notify()
+		t.learned.Note(id, resp.GetGeneration(), target)
+		t.changes.Notify()
 	}
 	return resp, nil
 }
@@ -303,7 +304,7 @@
 // suspect tells the control state about a daemon that does not answer.
 func (t *router) suspect(target *view.Member, kind outcome.Kind) {
 	lost := kind == outcome.OwnerUnreachable || kind == outcome.ConnectionLost || kind == outcome.DeadlineMaybeRan
-	if lost && t.suspicion.allow(target.Incarnation) {
+	if lost && t.suspicion.Allow(target.Incarnation) {
 		t.control.Post(control.Suspicion{Incarnation: target.Incarnation})
 	}
 }
--- a/daemon/plugins/entry/router_test.go
+++ b/daemon/plugins/entry/router_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/plugins/suspects"
 )
 
 // script answers each try with the next kind; the last one repeats.
@@ -194,20 +195,21 @@
 		suspect := &wire.Suspect{Fingerprint: 5, Service: "stock", CrashId: []byte(id)}
 		return &wire.Frame{Body: &wire.Frame_Suspects{Suspects: &wire.Suspects{Suspects: []*wire.Suspect{suspect}}}}
 	}
+	book := e.suspects.(*suspects.Book)
 	told := func() int {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		return len(s.told)
 	}
-	e.suspects.HandleFrame(context.Background(), "peer", frame("a"))
-	is.True(!e.suspects.table.Refuses(5, e.clock.Now()))
-	e.suspects.HandleFrame(context.Background(), "peer", frame("b"))
-	is.True(e.suspects.table.Refuses(5, e.clock.Now()))
+	book.HandleFrame(context.Background(), "peer", frame("a"))
+	is.True(!book.Refuses(5))
+	book.HandleFrame(context.Background(), "peer", frame("b"))
+	is.True(book.Refuses(5))
 	deadline := time.Now().Add(bound)
 	for told() < 4 { // both pieces of news to both other daemons
 		is.True(time.Now().Before(deadline))
 		time.Sleep(time.Millisecond)
 	}
-	e.suspects.HandleFrame(context.Background(), "peer", frame("b")) // no news
+	book.HandleFrame(context.Background(), "peer", frame("b")) // no news
 	is.Equal(told(), 4)
 }
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -68,7 +68,7 @@
 
 // run passes an addressed request on within its timeout.
 func (e *entry) run(ctx context.Context, x *exchange) (*wire.Response, error) {
-	if e.suspects.table.Refuses(x.req.GetFingerprint(), e.clock.Now()) {
+	if e.suspects.Refuses(x.req.GetFingerprint()) {
 		e.metrics.quarantined(x.req)
 		return nil, outcome.New(outcome.Quarantined, "this request crashed backend servers")
 	}
@@ -78,7 +78,7 @@
 		return nil, err
 	}
 	resp, err := e.router.route(ctx, x)
-	e.suspects.observe(x, resp, err)
+	e.observe(x, resp, err)
 	return resp, err
 }
 
@@ -102,3 +102,21 @@
 	_ = ctl.SetReadDeadline(time.Time{})
 	return body, nil
 }
+
+// headerCrash names the crash in the answer of an owner whose backend server
+// crashed.
+const headerCrash = ownPrefix + "Crash-Id"
+
+// observe tells how a request ended to the book of suspects.
+func (e *entry) observe(x *exchange, resp *wire.Response, err error) {
+	switch {
+	case err == nil:
+		e.suspects.Completed(x.req.GetFingerprint(), x.req.GetService())
+	case outcome.Of(err) == outcome.BackendCrashed:
+		server := ""
+		if x.target != nil {
+			server = x.target.BackendName
+		}
+		e.suspects.Crashed(x.req.GetFingerprint(), x.req.GetService(), server, headerValue(resp.GetHeaders(), headerCrash))
+	}
+}
--- a/daemon/plugins/platform/platform.go
+++ b/daemon/plugins/logclient/platform.go
@@ -1,6 +1,6 @@
-// Package platform connects the daemon to the platform's append-only log: it
+// Package logclient connects the daemon to the platform's append-only log: it
 // reads the configuration and placement streams and appends records.
-package platform
+package logclient
 
 import (
 	"context"
@@ -18,13 +18,15 @@
 )
 
 func init() {
-	kernel.Register(kernel.Plugin{ID: "sesamemoor.platform", Module: module})
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.logclient", Module: module})
+	kernel.Register(kernel.Plugin{
+		ID: "sesamemoor.log", Interface: settings.InterfaceNative, Module: nativeModule,
+	})
 }
 
 func module() fx.Option {
 	return fx.Options(
 		fx.Provide(
-			fx.Annotate(newLog, fx.As(new(logstream.Log))),
 			newAppender,
 			kernel.AsEffectHandler(func(a *appender) *appender { return a }),
 		),
@@ -32,6 +34,10 @@
 	)
 }
 
+func nativeModule() fx.Option {
+	return fx.Provide(fx.Annotate(newLog, fx.As(new(logstream.Log))))
+}
+
 func newLog(set settings.Daemon) *logstream.HTTP { return logstream.NewHTTP(set.PlatformURL) }
 
 const (
@@ -48,7 +54,7 @@
 }
 
 func newAppender(l logstream.Log, log *zap.Logger) *appender {
-	return &appender{log: l, logger: log.Named("platform"), queue: make(chan control.Append, appendQueue)}
+	return &appender{log: l, logger: log.Named("logclient"), queue: make(chan control.Append, appendQueue)}
 }
 
 // HandleEffect implements kernel.EffectHandler. A record that finds the queue
--- a/daemon/plugins/platform/platform_test.go
+++ b/daemon/plugins/logclient/platform_test.go
@@ -1,4 +1,4 @@
-package platform
+package logclient
 
 import (
 	"context"
--- a/daemon/plugins/platform/reader.go
+++ b/daemon/plugins/logclient/reader.go
@@ -1,4 +1,4 @@
-package platform
+package logclient
 
 import (
 	"context"
@@ -16,8 +16,7 @@
 )
 
 const (
-	readMax    = 1024
-	readWaitMS = 1000
+	readMax = 1024
 	// readRetry is the pause after a failed read; it doubles with each further
 	// failure up to readRetryMax. Up to as much again is added at random.
 	readRetry    = 100 * time.Millisecond
@@ -34,13 +33,14 @@
 	logger *zap.Logger
 	primed bool // the platform or a peer answered once
 	pause  time.Duration
+	waitMS int // longest wait for new records
 	max    int // records asked for; fewer after a failure, which may be one of size
 }
 
 func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, relay kernel.Relay, clk clock.Clock, log *zap.Logger) {
 	var tasks []func(context.Context)
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
-		r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("platform"), max: readMax}
+		r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("logclient"), max: readMax, waitMS: set.Bounds.LogWaitMS}
 		tasks = append(tasks, r.run)
 	}
 	kernel.Background(lc, tasks...)
@@ -74,7 +74,7 @@
 	if err == nil {
 		return batch, asOf, nil
 	}
-	wait := readWaitMS
+	wait := r.waitMS
 	if !r.primed {
 		wait = 0
 	}
--- a/daemon/plugins/platform/reader_test.go
+++ b/daemon/plugins/logclient/reader_test.go
@@ -1,4 +1,4 @@
-package platform
+package logclient
 
 import (
 	"context"
@@ -77,7 +77,7 @@
 
 // readFor runs a reader for a time.
 func readFor(t *testing.T, l *fakeLog, relay *fakeRelay, d time.Duration) {
-	r := &reader{stream: logstream.ConfigStream, log: l, relay: relay, clock: bubbleClock{}, logger: zap.NewNop(), max: readMax}
+	r := &reader{stream: logstream.ConfigStream, log: l, relay: relay, clock: bubbleClock{}, logger: zap.NewNop(), max: readMax, waitMS: 1000}
 	ctx, cancel := context.WithTimeout(t.Context(), d)
 	defer cancel()
 	r.run(ctx)
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -15,6 +15,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/guard"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -53,14 +54,14 @@
 	b.client = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
-		IdleConnTimeout:     idleTimeout,
-		DialContext:         guardedDialer(clk, b.leaseHeld),
+		IdleConnTimeout:     guard.IdleTimeout,
+		DialContext:         guard.Dialer(clk, b.leaseHeld),
 		DisableCompression:  true,
 	}}
 	b.grants = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost: 1,
-		IdleConnTimeout: idleTimeout,
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		IdleConnTimeout: guard.IdleTimeout,
+		DialContext:     (&net.Dialer{Timeout: guard.DialTimeout}).DialContext,
 	}}
 	return b
 }
@@ -113,9 +114,9 @@
 	if addr == "" {
 		return refusal(outcome.New(outcome.NoOwner, "no backend server"))
 	}
-	trace := &connTrace{until: until}
+	trace := &guard.Trace{Until: until}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { trace.got(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) { trace.Got(info.Conn) },
 	})
 	httpReq, err := newRequest(ctx, addr, req, token, b.deadline(until))
 	if err != nil {
@@ -148,10 +149,10 @@
 
 // failure maps a transport error to its kind. "Not run" is claimed only when
 // no byte of the request was written.
-func (b *backend) failure(ctx context.Context, addr string, trace *connTrace, err error) *wire.Response {
-	wrote := trace.wrote()
+func (b *backend) failure(ctx context.Context, addr string, trace *guard.Trace, err error) *wire.Response {
+	wrote := trace.Wrote()
 	switch {
-	case errors.Is(err, errLeaseOver) && !wrote:
+	case errors.Is(err, guard.ErrLeaseOver) && !wrote:
 		return refusal(outcome.New(outcome.LeaseLost, "%v", err))
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !wrote:
 		return refusal(outcome.New(outcome.DeadlineNotRun, "no connection to the backend server in time"))
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -18,7 +18,7 @@
 )
 
 func init() {
-	kernel.Register(kernel.Plugin{ID: "sesamemoor.owner", Module: module})
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.owner", Interface: settings.InterfaceNative, Module: module})
 }
 
 func module() fx.Option {
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/guard"
 )
 
 func kindOf(resp *wire.Response) outcome.Kind { return outcome.Kind(resp.GetKind()) }
@@ -167,14 +168,14 @@
 	b := newBench(t, server.addr, nil)
 	b.report(server.addr, false)
 	b.hold(2, nil)
-	trace := &connTrace{until: clock.Boot{}.Now().Add(time.Hour)}
-	conn, err := guardedDialer(clock.Boot{}, b.backend.leaseHeld)(context.Background(), "tcp", server.addr)
+	trace := &guard.Trace{Until: clock.Boot{}.Now().Add(time.Hour)}
+	conn, err := guard.Dialer(clock.Boot{}, b.backend.leaseHeld)(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
-	trace.got(conn)
+	trace.Got(conn)
 	b.lease.Set(clock.Boot{}.Now())
 	_, err = conn.Write([]byte("POST / HTTP/1.1\r\n"))
-	is.Equal(err, errLeaseOver)
-	is.True(!trace.wrote())
+	is.Equal(err, guard.ErrLeaseOver)
+	is.True(!trace.Wrote())
 	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.LeaseLost)
 	is.Equal(server.requests.Load(), int64(0))
 }
@@ -183,14 +184,14 @@
 func TestBarredConnectionNeverWrites(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
-	conn, err := guardedDialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
+	conn, err := guard.Dialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
-	trace := &connTrace{until: clock.Boot{}.Now().Add(time.Hour)}
-	trace.got(conn)
-	is.True(!trace.wrote())
+	trace := &guard.Trace{Until: clock.Boot{}.Now().Add(time.Hour)}
+	trace.Got(conn)
+	is.True(!trace.Wrote())
 	_, err = conn.Write([]byte("POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n"))
 	is.True(err != nil)
-	is.True(!trace.wrote())
+	is.True(!trace.Wrote())
 }
 
 // TestQuiesceWaitsForRunningAndRefusesWaiting releases a shard with one request
@@ -301,13 +302,13 @@
 func TestAnotherLeaseDoesNotCover(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string { return okAnswer })
-	conn, err := guardedDialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
+	conn, err := guard.Dialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
-	trace := &connTrace{until: clock.Boot{}.Now()}
-	trace.got(conn)
+	trace := &guard.Trace{Until: clock.Boot{}.Now()}
+	trace.Got(conn)
 	_, err = conn.Write([]byte("POST / HTTP/1.1\r\n"))
-	is.Equal(err, errLeaseOver)
-	is.True(!trace.wrote())
+	is.Equal(err, guard.ErrLeaseOver)
+	is.True(!trace.Wrote())
 }
 
 // TestDeadlineLiesInsideTheLease reads the deadline as a backend server does.
--- a/daemon/plugins/path_test.go
+++ b/daemon/plugins/path_test.go
@@ -72,7 +72,7 @@
 			func() clock.Clock { return clock.Boot{} },
 			kernel.NewMetrics,
 		),
-		kernel.Select("sesamemoor.peer", "sesamemoor.owner", "sesamemoor.entry"),
+		kernel.Select("sesamemoor.peer", "sesamemoor.owner", "sesamemoor.suspects", "sesamemoor.entry"),
 		fx.Invoke(func(group kernel.EffectHandlers, observer kernel.BackendObserver) {
 			observer.BackendReported(kernel.BackendReport{Addr: backendAddr, Slots: 64, BootID: "boot"})
 			for id, held := range v.Held {
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -55,6 +55,7 @@
 type relay struct {
 	slot       string
 	dataCentre string
+	readers    int // daemons of the data centre that read from the platform
 	control    kernel.Control
 	peers      kernel.Peers
 	clock      clock.Clock
@@ -68,7 +69,7 @@
 
 func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
 	r := &relay{
-		slot: set.Slot, dataCentre: set.DataCentre, control: c, peers: p, clock: clk,
+		slot: set.Slot, dataCentre: set.DataCentre, readers: max(set.Bounds.LogReadersPerCentre, 1), control: c, peers: p, clock: clk,
 		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, silent: map[string]clock.Instant{},
 	}
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
@@ -90,7 +91,7 @@
 
 // Read implements kernel.Relay.
 func (r *relay) Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
-	addr := parent(r.control.View().Daemons, r.slot, r.dataCentre)
+	addr := parent(r.control.View().Daemons, r.slot, r.dataCentre, r.readers)
 	if addr != "" && !r.mayAsk(addr) {
 		addr = ""
 	}
--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -236,7 +236,7 @@
 	for _, d := range w.daemons {
 		depth := 0
 		for slot := d.Slot; ; depth++ {
-			up := parent(w.daemons, slot, d.DataCentre)
+			up := parent(w.daemons, slot, d.DataCentre, 3)
 			if up == "" {
 				break
 			}
--- a/daemon/plugins/relay/tree.go
+++ b/daemon/plugins/relay/tree.go
@@ -6,24 +6,19 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
 
-const (
-	// readers is the number of daemons of a data centre that read from the
-	// platform.
-	readers = 3
-	// fanOut is the number of daemons that follow one daemon.
-	fanOut = 3
-)
+// fanOut is the number of daemons that follow one daemon.
+const fanOut = 3
 
 // parent returns the peer address that the daemon in slot follows, or "" when
-// it reads from the platform: the first daemons of a data centre do, and one
+// it reads from the platform: the first readers of a data centre do, and one
 // that is not in service yet. Daemons is the list of a view.
-func parent(daemons []view.Daemon, slot, dataCentre string) string {
+func parent(daemons []view.Daemon, slot, dataCentre string, readers int) string {
 	list := inDataCentre(daemons, dataCentre)
 	i := slices.IndexFunc(list, func(d view.Daemon) bool { return d.Slot == slot })
 	if i < readers {
 		return ""
 	}
-	return list[i/fanOut-1].PeerAddr
+	return list[(i-readers)/fanOut].PeerAddr
 }
 
 // inDataCentre returns the part of the list that is in a data centre.
--- a/daemon/plugins/entry/suspects.go
+++ b/daemon/plugins/suspects/suspects.go
@@ -1,4 +1,6 @@
-package entry
+// Package suspects keeps requests that crash backend servers away from them and
+// spreads word of them between daemons.
+package suspects
 
 import (
 	"context"
@@ -6,20 +8,29 @@
 	"slices"
 	"time"
 
+	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
-	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/quarantine"
-	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
+func init() {
+	kernel.Register(kernel.Plugin{ID: "sesamemoor.suspects", Module: module})
+}
+
+func module() fx.Option {
+	return fx.Provide(
+		NewBook,
+		func(b *Book) kernel.Suspects { return b },
+		kernel.AsFrameHandler(func(b *Book) *Book { return b }),
+	)
+}
+
 const (
-	// headerCrash names the crash in the answer of an owner whose backend
-	// server crashed.
-	headerCrash = ownPrefix + "Crash-Id"
 	// tellPeers is the number of daemons to which each daemon passes news.
 	tellPeers = 8
 	// tellAll is the number of daemons up to which all of them are told.
@@ -34,53 +45,50 @@
 	maxReportAge = 10 * time.Minute
 )
 
-// suspects keeps requests that crash backend servers out and tells other
+// Book keeps requests that crash backend servers out and tells other
 // daemons about them.
-type suspects struct {
+type Book struct {
 	table   *quarantine.Table
 	control kernel.Control
 	peers   kernel.Peers
 	clock   clock.Clock
 	log     *zap.Logger
 	rounds  chan struct{}
+	slot    string // of this daemon
 }
 
-func newSuspects(c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *suspects {
-	return &suspects{
+// NewBook returns an empty book.
+func NewBook(c kernel.Control, p kernel.Peers, clk clock.Clock, set settings.Daemon, log *zap.Logger) *Book {
+	return &Book{
 		table: quarantine.New(), control: c, peers: p, clock: clk,
-		log: log.Named("quarantine"), rounds: make(chan struct{}, tellAtOnce),
+		log: log.Named("quarantine"), rounds: make(chan struct{}, tellAtOnce), slot: set.Slot,
 	}
 }
 
-// observe takes in how a request ended.
-func (s *suspects) observe(x *exchange, resp *wire.Response, err error) {
-	fp := x.req.GetFingerprint()
-	switch {
-	case err == nil:
-		if s.table.Completed(fp) {
-			s.tell([]*wire.Suspect{{Fingerprint: fp, Service: x.req.GetService(), Cleared: true}})
-		}
-	case outcome.Of(err) == outcome.BackendCrashed:
-		server := ""
-		if x.target != nil {
-			server = x.target.BackendName
-		}
-		s.take(&wire.Suspect{
-			Fingerprint: fp, Service: x.req.GetService(), BackendServer: server,
-			CrashId: []byte(headerValue(resp.GetHeaders(), headerCrash)),
-		})
+// Refuses implements kernel.Suspects.
+func (s *Book) Refuses(fingerprint uint64) bool { return s.table.Refuses(fingerprint, s.clock.Now()) }
+
+// Completed implements kernel.Suspects.
+func (s *Book) Completed(fingerprint uint64, service string) {
+	if s.table.Completed(fingerprint) {
+		s.tell([]*wire.Suspect{{Fingerprint: fingerprint, Service: service, Cleared: true}})
 	}
 }
 
+// Crashed implements kernel.Suspects.
+func (s *Book) Crashed(fingerprint uint64, service, server, crashID string) {
+	s.take(&wire.Suspect{Fingerprint: fingerprint, Service: service, BackendServer: server, CrashId: []byte(crashID)})
+}
+
 // take stores a suspect and passes it on if it was news.
-func (s *suspects) take(suspect *wire.Suspect) {
+func (s *Book) take(suspect *wire.Suspect) {
 	if s.store(suspect) {
 		s.tell([]*wire.Suspect{suspect})
 	}
 }
 
 // store takes a suspect into the table and reports whether it was news.
-func (s *suspects) store(suspect *wire.Suspect) bool {
+func (s *Book) store(suspect *wire.Suspect) bool {
 	if suspect.GetCleared() {
 		return s.table.Completed(suspect.GetFingerprint())
 	}
@@ -104,7 +112,7 @@
 
 // tell passes news to a bounded number of daemons, each of which passes it on
 // in turn when it hears it first. Beyond tellAtOnce rounds news is dropped.
-func (s *suspects) tell(list []*wire.Suspect) {
+func (s *Book) tell(list []*wire.Suspect) {
 	select {
 	case s.rounds <- struct{}{}:
 	default:
@@ -131,22 +139,13 @@
 
 // listeners returns the addresses of the daemons to tell: all in a small
 // fleet, otherwise some at random.
-func (s *suspects) listeners() []string {
-	v := s.control.View()
-	addrs := map[string]bool{}
-	for _, svc := range v.Services {
-		for i := range svc.Shards {
-			for _, m := range []*view.Member{svc.Shards[i].Owner, svc.Shards[i].Standby} {
-				if m != nil && m.Incarnation != v.Incarnation {
-					addrs[m.PeerAddr] = true
-				}
-			}
+func (s *Book) listeners() []string {
+	var list []string
+	for _, d := range s.control.View().Daemons {
+		if d.Slot != s.slot {
+			list = append(list, d.PeerAddr)
 		}
 	}
-	list := make([]string, 0, len(addrs))
-	for addr := range addrs {
-		list = append(list, addr)
-	}
 	if len(list) <= tellAll {
 		return list
 	}
@@ -155,10 +154,10 @@
 }
 
 // Handles implements kernel.FrameHandler.
-func (s *suspects) Handles(frame *wire.Frame) bool { return frame.GetSuspects() != nil }
+func (s *Book) Handles(frame *wire.Frame) bool { return frame.GetSuspects() != nil }
 
 // HandleFrame implements kernel.FrameHandler.
-func (s *suspects) HandleFrame(_ context.Context, _ string, frame *wire.Frame) *wire.Frame {
+func (s *Book) HandleFrame(_ context.Context, _ string, frame *wire.Frame) *wire.Frame {
 	reported := frame.GetSuspects().GetSuspects()
 	var news []*wire.Suspect
 	for _, suspect := range reported[:min(len(reported), maxReported)] {
@@ -172,4 +171,7 @@
 	return &wire.Frame{Body: &wire.Frame_Suspects{Suspects: &wire.Suspects{}}}
 }
 
-var _ kernel.FrameHandler = (*suspects)(nil)
+var (
+	_ kernel.FrameHandler = (*Book)(nil)
+	_ kernel.Suspects     = (*Book)(nil)
+)
--- a/daemon/plugins/entry/changes.go
+++ b/daemon/routing/routing.go
@@ -1,4 +1,7 @@
-package entry
+// Package routing is what the callers' side knows of owners beyond the view: that
+// the placement may have changed, owners learned from answers, and which
+// suspicions were reported lately.
+package routing
 
 import (
 	"sync"
@@ -13,22 +16,23 @@
 // for a change of placement.
 const pollInterval = 5 * time.Millisecond
 
-// changes tells waiting requests that the placement may have changed. One
+// Changes tells waiting requests that the placement may have changed. One
 // goroutine watches the view for all of them, and only while some wait.
-type changes struct {
+type Changes struct {
 	control kernel.Control
 	mu      sync.Mutex
 	waiters int
 	signal  chan struct{}
 }
 
-func newChanges(c kernel.Control) *changes {
-	return &changes{control: c, signal: make(chan struct{})}
+// NewChanges returns a watch of the control state's views.
+func NewChanges(c kernel.Control) *Changes {
+	return &Changes{control: c, signal: make(chan struct{})}
 }
 
-// wait returns a channel that is closed at the next change. done must be
+// Wait returns a channel that is closed at the next change. done must be
 // called when the caller waits no more.
-func (c *changes) wait() (changed <-chan struct{}, done func()) {
+func (c *Changes) Wait() (changed <-chan struct{}, done func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiters++
@@ -38,14 +42,14 @@
 	return c.signal, c.leave
 }
 
-func (c *changes) leave() {
+func (c *Changes) leave() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiters--
 }
 
-// notify wakes all waiting requests.
-func (c *changes) notify() {
+// Notify wakes all waiting requests.
+func (c *Changes) Notify() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	close(c.signal)
@@ -53,7 +57,7 @@
 }
 
 // poll wakes the waiting requests at each new view, until none waits.
-func (c *changes) poll(seen *view.View) {
+func (c *Changes) poll(seen *view.View) {
 	ticker := time.NewTicker(pollInterval)
 	defer ticker.Stop()
 	for range ticker.C {
@@ -65,14 +69,14 @@
 		}
 		if v := c.control.View(); v != seen {
 			seen = v
-			c.notify()
+			c.Notify()
 		}
 	}
 }
 
-// learnedOwners holds owners that answered under a newer generation than the
+// Learned holds owners that answered under a newer generation than the
 // view shows, for example while the log is down after a takeover.
-type learnedOwners struct {
+type Learned struct {
 	mu    sync.Mutex
 	shard map[view.ShardID]learnedOwner
 }
@@ -82,12 +86,13 @@
 	member     *view.Member
 }
 
-func newLearnedOwners() *learnedOwners {
-	return &learnedOwners{shard: map[view.ShardID]learnedOwner{}}
+// NewLearned returns an empty table.
+func NewLearned() *Learned {
+	return &Learned{shard: map[view.ShardID]learnedOwner{}}
 }
 
-// note stores the owner of a shard that answered under generation.
-func (l *learnedOwners) note(id view.ShardID, generation uint64, m *view.Member) {
+// Note stores the owner of a shard that answered under generation.
+func (l *Learned) Note(id view.ShardID, generation uint64, m *view.Member) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.shard[id].generation < generation {
@@ -95,9 +100,9 @@
 	}
 }
 
-// apply returns the shard with the learned owner if it is newer, and forgets
+// Apply returns the shard with the learned owner if it is newer, and forgets
 // it otherwise.
-func (l *learnedOwners) apply(id view.ShardID, shard view.Shard) view.Shard {
+func (l *Learned) Apply(id view.ShardID, shard view.Shard) view.Shard {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	known, ok := l.shard[id]
@@ -118,19 +123,20 @@
 	maxSuspected = 1024
 )
 
-// suspicionLimit keeps failing requests from flooding the control state.
-type suspicionLimit struct {
+// SuspicionLimit keeps failing requests from flooding the control state.
+type SuspicionLimit struct {
 	clock clock.Clock
 	mu    sync.Mutex
 	last  map[uint64]clock.Instant // by incarnation
 }
 
-func newSuspicionLimit(clk clock.Clock) *suspicionLimit {
-	return &suspicionLimit{clock: clk, last: map[uint64]clock.Instant{}}
+// NewSuspicionLimit returns a limit with nothing reported yet.
+func NewSuspicionLimit(clk clock.Clock) *SuspicionLimit {
+	return &SuspicionLimit{clock: clk, last: map[uint64]clock.Instant{}}
 }
 
-// allow reports whether a report about the incarnation is due.
-func (s *suspicionLimit) allow(incarnation uint64) bool {
+// Allow reports whether a report about the incarnation is due.
+func (s *SuspicionLimit) Allow(incarnation uint64) bool {
 	now := s.clock.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
