Account for a hold after the view has dropped its shard

Cause: a view without the shard is published before its release begins, and the account of grants forgot the shard with that view. The release then took the server for one that holds nothing and handed the shard on while the server held it for up to a lease term.

Ruled out: the lease (no lapse in the log at those times); grants under a lapsed lease.

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -67,10 +67,15 @@
 // Acquire adds a shard that was taken over under a token. handover is the last
 // holder's token or "".
 func (t *Table) Acquire(id view.ShardID, token uint64, handover string) {
-	if e, ok := t.entries[id]; ok && e.token >= token {
-		return
+	fresh := &entry{token: token, handover: handover}
+	if e, ok := t.entries[id]; ok {
+		if e.token >= token {
+			return
+		}
+		fresh.possible = e.possible
+		fresh.unanswered = e.possible
 	}
-	t.entries[id] = &entry{token: token, handover: handover}
+	t.entries[id] = fresh
 }
 
 // Due returns the grants to be sent now, under a lease that ends at deadline. A
@@ -183,11 +188,15 @@
 	}
 }
 
-// Keep forgets the shards for which held reports false and that are not being
-// closed.
-func (t *Table) Keep(held func(view.ShardID) bool) {
+// Keep ends the grants of the shards for which held reports false, and forgets
+// those of them that the server surely does not hold any more.
+func (t *Table) Keep(now clock.Instant, held func(view.ShardID) bool) {
 	for id, e := range t.entries {
-		if !e.closed && !held(id) {
+		if held(id) {
+			continue
+		}
+		e.closed = true
+		if now >= e.possible && !e.sending {
 			delete(t.entries, id)
 		}
 	}
--- /dev/null
+++ b/core/hold/hold_test.go
@@ -0,0 +1,119 @@
+package hold
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/view"
+)
+
+const (
+	start = clock.Instant(1_000 * time.Second)
+	term  = 1500 * time.Millisecond
+	ms    = time.Millisecond
+)
+
+var shard = view.ShardID{Service: "storefront", Shard: 3}
+
+// granted returns a table in which the shard was granted at start.
+func granted(t *testing.T, token uint64) (*Table, Grant) {
+	t.Helper()
+	table := New(10 * time.Second)
+	table.Acquire(shard, token, "")
+	due := table.Due(start, start.Add(term))
+	if len(due) != 1 {
+		t.Fatalf("%d grants due instead of 1", len(due))
+	}
+	table.Answered(due[0], start)
+	return table, due[0]
+}
+
+func TestGrantEndsBeforeTheLeaseOnASlowClock(t *testing.T) {
+	is := is.New(t)
+	table, g := granted(t, 2)
+	onSlowClock := time.Duration(float64(g.Hold) * 1.02)
+	is.True(start.Add(transit+onSlowClock) <= start.Add(term))
+	is.True(table.GoneBy(shard, 2) <= start.Add(term))
+}
+
+func TestNoGrantUnderAnEndingLease(t *testing.T) {
+	is := is.New(t)
+	table := New(10 * time.Second)
+	table.Acquire(shard, 2, "")
+	is.Equal(len(table.Due(start, start.Add(minHold))), 0)
+	is.Equal(len(table.Due(start, 0)), 0)
+}
+
+func TestGrantsAreRenewed(t *testing.T) {
+	is := is.New(t)
+	table, g := granted(t, 2)
+	is.Equal(len(table.Due(start.Add(100*ms), start.Add(term))), 0)
+	at := start.Add(time.Duration(renewShare*float64(g.Hold)) + ms)
+	is.True(table.Holds(at, shard, 2))
+	is.Equal(len(table.Due(at, at.Add(term))), 1)
+	is.Equal(len(table.Due(at, at.Add(term))), 0) // on its way
+}
+
+// The view drops a shard before its release begins. What the server may hold must
+// be known until then: it was forgotten, and the shard given to another server
+// while the first one still held it.
+func TestShardDroppedByTheViewIsStillAccountedFor(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	table.Keep(start.Add(10*ms), func(view.ShardID) bool { return false })
+	is.Equal(len(table.Due(start.Add(term/2), start.Add(2*term))), 0) // no grant for it any more
+	table.Close(shard, 2)
+	is.True(table.GoneBy(shard, 2) > start.Add(term/2))
+	table.Keep(start.Add(2*term), func(view.ShardID) bool { return false })
+	is.Equal(table.GoneBy(shard, 2), clock.Instant(0)) // forgotten once it has ended
+}
+
+func TestUnansweredGrantOutlivesARelease(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	at := start.Add(term / 2)
+	due := table.Due(at, at.Add(term))
+	is.Equal(len(due), 1)
+	is.True(table.Close(shard, 2)) // it must be awaited
+	table.Failed(due[0], at.Add(400*ms))
+	is.True(!table.Sending(shard, 2))
+	is.Equal(table.ReleasedBy(shard, 2), table.GoneBy(shard, 2))
+	is.True(table.ReleasedBy(shard, 2) > at.Add(term-100*ms))
+}
+
+func TestAnsweredGrantsEndWithTheRelease(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	table.Close(shard, 2)
+	is.Equal(table.ReleasedBy(shard, 2), clock.Instant(0))
+}
+
+// A shard that comes back under a higher token may still be held under the lower
+// one by a late grant.
+func TestHigherTokenKeepsTheAccountOfTheLower(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	gone := table.GoneBy(shard, 2)
+	table.Acquire(shard, 4, "")
+	is.Equal(table.GoneBy(shard, 4), gone)
+	is.True(!table.Holds(start.Add(ms), shard, 4))
+	is.True(!table.Holds(start.Add(ms), shard, 2))
+}
+
+func TestServerThatLostTheKeysIsGrantedThemAgain(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	table.Lost(shard, 2)
+	is.True(!table.Holds(start.Add(ms), shard, 2))
+	is.Equal(len(table.Due(start.Add(ms), start.Add(term))), 1)
+}
+
+func TestNewLifeHoldsNothing(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	table.Restarted()
+	is.True(!table.Holds(start.Add(ms), shard, 2))
+}
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -127,7 +127,7 @@
 func (e *executor) follow(v *view.View) {
 	held := func(id view.ShardID) bool { _, ok := v.Held[id]; return ok }
 	e.mu.Lock()
-	e.holds.Keep(held)
+	e.holds.Keep(e.clock.Now(), held)
 	e.followOrder(v)
 	e.mu.Unlock()
 	e.turns.withdraw(func(id view.ShardID) bool { return id.Service != "" && !held(id) },
