--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -19,13 +19,44 @@
 // requests. It is safe for concurrent use. The zero value is not usable.
 type Budget struct {
 	mu     sync.Mutex
+	terms  Terms
 	tokens float64
 	at     clock.Instant
 }
 
+// Terms are the terms of a budget.
+type Terms struct {
+	Ratio   float64 // retries earned by each request
+	Floor   float64 // retries per second without any requests
+	Reserve float64 // largest number of retries saved up
+}
+
+// shareOfRatio is the part of a fleet's ratio that a daemon spends: a repeated
+// run makes its calls again, and those count as retries where they arrive, too.
+const shareOfRatio = 0.3
+
+// ShareOf returns the terms of one of several daemons that together may send
+// ratio retries for each request and extra beyond in a window. Half of the extra
+// is left for calls of repeated runs.
+func ShareOf(ratio, extra float64, daemons int) Terms {
+	return Terms{Ratio: shareOfRatio * ratio, Reserve: max(extra/2/float64(max(daemons, 1)), 1)}
+}
+
 // NewBudget returns a budget with its whole reserve.
 func NewBudget(now clock.Instant) *Budget {
-	return &Budget{tokens: reserve, at: now}
+	return NewBudgetOn(now, Terms{Ratio: ratio, Floor: floor, Reserve: reserve})
+}
+
+// NewBudgetOn returns a budget on the given terms with its whole reserve.
+func NewBudgetOn(now clock.Instant, terms Terms) *Budget {
+	return &Budget{tokens: terms.Reserve, at: now, terms: terms}
+}
+
+// SetTerms changes the terms.
+func (b *Budget) SetTerms(terms Terms) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.terms = terms
 }
 
 // Earn counts a first try.
@@ -33,7 +64,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.refill(now)
-	b.tokens = min(b.tokens+ratio, reserve)
+	b.tokens = min(b.tokens+b.terms.Ratio, b.terms.Reserve)
 }
 
 // Take uses up one retry and reports whether there was one.
@@ -52,6 +83,6 @@
 	if now <= b.at {
 		return
 	}
-	b.tokens = min(b.tokens+floor*now.Sub(b.at).Seconds(), reserve)
+	b.tokens = min(b.tokens+b.terms.Floor*now.Sub(b.at).Seconds(), b.terms.Reserve)
 	b.at = now
 }
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -83,3 +83,30 @@
 		is.True(pause >= backoffFirst/2 && pause <= backoffMost)
 	}
 }
+
+// A fleet's retries in any window stay below what it may send, with those that
+// repeated runs cause: a budget that each daemon filled by itself did not know of
+// the others.
+func TestFleetKeepsItsRetryBudget(t *testing.T) {
+	is := is.New(t)
+	const (
+		daemons  = 10
+		ratio    = 0.2
+		extra    = 60.0
+		requests = 400 // of each daemon in the window
+	)
+	now := clock.Instant(time.Hour)
+	sent := 0
+	for range daemons {
+		b := NewBudgetOn(now, ShareOf(ratio, extra, daemons))
+		for i := range requests {
+			at := now.Add(time.Duration(i) * 10 * time.Second / requests)
+			b.Earn(at)
+			for b.Take(at) {
+				sent++
+			}
+		}
+	}
+	repeatedCalls := sent // one for each run that was repeated
+	is.True(float64(sent+repeatedCalls) <= ratio*daemons*requests+extra)
+}
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -165,13 +165,15 @@
 // budget returns the retries of a service at this daemon: an equal part of what
 // the fleet may spend.
 func (s *sender) budget(service string) *retry.Budget {
+	terms := retry.ShareOf(s.bounds.RetryRatio, s.bounds.RetryExtra, len(s.control.View().Daemons))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	b, ok := s.budgets[service]
 	if !ok {
-		b = retry.NewBudget(s.clock.Now())
+		b = retry.NewBudgetOn(s.clock.Now(), terms)
 		s.budgets[service] = b
 	}
+	b.SetTerms(terms)
 	return b
 }
 
