End a former process's incarnations at the next start in its slot; share rates while no keeper answers

Cause: after all machines lost power, the old incarnations lapsed only after nobody's seal (3 terms, then 2): no key had an owner and no team a keeper for 8.5 s. Each request then waited 150 ms for a token and was refused.

Ruled out: the store (read at once), the join (ready 2 s after the start).

--- /dev/null
+++ b/core/bucket/share_test.go
@@ -0,0 +1,32 @@
+package bucket
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+// While no keeper answers, requests are served at the team's rate by all daemons
+// together: they were refused.
+func TestSharesAddUpToTheRate(t *testing.T) {
+	is := is.New(t)
+	const (
+		daemons = 10
+		rate    = 100.0
+		seconds = 4
+	)
+	served := 0
+	for range daemons {
+		var s Share
+		for ms := range seconds * 1000 {
+			if s.Take(clock.Instant(time.Hour)+clock.Instant(ms)*clock.Instant(time.Millisecond), rate/daemons) {
+				served++
+			}
+		}
+	}
+	is.True(served >= 0.9*rate*seconds)
+	is.True(served <= rate*seconds+rate*shareBurst)
+}
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -35,6 +35,10 @@
 	StaleConfig time.Duration
 	Settle      time.Duration // wait for other slots before the first join
 	Witnesses   int           // wanted size of the witness set, odd
+	// SlotIsHost tells that a slot belongs to one host, on which the platform runs
+	// one process at a time: a process that starts knows the one before it to have
+	// ended, and may end its incarnations.
+	SlotIsHost bool
 	// PublishedConfig tells that an outside author publishes whole versions of
 	// the configuration: the stream needs no snapshots.
 	PublishedConfig bool
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -39,6 +40,8 @@
 	departSince clock.Instant            // when it began to depart
 	givenUp     map[[16]byte]bool        // joins that replay did not show in time
 	shunned     map[string]clock.Instant // witnesses that did not answer, until then
+
+	predecessorsEnded bool // see endPredecessors
 }
 
 func (s *State) tickMembership() {
@@ -47,6 +50,7 @@
 		m.announced = true
 		s.claim.id = s.append(&wire.Record{Body: &wire.Record_Announce{Announce: s.announcement()}})
 	}
+	s.endPredecessors()
 	if m.holder != nil {
 		s.tickHolder()
 		return
@@ -62,6 +66,31 @@
 	s.join()
 }
 
+// holdMargin is added to the lease term after which nothing is held any more
+// under the lease of a process that ended.
+const holdMargin = 100 * time.Millisecond
+
+// endPredecessors ends the incarnations of the process that ran in this slot
+// before. That process ended before this one started, so once a term has passed
+// its lease is over, and with it all that its backend server was granted.
+func (s *State) endPredecessors() {
+	m := &s.member
+	term := time.Duration(float64(s.opts.Lease.Term) * (1 + s.opts.Lease.Drift))
+	if !s.opts.SlotIsHost || m.predecessorsEnded || s.claim.offset == 0 || s.stopping ||
+		s.now < s.started.Add(term+holdMargin) {
+		return
+	}
+	m.predecessorsEnded = true
+	for _, inc := range slices.Sorted(maps.Keys(s.fold.Members)) {
+		old := s.fold.Members[inc]
+		if old.Slot != s.opts.Slot || old.Phase == fold.Gone || inc > s.claim.offset {
+			continue
+		}
+		s.sendAs(inc, &wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: inc}}}, false)
+		s.decide(Decision{Action: "end_predecessor", Reason: "an earlier process of this slot has ended", Member: inc})
+	}
+}
+
 // giveUpJoin stops waiting for the join in flight. Should replay show it later,
 // that incarnation is ended.
 func (s *State) giveUpJoin() {
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -113,6 +113,8 @@
 	// Daemons lists the daemons in service of the region, by data centre. All
 	// daemons that have read the same records list them in the same order.
 	Daemons []Daemon
+	// Slots is the number of slots known, in service or not.
+	Slots int
 	// NewerRecords counts the records that this daemon is too old to understand.
 	NewerRecords uint64
 	// LeaseDeadline is the instant before which owned shards may be
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -70,6 +70,7 @@
 		StaleConfig:     time.Duration(set.Limits.StaleConfigMS) * time.Millisecond,
 		Settle:          time.Duration(set.Lease.SettleMS) * time.Millisecond,
 		Witnesses:       set.Lease.Witnesses,
+		SlotIsHost:      set.Interface == settings.InterfacePlatform,
 		PublishedConfig: set.Interface == settings.InterfacePlatform,
 		SnapshotRecords: snapshotRecords(set),
 		Rand:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -64,6 +64,8 @@
 	secret   []byte
 	shares   *shares
 
+	keeperless *keeperless
+
 	mu     sync.Mutex
 	hashes map[string]string // of caller keys
 }
@@ -86,7 +88,7 @@
 		control: p.Control, clock: p.Clock, dialect: p.Dialect, limits: p.Limiter, suspects: p.Suspects,
 		sender: p.Sender, metrics: p.Metrics, log: p.Log.Named("gateway"),
 		service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
-		shares: newShares(), hashes: map[string]string{},
+		shares: newShares(), keeperless: newKeeperless(), hashes: map[string]string{},
 	}
 }
 
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -21,8 +21,6 @@
 )
 
 const (
-	// limiterPatience is the longest wait for a token of the team's bucket.
-	limiterPatience = 150 * time.Millisecond
 	// defaultRetryAfter is the advice to callers whose refusal names no time: a
 	// takeover takes a few of them.
 	defaultRetryAfter = 400 * time.Millisecond
@@ -47,7 +45,7 @@
 	started  time.Time
 	limit    time.Time // when the caller is answered at the latest
 	target   time.Time // until then the answer has its full worth
-	limited  bool      // the team's rate was checked
+	shared   bool      // the team's rate was checked by this daemon's share
 	at       *view.Member
 	attempts string // what was tried, for the log
 	version  uint64 // of the configuration that was used
@@ -202,15 +200,26 @@
 	return resp, err
 }
 
-// limit takes a token of the team's fleet-wide rate.
+// limit takes a token of the team's fleet-wide rate. While no keeper answers, it
+// takes one of this daemon's equal share.
 func (g *gateway) limit(ctx context.Context, v *view.View, x *exchange) error {
 	team := x.req.GetTeam()
-	if team == "" || v.Config.Teams[team].Rate <= 0 {
+	rate := v.Config.Teams[team].Rate
+	if team == "" || rate <= 0 {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, limiterPatience)
+	ctx, cancel := context.WithTimeout(ctx, g.keeperless.patience(g.clock.Now(), team))
 	defer cancel()
-	return g.limits.Take(ctx, team)
+	err := g.limits.Take(ctx, team)
+	if outcome.Of(err) != outcome.KeeperUnavailable {
+		return err
+	}
+	now := g.clock.Now()
+	x.shared = true
+	if g.keeperless.take(now, team, rate/float64(max(v.Slots, 1))) {
+		return nil
+	}
+	return err
 }
 
 // observe tells how a request ended to the book of suspects.
@@ -347,6 +356,7 @@
 		zap.Uint32("shard", x.req.GetShard()),
 		zap.Uint64("generation", resp.GetGeneration()),
 		zap.Uint64("config_version", x.version),
+		zap.Bool("keeper_away", x.shared),
 		zap.String("owner", at),
 		zap.Uint32("attempts", x.req.GetAttempt()),
 		zap.String("tried", x.attempts),
