--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -41,7 +41,8 @@
 	givenUp     map[[16]byte]bool        // joins that replay did not show in time
 	shunned     map[string]clock.Instant // witnesses that did not answer, until then
 
-	predecessorsEnded bool // see endPredecessors
+	predecessorsEnded bool                      // see endPredecessors
+	own               map[fold.Incarnation]bool // joins of this process that replay has shown
 }
 
 func (s *State) tickMembership() {
@@ -66,6 +67,14 @@
 	s.join()
 }
 
+// noteOwn remembers an incarnation of this process.
+func (m *membership) noteOwn(inc fold.Incarnation) {
+	if m.own == nil {
+		m.own = map[fold.Incarnation]bool{}
+	}
+	m.own[inc] = true
+}
+
 // holdMargin is added to the lease term after which nothing is held any more
 // under the lease of a process that ended.
 const holdMargin = 100 * time.Millisecond
@@ -83,7 +92,7 @@
 	m.predecessorsEnded = true
 	for _, inc := range slices.Sorted(maps.Keys(s.fold.Members)) {
 		old := s.fold.Members[inc]
-		if old.Slot != s.opts.Slot || old.Phase == fold.Gone || inc > s.claim.offset {
+		if old.Slot != s.opts.Slot || old.Phase == fold.Gone || inc > s.claim.offset || m.own[inc] {
 			continue
 		}
 		s.sendAs(inc, &wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: inc}}}, false)
@@ -151,6 +160,9 @@
 func (s *State) joinSeen(offset uint64, id []byte) {
 	m := &s.member
 	join := [16]byte(id)
+	if m.givenUp[join] || join == m.joinID {
+		m.noteOwn(offset)
+	}
 	if m.givenUp[join] {
 		delete(m.givenUp, join)
 		s.sendAs(offset, &wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: offset}}}, false)
