--- a/core/control/load.go
+++ b/core/control/load.go
@@ -91,6 +91,7 @@
 	rates, weights := s.loads.Load(s.now)
 	load := placement.Load{
 		PerShard: map[view.ShardID]float64{}, MemberWeight: weights, Hold: map[string]bool{},
+		Tolerance: map[string]float64{},
 	}
 	for name, svc := range s.fold.Services {
 		if name == view.KeeperService {
@@ -101,10 +102,50 @@
 			continue
 		}
 		addShardLoads(load.PerShard, name, svc, rates)
+		s.paceRanges(name, &load)
 	}
 	return load
 }
 
+// paceRanges keeps the balancing of a service with many small ranges from
+// following chance: it begins at a clear imbalance, goes on until little is left,
+// and leaves time between rounds.
+func (s *State) paceRanges(name string, load *placement.Load) {
+	if s.history.Config.Services[name].KeySpace == 0 {
+		return
+	}
+	load.Hold[name] = s.now < s.planner.nextBalance
+	load.Tolerance[name] = beginBalance
+	if s.now < s.planner.balancing {
+		load.Tolerance[name] = endBalance
+	}
+}
+
+// noteBalance takes in whether a round began or continued moves.
+func (s *State) noteBalance(plan placement.Plan, load placement.Load) {
+	for name := range load.Tolerance {
+		if load.Hold[name] || !plan.Moves(name) {
+			continue
+		}
+		s.planner.nextBalance = s.now.Add(balanceInterval)
+		s.planner.balancing = s.now.Add(balanceMemory)
+	}
+}
+
+const (
+	// beginBalance and endBalance are the ratios of a member's load to its share
+	// at which moves of ranges begin and end. Between them lies what a load that
+	// does not change seems to vary by in a few seconds.
+	beginBalance = 1.35
+	endBalance   = 1.15
+	// balanceInterval is the time between rounds with moves of ranges: a change of
+	// standby takes effect within it.
+	balanceInterval = 500 * time.Millisecond
+	// balanceMemory is the time after a round with moves for which balancing goes
+	// on down to endBalance.
+	balanceMemory = 1500 * time.Millisecond
+)
+
 // addShardLoads adds the load of a service's shards, with a base for each.
 func addShardLoads(loads map[view.ShardID]float64, name string, svc *fold.Service, rates map[view.ShardID]float64) {
 	total := 0.0
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -32,6 +32,9 @@
 	workSince clock.Instant // since when rounds find something to do; zero if the last did not
 	heard     clock.Instant // when replay last showed another planner's record
 	since     clock.Instant // when this daemon became planner; zero while it is not
+
+	nextBalance clock.Instant // when ranges may move again
+	balancing   clock.Instant // until when moves of ranges go on
 }
 
 // planBasis is what a plan is made on. Equal bases give equal plans.
@@ -139,7 +142,10 @@
 	p := &s.planner
 	p.planned = planBasis{replay: s.fold.Next, config: s.history.Next}
 	p.made = s.now
-	return placement.Make(s.fold, s.history.Config, s.placementLoad(), placement.DefaultLimits)
+	load := s.placementLoad()
+	plan := placement.Make(s.fold, s.history.Config, load, placement.DefaultLimits)
+	s.noteBalance(plan, load)
+	return plan
 }
 
 // propose appends the plan's records once each. A lost one is planned again.
--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -27,7 +27,7 @@
 	// minHold is the shortest time worth granting.
 	minHold = 100 * time.Millisecond
 	// renewShare is the part of a grant's time after which it is renewed.
-	renewShare = 0.35
+	renewShare = 0.55
 	// retryPause is the time after which an unanswered or failed grant is sent
 	// again.
 	retryPause = 150 * time.Millisecond
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -64,7 +64,7 @@
 
 // unbalanced reports whether a pair of members is outside the bounds.
 func (r *round) unbalanced(high, low *candidate) bool {
-	return high.ratio() > r.mean*loadFactor || high.ratio() > r.mean && low.ratio() < r.mean/loadFactor
+	return high.ratio() > r.mean*r.bound || high.ratio() > r.mean && low.ratio() < r.mean/r.bound
 }
 
 func (r *round) extreme(skip map[*candidate]bool, better func(a, b *candidate) bool) *candidate {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -41,6 +41,9 @@
 	// Hold names the services whose shards stay with their owners for now,
 	// because too little was measured to say which should move.
 	Hold map[string]bool
+	// Tolerance is, by service, the ratio of a member's load to its share of the
+	// mean from which on shards move; absent services have loadFactor.
+	Tolerance map[string]float64
 }
 
 // Plan is what one round of planning proposes. Empty slices mean nothing to do.
@@ -52,6 +55,21 @@
 // Empty reports whether the plan proposes nothing.
 func (p Plan) Empty() bool { return len(p.Placements) == 0 && len(p.Handovers) == 0 }
 
+// Moves reports whether the plan changes owners or standbys that a service has.
+func (p Plan) Moves(service string) bool {
+	for _, h := range p.Handovers {
+		if h.GetService() == service {
+			return true
+		}
+	}
+	for _, pl := range p.Placements {
+		if pl.GetRef().GetService() == service && pl.GetRef().GetGeneration() > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Make plans one round for all services that the configuration names.
 func Make(st *fold.State, cfg *fleet.Config, load Load, limits Limits) Plan {
 	plan := &Plan{}
--- a/core/placement/round.go
+++ b/core/placement/round.go
@@ -35,6 +35,7 @@
 	total   float64 // load of the service
 	mean    float64 // load for each unit of capacity
 	spread  bool    // candidates are in more than one data centre
+	bound   float64 // ratio to the mean load from which on shards move
 }
 
 // newRound returns nil when no member may own shards of the service.
@@ -46,6 +47,10 @@
 	}
 	r := &round{
 		service: name, svc: svc, plan: plan, byInc: map[fold.Incarnation]*candidate{}, touched: map[int]bool{},
+		bound: loadFactor,
+	}
+	if tolerance, ok := load.Tolerance[name]; ok {
+		r.bound = tolerance
 	}
 	capacity := 0.0
 	for _, m := range members {
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -103,6 +103,7 @@
 	RecordRing          uint64  `json:"record_ring"`         // newest records of each author that the log keeps for good
 	LogReadersPerCentre int     `json:"log_readers"`         // daemons of a data centre that read the log themselves
 	LogWaitMS           int     `json:"log_wait_ms"`         // longest wait of one read for new records
+	LogGatherMS         int     `json:"log_gather_ms"`       // pause after new records of the log, so that one read brings several
 	GraceS              float64 `json:"grace_s"`             // time from SIGTERM to the kill of the process; 0 means that of shutdown_grace_ms
 }
 
--- a/daemon/plugins/logclient/reader.go
+++ b/daemon/plugins/logclient/reader.go
@@ -26,21 +26,23 @@
 // reader follows one stream, from a peer where there is one to follow, else
 // from the platform.
 type reader struct {
-	stream string
-	log    logstream.Log
-	relay  kernel.Relay
-	clock  clock.Clock
-	logger *zap.Logger
-	primed bool // the platform or a peer answered once
-	pause  time.Duration
-	waitMS int // longest wait for new records
-	max    int // records asked for; fewer after a failure, which may be one of size
+	stream    string
+	log       logstream.Log
+	relay     kernel.Relay
+	clock     clock.Clock
+	logger    *zap.Logger
+	primed    bool // the platform or a peer answered once
+	pause     time.Duration
+	waitMS    int           // longest wait for new records
+	gatherFor time.Duration // pause after new records
+	max       int           // records asked for; fewer after a failure, which may be one of size
 }
 
 func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, relay kernel.Relay, clk clock.Clock, log *zap.Logger) {
 	var tasks []func(context.Context)
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
-		r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("logclient"), max: readMax, waitMS: set.Bounds.LogWaitMS}
+		r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("logclient"), max: readMax, waitMS: set.Bounds.LogWaitMS,
+			gatherFor: time.Duration(set.Bounds.LogGatherMS) * time.Millisecond}
 		tasks = append(tasks, r.run)
 	}
 	kernel.Background(lc, tasks...)
@@ -55,6 +57,7 @@
 			r.pause = 0
 			r.primed = true
 			r.relay.Take(r.stream, from, batch, asOf)
+			r.gather(ctx, batch)
 		case errors.Is(err, logstream.ErrTrimmed) && batch.First > from:
 			r.logger.Warn("records were trimmed; starting from a snapshot",
 				zap.String("stream", r.stream), zap.Uint64("from", from), zap.Uint64("first", batch.First))
@@ -66,6 +69,18 @@
 	}
 }
 
+// gather waits a little after new records, so that the next read brings those
+// that follow them together.
+func (r *reader) gather(ctx context.Context, batch logstream.Batch) {
+	if r.gatherFor == 0 || len(batch.Records) == 0 {
+		return
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(r.gatherFor):
+	}
+}
+
 // read reads from the peer to follow or else from the platform. The instant is
 // that of the sending: the answer to a read proves the head as of then, however
 // long the read waited.
