A silent backend server may still hold its keys; gather log lines of many shards

Cause: a server that did not answer, or whose connection broke, counted as gone for its holds too: its shards were handed on while it held them. Only a refused connection proves that the process has ended.

The release of 524 shards wrote as many lines on the control goroutine, 0.4 s of the daemon's share of a core.

--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -118,12 +118,11 @@
 }
 
 func (c *Controller) apply(effects []control.Effect) {
+	defer c.logDecisions(effects)
 	for _, effect := range effects {
 		switch e := effect.(type) {
 		case control.Publish:
 			c.view.Store(e.View)
-		case control.Decision:
-			c.logDecision(e)
 		case control.Left:
 			if !c.leftOnce {
 				c.leftOnce = true
@@ -136,23 +135,6 @@
 	}
 }
 
-func (c *Controller) logDecision(d control.Decision) {
-	fields := []zap.Field{zap.String("action", d.Action), zap.String("reason", d.Reason)}
-	if d.Shard.Service != "" {
-		fields = append(fields, zap.String("service", d.Shard.Service), zap.Uint32("shard", d.Shard.Shard))
-	}
-	if d.Generation != 0 {
-		fields = append(fields, zap.Uint64("generation", d.Generation))
-	}
-	if d.Member != 0 {
-		fields = append(fields, zap.Uint64("member", d.Member))
-	}
-	if d.Count != 0 {
-		fields = append(fields, zap.Int("count", d.Count))
-	}
-	c.log.Info("placement", fields...)
-}
-
 // startController starts the control goroutine after all plug-ins are built,
 // and on stop hands over the daemon's shards first.
 func startController(lc fx.Lifecycle, c *Controller, group EffectHandlers) {
--- /dev/null
+++ b/daemon/kernel/decisionlog.go
@@ -0,0 +1,93 @@
+package kernel
+
+import (
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/control"
+)
+
+// maxNamedShards bounds the text that names the shards of one log line.
+const maxNamedShards = 400
+
+// sameDecision is what decisions of one log line have in common.
+type sameDecision struct {
+	action, reason, service string
+	member                  uint64
+}
+
+// logDecisions writes the decisions of one step. Decisions that differ in their
+// shard alone share a line: hundreds of shards change hands at once when a daemon
+// leaves.
+func (c *Controller) logDecisions(effects []control.Effect) {
+	var order []sameDecision
+	groups := map[sameDecision][]control.Decision{}
+	for _, effect := range effects {
+		d, ok := effect.(control.Decision)
+		if !ok {
+			continue
+		}
+		key := sameDecision{d.Action, d.Reason, d.Shard.Service, d.Member}
+		if _, known := groups[key]; !known {
+			order = append(order, key)
+		}
+		groups[key] = append(groups[key], d)
+	}
+	for _, key := range order {
+		c.logGroup(key, groups[key])
+	}
+}
+
+func (c *Controller) logGroup(key sameDecision, group []control.Decision) {
+	fields := []zap.Field{zap.String("action", key.action), zap.String("reason", key.reason)}
+	first := group[0]
+	switch {
+	case key.service == "":
+	case len(group) == 1:
+		fields = append(fields, zap.String("service", key.service), zap.Uint32("shard", first.Shard.Shard))
+	default:
+		fields = append(fields, zap.String("service", key.service), zap.String("shards", shardNames(group)), zap.Int("count", len(group)))
+	}
+	if len(group) == 1 && first.Generation != 0 {
+		fields = append(fields, zap.Uint64("generation", first.Generation))
+	}
+	if key.member != 0 {
+		fields = append(fields, zap.Uint64("member", key.member))
+	}
+	if first.Count != 0 {
+		fields = append(fields, zap.Int("count", first.Count))
+	}
+	c.log.Info("placement", fields...)
+}
+
+// shardNames names the shards of a group in order, runs of them as "first-last",
+// each run with the generation of its first.
+func shardNames(group []control.Decision) string {
+	slices.SortFunc(group, func(a, b control.Decision) int { return int(a.Shard.Shard) - int(b.Shard.Shard) })
+	var text strings.Builder
+	for i := 0; i < len(group); {
+		if text.Len() > maxNamedShards {
+			text.WriteString(" ...")
+			break
+		}
+		end := i + 1
+		for end < len(group) && group[end].Shard.Shard == group[end-1].Shard.Shard+1 && group[end].Generation == group[i].Generation {
+			end++
+		}
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(strconv.FormatUint(uint64(group[i].Shard.Shard), 10))
+		if end-i > 1 {
+			text.WriteByte('-')
+			text.WriteString(strconv.FormatUint(uint64(group[end-1].Shard.Shard), 10))
+		}
+		text.WriteByte('@')
+		text.WriteString(strconv.FormatUint(group[i].Generation, 10))
+		i = end
+	}
+	return text.String()
+}
--- a/daemon/plugins/backend/announced.go
+++ b/daemon/plugins/backend/announced.go
@@ -49,7 +49,8 @@
 	leaving  clock.Instant // since when it is known to leave; 0 if it is not
 	heard    clock.Instant // last sign of life
 	failures int           // calls without an answer since then
-	down     bool
+	down     bool          // it counts as gone
+	dead     bool          // its process has surely ended, and with it all holds
 }
 
 // name tells one life of a server from another.
@@ -119,6 +120,7 @@
 	}
 	if s.down {
 		s.down = false
+		s.dead = false
 		e.log.Info("backend server back", zap.String("instance", s.id), zap.Int64("born", s.born))
 	}
 	return s.up()
@@ -189,7 +191,7 @@
 		drained := s != nil && e.drainedLocked(e.clock.Now())
 		e.mu.Unlock()
 		if silent {
-			e.serverLost(s, "no sign of life")
+			e.serverLost(s, "no sign of life", false)
 		}
 		if drained {
 			e.turns.withdraw(func(view.ShardID) bool { return true },
@@ -227,14 +229,17 @@
 	gone := s.failures >= deafFailures && e.clock.Now().Sub(s.heard) > deafTime
 	e.mu.Unlock()
 	if gone {
-		e.serverLost(s, "no answer: "+err.Error())
+		e.serverLost(s, "no answer: "+err.Error(), false)
 	}
 }
 
 // serverLost tells that a life of the server is over, or seems to be: its shards
-// are handed on. An announcement of the same life makes it a member again.
-func (e *executor) serverLost(s *server, reason string) {
+// are handed on. Only of a dead one is it known that it holds no keys; a silent
+// one may hold them until its grants run out. An announcement of the same life
+// makes it a member again.
+func (e *executor) serverLost(s *server, reason string, dead bool) {
 	e.mu.Lock()
+	s.dead = s.dead || dead
 	known := s == e.server && !s.down
 	if known {
 		s.down = true
@@ -243,7 +248,7 @@
 	if !known {
 		return
 	}
-	e.log.Warn("backend server lost", zap.String("instance", s.id), zap.Int64("born", s.born), zap.String("reason", reason))
+	e.log.Warn("backend server lost", zap.String("instance", s.id), zap.Int64("born", s.born), zap.Bool("dead", dead), zap.String("reason", reason))
 	e.turns.withdraw(func(view.ShardID) bool { return true }, outcome.New(outcome.NoOwner, "the backend server is gone"))
 	e.control.Post(control.BackendDown{Reason: "backend server lost"})
 }
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -58,6 +58,7 @@
 	client   *client
 	turns    *turns
 	counters counters
+	holdLog  *holdLog
 
 	kick chan struct{} // a grant may be due
 
@@ -94,6 +95,7 @@
 		closed:  map[view.ShardID]uint64{},
 		running: map[view.ShardID]int{},
 	}
+	e.holdLog = newHoldLog(e.log)
 	e.client = newClient(p.Clock, p.Dialect)
 	return e
 }
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -235,7 +235,9 @@
 		e.holds.Lost(r.shard, r.token)
 		e.mu.Unlock()
 		e.kickHolds()
-	case kind == outcome.BackendCrashed, isRefused(err):
-		e.serverLost(r.server, resp.GetDetail())
+	case isRefused(err):
+		e.serverLost(r.server, resp.GetDetail(), true)
+	case kind == outcome.BackendCrashed:
+		e.serverLost(r.server, resp.GetDetail(), false)
 	}
 }
--- a/daemon/plugins/backend/holds.go
+++ b/daemon/plugins/backend/holds.go
@@ -116,8 +116,7 @@
 	e.mu.Unlock()
 	e.serverAnswered(s)
 	if first {
-		e.log.Info("keys granted", zap.String("service", g.Shard.Service), zap.Uint32("shard", g.Shard.Shard),
-			zap.Uint64("generation", g.Token), zap.Duration("hold", g.Hold), zap.Bool("handover", g.Handover != ""))
+		e.holdLog.note("keys granted", g.Shard, g.Token, g.Handover != "")
 	}
 }
 
@@ -130,7 +129,7 @@
 // noteFailure takes in a call that failed: a refused connection ends a life.
 func (e *executor) noteFailure(s *server, err error) {
 	if isRefused(err) {
-		e.serverLost(s, "connection refused")
+		e.serverLost(s, "connection refused", true)
 		return
 	}
 	e.serverDeaf(s, err)
@@ -173,8 +172,7 @@
 	e.mu.Lock()
 	e.holds.Drop(q.Shard, q.Token)
 	e.mu.Unlock()
-	e.log.Info("keys taken back", zap.String("service", q.Shard.Service), zap.Uint32("shard", q.Shard.Shard),
-		zap.Uint64("generation", q.Token), zap.Bool("handover", handover != ""))
+	e.holdLog.note("keys taken back", q.Shard, q.Token, handover != "")
 	e.control.Post(control.Quiesced{Shard: q.Shard, Token: q.Token, Handover: handover})
 }
 
@@ -202,16 +200,16 @@
 		e.log.Warn("release without answer", zap.String("service", q.Shard.Service),
 			zap.Uint32("shard", q.Shard.Shard), zap.Uint64("generation", q.Token), zap.Error(err))
 		if isRefused(err) {
-			e.serverLost(s, "connection refused")
+			e.serverLost(s, "connection refused", true)
 		}
 	}
-	e.await(func() bool { return e.clock.Now() >= gone || s.down })
+	e.await(func() bool { return e.clock.Now() >= gone || e.lifeOver(s) })
 	return handover
 }
 
 // lifeOver reports whether a life of the server is over. The caller holds the
 // lock.
-func (e *executor) lifeOver(s *server) bool { return s == nil || s.down || s != e.server }
+func (e *executor) lifeOver(s *server) bool { return s == nil || s.dead || s != e.server }
 
 // await waits until a condition holds that is looked at under the lock.
 func (e *executor) await(condition func() bool) {
