Work out a grant's time at the moment of its sending

Cause: with hundreds of ranges a grant waits for its turn after it became due. Sent under a lease that was renewed meanwhile, it ended later than accounted for; a release without an answer then waited too short.

Test without the bench: TestGrantThatWaitedEndsLater.

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -37,8 +37,8 @@
 type Grant struct {
 	Shard    view.ShardID
 	Token    uint64
-	Hold     time.Duration
 	Handover string
+	Hold     time.Duration // set by Start
 }
 
 // entry is the account of one shard under one token.
@@ -78,11 +78,11 @@
 	t.entries[id] = fresh
 }
 
-// Due returns the grants to be sent now, under a lease that ends at deadline. A
-// grant ends before the lease does. Each must be ended by Answered or Failed.
+// Due returns the grants that are due now, under a lease that ends at deadline.
+// Each must be begun by Start, and ended by Answered, Failed or Refused if Start
+// let it be sent.
 func (t *Table) Due(now, deadline clock.Instant) []Grant {
-	longest := min(t.max, time.Duration(float64(deadline.Sub(now)-transit)/clockRate))
-	if longest < minHold {
+	if t.longest(now, deadline) < minHold {
 		return nil
 	}
 	var due []Grant
@@ -91,13 +91,33 @@
 			continue
 		}
 		e.sending = true
-		end := now.Add(transit + time.Duration(float64(longest)*clockRate))
-		e.possible = max(e.possible, end)
-		due = append(due, Grant{Shard: id, Token: e.token, Hold: longest, Handover: e.handover})
+		due = append(due, Grant{Shard: id, Token: e.token, Handover: e.handover})
 	}
 	return due
 }
 
+// longest returns the time for which keys may be granted now, so that the grant
+// ends before the lease does.
+func (t *Table) longest(now, deadline clock.Instant) time.Duration {
+	return min(t.max, time.Duration(float64(deadline.Sub(now)-transit)/clockRate))
+}
+
+// Start sets the time of a grant that is sent at this very moment. It returns
+// false if it must not be sent any more.
+func (t *Table) Start(g *Grant, now, deadline clock.Instant) bool {
+	e := t.find(g.Shard, g.Token)
+	if e == nil {
+		return false
+	}
+	g.Hold = t.longest(now, deadline)
+	if e.closed || g.Hold < minHold {
+		e.sending = false
+		return false
+	}
+	e.possible = max(e.possible, now.Add(transit+time.Duration(float64(g.Hold)*clockRate)))
+	return true
+}
+
 // Answered ends a grant that was sent at an instant and acknowledged.
 func (t *Table) Answered(g Grant, sent clock.Instant) {
 	e := t.find(g.Shard, g.Token)
--- a/core/hold/hold_test.go
+++ b/core/hold/hold_test.go
@@ -24,7 +24,7 @@
 	table := New(10 * time.Second)
 	table.Acquire(shard, token, "")
 	due := table.Due(start, start.Add(term))
-	if len(due) != 1 {
+	if len(due) != 1 || !table.Start(&due[0], start, start.Add(term)) {
 		t.Fatalf("%d grants due instead of 1", len(due))
 	}
 	table.Answered(due[0], start)
@@ -74,9 +74,10 @@
 func TestUnansweredGrantOutlivesARelease(t *testing.T) {
 	is := is.New(t)
 	table, _ := granted(t, 2)
-	at := start.Add(term / 2)
+	at := start.Add(900 * ms) // renewal is due
 	due := table.Due(at, at.Add(term))
 	is.Equal(len(due), 1)
+	is.True(table.Start(&due[0], at, at.Add(term)))
 	is.True(table.Close(shard, 2)) // it must be awaited
 	table.Failed(due[0], at.Add(400*ms))
 	is.True(!table.Sending(shard, 2))
@@ -117,3 +118,29 @@
 	table.Restarted()
 	is.True(!table.Holds(start.Add(ms), shard, 2))
 }
+
+// Hundreds of grants wait for their turn. One that is sent late, under a lease
+// that was renewed meanwhile, ends late: it was accounted for as of the time at
+// which it became due.
+func TestGrantThatWaitedEndsLater(t *testing.T) {
+	is := is.New(t)
+	table := New(10 * time.Second)
+	table.Acquire(shard, 2, "")
+	due := table.Due(start, start.Add(term))
+	is.Equal(len(due), 1)
+	sent := start.Add(400 * ms)
+	is.True(table.Start(&due[0], sent, sent.Add(term)))
+	end := sent.Add(time.Duration(float64(due[0].Hold) * 1.02))
+	is.True(table.GoneBy(shard, 2) >= end)
+	is.True(table.GoneBy(shard, 2) <= sent.Add(term))
+}
+
+func TestGrantThatWaitedIsNotSentAfterTheClose(t *testing.T) {
+	is := is.New(t)
+	table := New(10 * time.Second)
+	table.Acquire(shard, 2, "")
+	due := table.Due(start, start.Add(term))
+	is.True(table.Close(shard, 2))
+	is.True(!table.Start(&due[0], start.Add(ms), start.Add(term)))
+	is.True(!table.Sending(shard, 2))
+}
--- a/daemon/plugins/backend/holds.go
+++ b/daemon/plugins/backend/holds.go
@@ -77,16 +77,10 @@
 	return e.server, e.holds.Due(e.clock.Now(), v.Lease.Deadline())
 }
 
-// grant sends one grant. It is left out if the lease has ended meanwhile, or
-// little is left of the time: then the grant's end was worked out long ago.
+// grant sends one grant, if the shard and the lease are still held.
 func (e *executor) grant(ctx context.Context, s *server, g hold.Grant) {
-	v := e.control.View()
-	keys, ok := rangeOf(v, g.Shard, g.Token)
-	sent := e.clock.Now()
-	left := v.Lease.Deadline().Sub(sent)
-	held, shown := v.Held[g.Shard]
-	if !ok || !shown || held.Token != g.Token || left < g.Hold {
-		e.grantFailed(g, sent)
+	sent, keys, ok := e.startGrant(&g)
+	if !ok {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
@@ -109,6 +103,20 @@
 	}
 }
 
+// startGrant works out a grant at the moment of its sending.
+func (e *executor) startGrant(g *hold.Grant) (clock.Instant, dialect.KeyRange, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	v := e.control.View()
+	keys, ok := rangeOf(v, g.Shard, g.Token)
+	now := e.clock.Now()
+	deadline := v.Lease.Deadline()
+	if held, shown := v.Held[g.Shard]; !ok || !shown || held.Token != g.Token {
+		deadline = 0
+	}
+	return now, keys, e.holds.Start(g, now, deadline)
+}
+
 func (e *executor) granted(s *server, g hold.Grant, sent clock.Instant) {
 	e.mu.Lock()
 	first := !e.holds.Holds(sent, g.Shard, g.Token)
