Count what goes on to arrive when predicting a request's turn

Cause: a request that can no longer meet its objective, or has a low rank, was kept waiting although what arrives meanwhile goes first; it was refused when its time had run out.

--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -11,6 +11,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -29,6 +30,14 @@
 	// lateShare is the part of its remaining time within which a request that
 	// misses its objective must be answered by prediction to be kept waiting.
 	lateShare = 0.5
+	// leastShare is the part of its expected service time that must be left of a
+	// request's limit for a run to be worth a slot.
+	leastShare = 0.5
+	// offeredWindow is the time over which the work that arrives is averaged.
+	offeredWindow = time.Second
+	// leastRest is the least part of the slots that is taken to be left by requests
+	// that go before: none at all would let nothing wait.
+	leastRest = 0.05
 	// minRetryAfter is the shortest advised time to come back: below it a
 	// caller's way here and back outweighs the wait.
 	minRetryAfter = 40 * time.Millisecond
@@ -67,13 +76,50 @@
 	mean    time.Duration // over all classes
 	last    uint64
 
+	offered map[int64]*offer // work that arrives, by rank
+
 	coldUntil clock.Instant
 	coldRate  float64 // starts in rateWindow while cold; 0 means no limit
 	starts    []clock.Instant
 }
 
 // New returns the queue of a server without slots.
-func New() *Queue { return &Queue{means: map[string]time.Duration{}, mean: defaultService} }
+func New() *Queue {
+	return &Queue{means: map[string]time.Duration{}, mean: defaultService, offered: map[int64]*offer{}}
+}
+
+// offer is the slots that the arrivals of a rank keep busy, averaged.
+type offer struct {
+	slots float64
+	at    clock.Instant
+}
+
+func (o *offer) now(now clock.Instant) float64 {
+	return o.slots * math.Exp(-float64(now.Sub(o.at))/float64(offeredWindow))
+}
+
+// noteArrival counts the expected work of a request.
+func (q *Queue) noteArrival(now clock.Instant, t *Ticket) {
+	o, ok := q.offered[rank(t)]
+	if !ok {
+		o = &offer{}
+		q.offered[rank(t)] = o
+	}
+	o.slots = o.now(now) + float64(q.service(t.Class))/float64(offeredWindow)
+	o.at = now
+}
+
+// rest returns the part of the slots that arrivals leave to t which go before it:
+// those of higher rank, or all if t can no longer meet its objective.
+func (q *Queue) rest(now clock.Instant, t *Ticket, late bool) float64 {
+	busy := 0.0
+	for other, o := range q.offered {
+		if late || other < rank(t) {
+			busy += o.now(now)
+		}
+	}
+	return max(1-busy/float64(max(q.slots, 1)), leastRest)
+}
 
 // SetSlots sets the number of requests that the server runs at once.
 func (q *Queue) SetSlots(slots int) { q.slots = slots }
@@ -113,8 +159,8 @@
 func (q *Queue) Submit(now clock.Instant, t *Ticket) *Refusal {
 	q.last++
 	t.number = q.last
-	start := q.predictStart(now, t)
-	finish := start.Add(q.service(t.Class))
+	start, finish := q.predict(now, t)
+	q.noteArrival(now, t)
 	if reason := hopeless(now, start, finish, t); reason != "" {
 		return &Refusal{Ticket: t, Reason: reason, RetryAfter: retryAfter(now, finish, t)}
 	}
@@ -123,13 +169,26 @@
 	return nil
 }
 
+// predict returns the instants at which a request that arrives now would start and
+// be answered, if what arrives goes on as it did.
+func (q *Queue) predict(now clock.Instant, t *Ticket) (start, finish clock.Instant) {
+	wait := float64(q.predictStart(now, t).Sub(now))
+	service := q.service(t.Class)
+	start = now.Add(time.Duration(wait / q.rest(now, t, false)))
+	if finish = start.Add(service); finish <= t.Target {
+		return start, finish
+	}
+	start = now.Add(time.Duration(wait / q.rest(now, t, true)))
+	return start, start.Add(service)
+}
+
 // hopeless tells why a request is not worth waiting, or "".
 func hopeless(now, start, finish clock.Instant, t *Ticket) string {
 	switch {
 	case finish > t.Limit && start > now:
 		return "no slot before the time limit"
-	case now >= t.Limit:
-		return "the time limit has passed"
+	case now.Add(time.Duration(leastShare*float64(finish.Sub(start)))) >= t.Limit:
+		return "too little time is left"
 	case finish > t.Target && start > now && finish > now.Add(time.Duration(lateShare*float64(t.Limit.Sub(now)))):
 		return "no slot within the latency objective"
 	}
--- /dev/null
+++ b/core/runqueue/runqueue_test.go
@@ -0,0 +1,145 @@
+package runqueue
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+const (
+	start = clock.Instant(time.Hour)
+	ms    = time.Millisecond
+)
+
+func ticket(priority uint32, target, limit time.Duration) *Ticket {
+	return &Ticket{Class: "c", Priority: priority, Target: start.Add(target), Limit: start.Add(limit)}
+}
+
+// queue returns a queue whose class takes a known time.
+func queue(slots int, service time.Duration) *Queue {
+	q := New()
+	q.SetSlots(slots)
+	q.means["c"] = service
+	q.mean = service
+	return q
+}
+
+func TestNeverMoreThanTheSlots(t *testing.T) {
+	is := is.New(t)
+	q := queue(2, 50*ms)
+	for range 5 {
+		is.True(q.Submit(start, ticket(0, time.Second, 2*time.Second)) == nil)
+	}
+	started, refused := q.Next(start)
+	is.Equal(len(started), 2)
+	is.Equal(len(refused), 0)
+	is.Equal(q.Waiting(), 3)
+	q.Done(start.Add(50*ms), started[0], true)
+	started, _ = q.Next(start.Add(50 * ms))
+	is.Equal(len(started), 1)
+	is.Equal(q.Running(), 2)
+}
+
+// What cannot be answered in time is refused on arrival, with the time after
+// which it could have been.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	is := is.New(t)
+	q := queue(1, 100*ms)
+	is.True(q.Submit(start, ticket(0, 300*ms, time.Second)) == nil)
+	q.Next(start)
+	is.True(q.Submit(start, ticket(0, 300*ms, time.Second)) == nil)
+	is.True(q.Submit(start, ticket(0, 300*ms, time.Second)) == nil)
+	refused := q.Submit(start, ticket(0, 150*ms, 250*ms))
+	is.True(refused != nil)
+	// It would have been answered 50 ms too late, or more if as much goes on to come.
+	is.True(refused.RetryAfter >= 50*ms && refused.RetryAfter <= 300*ms)
+}
+
+func TestIdleServerTakesEvenALateRequest(t *testing.T) {
+	is := is.New(t)
+	q := queue(1, 100*ms)
+	is.True(q.Submit(start, ticket(0, -100*ms, 500*ms)) == nil)
+	started, _ := q.Next(start)
+	is.Equal(len(started), 1)
+}
+
+func TestOrder(t *testing.T) {
+	is := is.New(t)
+	q := queue(1, 100*ms)
+	running := ticket(0, time.Second, 2*time.Second)
+	is.True(q.Submit(start, running) == nil)
+	q.Next(start)
+	late := ticket(0, 50*ms, 5*time.Second)
+	low := ticket(2, 900*ms, 5*time.Second)
+	high := ticket(1, 950*ms, 5*time.Second)
+	nested := ticket(3, 990*ms, 5*time.Second)
+	nested.Nested = true
+	for _, w := range []*Ticket{late, low, high, nested} {
+		is.True(q.Submit(start, w) == nil)
+	}
+	now := start
+	for _, want := range []*Ticket{nested, high, low, late} {
+		now = now.Add(100 * ms)
+		q.Done(now, running, true)
+		started, refused := q.Next(now)
+		is.Equal(len(refused), 0)
+		is.Equal(started, []*Ticket{want})
+		running = want
+	}
+}
+
+func TestWaitingRequestIsRefusedWhenItsTimeRunsOut(t *testing.T) {
+	is := is.New(t)
+	q := queue(1, 100*ms)
+	running := ticket(0, time.Second, 2*time.Second)
+	is.True(q.Submit(start, running) == nil)
+	q.Next(start)
+	is.True(q.Submit(start, ticket(0, 250*ms, 300*ms)) == nil)
+	now := start.Add(260 * ms) // the one before took longer than expected
+	q.Done(now, running, true)
+	started, refused := q.Next(now)
+	is.Equal(len(started)+len(refused), 1)
+	is.Equal(len(refused), 1)
+}
+
+// A cold server bears only so many starts a second, however short they are.
+func TestColdServerGetsNoMoreThanItBears(t *testing.T) {
+	is := is.New(t)
+	q := queue(9, 5*ms)
+	q.SetCold(start.Add(3*time.Second), 18)
+	var starts []clock.Instant
+	var running []*Ticket
+	for at := start; at < start.Add(2900*ms); at = at.Add(ms) {
+		for _, r := range running {
+			q.Done(at, r, true)
+		}
+		q.Submit(at, &Ticket{Class: "c", Target: at.Add(300 * ms), Limit: at.Add(2 * time.Second)})
+		running, _ = q.Next(at)
+		for range running {
+			starts = append(starts, at)
+		}
+	}
+	is.True(len(starts) >= 18*2)
+	for i := range starts {
+		if i >= 18 {
+			is.True(starts[i].Sub(starts[i-18]) >= time.Second)
+		}
+	}
+}
+
+func TestCancelAndWithdraw(t *testing.T) {
+	is := is.New(t)
+	q := queue(1, 100*ms)
+	a, b, c := ticket(0, time.Second, 2*time.Second), ticket(0, time.Second, 2*time.Second), ticket(0, time.Second, 2*time.Second)
+	for _, w := range []*Ticket{a, b, c} {
+		is.True(q.Submit(start, w) == nil)
+	}
+	q.Next(start)
+	is.True(!q.Cancel(a)) // it runs
+	is.True(q.Cancel(b))
+	is.Equal(q.Withdraw(func(*Ticket) bool { return true }), []*Ticket{c})
+	is.Equal(q.Waiting(), 0)
+}
--- /dev/null
+++ b/core/spread/spread_test.go
@@ -0,0 +1,77 @@
+package spread
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+const (
+	now = clock.Instant(time.Hour)
+	ms  = time.Millisecond
+)
+
+func never(int) bool { return false }
+
+func reported(near bool, load int, service time.Duration) *Server {
+	s := &Server{Near: near, Slots: 9}
+	s.Reported(now, Report{Slots: 9, Load: load, Service: service})
+	return s
+}
+
+func TestOwnDataCentreWhileItIsInTime(t *testing.T) {
+	is := is.New(t)
+	servers := []*Server{reported(false, 0, 50*ms), reported(true, 5, 60*ms)}
+	is.Equal(Choose(now, servers, never, 400*ms), 1)
+	servers[1] = reported(true, 60, 60*ms) // a long queue
+	is.Equal(Choose(now, servers, never, 400*ms), 0)
+}
+
+func TestFasterServerOfEqualLoad(t *testing.T) {
+	is := is.New(t)
+	servers := []*Server{reported(true, 4, 300*ms), reported(true, 4, 100*ms)}
+	is.Equal(Choose(now, servers, never, 100*ms), 1)
+}
+
+// A server that fails part of its requests though it says that it is well is left
+// for others, and comes back once it is forgotten.
+func TestFailingServerIsLeftAlone(t *testing.T) {
+	is := is.New(t)
+	servers := []*Server{reported(true, 0, 50*ms), reported(true, 3, 60*ms)}
+	is.Equal(Choose(now, servers, never, 100*ms), 0)
+	for i := range 20 {
+		servers[0].Outcome(now, i%2 == 0)
+	}
+	is.Equal(Choose(now, servers, never, 100*ms), 1)
+	later := now.Add(time.Minute)
+	servers[0].Reported(later, Report{Slots: 9, Service: 50 * ms})
+	servers[1].Reported(later, Report{Slots: 9, Load: 3, Service: 60 * ms})
+	is.Equal(Choose(later, servers, never, 100*ms), 0)
+}
+
+func TestAvoidedServerOnlyWithoutAnother(t *testing.T) {
+	is := is.New(t)
+	servers := []*Server{reported(true, 0, 50*ms), reported(false, 8, 500*ms)}
+	servers[0].Avoid(now.Add(time.Second))
+	is.Equal(Choose(now, servers, never, 400*ms), 1)
+	is.Equal(Choose(now, servers, func(i int) bool { return i == 1 }, 400*ms), 0)
+	is.Equal(Choose(now, servers, func(int) bool { return true }, 400*ms), -1)
+}
+
+// What was sent from here counts at once, before a report tells of it.
+func TestSentRequestsSpread(t *testing.T) {
+	is := is.New(t)
+	servers := []*Server{{Near: true, Slots: 2}, {Near: true, Slots: 2}, {Near: true, Slots: 2}}
+	counts := make([]int, len(servers))
+	for range 6 {
+		i := Choose(now, servers, never, 10*ms)
+		servers[i].Sent()
+		counts[i]++
+	}
+	for _, n := range counts {
+		is.Equal(n, 2)
+	}
+}
