--- a/Makefile
+++ b/Makefile
@@ -1,9 +1,9 @@
 # Targets: build, test (all checks and tests), demo, bench, capacity, generate.
-MODULES := core daemon ctl
+MODULES := core daemon ctl platform
 # Tests that fail for a known fault: entries "- TEST | ..." of KNOWN-RED.txt. They
 # are passed over by "make test" and printed at its end.
 KNOWN_RED := $(shell sed -n 's/^- \([^ ]*\) .*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
-PACKAGES := ./core/... ./daemon/... ./ctl/...
+PACKAGES := ./core/... ./daemon/... ./ctl/... ./platform/...
 
 .PHONY: all build test lint unit generate demo capacity bench
 
--- a/daemon/cmd/sesamemoord/commands.go
+++ b/daemon/cmd/sesamemoord/commands.go
@@ -17,6 +17,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/logsink"
 )
 
 // Exit codes.
@@ -159,18 +160,15 @@
 	}()
 }
 
+// newLogger returns a logger of JSON lines on standard output that never blocks.
 func newLogger(set settings.Daemon) (*zap.Logger, error) {
-	cfg := zap.NewProductionConfig()
 	level, err := zapcore.ParseLevel(set.LogLevel)
 	if err != nil {
 		return nil, fmt.Errorf("log level: %w", err)
 	}
-	cfg.Level = zap.NewAtomicLevelAt(level)
-	cfg.Sampling = nil
-	cfg.EncoderConfig.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	log, err := cfg.Build()
-	if err != nil {
-		return nil, fmt.Errorf("logger: %w", err)
-	}
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), logsink.New(os.Stdout), zap.NewAtomicLevelAt(level))
+	log := zap.New(core, zap.AddStacktrace(zapcore.PanicLevel))
 	return log.With(zap.String("slot", set.Slot), zap.String("data_centre", set.DataCentre)), nil
 }
