Recover at once after all hosts restarted; divide retries between requests and calls

Cause: after a loss of all hosts the new incarnations waited for a term in which every witness abstained, and the old ones were ended after another. A witness may acknowledge what joined after its own start; a backend server that began another life holds nothing of the one before.

The budget of retries had been cut to 0.3 of what the fleet may send for the sake of calls that repeated runs make again; those now have a part of their own, and requests get 0.7.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -37,7 +37,8 @@
 	Witnesses   int           // wanted size of the witness set, odd
 	// SlotIsHost tells that a slot belongs to one host, on which the platform runs
 	// one process at a time: a process that starts knows the one before it to have
-	// ended, and may end its incarnations.
+	// ended, and may end its incarnations. The name of a backend server then
+	// changes with each of its lives.
 	SlotIsHost bool
 	// PublishedConfig tells that an outside author publishes whole versions of
 	// the configuration: the stream needs no snapshots.
@@ -102,6 +103,7 @@
 
 // witnessRole is what the control state needs of a lease.Witness.
 type witnessRole interface {
+	Began(offset uint64)
 	Renew(now clock.Instant, inc uint64, joining bool) (ack, refused bool)
 	Seal(now clock.Instant, inc uint64) (lease.SealState, time.Duration)
 	Watch(now clock.Instant, inc uint64)
@@ -283,7 +285,9 @@
 		s.tables.members = nil // addresses may have changed
 	}
 	if a := rec.GetAnnounce(); a != nil && a.GetSlot() == s.opts.Slot {
-		s.claim.announceSeen(entry.Offset, rec.GetId())
+		if s.claim.announceSeen(entry.Offset, rec.GetId()) {
+			s.witness.Began(entry.Offset)
+		}
 	}
 	if rec.GetJoin() != nil {
 		s.joinSeen(entry.Offset, rec.GetId())
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -43,6 +43,7 @@
 
 	predecessorsEnded bool                      // see endPredecessors
 	own               map[fold.Incarnation]bool // joins of this process that replay has shown
+	ended             map[fold.Incarnation]bool // incarnations of earlier processes, see endPredecessors
 }
 
 func (s *State) tickMembership() {
@@ -80,26 +81,42 @@
 const holdMargin = 100 * time.Millisecond
 
 // endPredecessors ends the incarnations of the process that ran in this slot
-// before. That process ended before this one started, so once a term has passed
-// its lease is over, and with it all that its backend server was granted.
+// before. That process ended before this one started. What its backend server was
+// granted is over once a term has passed, or once the server has begun another
+// life, which holds nothing.
 func (s *State) endPredecessors() {
 	m := &s.member
+	if !s.opts.SlotIsHost || s.claim.offset == 0 || s.stopping || m.predecessorsEnded {
+		return
+	}
 	term := time.Duration(float64(s.opts.Lease.Term) * (1 + s.opts.Lease.Drift))
-	if !s.opts.SlotIsHost || m.predecessorsEnded || s.claim.offset == 0 || s.stopping ||
-		s.now < s.started.Add(term+holdMargin) {
+	over := s.now >= s.started.Add(term+holdMargin)
+	if !over && m.backend == nil {
 		return
 	}
-	m.predecessorsEnded = true
+	m.predecessorsEnded = over
 	for _, inc := range slices.Sorted(maps.Keys(s.fold.Members)) {
 		old := s.fold.Members[inc]
-		if old.Slot != s.opts.Slot || old.Phase == fold.Gone || inc > s.claim.offset || m.own[inc] {
+		if old.Slot != s.opts.Slot || old.Phase == fold.Gone || inc > s.claim.offset || m.own[inc] || m.ended[inc] {
+			continue
+		}
+		if !over && old.BackendServer == m.backend.Name {
 			continue
 		}
+		m.noteEnded(inc)
 		s.sendAs(inc, &wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: inc}}}, false)
 		s.decide(Decision{Action: "end_predecessor", Reason: "an earlier process of this slot has ended", Member: inc})
 	}
 }
 
+// noteEnded remembers an incarnation of an earlier process that was ended.
+func (m *membership) noteEnded(inc fold.Incarnation) {
+	if m.ended == nil {
+		m.ended = map[fold.Incarnation]bool{}
+	}
+	m.ended[inc] = true
+}
+
 // giveUpJoin stops waiting for the join in flight. Should replay show it later,
 // that incarnation is ended.
 func (s *State) giveUpJoin() {
--- a/core/control/slot.go
+++ b/core/control/slot.go
@@ -22,12 +22,15 @@
 	lostAt clock.Instant // when replay showed it
 }
 
-// announceSeen takes in an accepted announce record of this daemon's slot.
-func (c *slotClaim) announceSeen(offset uint64, id []byte) {
-	if [16]byte(id) == c.id {
-		c.offset = offset
-		c.lost = 0
+// announceSeen takes in an accepted announce record of this daemon's slot. It
+// reports whether it is this process's own.
+func (c *slotClaim) announceSeen(offset uint64, id []byte) bool {
+	if [16]byte(id) != c.id {
+		return false
 	}
+	c.offset = offset
+	c.lost = 0
+	return true
 }
 
 // followSlot compares the claim with replay.
--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -37,6 +37,7 @@
 type Witness struct {
 	params   Params
 	started  clock.Instant
+	began    uint64 // incarnations above it joined after the witness started; 0 if not known
 	promises map[uint64]*promise
 }
 
@@ -53,6 +54,11 @@
 	return &Witness{params: p, started: started, promises: map[uint64]*promise{}}
 }
 
+// Began tells the offset of a record that this witness's process wrote. The process
+// before it cannot have sealed an incarnation that joined later, so renewals of
+// such are acknowledged without abstaining.
+func (w *Witness) Began(offset uint64) { w.began = offset }
+
 // Renew handles a renewal. It returns ack when the promise was given, and
 // refused when the incarnation is sealed; neither while the witness abstains.
 //
@@ -63,7 +69,8 @@
 	if known && p.sealed {
 		return false, true
 	}
-	if now < w.started.Add(w.params.abstention()) {
+	young := w.began != 0 && inc > w.began
+	if now < w.started.Add(w.params.abstention()) && !young {
 		return false, false
 	}
 	if !known {
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -31,15 +31,26 @@
 	Reserve float64 // largest number of retries saved up
 }
 
-// shareOfRatio is the part of a fleet's ratio that a daemon spends: a repeated
-// run makes its calls again, and those count as retries where they arrive, too.
-const shareOfRatio = 0.3
+// Parts of a fleet's budget. A repeated run makes its calls again, and those count
+// as retries where they arrive, like the retries of calls themselves: together the
+// parts stay below the whole.
+const (
+	callerRatio  = 0.7
+	nestedRatio  = 0.2
+	callerExtra  = 0.25
+	nestedExtra  = 0.125
+	leastReserve = 1
+)
 
 // ShareOf returns the terms of one of several daemons that together may send
-// ratio retries for each request and extra beyond in a window. Half of the extra
-// is left for calls of repeated runs.
-func ShareOf(ratio, extra float64, daemons int) Terms {
-	return Terms{Ratio: shareOfRatio * ratio, Reserve: max(extra/2/float64(max(daemons, 1)), 1)}
+// ratio retries for each request and extra beyond in a window. nested tells that
+// the requests are calls of runs.
+func ShareOf(ratio, extra float64, daemons int, nested bool) Terms {
+	ofRatio, ofExtra := callerRatio, callerExtra
+	if nested {
+		ofRatio, ofExtra = nestedRatio, nestedExtra
+	}
+	return Terms{Ratio: ofRatio * ratio, Reserve: max(ofExtra*extra/float64(max(daemons, 1)), leastReserve)}
 }
 
 // NewBudget returns a budget with its whole reserve.
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -84,29 +84,44 @@
 	}
 }
 
-// A fleet's retries in any window stay below what it may send, with those that
-// repeated runs cause: a budget that each daemon filled by itself did not know of
-// the others.
+// A fleet's retries in any window stay below what it may send, with the calls that
+// repeated runs make again: a budget that each daemon filled by itself did not
+// know of the others.
 func TestFleetKeepsItsRetryBudget(t *testing.T) {
 	is := is.New(t)
 	const (
-		daemons  = 10
-		ratio    = 0.2
-		extra    = 60.0
-		requests = 400 // of each daemon in the window
+		daemons = 10
+		ratio   = 0.2
+		extra   = 60.0
+		window  = 10 * time.Second
 	)
-	now := clock.Instant(time.Hour)
-	sent := 0
-	for range daemons {
-		b := NewBudgetOn(now, ShareOf(ratio, extra, daemons))
-		for i := range requests {
-			at := now.Add(time.Duration(i) * 10 * time.Second / requests)
-			b.Earn(at)
-			for b.Take(at) {
-				sent++
+	// spent is what all daemons spend on as many requests each in a window.
+	spent := func(requests int, nested bool) float64 {
+		now := clock.Instant(time.Hour)
+		sent := 0
+		for range daemons {
+			b := NewBudgetOn(now, ShareOf(ratio, extra, daemons, nested))
+			for i := range requests {
+				at := now.Add(time.Duration(i) * window / time.Duration(requests))
+				b.Earn(at)
+				for b.Take(at) {
+					sent++
+				}
 			}
 		}
+		return float64(sent)
+	}
+	for _, requests := range []int{10, 100, 1000} {
+		for _, calls := range []float64{0, 0.7, 2} { // of each run at the other service
+			atCaller := spent(requests, false)
+			is.True(atCaller <= ratio*daemons*float64(requests)+extra)
+			nested := int(calls * float64(requests))
+			if nested == 0 {
+				continue
+			}
+			direct := spent(requests, false)
+			atCalled := spent(nested, true) + calls*atCaller + direct
+			is.True(atCalled <= ratio*daemons*float64(requests+nested)+extra)
+		}
 	}
-	repeatedCalls := sent // one for each run that was repeated
-	is.True(float64(sent+repeatedCalls) <= ratio*daemons*requests+extra)
 }
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -51,17 +51,23 @@
 
 	mu      sync.Mutex
 	servers map[uint64]*spread.Server // by incarnation
-	budgets map[string]*retry.Budget  // by service
+	budgets map[budgetKey]*retry.Budget
 }
 
 func newSender(set settings.Daemon, c kernel.Control, p kernel.Peers, x kernel.Executor, clk clock.Clock) *sender {
 	return &sender{
 		control: c, peers: p, local: x, clock: clk, centre: set.DataCentre, bounds: set.Bounds,
 		changes: routing.NewChanges(c), learned: routing.NewLearned(), suspicion: routing.NewSuspicionLimit(clk),
-		servers: map[uint64]*spread.Server{}, budgets: map[string]*retry.Budget{},
+		servers: map[uint64]*spread.Server{}, budgets: map[budgetKey]*retry.Budget{},
 	}
 }
 
+// budgetKey tells the requests apart that have a budget of retries of their own.
+type budgetKey struct {
+	service string
+	nested  bool
+}
+
 // tries is the state of the tries of one request.
 type tries struct {
 	declined int
@@ -76,7 +82,7 @@
 // send tries the request until it is answered, must not be tried again, or its
 // time runs out.
 func (s *sender) send(ctx context.Context, x *exchange) (*wire.Response, error) {
-	budget := s.budget(x.req.GetService())
+	budget := s.budget(x.req.GetService(), x.req.GetNested())
 	budget.Earn(s.clock.Now())
 	t := &tries{skip: map[uint64]bool{}}
 	for {
@@ -164,14 +170,15 @@
 
 // budget returns the retries of a service at this daemon: an equal part of what
 // the fleet may spend.
-func (s *sender) budget(service string) *retry.Budget {
-	terms := retry.ShareOf(s.bounds.RetryRatio, s.bounds.RetryExtra, len(s.control.View().Daemons))
+func (s *sender) budget(service string, nested bool) *retry.Budget {
+	terms := retry.ShareOf(s.bounds.RetryRatio, s.bounds.RetryExtra, len(s.control.View().Daemons), nested)
+	key := budgetKey{service, nested}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	b, ok := s.budgets[service]
+	b, ok := s.budgets[key]
 	if !ok {
 		b = retry.NewBudgetOn(s.clock.Now(), terms)
-		s.budgets[service] = b
+		s.budgets[key] = b
 	}
 	b.SetTerms(terms)
 	return b
