--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -76,6 +76,11 @@
 	m.own[inc] = true
 }
 
+// restartSpread is the time within which hosts that lost power together start
+// again. A join that comes after their announcements is acknowledged by them at
+// once, see lease.Witness.Began.
+const restartSpread = 400 * time.Millisecond
+
 // holdMargin is added to the lease term after which nothing is held any more
 // under the lease of a process that ended.
 const holdMargin = 100 * time.Millisecond
@@ -149,6 +154,9 @@
 	if m.backend == nil || m.draining || !s.caughtUp || s.stopping || s.slotLost() {
 		return
 	}
+	if s.opts.SlotIsHost && s.now < s.started.Add(restartSpread) {
+		return
+	}
 	if _, ok := s.fold.Slots[s.opts.Slot]; !ok {
 		m.announced = len(s.outbox.pending) > 0 // replay forgot a slot long unused
 		return
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -143,11 +143,33 @@
 	p.planned = planBasis{replay: s.fold.Next, config: s.history.Next}
 	p.made = s.now
 	load := s.placementLoad()
-	plan := placement.Make(s.fold, s.history.Config, load, placement.DefaultLimits)
+	plan := placement.Make(s.fold, s.history.Config, load, s.planLimits())
 	s.noteBalance(plan, load)
 	return plan
 }
 
+const (
+	// rangesAMove is the number of ranges of a service for each one that may be on
+	// its way at once: a member that joins then has its share within two seconds.
+	rangesAMove = 32
+	// rangePlacements is the number of placements of one record where a service
+	// has many ranges: all of a service of some thousand, in a record that stays
+	// below the log's limit.
+	rangePlacements = 4096
+)
+
+// planLimits returns the churn allowed in a round.
+func (s *State) planLimits() placement.Limits {
+	limits := placement.DefaultLimits
+	for _, svc := range s.history.Config.Services {
+		if svc.KeySpace != 0 && svc.Region == s.opts.Region {
+			limits.MaxMoves += int(svc.Shards / rangesAMove)
+			limits.MaxPlacements = rangePlacements
+		}
+	}
+	return limits
+}
+
 // propose appends the plan's records once each. A lost one is planned again.
 func (s *State) propose(plan placement.Plan) {
 	p := &s.planner
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -22,7 +22,10 @@
 	// defaultService is the expected service time of a class before one of its
 	// requests was measured.
 	defaultService = 60 * time.Millisecond
-	// smoothing is the weight of a new measurement in the mean service time.
+	// coldFactor is how much longer a cold server takes before it was measured: work
+	// takes two to four times as long there.
+	coldFactor = 3
+	// smoothing is the least weight of a new measurement in the mean service time.
 	smoothing = 0.1
 	// residualShare is the least part of its expected service time that a
 	// running request is taken to need still, however long it has run.
@@ -32,7 +35,7 @@
 	lateShare = 0.5
 	// leastShare is the part of its expected service time that must be left of a
 	// request's limit for a run to be worth a slot.
-	leastShare = 0.5
+	leastShare = 0.7
 	// offeredWindow is the time over which the work that arrives is averaged.
 	offeredWindow = time.Second
 	// leastRest is the least part of the slots that is taken to be left by requests
@@ -72,8 +75,8 @@
 	slots   int
 	running []*Ticket
 	waiting []*Ticket // in the order in which they are to run
-	means   map[string]time.Duration
-	mean    time.Duration // over all classes
+	means   map[class]*mean
+	all     mean // over all classes
 	last    uint64
 
 	offered map[int64]*offer // work that arrives, by rank
@@ -85,7 +88,7 @@
 
 // New returns the queue of a server without slots.
 func New() *Queue {
-	return &Queue{means: map[string]time.Duration{}, mean: defaultService, offered: map[int64]*offer{}}
+	return &Queue{means: map[class]*mean{}, offered: map[int64]*offer{}}
 }
 
 // offer is the slots that the arrivals of a rank keep busy, averaged.
@@ -105,7 +108,7 @@
 		o = &offer{}
 		q.offered[rank(t)] = o
 	}
-	o.slots = o.now(now) + float64(q.service(t.Class))/float64(offeredWindow)
+	o.slots = o.now(now) + float64(q.service(now, t.Class))/float64(offeredWindow)
 	o.at = now
 }
 
@@ -144,14 +147,40 @@
 func (q *Queue) Slots() int { return q.slots }
 
 // Mean returns the mean service time measured lately.
-func (q *Queue) Mean() time.Duration { return q.mean }
+func (q *Queue) Mean() time.Duration { return q.all.or(defaultService) }
 
-// service returns the expected service time of a class.
-func (q *Queue) service(class string) time.Duration {
-	if mean, ok := q.means[class]; ok {
-		return mean
+// class tells requests of similar service times apart: a cold server takes longer.
+type class struct {
+	name string
+	cold bool
+}
+
+// mean is a mean that forgets: of few measurements the plain one.
+type mean struct {
+	value time.Duration
+	count int
+}
+
+func (m *mean) add(took time.Duration) {
+	m.count++
+	weight := max(smoothing, 1/float64(m.count))
+	m.value += time.Duration(weight * float64(took-m.value))
+}
+
+func (m *mean) or(other time.Duration) time.Duration {
+	if m == nil || m.count == 0 {
+		return other
 	}
-	return q.mean
+	return m.value
+}
+
+// service returns the expected service time of a request that starts now.
+func (q *Queue) service(now clock.Instant, name string) time.Duration {
+	warm := q.means[class{name, false}].or(q.Mean())
+	if !q.Cold(now) {
+		return warm
+	}
+	return q.means[class{name, true}].or(coldFactor * warm)
 }
 
 // Submit takes in a request. It may start, wait or be refused: Next tells which
@@ -173,7 +202,7 @@
 // be answered, if what arrives goes on as it did.
 func (q *Queue) predict(now clock.Instant, t *Ticket) (start, finish clock.Instant) {
 	wait := float64(q.predictStart(now, t).Sub(now))
-	service := q.service(t.Class)
+	service := q.service(now, t.Class)
 	start = now.Add(time.Duration(wait / q.rest(now, t, false)))
 	if finish = start.Add(service); finish <= t.Target {
 		return start, finish
@@ -216,7 +245,7 @@
 
 // late is 1 for a ticket that misses its objective even if it starts now.
 func (q *Queue) late(now clock.Instant, t *Ticket) int {
-	if now.Add(q.service(t.Class)) > t.Target {
+	if now.Add(q.service(now, t.Class)) > t.Target {
 		return 1
 	}
 	return 0
@@ -236,7 +265,7 @@
 	order := q.order(now)
 	for _, w := range q.waiting {
 		if order(w, t) < 0 {
-			occupy(free, q.service(w.Class))
+			occupy(free, q.service(now, w.Class))
 		}
 	}
 	if len(free) == 0 {
@@ -249,7 +278,7 @@
 func (q *Queue) freeAt(now clock.Instant) []clock.Instant {
 	free := make([]clock.Instant, 0, q.slots)
 	for _, r := range q.running {
-		service := q.service(r.Class)
+		service := q.service(now, r.Class)
 		left := max(r.started.Add(service).Sub(now), time.Duration(residualShare*float64(service)))
 		free = append(free, now.Add(left))
 	}
@@ -326,10 +355,10 @@
 		if len(free) > 0 {
 			start = slices.Min(free)
 		}
-		finish := start.Add(q.service(t.Class))
+		finish := start.Add(q.service(now, t.Class))
 		reason := hopeless(now, start, finish, t)
 		if reason == "" {
-			occupy(free, q.service(t.Class))
+			occupy(free, q.service(now, t.Class))
 			return false
 		}
 		refused = append(refused, Refusal{Ticket: t, Reason: reason, RetryAfter: retryAfter(now, finish, t)})
@@ -364,16 +393,12 @@
 		return
 	}
 	took := now.Sub(t.started)
-	old, ok := q.means[t.Class]
-	if !ok {
-		old = took
+	of := class{t.Class, q.Cold(t.started)}
+	if q.means[of] == nil {
+		q.means[of] = &mean{}
 	}
-	q.means[t.Class] = blend(old, took)
-	q.mean = blend(q.mean, took)
-}
-
-func blend(old, took time.Duration) time.Duration {
-	return old + time.Duration(smoothing*float64(took-old))
+	q.means[of].add(took)
+	q.all.add(took)
 }
 
 // Cancel takes t out of the waiting tickets; false if it does not wait.
--- a/core/runqueue/runqueue_test.go
+++ b/core/runqueue/runqueue_test.go
@@ -22,8 +22,8 @@
 func queue(slots int, service time.Duration) *Queue {
 	q := New()
 	q.SetSlots(slots)
-	q.means["c"] = service
-	q.mean = service
+	q.means[class{"c", false}] = &mean{value: service, count: 100}
+	q.all = mean{value: service, count: 100}
 	return q
 }
 
@@ -143,3 +143,17 @@
 	is.Equal(q.Withdraw(func(*Ticket) bool { return true }), []*Ticket{c})
 	is.Equal(q.Waiting(), 0)
 }
+
+// A cold server's service times do not mix with those of a warm one.
+func TestColdServiceTimesAreApart(t *testing.T) {
+	is := is.New(t)
+	q := queue(1, 50*ms)
+	q.SetCold(start.Add(time.Second), 18)
+	is.Equal(q.service(start, "c"), 150*ms)
+	tk := ticket(0, time.Second, 2*time.Second)
+	is.True(q.Submit(start, tk) == nil)
+	q.Next(start)
+	q.Done(start.Add(200*ms), tk, true)
+	is.Equal(q.service(start.Add(300*ms), "c"), 200*ms)
+	is.Equal(q.service(start.Add(2*time.Second), "c"), 50*ms)
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -97,6 +97,8 @@
 	RetryWindowS        float64 `json:"retry_window_s"`      // window over which retries are counted
 	RetryExtra          float64 `json:"retry_extra"`         // retries beyond the ratio in a window
 	MaxHoldS            float64 `json:"max_hold_s"`          // longest time for which keys may be granted
+	ColdOverage         float64 `json:"cold_overage"`        // most requests in a second of a cold backend server, for each one that it bears
+	ColdSlack           float64 `json:"cold_slack"`          // and beyond that
 	AnnounceIntervalS   float64 `json:"announce_interval_s"` // period of a backend server's announcements
 	MemoryMB            int64   `json:"memory_mb"`           // memory of the process
 	RangeShards         uint32  `json:"range_shards"`        // shards of a service with numeric keys
@@ -128,7 +130,7 @@
 		},
 		Interface: InterfaceNative,
 		Bounds: Bounds{
-			DrainS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 30, MaxHoldS: 10, AnnounceIntervalS: 1,
+			DrainS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 30, MaxHoldS: 10, ColdOverage: 1, AnnounceIntervalS: 1,
 			RangeShards: 64, RecordRing: 512, LogReadersPerCentre: 3, LogWaitMS: 1000,
 		},
 		LogLevel:        "info",
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -163,9 +163,18 @@
 // turnCold limits what the server is sent until an instant. The caller holds the
 // lock.
 func (e *executor) turnCold(v *view.View, until clock.Instant) {
-	e.turns.setCold(until, v.Config.Services[e.server.service].ColdPerS)
+	perS := v.Config.Services[e.server.service].ColdPerS
+	if perS > 0 {
+		perS *= 1 + coldMargin*(e.bounds.ColdOverage-1)
+		perS += coldMargin * e.bounds.ColdSlack
+	}
+	e.turns.setCold(until, perS)
 }
 
+// coldMargin is the part of what is allowed beyond what a cold server bears that
+// is used: requests sent evenly arrive in clusters.
+const coldMargin = 0.4
+
 // load returns what answers tell of the server.
 func (e *executor) serverLoad() *wire.ServerLoad { return e.turns.load() }
 
