Learn of configuration in time behind a reader that the log turns away

Cause: daemons follow one reader of their data centre; when the store turned that one away, they asked elsewhere only once their knowledge was 2.5 s old, later than a version must be in force.

An outage of the log is logged when it begins and ends.

--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -92,21 +92,24 @@
 
 // Bounds are the figures that a deployment demands of the fleet as a whole.
 type Bounds struct {
-	DrainS              float64 `json:"drain_s"`             // longest time from the acknowledged leave of a backend server to its last request
-	RetryRatio          float64 `json:"retry_ratio"`         // retries for each request of a service
-	RetryWindowS        float64 `json:"retry_window_s"`      // window over which retries are counted
-	RetryExtra          float64 `json:"retry_extra"`         // retries beyond the ratio in a window
-	MaxHoldS            float64 `json:"max_hold_s"`          // longest time for which keys may be granted
-	ColdOverage         float64 `json:"cold_overage"`        // most requests in a second of a cold backend server, for each one that it bears
-	ColdSlack           float64 `json:"cold_slack"`          // and beyond that
-	AnnounceIntervalS   float64 `json:"announce_interval_s"` // period of a backend server's announcements
-	MemoryMB            int64   `json:"memory_mb"`           // memory of the process
-	RangeShards         uint32  `json:"range_shards"`        // shards of a service with numeric keys
-	RecordRing          uint64  `json:"record_ring"`         // newest records of each author that the log keeps for good
-	LogReadersPerCentre int     `json:"log_readers"`         // daemons of a data centre that read the log themselves
-	LogWaitMS           int     `json:"log_wait_ms"`         // longest wait of one read for new records
-	LogGatherMS         int     `json:"log_gather_ms"`       // pause after new records of the log, so that one read brings several
-	GraceS              float64 `json:"grace_s"`             // time from SIGTERM to the kill of the process; 0 means that of shutdown_grace_ms
+	DrainS              float64 `json:"drain_s"`               // longest time from the acknowledged leave of a backend server to its last request
+	RetryRatio          float64 `json:"retry_ratio"`           // retries for each request of a service
+	RetryWindowS        float64 `json:"retry_window_s"`        // window over which retries are counted
+	RetryExtra          float64 `json:"retry_extra"`           // retries beyond the ratio in a window
+	MaxHoldS            float64 `json:"max_hold_s"`            // longest time for which keys may be granted
+	ColdOverage         float64 `json:"cold_overage"`          // most requests in a second of a cold backend server, for each one that it bears
+	ColdSlack           float64 `json:"cold_slack"`            // and beyond that
+	AnnounceIntervalS   float64 `json:"announce_interval_s"`   // period of a backend server's announcements
+	MemoryMB            int64   `json:"memory_mb"`             // memory of the process
+	RangeShards         uint32  `json:"range_shards"`          // shards of a service with numeric keys
+	RecordRing          uint64  `json:"record_ring"`           // newest records of each author that the log keeps for good
+	LogReadersPerCentre int     `json:"log_readers"`           // daemons of a data centre that read the log themselves
+	LogWaitMS           int     `json:"log_wait_ms"`           // longest wait of one read for configuration records
+	LogPlacementWaitMS  int     `json:"log_placement_wait_ms"` // the same for placement records, which need not be known to be the newest
+	LogStaleMS          int     `json:"log_stale_ms"`          // age of the newest knowledge of the configuration from which on peers are asked
+	LogSurveyMS         int     `json:"log_survey_ms"`         // time between such questions
+	LogGatherMS         int     `json:"log_gather_ms"`         // pause after new records of the log, so that one read brings several
+	GraceS              float64 `json:"grace_s"`               // time from SIGTERM to the kill of the process; 0 means that of shutdown_grace_ms
 }
 
 // Policy selects between a policy and its naive baseline, for experiments.
@@ -132,6 +135,7 @@
 		Bounds: Bounds{
 			DrainS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 30, MaxHoldS: 10, ColdOverage: 1, AnnounceIntervalS: 1,
 			RangeShards: 64, RecordRing: 512, LogReadersPerCentre: 3, LogWaitMS: 1000,
+			LogPlacementWaitMS: 1000, LogStaleMS: 2500, LogSurveyMS: 1000,
 		},
 		LogLevel:        "info",
 		ShutdownGraceMS: 10_000,
--- a/daemon/plugins/logclient/reader.go
+++ b/daemon/plugins/logclient/reader.go
@@ -41,13 +41,21 @@
 func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, relay kernel.Relay, clk clock.Clock, log *zap.Logger) {
 	var tasks []func(context.Context)
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
-		r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("logclient"), max: readMax, waitMS: set.Bounds.LogWaitMS,
+		r := &reader{stream: stream, log: l, relay: relay, clock: clk, logger: log.Named("logclient"), max: readMax, waitMS: waitOf(set, stream),
 			gatherFor: time.Duration(set.Bounds.LogGatherMS) * time.Millisecond}
 		tasks = append(tasks, r.run)
 	}
 	kernel.Background(lc, tasks...)
 }
 
+// waitOf returns the longest wait of one read of a stream, in milliseconds.
+func waitOf(set settings.Daemon, stream string) int {
+	if stream == logstream.ConfigStream {
+		return set.Bounds.LogWaitMS
+	}
+	return set.Bounds.LogPlacementWaitMS
+}
+
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		from := r.relay.Next(r.stream)
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -61,8 +61,12 @@
 	clock      clock.Clock
 	log        *zap.Logger
 	stores     map[string]*store
+	// surveyAfter is the age of configuration knowledge from which on peers of all
+	// data centres are asked, each surveyInterval.
+	surveyAfter, surveyInterval time.Duration
 
 	mu     sync.Mutex
+	down   bool                     // the last survey found the log down
 	source map[string]string        // peer followed for each stream, "" for the platform
 	silent map[string]clock.Instant // peers not to be asked before the instant
 }
@@ -70,6 +74,7 @@
 func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
 	r := &relay{
 		slot: set.Slot, dataCentre: set.DataCentre, readers: max(set.Bounds.LogReadersPerCentre, 1), control: c, peers: p, clock: clk,
+		surveyAfter: time.Duration(set.Bounds.LogStaleMS) * time.Millisecond, surveyInterval: time.Duration(set.Bounds.LogSurveyMS) * time.Millisecond,
 		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, silent: map[string]clock.Instant{},
 	}
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -56,12 +56,13 @@
 	cut     map[string]bool // data centres whose daemons reach only one another
 	daemons []view.Daemon
 	running sync.WaitGroup
+	wait    time.Duration // of a long poll
 }
 
 var errCut = errors.New("cut")
 
-func newWorld(t *testing.T, dcs, perDC int) *world {
-	w := &world{t: t, nodes: map[string]*node{}, cut: map[string]bool{}, grown: make(chan struct{})}
+func newWorld(t *testing.T, dcs, perDC int, bounds settings.Bounds) *world {
+	w := &world{t: t, wait: time.Duration(bounds.LogWaitMS) * time.Millisecond, nodes: map[string]*node{}, cut: map[string]bool{}, grown: make(chan struct{})}
 	for d := range dcs {
 		for i := range perDC {
 			name := fmt.Sprintf("dc%d-%02d", d, i)
@@ -70,7 +71,10 @@
 	}
 	for _, d := range w.daemons {
 		n := &node{world: w, name: d.Slot, dc: d.DataCentre, got: map[uint64]time.Time{}}
-		n.relay = newRelay(settings.Daemon{Slot: d.Slot, DataCentre: d.DataCentre, Region: "r"}, n, n, bubbleClock{}, zap.NewNop())
+		set := settings.Default()
+		set.Slot, set.DataCentre, set.Region = d.Slot, d.DataCentre, "r"
+		set.Bounds = bounds
+		n.relay = newRelay(set, n, n, bubbleClock{}, zap.NewNop())
 		w.nodes[d.Slot] = n
 	}
 	return w
@@ -105,7 +109,7 @@
 
 // read is the platform's long poll; only the configuration has records.
 func (w *world) read(ctx context.Context, n *node, stream string, from uint64) (logstream.Batch, error) {
-	deadline := time.After(time.Second)
+	deadline := time.After(w.wait)
 	for {
 		if w.logDown.Load() || n.cutLog.Load() {
 			return logstream.Batch{}, logstream.ErrUnavailable
@@ -208,9 +212,14 @@
 
 // bubble runs a test in virtual time and ends the world's goroutines.
 func bubble(t *testing.T, dcs, perDC int, f func(t *testing.T, w *world)) {
+	bubbleWith(t, dcs, perDC, settings.Default().Bounds, f)
+}
+
+// bubbleWith is bubble for daemons with the given bounds.
+func bubbleWith(t *testing.T, dcs, perDC int, bounds settings.Bounds, f func(t *testing.T, w *world)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := newWorld(t, dcs, perDC)
+		w := newWorld(t, dcs, perDC, bounds)
 		w.run(ctx)
 		time.Sleep(3 * time.Second) // virtual: all have read the streams once
 		defer w.running.Wait()
@@ -230,7 +239,7 @@
 
 func TestTreeHasSmallFanOutAndReachesAll(t *testing.T) {
 	is := is.New(t)
-	w := newWorld(t, 2, 667)
+	w := newWorld(t, 2, 667, settings.Default().Bounds)
 	children := map[string]int{}
 	deepest := 0
 	for _, d := range w.daemons {
@@ -315,7 +324,7 @@
 		w.mu.Lock()
 		w.cut["dc2"] = true
 		w.mu.Unlock()
-		time.Sleep(staleLimit + surveyInterval)
+		time.Sleep(staleLimit + time.Duration(settings.Default().Bounds.LogSurveyMS)*time.Millisecond)
 		for _, n := range w.nodes {
 			is.Equal(n.age() > staleLimit, n.dc == "dc2")
 		}
@@ -376,3 +385,29 @@
 }
 
 var _ kernel.Peers = (*node)(nil)
+
+// One daemon of each data centre reads the log. When the log turns that one away,
+// a withdrawn key must stop working at those behind it, which did not ask the log
+// themselves, within 2 s: they followed it for 2.5 s and were late.
+func TestFollowersOfAReaderThatIsTurnedAwayLearnInTime(t *testing.T) {
+	bounds := settings.Default().Bounds
+	bounds.LogReadersPerCentre = 1
+	bounds.LogWaitMS = 500
+	bounds.LogStaleMS = 1300
+	bounds.LogSurveyMS = 300
+	bubbleWith(t, 3, 4, bounds, func(t *testing.T, w *world) {
+		is := is.New(t)
+		for range 20 {
+			reader := w.nodes[inDataCentre(w.daemons, "dc1")[0].Slot]
+			reader.cutLog.Store(true)
+			time.Sleep(50 * time.Millisecond)
+			offset := w.append(record)
+			time.Sleep(2 * time.Second)
+			for _, n := range w.nodes {
+				is.True(n.has(offset))
+			}
+			reader.cutLog.Store(false)
+			time.Sleep(3 * time.Second)
+		}
+	})
+}
--- a/daemon/plugins/relay/survey.go
+++ b/daemon/plugins/relay/survey.go
@@ -15,11 +15,6 @@
 )
 
 const (
-	// surveyInterval is the time between surveys.
-	surveyInterval = time.Second
-	// surveyAfter is the age of configuration knowledge from which on peers of
-	// all data centres are asked.
-	surveyAfter = 2500 * time.Millisecond
 	// surveyTimeout bounds one survey.
 	surveyTimeout = 700 * time.Millisecond
 )
@@ -31,9 +26,11 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(surveyInterval + rand.N(surveyInterval/10)):
+		case <-time.After(r.surveyInterval + rand.N(r.surveyInterval/10)):
 			if r.behind() {
 				r.survey(ctx)
+			} else {
+				r.noteOutage(false, 0, 0)
 			}
 		}
 	}
@@ -42,7 +39,7 @@
 // behind reports whether the knowledge of the configuration is old enough to
 // ask around.
 func (r *relay) behind() bool {
-	return r.clock.Now().Sub(r.config().known()) > surveyAfter
+	return r.clock.Now().Sub(r.config().known()) > r.surveyAfter
 }
 
 // survey asks one daemon of each data centre for records and knowledge of the
@@ -67,8 +64,21 @@
 	}
 	if outage(reached, len(centres)) && r.config().known() != 0 && r.behind() {
 		r.control.Post(control.LogOutage{AsOf: started})
-		r.log.Warn("log is down for a majority of the data centres",
-			zap.Int("reached", reached), zap.Int("data_centres", len(centres)))
+		r.noteOutage(true, reached, len(centres))
+	}
+}
+
+// noteOutage logs when the log is found to be down, and when it is read again.
+func (r *relay) noteOutage(down bool, reached, total int) {
+	r.mu.Lock()
+	changed := r.down != down
+	r.down = down
+	r.mu.Unlock()
+	switch {
+	case changed && down:
+		r.log.Warn("log is down for a majority of the data centres", zap.Int("reached", reached), zap.Int("data_centres", total))
+	case changed:
+		r.log.Info("log is read again")
 	}
 }
 
