--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -237,6 +237,8 @@
 	d.Lease.check(add)
 	d.Limits.check(add)
 	d.Policy.check(add)
+	d.checkInterface(add)
+	d.Bounds.check(add)
 	checkChoice(add, "log_level", d.LogLevel, "debug", "info", "warn", "error")
 	if d.ShutdownGraceMS < 0 {
 		add("shutdown_grace_ms: negative")
@@ -257,6 +259,54 @@
 
 type addFunc func(format string, args ...any)
 
+// checkInterface checks what only one interface needs.
+func (d Daemon) checkInterface(add addFunc) {
+	checkChoice(add, "interface", d.Interface, InterfaceNative, InterfacePlatform)
+	if d.Interface != InterfacePlatform {
+		return
+	}
+	for _, a := range []struct{ field, value string }{{"ready_addr", d.ReadyAddr}, {"announce_addr", d.AnnounceAddr}} {
+		if err := checkAddr(a.value); err != nil {
+			add("%s: %v", a.field, err)
+		}
+	}
+	if d.BackendService == "" {
+		add("backend_service: required with the interface %q", InterfacePlatform)
+	}
+}
+
+func (b Bounds) check(add addFunc) {
+	positive := []struct {
+		field string
+		value float64
+	}{
+		{"drain_s", b.DrainS}, {"max_hold_s", b.MaxHoldS}, {"announce_interval_s", b.AnnounceIntervalS},
+		{"range_shards", float64(b.RangeShards)}, {"record_ring", float64(b.RecordRing)},
+		{"log_readers", float64(b.LogReadersPerCentre)}, {"log_wait_ms", float64(b.LogWaitMS)},
+		{"log_placement_wait_ms", float64(b.LogPlacementWaitMS)}, {"log_stale_ms", float64(b.LogStaleMS)},
+		{"log_survey_ms", float64(b.LogSurveyMS)},
+	}
+	for _, p := range positive {
+		if p.value <= 0 {
+			add("bounds.%s: %v is not positive", p.field, p.value)
+		}
+	}
+	for _, p := range []struct {
+		field string
+		value float64
+	}{
+		{"retry_ratio", b.RetryRatio}, {"retry_extra", b.RetryExtra}, {"cold_slack", b.ColdSlack},
+		{"log_gather_ms", float64(b.LogGatherMS)}, {"grace_s", b.GraceS}, {"memory_mb", float64(b.MemoryMB)},
+	} {
+		if p.value < 0 {
+			add("bounds.%s: %v is negative", p.field, p.value)
+		}
+	}
+	if b.ColdOverage < 1 {
+		add("bounds.cold_overage: %v is below 1", b.ColdOverage)
+	}
+}
+
 func (l Lease) check(add addFunc) {
 	if l.TermMS < 100 || l.TermMS > 60_000 {
 		add("lease.term_ms: %d is not in 100 to 60000", l.TermMS)
--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -62,3 +62,20 @@
 	is.True(errors.Is(err, ErrInvalid))
 	is.True(strings.Contains(err.Error(), "line 2"))
 }
+
+func TestPlatformInterfaceNeedsItsAddresses(t *testing.T) {
+	is := is.New(t)
+	text := strings.Replace(validFile, `"slot": "d1"`, `"interface": "platform", "slot": "d1", "bounds": {"drain_s": 0, "cold_overage": 0.5, "retry_extra": -1}`, 1)
+	_, err := ParseDaemon([]byte(text))
+	is.True(errors.Is(err, ErrInvalid))
+	for _, want := range []string{
+		"ready_addr: ", "announce_addr: ", "backend_service: required", "bounds.drain_s: 0 is not positive",
+		"bounds.cold_overage: 0.5 is below 1", "bounds.retry_extra: -1 is negative",
+	} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("missing %q in %v", want, err)
+		}
+	}
+	_, err = ParseDaemon([]byte(strings.Replace(validFile, `"slot": "d1"`, `"interface": "other", "slot": "d1"`, 1)))
+	is.True(err != nil && strings.Contains(err.Error(), `interface: "other" is not one of native, platform`))
+}
--- a/daemon/cmd/sesamemoord/commands.go
+++ b/daemon/cmd/sesamemoord/commands.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -70,7 +71,7 @@
 	if !ok {
 		return exitSettings
 	}
-	log, err := newLogger(set)
+	log, level, err := newLogger(set)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "sesamemoord:", err)
 		return exitSettings
@@ -78,7 +79,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	ignoreHangups(log)
+	go reloads(f.Arg(0), set, level, log)
 	context.AfterFunc(ctx, stop) // a second signal ends the process at once
 	if err := serve(ctx, set, log); err != nil {
 		log.Error("daemon failed", zap.Error(err))
@@ -90,6 +91,7 @@
 // serve runs the daemon until ctx ends. Then it hands over its shards while it
 // still serves callers, takes callers off, and stops.
 func serve(ctx context.Context, set settings.Daemon, log *zap.Logger) error {
+	limitMemory(set)
 	var controller *kernel.Controller
 	app := fx.New(
 		kernel.Core(set, log),
@@ -120,6 +122,16 @@
 	return nil
 }
 
+// heapShare is the part of the process's memory that the heap may take before it
+// is collected more often; the rest is for stacks and buffers of the kernel.
+const heapShare = 0.6
+
+func limitMemory(set settings.Daemon) {
+	if mb := set.Bounds.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(heapShare * float64(mb<<20)))
+	}
+}
+
 const (
 	// listenTime is the time for which callers are still taken in on SIGTERM where
 	// a platform sends them: it asks each second whether the daemon is ready and
@@ -148,27 +160,16 @@
 	return stopTimes{leave: max(whole-finishTime, 0), listen: min(listenTime, whole), whole: whole}
 }
 
-// ignoreHangups logs and passes over SIGHUP, which tells that the settings file
-// may have changed: what it holds is fixed for the life of a process.
-func ignoreHangups(log *zap.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	go func() {
-		for range hangups {
-			log.Info("reload", zap.String("outcome", "the settings of a running daemon are fixed; nothing to change"))
-		}
-	}()
-}
-
-// newLogger returns a logger of JSON lines on standard output that never blocks.
-func newLogger(set settings.Daemon) (*zap.Logger, error) {
-	level, err := zapcore.ParseLevel(set.LogLevel)
+// newLogger returns a logger of JSON lines on standard output that never blocks,
+// and its level.
+func newLogger(set settings.Daemon) (*zap.Logger, zap.AtomicLevel, error) {
+	level, err := zap.ParseAtomicLevel(set.LogLevel)
 	if err != nil {
-		return nil, fmt.Errorf("log level: %w", err)
+		return nil, level, fmt.Errorf("log level: %w", err)
 	}
 	encoding := zap.NewProductionEncoderConfig()
 	encoding.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), logsink.New(os.Stdout), zap.NewAtomicLevelAt(level))
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), logsink.New(os.Stdout), level)
 	log := zap.New(core, zap.AddStacktrace(zapcore.PanicLevel))
-	return log.With(zap.String("slot", set.Slot), zap.String("data_centre", set.DataCentre)), nil
+	return log.With(zap.String("slot", set.Slot), zap.String("data_centre", set.DataCentre)), level, nil
 }
