Release keys over a few connections

Cause: the releases of a leaving daemon opened one connection each, some hundred, and a worker resets what goes beyond its connection limit: the release then counted as unanswered, the hold had to run out, and the next holder started cold.

Test without the bench: TestReleasesKeepToFewConnections. A failed release never passes a handover token on (TestSilentServerHoldsUntilItsGrantsEnd, red before).

--- /dev/null
+++ b/daemon/plugins/backend/backend_test.go
@@ -0,0 +1,387 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/dialect"
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// bound is the longest wait for something to happen.
+const bound = 10 * time.Second
+
+const shards = 64
+
+// fake is a backend server and what surrounds the executor beside it.
+type fake struct {
+	mu        sync.Mutex
+	view      *view.View
+	events    []control.Event
+	grants    map[uint32]time.Time // end of the hold by first key
+	ran       map[string]int
+	handler   func(w http.ResponseWriter, id string)
+	mute      atomic.Bool // orders get no answer
+	open      atomic.Int64
+	mostOpen  atomic.Int64
+	released  atomic.Int64
+	addr      string
+	misdirect atomic.Bool
+}
+
+func (f *fake) Post(ev control.Event) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.events = append(f.events, ev)
+}
+
+func (f *fake) View() *view.View {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.view
+}
+
+func (f *fake) Arrived(view.ShardID, uint64) {}
+func (f *fake) Served(time.Duration)         {}
+func (f *fake) Announced(uint32)             {}
+
+// The dialect: headers of one word, orders by path.
+
+func (f *fake) Encode(h http.Header, req dialect.BackendRequest) { h.Set("Id", req.ID) }
+
+func (f *fake) Decode(resp *http.Response) dialect.BackendAnswer {
+	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	return dialect.BackendAnswer{
+		ID: resp.Header.Get("Id"), Sealed: resp.Header.Get("Seal") != "",
+		NotRun: misdirected || resp.Header.Get("Not-Run") != "", Misdirected: misdirected,
+	}
+}
+
+func (f *fake) order(ctx context.Context, c *http.Client, addr, path string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return err
+	}
+	return resp.Body.Close()
+}
+
+func (f *fake) Grant(ctx context.Context, c *http.Client, addr string, keys dialect.KeyRange, hold time.Duration, _ string) error {
+	return f.order(ctx, c, addr, fmt.Sprintf("/grant/%d/%d", keys.First, hold.Milliseconds()))
+}
+
+func (f *fake) Release(ctx context.Context, c *http.Client, addr string, keys dialect.KeyRange) (string, error) {
+	return "token", f.order(ctx, c, addr, fmt.Sprintf("/release/%d", keys.First))
+}
+
+// ServeHTTP is the backend server.
+func (f *fake) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var key uint32
+	var ms int64
+	switch {
+	case strings.HasPrefix(r.URL.Path, "/grant/"):
+		_, _ = fmt.Sscanf(r.URL.Path, "/grant/%d/%d", &key, &ms)
+		f.mu.Lock()
+		f.grants[key] = time.Now().Add(time.Duration(ms) * time.Millisecond)
+		f.mu.Unlock()
+		f.maybeMute()
+	case strings.HasPrefix(r.URL.Path, "/release/"):
+		_, _ = fmt.Sscanf(r.URL.Path, "/release/%d", &key)
+		f.maybeMute()
+		f.released.Add(1)
+		f.mu.Lock()
+		delete(f.grants, key)
+		f.mu.Unlock()
+	default:
+		f.run(w, r.Header.Get("Id"))
+	}
+}
+
+func (f *fake) maybeMute() {
+	if f.mute.Load() {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (f *fake) run(w http.ResponseWriter, id string) {
+	if f.misdirect.Load() {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	f.mu.Lock()
+	f.ran[id]++
+	f.mu.Unlock()
+	f.handler(w, id)
+}
+
+func (f *fake) runs(id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ran[id]
+}
+
+func whole(w http.ResponseWriter, id string) {
+	w.Header().Set("Id", id)
+	w.Header().Set("Seal", "s")
+	_, _ = w.Write([]byte("answer to " + id))
+}
+
+// start returns an executor that holds all shards of a service under its lease.
+func start(t *testing.T) (*executor, *fake) {
+	t.Helper()
+	f := &fake{grants: map[uint32]time.Time{}, ran: map[string]int{}, handler: whole}
+	srv := httptest.NewUnstartedServer(f)
+	srv.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		switch state {
+		case http.StateNew:
+			f.mostOpen.Store(max(f.mostOpen.Load(), f.open.Add(1)))
+		case http.StateClosed:
+			f.open.Add(-1)
+		}
+	}
+	srv.Start()
+	t.Cleanup(srv.Close)
+	f.addr = strings.TrimPrefix(srv.URL, "http://")
+	lease := new(view.LeaseCell)
+	lease.Set(clock.Boot{}.Now().Add(1500 * time.Millisecond))
+	held := map[view.ShardID]view.Held{}
+	for i := range uint32(shards) {
+		held[view.ShardID{Service: "front", Shard: i}] = view.Held{Token: 2}
+	}
+	f.view = &view.View{
+		Incarnation: 1, Lease: lease, Held: held,
+		Config:   &fleet.Config{Services: map[string]fleet.Service{"front": {Shards: shards, KeySpace: shards * 4}}},
+		Services: map[string]*view.Service{"front": {Base: shards, KeySpace: shards * 4, Shards: make([]view.Shard, shards)}},
+	}
+	e := newExecutor(executorParams{
+		Control: f, Clock: clock.Boot{}, Load: f, Dialect: f, Settings: settings.Default(), Log: zap.NewNop(),
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	go e.keepHolds(ctx)
+	go renew(ctx, lease)
+	e.Announced(dialect.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, Born: 1})
+	for id := range held {
+		e.HandleEffect(control.TakeOver{Shard: id, Token: 2})
+	}
+	until(t, "all shards granted", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return len(f.grants) == shards
+	})
+	return e, f
+}
+
+// renew keeps the lease.
+func renew(ctx context.Context, lease *view.LeaseCell) {
+	for ctx.Err() == nil {
+		lease.Set(clock.Boot{}.Now().Add(1500 * time.Millisecond))
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func until(t *testing.T, what string, cond func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(bound)
+	for !cond() {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s: not within %v", what, bound)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func request(id string, key uint32) *wire.Request {
+	return &wire.Request{RequestId: id, Service: "front", Method: "GET", Path: "/x", Host: "a", Key: "k", NumberKey: key, TimeoutMs: 2000, TargetMs: 500}
+}
+
+func kind(resp *wire.Response) outcome.Kind { return outcome.Kind(resp.GetKind()) }
+
+func TestRequestRunsUnderAHold(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	resp := e.Execute(context.Background(), request("r-1", 7))
+	is.Equal(kind(resp), outcome.OK)
+	is.Equal(string(resp.GetBody()), "answer to r-1")
+	is.Equal(resp.GetGeneration(), uint64(2))
+	is.Equal(f.runs("r-1"), 1)
+}
+
+// Answers that are not the server's whole answer to the request may not be taken
+// for one, and never say that the request did not run.
+func TestAnswersThatAreNotTheServers(t *testing.T) {
+	for name, handler := range map[string]func(http.ResponseWriter, string){
+		"to another request": func(w http.ResponseWriter, _ string) { whole(w, "other") },
+		"no seal": func(w http.ResponseWriter, id string) {
+			w.Header().Set("Id", id)
+			_, _ = w.Write([]byte("x"))
+		},
+		"cut": func(w http.ResponseWriter, id string) {
+			w.Header().Set("Content-Length", "100")
+			whole(w, id)
+		},
+		"none": func(http.ResponseWriter, string) { panic(http.ErrAbortHandler) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, f := start(t)
+			f.handler = handler
+			resp := e.Execute(context.Background(), request("r-1", 7))
+			is.True(kind(resp) != outcome.OK)
+			is.True(kind(resp).Answer().Ran != outcome.NotRun)
+			is.Equal(f.runs("r-1"), 1) // sent once
+		})
+	}
+}
+
+func TestServerThatLostItsKeysIsGrantedThemAgain(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	f.misdirect.Store(true)
+	resp := e.Execute(context.Background(), request("r-1", 7))
+	is.Equal(kind(resp), outcome.Fenced)
+	is.Equal(kind(resp).Answer().Ran, outcome.NotRun)
+	f.misdirect.Store(false)
+	until(t, "the key is served again", func() bool {
+		return kind(e.Execute(context.Background(), request("r-2", 7))) == outcome.OK
+	})
+}
+
+// releaseAll drops all shards from the view, as control does, and quiesces them.
+func releaseAll(e *executor, f *fake) {
+	f.mu.Lock()
+	v := *f.view
+	v.Held = map[view.ShardID]view.Held{}
+	f.view = &v
+	f.mu.Unlock()
+	e.HandleEffect(control.Publish{View: &v})
+	for i := range uint32(shards) {
+		e.HandleEffect(control.Quiesce{Shard: view.ShardID{Service: "front", Shard: i}, Token: 2})
+	}
+}
+
+func (f *fake) quiesced() (n, warm int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, ev := range f.events {
+		if q, ok := ev.(control.Quiesced); ok {
+			n++
+			if q.Handover != "" {
+				warm++
+			}
+		}
+	}
+	return n, warm
+}
+
+// All shards are released at once when a daemon leaves. A server resets what goes
+// beyond its connections: the releases opened one connection each.
+func TestReleasesKeepToFewConnections(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	releaseAll(e, f)
+	until(t, "all quiesced", func() bool { n, _ := f.quiesced(); return n == shards })
+	_, warm := f.quiesced()
+	is.Equal(warm, shards)
+	is.Equal(f.released.Load(), int64(shards))
+	is.True(f.mostOpen.Load() <= maxReleases+grantsAtOnce)
+	is.Equal(kind(e.Execute(context.Background(), request("r-1", 7))).Answer().Ran, outcome.NotRun)
+	is.Equal(f.runs("r-1"), 0)
+}
+
+// Without an answer to its release a shard counts as quiesced only once the server
+// surely holds it no more.
+func TestSilentServerHoldsUntilItsGrantsEnd(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	f.mute.Store(true)
+	releaseAll(e, f)
+	until(t, "all quiesced", func() bool {
+		n, _ := f.quiesced()
+		if n > 0 {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			held := 0
+			for _, end := range f.grants {
+				if time.Now().Before(end) {
+					held++
+				}
+			}
+			is.True(held <= shards-n)
+		}
+		return n == shards
+	})
+	_, warm := f.quiesced()
+	is.Equal(warm, 0)
+}
+
+func TestLeavingServerGetsNothingAfterItsDrain(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	is.True(e.Gone("i-1", 1))
+	e.mu.Lock()
+	e.server.leaving = e.clock.Now().Add(-time.Duration(e.bounds.DrainS * float64(time.Second)))
+	e.mu.Unlock()
+	resp := e.Execute(context.Background(), request("r-1", 7))
+	is.Equal(kind(resp), outcome.Draining)
+	is.Equal(f.runs("r-1"), 0)
+}
+
+func TestLateAnnouncementsChangeNothing(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	count := func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.events) }
+	before := count()
+	is.True(e.Announced(dialect.Announcement{ID: "i-0", Service: "front", Addr: "127.0.0.1:1", Slots: 1, Sequence: 9, Born: 0}))                // an earlier life
+	is.True(e.Announced(dialect.Announcement{ID: "i-1", Service: "front", Addr: "127.0.0.1:1", Slots: 1, Sequence: 1, Born: 1, Leaving: true})) // out of order
+	is.Equal(count(), before)
+	is.Equal(e.server.addr, f.addr)
+}
+
+// A new life under the old id holds nothing: all keys are granted anew.
+func TestNewLifeIsAnotherServer(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	is.True(e.Announced(dialect.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, Born: 2}))
+	f.mu.Lock()
+	last := f.events[len(f.events)-1].(control.BackendUp)
+	f.mu.Unlock()
+	is.Equal(last.Name, "i-1@2")
+	resp := e.Execute(context.Background(), request("r-1", 7))
+	is.Equal(kind(resp).Answer().Ran, outcome.NotRun)
+}
+
+func TestCancelledCallerFreesTheSlot(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	release := make(chan struct{})
+	defer close(release)
+	f.handler = func(http.ResponseWriter, string) { <-release }
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan outcome.Kind, 1)
+	go func() { done <- kind(e.Execute(ctx, request("r-1", 7))) }()
+	until(t, "the request runs", func() bool { return f.runs("r-1") == 1 })
+	cancel()
+	is.Equal(<-done, outcome.CancelledMaybeRan)
+	until(t, "the slot is free", func() bool { return e.Running() == 0 })
+}
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -27,7 +27,11 @@
 	maxRefusalBytes = 4 << 10
 	// maxConnections bounds the connections for requests; the slots bound them
 	// first.
-	maxConnections = 256
+	maxConnections = 64
+	// maxReleases bounds the connections for releases, of which only those wait
+	// whose shard has a request running: fewer than the server's slots, as a rule.
+	// A server resets connections beyond its limit.
+	maxReleases = 16
 	// crashWindow is the time within which connections that break belong to one
 	// crash.
 	crashWindow = time.Second
@@ -59,7 +63,7 @@
 		clock: clk, dialect: d,
 		requests: httpClient(maxConnections, guard.Dialer(clk, always)),
 		orders:   httpClient(2, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
-		releases: httpClient(maxConnections, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
+		releases: httpClient(maxReleases, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
 	}
 }
 
--- a/daemon/plugins/backend/holds.go
+++ b/daemon/plugins/backend/holds.go
@@ -205,6 +205,7 @@
 		gone = e.holds.ReleasedBy(q.Shard, q.Token)
 		e.mu.Unlock()
 	} else {
+		handover = ""
 		e.log.Warn("release without answer", zap.String("service", q.Shard.Service),
 			zap.Uint32("shard", q.Shard.Shard), zap.Uint64("generation", q.Token), zap.Error(err))
 		if isRefused(err) {
