--- a/daemon/plugins/backend/announced.go
+++ b/daemon/plugins/backend/announced.go
@@ -46,6 +46,7 @@
 	addr     string
 	sequence uint64
 	slots    uint32
+	cold     clock.Instant // until when it is cold
 	leaving  clock.Instant // since when it is known to leave; 0 if it is not
 	heard    clock.Instant // last sign of life
 	failures int           // calls without an answer since then
@@ -111,7 +112,8 @@
 	s.failures = 0
 	v := e.control.View()
 	e.turns.setSlots(slotsOf(v, a))
-	e.turnCold(v, now.Add(a.ColdFor))
+	s.cold = now.Add(a.ColdFor)
+	e.limitCold(v)
 	if a.Leaving {
 		return e.leave(now, "announced")
 	}
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -131,6 +131,7 @@
 	e.mu.Lock()
 	e.holds.Keep(e.clock.Now(), held)
 	e.followOrder(v)
+	e.limitCold(v)
 	e.mu.Unlock()
 	e.turns.withdraw(func(id view.ShardID) bool { return id.Service != "" && !held(id) },
 		outcome.New(outcome.NotOwner, "the shard is not held any more"))
@@ -150,7 +151,7 @@
 		e.outAt = 0
 		e.log.Info("data centre back in service", zap.Uint64("config_version", v.ConfigVersion))
 		if e.server != nil {
-			e.turnCold(v, now.Add(coldStart(v, e.server.service)))
+			e.server.cold = max(e.server.cold, now.Add(coldStart(v, e.server.service)))
 		}
 	}
 }
@@ -160,15 +161,19 @@
 	return time.Duration(v.Config.Services[service].ColdStartMS) * time.Millisecond
 }
 
-// turnCold limits what the server is sent until an instant. The caller holds the
-// lock.
-func (e *executor) turnCold(v *view.View, until clock.Instant) {
+// limitCold limits what the server is sent while it is cold, by the configuration
+// in force: one that announces itself before the configuration was read must not
+// go without a limit. The caller holds the lock.
+func (e *executor) limitCold(v *view.View) {
+	if e.server == nil {
+		return
+	}
 	perS := v.Config.Services[e.server.service].ColdPerS
 	if perS > 0 {
 		perS *= 1 + coldMargin*(e.bounds.ColdOverage-1)
 		perS += coldMargin * e.bounds.ColdSlack
 	}
-	e.turns.setCold(until, perS)
+	e.turns.setCold(e.server.cold, perS)
 }
 
 // coldMargin is the part of what is allowed beyond what a cold server bears that
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -385,3 +385,31 @@
 	is.Equal(<-done, outcome.CancelledMaybeRan)
 	until(t, "the slot is free", func() bool { return e.Running() == 0 })
 }
+
+// A server may announce itself before the configuration is read, which says how much
+// a cold one bears: it got all that came until its next announcement.
+func TestColdServerIsLimitedOnceTheConfigurationIsKnown(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	is.True(e.Announced(dialect.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 2, Born: 1, ColdFor: time.Minute}))
+	const perS = 3
+	v := *f.View()
+	cfg := *v.Config
+	cfg.Services = map[string]fleet.Service{"front": {Shards: shards, KeySpace: shards * 4, ColdPerS: perS}}
+	v.Config = &cfg
+	f.mu.Lock()
+	f.view = &v
+	f.mu.Unlock()
+	e.HandleEffect(control.Publish{View: &v})
+	started := time.Now()
+	for i := range 12 {
+		e.Execute(context.Background(), request(fmt.Sprint("r-", i), 7))
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	ran := 0
+	for _, n := range f.ran {
+		ran += n
+	}
+	is.True(ran <= perS*(1+int(time.Since(started)/time.Second)))
+}
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -38,9 +38,9 @@
 }
 
 const (
-	// configWait is the longest wait for news of the configuration. Knowledge
-	// of its head is renewed that often.
-	configWait = 1500 * time.Millisecond
+	// configWaits is the longest wait for news of the configuration in waits of a
+	// read of the log: those who read it know its head anew that often.
+	configWaits = 1.5
 	// placementWait is the longest wait for placement records. Their head need
 	// not be known.
 	placementWait = 10 * time.Second
@@ -64,6 +64,7 @@
 	// surveyAfter is the age of configuration knowledge from which on peers of all
 	// data centres are asked, each surveyInterval.
 	surveyAfter, surveyInterval time.Duration
+	configWait                  time.Duration // longest wait for news of the configuration
 
 	mu     sync.Mutex
 	down   bool                     // the last survey found the log down
@@ -74,6 +75,7 @@
 func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
 	r := &relay{
 		slot: set.Slot, dataCentre: set.DataCentre, readers: max(set.Bounds.LogReadersPerCentre, 1), control: c, peers: p, clock: clk,
+		configWait:  time.Duration(configWaits * float64(set.Bounds.LogWaitMS) * float64(time.Millisecond)),
 		surveyAfter: time.Duration(set.Bounds.LogStaleMS) * time.Millisecond, surveyInterval: time.Duration(set.Bounds.LogSurveyMS) * time.Millisecond,
 		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, silent: map[string]clock.Instant{},
 	}
@@ -97,14 +99,14 @@
 // Read implements kernel.Relay.
 func (r *relay) Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
 	addr := parent(r.control.View().Daemons, r.slot, r.dataCentre, r.readers)
-	if addr != "" && !r.mayAsk(addr) {
-		addr = ""
+	if addr != "" && (!r.mayAsk(addr) || stream == logstream.ConfigStream && r.behind()) {
+		addr = "" // a peer that learns nothing may be the one that is cut off
 	}
 	r.noteSource(stream, addr)
 	if addr == "" {
 		return logstream.Batch{}, 0, kernel.ErrNoPeer
 	}
-	batch, asOf, err := r.ask(ctx, addr, stream, from, waitOf(stream))
+	batch, asOf, err := r.ask(ctx, addr, stream, from, r.waitOf(stream))
 	if err != nil {
 		r.markSilent(addr)
 		r.log.Info("peer does not pass records on", zap.String("peer", addr), zap.Error(err))
@@ -123,9 +125,9 @@
 	r.log.Info("reading", zap.String("stream", stream), zap.String("from", cmp.Or(addr, "platform")))
 }
 
-func waitOf(stream string) time.Duration {
+func (r *relay) waitOf(stream string) time.Duration {
 	if stream == logstream.ConfigStream {
-		return configWait
+		return r.configWait
 	}
 	return placementWait
 }
@@ -188,7 +190,7 @@
 	if !ok {
 		return &wire.Frame{Body: &wire.Frame_RecordBatch{RecordBatch: &wire.RecordBatch{}}}
 	}
-	wait := min(time.Duration(q.GetWaitMs())*time.Millisecond, waitOf(q.GetStream()))
+	wait := min(time.Duration(q.GetWaitMs())*time.Millisecond, r.waitOf(q.GetStream()))
 	wake := q.GetStream() == logstream.ConfigStream
 	batch := s.answer(r.clock.Now, q.GetFrom(), int(q.GetMax()), wait, wake, ctx.Done())
 	return &wire.Frame{Body: &wire.Frame_RecordBatch{RecordBatch: batch}}
