Test followers whose readers are all turned away

A reader answers its followers as ever, and surveys asked daemons that knew no more, so nobody read the store for nine seconds.

--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -386,9 +386,10 @@
 
 var _ kernel.Peers = (*node)(nil)
 
-// One daemon of each data centre reads the log. When the log turns that one away,
-// a withdrawn key must stop working at those behind it, which did not ask the log
-// themselves, within 2 s: they followed it for 2.5 s and were late.
+// One daemon of each data centre reads the log. When the log turns these away, a
+// withdrawn key must stop working at those behind them within 2 s: they followed
+// their reader, which answered, and asked peers, which knew no more, until the log
+// served the readers again.
 func TestFollowersOfAReaderThatIsTurnedAwayLearnInTime(t *testing.T) {
 	bounds := settings.Default().Bounds
 	bounds.LogReadersPerCentre = 1
@@ -400,7 +401,7 @@
 		for range 20 {
 			turnedAway := []*node{
 				w.nodes[inDataCentre(w.daemons, "dc1")[0].Slot], w.nodes[inDataCentre(w.daemons, "dc2")[0].Slot],
-				w.nodes[inDataCentre(w.daemons, "dc0")[2].Slot], w.nodes[inDataCentre(w.daemons, "dc2")[3].Slot],
+				w.nodes[inDataCentre(w.daemons, "dc0")[0].Slot], w.nodes[inDataCentre(w.daemons, "dc2")[3].Slot],
 			}
 			for _, n := range turnedAway {
 				n.cutLog.Store(true)
