One account of a backend server's crashes for both interfaces

The plug-in backend had its own copy of how owner names a crash, of the probe that tells a crash from a closed connection, and of the header; all are in daemon/guard now. Behaviour is unchanged; tests of daemon/plugins and platform are green.

--- a/daemon/plugins/owner/crash.go
+++ b/daemon/guard/crash.go
@@ -1,4 +1,4 @@
-package owner
+package guard
 
 import (
 	"fmt"
@@ -9,6 +9,10 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 )
 
+// HeaderCrash names the crash in the answer to each request that was in flight at
+// it. It is seen by daemons only.
+const HeaderCrash = "X-Sesamemoor-Crash-Id"
+
 const (
 	// crashWindow is the time within which connections that break belong to
 	// one crash.
@@ -18,25 +22,29 @@
 	probeTimeout = 200 * time.Millisecond
 )
 
-// crashes names the crashes of the backend server. All requests that were in
+// Crashes names the crashes of the backend server. All requests that were in
 // flight at one crash get the same id.
-type crashes struct {
-	clock  clock.Clock
+type Crashes struct {
+	clock clock.Clock
+
 	mu     sync.Mutex
 	bootID string
 	count  uint64
 	last   clock.Instant // first broken connection of the newest crash
 }
 
-// restarted tells that the backend server announced another start.
-func (c *crashes) restarted(bootID string) {
+// NewCrashes returns the account of a server that has not crashed.
+func NewCrashes(clk clock.Clock) *Crashes { return &Crashes{clock: clk} }
+
+// Restarted tells that the backend server announced another start.
+func (c *Crashes) Restarted(bootID string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.bootID = bootID
 }
 
-// id returns the id of the crash that broke a connection now.
-func (c *crashes) id() string {
+// ID returns the id of the crash that broke a connection now.
+func (c *Crashes) ID() string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.clock.Now()
@@ -47,8 +55,8 @@
 	return fmt.Sprintf("%s/%d", c.bootID, c.count)
 }
 
-// listens reports whether the backend server still accepts connections.
-func listens(addr string) bool {
+// Listens reports whether the backend server still accepts connections.
+func Listens(addr string) bool {
 	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
 	if err != nil {
 		return false
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -9,7 +9,6 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
-	"sync"
 	"syscall"
 	"time"
 
@@ -32,15 +31,6 @@
 	// whose shard has a request running: fewer than the server's slots, as a rule.
 	// A server resets connections beyond its limit.
 	maxReleases = 16
-	// crashWindow is the time within which connections that break belong to one
-	// crash.
-	crashWindow = time.Second
-	// probeTimeout bounds the connection that tells a crash from a closed
-	// connection.
-	probeTimeout = 200 * time.Millisecond
-	// HeaderCrash names the crash in the answer to each request that was in
-	// flight at it. It is seen by daemons only.
-	HeaderCrash = "X-Sesamemoor-Crash-Id"
 )
 
 // client is the HTTP client of the backend server beside the daemon.
@@ -51,16 +41,13 @@
 	orders   *http.Client // grants
 	releases *http.Client // wait for running work
 
-	mu      sync.Mutex
-	life    string
-	crashes uint64
-	crashAt clock.Instant // first broken connection of the newest crash
+	crashes *guard.Crashes
 }
 
 func newClient(clk clock.Clock, d dialect.Backends) *client {
 	always := func() bool { return true }
 	return &client{
-		clock: clk, dialect: d,
+		clock: clk, dialect: d, crashes: guard.NewCrashes(clk),
 		requests: httpClient(maxConnections, guard.Dialer(clk, always)),
 		orders:   httpClient(2, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
 		releases: httpClient(maxReleases, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
@@ -79,9 +66,7 @@
 
 // restarted closes connections to the server's earlier life.
 func (c *client) restarted(life string) {
-	c.mu.Lock()
-	c.life = life
-	c.mu.Unlock()
+	c.crashes.Restarted(life)
 	c.requests.CloseIdleConnections()
 	c.orders.CloseIdleConnections()
 	c.releases.CloseIdleConnections()
@@ -156,41 +141,19 @@
 		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
 	case !wrote:
 		return refusal(outcome.New(outcome.OwnerUnreachable, "backend server: %v", err))
-	case listens(s.addr):
+	case guard.Listens(s.addr):
 		return refusal(outcome.New(outcome.ConnectionLost, "backend server: %v", err))
 	}
 	return c.crashed(err)
 }
 
 func (c *client) crashed(err error) *wire.Response {
-	id := c.crashID()
+	id := c.crashes.ID()
 	resp := refusal(outcome.New(outcome.BackendCrashed, "crash %s: %v", id, err))
-	resp.Headers = []*wire.Header{{Name: HeaderCrash, Value: id}}
+	resp.Headers = []*wire.Header{{Name: guard.HeaderCrash, Value: id}}
 	return resp
 }
 
-// crashID returns the name of the crash that broke a connection now.
-func (c *client) crashID() string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	now := c.clock.Now()
-	if c.crashAt == 0 || now.Sub(c.crashAt) > crashWindow {
-		c.crashes++
-		c.crashAt = now
-	}
-	return fmt.Sprintf("%s/%d", c.life, c.crashes)
-}
-
-// listens reports whether the server still accepts connections.
-func listens(addr string) bool {
-	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
-	if err != nil {
-		return false
-	}
-	_ = conn.Close()
-	return true
-}
-
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // answer reads the whole answer. One that is not the server's own to this
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/spread"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/guard"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
@@ -32,9 +33,6 @@
 	// drainingPause is the same for one that leaves: longer than its record takes
 	// to be read everywhere.
 	drainingPause = 2 * time.Second
-	// headerCrash names the crash in the answer of a daemon whose backend server
-	// crashed.
-	headerCrash = "X-Sesamemoor-Crash-Id"
 )
 
 // sender passes requests to the daemons beside the servers that are to run them.
@@ -228,7 +226,7 @@
 	}
 	i := spread.Choose(s.clock.Now(), stats, out, time.Until(x.target))
 	if i < 0 {
-		return nil, outcome.New(outcome.NoOwner, "%v", errNoServer)
+		return nil, outcome.New(outcome.NoOwner, "no backend server of the service is known")
 	}
 	return members[i], nil
 }
@@ -376,7 +374,7 @@
 // crashOf returns the name of the crash in an answer, or "".
 func crashOf(resp *wire.Response) string {
 	for _, h := range resp.GetHeaders() {
-		if h.GetName() == headerCrash {
+		if h.GetName() == guard.HeaderCrash {
 			return h.GetValue()
 		}
 	}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -368,5 +367,3 @@
 		zap.Float64("ms", float64(took.Microseconds())/1000),
 	)
 }
-
-var errNoServer = errors.New("no backend server of the service is known")
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -28,9 +28,6 @@
 	headerDeadline = "X-Sesamemoor-Deadline-Ms" // time left when sent
 	headerExpires  = "X-Sesamemoor-Expires-Us"  // the same as wall clock of this host, microseconds since 1970
 	headerRefused  = "X-Sesamemoor-Refused"     // "fenced", "expired" or "shed": the request did not run
-	// HeaderCrash names the crash in the response to each request that was in
-	// flight at it. It is seen by daemons only.
-	HeaderCrash = "X-Sesamemoor-Crash-Id"
 )
 
 const (
@@ -46,11 +43,11 @@
 	clock   clock.Clock
 	client  *http.Client // requests, on guarded connections
 	grants  *http.Client // grants, on connections of their own
-	crashes crashes
+	crashes *guard.Crashes
 }
 
 func newBackend(c kernel.Control, clk clock.Clock, conns int) *backend {
-	b := &backend{control: c, clock: clk, crashes: crashes{clock: clk}}
+	b := &backend{control: c, clock: clk, crashes: guard.NewCrashes(clk)}
 	b.client = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
@@ -72,7 +69,7 @@
 
 // restarted closes idle connections to the server's earlier process.
 func (b *backend) restarted(bootID string) {
-	b.crashes.restarted(bootID)
+	b.crashes.Restarted(bootID)
 	b.client.CloseIdleConnections()
 }
 
@@ -164,16 +161,16 @@
 		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
 	case !wrote:
 		return refusal(outcome.New(outcome.OwnerUnreachable, "backend server: %v", err))
-	case listens(addr):
+	case guard.Listens(addr):
 		return refusal(outcome.New(outcome.ConnectionLost, "backend server: %v", err))
 	}
 	return b.crashed(err)
 }
 
 func (b *backend) crashed(err error) *wire.Response {
-	id := b.crashes.id()
+	id := b.crashes.ID()
 	resp := refusal(outcome.New(outcome.BackendCrashed, "crash %s: %v", id, err))
-	resp.Headers = []*wire.Header{{Name: HeaderCrash, Value: id}}
+	resp.Headers = []*wire.Header{{Name: guard.HeaderCrash, Value: id}}
 	return resp
 }
 
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -157,7 +157,7 @@
 	first, second := <-answers, <-answers
 	is.Equal(kindOf(first), outcome.BackendCrashed)
 	is.Equal(kindOf(second), outcome.BackendCrashed)
-	is.Equal(first.Headers[0].GetName(), HeaderCrash)
+	is.Equal(first.Headers[0].GetName(), guard.HeaderCrash)
 	is.Equal(first.Headers[0].GetValue(), second.Headers[0].GetValue())
 }
 
