A crash whose server is back at once counts as a crash

A broken connection was called a crash only if the server did not listen when probed. Beside load the probe came after the server's restart: the answer was connection_lost and the crash was held against nobody, so a request that kills servers took one more.

A closed connection without a restart stays no crash. Holds for both interfaces.

--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -323,7 +323,7 @@
 
 // cmdRequest: request ENTRY METHOD KEY [team=T] [id=ID] [timeout=D]
 // [caller-key=K] [crash=true] sets status, outcome and ran for expect.
-func (s *scenario) cmdRequest(_ *testscript.TestScript, args []string) error {
+func (s *scenario) cmdRequest(ts *testscript.TestScript, args []string) error {
 	r, err := s.request(args)
 	if err != nil {
 		return err
@@ -334,6 +334,7 @@
 	s.vars["status"] = strconv.Itoa(r.status)
 	s.vars["outcome"] = r.outcome
 	s.vars["ran"] = r.ran
+	ts.Logf("%s: status %d, outcome %s, ran %s", args[0], r.status, r.outcome, r.ran)
 	return nil
 }
 
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -76,6 +76,7 @@
 	Clock    clock.Clock
 	Load     kernel.LoadMeter
 	Dialect  dialect.Backends
+	Suspects kernel.Suspects
 	Settings settings.Daemon
 	Log      *zap.Logger
 }
@@ -96,7 +97,7 @@
 		running: map[view.ShardID]int{},
 	}
 	e.holdLog = newHoldLog(e.log)
-	e.client = newClient(p.Clock, p.Dialect)
+	e.client = newClient(p.Clock, p.Dialect, p.Suspects)
 	return e
 }
 
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -44,10 +44,10 @@
 	crashes *guard.Crashes
 }
 
-func newClient(clk clock.Clock, d dialect.Backends) *client {
+func newClient(clk clock.Clock, d dialect.Backends, suspects guard.Suspects) *client {
 	always := func() bool { return true }
 	return &client{
-		clock: clk, dialect: d, crashes: guard.NewCrashes(clk),
+		clock: clk, dialect: d, crashes: guard.NewCrashes(clk, suspects),
 		requests: httpClient(maxConnections, guard.Dialer(clk, always)),
 		orders:   httpClient(2, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
 		releases: httpClient(maxReleases, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
@@ -88,7 +88,7 @@
 	start := time.Now()
 	httpResp, err := c.requests.Do(httpReq)
 	if err != nil {
-		return c.failure(runCtx, s, trace, err), dialect.BackendAnswer{}, err
+		return c.failure(runCtx, s, req, trace, err), dialect.BackendAnswer{}, err
 	}
 	resp, answer := c.answer(runCtx, httpResp, req.GetRequestId())
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
@@ -128,7 +128,7 @@
 
 // failure maps a transport error to its kind. "Not run" is claimed only when no
 // byte of the request was written.
-func (c *client) failure(ctx context.Context, s *server, trace *guard.Trace, err error) *wire.Response {
+func (c *client) failure(ctx context.Context, s *server, req *wire.Request, trace *guard.Trace, err error) *wire.Response {
 	wrote := trace.Wrote()
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !wrote:
@@ -142,6 +142,7 @@
 	case !wrote:
 		return refusal(outcome.New(outcome.OwnerUnreachable, "backend server: %v", err))
 	case guard.Listens(s.addr):
+		c.crashes.Lost(guard.Loss{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: s.id})
 		return refusal(outcome.New(outcome.ConnectionLost, "backend server: %v", err))
 	}
 	return c.crashed(err)
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -46,8 +46,8 @@
 	crashes *guard.Crashes
 }
 
-func newBackend(c kernel.Control, clk clock.Clock, conns int) *backend {
-	b := &backend{control: c, clock: clk, crashes: guard.NewCrashes(clk)}
+func newBackend(c kernel.Control, clk clock.Clock, suspects guard.Suspects, conns int) *backend {
+	b := &backend{control: c, clock: clk, crashes: guard.NewCrashes(clk, suspects)}
 	b.client = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
@@ -81,6 +81,14 @@
 	return ""
 }
 
+// name returns the backend server's name, "" while none is announced.
+func (b *backend) name() string {
+	if server := b.control.View().Backend; server != nil {
+		return server.Name
+	}
+	return ""
+}
+
 // sendGrant tells the backend server that the shard is its under the token.
 func (b *backend) sendGrant(ctx context.Context, key grantKey) error {
 	query := url.Values{
@@ -122,7 +130,7 @@
 	start := time.Now()
 	httpResp, err := b.client.Do(httpReq)
 	if err != nil {
-		return b.failure(ctx, addr, trace, err)
+		return b.failure(ctx, addr, req, trace, err)
 	}
 	resp := answer(ctx, httpResp, token)
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
@@ -146,7 +154,7 @@
 
 // failure maps a transport error to its kind. "Not run" is claimed only when
 // no byte of the request was written.
-func (b *backend) failure(ctx context.Context, addr string, trace *guard.Trace, err error) *wire.Response {
+func (b *backend) failure(ctx context.Context, addr string, req *wire.Request, trace *guard.Trace, err error) *wire.Response {
 	wrote := trace.Wrote()
 	switch {
 	case errors.Is(err, guard.ErrLeaseOver) && !wrote:
@@ -162,6 +170,7 @@
 	case !wrote:
 		return refusal(outcome.New(outcome.OwnerUnreachable, "backend server: %v", err))
 	case guard.Listens(addr):
+		b.crashes.Lost(guard.Loss{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: b.name()})
 		return refusal(outcome.New(outcome.ConnectionLost, "backend server: %v", err))
 	}
 	return b.crashed(err)
--- a/daemon/plugins/owner/fake_test.go
+++ b/daemon/plugins/owner/fake_test.go
@@ -58,10 +58,17 @@
 		Held:     map[view.ShardID]view.Held{},
 		Services: map[string]*view.Service{service: {Base: 8, Shards: make([]view.Shard, 8)}},
 	})
-	b.executor = newExecutor(c, clock.Boot{}, noLoad{}, set, zap.NewNop())
+	b.executor = newExecutor(c, clock.Boot{}, noLoad{}, noSuspects{}, set, zap.NewNop())
 	return b
 }
 
+// noSuspects forgets what it is told.
+type noSuspects struct{}
+
+func (noSuspects) Refuses(uint64) bool                    { return false }
+func (noSuspects) Completed(uint64, string)               {}
+func (noSuspects) Crashed(uint64, string, string, string) {}
+
 func (b *bench) report(addr string, checksFence bool) {
 	b.BackendReported(kernel.BackendReport{Addr: addr, Slots: 4, BootID: "boot", ChecksFence: checksFence})
 }
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -58,8 +58,8 @@
 	report   kernel.BackendReport // newest announcement
 }
 
-func newExecutor(c kernel.Control, clk clock.Clock, load kernel.LoadMeter, set settings.Daemon, log *zap.Logger) *executor {
-	b := newBackend(c, clk, set.Limits.BackendConns)
+func newExecutor(c kernel.Control, clk clock.Clock, load kernel.LoadMeter, suspects kernel.Suspects, set settings.Daemon, log *zap.Logger) *executor {
+	b := newBackend(c, clk, suspects, set.Limits.BackendConns)
 	return &executor{
 		control:  c,
 		clock:    clk,
