A waiting request is refused when the configuration turns stale

Change: the wait for a token ends with config_stale at the instant at which the configuration turns stale (a timer only if that may come before the request's time limit), and each try checks again before it is sent.

Ruled out before: relay.Read.

Tests: TestRequestWaitsNoLongerThanItsKeyIsKnown, red before.

--- a/core/view/fresh.go
+++ b/core/view/fresh.go
@@ -55,6 +55,15 @@
 	return now.Sub(max(known, f.Outage())) > f.limit
 }
 
+// Until returns the instant after which the configuration is stale as things are
+// now; zero if it never will be.
+func (f *Freshness) Until() clock.Instant {
+	if f == nil {
+		return 0
+	}
+	return max(f.Known(), f.Outage()).Add(f.limit)
+}
+
 // Daemon is a daemon in service to which records may be passed on.
 type Daemon struct {
 	Slot       string
--- a/daemon/plugins/entry/entry_test.go
+++ b/daemon/plugins/entry/entry_test.go
@@ -46,12 +46,19 @@
 	to     []string        // the daemon that each went to
 	answer func(ctx context.Context, to string, req *wire.Request) (*wire.Response, error)
 	told   []*wire.Suspect
-	limit  error // of the team's rate
+	limit  error                       // of the team's rate
+	take   func(context.Context) error // in place of limit
 }
 
-func (s *surroundings) Post(control.Event)                 {}
-func (s *surroundings) View() *view.View                   { return s.view.Load() }
-func (s *surroundings) Take(context.Context, string) error { return s.limit }
+func (s *surroundings) Post(control.Event) {}
+func (s *surroundings) View() *view.View   { return s.view.Load() }
+
+func (s *surroundings) Take(ctx context.Context, _ string) error {
+	if s.take != nil {
+		return s.take(ctx)
+	}
+	return s.limit
+}
 
 func (s *surroundings) deliver(ctx context.Context, to string, req *wire.Request) (*wire.Response, error) {
 	s.mu.Lock()
@@ -343,6 +350,57 @@
 	is.Equal(s.count(), 1)
 }
 
+// TestRequestWaitsNoLongerThanItsKeyIsKnown holds a request for a token of its
+// team's rate until the configuration is stale: its caller key may be withdrawn.
+func TestRequestWaitsNoLongerThanItsKeyIsKnown(t *testing.T) {
+	is := is.New(t)
+	const limit = 300 * time.Millisecond
+	for name, take := range map[string]func(context.Context) error{
+		"no token": func(ctx context.Context) error {
+			<-ctx.Done()
+			return outcome.New(outcome.KeeperUnavailable, "no answer")
+		},
+		"token too late": func(context.Context) error {
+			time.Sleep(2 * limit)
+			return nil
+		},
+	} {
+		s := &surroundings{take: take}
+		v := placed(member(2, "a"), member(3, "b"), 7)
+		v.Fresh = view.NewFreshness(limit)
+		v.Fresh.Advance(clock.Boot{}.Now())
+		s.view.Store(v)
+		_, srv := newTestEntry(t, s)
+		started := time.Now()
+		resp, _ := do(t, srv, "GET", "/stock/k", "")
+		t.Log(name)
+		is.Equal(resp.Header.Get(HeaderOutcome), outcome.ConfigStale.String())
+		is.True(time.Since(started) < 1500*time.Millisecond) // before its timeout of 2 s
+		is.Equal(s.count(), 0)
+	}
+}
+
+// TestWaitGoesOnWhileTheConfigurationIsConfirmed confirms it during the wait.
+func TestWaitGoesOnWhileTheConfigurationIsConfirmed(t *testing.T) {
+	is := is.New(t)
+	const limit = 300 * time.Millisecond
+	fresh := view.NewFreshness(limit)
+	fresh.Advance(clock.Boot{}.Now())
+	s := &surroundings{take: func(ctx context.Context) error {
+		for range 8 {
+			time.Sleep(limit / 4)
+			fresh.Advance(clock.Boot{}.Now())
+		}
+		return ctx.Err()
+	}}
+	v := placed(member(2, "a"), member(3, "b"), 7)
+	v.Fresh = fresh
+	s.view.Store(v)
+	_, srv := newTestEntry(t, s)
+	resp, _ := do(t, srv, "GET", "/stock/k", "")
+	is.Equal(resp.Header.Get(HeaderOutcome), outcome.OK.String())
+}
+
 // TestRefusalNamesTheTimeToComeAgain rounds up to the header's whole seconds.
 func TestRefusalNamesTheTimeToComeAgain(t *testing.T) {
 	is := is.New(t)
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -222,6 +222,9 @@
 // error of the answer's kind.
 func (t *router) try(ctx context.Context, x *exchange, a *attempts) (*wire.Response, error) {
 	v := t.control.View()
+	if v.Fresh.Stale(t.clock.Now()) {
+		return nil, errStale
+	}
 	id, shard, err := t.lookup(v, x)
 	a.placed = placementFrom(shard)
 	if err != nil {
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -49,7 +50,7 @@
 	}
 	v := e.ctrl.View()
 	if v.Fresh.Stale(e.clock.Now()) {
-		return nil, outcome.New(outcome.ConfigStale, "configuration not confirmed for too long")
+		return nil, errStale
 	}
 	team, err := e.auth.authenticate(v, r.Header, x)
 	if err != nil {
@@ -74,7 +75,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(x.req.GetTimeoutMs())*time.Millisecond)
 	defer cancel()
-	if err := e.limits.Take(ctx, x.req.GetTeam()); err != nil {
+	if err := e.takeToken(ctx, x.req.GetTeam()); err != nil {
 		return nil, err
 	}
 	resp, err := e.router.route(ctx, x)
@@ -82,6 +83,18 @@
 	return resp, err
 }
 
+// takeToken waits for a token of the team's rate for as long as the configuration
+// that admitted the request is not stale.
+func (e *entry) takeToken(ctx context.Context, team string) error {
+	ctx, stop := whileFresh(ctx, e.ctrl.View().Fresh, e.clock)
+	defer stop()
+	err := e.limits.Take(ctx, team)
+	if err != nil && errors.Is(context.Cause(ctx), errStale) {
+		return errStale
+	}
+	return err
+}
+
 // readBody reads the whole body within the service's limit.
 func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
 	if r.ContentLength > limit {
