No request is sent over a link on which others wait in vain

If the link is given up the request did not run and goes on by another connection.

Test: TestDoubtfulLinkIsConfirmedBeforeAnyRequest, red before.

--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -58,6 +58,7 @@
 
 	seen   uint64 // bytes read at the last beat
 	misses int
+	doubt  atomic.Bool // calls wait, and the peer did not answer a ping
 }
 
 // linkEvents are called by a link.
@@ -294,9 +295,11 @@
 	if l.waits() == 0 || heard != l.seen {
 		l.seen = heard
 		l.misses = 0
+		l.doubt.Store(false)
 		return healthy
 	}
 	l.misses++
+	l.doubt.Store(l.misses >= doubtMisses)
 	switch {
 	case l.misses == pingMisses:
 		l.ping()
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -109,8 +109,8 @@
 	}
 }
 
-// callOn calls over one session. A request that must not run twice goes out
-// only on a link that is known to be alive.
+// callOn calls over one session. A request goes out only on a link that is known
+// to be alive: it must not run twice, or others wait in vain for answers.
 func (n *network) callOn(ctx context.Context, addr string, s *session, frame *wire.Frame) (*wire.Frame, error) {
 	l, err := s.link(frame)
 	if err != nil {
@@ -118,7 +118,8 @@
 	}
 	l.touch()
 	req := frame.GetRequest()
-	if req != nil && !req.GetIdempotent() && l.quiet() && !l.confirm(ctx, confirmTimeout) {
+	unsure := !req.GetIdempotent() && l.quiet() || l.doubt.Load()
+	if req != nil && unsure && !l.confirm(ctx, confirmTimeout) {
 		n.markLost(addr)
 		n.drop(s, "no answer to a ping")
 		return nil, errNotSent
--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -106,6 +106,29 @@
 	is.Equal(runs.Load(), int64(2))
 }
 
+// A request that may run twice is not sent after others that go unanswered: if the
+// link is then given up, it did not run and may go elsewhere.
+func TestDoubtfulLinkIsConfirmedBeforeAnyRequest(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	s, _ := startTestServer(t, echo(&runs))
+	p := startProxy(t, s.listener.Addr().String())
+	n := startTestNetwork(t, clock.Boot{})
+	_, err := n.Call(within(t, lossBound), p.addr(), request("a", true))
+	is.NoErr(err)
+	p.each(func(c *proxied) { c.swallow.Store(true) })
+	unanswered := make(chan error, 1)
+	go func() {
+		_, err := n.Call(within(t, 10*time.Second), p.addr(), request("b", true))
+		unanswered <- err
+	}()
+	time.Sleep((doubtMisses + 1) * beatInterval)
+	answer, err := n.Call(within(t, lossBound), p.addr(), request("c", true))
+	is.NoErr(err)
+	is.Equal(string(answer.GetResponse().GetBody()), "c")
+	is.Equal(outcome.Of(<-unanswered), outcome.ConnectionLost)
+}
+
 // Cuts the connection after each number of bytes: a call that fails with a
 // kind that did not run must not have run.
 func TestCutConnectionIsReportedTruthfully(t *testing.T) {
