Balancing ends: one planner, gathered first placement, moves within a data centre

The first member that joined got all shards; workers announce themselves 0.2 s apart. 2. A move to another member of the same data centre names a standby there; the next round, in which balancing of ranges pauses, replaced that standby because it shared the owner's data centre. Such moves never ended. 3. The second planner, to which nobody reports loads, balanced by the number of shards when the first had nothing to do for 1.5 s, and undid the first one's moves. 4. Keepers moved away from daemons whose backend servers were slow.

Change: the first placement of a service waits until no member joined for 0.6 s, 3 s at most; a standby in the owner's data centre stays while it relieves its owner; only the first planner balances without reports; keepers weigh the same everywhere. A round's inputs are logged as action "balance".

Tests, each red before: TestFirstPlacementWaitsForARollOut, TestMovesWithinADataCentreEnd, TestOnlyThePlannerWithReportsBalances, TestStragglersKeepKeepers.

--- a/core/control/events.go
+++ b/core/control/events.go
@@ -5,6 +5,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/placement"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
@@ -172,8 +173,9 @@
 	Reason     string
 	Shard      view.ShardID // zero if the decision is not about one shard
 	Generation uint64
-	Member     uint64 // the incarnation it is about
-	Count      int    // shards concerned, where more than one
+	Member     uint64             // the incarnation it is about
+	Count      int                // shards concerned, where more than one
+	Balance    *placement.Balance // what moves for the sake of load were decided on
 }
 
 // Left tells that the daemon holds nothing any more after a Shutdown.
--- /dev/null
+++ b/core/control/gather_test.go
@@ -0,0 +1,49 @@
+package control
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestFirstPlacementWaitsForARollOut starts the members of a service one after
+// another, 180 ms apart: the first one is not to own everything.
+func TestFirstPlacementWaitsForARollOut(t *testing.T) {
+	is := is.New(t)
+	const gap = 180 * time.Millisecond
+	f := newFakeFleet(t, 1, 3)
+	f.patch(0, fakeConfig)
+	for i := 1; i < 6; i++ {
+		for next := f.now.Add(gap); f.now < next; {
+			f.tick()
+		}
+		f.add(i, 3)
+	}
+	f.until(5*time.Second, "first placement", func() bool { return f.held("storefront") == 12 })
+	for _, sh := range f.daemons[0].state.fold.Services["storefront"].Shards {
+		is.Equal(sh.Generation, uint64(2)) // placed once, owner and standby together
+	}
+	for _, d := range f.daemons {
+		is.True(len(d.view.Held) > 0)
+	}
+}
+
+// TestFirstPlacementDoesNotWaitForever: members that go on joining do not keep
+// those that are there from serving.
+func TestFirstPlacementDoesNotWaitForever(t *testing.T) {
+	f := newFakeFleet(t, 1, 3)
+	f.patch(0, fakeConfig)
+	started := f.now
+	joined := 1
+	for f.held("storefront") < 12 {
+		if f.now.Sub(started) > gatherMost+8*time.Second {
+			t.Fatal("nothing is placed")
+		}
+		f.tick()
+		if f.now.Sub(started) > time.Duration(joined)*gatherQuiet/2 {
+			f.add(joined, 3)
+			joined++
+		}
+	}
+}
--- a/core/control/load.go
+++ b/core/control/load.go
@@ -56,8 +56,8 @@
 	// mergeShare is the part of a member's mean load below which a split key
 	// returns to the shard of its hash.
 	mergeShare = 0.02
-	// learnTime is the time for which a new planner waits for reports before it
-	// balances services without any.
+	// learnTime is the time for which a new first planner waits for reports before
+	// it balances services without any. Members report to the first planner only.
 	learnTime = 4 * time.Second
 	// maxSplits bounds the split keys of one service.
 	maxSplits = 4096
@@ -91,14 +91,15 @@
 	rates, weights := s.loads.Load(s.now)
 	load := placement.Load{
 		PerShard: map[view.ShardID]float64{}, MemberWeight: weights, Hold: map[string]bool{},
-		Tolerance: map[string]float64{},
+		Tolerance: map[string]float64{}, Gather: map[string]bool{},
 	}
 	for name, svc := range s.fold.Services {
+		load.Gather[name] = s.gathers(name, svc)
 		if name == view.KeeperService {
 			continue
 		}
 		if !s.reported(name) {
-			load.Hold[name] = s.anyReported(name) || s.now.Sub(s.planner.since) < learnTime
+			load.Hold[name] = s.anyReported(name) || !s.isFirstPlanner() || s.now.Sub(s.planner.since) < learnTime
 			continue
 		}
 		addShardLoads(load.PerShard, name, svc, rates)
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -33,8 +33,9 @@
 	heard     clock.Instant // when replay last showed another planner's record
 	since     clock.Instant // when this daemon became planner; zero while it is not
 
-	nextBalance clock.Instant // when ranges may move again
-	balancing   clock.Instant // until when moves of ranges go on
+	gathering   map[string]gathering // by service
+	nextBalance clock.Instant        // when ranges may move again
+	balancing   clock.Instant        // until when moves of ranges go on
 }
 
 // planBasis is what a plan is made on. Equal bases give equal plans.
@@ -73,6 +74,11 @@
 	return slices.Contains(s.planners(), s.member.incarnation)
 }
 
+func (s *State) isFirstPlanner() bool {
+	list := s.planners()
+	return len(list) > 0 && list[0] == s.member.incarnation
+}
+
 func (s *State) tickPlanner() {
 	p := &s.planner
 	if s.now < p.next || !s.leaseHeld() || s.stopping {
@@ -101,6 +107,7 @@
 		s.planner.since = 0
 	case s.planner.since == 0:
 		s.planner.since = s.now
+		s.planner.gathering = map[string]gathering{}
 	}
 }
 
@@ -117,7 +124,7 @@
 // is long ago.
 func (s *State) planDue() bool {
 	basis := planBasis{replay: s.fold.Next, config: s.history.Next}
-	return basis != s.planner.planned || s.now >= s.planner.made.Add(replanInterval)
+	return basis != s.planner.planned || len(s.planner.gathering) > 0 || s.now >= s.planner.made.Add(replanInterval)
 }
 
 // plannerTurn reports whether a planner may propose. The later ones leave each
@@ -173,6 +180,9 @@
 // propose appends the plan's records once each. A lost one is planned again.
 func (s *State) propose(plan placement.Plan) {
 	p := &s.planner
+	for _, b := range plan.Balances {
+		s.decide(Decision{Action: "balance", Reason: "a member's load is out of bounds", Count: b.Moves, Balance: &b})
+	}
 	if len(plan.Placements) > 0 {
 		id := s.appendOnce(&wire.Record{Body: &wire.Record_Propose{Propose: &wire.Propose{Placements: plan.Placements}}})
 		p.out = append(p.out, id)
--- a/core/control/planner_test.go
+++ b/core/control/planner_test.go
@@ -80,3 +80,51 @@
 	f.logDown = false
 	f.until(5*time.Second, "new standbys", func() bool { return f.protected(first, "storefront") })
 }
+
+// TestOnlyThePlannerWithReportsBalances: members report their load to the first
+// planner; the next one, which hears of no load, does not undo its moves.
+func TestOnlyThePlannerWithReportsBalances(t *testing.T) {
+	is := is.New(t)
+	f := startedFleet(t, 4)
+	hot := uint32(0)
+	for range int(10 * time.Second / TickInterval) {
+		f.reportLoad("storefront", hot)
+		f.tick()
+	}
+	first := f.firstPlanner()
+	owned := map[uint64]int{}
+	for _, sh := range first.state.fold.Services["storefront"].Shards {
+		owned[sh.Owner]++
+	}
+	owner := first.state.fold.Services["storefront"].Shards[hot].Owner
+	is.True(owned[owner] < 3) // the others of its shards went elsewhere
+	for range int(10 * time.Second / TickInterval) {
+		f.reportLoad("storefront", hot)
+		f.tick()
+		for _, d := range f.daemons {
+			if d != first && d.state.isPlanner() {
+				is.True(!d.state.plan().Moves("storefront"))
+			}
+		}
+	}
+}
+
+// reportLoad tells the first planner of one shard that gets half of a service's
+// requests.
+func (f *fakeFleet) reportLoad(service string, hot uint32) {
+	first := f.firstPlanner()
+	for _, d := range f.daemons {
+		report := &wire.LoadReport{Incarnation: d.view.Incarnation, Service: service, WindowMs: 50}
+		for id := range d.view.Held {
+			if id.Service != service {
+				continue
+			}
+			rate := uint64(20 * rateMilli)
+			if id.Shard == hot {
+				rate = 220 * rateMilli
+			}
+			report.Shards = append(report.Shards, &wire.ShardLoad{Shard: id.Shard, RateMilli: rate})
+		}
+		first.inbox = append(first.inbox, LoadReceived{Report: report})
+	}
+}
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -13,6 +13,7 @@
 // returns their number.
 func (r *round) balance(limits Limits) int {
 	moves := 0
+	before := r.standing()
 	for moves < limits.MaxMoves {
 		from, to, n := r.nextMove()
 		if from == nil {
@@ -25,9 +26,26 @@
 		moves++
 		r.advance(n, to)
 	}
+	if moves > 0 {
+		before.Moves = moves
+		r.plan.Balances = append(r.plan.Balances, before)
+	}
 	return moves
 }
 
+// standing returns how the service's load is spread.
+func (r *round) standing() Balance {
+	b := Balance{Service: r.service, Bound: r.bound, Lowest: math.Inf(1)}
+	for _, c := range r.cands {
+		b.Highest = max(b.Highest, c.ratio()/r.mean)
+		b.Lowest = min(b.Lowest, c.ratio()/r.mean)
+		if c.slowed {
+			b.Slowed++
+		}
+	}
+	return b
+}
+
 // advance takes the next step of a move: the standby first, then the handover.
 func (r *round) advance(n int, to *candidate) {
 	sh := &r.svc.Shards[n]
@@ -67,6 +85,12 @@
 	return high.ratio() > r.mean*r.bound || high.ratio() > r.mean && low.ratio() < r.mean/r.bound
 }
 
+// relieves reports whether a standby in its owner's data centre may be there for
+// a move of load that began in an earlier round.
+func (r *round) relieves(owner, standby *candidate) bool {
+	return r.unbalanced(owner, standby) && owner.ratio() > r.mean && standby.ratio() < r.mean
+}
+
 func (r *round) extreme(skip map[*candidate]bool, better func(a, b *candidate) bool) *candidate {
 	var best *candidate
 	for _, c := range r.cands {
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -41,6 +41,8 @@
 	// Hold names the services whose shards stay with their owners for now,
 	// because too little was measured to say which should move.
 	Hold map[string]bool
+	// Gather names the services whose first placement waits for more members.
+	Gather map[string]bool
 	// Tolerance is, by service, the ratio of a member's load to its share of the
 	// mean from which on shards move; absent services have loadFactor.
 	Tolerance map[string]float64
@@ -50,6 +52,18 @@
 type Plan struct {
 	Placements []*wire.Placement
 	Handovers  []*wire.ShardRef
+	Balances   []Balance // why shards of a service move to other owners
+}
+
+// Balance is what the moves of one service were decided on: loads relative to
+// capacity, in parts of the service's mean.
+type Balance struct {
+	Service string
+	Highest float64 // of the most loaded member
+	Lowest  float64 // of the least loaded member
+	Bound   float64 // ratio from which on shards move
+	Slowed  int     // members that count for less than their capacity
+	Moves   int     // of this round, begun or continued
 }
 
 // Empty reports whether the plan proposes nothing.
@@ -84,6 +98,9 @@
 		limits.MaxMoves -= handovers(st.Services[name])
 	}
 	for _, name := range names {
+		if load.Gather[name] {
+			continue
+		}
 		r := newRound(st, cfg, load, name, plan)
 		if r == nil {
 			continue
--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -74,22 +74,50 @@
 // It reports whether anything was done.
 func (m *fleetModel) step(t fataler) bool {
 	before := m.moved
-	plan := Make(m.st, m.cfg, m.load, DefaultLimits)
-	eligible := map[uint64]bool{}
-	for _, e := range Eligible(m.st, m.cfg, service) {
-		eligible[e.Incarnation] = true
+	plan := m.propose(t)
+	inMotion := m.follow(service)
+	if inMotion > DefaultLimits.MaxMoves {
+		t.Fatalf("%d shards handed over in one round", inMotion)
 	}
+	return !plan.Empty() || m.moved != before
+}
+
+// stepService carries out one plan as far as it concerns a service.
+func (m *fleetModel) stepService(t fataler, name string) {
+	m.propose(t)
+	m.follow(name)
+}
+
+// propose makes a plan and applies its records.
+func (m *fleetModel) propose(t fataler) Plan {
+	plan := Make(m.st, m.cfg, m.load, DefaultLimits)
+	eligible := m.eligible()
 	for _, pl := range plan.Placements {
-		sh := m.shards()[pl.Ref.Shard]
+		sh := m.st.Services[pl.Ref.Service].Shards[pl.Ref.Shard]
 		if sh.Owner == 0 && !eligible[pl.Owner] || pl.Standby != 0 && !eligible[pl.Standby] {
 			t.Fatalf("proposes a member that is out or gone: %v", pl)
 		}
 	}
 	m.apply(0, &wire.Record{Body: &wire.Record_Propose{Propose: &wire.Propose{Placements: plan.Placements}}})
 	m.apply(0, &wire.Record{Body: &wire.Record_Handover{Handover: &wire.Handover{Refs: plan.Handovers}}})
+	return plan
+}
+
+func (m *fleetModel) eligible() map[uint64]bool {
+	eligible := map[uint64]bool{}
+	for _, e := range Eligible(m.st, m.cfg, service) {
+		eligible[e.Incarnation] = true
+	}
+	return eligible
+}
+
+// follow lets the members of a service's shards do what the log asks for, and
+// returns the number of shards that were handed over.
+func (m *fleetModel) follow(name string) int {
+	eligible := m.eligible()
 	inMotion := 0
-	for n, sh := range m.shards() {
-		ref := &wire.ShardRef{Service: service, Shard: uint32(n), Generation: sh.Generation}
+	for n, sh := range m.st.Services[name].Shards {
+		ref := &wire.ShardRef{Service: name, Shard: uint32(n), Generation: sh.Generation}
 		out := sh.Owner != 0 && !eligible[sh.Owner]
 		switch {
 		case sh.HasPending:
@@ -102,10 +130,7 @@
 			m.apply(sh.Standby, &wire.Record{Body: &wire.Record_Takeover{Takeover: &wire.Takeover{Incarnation: sh.Standby, Refs: []*wire.ShardRef{ref}}}})
 		}
 	}
-	if inMotion > DefaultLimits.MaxMoves {
-		t.Fatalf("%d shards handed over in one round", inMotion)
-	}
-	return !plan.Empty() || m.moved != before
+	return inMotion
 }
 
 // settle plans until nothing is left to do.
@@ -258,6 +283,51 @@
 	is.True(moves <= least+len(m.st.Members)) // one more for each member, where shares do not divide
 }
 
+// TestMovesWithinADataCentreEnd starts most members of one data centre last and
+// paces the balancing, as for services with many ranges: rounds in between must
+// not undo a move because its new standby is in the owner's data centre.
+func TestMovesWithinADataCentreEnd(t *testing.T) {
+	is := is.New(t)
+	m := newModel(t, 270, 3)
+	m.load.Hold = map[string]bool{}
+	for _, n := range []int{0, 1, 2} {
+		m.join(n)
+	}
+	m.settle(t)
+	for _, n := range []int{3, 6, 9, 12, 4, 5} { // four more in dc0, one in each other
+		m.join(n)
+	}
+	m.moved = 0
+	least := 6 * 30                              // shares of the members that joined
+	rounds := 2*least/DefaultLimits.MaxMoves + 2 // each shard takes two steps
+	for i := range 2 * rounds {
+		m.load.Hold[service] = i%2 == 1
+		m.step(t)
+	}
+	m.load.Hold = nil
+	m.check(t)
+	is.True(m.moved <= least+len(m.st.Members))
+}
+
+// TestStragglersKeepKeepers: the speed of a backend server says nothing about the
+// daemon beside it.
+func TestStragglersKeepKeepers(t *testing.T) {
+	is := is.New(t)
+	m := newModel(t, 8, 2)
+	m.st.EnsureService(view.KeeperService, 32)
+	var incs []uint64
+	for n := range 4 {
+		incs = append(incs, m.join(n))
+	}
+	m.settle(t)
+	for range 20 { // the model follows plans of one service only
+		m.stepService(t, view.KeeperService)
+	}
+	m.load.MemberWeight = map[uint64]float64{incs[0]: 0.05}
+	plan := Make(m.st, m.cfg, m.load, DefaultLimits)
+	is.True(!plan.Moves(view.KeeperService))
+}
+
 func TestHotShardAndStragglerShiftLoad(t *testing.T) {
 	is := is.New(t)
 	m := newModel(t, 70, 1)
--- a/core/placement/round.go
+++ b/core/placement/round.go
@@ -16,6 +16,7 @@
 	weight   float64 // capacity
 	load     float64 // of the shards that it owns, with moves under way done
 	standing float64 // load of the shards that it stands by for
+	slowed   bool    // counts for less than its nominal capacity
 	owned    []int   // numbers of the shards that it owns and that may move
 }
 
@@ -54,7 +55,11 @@
 	}
 	capacity := 0.0
 	for _, m := range members {
-		c := &candidate{inc: m.Incarnation, weight: memberWeight(m, load)}
+		c := &candidate{inc: m.Incarnation, weight: 1}
+		if name != view.KeeperService { // what a backend server bears says nothing about its daemon
+			c.weight = memberWeight(m, load)
+			c.slowed = c.weight < memberWeight(m, Load{})
+		}
 		if slot, ok := st.Slots[m.Slot]; ok {
 			c.dc = slot.DataCentre
 		}
@@ -187,7 +192,7 @@
 	if owner != nil {
 		ownerDC = owner.dc
 	}
-	if standby != nil && (sh.Handover || owner == nil || standby.dc != ownerDC || !r.spread) {
+	if standby != nil && (sh.Handover || owner == nil || standby.dc != ownerDC || !r.spread || r.relieves(owner, standby)) {
 		return
 	}
 	c := r.pick(n, func(c *candidate) float64 { return c.standing }, sh.Owner, ownerDC)
--- a/daemon/kernel/decisionlog.go
+++ b/daemon/kernel/decisionlog.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/placement"
 )
 
 // maxNamedShards bounds the text that names the shards of one log line.
@@ -17,6 +18,7 @@
 type sameDecision struct {
 	action, reason, service string
 	member                  uint64
+	balance                 *placement.Balance
 }
 
 // logDecisions writes the decisions of one step. Decisions that differ in their
@@ -30,7 +32,7 @@
 		if !ok {
 			continue
 		}
-		key := sameDecision{d.Action, d.Reason, d.Shard.Service, d.Member}
+		key := sameDecision{d.Action, d.Reason, d.Shard.Service, d.Member, d.Balance}
 		if _, known := groups[key]; !known {
 			order = append(order, key)
 		}
@@ -60,6 +62,10 @@
 	if first.Count != 0 {
 		fields = append(fields, zap.Int("count", first.Count))
 	}
+	if b := first.Balance; b != nil {
+		fields = append(fields, zap.String("service", b.Service), zap.Float64("highest", b.Highest), zap.Float64("lowest", b.Lowest),
+			zap.Float64("bound", b.Bound), zap.Int("slowed", b.Slowed))
+	}
 	c.log.Info("placement", fields...)
 }
 
