Balancing follows the load and ends

What kept moves down was a base of 0.25 a second for each range, twice the true load, which hid it. - Balancing began at the first reports, which show some members with and some without load, and never left its finer bound while chance kept it busy. - A member of small capacity (a straggler) is out of bounds by chance.

Change: rates are smoothed over 6 s, shards without requests decay, a shard's rate goes along to its new owner; balancing of ranges starts 4 s after a service has load; few moves end the finer bound; a member is out of bounds only if that matters against a usual member's share; an overloaded member first hands over to standbys in place, which takes one step instead of two.

Tests: TestRareRequestsHaveARate (red before), TestBusySince.

--- a/core/control/load.go
+++ b/core/control/load.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/loadstat"
 	"github.com/sesamemoor/sesamemoor/core/placement"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -42,6 +43,9 @@
 	// baseRate is added to the measured rate of each shard, in requests a
 	// second, so that chance does not move shards of little load.
 	baseRate = 0.25
+	// baseRangeRate is the same for ranges, of which each of thousands has a
+	// fraction of a request a second. It spreads a service without load evenly.
+	baseRangeRate = 0.001
 	// baseShare is the same as a part of the service's mean shard.
 	baseShare = 0.1
 	// overload is the ratio to a member's mean load from which on it splits keys
@@ -102,7 +106,13 @@
 			load.Hold[name] = s.anyReported(name) || !s.isFirstPlanner() || s.now.Sub(s.planner.since) < learnTime
 			continue
 		}
-		addShardLoads(load.PerShard, name, svc, rates)
+		least := baseRate
+		if s.history.Config.Services[name].KeySpace != 0 {
+			least = baseRangeRate
+		}
+		if s.loads.BusySince(name) != 0 { // single requests say nothing
+			addShardLoads(load.PerShard, name, svc, rates, least)
+		}
 		s.paceRanges(name, &load)
 	}
 	return load
@@ -115,7 +125,7 @@
 	if s.history.Config.Services[name].KeySpace == 0 {
 		return
 	}
-	load.Hold[name] = s.now < s.planner.nextBalance
+	load.Hold[name] = s.now < s.planner.nextBalance || s.now.Sub(s.loads.BusySince(name)) < rangeLearnTime
 	load.Tolerance[name] = beginBalance
 	if s.now < s.planner.balancing {
 		load.Tolerance[name] = endBalance
@@ -129,7 +139,9 @@
 			continue
 		}
 		s.planner.nextBalance = s.now.Add(balanceInterval)
-		s.planner.balancing = s.now.Add(balanceMemory)
+		if moves(plan, name) >= int(s.history.Config.Services[name].Shards/fewMoves) {
+			s.planner.balancing = s.now.Add(balanceMemory)
+		}
 	}
 }
 
@@ -142,18 +154,36 @@
 	// balanceInterval is the time between rounds with moves of ranges: a change of
 	// standby takes effect within it.
 	balanceInterval = 500 * time.Millisecond
+	// rangeLearnTime is the time from the first load of a service on after which it
+	// is balanced: each member has measured two windows by then.
+	rangeLearnTime = 2 * loadstat.MinInterval
 	// balanceMemory is the time after a round with moves for which balancing goes
 	// on down to endBalance.
 	balanceMemory = 1500 * time.Millisecond
+	// fewMoves is the number of ranges of a service for each move of a round that
+	// shows a true imbalance: with fewer moves, what is left is chance, and
+	// balancing ends.
+	fewMoves = 64
 )
 
-// addShardLoads adds the load of a service's shards, with a base for each.
-func addShardLoads(loads map[view.ShardID]float64, name string, svc *fold.Service, rates map[view.ShardID]float64) {
+// moves returns the moves of a service in a plan for the sake of load.
+func moves(plan placement.Plan, service string) int {
+	for _, b := range plan.Balances {
+		if b.Service == service {
+			return b.Moves
+		}
+	}
+	return 0
+}
+
+// addShardLoads adds the load of a service's shards, with a base of at least so
+// much for each.
+func addShardLoads(loads map[view.ShardID]float64, name string, svc *fold.Service, rates map[view.ShardID]float64, least float64) {
 	total := 0.0
 	for i := range svc.Shards {
 		total += rates[view.ShardID{Service: name, Shard: uint32(i)}]
 	}
-	base := max(baseRate, baseShare*total/float64(max(len(svc.Shards), 1)))
+	base := max(least, baseShare*total/float64(max(len(svc.Shards), 1)))
 	for i := range svc.Shards {
 		id := view.ShardID{Service: name, Shard: uint32(i)}
 		loads[id] = rates[id] + base
--- a/core/loadstat/book.go
+++ b/core/loadstat/book.go
@@ -1,7 +1,10 @@
 package loadstat
 
 import (
+	"maps"
+	"math"
 	"slices"
+	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/view"
@@ -13,8 +16,15 @@
 	reportLives = 4
 	// smoothing is the weight of a new service time against the ones before.
 	smoothing = 0.4
-	// rateSmoothing is the same for the rates of shards.
-	rateSmoothing = 0.25
+	// rateMemory is the time after which a request counts for 1/e of a new one in
+	// the rate of its shard. A shard with a request every few seconds, one of
+	// thousands, has a rate that says something; a sudden load shows within it.
+	rateMemory = 6 * time.Second
+	// busyRate is the mean rate of a service's members, in requests a second, from
+	// which on the service counts as loaded.
+	busyRate = 1
+	// leastRate is the rate in requests a second below which a shard is forgotten.
+	leastRate = 0.01
 	// minSamples is the number of requests from which on a report says
 	// something about a backend server's speed.
 	minSamples = 10
@@ -37,6 +47,8 @@
 // goroutine.
 type Book struct {
 	members map[uint64]*memberLoad
+	owners  map[view.ShardID]uint64  // the member that last reported a shard
+	busy    map[string]clock.Instant // since when a service has load
 }
 
 type memberLoad struct {
@@ -50,7 +62,9 @@
 }
 
 // NewBook returns a book without reports.
-func NewBook() *Book { return &Book{members: map[uint64]*memberLoad{}} }
+func NewBook() *Book {
+	return &Book{members: map[uint64]*memberLoad{}, owners: map[view.ShardID]uint64{}, busy: map[string]clock.Instant{}}
+}
 
 // Take takes in a report that arrived at now.
 func (b *Book) Take(now clock.Instant, r *wire.LoadReport) {
@@ -60,29 +74,75 @@
 		b.members[r.GetIncarnation()] = m
 	}
 	m.service = r.GetService()
+	before := m.at
 	m.at = now
-	m.takeShards(r.GetShards())
+	b.takeShards(r.GetIncarnation(), m, r.GetShards(), kept(before, now))
+	b.noteBusy(now, m.service)
 	m.takeLatency(r, b.medians()[m.service])
 }
 
-func (m *memberLoad) takeShards(shards []*wire.ShardLoad) {
+// noteBusy remembers since when the service has load: a single request is none.
+func (b *Book) noteBusy(now clock.Instant, service string) {
+	busy := b.meanLoad()[service] >= busyRate
+	_, was := b.busy[service]
+	switch {
+	case busy && !was:
+		b.busy[service] = now
+	case !busy:
+		delete(b.busy, service)
+	}
+}
+
+// BusySince returns since when reports show load of a service; zero if they show
+// none.
+func (b *Book) BusySince(service string) clock.Instant { return b.busy[service] }
+
+// kept returns the part of earlier rates that a report leaves.
+func kept(before, now clock.Instant) float64 {
+	if before == 0 {
+		return 0
+	}
+	return math.Exp(-now.Sub(before).Seconds() / rateMemory.Seconds())
+}
+
+// takeShards smooths the rates of the member's shards. One that the report does
+// not name had no request; one that another member reported before brings its
+// rate along.
+func (b *Book) takeShards(inc uint64, m *memberLoad, shards []*wire.ShardLoad, kept float64) {
 	reported := make(map[uint32]bool, len(shards))
 	for _, s := range shards {
+		number := s.GetShard()
+		reported[number] = true
 		rate := float64(s.GetRateMilli()) / milli
-		before, known := m.shards[s.GetShard()]
-		if known {
-			rate = rateSmoothing*rate + (1-rateSmoothing)*before
-		}
-		m.shards[s.GetShard()] = rate
-		reported[s.GetShard()] = true
+		m.shards[number] = kept*b.claim(inc, m, number) + (1-kept)*rate
 	}
-	for shard := range m.shards {
-		if !reported[shard] {
-			delete(m.shards, shard)
+	for number, rate := range m.shards {
+		if reported[number] {
+			continue
+		}
+		m.shards[number] = kept * rate
+		if kept*rate < leastRate {
+			delete(m.shards, number)
+			delete(b.owners, view.ShardID{Service: m.service, Shard: number})
 		}
 	}
 }
 
+// claim makes the member the one that reports a shard and returns the rate that
+// the shard had so far.
+func (b *Book) claim(inc uint64, m *memberLoad, number uint32) float64 {
+	id := view.ShardID{Service: m.service, Shard: number}
+	last, ok := b.owners[id]
+	b.owners[id] = inc
+	former := b.members[last]
+	if !ok || former == nil {
+		return 0
+	}
+	rate := former.shards[number]
+	delete(former.shards, number)
+	return rate
+}
+
 // takeLatency adds the report's samples to those before until there are enough
 // of them. A straggler that gets no load any more is forgiven slowly, down to
 // probeRatio.
@@ -110,6 +170,7 @@
 	for inc, m := range b.members {
 		if now.Sub(m.at) > life {
 			delete(b.members, inc)
+			maps.DeleteFunc(b.owners, func(_ view.ShardID, owner uint64) bool { return owner == inc })
 		}
 	}
 }
--- a/core/loadstat/loadstat_test.go
+++ b/core/loadstat/loadstat_test.go
@@ -159,6 +159,62 @@
 }
 
 // The planner's share of reports stays within its budget whatever the fleet.
+// TestRareRequestsHaveARate gives a shard one request in four windows: its rate
+// stays near the true one, and goes along when the shard changes hands.
+func TestRareRequestsHaveARate(t *testing.T) {
+	is := is.New(t)
+	const window = 2 * time.Second
+	b := NewBook()
+	id := view.ShardID{Service: "s", Shard: 7}
+	now := clock.Instant(time.Hour)
+	send := func(inc uint64, count int) float64 {
+		r := report(inc, 1000, 10)
+		r.Service = id.Service
+		r.Shards = nil
+		if count > 0 {
+			r.Shards = []*wire.ShardLoad{{Shard: id.Shard, RateMilli: rateMilli(float64(count), window)}}
+		}
+		now = now.Add(window)
+		b.Take(now, r)
+		rates, _ := b.Load(now)
+		return rates[id]
+	}
+	send(2, 0)
+	low, high := 1.0, 0.0
+	for i := range 40 {
+		rate := send(1, i%4/3)
+		if i >= 20 {
+			low, high = min(low, rate), max(high, rate)
+		}
+	}
+	is.True(low > 0.125/2) // the true rate is one in 8 s
+	is.True(high < 0.125*2)
+	send(2, 0)
+	before := send(1, 0)
+	after := send(2, 1)
+	is.True(after > before) // the new owner's first report adds to it
+	rates, _ := b.Load(now)
+	is.Equal(len(rates), 1)
+}
+
+func TestBusySince(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	loaded := func(rate uint64) *wire.LoadReport {
+		r := report(1, 1000, 10)
+		r.Service = "s"
+		r.Shards = []*wire.ShardLoad{{Shard: 1, RateMilli: rate * milli}}
+		return r
+	}
+	b.Take(clock.Instant(time.Second), loaded(0))
+	is.Equal(b.BusySince("s"), clock.Instant(0))
+	b.Take(clock.Instant(2*time.Second), loaded(10))
+	b.Take(clock.Instant(4*time.Second), loaded(10))
+	is.Equal(b.BusySince("s"), clock.Instant(2*time.Second))
+	b.Take(clock.Instant(time.Minute), loaded(0))
+	is.Equal(b.BusySince("s"), clock.Instant(0))
+}
+
 func TestIntervalKeepsBudget(t *testing.T) {
 	is := is.New(t)
 	is.Equal(Interval(5), MinInterval)
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -69,6 +69,9 @@
 		if highest == nil || highest == lowest || !r.unbalanced(highest, lowest) {
 			return nil, nil, 0
 		}
+		if n, standby, ok := r.direct(highest); ok {
+			return highest, standby, n
+		}
 		if n, ok := r.choose(highest, lowest); ok {
 			return highest, lowest, n
 		}
@@ -82,7 +85,18 @@
 
 // unbalanced reports whether a pair of members is outside the bounds.
 func (r *round) unbalanced(high, low *candidate) bool {
-	return high.ratio() > r.mean*r.bound || high.ratio() > r.mean && low.ratio() < r.mean/r.bound
+	if high.ratio() > r.mean*r.bound && r.matters(high) {
+		return true
+	}
+	return high.ratio() > r.mean && low.ratio() < r.mean/r.bound && r.matters(low)
+}
+
+// matters reports whether a member's load differs from its share by as much as
+// half of what the bound allows a usual member: what one of small capacity is off
+// by is chance and not worth moves.
+func (r *round) matters(c *candidate) bool {
+	usual := r.total / float64(len(r.cands))
+	return math.Abs(c.load-r.mean*c.weight) >= (r.bound-1)/2*usual
 }
 
 // relieves reports whether a standby in its owner's data centre may be there for
@@ -119,6 +133,33 @@
 	return best, found
 }
 
+// direct returns the shard of an overloaded member that is best handed to the
+// standby it has, which is below its share: such a move takes one step and costs
+// no change of standby.
+func (r *round) direct(from *candidate) (int, *candidate, bool) {
+	if from.ratio() <= r.mean*r.bound {
+		return 0, nil, false
+	}
+	excess := from.load - r.mean*from.weight
+	best, found := 0, false
+	var bestRank rank
+	for _, n := range from.owned {
+		sh := &r.svc.Shards[n]
+		to := r.byInc[sh.Standby]
+		if to == nil || sh.HasPending || to.load+r.weights[n] > r.mean*to.weight {
+			continue
+		}
+		k := r.rank(n, to, excess)
+		if !found || k.less(bestRank) {
+			best, bestRank, found = n, k, true
+		}
+	}
+	if !found {
+		return 0, nil, false
+	}
+	return best, r.byInc[r.svc.Shards[best].Standby], true
+}
+
 // mayMove reports whether moving the shard lowers the higher ratio of the pair
 // and no other change of its standby is under way.
 func (r *round) mayMove(n int, from, to *candidate) bool {
