--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -122,13 +122,26 @@
 		_, err := n.Call(within(t, 10*time.Second), p.addr(), request("b", true))
 		unanswered <- err
 	}()
-	time.Sleep((doubtMisses + 1) * beatInterval)
+	awaitDoubt(t, n)
 	answer, err := n.Call(within(t, lossBound), p.addr(), request("c", true))
 	is.NoErr(err)
 	is.Equal(string(answer.GetResponse().GetBody()), "c")
 	is.Equal(outcome.Of(<-unanswered), outcome.ConnectionLost)
 }
 
+// awaitDoubt waits until a link does not answer a ping.
+func awaitDoubt(t *testing.T, n *network) {
+	t.Helper()
+	for deadline := time.Now().Add(lossBound); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		for _, s := range n.sessions(n.clock.Now()) {
+			if s.traffic.doubt.Load() {
+				return
+			}
+		}
+	}
+	t.Fatal("no link in doubt")
+}
+
 // Cuts the connection after each number of bytes: a call that fails with a
 // kind that did not run must not have run.
 func TestCutConnectionIsReportedTruthfully(t *testing.T) {
