One place for calls between daemons, their answers and a server's failures

daemon/routing.Caller passes a request to its owner's daemon, daemon/answer makes refusals and checks answers, daemon/guard maps the failure of an attempt at the backend server. Before, entry and gateway each had the call and the check, four plug-ins a refusal of their own, owner and backend the table of failures. The text of a refusal no longer repeats its kind on the way back; refusals carry their status and the time to come back everywhere.

--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -199,14 +199,6 @@
 	return &wire.Frame{Body: &wire.Frame_Response{Response: e.Execute(ctx, frame.GetRequest())}}
 }
 
-// refusal turns an error into a response.
-func refusal(err error) *wire.Response {
-	kind := outcome.Of(err)
-	resp := &wire.Response{Kind: uint32(kind), Status: uint32(kind.Answer().Status), Detail: err.Error()}
-	resp.RetryAfterMs = uint32(outcome.RetryAfterOf(err).Milliseconds())
-	return resp
-}
-
 var (
 	_ kernel.Executor          = (*executor)(nil)
 	_ kernel.EffectHandler     = (*executor)(nil)
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -16,6 +16,7 @@
 	"github.com/sesamemoor/sesamemoor/core/dialect"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 	"github.com/sesamemoor/sesamemoor/daemon/guard"
 )
 
@@ -83,12 +84,16 @@
 	})
 	httpReq, err := c.newRequest(traced, s, req, left)
 	if err != nil {
-		return refusal(outcome.New(outcome.BadRequest, "%v", err)), dialect.BackendAnswer{}, nil
+		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err)), dialect.BackendAnswer{}, nil
 	}
 	start := time.Now()
 	httpResp, err := c.requests.Do(httpReq)
 	if err != nil {
-		return c.failure(runCtx, s, req, trace, err), dialect.BackendAnswer{}, err
+		refusal := c.crashes.Refusal(runCtx, guard.Attempt{
+			Trace: trace, Addr: s.addr, Err: err,
+			Loss: guard.Loss{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: s.id},
+		})
+		return refusal, dialect.BackendAnswer{}, err
 	}
 	resp, answer := c.answer(runCtx, httpResp, req.GetRequestId())
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
@@ -126,35 +131,6 @@
 	return httpReq, nil
 }
 
-// failure maps a transport error to its kind. "Not run" is claimed only when no
-// byte of the request was written.
-func (c *client) failure(ctx context.Context, s *server, req *wire.Request, trace *guard.Trace, err error) *wire.Response {
-	wrote := trace.Wrote()
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !wrote:
-		return refusal(outcome.New(outcome.DeadlineNotRun, "no connection to the backend server in time"))
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return refusal(outcome.New(outcome.DeadlineMaybeRan, "backend server gave no answer in time"))
-	case ctx.Err() != nil && !wrote:
-		return refusal(outcome.New(outcome.CancelledNotRun, "cancelled"))
-	case ctx.Err() != nil:
-		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
-	case !wrote:
-		return refusal(outcome.New(outcome.OwnerUnreachable, "backend server: %v", err))
-	case guard.Listens(s.addr):
-		c.crashes.Lost(guard.Loss{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: s.id})
-		return refusal(outcome.New(outcome.ConnectionLost, "backend server: %v", err))
-	}
-	return c.crashed(err)
-}
-
-func (c *client) crashed(err error) *wire.Response {
-	id := c.crashes.ID()
-	resp := refusal(outcome.New(outcome.BackendCrashed, "crash %s: %v", id, err))
-	resp.Headers = []*wire.Header{{Name: guard.HeaderCrash, Value: id}}
-	return resp
-}
-
 func isRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
 
 // answer reads the whole answer. One that is not the server's own to this
@@ -164,23 +140,23 @@
 	said := c.dialect.Decode(httpResp)
 	if said.NotRun && (said.ID == id || said.ID == "") {
 		_, _ = io.CopyN(io.Discard, httpResp.Body, maxRefusalBytes)
-		return refusal(notRun(httpResp.StatusCode, said)), said
+		return answer.Refusal(notRun(httpResp.StatusCode, said)), said
 	}
 	if said.ID != id {
-		return refusal(outcome.New(outcome.AnswerCut, "answer to another request %q", said.ID)), dialect.BackendAnswer{}
+		return answer.Refusal(outcome.New(outcome.AnswerCut, "answer to another request %q", said.ID)), dialect.BackendAnswer{}
 	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxAnswerBytes+1))
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
-		return refusal(outcome.New(outcome.DeadlineMaybeRan, "answer not whole in time")), said
+		return answer.Refusal(outcome.New(outcome.DeadlineMaybeRan, "answer not whole in time")), said
 	case ctx.Err() != nil && err != nil:
-		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled")), said
+		return answer.Refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled")), said
 	case err != nil:
-		return refusal(outcome.New(outcome.AnswerCut, "%v", err)), said
+		return answer.Refusal(outcome.New(outcome.AnswerCut, "%v", err)), said
 	case len(body) > maxAnswerBytes:
-		return refusal(outcome.New(outcome.AnswerTooLarge, "answer exceeds %d bytes", maxAnswerBytes)), said
+		return answer.Refusal(outcome.New(outcome.AnswerTooLarge, "answer exceeds %d bytes", maxAnswerBytes)), said
 	case !said.Sealed:
-		return refusal(outcome.New(outcome.BackendError, "status %d without the server's seal", httpResp.StatusCode)), said
+		return answer.Refusal(outcome.New(outcome.BackendError, "status %d without the server's seal", httpResp.StatusCode)), said
 	}
 	resp := &wire.Response{
 		Kind: uint32(outcome.OK), Status: uint32(httpResp.StatusCode), Body: body, BodyLength: uint32(len(body)),
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -12,6 +12,7 @@
 	"github.com/sesamemoor/sesamemoor/core/runqueue"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 )
 
 const (
@@ -74,10 +75,10 @@
 		Limit:    arrived.Add(time.Duration(req.GetTimeoutMs()) * time.Millisecond),
 	}}
 	if err := e.accept(ctx, r); err != nil {
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	if err := e.turns.take(ctx, r.shard, r.ticket); err != nil {
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	resp := e.dispatch(ctx, r)
 	e.turns.end(r.ticket, outcome.Kind(resp.GetKind()) == outcome.OK)
@@ -199,14 +200,14 @@
 	e.mu.Lock()
 	if err := e.checkLocked(r); err != nil {
 		e.mu.Unlock()
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	e.running[r.shard]++
 	e.mu.Unlock()
 	defer e.exit(r.shard)
 	left := r.ticket.Limit.Sub(e.clock.Now())
 	if left < minRun {
-		return refusal(outcome.New(outcome.DeadlineNotRun, "too little time is left"))
+		return answer.Refusal(outcome.New(outcome.DeadlineNotRun, "too little time is left"))
 	}
 	resp, answered, err := e.client.run(ctx, r.server, r.request, left)
 	e.noteAnswer(r, resp, answered, err)
--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -26,16 +26,6 @@
 // retryAfter is the advice in seconds to callers that may send again.
 const retryAfter = "1"
 
-func refusal(err error) *wire.Response {
-	kind := outcome.Of(err)
-	detail := ""
-	var e *outcome.Err
-	if errors.As(err, &e) {
-		detail = e.Detail
-	}
-	return &wire.Response{Kind: uint32(kind), Status: uint32(kind.Answer().Status), Detail: detail}
-}
-
 // adviseRetry names the time after which err lets the caller come again, in
 // whole seconds rounded up.
 func adviseRetry(h http.Header, err error) {
--- a/daemon/plugins/entry/entry_test.go
+++ b/daemon/plugins/entry/entry_test.go
@@ -28,6 +28,7 @@
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/plugins/suspects"
 )
@@ -71,7 +72,7 @@
 func (s *surroundings) Execute(ctx context.Context, req *wire.Request) *wire.Response {
 	resp, err := s.deliver(ctx, "local", req)
 	if err != nil {
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	return resp
 }
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -7,12 +7,12 @@
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
-	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/retry"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
@@ -29,15 +29,13 @@
 
 // router passes requests to the owners of their keys.
 type router struct {
-	control   kernel.Control
-	peers     kernel.Peers
-	local     kernel.Executor
-	clock     clock.Clock
-	metrics   *instruments
-	naive     bool
-	changes   *routing.Changes
-	learned   *routing.Learned
-	suspicion *routing.SuspicionLimit
+	control kernel.Control
+	caller  *routing.Caller
+	clock   clock.Clock
+	metrics *instruments
+	naive   bool
+	changes *routing.Changes
+	learned *routing.Learned
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service
@@ -45,12 +43,11 @@
 
 func newRouter(set settings.Daemon, c kernel.Control, p kernel.Peers, x kernel.Executor, clk clock.Clock, m *instruments) *router {
 	return &router{
-		control: c, peers: p, local: x, clock: clk, metrics: m,
-		naive:     set.Policy.Retries == "naive",
-		changes:   routing.NewChanges(c),
-		learned:   routing.NewLearned(),
-		suspicion: routing.NewSuspicionLimit(clk),
-		budgets:   map[string]*retry.Budget{},
+		control: c, caller: routing.NewCaller(c, p, x, clk), clock: clk, metrics: m,
+		naive:   set.Policy.Retries == "naive",
+		changes: routing.NewChanges(c),
+		learned: routing.NewLearned(),
+		budgets: map[string]*retry.Budget{},
 	}
 }
 
@@ -243,16 +240,15 @@
 	if err := setTimeLeft(ctx, x.req); err != nil {
 		return nil, err
 	}
-	resp, err := t.send(ctx, v, target, x.req)
+	resp, err := t.caller.Call(ctx, v, target, x.req)
 	if target == shard.Owner {
 		a.ownerLost = err != nil
 	}
 	if err != nil {
-		t.suspect(target, outcome.Of(err))
 		return nil, err
 	}
 	a.hint = resp.GetOwnerHint()
-	if err := checkAnswer(resp); err != nil {
+	if err := answer.Check(resp); err != nil {
 		return resp, err
 	}
 	if resp.GetGeneration() > shard.Generation {
@@ -274,40 +270,3 @@
 	req.TimeoutMs = uint64(left.Milliseconds())
 	return nil
 }
-
-// checkAnswer returns the error of an answer that is not whole, not valid or
-// not a success.
-func checkAnswer(resp *wire.Response) error {
-	kind := outcome.Kind(resp.GetKind())
-	switch {
-	case kind != outcome.OK:
-		return outcome.New(kind, "%s", resp.GetDetail())
-	case int(resp.GetBodyLength()) != len(resp.GetBody()):
-		return outcome.New(outcome.AnswerCut, "answer of %d bytes instead of %d", len(resp.GetBody()), resp.GetBodyLength())
-	case resp.GetStatus() < 200 || resp.GetStatus() > 599:
-		return outcome.New(outcome.BackendError, "status %d", resp.GetStatus())
-	}
-	return nil
-}
-
-func (t *router) send(ctx context.Context, v *view.View, target *view.Member, req *wire.Request) (*wire.Response, error) {
-	if target.Incarnation == v.Incarnation {
-		return t.local.Execute(ctx, req), nil
-	}
-	answer, err := t.peers.Call(ctx, target.PeerAddr, &wire.Frame{Body: &wire.Frame_Request{Request: req}})
-	if err != nil {
-		return nil, err
-	}
-	if answer.GetResponse() == nil {
-		return nil, outcome.New(outcome.AnswerCut, "answer of another kind")
-	}
-	return answer.GetResponse(), nil
-}
-
-// suspect tells the control state about a daemon that does not answer.
-func (t *router) suspect(target *view.Member, kind outcome.Kind) {
-	lost := kind == outcome.OwnerUnreachable || kind == outcome.ConnectionLost || kind == outcome.DeadlineMaybeRan
-	if lost && t.suspicion.Allow(target.Incarnation) {
-		t.control.Post(control.Suspicion{Incarnation: target.Incarnation})
-	}
-}
--- a/daemon/plugins/entry/router_test.go
+++ b/daemon/plugins/entry/router_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 	"github.com/sesamemoor/sesamemoor/daemon/plugins/suspects"
 )
 
@@ -161,7 +162,7 @@
 		if id == nil {
 			return ok("whole"), nil
 		}
-		resp := refusal(outcome.New(outcome.BackendCrashed, "gone"))
+		resp := answer.Refusal(outcome.New(outcome.BackendCrashed, "gone"))
 		resp.Headers = []*wire.Header{{Name: headerCrash, Value: *id}}
 		return resp, nil
 	}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 )
 
 // exchange is one request of a caller on its way through this daemon.
@@ -28,7 +29,7 @@
 	x := &exchange{req: &wire.Request{RequestId: uuid.NewString()}}
 	resp, err := e.process(c.Writer, c.Request, x)
 	if err != nil {
-		resp = refusal(err)
+		resp = answer.Refusal(err)
 		adviseRetry(c.Writer.Header(), err)
 	}
 	took := time.Since(started)
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
-	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/retry"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/spread"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 	"github.com/sesamemoor/sesamemoor/daemon/guard"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
@@ -37,15 +37,13 @@
 
 // sender passes requests to the daemons beside the servers that are to run them.
 type sender struct {
-	control   kernel.Control
-	peers     kernel.Peers
-	local     kernel.Executor
-	clock     clock.Clock
-	centre    string
-	bounds    settings.Bounds
-	changes   *routing.Changes
-	learned   *routing.Learned
-	suspicion *routing.SuspicionLimit
+	control kernel.Control
+	caller  *routing.Caller
+	clock   clock.Clock
+	centre  string
+	bounds  settings.Bounds
+	changes *routing.Changes
+	learned *routing.Learned
 
 	mu      sync.Mutex
 	servers map[uint64]*spread.Server // by incarnation
@@ -54,8 +52,8 @@
 
 func newSender(set settings.Daemon, c kernel.Control, p kernel.Peers, x kernel.Executor, clk clock.Clock) *sender {
 	return &sender{
-		control: c, peers: p, local: x, clock: clk, centre: set.DataCentre, bounds: set.Bounds,
-		changes: routing.NewChanges(c), learned: routing.NewLearned(), suspicion: routing.NewSuspicionLimit(clk),
+		control: c, caller: routing.NewCaller(c, p, x, clk), clock: clk, centre: set.DataCentre, bounds: set.Bounds,
+		changes: routing.NewChanges(c), learned: routing.NewLearned(),
 		servers: map[uint64]*spread.Server{}, budgets: map[budgetKey]*retry.Budget{},
 	}
 }
@@ -203,9 +201,9 @@
 	}
 	stats := s.server(target, v)
 	s.sent(stats)
-	resp, err := s.call(ctx, v, target, x.req)
+	resp, err := s.caller.Call(ctx, v, target, x.req)
 	if err == nil {
-		err = checkAnswer(resp)
+		err = answer.Check(resp)
 	}
 	s.ended(stats, resp, err)
 	s.note(x, t, target, resp, err)
@@ -262,36 +260,6 @@
 	return nil
 }
 
-// checkAnswer returns the error of an answer that is not whole or not a server's.
-func checkAnswer(resp *wire.Response) error {
-	kind := outcome.Kind(resp.GetKind())
-	switch {
-	case kind != outcome.OK:
-		err := outcome.New(kind, "%s", resp.GetDetail())
-		err.RetryAfter = time.Duration(resp.GetRetryAfterMs()) * time.Millisecond
-		return err
-	case int(resp.GetBodyLength()) != len(resp.GetBody()):
-		return outcome.New(outcome.AnswerCut, "answer of %d bytes instead of %d", len(resp.GetBody()), resp.GetBodyLength())
-	case resp.GetStatus() < 200 || resp.GetStatus() > 599:
-		return outcome.New(outcome.BackendError, "status %d", resp.GetStatus())
-	}
-	return nil
-}
-
-func (s *sender) call(ctx context.Context, v *view.View, target *view.Member, req *wire.Request) (*wire.Response, error) {
-	if target.Incarnation == v.Incarnation {
-		return s.local.Execute(ctx, req), nil
-	}
-	answer, err := s.peers.Call(ctx, target.PeerAddr, &wire.Frame{Body: &wire.Frame_Request{Request: req}})
-	if err != nil {
-		return nil, err
-	}
-	if answer.GetResponse() == nil {
-		return nil, outcome.New(outcome.AnswerCut, "answer of another kind")
-	}
-	return answer.GetResponse(), nil
-}
-
 // note takes in what a try says of the target and of the placement.
 func (s *sender) note(x *exchange, t *tries, target *view.Member, resp *wire.Response, err error) {
 	kind := outcome.Of(err)
@@ -302,10 +270,6 @@
 	if err != nil {
 		t.skip[target.Incarnation] = true
 	}
-	lost := resp == nil && (kind == outcome.OwnerUnreachable || kind == outcome.ConnectionLost || kind == outcome.DeadlineMaybeRan)
-	if lost && s.suspicion.Allow(target.Incarnation) {
-		s.control.Post(control.Suspicion{Incarnation: target.Incarnation})
-	}
 	if err == nil && x.req.GetKey() != "" && resp.GetGeneration() > x.req.GetGeneration() {
 		s.learned.Note(view.ShardID{Service: x.req.GetService(), Shard: x.req.GetShard()}, resp.GetGeneration(), target)
 		s.changes.Notify()
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 )
 
 const (
@@ -56,7 +57,7 @@
 	x := &exchange{req: &wire.Request{}, started: time.Now()}
 	resp, err := g.process(w, r, x)
 	if err != nil {
-		resp = refusal(err)
+		resp = answer.Refusal(err)
 	}
 	took := time.Since(x.started)
 	g.metrics.ended(x.req.GetService(), outcome.Kind(resp.GetKind()), took)
@@ -279,13 +280,6 @@
 	return named
 }
 
-func refusal(err error) *wire.Response {
-	kind := outcome.Of(err)
-	resp := &wire.Response{Kind: uint32(kind), Detail: err.Error()}
-	resp.RetryAfterMs = uint32(outcome.RetryAfterOf(err).Milliseconds())
-	return resp
-}
-
 // statusOf returns the status of a refusal: 503 promises that the request did
 // not run and never will.
 func statusOf(kind outcome.Kind) int {
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -15,6 +15,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 	"github.com/sesamemoor/sesamemoor/daemon/guard"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
@@ -117,7 +118,7 @@
 func (b *backend) run(ctx context.Context, req *wire.Request, token uint64, until clock.Instant) *wire.Response {
 	addr := b.addr()
 	if addr == "" {
-		return refusal(outcome.New(outcome.NoOwner, "no backend server"))
+		return answer.Refusal(outcome.New(outcome.NoOwner, "no backend server"))
 	}
 	trace := &guard.Trace{Until: until}
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
@@ -125,14 +126,17 @@
 	})
 	httpReq, err := newRequest(ctx, addr, req, token, b.deadline(until))
 	if err != nil {
-		return refusal(outcome.New(outcome.BadRequest, "%v", err))
+		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err))
 	}
 	start := time.Now()
 	httpResp, err := b.client.Do(httpReq)
 	if err != nil {
-		return b.failure(ctx, addr, req, trace, err)
+		return b.crashes.Refusal(ctx, guard.Attempt{
+			Trace: trace, Addr: addr, Err: err,
+			Loss: guard.Loss{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: b.name()},
+		})
 	}
-	resp := answer(ctx, httpResp, token)
+	resp := readAnswer(ctx, httpResp, token)
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
 	return resp
 }
@@ -152,56 +156,25 @@
 	return deadline{left: left, wall: wall.Add(left)}
 }
 
-// failure maps a transport error to its kind. "Not run" is claimed only when
-// no byte of the request was written.
-func (b *backend) failure(ctx context.Context, addr string, req *wire.Request, trace *guard.Trace, err error) *wire.Response {
-	wrote := trace.Wrote()
-	switch {
-	case errors.Is(err, guard.ErrLeaseOver) && !wrote:
-		return refusal(outcome.New(outcome.LeaseLost, "%v", err))
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !wrote:
-		return refusal(outcome.New(outcome.DeadlineNotRun, "no connection to the backend server in time"))
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
-		return refusal(outcome.New(outcome.DeadlineMaybeRan, "backend server gave no answer in time"))
-	case ctx.Err() != nil && !wrote:
-		return refusal(outcome.New(outcome.CancelledNotRun, "cancelled"))
-	case ctx.Err() != nil:
-		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
-	case !wrote:
-		return refusal(outcome.New(outcome.OwnerUnreachable, "backend server: %v", err))
-	case guard.Listens(addr):
-		b.crashes.Lost(guard.Loss{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: b.name()})
-		return refusal(outcome.New(outcome.ConnectionLost, "backend server: %v", err))
-	}
-	return b.crashed(err)
-}
-
-func (b *backend) crashed(err error) *wire.Response {
-	id := b.crashes.ID()
-	resp := refusal(outcome.New(outcome.BackendCrashed, "crash %s: %v", id, err))
-	resp.Headers = []*wire.Header{{Name: guard.HeaderCrash, Value: id}}
-	return resp
-}
-
-// answer reads the whole answer; a part of one is an error.
-func answer(ctx context.Context, httpResp *http.Response, token uint64) *wire.Response {
+// readAnswer reads the whole answer; a part of one is an error.
+func readAnswer(ctx context.Context, httpResp *http.Response, token uint64) *wire.Response {
 	defer httpResp.Body.Close()
 	if err := refused(httpResp); err != nil {
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	if !hasEnd(httpResp) {
-		return refusal(outcome.New(outcome.AnswerCut, "answer has neither a length nor a last chunk"))
+		return answer.Refusal(outcome.New(outcome.AnswerCut, "answer has neither a length nor a last chunk"))
 	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxAnswerBytes+1))
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
-		return refusal(outcome.New(outcome.DeadlineMaybeRan, "answer not whole in time"))
+		return answer.Refusal(outcome.New(outcome.DeadlineMaybeRan, "answer not whole in time"))
 	case ctx.Err() != nil && err != nil:
-		return refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
+		return answer.Refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
 	case err != nil:
-		return refusal(outcome.New(outcome.AnswerCut, "%v", err))
+		return answer.Refusal(outcome.New(outcome.AnswerCut, "%v", err))
 	case len(body) > maxAnswerBytes:
-		return refusal(outcome.New(outcome.AnswerTooLarge, "answer exceeds %d bytes", maxAnswerBytes))
+		return answer.Refusal(outcome.New(outcome.AnswerTooLarge, "answer exceeds %d bytes", maxAnswerBytes))
 	}
 	resp := &wire.Response{
 		Kind:       uint32(outcome.OK),
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 )
 
 const (
@@ -52,7 +53,7 @@
 	fl := flight{shard: id, keyHash: fold.KeyHash(req.GetKey())}
 	held, err := e.check(fl)
 	if err != nil {
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	e.load.Arrived(id, fl.keyHash)
 	r := &run{request: req, flight: fl, shard: id, token: held.Token, deadline: deadline}
@@ -61,7 +62,7 @@
 	}
 	r.id = &dedup.ID{Shard: id, Team: req.GetTeam(), ID: req.GetRequestId()}
 	if err := e.ids.begin(*r.id, r.token); err != nil {
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	resp := e.admit(ctx, r)
 	if !r.settled {
@@ -86,7 +87,7 @@
 func (e *executor) admit(ctx context.Context, r *run) *wire.Response {
 	if e.checksFence() {
 		if err := e.grants.wait(ctx, grantKey{r.shard, r.token}, func() error { return e.stillHeld(r) }); err != nil {
-			return refusal(err)
+			return answer.Refusal(err)
 		}
 	}
 	pause := shedBackoff
@@ -119,7 +120,7 @@
 	ticket := &admit.Ticket{Team: r.request.GetTeam(), Shard: r.shard, Deadline: r.deadline}
 	lost := func() bool { return e.stillHeld(r) != nil }
 	if err := e.gate.acquire(ctx, ticket, lost); err != nil {
-		return refusal(err)
+		return answer.Refusal(err)
 	}
 	resp := e.dispatch(ctx, r)
 	kind := outcome.Kind(resp.GetKind())
@@ -148,7 +149,7 @@
 	// after a split holds every request that passed the check before it.
 	if r.id != nil && !e.ids.dispatch(*r.id, r.token) {
 		r.settled = true // the row, if any, tells of another run
-		return refusal(outcome.New(outcome.NotOwner, "the history of the request id has moved"))
+		return answer.Refusal(outcome.New(outcome.NotOwner, "the history of the request id has moved"))
 	}
 	number, lease, err := e.enter(r.flight, r.token)
 	if err != nil {
@@ -175,7 +176,7 @@
 	if r.id != nil {
 		e.ids.requeue(*r.id, r.token)
 	}
-	return refusal(err)
+	return answer.Refusal(err)
 }
 
 // settle records the end of a run before the shard can count as idle, so that
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -13,7 +13,6 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
-	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -246,12 +245,6 @@
 	return e.report.ChecksFence
 }
 
-// refusal turns an error into a response.
-func refusal(err error) *wire.Response {
-	kind := outcome.Of(err)
-	return &wire.Response{Kind: uint32(kind), Status: uint32(kind.Answer().Status), Detail: err.Error()}
-}
-
 var (
 	_ kernel.Executor        = (*executor)(nil)
 	_ kernel.EffectHandler   = (*executor)(nil)
