Grants are sent in time or not at all

A grant's time counts from its arrival; the account allowed 50 ms from working it out to that.

Ruled out: answers 421 (none in any of the logs), a new process of the slot that ends its predecessor (waits for the term), late Quiesced events (the token is compared).

Change: a grant is written within 25 ms of being worked out or never, by the guarded connections that requests use; then it is worked out anew (counter sesamemoor_backend_unsent_grants). There are as many connections as grants on their way. Found beside it: an answer 421 let the account forget a grant on its way; it does not any more.

Tests: TestLateGrantIsNotSent, TestGrantBesideALossIsAccountedFor (red before), TestUnsentGrantIsDueAtOnce.

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -21,9 +21,12 @@
 const (
 	// clockRate bounds how much slower than this host's a server's clock runs.
 	clockRate = 1.02
-	// transit bounds the time from the sending of a call to its arrival on the
-	// same host, beside pauses of the host, which stop both.
+	// transit bounds the time from Start to the arrival of the call on the same
+	// host, beside pauses of the host, which stop both. The caller sees to SendWithin.
 	transit = 50 * time.Millisecond
+	// SendWithin is the time from Start within which the call must be written, or
+	// not at all: a process may be kept from the processor for longer than transit.
+	SendWithin = transit / 2
 	// minHold is the shortest time worth granting.
 	minHold = 100 * time.Millisecond
 	// renewShare is the part of a grant's time after which it is renewed.
@@ -129,6 +132,16 @@
 	e.next = sent.Add(time.Duration(renewShare * float64(g.Hold)))
 }
 
+// Unsent ends a grant that was not written and never will be.
+func (t *Table) Unsent(g Grant, now clock.Instant) {
+	e := t.find(g.Shard, g.Token)
+	if e == nil {
+		return
+	}
+	e.sending = false
+	e.next = now
+}
+
 // Failed ends a grant that got no answer, or one that is not an
 // acknowledgement. It may still be carried out.
 func (t *Table) Failed(g Grant, now clock.Instant) {
@@ -150,12 +163,12 @@
 }
 
 // Lost tells that the server said it does not hold the shard's keys: the next
-// grant is due at once.
+// grant is due at once. It may hold them all the same by now, by a grant that came
+// after it looked.
 func (t *Table) Lost(id view.ShardID, token uint64) {
 	if e := t.find(id, token); e != nil {
 		e.sure = 0
 		e.next = 0
-		e.possible = min(e.possible, e.unanswered)
 	}
 }
 
--- a/core/hold/hold_test.go
+++ b/core/hold/hold_test.go
@@ -144,3 +144,31 @@
 	is.True(!table.Start(&due[0], start.Add(ms), start.Add(term)))
 	is.True(!table.Sending(shard, 2))
 }
+
+func TestUnsentGrantIsDueAtOnce(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	at := start.Add(900 * ms)
+	due := table.Due(at, at.Add(term))
+	is.True(table.Start(&due[0], at, at.Add(term)))
+	table.Unsent(due[0], at.Add(30*ms))
+	is.True(!table.Sending(shard, 2))
+	is.Equal(len(table.Due(at.Add(30*ms), at.Add(term))), 1)
+	is.Equal(table.ReleasedBy(shard, 2), clock.Instant(0)) // it will not arrive late
+}
+
+// A server that says it does not hold a shard's keys may be about to get them: a
+// grant is on its way, or was carried out after the server looked. The keys were
+// taken for free, and given to another server while the first one held them.
+func TestGrantBesideALossIsAccountedFor(t *testing.T) {
+	is := is.New(t)
+	table, _ := granted(t, 2)
+	at := start.Add(900 * ms) // renewal is due
+	due := table.Due(at, at.Add(term))
+	is.True(table.Start(&due[0], at, at.Add(term)))
+	table.Lost(shard, 2)
+	is.True(table.GoneBy(shard, 2) > at.Add(term-100*ms)) // on its way
+	table.Answered(due[0], at)
+	table.Lost(shard, 2)
+	is.True(table.GoneBy(shard, 2) > at.Add(term-100*ms)) // carried out, perhaps later
+}
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -39,6 +39,7 @@
 	ran       map[string]int
 	handler   func(w http.ResponseWriter, id string)
 	mute      atomic.Bool // orders get no answer
+	late      atomic.Bool // this process is kept from sending grants
 	open      atomic.Int64
 	mostOpen  atomic.Int64
 	released  atomic.Int64
@@ -87,6 +88,9 @@
 }
 
 func (f *fake) Grant(ctx context.Context, c *http.Client, addr string, keys dialect.KeyRange, hold time.Duration, _ string) error {
+	if f.late.Load() {
+		time.Sleep(80 * time.Millisecond)
+	}
 	return f.order(ctx, c, addr, fmt.Sprintf("/grant/%d/%d", keys.First, hold.Milliseconds()))
 }
 
@@ -254,6 +258,29 @@
 	}
 }
 
+// TestLateGrantIsNotSent keeps the process from sending grants for a while after
+// their time was worked out. They arrived nearly a second late, and a server held
+// keys beyond its daemon's lease while the next owner's held them too.
+func TestLateGrantIsNotSent(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	until(t, "the keys are granted", func() bool { return f.holdsUntil(0).After(time.Now()) })
+	f.late.Store(true)
+	time.Sleep(100 * time.Millisecond) // what was on its way has arrived
+	before := f.holdsUntil(0)
+	until(t, "grants are not sent", func() bool { return e.counters.unsentGrants.Load() > 0 })
+	is.Equal(f.holdsUntil(0), before)
+	f.late.Store(false)
+	until(t, "the keys are granted again", func() bool { return f.holdsUntil(0).After(before) })
+}
+
+// holdsUntil returns the end of the hold of the range that begins at a key.
+func (f *fake) holdsUntil(first uint32) time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.grants[first]
+}
+
 func TestServerThatLostItsKeysIsGrantedThemAgain(t *testing.T) {
 	is := is.New(t)
 	e, f := start(t)
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -14,6 +14,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/dialect"
+	"github.com/sesamemoor/sesamemoor/core/hold"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
@@ -50,7 +51,7 @@
 	return &client{
 		clock: clk, dialect: d, crashes: guard.NewCrashes(clk, suspects),
 		requests: httpClient(maxConnections, guard.Dialer(clk, always)),
-		orders:   httpClient(2, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
+		orders:   httpClient(grantsAtOnce, guard.Dialer(clk, always)),
 		releases: httpClient(maxReleases, (&net.Dialer{Timeout: guard.DialTimeout}).DialContext),
 	}
 }
@@ -100,6 +101,23 @@
 	return resp, answer, nil
 }
 
+// grant sends the order to hold keys, not later than until. The error is
+// errUnsent if nothing was sent and never will be.
+func (c *client) grant(ctx context.Context, s *server, keys dialect.KeyRange, g hold.Grant, until clock.Instant) error {
+	trace := &guard.Trace{Until: until}
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { trace.Got(info.Conn) },
+	})
+	err := c.dialect.Grant(ctx, c.orders, s.addr, keys, g.Hold, g.Handover)
+	if err != nil && errors.Is(err, guard.ErrLeaseOver) && !trace.Wrote() {
+		return fmt.Errorf("%w: %w", errUnsent, err)
+	}
+	return err
+}
+
+// errUnsent tells that a grant could not be sent in time.
+var errUnsent = errors.New("backend: grant not sent in time")
+
 // onceBody is a request body that the transport cannot rewind: so it never sends
 // a request again by itself.
 type onceBody struct{ io.Reader }
--- a/daemon/plugins/backend/holds.go
+++ b/daemon/plugins/backend/holds.go
@@ -85,10 +85,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
-	err := e.dialect.Grant(ctx, e.client.orders, s.addr, keys, g.Hold, g.Handover)
+	err := e.client.grant(ctx, s, keys, g, sent.Add(hold.SendWithin))
 	switch {
 	case err == nil:
 		e.granted(s, g, sent)
+	case errors.Is(err, errUnsent):
+		e.grantUnsent(g)
 	case errors.Is(err, dialect.ErrFenced):
 		e.mu.Lock()
 		e.holds.Refused(g)
@@ -128,6 +130,14 @@
 	}
 }
 
+// grantUnsent has the grant worked out anew.
+func (e *executor) grantUnsent(g hold.Grant) {
+	e.mu.Lock()
+	e.holds.Unsent(g, e.clock.Now())
+	e.mu.Unlock()
+	e.counters.unsentGrants.Add(1)
+}
+
 func (e *executor) grantFailed(g hold.Grant, now clock.Instant) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/daemon/plugins/backend/metrics.go
+++ b/daemon/plugins/backend/metrics.go
@@ -14,8 +14,11 @@
 // maxKind bounds the kinds of outcome that are counted.
 const maxKind = 64
 
-// counters count runs by their outcome.
-type counters struct{ byKind [maxKind]atomic.Int64 }
+// counters count runs by their outcome, and grants that were not sent in time.
+type counters struct {
+	byKind       [maxKind]atomic.Int64
+	unsentGrants atomic.Int64
+}
 
 func (c *counters) ended(k outcome.Kind) {
 	if k < maxKind {
@@ -34,17 +37,23 @@
 	if err != nil {
 		return err
 	}
+	unsent, err := m.Int64ObservableCounter("sesamemoor_backend_unsent_grants",
+		metric.WithDescription("grants that were not sent because this process was late"))
+	if err != nil {
+		return err
+	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for _, k := range outcome.Kinds() {
 			if n := e.counters.byKind[k].Load(); n > 0 {
 				o.ObserveInt64(runs, n, metric.WithAttributes(attribute.String("kind", k.String())))
 			}
 		}
+		o.ObserveInt64(unsent, e.counters.unsentGrants.Load())
 		load := e.turns.load()
 		o.ObserveInt64(queue, int64(load.GetSlots()), metric.WithAttributes(attribute.String("state", "slots")))
 		o.ObserveInt64(queue, int64(load.GetRunning()), metric.WithAttributes(attribute.String("state", "running")))
 		o.ObserveInt64(queue, int64(load.GetWaiting()), metric.WithAttributes(attribute.String("state", "waiting")))
 		return nil
-	}, runs, queue)
+	}, runs, queue, unsent)
 	return err
 }
