Placement by speed; hot shards stand apart; held rounds leave standbys

Change: shards beyond a member's share are taken out of the mean, and move for a clear gain only. A member counts by its speed: one of half the median gets half (a quarter before), a faster one up to 1.6 times (once before). A planner's round without moves leaves standbys where they are: a second planner, which hears of no load, replaced those that the first had put into the owner's data centre.

--- a/core/loadstat/book.go
+++ b/core/loadstat/book.go
@@ -33,8 +33,18 @@
 	stragglerRatio = 1.6
 	// recoveredRatio is the ratio below which it no longer does.
 	recoveredRatio = 1.25
+	// severeRatio is the ratio from which on a straggler keeps less load than its
+	// speed asks for: so slow, what it keeps sets the latencies that callers see.
+	severeRatio = 2.5
 	// minWeight bounds the capacity taken from a straggler.
 	minWeight = 0.02
+	// fastRatio and usualRatio are the ratios below which a member counts as fast
+	// and above which it no longer does.
+	fastRatio  = 0.8
+	usualRatio = 0.9
+	// maxWeight bounds the capacity given to a fast member: more requests than that
+	// would queue at its slots, which are no more than those of others.
+	maxWeight = 1.6
 	// probeRatio is the ratio that a member without samples comes down to, so
 	// that it gets some load from which it can be measured anew.
 	probeRatio = 2.5
@@ -58,6 +68,7 @@
 	sumUS     float64 // service times of samples that were too few so far
 	samples   float64 // their number
 	straggler bool
+	fast      bool
 	shards    map[uint32]float64 // smoothed requests per second
 }
 
@@ -198,24 +209,40 @@
 	return shards, weights
 }
 
-// weight judges a member's speed against the median service time. Between the
-// two ratios its standing stays as it is, so that it does not flap. A straggler
-// loses more load than its speed asks for: what it keeps is served slowly.
+// weight judges a member's speed against the median service time. Between two
+// ratios its standing stays as it is, so that it does not flap.
 func (m *memberLoad) weight(medianUS float64) float64 {
 	if m.latencyUS == 0 || medianUS == 0 {
 		return 1
 	}
 	ratio := m.latencyUS / medianUS
+	m.judge(ratio)
+	switch {
+	case m.straggler && ratio >= severeRatio:
+		return max(minWeight, 1/(ratio*ratio))
+	case m.straggler:
+		return 1 / ratio
+	case m.fast:
+		return min(maxWeight, 1/ratio)
+	default:
+		return 1
+	}
+}
+
+// judge sets the member's standing.
+func (m *memberLoad) judge(ratio float64) {
 	switch {
 	case ratio >= stragglerRatio:
 		m.straggler = true
 	case ratio < recoveredRatio:
 		m.straggler = false
 	}
-	if !m.straggler {
-		return 1
+	switch {
+	case ratio <= fastRatio:
+		m.fast = true
+	case ratio > usualRatio:
+		m.fast = false
 	}
-	return max(minWeight, 1/(ratio*ratio))
 }
 
 // medians returns the median service time of each service's members.
--- a/core/loadstat/loadstat_test.go
+++ b/core/loadstat/loadstat_test.go
@@ -125,6 +125,33 @@
 	is.Equal(latency(1100), 1.0)
 }
 
+// TestFastMemberGetsMore gives members of different speed loads that they bear
+// alike.
+func TestFastMemberGetsMore(t *testing.T) {
+	is := is.New(t)
+	b := NewBook()
+	now := clock.Instant(time.Second)
+	latencies := map[uint64]uint32{1: 1000, 2: 1000, 3: 1000, 4: 700, 5: 1800, 6: 100}
+	for inc, us := range latencies {
+		b.Take(now, report(inc, us, 10))
+	}
+	_, weights := b.Load(now)
+	is.Equal(weights[1], 1.0)
+	is.True(weights[4] > 1.4 && weights[4] < 1.45)
+	is.True(weights[5] > 0.5 && weights[5] < 0.6)
+	is.Equal(weights[6], maxWeight)
+	for range 20 {
+		b.Take(now, report(4, 850, 10))
+	}
+	_, weights = b.Load(now)
+	is.True(weights[4] > 1) // still
+	for range 20 {
+		b.Take(now, report(4, 950, 10))
+	}
+	_, weights = b.Load(now)
+	is.Equal(weights[4], 1.0)
+}
+
 func TestReportsExpire(t *testing.T) {
 	is := is.New(t)
 	b := NewBook()
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -36,13 +36,25 @@
 // standing returns how the service's load is spread.
 func (r *round) standing() Balance {
 	b := Balance{Service: r.service, Bound: r.bound, Lowest: math.Inf(1)}
+	var highest *candidate
+	capacity := 0.0
 	for _, c := range r.cands {
-		b.Highest = max(b.Highest, c.ratio()/r.mean)
+		capacity += c.weight
+		if highest == nil || c.ratio() > highest.ratio() {
+			highest = c
+		}
 		b.Lowest = min(b.Lowest, c.ratio()/r.mean)
 		if c.slowed {
 			b.Slowed++
 		}
 	}
+	members := float64(len(r.cands))
+	b.Member = highest.inc
+	b.Highest = highest.ratio() / r.mean
+	b.Bears = highest.weight / (capacity / members)
+	for _, n := range highest.owned {
+		b.Hottest = max(b.Hottest, r.weights[n]/(r.total/members))
+	}
 	return b
 }
 
@@ -95,7 +107,7 @@
 // half of what the bound allows a usual member: what one of small capacity is off
 // by is chance and not worth moves.
 func (r *round) matters(c *candidate) bool {
-	usual := r.total / float64(len(r.cands))
+	usual := r.mean * r.capacity / float64(len(r.cands))
 	return math.Abs(c.load-r.mean*c.weight) >= (r.bound-1)/2*usual
 }
 
@@ -167,7 +179,11 @@
 	if sh.HasPending && sh.Pending != to.inc && r.byInc[sh.Pending] != nil {
 		return false
 	}
-	return (to.load+r.weights[n])/to.weight < from.ratio()
+	most := from.ratio()
+	if r.weights[n] > r.mean*to.weight {
+		most /= loadFactor // a hot shard moves for a clear gain only
+	}
+	return (to.load+r.weights[n])/to.weight < most
 }
 
 // rank orders the shards that may move; the smallest goes first.
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -60,6 +60,9 @@
 type Balance struct {
 	Service string
 	Highest float64 // of the most loaded member
+	Member  uint64  // its incarnation
+	Bears   float64 // its capacity, in parts of the mean member's
+	Hottest float64 // the load of its heaviest shard, in parts of the mean member's
 	Lowest  float64 // of the least loaded member
 	Bound   float64 // ratio from which on shards move
 	Slowed  int     // members that count for less than their capacity
--- a/core/placement/round.go
+++ b/core/placement/round.go
@@ -25,18 +25,20 @@
 
 // round plans one service.
 type round struct {
-	service string
-	svc     *fold.Service
-	plan    *Plan
-	cands   []*candidate
-	byInc   map[fold.Incarnation]*candidate
-	weights []float64 // load of each shard
-	used    []bool    // shards that have a role
-	touched map[int]bool
-	total   float64 // load of the service
-	mean    float64 // load for each unit of capacity
-	spread  bool    // candidates are in more than one data centre
-	bound   float64 // ratio to the mean load from which on shards move
+	service  string
+	svc      *fold.Service
+	plan     *Plan
+	cands    []*candidate
+	byInc    map[fold.Incarnation]*candidate
+	weights  []float64 // load of each shard
+	used     []bool    // shards that have a role
+	touched  map[int]bool
+	total    float64 // load of the service
+	capacity float64 // of all candidates
+	mean     float64 // load for each unit of capacity
+	held     bool    // no moves in this round; standbys may be there for one
+	spread   bool    // candidates are in more than one data centre
+	bound    float64 // ratio to the mean load from which on shards move
 }
 
 // newRound returns nil when no member may own shards of the service.
@@ -48,12 +50,11 @@
 	}
 	r := &round{
 		service: name, svc: svc, plan: plan, byInc: map[fold.Incarnation]*candidate{}, touched: map[int]bool{},
-		bound: loadFactor,
+		bound: loadFactor, held: load.Hold[name],
 	}
 	if tolerance, ok := load.Tolerance[name]; ok {
 		r.bound = tolerance
 	}
-	capacity := 0.0
 	for _, m := range members {
 		c := &candidate{inc: m.Incarnation, weight: 1}
 		if name != view.KeeperService { // what a backend server bears says nothing about its daemon
@@ -63,17 +64,51 @@
 		if slot, ok := st.Slots[m.Slot]; ok {
 			c.dc = slot.DataCentre
 		}
-		capacity += c.weight
+		r.capacity += c.weight
 		r.spread = r.spread || c.dc != r.firstDC(c)
 		r.cands = append(r.cands, c)
 		r.byInc[c.inc] = c
 	}
 	r.weigh(load)
-	r.mean = r.total / capacity
+	r.mean = r.total / r.capacity
 	r.count()
+	r.setHotApart()
 	return r
 }
 
+// hotRounds bounds the rounds in which shards are found to be hot.
+const hotRounds = 3
+
+// setHotApart takes shards that exceed a member's share out of the mean, and with
+// each a member's capacity: no move makes such a shard smaller, and measured
+// against a mean that it raises, all other members would seem to lack load.
+func (r *round) setHotApart() {
+	usual := r.capacity / float64(len(r.cands))
+	for range hotRounds {
+		hot, owners := 0.0, map[*candidate]bool{}
+		for _, c := range r.cands {
+			for _, n := range c.owned {
+				if r.weights[n] > r.bound*r.mean*usual {
+					hot += r.weights[n]
+					owners[c] = true
+				}
+			}
+		}
+		rest := r.capacity
+		for c := range owners {
+			rest -= c.weight
+		}
+		if len(owners) == 0 || rest <= 0 {
+			return
+		}
+		mean := (r.total - hot) / rest
+		if mean >= r.mean {
+			return
+		}
+		r.mean = mean
+	}
+}
+
 func (r *round) firstDC(c *candidate) string {
 	if len(r.cands) == 0 {
 		return c.dc
@@ -192,7 +227,7 @@
 	if owner != nil {
 		ownerDC = owner.dc
 	}
-	if standby != nil && (sh.Handover || owner == nil || standby.dc != ownerDC || !r.spread || r.relieves(owner, standby)) {
+	if standby != nil && (r.held || sh.Handover || owner == nil || standby.dc != ownerDC || !r.spread || r.relieves(owner, standby)) {
 		return
 	}
 	c := r.pick(n, func(c *candidate) float64 { return c.standing }, sh.Owner, ownerDC)
