Shards keep a standby when the log goes down during a change

A standby consents to its successor, and the log goes down before it takes the consent: nobody may take the shard over. Appends that the log surely did not take (no connection, 503) are now told to the control state, which withdraws the consent if no attempt may have arrived; it consents again once the log was read. 2. A shard that was handed over has no standby until the planner's next round. Its new owner now proposes the former one when replay shows the takeover.

Tests, red before: TestRefusedConsentLeavesTheStandby, TestHandedOverShardIsProtectedAtOnce; TestOnlySureRefusalsAreTold, TestConsentThatMayBeInTheLogStands. TestOnlyThePlannerWithReportsBalances took a standby proposed where there is none for a move; it now looks for handovers and replaced standbys.

What is left: the tenths of a second until the takeover and the proposal are in the log.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -91,14 +91,15 @@
 
 	plannerCache plannerList
 
-	cell       *view.LeaseCell // of the present incarnation, never used for another
-	tables     tables
-	dirty      bool     // a new view is due
-	reconsider bool     // replay changed since consents were last considered
-	late       []Effect // effects that come after the step's view
-	stopping   bool
-	left       bool
-	leftAt     clock.Instant // when the daemon ceased to be a member for good
+	cell           *view.LeaseCell // of the present incarnation, never used for another
+	tables         tables
+	dirty          bool          // a new view is due
+	reconsider     bool          // replay changed since consents were last considered
+	consentRefused clock.Instant // when the log last refused a consent; zero if never
+	late           []Effect      // effects that come after the step's view
+	stopping       bool
+	left           bool
+	leftAt         clock.Instant // when the daemon ceased to be a member for good
 }
 
 // witnessRole is what the control state needs of a lease.Witness.
@@ -208,6 +209,8 @@
 		s.ownLoad(e)
 	case Trimmed:
 		s.trimmed(e)
+	case AppendRefused:
+		s.appendRefused(e)
 	case LogOutage:
 		s.logOutage(e)
 	case Shutdown:
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -75,6 +75,10 @@
 	Handover string
 }
 
+// AppendRefused tells that the log surely did not take a record by one Append of
+// it.
+type AppendRefused struct{ ID [16]byte }
+
 // Shutdown asks the daemon to hand over its shards and leave.
 type Shutdown struct{}
 
@@ -88,6 +92,7 @@
 func (ReleaseReceived) event() {}
 func (ReleaseAnswered) event() {}
 func (Quiesced) event()        {}
+func (AppendRefused) event()   {}
 func (Shutdown) event()        {}
 
 // Effect is an output of the control state, carried out by the plug-ins.
--- a/core/control/outbox.go
+++ b/core/control/outbox.go
@@ -31,6 +31,9 @@
 	pause  time.Duration // until the next repetition
 	once   bool          // never repeated
 	order  uint64        // records are repeated in the order in which they were sent
+
+	attempts int // times that the record was given out to be appended
+	refused  int // of these, the ones that the log surely did not take
 }
 
 func newOutbox() *outbox { return &outbox{pending: map[[16]byte]*outgoing{}} }
@@ -65,6 +68,7 @@
 	s.outbox.order++
 	s.outbox.pending[id] = &outgoing{
 		stream: s.placementStream(), record: rec, next: s.now.Add(appendRetry), pause: appendRetry, once: once, order: s.outbox.order,
+		attempts: 1,
 	}
 	s.emit(Append{Stream: s.placementStream(), Record: rec})
 	return id
@@ -97,6 +101,7 @@
 	for _, out := range due {
 		out.pause = min(2*out.pause, appendRetryMost)
 		out.next = s.now.Add(out.pause)
+		out.attempts++
 		s.emit(Append{Stream: out.stream, Record: out.record})
 	}
 }
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -228,6 +228,9 @@
 		Marks: msg.GetMarks(), Levels: msg.GetLevels(), Handover: msg.GetHandover(),
 	})
 	s.recordTakeover(msg.GetRef())
+	if sh.Handover {
+		r.former = msg.GetOwner()
+	}
 	return ""
 }
 
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -27,6 +27,8 @@
 	consented uint64 // generation g whose standby right was given up, plus one
 	released  uint64 // generation g released, plus one
 
+	former fold.Incarnation // the owner that handed the shard over, until it is proposed as standby
+
 	question   question      // whether the standby can take the shard
 	releasing  bool          // the shard is being handed to its standby
 	quiesced   bool          // no request of it runs any more
@@ -175,6 +177,7 @@
 			s.pursueRelease(id, sh, r)
 		}
 	}
+	s.proposeFormers()
 }
 
 // releaseDue starts the release of a shard that is to be handed over, once its
@@ -199,7 +202,7 @@
 // sendConsents gives up standby rights for which replay shows a proposed
 // successor, unless the shard was taken over already.
 func (s *State) sendConsents() {
-	if !s.reconsider {
+	if !s.reconsider || !s.mayConsent() {
 		return
 	}
 	s.reconsider = false
--- a/core/logstream/logstream.go
+++ b/core/logstream/logstream.go
@@ -18,6 +18,9 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net"
+	"net/http"
 )
 
 // ErrTrimmed reports that the records asked for are no longer kept.
@@ -27,6 +30,27 @@
 // with it may or may not have taken effect.
 var ErrUnavailable = errors.New("logstream: unavailable")
 
+// ErrRefused reports that the log surely did not take a record, and never will by
+// that call. It comes wrapped together with ErrUnavailable.
+var ErrRefused = errors.New("logstream: record refused")
+
+// AppendFailure returns the error of an append that ended with a transport error
+// or, if that is nil, with an HTTP status other than success: refused if no
+// connection was made or the log said that it takes nothing now (503).
+func AppendFailure(status int, err error) error {
+	var op *net.OpError
+	switch {
+	case errors.As(err, &op) && op.Op == "dial":
+		return fmt.Errorf("%w: %w: append: %w", ErrUnavailable, ErrRefused, err)
+	case err != nil:
+		return fmt.Errorf("%w: append: %w", ErrUnavailable, err)
+	case status == http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %w: append: status %d", ErrUnavailable, ErrRefused, status)
+	default:
+		return fmt.Errorf("%w: append: status %d", ErrUnavailable, status)
+	}
+}
+
 // Entry is a record with its offset.
 type Entry struct {
 	Offset uint64 `json:"offset"`
@@ -44,7 +68,8 @@
 // concurrent use.
 type Log interface {
 	// Append adds a record and returns its offset. It returns an error that
-	// wraps ErrUnavailable when the outcome is unknown.
+	// wraps ErrUnavailable when the outcome is unknown, and ErrRefused beside it
+	// when it is known that the record was not taken.
 	Append(ctx context.Context, stream string, data []byte) (uint64, error)
 	// Read returns records from offset from on, at most max, waiting up to
 	// waitMS milliseconds for the first. It returns a Batch without records
--- a/daemon/plugins/logclient/platform.go
+++ b/daemon/plugins/logclient/platform.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -44,17 +45,20 @@
 	appendQueue  = 4096
 	appendWorker = 16
 	appendWait   = 2 * time.Second
+	// recordIDBytes is the length of a record's id.
+	recordIDBytes = 16
 )
 
 // appender carries out Append effects.
 type appender struct {
-	log    logstream.Log
-	logger *zap.Logger
-	queue  chan control.Append
+	control kernel.Control
+	log     logstream.Log
+	logger  *zap.Logger
+	queue   chan control.Append
 }
 
-func newAppender(l logstream.Log, log *zap.Logger) *appender {
-	return &appender{log: l, logger: log.Named("logclient"), queue: make(chan control.Append, appendQueue)}
+func newAppender(c kernel.Control, l logstream.Log, log *zap.Logger) *appender {
+	return &appender{control: c, log: l, logger: log.Named("logclient"), queue: make(chan control.Append, appendQueue)}
 }
 
 // HandleEffect implements kernel.EffectHandler. A record that finds the queue
@@ -96,8 +100,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, appendWait)
 	defer cancel()
-	if _, err := a.log.Append(ctx, e.Stream, data); err != nil {
-		a.logger.Debug("append failed", zap.String("stream", e.Stream), zap.Error(err))
+	_, err = a.log.Append(ctx, e.Stream, data)
+	if err == nil {
+		return
+	}
+	a.logger.Debug("append failed", zap.String("stream", e.Stream), zap.Error(err))
+	if errors.Is(err, logstream.ErrRefused) && len(rec.GetId()) == recordIDBytes {
+		a.control.Post(control.AppendRefused{ID: [recordIDBytes]byte(rec.GetId())})
 	}
 }
 
