Moves of load leave the data centre where another has room

While a shard moves within a data centre its owner and its standby are lost together with it. An overloaded member now hands to the least loaded member of another data centre that is below its share, and within its own only if there is none.

Test: TestMovesLeaveTheDataCentreFirst, red before.

--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -84,14 +84,35 @@
 		if n, standby, ok := r.direct(highest); ok {
 			return highest, standby, n
 		}
-		if n, ok := r.choose(highest, lowest); ok {
-			return highest, lowest, n
+		for _, to := range r.destinations(highest, lowest) {
+			if n, ok := r.choose(highest, to); ok {
+				return highest, to, n
+			}
 		}
 		tried[highest] = true
 	}
 	return nil, nil, 0
 }
 
+// destinations returns the members to which one may hand shards, the preferred one
+// first: while a shard moves within a data centre, its owner and standby are lost
+// together with it.
+func (r *round) destinations(from, lowest *candidate) []*candidate {
+	if lowest.dc != from.dc || !r.spread {
+		return []*candidate{lowest}
+	}
+	var away *candidate
+	for _, c := range r.cands {
+		if c.dc != from.dc && (away == nil || c.ratio() < away.ratio()) {
+			away = c
+		}
+	}
+	if away == nil || away.ratio() >= r.mean {
+		return []*candidate{lowest}
+	}
+	return []*candidate{away, lowest}
+}
+
 // maxDonors bounds the members looked at for one move.
 const maxDonors = 8
 
--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -309,6 +309,29 @@
 	is.True(m.moved <= least+len(m.st.Members))
 }
 
+// TestMovesLeaveTheDataCentreFirst overloads a member whose data centre has the
+// least loaded one, where another data centre has room too.
+func TestMovesLeaveTheDataCentreFirst(t *testing.T) {
+	is := is.New(t)
+	m := newModel(t, 90, 3)
+	for n := range 3 {
+		m.join(n)
+	}
+	m.settle(t)
+	first := m.join(3) // dc0, as the first member
+	second := m.join(4)
+	plan := Make(m.st, m.cfg, m.load, DefaultLimits)
+	dcOf := map[uint64]string{}
+	for _, e := range Eligible(m.st, m.cfg, service) {
+		dcOf[e.Incarnation] = m.st.Slots[e.Slot].DataCentre
+	}
+	is.True(dcOf[first] != dcOf[second])
+	is.True(len(plan.Placements) > 0)
+	for _, pl := range plan.Placements {
+		is.True(dcOf[pl.Owner] != dcOf[pl.Standby])
+	}
+}
+
 // TestStragglersKeepKeepers: the speed of a backend server says nothing about the
 // daemon beside it.
 func TestStragglersKeepKeepers(t *testing.T) {
