--- a/ctl/cmd/sesamemoorctl/main.go
+++ b/ctl/cmd/sesamemoorctl/main.go
@@ -42,6 +42,7 @@
 		&group{name: "return", synopsis: "return a data centre or backend server", commands: outCommands(false)},
 		&statusCommand{},
 		&explainCommand{},
+		&traceCommand{},
 		&checkCommand{},
 	}
 }
