--- a/core/control/load.go
+++ b/core/control/load.go
@@ -99,25 +99,29 @@
 	}
 	for name, svc := range s.fold.Services {
 		load.Gather[name] = s.gathers(name, svc)
-		if name == view.KeeperService {
-			continue
-		}
-		if !s.reported(name) {
+		switch {
+		case name == view.KeeperService: // by the number of shards
+		case s.reported(name):
+			s.addServiceLoad(&load, name, svc, rates)
+		default:
 			load.Hold[name] = s.anyReported(name) || !s.isFirstPlanner() || s.now.Sub(s.planner.since) < learnTime
-			continue
-		}
-		least := baseRate
-		if s.history.Config.Services[name].KeySpace != 0 {
-			least = baseRangeRate
-		}
-		if s.loads.BusySince(name) != 0 { // single requests say nothing
-			addShardLoads(load.PerShard, name, svc, rates, least)
 		}
-		s.paceRanges(name, &load)
 	}
 	return load
 }
 
+// addServiceLoad adds what was measured of one service.
+func (s *State) addServiceLoad(load *placement.Load, name string, svc *fold.Service, rates map[view.ShardID]float64) {
+	least := baseRate
+	if s.history.Config.Services[name].KeySpace != 0 {
+		least = baseRangeRate
+	}
+	if s.loads.BusySince(name) != 0 { // single requests say nothing
+		addShardLoads(load.PerShard, name, svc, rates, least)
+	}
+	s.paceRanges(name, load)
+}
+
 // paceRanges keeps the balancing of a service with many small ranges from
 // following chance: it begins at a clear imbalance, goes on until little is left,
 // and leaves time between rounds.
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -37,9 +37,7 @@
 func (r *round) standing() Balance {
 	b := Balance{Service: r.service, Bound: r.bound, Lowest: math.Inf(1)}
 	var highest *candidate
-	capacity := 0.0
 	for _, c := range r.cands {
-		capacity += c.weight
 		if highest == nil || c.ratio() > highest.ratio() {
 			highest = c
 		}
@@ -51,7 +49,7 @@
 	members := float64(len(r.cands))
 	b.Member = highest.inc
 	b.Highest = highest.ratio() / r.mean
-	b.Bears = highest.weight / (capacity / members)
+	b.Bears = highest.weight / (r.capacity / members)
 	for _, n := range highest.owned {
 		b.Hottest = max(b.Hottest, r.weights[n]/(r.total/members))
 	}
