Less work for planners and at each tick; checks that stood twice

Found in reading the change: - A configured service without members kept its first placement waiting for ever, and with it a full round every 0.3 s instead of one a second at most. A round is due for it only until the wait is over (TestServiceWithoutMembersCausesNoRounds, red before). - Each load report summed the rates of all services twice; one service is enough. - Proposing former owners sorted all shards of the daemon a second time in each tick. - The check of a standby stood twice, as did the one for the first planner and the count of members in service. Otherwise behaviour is as it was.

--- a/core/control/former.go
+++ b/core/control/former.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/sesamemoor/sesamemoor/core/fold"
-	"github.com/sesamemoor/sesamemoor/core/placement"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -12,26 +11,22 @@
 // between, nobody could take the shard over. The former owner also knows the
 // shard's request ids.
 
-// proposeFormers proposes the former owners of shards that this daemon took over
-// as their standbys.
-func (s *State) proposeFormers() {
-	var placements []*wire.Placement
-	for _, id := range s.shardIDs() {
-		r := s.rights[id]
-		sh := s.shard(id)
-		if r.former == 0 || !r.owned || sh.Owner != s.member.incarnation {
-			continue
-		}
-		former := r.former
-		r.former = 0
-		if sh.Standby != 0 || sh.HasPending || !s.standsApart(former) {
-			continue
-		}
-		placements = append(placements, &wire.Placement{
-			Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: sh.Generation},
-			Owner: sh.Owner, Standby: former,
-		})
+// formerOwner returns, once for each planned takeover that replay shows, the former
+// owner of a shard that it may stand by for; 0 otherwise.
+func (s *State) formerOwner(sh *fold.Shard, r *right) fold.Incarnation {
+	if r.former == 0 || !r.owned || sh.Owner != s.member.incarnation {
+		return 0
 	}
+	former := r.former
+	r.former = 0
+	if sh.Standby != 0 || sh.HasPending || !s.usable(former) || !s.elsewhere(former) {
+		return 0
+	}
+	return former
+}
+
+// proposeFormers proposes former owners as the standbys of their shards.
+func (s *State) proposeFormers(placements []*wire.Placement) {
 	if len(placements) == 0 {
 		return
 	}
@@ -39,13 +34,8 @@
 	s.decide(Decision{Action: "propose", Reason: "former owners as standbys", Count: len(placements)})
 }
 
-// standsApart reports whether a member may stand by for this daemon: it is in
-// service and in another data centre.
-func (s *State) standsApart(inc fold.Incarnation) bool {
-	m, ok := s.fold.Members[inc]
-	if !ok || m.Phase != fold.InService || s.lapsed[inc] || s.doubted(inc) || placement.IsOut(s.fold, s.history.Config, m) {
-		return false
-	}
-	slot, ok := s.fold.Slots[m.Slot]
+// elsewhere reports whether a member is in another data centre than this daemon.
+func (s *State) elsewhere(inc fold.Incarnation) bool {
+	slot, ok := s.fold.Slots[s.fold.Members[inc].Slot]
 	return ok && slot.DataCentre != s.opts.DataCentre
 }
--- a/core/control/gather.go
+++ b/core/control/gather.go
@@ -26,6 +26,22 @@
 	changed clock.Instant // when their number last changed
 }
 
+// until is the end of the wait as things are.
+func (g gathering) until() clock.Instant {
+	return min(g.changed.Add(gatherQuiet), g.since.Add(gatherMost))
+}
+
+// gatheringEnds reports whether a first placement waited in the last round, so that
+// a round is due although nothing changes.
+func (s *State) gatheringEnds() bool {
+	for _, g := range s.planner.gathering {
+		if s.planner.made < g.until() {
+			return true
+		}
+	}
+	return false
+}
+
 // gathers reports whether the first placement of a service waits for members.
 func (s *State) gathers(name string, svc *fold.Service) bool {
 	if placedBefore(svc) {
@@ -42,7 +58,7 @@
 		g.changed = s.now
 	}
 	s.planner.gathering[name] = g
-	return s.now.Sub(g.changed) < gatherQuiet && s.now.Sub(g.since) < gatherMost
+	return s.now < g.until()
 }
 
 // placedBefore reports whether any shard of the service ever had an owner.
@@ -55,7 +71,8 @@
 	return false
 }
 
-// membersOf counts the members in service that may own shards of a service.
+// membersOf counts the members in service that may own shards of a service: for
+// the keeper service all.
 func (s *State) membersOf(service string) int {
 	n := 0
 	for _, m := range s.fold.Members {
--- a/core/control/gather_test.go
+++ b/core/control/gather_test.go
@@ -47,3 +47,23 @@
 		}
 	}
 }
+
+// TestServiceWithoutMembersCausesNoRounds: its first placement never comes, and is
+// no reason to plan again while nothing changes.
+func TestServiceWithoutMembersCausesNoRounds(t *testing.T) {
+	is := is.New(t)
+	f := startedFleet(t, 4)
+	f.patch(1, `{"services":{"empty":{"region":"r","shards":4}}}`)
+	first := f.firstPlanner()
+	for range int(2 * gatherMost / TickInterval) {
+		f.tick()
+	}
+	rounds, last := 0, first.state.planner.made
+	for range int(10 * time.Second / TickInterval) {
+		f.tick()
+		if made := first.state.planner.made; made != last {
+			rounds, last = rounds+1, made
+		}
+	}
+	is.True(rounds <= int(10*time.Second/replanInterval))
+}
--- a/core/control/load.go
+++ b/core/control/load.go
@@ -76,17 +76,7 @@
 		return
 	}
 	s.loads.Take(s.now, e.Report)
-	s.emit(AnswerLoad{Ticket: e.Ticket, Answer: s.loads.Answer(e.Report.GetService(), s.membersInService())})
-}
-
-func (s *State) membersInService() int {
-	n := 0
-	for _, m := range s.fold.Members {
-		if m.Phase == fold.InService {
-			n++
-		}
-	}
-	return n
+	s.emit(AnswerLoad{Ticket: e.Ticket, Answer: s.loads.Answer(e.Report.GetService(), s.membersOf(view.KeeperService))})
 }
 
 // placementLoad returns what placement should take into account. Services of
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -124,7 +124,7 @@
 // is long ago.
 func (s *State) planDue() bool {
 	basis := planBasis{replay: s.fold.Next, config: s.history.Next}
-	return basis != s.planner.planned || len(s.planner.gathering) > 0 || s.now >= s.planner.made.Add(replanInterval)
+	return basis != s.planner.planned || s.gatheringEnds() || s.now >= s.planner.made.Add(replanInterval)
 }
 
 // plannerTurn reports whether a planner may propose. The later ones leave each
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -44,12 +44,15 @@
 }
 
 // usableStandby reports whether sh has a standby that may serve it.
-func (s *State) usableStandby(sh *fold.Shard) bool {
-	standby, ok := s.fold.Members[sh.Standby]
-	if !ok || standby.Phase != fold.InService || s.lapsed[sh.Standby] || s.doubted(sh.Standby) {
+func (s *State) usableStandby(sh *fold.Shard) bool { return s.usable(sh.Standby) }
+
+// usable reports whether a member may serve shards that it is given now.
+func (s *State) usable(inc fold.Incarnation) bool {
+	m, ok := s.fold.Members[inc]
+	if !ok || m.Phase != fold.InService || s.lapsed[inc] || s.doubted(inc) {
 		return false
 	}
-	return !placement.IsOut(s.fold, s.history.Config, standby)
+	return !placement.IsOut(s.fold, s.history.Config, m)
 }
 
 // logFreshness is the age of the newest knowledge of the log's head up to which
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -169,6 +169,7 @@
 		return
 	}
 	s.sendConsents()
+	var formers []*wire.Placement
 	for _, id := range s.shardIDs() {
 		sh := s.shard(id)
 		r := s.rights[id]
@@ -176,8 +177,14 @@
 		if r.releasing && r.quiesced {
 			s.pursueRelease(id, sh, r)
 		}
+		if former := s.formerOwner(sh, r); former != 0 {
+			formers = append(formers, &wire.Placement{
+				Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: sh.Generation},
+				Owner: sh.Owner, Standby: former,
+			})
+		}
 	}
-	s.proposeFormers()
+	s.proposeFormers(formers)
 }
 
 // releaseDue starts the release of a shard that is to be handed over, once its
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -246,7 +246,7 @@
 // when nobody else did.
 func (s *State) recordLapse(inc fold.Incarnation, sealedBy []string) {
 	at := s.now
-	if planners := s.planners(); len(planners) == 0 || planners[0] != s.member.incarnation {
+	if !s.isFirstPlanner() {
 		at = s.now.Add(lapsePatience + s.jitter(lapseSpread))
 	}
 	s.lapseDue[inc] = lapseRecord{sealedBy: sealedBy, at: at}
--- a/core/loadstat/book.go
+++ b/core/loadstat/book.go
@@ -1,7 +1,6 @@
 package loadstat
 
 import (
-	"maps"
 	"math"
 	"slices"
 	"time"
@@ -100,7 +99,7 @@
 
 // noteBusy remembers since when the service has load: a single request is none.
 func (b *Book) noteBusy(now clock.Instant, service string) {
-	busy := b.meanLoad()[service] >= busyRate
+	busy := b.meanLoad(service) >= busyRate
 	_, was := b.busy[service]
 	switch {
 	case busy && !was:
@@ -195,7 +194,9 @@
 	for inc, m := range b.members {
 		if now.Sub(m.at) > life {
 			delete(b.members, inc)
-			maps.DeleteFunc(b.owners, func(_ view.ShardID, owner uint64) bool { return owner == inc })
+			for number := range m.shards {
+				delete(b.owners, view.ShardID{Service: m.service, Shard: number})
+			}
 		}
 	}
 }
@@ -298,18 +299,17 @@
 	return medians
 }
 
-// meanLoad returns the mean request rate of each service's members.
-func (b *Book) meanLoad() map[string]float64 {
-	sum := map[string]float64{}
-	count := map[string]float64{}
+// meanLoad returns the mean request rate of a service's members, 0 without any.
+func (b *Book) meanLoad(service string) float64 {
+	sum, members := 0.0, 0
 	for _, m := range b.members {
-		count[m.service]++
+		if m.service != service {
+			continue
+		}
+		members++
 		for _, rate := range m.shards {
-			sum[m.service] += rate
+			sum += rate
 		}
 	}
-	for service := range sum {
-		sum[service] /= count[service]
-	}
-	return sum
+	return sum / float64(max(members, 1))
 }
--- a/core/loadstat/pace.go
+++ b/core/loadstat/pace.go
@@ -52,7 +52,7 @@
 	return &wire.LoadAnswer{
 		Accepted:        true,
 		NextMs:          uint32(Interval(n).Milliseconds()),
-		MeanRateMilli:   uint64(b.meanLoad()[service] * milli),
+		MeanRateMilli:   uint64(b.meanLoad(service) * milli),
 		MedianLatencyUs: uint32(b.medians()[service]),
 	}
 }
