What the two interfaces had twice stands once

Gateway and backend were written beside entry and owner, with pieces of them copied: reading a caller's body, the headers of one connection, the fingerprint (daemon/edge); reading a backend server's whole answer, following a request's connection, the name of the crash in an answer (daemon/guard; entry had a constant of its own for its header); telling the suspects how a request ended (daemon/routing); that not run holds for all tries or for none (core/retry.Claim). Values and bounds are the same; the tests keep their assertions. Left as they are: instruments, whose labels differ, and the listeners.

--- a/daemon/guard/crash.go
+++ b/daemon/guard/crash.go
@@ -7,12 +7,23 @@
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
 // HeaderCrash names the crash in the answer to each request that was in flight at
 // it. It is seen by daemons only.
 const HeaderCrash = "X-Sesamemoor-Crash-Id"
 
+// CrashOf returns the name of the crash in an answer, "" without one.
+func CrashOf(resp *wire.Response) string {
+	for _, h := range resp.GetHeaders() {
+		if h.GetName() == HeaderCrash {
+			return h.GetValue()
+		}
+	}
+	return ""
+}
+
 const (
 	// crashWindow is the time within which connections that break belong to
 	// one crash.
@@ -81,16 +92,14 @@
 	if c.bootID == bootID {
 		return nil, ""
 	}
-	first := c.bootID == ""
-	var lost []Loss
-	if !first {
-		lost = c.recentLocked()
+	lost, id := c.recentLocked(), ""
+	if c.bootID == "" {
+		lost = nil // no earlier life is known
 	}
-	c.lost = nil
-	id := ""
 	if len(lost) > 0 {
 		id = c.idLocked(lost[0].at)
 	}
+	c.lost = nil
 	c.bootID = bootID
 	return lost, id
 }
--- a/daemon/guard/guard.go
+++ b/daemon/guard/guard.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http/httptrace"
 	"sync/atomic"
 	"time"
 
@@ -87,6 +88,13 @@
 	conn  atomic.Pointer[guardedConn]
 }
 
+// Attach returns a context whose request the trace follows.
+func (t *Trace) Attach(ctx context.Context) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) { t.Got(info.Conn) },
+	})
+}
+
 // Got notes the connection that the request was given.
 func (t *Trace) Got(conn net.Conn) {
 	if c, ok := conn.(*guardedConn); ok {
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -8,7 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"syscall"
 	"time"
 
@@ -22,10 +21,6 @@
 )
 
 const (
-	// maxAnswerBytes bounds a backend server's answer.
-	maxAnswerBytes = 8 << 20
-	// maxRefusalBytes bounds what is read of a refusal's body.
-	maxRefusalBytes = 4 << 10
 	// maxConnections bounds the connections for requests; the slots bound them
 	// first.
 	maxConnections = 64
@@ -80,10 +75,7 @@
 	trace := &guard.Trace{Until: c.clock.Now().Add(left)}
 	runCtx, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
-	traced := httptrace.WithClientTrace(runCtx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { trace.Got(info.Conn) },
-	})
-	httpReq, err := c.newRequest(traced, s, req, left)
+	httpReq, err := c.newRequest(trace.Attach(runCtx), s, req, left)
 	if err != nil {
 		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err)), dialect.BackendAnswer{}, nil
 	}
@@ -105,10 +97,7 @@
 // errUnsent if nothing was sent and never will be.
 func (c *client) grant(ctx context.Context, s *server, keys dialect.KeyRange, g hold.Grant, until clock.Instant) error {
 	trace := &guard.Trace{Until: until}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { trace.Got(info.Conn) },
-	})
-	err := c.dialect.Grant(ctx, c.orders, s.addr, keys, g.Hold, g.Handover)
+	err := c.dialect.Grant(trace.Attach(ctx), c.orders, s.addr, keys, g.Hold, g.Handover)
 	if err != nil && errors.Is(err, guard.ErrLeaseOver) && !trace.Wrote() {
 		return fmt.Errorf("%w: %w", errUnsent, err)
 	}
@@ -157,33 +146,19 @@
 	defer httpResp.Body.Close()
 	said := c.dialect.Decode(httpResp)
 	if said.NotRun && (said.ID == id || said.ID == "") {
-		_, _ = io.CopyN(io.Discard, httpResp.Body, maxRefusalBytes)
+		guard.SkipRefusal(httpResp)
 		return answer.Refusal(notRun(httpResp.StatusCode, said)), said
 	}
 	if said.ID != id {
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "answer to another request %q", said.ID)), dialect.BackendAnswer{}
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxAnswerBytes+1))
+	resp, err := guard.ReadAnswer(ctx, httpResp)
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
-		return answer.Refusal(outcome.New(outcome.DeadlineMaybeRan, "answer not whole in time")), said
-	case ctx.Err() != nil && err != nil:
-		return answer.Refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled")), said
 	case err != nil:
-		return answer.Refusal(outcome.New(outcome.AnswerCut, "%v", err)), said
-	case len(body) > maxAnswerBytes:
-		return answer.Refusal(outcome.New(outcome.AnswerTooLarge, "answer exceeds %d bytes", maxAnswerBytes)), said
+		return answer.Refusal(err), said
 	case !said.Sealed:
 		return answer.Refusal(outcome.New(outcome.BackendError, "status %d without the server's seal", httpResp.StatusCode)), said
 	}
-	resp := &wire.Response{
-		Kind: uint32(outcome.OK), Status: uint32(httpResp.StatusCode), Body: body, BodyLength: uint32(len(body)),
-	}
-	for name, values := range httpResp.Header {
-		for _, value := range values {
-			resp.Headers = append(resp.Headers, &wire.Header{Name: name, Value: value})
-		}
-	}
 	return resp, said
 }
 
--- a/daemon/plugins/entry/address.go
+++ b/daemon/plugins/entry/address.go
@@ -6,11 +6,10 @@
 	"slices"
 	"strconv"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 )
 
 // maxKeyBytes bounds the key of a request.
@@ -47,7 +46,7 @@
 	if req.TimeoutMs, err = timeoutOf(r.Header, svc); err != nil {
 		return err
 	}
-	if req.Body, err = readBody(w, r, svc.BodyLimit()); err != nil {
+	if req.Body, err = edge.ReadBody(w, r, svc.BodyLimit()); err != nil {
 		return err
 	}
 	x.read = true
@@ -55,7 +54,7 @@
 	req.Path = r.URL.RequestURI()
 	req.Idempotent = route.IsIdempotent(r.Method)
 	req.Headers = forwardHeaders(r.Header, x.key)
-	req.Fingerprint = fingerprint(x)
+	req.Fingerprint = edge.Fingerprint(req.GetBody(), req.GetTeam(), req.GetService(), req.GetMethod(), req.GetPath(), req.GetKey())
 	return checkSecret(x, r.URL)
 }
 
@@ -94,17 +93,5 @@
 // maxTimeoutMS bounds the time that a caller gives a request.
 const maxTimeoutMS = 600_000
 
-// fingerprint tells requests apart that could crash a backend server. It is
-// never 0.
-func fingerprint(x *exchange) uint64 {
-	h := xxhash.New()
-	for _, part := range []string{x.req.GetTeam(), x.req.GetService(), x.req.GetMethod(), x.req.GetPath(), x.req.GetKey()} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(x.req.GetBody())
-	return max(1, h.Sum64())
-}
-
 // containsSecret reports whether text holds the caller key.
 func containsSecret(text []byte, key string) bool { return bytes.Contains(text, []byte(key)) }
--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -13,6 +13,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 )
 
 // Refusal is the body of an answer that is not the backend server's.
@@ -38,7 +39,7 @@
 // writeAnswer sends the owner's answer, or the refusal of its kind, whole.
 func writeAnswer(w http.ResponseWriter, r *http.Request, req *wire.Request, resp *wire.Response) {
 	kind := outcome.Kind(resp.GetKind())
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(edge.WriteTimeout))
 	h := w.Header()
 	if kind == outcome.OK {
 		answerHeaders(h, r.Method, resp)
@@ -60,7 +61,7 @@
 	dropped := connectionHeaders(resp.GetHeaders())
 	for _, field := range resp.GetHeaders() {
 		name := http.CanonicalHeaderKey(field.GetName())
-		if hopHeaders[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
+		if edge.HopHeaders[name] || dropped[name] || strings.HasPrefix(name, ownPrefix) {
 			continue
 		}
 		h.Add(name, field.GetValue())
@@ -88,23 +89,13 @@
 
 // connectionHeaders returns the headers that a Connection header names.
 func connectionHeaders(fields []*wire.Header) map[string]bool {
-	var named map[string]bool
+	var values []string
 	for _, f := range fields {
 		if http.CanonicalHeaderKey(f.GetName()) == "Connection" {
-			named = addTokens(named, f.GetValue())
+			values = append(values, f.GetValue())
 		}
 	}
-	return named
-}
-
-func addTokens(set map[string]bool, list string) map[string]bool {
-	if set == nil {
-		set = map[string]bool{}
-	}
-	for token := range strings.SplitSeq(list, ",") {
-		set[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
-	}
-	return set
+	return edge.Named(values...)
 }
 
 func writeRefusal(w http.ResponseWriter, kind outcome.Kind, resp *wire.Response, req *wire.Request) {
--- a/daemon/plugins/entry/entry.go
+++ b/daemon/plugins/entry/entry.go
@@ -42,11 +42,8 @@
 )
 
 const (
-	// readHeaderTimeout and readBodyTimeout bound how slowly a caller may send.
+	// readHeaderTimeout bounds how slowly a caller may send the header.
 	readHeaderTimeout = 5 * time.Second
-	readBodyTimeout   = 30 * time.Second
-	// writeTimeout bounds how slowly a caller may take its answer.
-	writeTimeout = 30 * time.Second
 	// idleTimeout ends connections without requests.
 	idleTimeout = 2 * time.Minute
 	// maxHeaderBytes bounds the request line and header.
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -65,7 +65,7 @@
 	atStandby int    // tries at the standby in a row
 	ownerLost bool   // the last try at the owner did not reach it
 	hint      uint64 // incarnation that the last answer named as owner
-	mayRun    error  // the first failure after which the request may have run
+	claim     retry.Claim
 }
 
 // route tries the request until it is answered, must not be tried again, or
@@ -81,26 +81,15 @@
 			return resp, nil
 		}
 		kind := outcome.Of(err)
-		if a.mayRun == nil && kind.Answer().Ran != outcome.NotRun {
-			a.mayRun = err
-		}
+		a.claim.Failed(err)
 		verdict := retry.Decide(kind, x.req.GetIdempotent())
 		if verdict == retry.Stop || !t.pause(ctx, x, &a, verdict, budget) {
-			return resp, a.worst(err)
+			return resp, a.claim.Worst(err)
 		}
 		t.metrics.retry(x.req)
 	}
 }
 
-// worst returns err unless it claims that the request did not run although an
-// earlier try may have run it.
-func (a *attempts) worst(err error) error {
-	if a.mayRun != nil && outcome.Of(err).Answer().Ran == outcome.NotRun {
-		return a.mayRun
-	}
-	return err
-}
-
 func (t *router) budget(service string) *retry.Budget {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/daemon/plugins/entry/router_test.go
+++ b/daemon/plugins/entry/router_test.go
@@ -12,6 +12,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/guard"
 	"github.com/sesamemoor/sesamemoor/daemon/plugins/suspects"
 )
 
@@ -163,7 +164,7 @@
 			return ok("whole"), nil
 		}
 		resp := answer.Refusal(outcome.New(outcome.BackendCrashed, "gone"))
-		resp.Headers = []*wire.Header{{Name: headerCrash, Value: *id}}
+		resp.Headers = []*wire.Header{{Name: guard.HeaderCrash, Value: *id}}
 		return resp, nil
 	}
 	_, srv := newTestEntry(t, s)
--- a/daemon/plugins/entry/secret.go
+++ b/daemon/plugins/entry/secret.go
@@ -10,6 +10,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 )
 
 // ownPrefix starts the headers of the system's own protocols.
@@ -18,13 +19,6 @@
 // maxRequestID bounds a request id that a caller chose.
 const maxRequestID = 128
 
-// hopHeaders are not passed on in either direction.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Expect": true,
-}
-
 // The headers that carry the caller key and never leave the entry daemon.
 const (
 	headerAuthorization = "Authorization"
@@ -127,14 +121,11 @@
 // forwardHeaders returns the headers for the backend server: none that belongs
 // to the connection or the system, and none that holds the caller key.
 func forwardHeaders(h http.Header, key string) []*wire.Header {
-	var named map[string]bool
-	for _, value := range h.Values("Connection") {
-		named = addTokens(named, value)
-	}
+	named := edge.Named(h.Values("Connection")...)
 	lowerKey := strings.ToLower(key)
 	list := make([]*wire.Header, 0, len(h))
 	for name, values := range h {
-		if hopHeaders[name] || named[name] || name == headerAuthorization || name == headerAPIKey ||
+		if edge.HopHeaders[name] || named[name] || name == headerAuthorization || name == headerAPIKey ||
 			name == HeaderRequestID || strings.HasPrefix(name, ownPrefix) || strings.Contains(strings.ToLower(name), lowerKey) {
 			continue
 		}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -14,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
 // exchange is one request of a caller on its way through this daemon.
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	resp, err := e.router.route(ctx, x)
-	e.observe(x, resp, err)
+	routing.Observe(e.suspects, x.req, x.target, resp, err)
 	return resp, err
 }
 
@@ -95,42 +95,3 @@
 	}
 	return err
 }
-
-// readBody reads the whole body within the service's limit.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
-	if r.ContentLength > limit {
-		return nil, outcome.New(outcome.BodyTooLarge, "body of %d bytes exceeds %d", r.ContentLength, limit)
-	}
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	ctl := http.NewResponseController(w)
-	_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, outcome.New(outcome.BadRequest, "body: %v", err)
-	}
-	if int64(len(body)) > limit {
-		return nil, outcome.New(outcome.BodyTooLarge, "body exceeds %d bytes", limit)
-	}
-	_ = ctl.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-// headerCrash names the crash in the answer of an owner whose backend server
-// crashed.
-const headerCrash = ownPrefix + "Crash-Id"
-
-// observe tells how a request ended to the book of suspects.
-func (e *entry) observe(x *exchange, resp *wire.Response, err error) {
-	switch {
-	case err == nil:
-		e.suspects.Completed(x.req.GetFingerprint(), x.req.GetService())
-	case outcome.Of(err) == outcome.BackendCrashed:
-		server := ""
-		if x.target != nil {
-			server = x.target.BackendName
-		}
-		e.suspects.Crashed(x.req.GetFingerprint(), x.req.GetService(), server, headerValue(resp.GetHeaders(), headerCrash))
-	}
-}
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -13,7 +13,6 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
-	"github.com/sesamemoor/sesamemoor/daemon/guard"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
@@ -74,7 +73,7 @@
 	skip     map[uint64]bool // incarnations not to be tried again
 	standby  bool            // the next try at a key goes to the standby
 	sealed   *wire.Response  // a server's own failure, the answer if nothing better comes
-	mayRun   error           // the first failure after which the request may have run
+	claim    retry.Claim
 
 	moveUntil time.Time // end of the wait for the owner of a key that changes hands
 }
@@ -94,8 +93,8 @@
 			t.sealed = resp
 		}
 		kind := outcome.Of(err)
-		if err != nil && kind.Answer().Ran != outcome.NotRun && t.mayRun == nil {
-			t.mayRun = err
+		if err != nil {
+			t.claim.Failed(err)
 		}
 		if !s.again(ctx, x, t, kind, budget) {
 			return t.final(resp, err)
@@ -106,13 +105,10 @@
 // final returns the answer after the last try: a server's own failure rather than
 // one of this system, and "not run" only if no try may have run.
 func (t *tries) final(resp *wire.Response, err error) (*wire.Response, error) {
-	switch {
-	case t.sealed != nil:
+	if t.sealed != nil {
 		return t.sealed, nil
-	case t.mayRun != nil && outcome.Of(err).Answer().Ran == outcome.NotRun:
-		return resp, t.mayRun
 	}
-	return resp, err
+	return resp, t.claim.Worst(err)
 }
 
 // again reports whether the request may be tried once more.
@@ -344,13 +340,3 @@
 		st.Outcome(now, true)
 	}
 }
-
-// crashOf returns the name of the crash in an answer, or "".
-func crashOf(resp *wire.Response) string {
-	for _, h := range resp.GetHeaders() {
-		if h.GetName() == guard.HeaderCrash {
-			return h.GetValue()
-		}
-	}
-	return ""
-}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -2,14 +2,11 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/dialect"
@@ -18,6 +15,8 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
+	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
 const (
@@ -27,10 +26,6 @@
 	// retrySpread is the part of an advised time by which it varies, so that
 	// callers refused together do not come back together.
 	retrySpread = 0.3
-	// readBodyTimeout bounds how slowly a caller may send its body.
-	readBodyTimeout = 30 * time.Second
-	// writeTimeout bounds how slowly a caller may take its answer.
-	writeTimeout = 30 * time.Second
 	// defaultMaxBodyBytes bounds a body where no configuration does.
 	defaultMaxBodyBytes = 8 << 20
 	// answerMargin is the part of a caller's time kept for the way back of an
@@ -164,29 +159,16 @@
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	if r.ContentLength > limit {
-		return outcome.New(outcome.BodyTooLarge, "body of %d bytes exceeds %d", r.ContentLength, limit)
-	}
-	if r.ContentLength != 0 {
-		ctl := http.NewResponseController(w)
-		_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
-		body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-		if err != nil {
-			return outcome.New(outcome.BadRequest, "body: %v", err)
-		}
-		if int64(len(body)) > limit {
-			return outcome.New(outcome.BodyTooLarge, "body exceeds %d bytes", limit)
-		}
-		_ = ctl.SetReadDeadline(time.Time{})
-		x.req.Body = body
-	}
-	x.bodyRead = true
-	return nil
+	var err error
+	x.req.Body, err = edge.ReadBody(w, r, limit)
+	x.bodyRead = err == nil
+	return err
 }
 
 // run passes an addressed request on within the caller's time.
 func (g *gateway) run(ctx context.Context, v *view.View, x *exchange) (*wire.Response, error) {
-	x.req.Fingerprint = fingerprint(x.req)
+	req := x.req
+	req.Fingerprint = edge.Fingerprint(req.GetBody(), req.GetTeam(), req.GetMethod(), req.GetHost(), req.GetPath(), req.GetKey())
 	if g.suspects.Refuses(x.req.GetFingerprint()) {
 		return nil, outcome.New(outcome.Quarantined, "this request crashed backend servers")
 	}
@@ -196,7 +178,7 @@
 		return nil, err
 	}
 	resp, err := g.sender.send(ctx, x)
-	g.observe(x, resp, err)
+	routing.Observe(g.suspects, x.req, x.at, resp, err)
 	return resp, err
 }
 
@@ -222,41 +204,12 @@
 	return err
 }
 
-// observe tells how a request ended to the book of suspects.
-func (g *gateway) observe(x *exchange, resp *wire.Response, err error) {
-	switch {
-	case err == nil:
-		g.suspects.Completed(x.req.GetFingerprint(), x.req.GetService())
-	case outcome.Of(err) == outcome.BackendCrashed && resp != nil && x.at != nil:
-		g.suspects.Crashed(x.req.GetFingerprint(), x.req.GetService(), x.at.BackendName, crashOf(resp))
-	}
-}
-
-// fingerprint tells requests apart that could crash a backend server. It is
-// never 0.
-func fingerprint(req *wire.Request) uint64 {
-	h := xxhash.New()
-	for _, part := range []string{req.GetTeam(), req.GetMethod(), req.GetHost(), req.GetPath(), req.GetKey()} {
-		_, _ = h.WriteString(part)
-		_, _ = h.Write([]byte{0})
-	}
-	_, _ = h.Write(req.GetBody())
-	return max(1, h.Sum64())
-}
-
-// hopHeaders concern one connection only.
-var hopHeaders = map[string]bool{
-	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
-	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
-	"Content-Length": true, "Expect": true,
-}
-
 // forwardHeaders returns the headers that are passed on.
 func (g *gateway) forwardHeaders(h http.Header) []*wire.Header {
-	named := connectionTokens(h["Connection"])
+	named := edge.Named(h["Connection"]...)
 	var out []*wire.Header
 	for name, values := range h {
-		if hopHeaders[name] || named[name] || g.dialect.Private(name) {
+		if edge.HopHeaders[name] || named[name] || g.dialect.Private(name) {
 			continue
 		}
 		for _, value := range values {
@@ -266,20 +219,6 @@
 	return out
 }
 
-// connectionTokens returns the headers that Connection headers name.
-func connectionTokens(values []string) map[string]bool {
-	var named map[string]bool
-	for _, value := range values {
-		for token := range strings.SplitSeq(value, ",") {
-			if named == nil {
-				named = map[string]bool{}
-			}
-			named[http.CanonicalHeaderKey(strings.TrimSpace(token))] = true
-		}
-	}
-	return named
-}
-
 // statusOf returns the status of a refusal: 503 promises that the request did
 // not run and never will.
 func statusOf(kind outcome.Kind) int {
@@ -298,7 +237,7 @@
 
 // writeAnswer sends the backend server's answer, or the refusal of its kind.
 func (g *gateway) writeAnswer(w http.ResponseWriter, r *http.Request, x *exchange, resp *wire.Response) {
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(edge.WriteTimeout))
 	h := w.Header()
 	kind := outcome.Kind(resp.GetKind())
 	if kind != outcome.OK {
@@ -313,7 +252,7 @@
 	}
 	status := int(resp.GetStatus())
 	for _, field := range resp.GetHeaders() {
-		if name := http.CanonicalHeaderKey(field.GetName()); !hopHeaders[name] {
+		if name := http.CanonicalHeaderKey(field.GetName()); !edge.HopHeaders[name] {
 			h.Add(name, field.GetValue())
 		}
 	}
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"time"
@@ -31,13 +28,6 @@
 	headerRefused  = "X-Sesamemoor-Refused"     // "fenced", "expired" or "shed": the request did not run
 )
 
-const (
-	// maxAnswerBytes bounds a backend server's answer.
-	maxAnswerBytes = 8 << 20
-	// maxRefusalBytes bounds what is read of a refusal's body.
-	maxRefusalBytes = 4 << 10
-)
-
 // backend is the HTTP client of the backend server beside the daemon.
 type backend struct {
 	control kernel.Control
@@ -121,9 +111,7 @@
 		return answer.Refusal(outcome.New(outcome.NoOwner, "no backend server"))
 	}
 	trace := &guard.Trace{Until: until}
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { trace.Got(info.Conn) },
-	})
+	ctx = trace.Attach(ctx)
 	httpReq, err := newRequest(ctx, addr, req, token, b.deadline(until))
 	if err != nil {
 		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err))
@@ -165,29 +153,11 @@
 	if !hasEnd(httpResp) {
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "answer has neither a length nor a last chunk"))
 	}
-	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxAnswerBytes+1))
-	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
-		return answer.Refusal(outcome.New(outcome.DeadlineMaybeRan, "answer not whole in time"))
-	case ctx.Err() != nil && err != nil:
-		return answer.Refusal(outcome.New(outcome.CancelledMaybeRan, "cancelled"))
-	case err != nil:
-		return answer.Refusal(outcome.New(outcome.AnswerCut, "%v", err))
-	case len(body) > maxAnswerBytes:
-		return answer.Refusal(outcome.New(outcome.AnswerTooLarge, "answer exceeds %d bytes", maxAnswerBytes))
-	}
-	resp := &wire.Response{
-		Kind:       uint32(outcome.OK),
-		Status:     uint32(httpResp.StatusCode),
-		Body:       body,
-		BodyLength: uint32(len(body)),
-		Generation: token,
-	}
-	for name, values := range httpResp.Header {
-		for _, value := range values {
-			resp.Headers = append(resp.Headers, &wire.Header{Name: name, Value: value})
-		}
+	resp, err := guard.ReadAnswer(ctx, httpResp)
+	if err != nil {
+		return answer.Refusal(err)
 	}
+	resp.Generation = token
 	return resp
 }
 
@@ -205,7 +175,7 @@
 	default:
 		return nil
 	}
-	_, _ = io.CopyN(io.Discard, httpResp.Body, maxRefusalBytes)
+	guard.SkipRefusal(httpResp)
 	return err
 }
 
--- a/daemon/routing/caller.go
+++ b/daemon/routing/caller.go
@@ -8,6 +8,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/guard"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -50,3 +51,14 @@
 		c.control.Post(control.Suspicion{Incarnation: target.Incarnation})
 	}
 }
+
+// Observe tells the book of suspects how a request ended that target, if any, was
+// tried last for.
+func Observe(s kernel.Suspects, req *wire.Request, target *view.Member, resp *wire.Response, err error) {
+	switch {
+	case err == nil:
+		s.Completed(req.GetFingerprint(), req.GetService())
+	case outcome.Of(err) == outcome.BackendCrashed && target != nil:
+		s.Crashed(req.GetFingerprint(), req.GetService(), target.BackendName, guard.CrashOf(resp))
+	}
+}
