Choosing shards and members by one loop each

choose and direct each looked for the smallest rank, three places for the most or the least loaded member. The plans are the same: TestChurnOfAJoin and its like give the same moves, three times each.

--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -35,21 +35,18 @@
 
 // standing returns how the service's load is spread.
 func (r *round) standing() Balance {
-	b := Balance{Service: r.service, Bound: r.bound, Lowest: math.Inf(1)}
-	var highest *candidate
+	members := float64(len(r.cands))
+	highest, lowest := r.highest(nil), r.lowest(func(*candidate) bool { return true })
+	b := Balance{
+		Service: r.service, Bound: r.bound, Member: highest.inc,
+		Highest: highest.ratio() / r.mean, Lowest: lowest.ratio() / r.mean,
+		Bears: highest.weight / (r.capacity / members),
+	}
 	for _, c := range r.cands {
-		if highest == nil || c.ratio() > highest.ratio() {
-			highest = c
-		}
-		b.Lowest = min(b.Lowest, c.ratio()/r.mean)
 		if c.slowed {
 			b.Slowed++
 		}
 	}
-	members := float64(len(r.cands))
-	b.Member = highest.inc
-	b.Highest = highest.ratio() / r.mean
-	b.Bears = highest.weight / (r.capacity / members)
 	for _, n := range highest.owned {
 		b.Hottest = max(b.Hottest, r.weights[n]/(r.total/members))
 	}
@@ -72,10 +69,10 @@
 // nextMove returns the move that helps most, or nil when all candidates are
 // within bounds or no move would help.
 func (r *round) nextMove() (from, to *candidate, shard int) {
-	lowest := r.extreme(nil, func(a, b *candidate) bool { return a.ratio() < b.ratio() })
+	lowest := r.lowest(func(*candidate) bool { return true })
 	tried := map[*candidate]bool{}
 	for len(tried) < maxDonors {
-		highest := r.extreme(tried, func(a, b *candidate) bool { return a.ratio() > b.ratio() })
+		highest := r.highest(tried)
 		if highest == nil || highest == lowest || !r.unbalanced(highest, lowest) {
 			return nil, nil, 0
 		}
@@ -99,12 +96,7 @@
 	if lowest.dc != from.dc || !r.spread {
 		return []*candidate{lowest}
 	}
-	var away *candidate
-	for _, c := range r.cands {
-		if c.dc != from.dc && (away == nil || c.ratio() < away.ratio()) {
-			away = c
-		}
-	}
+	away := r.lowest(func(c *candidate) bool { return c.dc != from.dc })
 	if away == nil || away.ratio() >= r.mean {
 		return []*candidate{lowest}
 	}
@@ -136,10 +128,22 @@
 	return r.unbalanced(owner, standby) && owner.ratio() > r.mean && standby.ratio() < r.mean
 }
 
-func (r *round) extreme(skip map[*candidate]bool, better func(a, b *candidate) bool) *candidate {
+// lowest returns the least loaded candidate of those that match, or nil.
+func (r *round) lowest(match func(*candidate) bool) *candidate {
+	var best *candidate
+	for _, c := range r.cands {
+		if match(c) && (best == nil || c.ratio() < best.ratio()) {
+			best = c
+		}
+	}
+	return best
+}
+
+// highest returns the most loaded candidate that is not to be skipped, or nil.
+func (r *round) highest(skip map[*candidate]bool) *candidate {
 	var best *candidate
 	for _, c := range r.cands {
-		if !skip[c] && (best == nil || better(c, best)) {
+		if !skip[c] && (best == nil || c.ratio() > best.ratio()) {
 			best = c
 		}
 	}
@@ -150,18 +154,9 @@
 // a move that was begun, then the fitting load, then the rendezvous weight.
 func (r *round) choose(from, to *candidate) (int, bool) {
 	want := min(from.load-r.mean*from.weight, r.mean*to.weight-to.load)
-	best, found := 0, false
-	var bestRank rank
-	for _, n := range from.owned {
-		if !r.mayMove(n, from, to) {
-			continue
-		}
-		k := r.rank(n, to, want)
-		if !found || k.less(bestRank) {
-			best, bestRank, found = n, k, true
-		}
-	}
-	return best, found
+	return from.best(func(n int) (rank, bool) {
+		return r.rank(n, to, want), r.mayMove(n, from, to)
+	})
 }
 
 // direct returns the shard of an overloaded member that is best handed to the
@@ -172,23 +167,31 @@
 		return 0, nil, false
 	}
 	excess := from.load - r.mean*from.weight
+	n, ok := from.best(func(n int) (rank, bool) {
+		to := r.byInc[r.svc.Shards[n].Standby]
+		if to == nil || r.svc.Shards[n].HasPending || to.load+r.weights[n] > r.mean*to.weight {
+			return rank{}, false
+		}
+		return r.rank(n, to, excess), true
+	})
+	if !ok {
+		return 0, nil, false
+	}
+	return n, r.byInc[r.svc.Shards[n].Standby], true
+}
+
+// best returns the shard of the candidate with the smallest rank of those that may
+// move.
+func (c *candidate) best(rankOf func(n int) (k rank, mayMove bool)) (int, bool) {
 	best, found := 0, false
 	var bestRank rank
-	for _, n := range from.owned {
-		sh := &r.svc.Shards[n]
-		to := r.byInc[sh.Standby]
-		if to == nil || sh.HasPending || to.load+r.weights[n] > r.mean*to.weight {
-			continue
-		}
-		k := r.rank(n, to, excess)
-		if !found || k.less(bestRank) {
+	for _, n := range c.owned {
+		k, ok := rankOf(n)
+		if ok && (!found || k.less(bestRank)) {
 			best, bestRank, found = n, k, true
 		}
 	}
-	if !found {
-		return 0, nil, false
-	}
-	return best, r.byInc[r.svc.Shards[best].Standby], true
+	return best, found
 }
 
 // mayMove reports whether moving the shard lowers the higher ratio of the pair
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -181,9 +181,6 @@
 // is used: requests sent evenly arrive in clusters.
 const coldMargin = 0.4
 
-// load returns what answers tell of the server.
-func (e *executor) serverLoad() *wire.ServerLoad { return e.turns.load() }
-
 // Running implements kernel.BackendObserver.
 func (e *executor) Running() int { return int(e.turns.load().GetRunning()) }
 
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -42,7 +42,7 @@
 	defer cancel()
 	arrived := e.clock.Now()
 	resp := e.execute(ctx, req, arrived)
-	resp.Load = e.serverLoad()
+	resp.Load = e.turns.load()
 	e.counters.ended(outcome.Kind(resp.GetKind()))
 	e.logRun(req, resp, arrived)
 	return resp
