A frozen backend server gets no further requests; three missed announcements end it

Cause: requests that were sent to a frozen server between its freeze and the notice of it (1.1 to 1.75 s) kept their shards closed until they expired, up to a lease term later: the release waits for them. Seen in backend_frozen: up to 2.07 s until a key was served again, bound 2 s.

Now a server without an announcement or an answer for 600 ms gets nothing new (core/admit), and it counts as gone after 1.2 s, looked at each 100 ms.

Ruled out: a shorter lease (all renewals pay for it); cancelling what runs there (the server may have read it and may run it when it thaws).

--- a/core/admit/admit.go
+++ b/core/admit/admit.go
@@ -60,14 +60,30 @@
 // Queue admits requests to one backend server.
 //
 // Invariants: at most Limit tickets run; no ticket waits while fewer than
-// Limit run, after Dispatch, unless the server rests; a ticket leaves the queue
-// exactly once, by Dispatch, a Refusal or Cancel.
+// Limit run, after Dispatch, unless the server rests or is silent; a ticket
+// leaves the queue exactly once, by Dispatch, a Refusal or Cancel.
 type Queue struct {
 	opts    Options
 	ramp    *Ramp
 	order   order
 	running int
 	seq     uint64
+	heard   clock.Instant // newest sign of life of the server; zero before the first
+}
+
+// silenceLimit is the time without a sign of life after which a server gets no
+// further requests: an announcement is half its period late. Requests sent to a
+// server that has frozen block their shards until they expire, also for the
+// owner that takes over.
+const silenceLimit = 600 * time.Millisecond
+
+// Heard notes a sign of life of the server.
+func (q *Queue) Heard(now clock.Instant) { q.heard = now }
+
+// Silent reports whether the server has given no sign of life for so long that
+// nothing is sent to it.
+func (q *Queue) Silent(now clock.Instant) bool {
+	return q.heard != 0 && now.Sub(q.heard) > silenceLimit
 }
 
 // New returns a queue for a backend server that is not known yet; nothing
@@ -120,10 +136,10 @@
 }
 
 // Dispatch starts as many waiting tickets as the limit allows, none while the
-// backend server rests. Tickets whose deadline cannot be met are refused on the
+// backend server rests or is silent. Tickets whose deadline cannot be met are refused on the
 // way.
 func (q *Queue) Dispatch(now clock.Instant) (started []*Ticket, refused []Refusal) {
-	if q.ramp.resting(now) > 0 {
+	if q.ramp.resting(now) > 0 || q.Silent(now) {
 		return nil, nil
 	}
 	for q.running < q.ramp.limit {
@@ -157,6 +173,9 @@
 	}
 	t.state = idle
 	q.running--
+	if result != Failed {
+		q.Heard(now)
+	}
 	switch result {
 	case Answered:
 		q.ramp.answered(now, now.Sub(t.began))
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -78,7 +78,7 @@
 
 // watch reports the backend server as gone when its announcements stop.
 func (a *admin) watch(stop <-chan struct{}) {
-	ticker := time.NewTicker(announceTimeout / 6)
+	ticker := time.NewTicker(announceCheck)
 	defer ticker.Stop()
 	for {
 		select {
--- a/daemon/plugins/admin/announce.go
+++ b/daemon/plugins/admin/announce.go
@@ -20,8 +20,10 @@
 
 const (
 	// announceTimeout is the time without announcements after which the
-	// backend server counts as gone.
-	announceTimeout = 1500 * time.Millisecond
+	// backend server counts as gone: three of them are missing.
+	announceTimeout = 1200 * time.Millisecond
+	// announceCheck is the time between looks at the newest announcement.
+	announceCheck = 100 * time.Millisecond
 	// maxAnnouncementBytes bounds one announcement.
 	maxAnnouncementBytes = 16 << 10
 	// maxSlots bounds the slots and connections that a server may state.
@@ -34,8 +36,8 @@
 
 var nameRule = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
-// Announcement is what a backend server posts to its daemon about once a
-// second, see docs/BACKEND.md.
+// Announcement is what a backend server posts to its daemon about every
+// 400 ms, see docs/BACKEND.md.
 type Announcement struct {
 	Name        string `json:"name"`
 	Service     string `json:"service"`
--- a/daemon/plugins/owner/gate.go
+++ b/daemon/plugins/owner/gate.go
@@ -92,10 +92,13 @@
 	g.settle(g.queue.Withdraw(lost))
 }
 
-func (g *gate) setSlots(slots int) {
+// announced takes in an announcement of the backend server.
+func (g *gate) announced(slots int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.queue.SetSlots(g.clock.Now(), slots)
+	now := g.clock.Now()
+	g.queue.Heard(now)
+	g.queue.SetSlots(now, slots)
 	g.dispatch()
 }
 
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -232,7 +232,7 @@
 	if r.Connections > 0 {
 		slots = min(slots, int(r.Connections))
 	}
-	e.gate.setSlots(min(slots, e.limits.BackendConns))
+	e.gate.announced(min(slots, e.limits.BackendConns))
 	if restarted || r.Cold && !last.Cold {
 		e.log.Info("cold start", zap.String("backend_server", r.Name), zap.String("boot_id", r.BootID))
 		e.gate.turnCold()
