--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -23,6 +23,7 @@
 	WitnessAddr string `json:"witness_addr"` // UDP, leases
 	EntryAddr   string `json:"entry_addr"`   // TCP, callers
 	AdminAddr   string `json:"admin_addr"`   // TCP, backend server, operators, metrics
+	MetricsAddr string `json:"metrics_addr"` // TCP, metrics only, where monitoring expects them at a port of their own; "" for none
 
 	// Advertise holds the addresses under which others reach this daemon,
 	// where they differ from those it listens on.
@@ -215,12 +216,13 @@
 			add("%s: %v", a.field, err)
 		}
 	}
-	advertised := []struct{ field, value string }{
+	optional := []struct{ field, value string }{
+		{"metrics_addr", d.MetricsAddr},
 		{"advertise.peer_addr", d.Advertise.PeerAddr},
 		{"advertise.witness_addr", d.Advertise.WitnessAddr},
 		{"advertise.entry_addr", d.Advertise.EntryAddr},
 	}
-	for _, a := range advertised {
+	for _, a := range optional {
 		if a.value == "" {
 			continue
 		}
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -55,24 +55,32 @@
 	for _, r := range group.Routes {
 		engine.Handle(r.Method, r.Path, gin.WrapH(r.Handler))
 	}
-	srv := &http.Server{Handler: engine, ReadHeaderTimeout: 5 * time.Second}
-	stop := make(chan struct{})
+	listen(lc, a.set.AdminAddr, engine)
+	if a.set.MetricsAddr != "" {
+		listen(lc, a.set.MetricsAddr, m.Handler())
+	}
+	if native {
+		stop := make(chan struct{})
+		lc.Append(fx.StartStopHook(func() { go a.watch(stop) }, func() { close(stop) }))
+	}
+}
+
+// readHeaderTimeout bounds how slowly a client may send the header of a request:
+// all clients are on the deployment's own network.
+const readHeaderTimeout = 5 * time.Second
+
+func listen(lc fx.Lifecycle, addr string, handler http.Handler) {
+	srv := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", a.set.AdminAddr)
+			listener, err := net.Listen("tcp", addr)
 			if err != nil {
 				return fmt.Errorf("admin: %w", err)
 			}
 			go func() { _ = srv.Serve(listener) }()
-			if native {
-				go a.watch(stop)
-			}
 			return nil
 		},
-		OnStop: func(ctx context.Context) error {
-			close(stop)
-			return srv.Shutdown(ctx)
-		},
+		OnStop: srv.Shutdown,
 	})
 }
 
