A caller that comes back is served after those who can still be answered in time

Cause: the objective counts from a caller's first attempt, but the queue counted it from the attempt that arrived.

core/patience estimates how long a caller has been at it from the patience that it states, by route; the gateway moves the request's objective back by that. The queue's order is unchanged: in time first, then rank. Requests of backend servers for those that they run are left as they were. The wait for a key that changes hands goes by the caller's limit where its objective is over. patience_ms is in the request's log line.

Ruled out: taking any patience below the longest for a return (first attempts differ by 15% there, more than half of an objective).

Tests: core/patience, TestReturningCallerIsKnownToBeLate.

--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -65,6 +65,7 @@
 	shares   *shares
 
 	keeperless *keeperless
+	returning  *returning
 
 	mu     sync.Mutex
 	hashes map[string]string // of caller keys
@@ -88,7 +89,7 @@
 		control: p.Control, clock: p.Clock, dialect: p.Dialect, limits: p.Limiter, suspects: p.Suspects,
 		sender: p.Sender, metrics: p.Metrics, log: p.Log.Named("gateway"),
 		service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
-		shares: newShares(), keeperless: newKeeperless(), hashes: map[string]string{},
+		shares: newShares(), keeperless: newKeeperless(), returning: newReturning(), hashes: map[string]string{},
 	}
 }
 
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -45,6 +45,13 @@
 		}
 		c.NumberKey, c.HasNumberKey = uint32(n), true
 	}
+	if text := r.Header.Get("Patience"); text != "" {
+		ms, err := strconv.Atoi(text)
+		if err != nil {
+			return c, fmt.Errorf("%w: patience", dialect.ErrMalformed)
+		}
+		c.Patience = time.Duration(ms) * time.Millisecond
+	}
 	if c.ID == "" {
 		return c, fmt.Errorf("%w: no id", dialect.ErrMalformed)
 	}
@@ -392,3 +399,17 @@
 	s.view = &view.View{}
 	is.True(!g.ready())
 }
+
+// A caller that comes back after a refusal has its objective counted from its first
+// attempt: the owner's queue sees that it is late.
+func TestReturningCallerIsKnownToBeLate(t *testing.T) {
+	is := is.New(t)
+	s := newSurroundings()
+	srv := newTestGateway(t, s)
+	send(t, srv, "GET", "/read/1", "Patience", "400")
+	is.True(s.last.GetTargetMs() > 0)
+	send(t, srv, "GET", "/read/1", "Patience", "150")
+	is.True(s.last.GetTargetMs() < 0)
+	send(t, srv, "GET", "/read/1", "Patience", "390")
+	is.True(s.last.GetTargetMs() > 0)
+}
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -149,7 +149,11 @@
 func (s *sender) awaitMove(ctx context.Context, x *exchange, t *tries) bool {
 	t.standby = !t.standby
 	if t.moveUntil.IsZero() {
-		patience := time.Duration(movePatience * float64(time.Until(x.target)))
+		left := time.Until(x.target)
+		if left <= 0 { // late already; what counts is that it is answered
+			left = time.Until(x.limit)
+		}
+		patience := time.Duration(movePatience * float64(left))
 		t.moveUntil = time.Now().Add(min(patience, maxMovePatience))
 		return true
 	}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -38,9 +38,10 @@
 	req      *wire.Request
 	route    *fleet.HostRoute
 	started  time.Time
-	limit    time.Time // when the caller is answered at the latest
-	target   time.Time // until then the answer has its full worth
-	shared   bool      // the team's rate was checked by this daemon's share
+	limit    time.Time     // when the caller is answered at the latest
+	target   time.Time     // until then the answer has its full worth, by the caller's first attempt
+	patience time.Duration // how long the caller said that it waits; 0 if it did not
+	shared   bool          // the team's rate was checked by this daemon's share
 	at       *view.Member
 	attempts string // what was tried, for the log
 	version  uint64 // of the configuration that was used
@@ -95,6 +96,7 @@
 		return outcome.New(outcome.UnknownRoute, "no route for %s%s", r.Host, r.URL.Path)
 	}
 	x.route = route
+	x.patience = said.Patience
 	timeout := time.Duration(route.TimeoutMS) * time.Millisecond
 	if timeout == 0 {
 		timeout = fleet.DefaultTimeoutMS * time.Millisecond
@@ -172,6 +174,9 @@
 	if g.suspects.Refuses(x.req.GetFingerprint()) {
 		return nil, outcome.New(outcome.Quarantined, "this request crashed backend servers")
 	}
+	if !req.GetNested() { // those end with the request that they are made for
+		x.target = x.target.Add(-g.returning.elapsed(g.clock.Now(), req.GetRoute(), x.patience))
+	}
 	ctx, cancel := context.WithDeadline(ctx, x.limit)
 	defer cancel()
 	if err := g.limit(ctx, v, x); err != nil {
@@ -297,6 +302,7 @@
 		zap.Uint32("status", resp.GetStatus()),
 		zap.String("reason", resp.GetDetail()),
 		zap.Uint32("retry_after_ms", resp.GetRetryAfterMs()),
+		zap.Int64("patience_ms", x.patience.Milliseconds()),
 		zap.Float64("ms", float64(took.Microseconds())/1000),
 	)
 }
