Fewer calls to the store: starters follow one, two data centres read, one record of a leave

- Daemons that start follow one of their data centre by announcements, before any is in service (TestDaemonsThatStartTogetherFollowOne: 24 readers before, 2 after).
- log_reader_centres: daemons of so many data centres of a region read, the first ones of the others follow them (TestFewDataCentresReadFromTheLog; readers and others turned away at once: TestFollowersOfAReaderThatIsTurnedAwayLearnInTime for both).
- Takeovers from a departing member wait 0.6 s for its leave record (TestLeaveRecordsItsTakeovers).

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -68,7 +68,7 @@
 	member    membership
 	claim     slotClaim
 	rights    map[view.ShardID]*right
-	takeovers []takenShard // taken over or released by record since the last tick
+	takeovers []takenShard // taken over or released by record, not sent yet
 	sealers   map[uint64]*sealing
 	lapsed    map[uint64]bool // lapses established here that replay does not show yet
 	lapseDue  map[uint64]lapseRecord
--- a/core/control/freshness.go
+++ b/core/control/freshness.go
@@ -35,32 +35,54 @@
 
 // daemonList is the list of daemons in service, kept until members change.
 type daemonList struct {
-	epoch uint64
-	list  []view.Daemon
+	epoch               uint64
+	inService, starting []view.Daemon
 }
 
-// daemons returns the daemons in service, in the same order everywhere: by data
-// centre, then by the hash of the slot, so that load order follows no name.
-func (s *State) daemons() []view.Daemon {
+// daemons returns the daemons in service.
+func (s *State) daemons() []view.Daemon { return s.daemonLists().inService }
+
+// starting returns the daemons of this data centre that have announced themselves,
+// as long as none of them is in service.
+func (s *State) starting() []view.Daemon { return s.daemonLists().starting }
+
+func (s *State) daemonLists() *daemonList {
 	c := &s.daemonCache
-	if c.list != nil && c.epoch == s.fold.Epoch {
-		return c.list
+	if c.inService != nil && c.epoch == s.fold.Epoch {
+		return c
 	}
-	c.epoch = s.fold.Epoch
-	c.list = []view.Daemon{}
+	*c = daemonList{epoch: s.fold.Epoch, inService: []view.Daemon{}}
+	served := false
 	for _, m := range s.fold.Members {
 		slot, ok := s.fold.Slots[m.Slot]
 		if m.Phase == fold.InService && ok {
-			c.list = append(c.list, view.Daemon{Slot: slot.Name, DataCentre: slot.DataCentre, PeerAddr: slot.PeerAddr})
+			c.inService = append(c.inService, daemonOf(slot))
+			served = served || slot.DataCentre == s.opts.DataCentre
+		}
+	}
+	for _, slot := range s.fold.Slots {
+		if !served && slot.DataCentre == s.opts.DataCentre {
+			c.starting = append(c.starting, daemonOf(slot))
 		}
 	}
-	slices.SortFunc(c.list, func(a, b view.Daemon) int {
+	c.inService = sortDaemons(c.inService)
+	c.starting = sortDaemons(c.starting)
+	return c
+}
+
+func daemonOf(slot *fold.Slot) view.Daemon {
+	return view.Daemon{Slot: slot.Name, DataCentre: slot.DataCentre, PeerAddr: slot.PeerAddr}
+}
+
+// sortDaemons orders daemons in the same way everywhere, each slot once: by data
+// centre, then by the hash of the slot, so that load order follows no name.
+func sortDaemons(list []view.Daemon) []view.Daemon {
+	slices.SortFunc(list, func(a, b view.Daemon) int {
 		return cmp.Or(
 			cmp.Compare(a.DataCentre, b.DataCentre),
 			cmp.Compare(xxhash.Sum64String(a.Slot), xxhash.Sum64String(b.Slot)),
 			cmp.Compare(a.Slot, b.Slot),
 		)
 	})
-	c.list = slices.CompactFunc(c.list, func(a, b view.Daemon) bool { return a.Slot == b.Slot })
-	return c.list
+	return slices.CompactFunc(list, func(a, b view.Daemon) bool { return a.Slot == b.Slot })
 }
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/placement"
 	"github.com/sesamemoor/sesamemoor/core/view"
@@ -230,25 +231,47 @@
 	s.takeOver(id, sh, false, TakeOver{
 		Marks: msg.GetMarks(), Levels: msg.GetLevels(), Handover: msg.GetHandover(),
 	})
-	s.recordTakeover(takenShard{ref: msg.GetRef(), formerStandsBy: sh.Handover && s.mayStandBy(msg.GetOwner())})
+	s.recordTakeover(s.takenFrom(sh, msg.GetRef(), msg.GetOwner()))
 	return ""
 }
 
 // takenShard is a shard that changed hands, for the record of it.
 type takenShard struct {
 	ref            *wire.ShardRef
-	formerStandsBy bool // its former owner becomes the standby
+	formerStandsBy bool          // its former owner becomes the standby
+	due            clock.Instant // when the record is to be sent
 }
 
-// recordTakeover notes a takeover for the next record. Many shards change hands
-// at once when a daemon leaves; one record for each would fill the log.
+// leaveGather is the time for which the takeovers from a departing member wait for
+// its leave record, which says the same of all its shards at once. It is short: until
+// a takeover is in the log nobody can stand by for its shard.
+const leaveGather = 600 * time.Millisecond
+
+// recordTakeover notes a takeover for a record of this tick. Many shards change
+// hands at once when a daemon leaves; one record for each would fill the log.
 func (s *State) recordTakeover(t takenShard) { s.takeovers = append(s.takeovers, t) }
 
+// takenFrom returns the takeover of a shard that a member released.
+func (s *State) takenFrom(sh *fold.Shard, ref *wire.ShardRef, former fold.Incarnation) takenShard {
+	t := takenShard{ref: ref, formerStandsBy: sh.Handover && s.mayStandBy(former), due: s.now}
+	if m := s.fold.Members[former]; !sh.Handover && m != nil && !placement.IsOut(s.fold, s.history.Config, m) {
+		t.due = s.now.Add(leaveGather)
+	}
+	return t
+}
+
 // maxTakeovers bounds the shards that one takeover record names.
 const maxTakeovers = 1000
 
-// sendTakeovers appends the takeovers noted since the last tick.
+// sendTakeovers appends the takeovers once one of them is due, those that no other
+// record has shown meanwhile. A daemon that gives up shards itself has no time to
+// wait.
 func (s *State) sendTakeovers() {
+	s.takeovers = slices.DeleteFunc(s.takeovers, s.shown)
+	due := func(t takenShard) bool { return s.now >= t.due }
+	if s.member.departing == "" && !slices.ContainsFunc(s.takeovers, due) {
+		return
+	}
 	for _, formerStandsBy := range []bool{false, true} {
 		var refs []*wire.ShardRef
 		for _, t := range s.takeovers {
@@ -264,6 +287,12 @@
 	s.takeovers = nil
 }
 
+// shown reports whether replay shows a placement after the takeover's.
+func (s *State) shown(t takenShard) bool {
+	sh := s.shard(view.ShardID{Service: t.ref.GetService(), Shard: t.ref.GetShard()})
+	return sh != nil && sh.Generation > t.ref.GetGeneration()
+}
+
 // mayStandBy reports whether a former owner that goes on serving other shards is
 // a good standby of the one that it handed over: it knows the shard's request ids.
 // One of this data centre is left for a planner to judge.
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -69,6 +69,7 @@
 		Held:          s.held(),
 		Fresh:         s.fresh,
 		Daemons:       s.daemons(),
+		Starting:      s.starting(),
 		Slots:         len(s.fold.Slots),
 		NewerRecords:  s.newer,
 		Lease:         s.cell,
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -105,6 +105,7 @@
 	RangeShards         uint32  `json:"range_shards"`          // shards of a service with numeric keys
 	RecordRing          uint64  `json:"record_ring"`           // newest records of each author that the log keeps for good
 	LogReadersPerCentre int     `json:"log_readers"`           // daemons of a data centre that read the log themselves
+	LogReaderCentres    int     `json:"log_reader_centres"`    // data centres of a region whose daemons read the log; those of others follow them; 0 means all
 	LogWaitMS           int     `json:"log_wait_ms"`           // longest wait of one read for configuration records
 	LogPlacementWaitMS  int     `json:"log_placement_wait_ms"` // the same for placement records, which need not be known to be the newest
 	LogStaleMS          int     `json:"log_stale_ms"`          // age of the newest knowledge of the configuration from which on peers are asked
@@ -298,7 +299,7 @@
 		value float64
 	}{
 		{"retry_ratio", b.RetryRatio}, {"retry_extra", b.RetryExtra}, {"cold_slack", b.ColdSlack},
-		{"log_gather_ms", float64(b.LogGatherMS)}, {"grace_s", b.GraceS}, {"memory_mb", float64(b.MemoryMB)},
+		{"log_gather_ms", float64(b.LogGatherMS)}, {"log_reader_centres", float64(b.LogReaderCentres)}, {"grace_s", b.GraceS}, {"memory_mb", float64(b.MemoryMB)},
 	} {
 		if p.value < 0 {
 			add("bounds.%s: %v is negative", p.field, p.value)
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -113,6 +113,9 @@
 	// Daemons lists the daemons in service of the region, by data centre. All
 	// daemons that have read the same records list them in the same order.
 	Daemons []Daemon
+	// Starting lists, in the same order, the daemons of this data centre that have
+	// announced themselves, as long as none of it is in service.
+	Starting []Daemon
 	// Slots is the number of slots known, in service or not.
 	Slots int
 	// NewerRecords counts the records that this daemon is too old to understand.
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay passes log records between daemons. A few daemons of each data
-// centre read from the platform; the others follow one of them, or one that
+// Package relay passes log records between daemons. A few daemons of some data
+// centres read from the platform; the others follow one of them, or one that
 // does, in a tree of small fan-out. A daemon that is cut from the log learns of
 // new records from peers in other data centres.
 package relay
@@ -18,6 +18,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
@@ -55,7 +56,7 @@
 type relay struct {
 	slot       string
 	dataCentre string
-	readers    int // daemons of the data centre that read from the platform
+	readers    readers
 	control    kernel.Control
 	peers      kernel.Peers
 	clock      clock.Clock
@@ -74,7 +75,8 @@
 
 func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
 	r := &relay{
-		slot: set.Slot, dataCentre: set.DataCentre, readers: max(set.Bounds.LogReadersPerCentre, 1), control: c, peers: p, clock: clk,
+		slot: set.Slot, dataCentre: set.DataCentre, control: c, peers: p, clock: clk,
+		readers:     readers{ofCentre: max(set.Bounds.LogReadersPerCentre, 1), centres: set.Bounds.LogReaderCentres},
 		configWait:  time.Duration(configWaits * float64(set.Bounds.LogWaitMS) * float64(time.Millisecond)),
 		surveyAfter: time.Duration(set.Bounds.LogStaleMS) * time.Millisecond, surveyInterval: time.Duration(set.Bounds.LogSurveyMS) * time.Millisecond,
 		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, silent: map[string]clock.Instant{},
@@ -98,7 +100,7 @@
 
 // Read implements kernel.Relay.
 func (r *relay) Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
-	addr := parent(r.control.View().Daemons, r.slot, r.dataCentre, r.readers)
+	addr := r.readers.parent(r.tree(), r.slot, r.dataCentre)
 	if addr != "" && (!r.mayAsk(addr) || stream == logstream.ConfigStream && r.behind()) {
 		addr = "" // a peer that learns nothing may be the one that is cut off
 	}
@@ -114,6 +116,16 @@
 	return batch, asOf, err
 }
 
+// tree returns the daemons of which some follow others: those in service, and in a
+// data centre that is just starting all that have announced themselves.
+func (r *relay) tree() []view.Daemon {
+	v := r.control.View()
+	if len(v.Starting) > 0 {
+		return v.Starting
+	}
+	return v.Daemons
+}
+
 // noteSource logs where a stream is read from when that changes.
 func (r *relay) noteSource(stream, addr string) {
 	r.mu.Lock()
--- a/daemon/plugins/relay/tree.go
+++ b/daemon/plugins/relay/tree.go
@@ -11,20 +11,41 @@
 // fanOut is the number of daemons that follow one daemon.
 const fanOut = 3
 
+// readers says which daemons read from the platform.
+type readers struct {
+	ofCentre int // daemons of a data centre that follow none of it
+	centres  int // data centres of the region whose daemons read; 0 means all
+}
+
 // parent returns the peer address that the daemon in slot follows, or "" when
-// it reads from the platform: the first readers of a data centre do. One that is
-// not in service yet follows any that is; many that start together would
-// otherwise all read from the platform. Daemons is the list of a view.
-func parent(daemons []view.Daemon, slot, dataCentre string, readers int) string {
+// it reads from the platform: the first readers of a data centre do, those of
+// further data centres follow them. One that is not in service yet follows any that
+// is; many that start together would otherwise all read from the platform. Daemons
+// is the list of a view.
+func (r readers) parent(daemons []view.Daemon, slot, dataCentre string) string {
 	list := inDataCentre(daemons, dataCentre)
 	i := slices.IndexFunc(list, func(d view.Daemon) bool { return d.Slot == slot })
 	switch {
-	case i < 0 && len(list) >= readers:
+	case i < 0 && len(list) >= r.ofCentre:
 		return list[xxhash.Sum64String(slot)%uint64(len(list))].PeerAddr
-	case i < readers:
+	case i < 0:
+		return ""
+	case i < r.ofCentre:
+		return r.elsewhere(daemons, dataCentre, i)
+	}
+	return list[(i-r.ofCentre)/fanOut].PeerAddr
+}
+
+// elsewhere returns the peer that the reader with a number of a data centre follows
+// in one whose daemons read from the platform, "" if its own are to.
+func (r readers) elsewhere(daemons []view.Daemon, dataCentre string, number int) string {
+	names := dataCentres(daemons)
+	at := slices.Index(names, dataCentre)
+	if r.centres == 0 || at < r.centres {
 		return ""
 	}
-	return list[(i-readers)/fanOut].PeerAddr
+	list := inDataCentre(daemons, names[at%r.centres])
+	return list[number%len(list)].PeerAddr
 }
 
 // inDataCentre returns the part of the list that is in a data centre.
