A connection on which nothing was asked does not hold up the end of the process

Suspected, not shown by a line: http.Server.Shutdown waits five seconds for a connection on which no byte came, which a caller leaves behind that is cut off after connecting.

--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -3,9 +3,6 @@
 package admin
 
 import (
-	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -17,6 +14,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -70,18 +68,7 @@
 const readHeaderTimeout = 5 * time.Second
 
 func listen(lc fx.Lifecycle, addr string, handler http.Handler) {
-	srv := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", addr)
-			if err != nil {
-				return fmt.Errorf("admin: %w", err)
-			}
-			go func() { _ = srv.Serve(listener) }()
-			return nil
-		},
-		OnStop: srv.Shutdown,
-	})
+	edge.Listen(lc, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, "admin", addr)
 }
 
 // watch reports the backend server as gone when its announcements stop.
--- a/daemon/plugins/backend/announced.go
+++ b/daemon/plugins/backend/announced.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -17,6 +15,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -66,17 +65,7 @@
 func serveAnnouncements(lc fx.Lifecycle, set settings.Daemon, d dialect.Announcements, e *executor) {
 	srv := &http.Server{Handler: d.Handler(e), ReadHeaderTimeout: readHeaderTimeout}
 	kernel.Background(lc, e.watch)
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", set.AnnounceAddr)
-			if err != nil {
-				return fmt.Errorf("backend: announcements: %w", err)
-			}
-			go func() { _ = srv.Serve(listener) }()
-			return nil
-		},
-		OnStop: srv.Shutdown,
-	})
+	edge.Listen(lc, srv, "backend: announcements", set.AnnounceAddr)
 }
 
 // Announced implements dialect.AnnouncementSink.
--- a/daemon/plugins/entry/entry.go
+++ b/daemon/plugins/entry/entry.go
@@ -3,9 +3,6 @@
 package entry
 
 import (
-	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"time"
 
@@ -15,6 +12,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -109,16 +107,5 @@
 }
 
 func start(lc fx.Lifecycle, set settings.Daemon, e *entry) {
-	srv := e.httpServer()
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", set.EntryAddr)
-			if err != nil {
-				return fmt.Errorf("entry: %w", err)
-			}
-			go func() { _ = srv.Serve(listener) }()
-			return nil
-		},
-		OnStop: srv.Shutdown,
-	})
+	edge.Listen(lc, e.httpServer(), "entry", set.EntryAddr)
 }
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -4,10 +4,6 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"fmt"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -21,6 +17,7 @@
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -103,33 +100,13 @@
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
-	listen(lc, srv, "callers", set.EntryAddr)
+	edge.Listen(lc, srv, "gateway: callers", set.EntryAddr)
 }
 
 // serveProbes answers the platform's questions whether this daemon is ready.
 func serveProbes(lc fx.Lifecycle, set settings.Daemon, d dialect.Probes, g *gateway) {
 	srv := &http.Server{Handler: d.Handler(g.ready), ReadHeaderTimeout: readHeaderTimeout}
-	listen(lc, srv, "probes", set.ReadyAddr)
-}
-
-func listen(lc fx.Lifecycle, srv *http.Server, name, addr string) {
-	lc.Append(fx.Hook{
-		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", addr)
-			if err != nil {
-				return fmt.Errorf("gateway: %s: %w", name, err)
-			}
-			go func() { _ = srv.Serve(listener) }()
-			return nil
-		},
-		OnStop: func(ctx context.Context) error {
-			err := srv.Shutdown(ctx)
-			if errors.Is(err, context.DeadlineExceeded) {
-				return srv.Close()
-			}
-			return err
-		},
-	})
+	edge.Listen(lc, srv, "gateway: probes", set.ReadyAddr)
 }
 
 // ready reports whether callers should use this daemon: it knows a configuration
