A former owner of the same data centre stands by until a planner names another

The record of a planned takeover left a shard without a standby where the former owner was in the new one's data centre. Any standby is better than none when the log goes down; a planner replaces it, since it shares the owner's data centre.

--- a/core/control/release.go
+++ b/core/control/release.go
@@ -251,9 +251,11 @@
 // hands at once when a daemon leaves; one record for each would fill the log.
 func (s *State) recordTakeover(t takenShard) { s.takeovers = append(s.takeovers, t) }
 
-// takenFrom returns the takeover of a shard that a member released.
+// takenFrom returns the takeover of a shard that a member released. A former owner
+// that goes on serving other shards stands by: it knows the shard's request ids, and
+// one of the same data centre is better than none until a planner names another.
 func (s *State) takenFrom(sh *fold.Shard, ref *wire.ShardRef, former fold.Incarnation) takenShard {
-	t := takenShard{ref: ref, formerStandsBy: sh.Handover && s.mayStandBy(former), due: s.now}
+	t := takenShard{ref: ref, formerStandsBy: sh.Handover && s.usable(former), due: s.now}
 	if m := s.fold.Members[former]; !sh.Handover && m != nil && !placement.IsOut(s.fold, s.history.Config, m) {
 		t.due = s.now.Add(leaveGather)
 	}
@@ -292,14 +294,3 @@
 	sh := s.shard(view.ShardID{Service: t.ref.GetService(), Shard: t.ref.GetShard()})
 	return sh != nil && sh.Generation > t.ref.GetGeneration()
 }
-
-// mayStandBy reports whether a former owner that goes on serving other shards is
-// a good standby of the one that it handed over: it knows the shard's request ids.
-// One of this data centre is left for a planner to judge.
-func (s *State) mayStandBy(former fold.Incarnation) bool {
-	if !s.usable(former) {
-		return false
-	}
-	slot, ok := s.fold.Slots[s.fold.Members[former].Slot]
-	return ok && slot.DataCentre != s.opts.DataCentre
-}
