--- a/core/view/view.go
+++ b/core/view/view.go
@@ -162,3 +162,10 @@
 	n := svc.ShardOfNumber(key)
 	return ShardID{Service: service, Shard: n}, svc.Shards[n], true
 }
+
+// TookOver reports whether this daemon, the standby of a shard, serves it ahead of
+// replay.
+func (v *View) TookOver(id ShardID, s Shard) bool {
+	_, held := v.Held[id]
+	return held && s.Standby != nil && s.Standby.Incarnation == v.Incarnation
+}
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -193,12 +193,13 @@
 }
 
 // target returns the daemon for the next try: the owner, or the standby if it
-// was named as owner or the owner failed and nothing newer is known.
-func (a *attempts) target(shard view.Shard) *view.Member {
+// was named as owner, if it is this daemon and has taken the shard over, or if the
+// owner failed and nothing newer is known.
+func (a *attempts) target(v *view.View, id view.ShardID, shard view.Shard) *view.Member {
 	if shard.Standby == nil {
 		return shard.Owner
 	}
-	if a.alternate || a.hint == shard.Standby.Incarnation {
+	if v.TookOver(id, shard) || a.alternate || a.hint == shard.Standby.Incarnation {
 		return shard.Standby
 	}
 	return shard.Owner
@@ -218,7 +219,7 @@
 	}
 	x.req.Shard = id.Shard
 	x.req.Generation = shard.Generation
-	target := a.target(shard)
+	target := a.target(v, id, shard)
 	if target == nil {
 		return nil, outcome.New(outcome.NoOwner, "shard %s/%d", id.Service, id.Shard)
 	}
--- /dev/null
+++ b/daemon/plugins/entry/target_test.go
@@ -0,0 +1,22 @@
+package entry
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/view"
+)
+
+// A daemon that has taken a shard over, ahead of the log, passes no request for it on
+// to the lost owner.
+func TestOwnTakeoverIsKnownAtTheEntry(t *testing.T) {
+	is := is.New(t)
+	id := view.ShardID{Service: "orders", Shard: 1}
+	lost, self := &view.Member{Incarnation: 7}, &view.Member{Incarnation: 8}
+	shard := view.Shard{Owner: lost, Standby: self, Generation: 2}
+	var a attempts
+	is.Equal(a.target(&view.View{Incarnation: 8}, id, shard), lost)
+	is.Equal(a.target(&view.View{Incarnation: 8, Held: map[view.ShardID]view.Held{id: {Token: 3}}}, id, shard), self)
+	is.Equal(a.target(&view.View{Incarnation: 9}, id, shard), lost)
+}
