Backend servers' word of their pace counts in predictions and choices

Cause: workers share their machines, and each is three times as slow for a fifth of the time, in spells of some 400 ms. Their answers tell the pace of the moment (the fourth figure of the load header); the daemon did not read it and knew means only.

- The adapter decodes the pace; the queue multiplies expected service times by it beside the usual pace, for 400 ms; answers to other daemons carry it, and the choice of a server for requests without keys counts it in as long.
- The callers' side of the platform interface knows shards that its own daemon took over, as the native one.

--- a/core/dialect/dialect.go
+++ b/core/dialect/dialect.go
@@ -53,6 +53,9 @@
 	// Misdirected tells that the request is not this server's: another instance
 	// has the address, or the key is not granted.
 	Misdirected bool
+	// Pace is how long work takes on the server's machine at this moment, 1 being
+	// usual; 0 if the answer does not tell.
+	Pace float64
 }
 
 // KeyRange is a range of numeric keys under a fencing token.
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -46,6 +46,9 @@
 	minRetryAfter = 40 * time.Millisecond
 	// maxRetryAfter bounds the advised time; predictions beyond it say little.
 	maxRetryAfter = 2 * time.Second
+	// paceLife is the time in which a server's word of its pace loses its weight:
+	// it changes several times a second.
+	paceLife = 400 * time.Millisecond
 	// rateWindow is the span over which the starts of a cold server are counted.
 	rateWindow = time.Second
 )
@@ -81,6 +84,10 @@
 
 	offered map[int64]*offer // work that arrives, by rank
 
+	pace      float64 // how long work takes, 1 being usual, as of paceAt; 0 if never told
+	paceAt    clock.Instant
+	usualPace float64 // mean over the measured runs
+
 	coldUntil clock.Instant
 	coldRate  float64 // starts in rateWindow while cold; 0 means no limit
 	starts    []clock.Instant
@@ -174,8 +181,35 @@
 	return m.value
 }
 
+// SetPace takes in the server's word of how long work takes at this moment, 1 being
+// usual.
+func (q *Queue) SetPace(now clock.Instant, pace float64) {
+	if q.usualPace == 0 {
+		q.usualPace = pace
+	}
+	q.usualPace += smoothing * (pace - q.usualPace)
+	q.pace = pace
+	q.paceAt = now
+}
+
+// Pace returns how long work takes now beside the mean of what was measured, 1 if
+// nothing is known.
+func (q *Queue) Pace(now clock.Instant) float64 {
+	age := now.Sub(q.paceAt)
+	if q.pace == 0 || age >= paceLife {
+		return 1
+	}
+	weight := 1 - float64(age)/float64(paceLife)
+	return 1 + weight*(q.pace/q.usualPace-1)
+}
+
 // service returns the expected service time of a request that starts now.
 func (q *Queue) service(now clock.Instant, name string) time.Duration {
+	return time.Duration(q.Pace(now) * float64(q.usualService(now, name)))
+}
+
+// usualService is service at the usual pace.
+func (q *Queue) usualService(now clock.Instant, name string) time.Duration {
 	warm := q.means[class{name, false}].or(q.Mean())
 	if !q.Cold(now) {
 		return warm
@@ -382,17 +416,19 @@
 	return max(q.starts[0].Add(rateWindow).Sub(now), time.Millisecond)
 }
 
-// Done ends the run of t. A measured run counts for the expected service time.
-func (q *Queue) Done(now clock.Instant, t *Ticket, measured bool) {
+// Done ends the run of t. An answered run counts for the expected service time; one
+// without an answer does if it took longer than expected: the server is at least that
+// slow. Otherwise only the runs that a slow server ends in time would be counted.
+func (q *Queue) Done(now clock.Instant, t *Ticket, answered bool) {
 	i := slices.Index(q.running, t)
 	if i < 0 {
 		return
 	}
 	q.running = slices.Delete(q.running, i, i+1)
-	if !measured {
+	took := now.Sub(t.started)
+	if !answered && took <= q.service(t.started, t.Class) {
 		return
 	}
-	took := now.Sub(t.started)
 	of := class{t.Class, q.Cold(t.started)}
 	if q.means[of] == nil {
 		q.means[of] = &mean{}
--- a/core/runqueue/runqueue_test.go
+++ b/core/runqueue/runqueue_test.go
@@ -157,3 +157,70 @@
 	is.Equal(q.service(start.Add(300*ms), "c"), 200*ms)
 	is.Equal(q.service(start.Add(2*time.Second), "c"), 50*ms)
 }
+
+// A server that says that work takes three times as long gets fewer requests at once
+// and refuses what it cannot answer in time; its word is forgotten soon.
+func TestSlowPaceIsCountedIn(t *testing.T) {
+	is := is.New(t)
+	q := New()
+	q.SetSlots(1)
+	at := clock.Instant(time.Hour)
+	for range 50 { // 100 ms at the usual pace
+		r := &Ticket{Class: "read", Target: at.Add(time.Second), Limit: at.Add(time.Second)}
+		is.Equal(q.Submit(at, r), nil)
+		q.Next(at)
+		at = at.Add(100 * time.Millisecond)
+		q.SetPace(at, 1)
+		q.Done(at, r, true)
+	}
+	short := func() *Ticket {
+		return &Ticket{Class: "read", Target: at.Add(130 * time.Millisecond), Limit: at.Add(150 * time.Millisecond)}
+	}
+	first := short()
+	is.Equal(q.Submit(at, first), nil)
+	is.True(q.Cancel(first))
+	q.SetPace(at, 3)
+	refused := q.Submit(at, short())
+	is.True(refused != nil)
+	is.Equal(refused.Reason, "too little time is left")
+	at = at.Add(paceLife)
+	is.Equal(q.Submit(at, short()), nil)
+}
+
+// A server that has become so slow that runs reach their time limit is known to be:
+// a request that would wait there is refused at once.
+func TestRunsWithoutAnAnswerTeach(t *testing.T) {
+	is := is.New(t)
+	q := New()
+	q.SetSlots(1)
+	at := clock.Instant(time.Hour)
+	submit := func() (*Ticket, *Refusal) {
+		r := &Ticket{Class: "read", Target: at.Add(250 * time.Millisecond), Limit: at.Add(600 * time.Millisecond)}
+		return r, q.Submit(at, r)
+	}
+	run := func(took time.Duration, answered bool) {
+		r, refused := submit()
+		is.Equal(refused, nil)
+		q.Next(at)
+		at = at.Add(took)
+		q.Done(at, r, answered)
+	}
+	for range 50 {
+		run(60*time.Millisecond, true)
+	}
+	_, _ = submit()
+	q.Next(at)
+	waits, refused := submit()
+	is.Equal(refused, nil) // behind one run of 60 ms
+	q.Cancel(waits)
+	q.Done(at.Add(600*time.Millisecond), q.running[0], false)
+	at = at.Add(600 * time.Millisecond)
+	for range 20 {
+		run(600*time.Millisecond, false)
+	}
+	_, refused = submit()
+	is.Equal(refused, nil) // an idle server is tried
+	q.Next(at)
+	_, refused = submit()
+	is.True(refused != nil)
+}
--- a/core/spread/spread.go
+++ b/core/spread/spread.go
@@ -21,6 +21,9 @@
 	reportLife = 300 * time.Millisecond
 	// defaultService is the service time of a server that was not measured yet.
 	defaultService = 60 * time.Millisecond
+	// paceLife is the time in which a report about a server's pace loses its weight:
+	// it changes several times a second.
+	paceLife = 400 * time.Millisecond
 	// failureSmoothing is the weight of one more outcome in the failure rate.
 	failureSmoothing = 0.1
 	// failureMemory is the time in which half of a failure rate is forgotten
@@ -42,6 +45,7 @@
 	sent      int // requests sent from here that are not answered yet
 	load      int // running and waiting when it last reported
 	service   time.Duration
+	pace      float64
 	cold      bool
 	reported  clock.Instant
 	failures  float64 // rate of failed requests, 0 to 1
@@ -52,8 +56,9 @@
 // Report is what an answer tells of its server's load.
 type Report struct {
 	Slots   int
-	Load    int // running and waiting
-	Service time.Duration
+	Load    int           // running and waiting
+	Service time.Duration // at the usual pace
+	Pace    float64       // how long work takes now beside the usual; 0 if not known
 	Cold    bool
 }
 
@@ -67,6 +72,7 @@
 func (s *Server) Reported(now clock.Instant, r Report) {
 	s.load = r.Load
 	s.service = r.Service
+	s.pace = r.Pace
 	s.cold = r.Cold
 	s.reported = now
 	if r.Slots > 0 {
@@ -99,6 +105,16 @@
 	return s.failures / (1 + halves)
 }
 
+// paceNow returns how long work takes beside the usual, as far as that is known.
+func (s *Server) paceNow(now clock.Instant) float64 {
+	age := now.Sub(s.reported)
+	if s.pace == 0 || age >= paceLife {
+		return 1
+	}
+	weight := 1 - float64(age)/float64(paceLife)
+	return 1 + weight*(s.pace-1)
+}
+
 // expected returns the time in which the server is expected to answer.
 func (s *Server) expected(now clock.Instant) time.Duration {
 	service := s.service
@@ -113,7 +129,7 @@
 	slots := max(s.Slots, 1)
 	wait := max(load+1-slots, 0)
 	occupancy := float64(load) / float64(slots)
-	took := float64(service) * (1 + float64(wait)/float64(slots) + 0.2*occupancy)
+	took := s.paceNow(now) * float64(service) * (1 + float64(wait)/float64(slots) + 0.2*occupancy)
 	if s.cold {
 		took *= 2
 	}
--- a/core/spread/spread_test.go
+++ b/core/spread/spread_test.go
@@ -75,3 +75,14 @@
 		is.Equal(n, 2)
 	}
 }
+
+// A server that an unseen neighbour slows at this moment is left to others, and is
+// asked again although nothing new was heard of it.
+func TestSlowPaceOfTheMoment(t *testing.T) {
+	is := is.New(t)
+	servers := []*Server{{Slots: 9}, {Slots: 9}}
+	servers[0].Reported(now, Report{Slots: 9, Service: 50 * ms, Pace: 3})
+	servers[1].Reported(now, Report{Slots: 9, Service: 80 * ms, Pace: 1})
+	is.Equal(Choose(now, servers, never, 100*ms), 1)
+	is.Equal(Choose(now.Add(paceLife), servers, never, 100*ms), 0)
+}
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -209,8 +209,12 @@
 	if left < minRun {
 		return answer.Refusal(outcome.New(outcome.DeadlineNotRun, "too little time is left"))
 	}
+	started := e.clock.Now()
 	resp, answered, err := e.client.run(ctx, r.server, r.request, left)
 	e.noteAnswer(r, resp, answered, err)
+	if outcome.Kind(resp.GetKind()) == outcome.DeadlineMaybeRan {
+		e.load.Served(e.clock.Now().Sub(started)) // at least that slow
+	}
 	resp.Generation = r.token
 	return resp
 }
@@ -227,6 +231,9 @@
 // noteAnswer takes in what an answer, or the lack of one, says of the server.
 func (e *executor) noteAnswer(r *run, resp *wire.Response, answer dialect.BackendAnswer, err error) {
 	kind := outcome.Kind(resp.GetKind())
+	if answer.Pace > 0 {
+		e.turns.setPace(answer.Pace)
+	}
 	switch {
 	case kind == outcome.OK:
 		e.serverAnswered(r.server)
--- a/daemon/plugins/backend/turns.go
+++ b/daemon/plugins/backend/turns.go
@@ -70,11 +70,11 @@
 	return outcome.New(outcome.CancelledNotRun, "cancelled in the queue")
 }
 
-// end ends the run of t. A measured run counts for the expected service time.
-func (q *turns) end(t *runqueue.Ticket, measured bool) {
+// end ends the run of t.
+func (q *turns) end(t *runqueue.Ticket, answered bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.queue.Done(q.clock.Now(), t, measured)
+	q.queue.Done(q.clock.Now(), t, answered)
 	q.dispatch()
 }
 
@@ -102,6 +102,12 @@
 	q.queue.SetCold(until, perS)
 }
 
+func (q *turns) setPace(pace float64) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.queue.SetPace(q.clock.Now(), pace)
+}
+
 // dispatch starts what may run. The caller holds the lock.
 func (q *turns) dispatch() {
 	now := q.clock.Now()
@@ -134,9 +140,11 @@
 func (q *turns) load() *wire.ServerLoad {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	now := q.clock.Now()
 	return &wire.ServerLoad{
 		Slots: uint32(q.queue.Slots()), Running: uint32(q.queue.Running()), Waiting: uint32(q.queue.Waiting()),
-		ServiceUs: uint32(q.queue.Mean().Microseconds()), Cold: q.queue.Cold(q.clock.Now()),
+		ServiceUs: uint32(q.queue.Mean().Microseconds()), Cold: q.queue.Cold(now),
+		PacePercent: uint32(100 * q.queue.Pace(now)),
 	}
 }
 
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -250,7 +250,7 @@
 	x.req.Shard = id.Shard
 	x.req.Generation = shard.Generation
 	target := shard.Owner
-	if t.standby && shard.Standby != nil {
+	if shard.Standby != nil && (t.standby || v.TookOver(id, shard)) {
 		target = shard.Standby
 	}
 	if target == nil {
@@ -331,6 +331,7 @@
 		st.Reported(now, spread.Report{
 			Slots: int(l.GetSlots()), Load: int(l.GetRunning() + l.GetWaiting()),
 			Service: time.Duration(l.GetServiceUs()) * time.Microsecond, Cold: l.GetCold(),
+			Pace: float64(l.GetPacePercent()) / 100,
 		})
 	}
 	switch kind := outcome.Of(err); {
