--- a/core/settings/settings_test.go
+++ b/core/settings/settings_test.go
@@ -65,12 +65,12 @@
 
 func TestPlatformInterfaceNeedsItsAddresses(t *testing.T) {
 	is := is.New(t)
-	text := strings.Replace(validFile, `"slot": "d1"`, `"interface": "platform", "slot": "d1", "bounds": {"drain_s": 0, "cold_overage": 0.5, "retry_extra": -1}`, 1)
+	text := strings.Replace(validFile, `"slot": "d1"`, `"interface": "platform", "slot": "d1", "metrics_addr": "here", "bounds": {"drain_s": 0, "cold_overage": 0.5, "retry_extra": -1, "log_reader_centres": -1}`, 1)
 	_, err := ParseDaemon([]byte(text))
 	is.True(errors.Is(err, ErrInvalid))
 	for _, want := range []string{
 		"ready_addr: ", "announce_addr: ", "backend_service: required", "bounds.drain_s: 0 is not positive",
-		"bounds.cold_overage: 0.5 is below 1", "bounds.retry_extra: -1 is negative",
+		"bounds.cold_overage: 0.5 is below 1", "bounds.retry_extra: -1 is negative", "bounds.log_reader_centres: -1 is negative", "metrics_addr: ",
 	} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("missing %q in %v", want, err)
