The log's stand-in resets the connection where it loses an answer; soak seed 2017

Found by the soak on fresh seeds: two owners of a shard (histories of runs, porcupine). d5's consent was in the log, but the stand-in answered 503 for it, as it did for every answer that it was told to lose. 503 says that nothing was done (docs and the platform's pages), so d5 took the consent back and took the shard over under generation 6, while the new standby had taken it over under 8.

Ruled out: the former owner as standby (its record was read by both), the release, the lease (both sealed the same incarnation by a majority).

The product's rule stays: refused appends are those that the log or the dial refused.

--- a/ctl/emulate/platform/platform.go
+++ b/ctl/emulate/platform/platform.go
@@ -77,7 +77,7 @@
 	}
 	s.mu.Unlock()
 	if lose {
-		c.Status(http.StatusServiceUnavailable)
+		reset(c.Writer) // 503 would say that the record was not taken
 		return
 	}
 	c.JSON(http.StatusOK, gin.H{"offset": offset})
--- a/ctl/scenario/soak_test.go
+++ b/ctl/scenario/soak_test.go
@@ -46,7 +46,10 @@
 var soakRegressions = []struct {
 	seed  uint64
 	cause string
-}{}
+}{
+	{2017, "the stand-in of the log answered 503 for an append that it had taken, a consent, " +
+		"which its author then took back: two owners of a shard"},
+}
 
 // soakSeeds are played by every run of the tests.
 var soakSeeds = []uint64{1, 2, 3, 4}
