daemon/plugins/relay: log from where, how late and with how many bytes a version came

The logs could not tell the hypotheses of docs/incidents/config-out-of-date.md apart: the only line about a version was its number when it was applied. Each read that brings configuration records now logs its source, the offsets, the bytes and the age of the head. After a failed read from a peer the source is the platform, as it is in fact.

--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -98,7 +98,30 @@
 
 // Apply implements kernel.Relay.
 func (r *relay) Apply(stream string, from uint64, batch logstream.Batch, asOf clock.Instant) {
-	r.stores[stream].apply(from, batch, asOf)
+	r.apply(stream, r.sourceOf(stream), from, batch, asOf)
+}
+
+// apply applies the answer to a read. It logs the configuration records that the read
+// brought, with the peer from which they came, "" for the platform.
+func (r *relay) apply(stream, source string, from uint64, batch logstream.Batch, asOf clock.Instant) {
+	added := r.stores[stream].apply(from, batch, asOf)
+	if stream != logstream.ConfigStream || len(added) == 0 {
+		return
+	}
+	bytes := 0
+	for _, e := range added {
+		bytes += len(e.Data)
+	}
+	r.log.Info("configuration read", zap.String("from", cmp.Or(source, "platform")),
+		zap.Uint64("first", added[0].Offset), zap.Uint64("last", added[len(added)-1].Offset), zap.Uint64("next", batch.Next),
+		zap.Int("bytes", bytes), zap.Duration("head_age", r.clock.Now().Sub(asOf)))
+}
+
+// sourceOf returns the peer from which a stream was last read, "" for the platform.
+func (r *relay) sourceOf(stream string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.source[stream]
 }
 
 // Reset implements kernel.Relay.
@@ -117,6 +140,7 @@
 	batch, asOf, err := r.ask(ctx, addr, stream, from, r.maxWait(stream))
 	if err != nil {
 		r.backOff(addr)
+		r.logSource(stream, "")
 		r.log.Info("cannot read records from peer", zap.String("peer", addr), zap.Error(err))
 	}
 	return batch, asOf, err
--- a/daemon/plugins/relay/store.go
+++ b/daemon/plugins/relay/store.go
@@ -54,15 +54,14 @@
 	return s.asOf
 }
 
-// apply applies the answer to a read from offset from on. An answer that would
-// leave a gap is ignored.
-func (s *store) apply(from uint64, batch logstream.Batch, asOf clock.Instant) {
+// apply applies the answer to a read from offset from on, and returns the records
+// that were not known before. An answer that would leave a gap is ignored.
+func (s *store) apply(from uint64, batch logstream.Batch, asOf clock.Instant) (added []logstream.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if from > s.next {
-		return
+		return nil
 	}
-	var added []logstream.Entry
 	for _, e := range batch.Records {
 		if e.Offset < s.next {
 			continue
@@ -79,11 +78,12 @@
 		s.head = batch.Next
 	}
 	if len(added) == 0 && !advanced {
-		return
+		return nil
 	}
 	s.post(control.Records{Stream: s.stream, Entries: added, Next: batch.Next, AsOf: asOf})
 	close(s.changed)
 	s.changed = make(chan struct{})
+	return added
 }
 
 // trim drops the oldest records beyond maxStoreBytes.
--- a/daemon/plugins/relay/survey.go
+++ b/daemon/plugins/relay/survey.go
@@ -104,7 +104,7 @@
 			continue
 		}
 		answered = true
-		s.apply(from, batch, asOf)
+		r.apply(stream, d.PeerAddr, from, batch, asOf)
 		if n := len(batch.Records); n > 0 {
 			r.log.Info("records came by a survey", zap.String("stream", stream), zap.String("peer", d.PeerAddr), zap.Int("records", n))
 		}
