daemon/plugins/relay: surveys listen, and do not wait for unreachable daemons

Cause: a daemon whose knowledge is older than 1.1 s asks a random daemon of each data centre for records, each 300 ms, without waiting. One daemon that could not be reached held up the whole round for 700 ms, so that only two rounds fitted before the bound; each round is a sample of one moment, and may fall on daemons that learn of the version a moment later.

Change: a survey starts each 300 ms whether or not the one before has ended, each round asks another daemon of the data centre instead of a random one, and the daemon asked holds the answer until it learns something or the next survey is due.

Evidence: TestVersionIsLateAtDaemonsThatTheLogRefuses, 65 daemons in 5 data centres, 20 rounds a case, bound 2 s.

--- /dev/null
+++ b/daemon/plugins/relay/fleet_test.go
@@ -0,0 +1,94 @@
+//go:build !race
+
+// The race detector fails in its own code in bubbles of a whole fleet. "make unit" runs
+// this file without it.
+
+package relay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/settings"
+)
+
+// The log refuses some daemons, at once or without an answer, and serves the others; two
+// data centres do not reach each other; and some daemons are lost. A version that is
+// appended then must be in force at all others within 2 s.
+func TestVersionIsLateAtDaemonsThatTheLogRefuses(t *testing.T) {
+	for _, tc := range []refusal{
+		{share: 0.35}, {share: 0.35, silent: true}, {share: 0.9}, {share: 0.9, silent: true},
+		{share: 0.35, silent: true, lost: 0.2}, {share: 0.35, silent: true, bridge: true},
+		{share: 0.35, silent: true, bridge: true, lost: 0.2}, {share: 0, bridge: true, lost: 0.3}, {share: 0.7, bridge: true, lost: 0.3},
+	} {
+		t.Run(fmt.Sprintf("%+v", tc), tc.run)
+	}
+}
+
+// refusal is a disruption of the log and of the daemons.
+type refusal struct {
+	share  float64 // of the daemons, refused by the log
+	silent bool    // the log does not answer these
+	lost   float64 // share of the daemons that are lost
+	bridge bool    // two data centres do not reach each other
+}
+
+// platformBounds are the bounds of the platform interface for configuration reads.
+func platformBounds() settings.Bounds {
+	bounds := settings.Default().Bounds
+	bounds.LogReadersPerCentre = 1
+	bounds.LogReaderCentres = 2
+	bounds.LogWaitMS = 400
+	bounds.LogStaleMS = 1100
+	bounds.LogSurveyMS = 300
+	return bounds
+}
+
+// draw returns a random share of the nodes.
+func (c *cluster) draw(share float64) []*node {
+	var drawn []*node
+	for _, i := range rand.Perm(len(c.daemons))[:int(share*float64(len(c.daemons)))] {
+		drawn = append(drawn, c.nodes[c.daemons[i].Slot])
+	}
+	return drawn
+}
+
+func (r refusal) run(t *testing.T) {
+	const rounds = 20
+	worst := time.Duration(0)
+	for range rounds {
+		runClusterWith(t, 5, 13, platformBounds(), func(t *testing.T, w *cluster) {
+			for _, n := range w.draw(r.share) {
+				n.logSilent.Store(r.silent)
+				n.logCut.Store(true)
+			}
+			for _, n := range w.draw(r.lost) {
+				n.dead.Store(true)
+			}
+			if r.bridge {
+				w.mu.Lock()
+				w.bridge = [2]string{fmt.Sprintf("dc%d", rand.IntN(2)), fmt.Sprintf("dc%d", 2+rand.IntN(3))}
+				w.mu.Unlock()
+			}
+			time.Sleep(rand.N(2 * time.Second))
+			offset := w.append(record)
+			sent := time.Now()
+			time.Sleep(4 * time.Second)
+			for _, n := range w.nodes {
+				if n.dead.Load() {
+					continue
+				}
+				if !n.has(offset) {
+					t.Fatalf("%s does not have the version after 4 s", n.name)
+				}
+				worst = max(worst, n.receivedAt[offset].Sub(sent))
+			}
+		})
+	}
+	t.Logf("latest after %v", worst)
+	is.New(t).True(worst < 2*time.Second)
+}
--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -37,8 +38,10 @@
 	name    string
 	dc      string
 	logCut  atomic.Bool
-	dead    atomic.Bool
-	bytes   atomic.Int64 // of frames sent and received
+	// logSilent means that the log does not answer this node, while logCut is set.
+	logSilent atomic.Bool
+	dead      atomic.Bool
+	bytes     atomic.Int64 // of frames sent and received
 
 	mu         sync.Mutex
 	receivedAt map[uint64]time.Time // when each configuration record arrived, by offset
@@ -56,6 +59,7 @@
 	logDown  atomic.Bool
 	nodes    map[string]*node
 	cut      map[string]bool // data centres whose daemons reach only each other
+	bridge   [2]string       // two data centres that do not reach each other
 	daemons  []view.Daemon
 	starting bool // no daemon is in service; all have announced themselves
 	running  sync.WaitGroup
@@ -95,6 +99,7 @@
 
 // follow reads a stream as the logclient plug-in does.
 func (n *node) follow(ctx context.Context, stream string) {
+	retryDelay := time.Duration(0)
 	for ctx.Err() == nil && !n.dead.Load() {
 		from := n.NextOffset(stream)
 		batch, asOf, err := n.Read(ctx, stream, from)
@@ -103,9 +108,12 @@
 			batch, err = n.cluster.read(ctx, n, stream, from)
 		}
 		if err != nil {
-			time.Sleep(200 * time.Millisecond)
+			backOff := min(max(2*retryDelay, 100*time.Millisecond), 800*time.Millisecond)
+			retryDelay = backOff
+			time.Sleep(backOff + rand.N(backOff))
 			continue
 		}
+		retryDelay = 0
 		n.Apply(stream, from, batch, asOf)
 	}
 }
@@ -118,6 +126,9 @@
 	deadline := time.After(c.wait)
 	for {
 		if c.logDown.Load() || n.logCut.Load() {
+			if n.logSilent.Load() {
+				time.Sleep(c.wait + silentReadMargin)
+			}
 			return logstream.Batch{}, logstream.ErrUnavailable
 		}
 		c.mu.Lock()
@@ -152,6 +163,10 @@
 	return uint64(len(c.records))
 }
 
+// silentReadMargin is the time beyond its wait after which a read without an answer
+// fails.
+const silentReadMargin = 1500 * time.Millisecond
+
 // hopDelay is the one-way delay of a message between daemons.
 const hopDelay = time.Millisecond
 
@@ -160,7 +175,9 @@
 	peer := n.cluster.nodes[addr]
 	n.cluster.mu.Lock()
 	cut := n.dc != peer.dc && (n.cluster.cut[n.dc] || n.cluster.cut[peer.dc])
+	bridge := n.cluster.bridge
 	n.cluster.mu.Unlock()
+	cut = cut || bridge == [2]string{n.dc, peer.dc} || bridge == [2]string{peer.dc, n.dc}
 	if cut || peer.dead.Load() || n.dead.Load() {
 		<-ctx.Done()
 		return nil, errCut
--- a/daemon/plugins/relay/survey.go
+++ b/daemon/plugins/relay/survey.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"go.uber.org/fx"
@@ -17,20 +18,26 @@
 const (
 	// surveyTimeout bounds one survey of the data centres.
 	surveyTimeout = 700 * time.Millisecond
+	// maxSurveyWait is the longest wait of a survey for new configuration at a peer. It
+	// leaves the peer time to answer before surveyTimeout.
+	maxSurveyWait = 300 * time.Millisecond
 )
 
 func startSurvey(lc fx.Lifecycle, r *relay) { kernel.Background(lc, r.surveyLoop) }
 
-// surveyLoop runs a survey every surveyInterval, plus up to a tenth of it, while
-// configStale reports true.
+// surveyLoop starts a survey every surveyInterval, plus up to a tenth of it, while
+// configStale reports true. A survey that waits for an unreachable daemon does not
+// delay the next one.
 func (r *relay) surveyLoop(ctx context.Context) {
-	for {
+	var surveys sync.WaitGroup
+	defer surveys.Wait()
+	for round := rand.Int(); ; round++ {
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(r.surveyInterval + rand.N(r.surveyInterval/10)):
 			if r.configStale() {
-				r.survey(ctx)
+				surveys.Go(func() { r.survey(ctx, round) })
 			} else {
 				r.setLogDown(false, 0, 0)
 			}
@@ -44,11 +51,11 @@
 	return r.clock.Now().Sub(r.configStore().completeAsOf()) > r.surveyAfter
 }
 
-// survey asks one daemon of each data centre for records and the head of the log.
-// When daemons of a majority of the data centres answered and none knew the head
-// as of a recent time, the log is down for all of them, and it cannot have
-// accepted records that are unknown here.
-func (r *relay) survey(ctx context.Context) {
+// survey asks one daemon of each data centre, another one in each round, for records
+// and the head of the log. When daemons of a majority of the data centres answered and
+// none knew the head as of a recent time, the log is down for all of them, and it
+// cannot have accepted records that are unknown here.
+func (r *relay) survey(ctx context.Context, round int) {
 	started := r.clock.Now()
 	daemons := r.control.View().Daemons
 	names := dataCentres(daemons)
@@ -56,7 +63,7 @@
 	defer cancel()
 	answers := make(chan bool, len(names))
 	for _, name := range names {
-		go func() { answers <- r.surveyDataCentre(ctx, inDataCentre(daemons, name)) }()
+		go func() { answers <- r.surveyDataCentre(ctx, inDataCentre(daemons, name), round) }()
 	}
 	reached := 0
 	for range names {
@@ -88,18 +95,23 @@
 // log is down.
 func isMajority(reached, total int) bool { return 2*reached > total }
 
-// surveyDataCentre reads from a random daemon of the list and reports whether its
+// surveyDataCentre reads from the round's daemon of the list and reports whether its
 // data centre counts as reached: the daemon answered, or the data centre is this
-// daemon's own.
-func (r *relay) surveyDataCentre(ctx context.Context, list []view.Daemon) bool {
-	d := list[rand.IntN(len(list))]
+// daemon's own. The daemon asked waits for new configuration, so that a record that it
+// learns in the meantime does not have to wait for the next survey.
+func (r *relay) surveyDataCentre(ctx context.Context, list []view.Daemon, round int) bool {
+	d := list[round%len(list)]
 	if d.Slot == r.slot {
 		return true
 	}
 	answered := d.DataCentre == r.dataCentre
 	for stream, s := range r.stores {
+		wait := time.Duration(0)
+		if stream == logstream.ConfigStream {
+			wait = min(r.surveyInterval, maxSurveyWait)
+		}
 		from := s.position()
-		batch, asOf, err := r.ask(ctx, d.PeerAddr, stream, from, 0)
+		batch, asOf, err := r.ask(ctx, d.PeerAddr, stream, from, wait)
 		if err != nil {
 			continue
 		}
