daemon/plugins/gateway: a daemon that starts serves nobody before it knows the newest version

What callers saw: 401, 404 and old services from a daemon that had started some seconds before, for up to 2.5 s after newer versions were confirmed.

Cause: a daemon that starts reads the versions of the past one after the other, and was ready from the first on.

Change: it refuses with 503 (not run), and its readiness is off, until it has read the stream to its head once. What makes the catching up slow is another matter.

Evidence: TestStartingDaemonHandlesRequestsByOldVersion, red before: ready, and 200.

--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -115,11 +115,18 @@
 	edge.Listen(lc, srv, "gateway: probes", set.ReadyAddr)
 }
 
-// ready reports whether callers should use this daemon: it has a configuration
-// and is not leaving.
+// ready reports whether callers should use this daemon: it knows the configuration and
+// is not leaving.
 func (g *gateway) ready() bool {
 	v := g.control.View()
-	return v.ConfigVersion > 0 && !v.Leaving
+	return configKnown(v) && !v.Leaving
+}
+
+// configKnown reports whether the daemon has read the configuration up to its newest
+// version at least once. While a daemon that starts catches up, the versions that it
+// has applied are those of the past.
+func configKnown(v *view.View) bool {
+	return v.ConfigVersion > 0 && v.ConfigFreshness.Known() != 0
 }
 
 // hash returns the keyed hash of a caller key.
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -114,6 +114,8 @@
 
 func newFakeDaemon() *fakeDaemon {
 	priority := uint32(0)
+	freshness := view.NewFreshness(1)
+	freshness.Advance(1)
 	cfg := &fleet.Config{
 		Services: map[string]fleet.Service{"front": {Shards: 1, KeySpace: 16}, "back": {Keyless: true}, "new": {Keyless: true}},
 		HostRoutes: []fleet.HostRoute{
@@ -132,7 +134,7 @@
 			{Owner: member(2, "a"), Standby: member(3, "b"), Generation: 4}}}},
 		Servers: map[string][]*view.Member{"back": {member(4, "a"), member(5, "b"), member(6, "b")}, "new": {member(7, "a")}},
 		Daemons: make([]view.Daemon, 4),
-		Lease:   new(view.LeaseCell), ConfigFreshness: view.NewFreshness(1),
+		Lease:   new(view.LeaseCell), ConfigFreshness: freshness,
 	}}
 }
 
@@ -233,6 +235,22 @@
 	is.True(resp.Header.Get("Retry-After") != "")
 }
 
+// A daemon that starts reads the versions of the past before the newest one. It must not
+// handle requests by them.
+func TestStartingDaemonHandlesRequestsByOldVersion(t *testing.T) {
+	is := is.New(t)
+	s := newFakeDaemon()
+	s.view.ConfigFreshness = view.NewFreshness(1) // the newest version is not known yet
+	g := &gateway{control: s}
+	is.True(!g.ready())
+	resp := send(t, newTestGateway(t, s), "GET", "/read/1")
+	is.Equal(resp.StatusCode, 503)
+	is.Equal(send(t, newTestGateway(t, s), "GET", "/nowhere/1").StatusCode, 503)
+	s.view.ConfigFreshness.Advance(1)
+	is.True(g.ready())
+	is.Equal(send(t, newTestGateway(t, s), "GET", "/read/1").StatusCode, 200)
+}
+
 // A request that is not idempotent is never sent again once it may have run, and
 // its status does not claim that it did not run.
 func TestNonIdempotentRequestIsNotResent(t *testing.T) {
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -74,7 +74,7 @@
 	}
 	v := g.control.View()
 	x.configVersion = v.ConfigVersion
-	if v.ConfigVersion == 0 || v.Hosts == nil {
+	if !configKnown(v) || v.Hosts == nil {
 		return nil, outcome.New(outcome.ConfigStale, "no configuration is known yet")
 	}
 	if err := g.applyRoute(v, r, x, decoded); err != nil {
