daemon/plugins/relay: do not pass on versions that a newer one replaces

Cause: a daemon held all versions of the past for its followers, up to 4 MB, and passed each on. Links there carry 10 Mbit/s: a version of 125 KB takes 0.1 s for each of three followers, on four levels. Followers that read more slowly than versions came fell behind ever more, and a daemon that started got all versions first.

Change: whole versions before the newest one leave the store of the relay. A follower gets the newest next; records of other kinds stay.

--- a/daemon/plugins/relay/fleet_test.go
+++ b/daemon/plugins/relay/fleet_test.go
@@ -92,3 +92,33 @@
 	t.Logf("latest after %v", worst)
 	is.New(t).True(worst < 2*time.Second)
 }
+
+// Large versions follow one another quickly, and each daemon's link has 10 Mbit/s. Each
+// version, or one after it, must be in force at all daemons within 2.5 s.
+func TestVersionIsLateWhenLargeOnesFollowOneAnother(t *testing.T) {
+	const versions, interval = 20, 250 * time.Millisecond
+	for _, size := range []int{30_000, 125_000} {
+		t.Run(fmt.Sprintf("%d", size), func(t *testing.T) {
+			runClusterWith(t, 5, 13, platformBounds(), func(t *testing.T, w *cluster) {
+				w.linkBytesPerS = 10e6 / 8
+				sent := map[uint64]time.Time{}
+				for i := range versions {
+					sent[w.append(published(t, uint64(i+1), size))] = time.Now()
+					time.Sleep(interval)
+				}
+				time.Sleep(10 * time.Second)
+				worst := time.Duration(0)
+				for _, n := range w.nodes {
+					for offset, at := range sent {
+						if !n.has(offset) {
+							t.Fatalf("%s does not have version %d after 10 s", n.name, offset)
+						}
+						worst = max(worst, n.receivedAt[offset].Sub(at))
+					}
+				}
+				t.Logf("latest after %v", worst)
+				is.New(t).True(worst < 2500*time.Millisecond)
+			})
+		})
+	}
+}
--- a/daemon/plugins/relay/store.go
+++ b/daemon/plugins/relay/store.go
@@ -1,9 +1,12 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
@@ -33,7 +36,10 @@
 	asOf    clock.Instant
 	entries []logstream.Entry
 	bytes   int
-	changed chan struct{} // closed and replaced when records or asOf advance
+	// published is the offset of the newest whole version of the configuration; 0 if
+	// there is none.
+	published uint64
+	changed   chan struct{} // closed and replaced when records or asOf advance
 }
 
 func newStore(stream string, post func(control.Event)) *store {
@@ -71,6 +77,7 @@
 		s.bytes += len(e.Data)
 	}
 	s.entries = append(s.entries, added...)
+	s.dropSuperseded(added)
 	s.trim()
 	advanced := asOf > s.asOf && s.next >= batch.Next
 	if advanced {
@@ -86,6 +93,33 @@
 	return added
 }
 
+// dropSuperseded drops the records that have no effect beside the added ones: whole
+// versions of the configuration before the newest. So a peer that starts, or that reads
+// more slowly than versions come, gets the newest one next.
+func (s *store) dropSuperseded(added []logstream.Entry) {
+	if s.stream != logstream.ConfigStream {
+		return
+	}
+	for _, e := range added {
+		if isPublished(e.Data) {
+			s.published = e.Offset
+		}
+	}
+	s.entries = slices.DeleteFunc(s.entries, func(e logstream.Entry) bool {
+		superseded := e.Offset < s.published && isPublished(e.Data)
+		if superseded {
+			s.bytes -= len(e.Data)
+		}
+		return superseded
+	})
+}
+
+// isPublished reports whether the record is a whole version of the configuration.
+func isPublished(data []byte) bool {
+	rec := new(wire.Record)
+	return proto.Unmarshal(data, rec) == nil && rec.GetPublished() != nil
+}
+
 // trim drops the oldest records beyond maxStoreBytes.
 func (s *store) trim() {
 	drop := 0
@@ -102,7 +136,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.first, s.next, s.head, s.asOf = first, first, 0, 0
-	s.entries, s.bytes = nil, 0
+	s.entries, s.bytes, s.published = nil, 0, 0
 	s.post(control.Trimmed{Stream: s.stream, First: first})
 }
 
