daemon/plugins/relay: compress large records for followers

What callers could see: versions of more than 125 KB that follow one another quickly were in force too late where links carry 10 Mbit/s, and filled these links.

Cause: a version passes four levels of the tree uncompressed, to three followers each.

Change: a follower that says it decodes them gets records of 4 KB or more compressed (RFC 1951, BestSpeed), compressed once for all followers. Daemons of the version before do not say so, and get them as before.

--- a/daemon/plugins/relay/fleet_test.go
+++ b/daemon/plugins/relay/fleet_test.go
@@ -97,7 +97,7 @@
 // version, or one after it, must be in force at all daemons within 2.5 s.
 func TestVersionIsLateWhenLargeOnesFollowOneAnother(t *testing.T) {
 	const versions, interval = 20, 250 * time.Millisecond
-	for _, size := range []int{30_000, 125_000} {
+	for _, size := range []int{30_000, 125_000, 250_000} {
 		t.Run(fmt.Sprintf("%d", size), func(t *testing.T) {
 			runClusterWith(t, 5, 13, platformBounds(), func(t *testing.T, w *cluster) {
 				w.linkBytesPerS = 10e6 / 8
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -205,7 +205,7 @@
 	defer cancel()
 	sent := r.clock.Now()
 	frame, err := r.peers.Call(ctx, addr, &wire.Frame{Body: &wire.Frame_ReadRecords{ReadRecords: &wire.ReadRecords{
-		Stream: stream, From: from, Max: maxAnswerRecords, WaitMs: uint32(wait.Milliseconds())}}})
+		Stream: stream, From: from, Max: maxAnswerRecords, WaitMs: uint32(wait.Milliseconds()), AcceptDeflate: true}}})
 	if err != nil {
 		return logstream.Batch{}, 0, fmt.Errorf("relay: %s: %w", addr, err)
 	}
@@ -218,7 +218,11 @@
 	}
 	batch := logstream.Batch{First: answer.GetFirst(), Next: answer.GetNext()}
 	for _, e := range answer.GetEntries() {
-		batch.Records = append(batch.Records, logstream.Entry{Offset: e.GetOffset(), Data: e.GetData()})
+		data, err := recordOf(e)
+		if err != nil {
+			return logstream.Batch{}, 0, fmt.Errorf("relay: %s: %w", addr, err)
+		}
+		batch.Records = append(batch.Records, logstream.Entry{Offset: e.GetOffset(), Data: data})
 	}
 	if answer.GetNext() == 0 {
 		return batch, 0, nil
@@ -240,6 +244,9 @@
 	wait := min(time.Duration(req.GetWaitMs())*time.Millisecond, r.maxWait(req.GetStream()))
 	wake := req.GetStream() == logstream.ConfigStream
 	batch := s.poll(r.clock.Now, req.GetFrom(), int(req.GetMax()), wait, wake, ctx.Done())
+	if req.GetAcceptDeflate() {
+		s.deflate(batch)
+	}
 	return &wire.Frame{Body: &wire.Frame_RecordBatch{RecordBatch: batch}}
 }
 
--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -599,3 +599,24 @@
 		}
 	})
 }
+
+func TestLargeRecordsAreCompressedForPeersThatDecodeThem(t *testing.T) {
+	is := is.New(t)
+	s := newStore(logstream.ConfigStream, func(control.Event) {})
+	large := published(t, 1, 100_000)
+	s.apply(1, logstream.Batch{Next: 3, Records: []logstream.Entry{{Offset: 1, Data: large}, {Offset: 2, Data: record}}}, 1)
+	batch := s.batch(1, maxAnswerRecords)
+	s.deflate(batch)
+	is.True(batch.GetEntries()[0].GetDeflated())
+	is.True(len(batch.GetEntries()[0].GetData()) < len(large)/3)
+	is.True(!batch.GetEntries()[1].GetDeflated())
+	data, err := recordOf(batch.GetEntries()[0])
+	is.NoErr(err)
+	is.Equal(data, large)
+	data, err = recordOf(batch.GetEntries()[1])
+	is.NoErr(err)
+	is.Equal(data, record)
+	is.Equal(s.batch(1, maxAnswerRecords).GetEntries()[0].GetData(), large) // for peers that do not decode
+	_, err = recordOf(&wire.LogEntry{Offset: 1, Data: []byte("not compressed"), Deflated: true})
+	is.True(err != nil)
+}
--- a/daemon/plugins/relay/store.go
+++ b/daemon/plugins/relay/store.go
@@ -39,7 +39,11 @@
 	// published is the offset of the newest whole version of the configuration; 0 if
 	// there is none.
 	published uint64
-	changed   chan struct{} // closed and replaced when records or asOf advance
+	// compressed is the newest large record in compressed form, which each follower is
+	// sent.
+	compressed *wire.LogEntry
+	deflating  sync.Mutex    // guards compressed
+	changed    chan struct{} // closed and replaced when records or asOf advance
 }
 
 func newStore(stream string, post func(control.Event)) *store {
@@ -171,6 +175,29 @@
 	}
 }
 
+// deflate compresses the large records of a batch.
+func (s *store) deflate(batch *wire.RecordBatch) {
+	for i, e := range batch.GetEntries() {
+		if len(e.GetData()) >= minDeflateBytes {
+			batch.Entries[i] = s.deflated(e)
+		}
+	}
+}
+
+// deflated returns a record in compressed form, if that is smaller.
+func (s *store) deflated(e *wire.LogEntry) *wire.LogEntry {
+	s.deflating.Lock()
+	defer s.deflating.Unlock()
+	if c := s.compressed; c != nil && c.GetOffset() == e.GetOffset() {
+		return c
+	}
+	if data := deflate(e.GetData()); data != nil {
+		e = &wire.LogEntry{Offset: e.GetOffset(), Data: data, Deflated: true}
+	}
+	s.compressed = e
+	return e
+}
+
 // batch returns the records held from offset from on, and none if that record
 // was trimmed. Next is 0 as long as the head is unknown.
 func (s *store) batch(from uint64, limit int) *wire.RecordBatch {
