daemon/plugins/gateway: weighted routes begin at a random place of their cycle

What callers could see: with many daemons and few requests of a weighted route at each, the targets' shares were off their weights (50/50: the first request of every daemon goes to the first target).

Cause: every daemon began the smooth round robin of a route at the same place.

Change: a daemon skips a random number of picks when it first sees the route.

Evidence: TestWeightsAreMissedWithFewRequestsAtEachDaemon (2000 daemons, 2 requests each, within 0.05 of the weights), red before.

--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -51,6 +52,10 @@
 	// maxCachedKeys bounds the number of caller keys with a cached hash; a full
 	// cache is cleared.
 	maxCachedKeys = 4096
+	// maxSkippedPicks bounds the random number of picks by which daemons differ in the
+	// cycle of a weighted route. If all began at its start, a route with few requests at
+	// each of many daemons would not keep its weights.
+	maxSkippedPicks = 1000
 )
 
 // gateway is the HTTP handler for callers.
@@ -166,7 +171,16 @@
 	if len(credits) != len(r.Targets) {
 		credits = make([]float64, len(r.Targets))
 		w.credits[r.Name] = credits
+		for range rand.IntN(maxSkippedPicks) {
+			pickTarget(r, credits)
+		}
 	}
+	return r.Targets[pickTarget(r, credits)].Service
+}
+
+// pickTarget returns the index of the route's target with the most credit, and updates
+// the credits.
+func pickTarget(r *fleet.HostRoute, credits []float64) int {
 	total := 0.0
 	best := 0
 	for i, t := range r.Targets {
@@ -177,7 +191,7 @@
 		}
 	}
 	credits[best] -= total
-	return r.Targets[best].Service
+	return best
 }
 
 // team returns the team of a caller key, or false if the key is unknown.
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -379,6 +380,26 @@
 	is.Equal(toNew, 10)
 }
 
+// Each of many daemons gets few requests of a route. All of them together must still be
+// distributed by the weights.
+func TestWeightsAreMissedWithFewRequestsAtEachDaemon(t *testing.T) {
+	is := is.New(t)
+	const daemons, requests, tolerance = 2000, 2, 0.05
+	for _, weights := range [][2]float64{{90, 10}, {50, 50}, {70, 30}} {
+		route := &fleet.HostRoute{Name: "split", Targets: []fleet.WeightedRoute{{Service: "a", Weight: weights[0]}, {Service: "b", Weight: weights[1]}}}
+		toSecond := 0.0
+		for range daemons {
+			w := newWeightedRoundRobin()
+			for range requests {
+				if w.pick(route) == "b" {
+					toSecond++
+				}
+			}
+		}
+		is.True(math.Abs(toSecond/(daemons*requests)-weights[1]/100) < tolerance)
+	}
+}
+
 func TestTeamOverRateIsRefused(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
