--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -232,7 +232,7 @@
 			if e.Stream != logstream.ConfigStream {
 				continue
 			}
-			if entry.Offset <= n.last || entry.Offset != n.last+1 && !isPublished(entry.Data) {
+			if entry.Offset <= n.last || entry.Offset != n.last+1 && publishedVersion(entry.Data) == 0 {
 				n.cluster.t.Errorf("%s: record %d after %d", n.name, entry.Offset, n.last)
 			}
 			for n.last < entry.Offset { // a whole version stands for those before it
--- a/daemon/plugins/relay/store.go
+++ b/daemon/plugins/relay/store.go
@@ -36,9 +36,9 @@
 	asOf    clock.Instant
 	entries []logstream.Entry
 	bytes   int
-	// published is the offset of the newest whole version of the configuration; 0 if
-	// there is none.
-	published uint64
+	// published is the offset of the newest whole version of the configuration, and
+	// publishedVersion its number; 0 if there is none.
+	published, publishedVersion uint64
 	// compressed is the newest large record in compressed form, which each follower is
 	// sent.
 	compressed *wire.LogEntry
@@ -104,13 +104,17 @@
 	if s.stream != logstream.ConfigStream {
 		return
 	}
+	before := s.published
 	for _, e := range added {
-		if isPublished(e.Data) {
-			s.published = e.Offset
+		if version := publishedVersion(e.Data); version > s.publishedVersion {
+			s.published, s.publishedVersion = e.Offset, version
 		}
 	}
+	if s.published == before {
+		return
+	}
 	s.entries = slices.DeleteFunc(s.entries, func(e logstream.Entry) bool {
-		superseded := e.Offset < s.published && isPublished(e.Data)
+		superseded := e.Offset < s.published && publishedVersion(e.Data) != 0
 		if superseded {
 			s.bytes -= len(e.Data)
 		}
@@ -118,10 +122,13 @@
 	})
 }
 
-// isPublished reports whether the record is a whole version of the configuration.
-func isPublished(data []byte) bool {
+// publishedVersion returns the version that a record publishes as a whole, or 0.
+func publishedVersion(data []byte) uint64 {
 	rec := new(wire.Record)
-	return proto.Unmarshal(data, rec) == nil && rec.GetPublished() != nil
+	if proto.Unmarshal(data, rec) != nil {
+		return 0
+	}
+	return rec.GetPublished().GetVersion()
 }
 
 // trim drops the oldest records beyond maxStoreBytes.
@@ -140,7 +147,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.first, s.next, s.head, s.asOf = first, first, 0, 0
-	s.entries, s.bytes, s.published = nil, 0, 0
+	s.entries, s.bytes, s.published, s.publishedVersion = nil, 0, 0, 0
 	s.post(control.Trimmed{Stream: s.stream, First: first})
 }
 
