Backend servers' limits: no more requests than the rate that a server names

Cause: the limit in a response was not read, and the queue of the daemon beside the server had a rate for cold servers only.

The run queue starts no more than that, over callers, retries and nested requests, because only this daemon sends to its server. What has no room is refused at once with a delay at which the rate has room, each refusal one request later than the one before; within a rank the team that got least goes first, and a class that got less than half of the average goes before all. Without keys others of the service are chosen by when the limit has room; with keys the runs count with the time for which the limit occupies a slot, so that shards move. Daemons that passed a response on send the limit along with later requests, and a daemon that starts beside a server sends one request at a time until the first response, so that a restart does not lose it.

--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -53,6 +53,7 @@
 	failures    float64       // failure rate as of failureAt, 0 to 1
 	failureAt   clock.Instant
 	avoidUntil  clock.Instant // until then chosen only if there is no other server
+	nextStart   clock.Instant // earliest start of one more request under the server's limit
 }
 
 // Report is the load report of a server, sent with a response.
@@ -62,6 +63,9 @@
 	Service  time.Duration // service time at typical speed
 	Slowdown float64       // factor on service times: 1 is typical, 3 means three times as long; 0 if not known
 	Cold     bool
+	// NextStart is the time until the limit that the server names allows one more
+	// request; 0 if it names none.
+	NextStart time.Duration
 }
 
 // Sent records that a request was sent to the server.
@@ -77,6 +81,7 @@
 	s.slowdown = r.Slowdown
 	s.cold = r.Cold
 	s.reported = now
+	s.nextStart = now.Add(r.NextStart)
 	if r.Slots > 0 {
 		s.Slots = r.Slots
 	}
@@ -143,7 +148,7 @@
 		predicted *= 2
 	}
 	successRate := max(1-s.failureRate(now), 0.05)
-	return time.Duration(predicted / (successRate * successRate))
+	return max(s.nextStart.Sub(now), 0) + time.Duration(predicted/(successRate*successRate))
 }
 
 // Choose returns the index of the server to send a request to, or -1 if skip holds
--- a/core/loadbalance/loadbalance_test.go
+++ b/core/loadbalance/loadbalance_test.go
@@ -89,3 +89,18 @@
 	is.Equal(Choose(now, servers, skipNone, 100*ms), 1)
 	is.Equal(Choose(now.Add(slowdownMaxAge), servers, skipNone, 100*ms), 0)
 }
+
+// A server that names a limit gets no request that its limit has no room for while another
+// server has.
+func TestRequestsBeyondTheLimitStayWithTheServer(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Second)
+	limited, far := &Server{Near: true, Slots: 4}, &Server{Slots: 4}
+	far.ApplyReport(now, Report{Slots: 4, Service: 50 * time.Millisecond})
+	limited.ApplyReport(now, Report{Slots: 4, Service: 50 * time.Millisecond, NextStart: 500 * time.Millisecond})
+	servers := []*Server{limited, far}
+	none := func(int) bool { return false }
+	is.Equal(Choose(now, servers, none, 300*time.Millisecond), 1)
+	later := now.Add(500 * time.Millisecond) // the limit has room again
+	is.Equal(Choose(later, servers, none, 300*time.Millisecond), 0)
+}
--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -59,6 +59,10 @@
 	// the server's machine relative to the typical duration. 1 is typical, larger is
 	// slower, 0 is unspecified.
 	Slowdown float64
+	// LimitPerS is the limit that the server names, in requests per second: it takes no
+	// more from all daemons together. It is valid if Limited is set.
+	LimitPerS float64
+	Limited   bool
 }
 
 // KeyRange is a range of numeric keys with its fencing token.
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -61,6 +61,7 @@
 // Ticket is one request. The exported fields are set by the caller.
 type Ticket struct {
 	Class    string        // requests of a class have similar service times
+	Team     string        // team of the caller; "" if there is none
 	Nested   bool          // a running request on another server waits for it
 	Priority uint32        // 0 is the highest
 	Target   clock.Instant // latency objective: an answer up to this time has full value
@@ -96,24 +97,30 @@
 	coldUntil clock.Instant
 	coldRate  float64         // maximum starts per rateWindow while cold; 0 means no limit
 	starts    []clock.Instant // recent starts, oldest first
+
+	limited // rate that the server names
 }
 
 // New returns a queue for a server without slots. Nothing runs before SetSlots is
 // called.
 func New() *Queue {
-	return &Queue{means: map[class]*mean{}, offered: map[int64]*offeredLoad{}}
+	return &Queue{means: map[class]*mean{}, offered: map[int64]*offeredLoad{}, limited: newLimited()}
 }
 
 // offeredLoad is the load of one rank: an exponentially decaying average of the
 // number of slots that its arrivals keep busy.
 type offeredLoad struct {
-	slots float64
-	at    clock.Instant // time of the last update
+	slots    float64
+	requests float64       // arrivals within offeredWindow
+	at       clock.Instant // time of the last update
 }
 
-// now returns the offered load at the given time, in slots.
-func (o *offeredLoad) now(now clock.Instant) float64 {
-	return o.slots * math.Exp(-float64(now.Sub(o.at))/float64(offeredWindow))
+// decay updates the averages to the given time.
+func (o *offeredLoad) decay(now clock.Instant) {
+	factor := math.Exp(-float64(now.Sub(o.at)) / float64(offeredWindow))
+	o.slots *= factor
+	o.requests *= factor
+	o.at = now
 }
 
 // recordArrival adds the expected service time of a request to the offered load.
@@ -123,21 +130,29 @@
 		o = &offeredLoad{}
 		q.offered[rank(t)] = o
 	}
-	o.slots = o.now(now) + float64(q.serviceTime(now, t.Class))/float64(offeredWindow)
-	o.at = now
+	o.decay(now)
+	o.slots += float64(q.serviceTime(now, t.Class)) / float64(offeredWindow)
+	o.requests++
+	q.recordAsked(now, t)
 }
 
 // spareShare returns the share of the slots that is left for t by arrivals that run
 // before it: those with a lower rank than t, or all arrivals if t can no longer meet
 // its objective (late). It is at least minSpareShare.
 func (q *Queue) spareShare(now clock.Instant, t *Ticket, late bool) float64 {
-	busy := 0.0
+	busy, requests := 0.0, 0.0
 	for other, o := range q.offered {
-		if late || other < rank(t) {
-			busy += o.now(now)
+		if late || other < q.rank(now, t) {
+			o.decay(now)
+			busy += o.slots
+			requests += o.requests
 		}
 	}
-	return max(1-busy/float64(max(q.slots, 1)), minSpareShare)
+	spare := 1 - busy/float64(max(q.slots, 1))
+	if perS := q.limit.PerS(); perS > 0 {
+		spare = min(spare, 1-requests/offeredWindow.Seconds()/perS)
+	}
+	return max(spare, minSpareShare)
 }
 
 // SetSlots sets the number of requests that the server can run at once.
@@ -239,7 +254,7 @@
 	start, finish := q.predict(now, t)
 	q.recordArrival(now, t)
 	if reason := refusalReason(now, start, finish, t); reason != "" {
-		return &Refusal{Ticket: t, Reason: reason, RetryAfter: retryAfter(now, finish, t)}
+		return q.refuse(now, finish, t, reason)
 	}
 	i, _ := slices.BinarySearchFunc(q.waiting, t, q.order(now))
 	q.waiting = slices.Insert(q.waiting, i, t)
@@ -273,6 +288,16 @@
 	return ""
 }
 
+// refuse returns the refusal of a ticket.
+func (q *Queue) refuse(now, finish clock.Instant, t *Ticket, reason string) *Refusal {
+	delay := retryAfter(now, finish, t)
+	if limited := q.limitedRetryAfter(now); limited > delay {
+		delay = min(limited, maxRetryAfter)
+		reason += " under the limit that the server names"
+	}
+	return &Refusal{Ticket: t, Reason: reason, RetryAfter: delay}
+}
+
 // retryAfter returns the advised retry delay: the time by which the predicted
 // finish exceeds the objective, or now if the objective has passed, between
 // minRetryAfter and maxRetryAfter.
@@ -286,7 +311,8 @@
 	return func(a, b *Ticket) int {
 		return cmp.Or(
 			cmp.Compare(q.late(now, a), q.late(now, b)),
-			cmp.Compare(rank(a), rank(b)),
+			cmp.Compare(q.rank(now, a), q.rank(now, b)),
+			q.compareTeams(now, a, b),
 			cmp.Compare(a.Target, b.Target),
 			cmp.Compare(a.number, b.number),
 		)
@@ -307,25 +333,30 @@
 // another server.
 func rank(t *Ticket) int64 {
 	if t.Nested {
-		return -1
+		return nestedRank
 	}
 	return int64(t.Priority)
 }
 
+// nestedRank is the rank of nested tickets.
+const nestedRank = -1
+
 // predictStart returns the time at which t would start if no other request
 // arrived.
 func (q *Queue) predictStart(now clock.Instant, t *Ticket) clock.Instant {
 	free := q.freeAt(now)
 	order := q.order(now)
+	ahead := 0
 	for _, w := range q.waiting {
 		if order(w, t) < 0 {
 			occupy(free, q.serviceTime(now, w.Class))
+			ahead++
 		}
 	}
 	if len(free) == 0 {
 		return now.Add(maxRetryAfter)
 	}
-	return max(slices.Min(free), q.coldStart(now))
+	return max(slices.Min(free), q.coldStart(now), q.limit.Next(now, ahead))
 }
 
 // freeAt returns for each slot the time at which it is expected to be free.
@@ -397,6 +428,8 @@
 		t.started = now
 		q.running = append(q.running, t)
 		q.starts = append(q.starts, now)
+		q.limit.Take(now)
+		q.recordStart(now, t)
 		started = append(started, t)
 	}
 	return started, refused
@@ -407,37 +440,49 @@
 func (q *Queue) expire(now clock.Instant) []Refusal {
 	var refused []Refusal
 	free := q.freeAt(now)
+	ahead := 0
 	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
-		start := now
+		start := q.limit.Next(now, ahead)
 		if len(free) > 0 {
-			start = slices.Min(free)
+			start = max(start, slices.Min(free))
 		}
 		finish := start.Add(q.serviceTime(now, t.Class))
 		reason := refusalReason(now, start, finish, t)
 		if reason == "" {
 			occupy(free, q.serviceTime(now, t.Class))
+			ahead++
 			return false
 		}
-		refused = append(refused, Refusal{Ticket: t, Reason: reason, RetryAfter: retryAfter(now, finish, t)})
+		refused = append(refused, *q.refuse(now, finish, t, reason))
 		return true
 	})
 	return refused
 }
 
-// mayStart reports whether the start rate allows one more start. Only a cold server
-// has a limit.
+// mayStart reports whether the rates of a cold server and of a server that names a limit
+// allow one more start.
 func (q *Queue) mayStart(now clock.Instant) bool {
+	return q.mayStartCold(now) && q.mayStartLimited(now)
+}
+
+// mayStartCold reports whether the rate of a cold server allows one more start.
+func (q *Queue) mayStartCold(now clock.Instant) bool {
 	recent := q.recentStarts(now)
 	return !q.Cold(now) || q.coldRate <= 0 || float64(recent) < q.coldRate
 }
 
-// ColdDelay returns the time until Dispatch may start a ticket that waits for the start rate
-// of a cold server although a slot is free, or 0 if there is no such ticket.
-func (q *Queue) ColdDelay(now clock.Instant) time.Duration {
+// StartDelay returns the time until Dispatch may start a ticket that waits for the rate
+// of a cold server or of one that names a limit although a slot is free, or 0 if there is
+// no such ticket.
+func (q *Queue) StartDelay(now clock.Instant) time.Duration {
 	if len(q.waiting) == 0 || len(q.running) >= q.slots || q.mayStart(now) {
 		return 0
 	}
-	return max(q.starts[0].Add(rateWindow).Sub(now), time.Millisecond)
+	delay := time.Millisecond
+	if !q.mayStartCold(now) {
+		delay = max(delay, q.starts[0].Add(rateWindow).Sub(now))
+	}
+	return max(delay, q.limitDelay(now))
 }
 
 // Done ends the run of t. The duration of an answered run is added to the mean
--- a/daemon/plugins/backend/admission.go
+++ b/daemon/plugins/backend/admission.go
@@ -103,6 +103,52 @@
 	a.queue.SetCold(until, perS)
 }
 
+// restart starts anew with another boot of the server.
+func (a *admission) restart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Restart(a.clock.Now())
+}
+
+// observeLimit applies the limit in a response to a request that was sent at sent. It
+// reports whether the limit changed.
+func (a *admission) observeLimit(sent clock.Instant, perS float64, named bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.queue.LimitPerS()
+	a.queue.ObserveLimit(a.clock.Now(), sent, perS, named)
+	return a.queue.LimitPerS() != before
+}
+
+// learnLimit applies a limit that another daemon passed on. It reports whether the limit
+// changed.
+func (a *admission) learnLimit(perS float64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.queue.LimitPerS()
+	a.queue.LearnLimit(a.clock.Now(), perS)
+	return a.queue.LimitPerS() != before
+}
+
+// limitPerS returns the limit that the server names, in requests per second, or 0.
+func (a *admission) limitPerS() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.LimitPerS()
+}
+
+// serviceTime returns the time for which a run that took the given time occupies a slot.
+// Under the server's limit it is at least the time for which a slot serves one request.
+func (a *admission) serviceTime(took time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	perS := a.queue.LimitPerS()
+	if perS == 0 {
+		return took
+	}
+	return max(took, time.Duration(float64(a.queue.Slots())/perS*float64(time.Second)))
+}
+
 func (a *admission) setSlowdown(slowdown float64) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -110,7 +156,7 @@
 }
 
 // dispatch starts the tickets that may run, refuses those that cannot finish in
-// time, and schedules the next dispatch for a cold server. The caller holds the
+// time, and schedules the next dispatch for a cold or limited server. The caller holds the
 // lock.
 func (a *admission) dispatch() {
 	now := a.clock.Now()
@@ -121,7 +167,7 @@
 	for _, r := range refused {
 		a.notify(r.Ticket, refusalOf(r))
 	}
-	if delay := a.queue.ColdDelay(now); delay > 0 && !a.dispatchScheduled {
+	if delay := a.queue.StartDelay(now); delay > 0 && !a.dispatchScheduled {
 		a.dispatchScheduled = true
 		time.AfterFunc(delay, a.dispatchDelayed)
 	}
@@ -148,6 +194,7 @@
 		Slots: uint32(a.queue.Slots()), Running: uint32(a.queue.Running()), Waiting: uint32(a.queue.Waiting()),
 		ServiceUs: uint32(a.queue.MeanServiceTime().Microseconds()), Cold: a.queue.Cold(now),
 		PacePercent: uint32(100 * a.queue.Slowdown(now)),
+		NextStartMs: uint32(a.queue.NextStart(now).Milliseconds()),
 	}
 }
 
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -133,6 +133,7 @@
 func (e *executor) startBoot(a protocol.Announcement) *server {
 	e.server = &server{id: a.ID, bootTime: a.BootTime, service: a.Service, addr: a.Addr}
 	e.holds.Reset()
+	e.admission.restart()
 	e.client.serverRestarted(e.server.bootName())
 	e.log.Info("backend server began a life", zap.String("instance", a.ID), zap.Int64("born", a.BootTime),
 		zap.String("service", a.Service), zap.String("addr", a.Addr), zap.Uint32("slots", a.Slots),
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -70,7 +71,9 @@
 
 func (f *fake) Decode(resp *http.Response) protocol.BackendAnswer {
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
+	perS, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64)
 	return protocol.BackendAnswer{
+		LimitPerS: perS, Limited: err == nil,
 		ID: resp.Header.Get("Id"), Sealed: resp.Header.Get("Seal") != "",
 		NotRun: misdirected || resp.Header.Get("Not-Run") != "", Misdirected: misdirected,
 	}
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -43,6 +43,7 @@
 	arrived := e.clock.Now()
 	resp := e.execute(ctx, req, arrived)
 	resp.Load = e.admission.load()
+	resp.Load.Notice = e.notice()
 	e.counters.record(outcome.Kind(resp.GetKind()))
 	e.logRun(req, resp, arrived)
 	return resp
@@ -69,11 +70,13 @@
 func (e *executor) execute(ctx context.Context, req *wire.Request, arrived clock.Instant) *wire.Response {
 	r := &run{request: req, ticket: &runqueue.Ticket{
 		Class:    req.GetRoute(),
+		Team:     req.GetTeam(),
 		Nested:   req.GetNested(),
 		Priority: req.GetPriority(),
 		Target:   arrived.Add(time.Duration(req.GetTargetMs()) * time.Millisecond),
 		Deadline: arrived.Add(time.Duration(req.GetTimeoutMs()) * time.Millisecond),
 	}}
+	e.applyNotice(req.GetNotice())
 	if err := e.accept(ctx, r); err != nil {
 		return answer.Refusal(err)
 	}
@@ -214,6 +217,7 @@
 	}
 	started := e.clock.Now()
 	resp, decoded, err := e.client.run(ctx, r.server, r.request, remaining)
+	e.observe(r.server, started, decoded)
 	e.handleResponse(r, resp, decoded, err)
 	if outcome.Kind(resp.GetKind()) == outcome.DeadlineMaybeRan {
 		e.load.RecordServiceTime(e.clock.Now().Sub(started)) // a lower bound of the service time
@@ -241,7 +245,7 @@
 	switch {
 	case kind == outcome.OK:
 		e.recordHeartbeat(r.server)
-		e.load.RecordServiceTime(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond)
+		e.load.RecordServiceTime(e.admission.serviceTime(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond))
 	case decoded.Misdirected && r.shard != (view.ShardID{}):
 		e.mu.Lock()
 		e.holds.ReportNotHeld(r.shard, r.token)
--- /dev/null
+++ b/daemon/plugins/backend/notice_test.go
@@ -0,0 +1,126 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/protocol"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+// limitedServer names a limit in its responses and records when requests reach it.
+type limitedServer struct {
+	mu       sync.Mutex
+	limit    string // value of the header; "" for none
+	arrivals []time.Time
+}
+
+func (s *limitedServer) serve(w http.ResponseWriter, id string) {
+	s.mu.Lock()
+	s.arrivals = append(s.arrivals, time.Now())
+	limit := s.limit
+	s.mu.Unlock()
+	time.Sleep(20 * time.Millisecond)
+	if limit != "" {
+		w.Header().Set("Limit", limit)
+	}
+	okResponse(w, id)
+}
+
+func (s *limitedServer) setLimit(limit string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
+// arrived returns the number of requests that reached the server since a time.
+func (s *limitedServer) arrived(since time.Time) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, at := range s.arrivals {
+		if at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// flood sends requests in short intervals for a while and returns the refusals.
+func flood(e *executor, length time.Duration, notice *wire.ServerNotice) (refused []*wire.Response) {
+	var mu sync.Mutex
+	var wg sync.WaitGroup
+	for i := 0; i < int(length/(4*time.Millisecond)); i++ {
+		wg.Go(func() {
+			req := request(fmt.Sprintf("%d-%d", time.Now().UnixNano(), i), 7)
+			req.Notice, req.TimeoutMs, req.TargetMs = notice, 600, 250
+			if resp := e.Execute(context.Background(), req); kind(resp) != outcome.OK {
+				mu.Lock()
+				refused = append(refused, resp)
+				mu.Unlock()
+			}
+		})
+		time.Sleep(4 * time.Millisecond)
+	}
+	wg.Wait()
+	return refused
+}
+
+func TestServerGetsMoreThanTheLimitItNames(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	s := &limitedServer{limit: "10"}
+	f.handler = s.serve
+	is.Equal(kind(e.Execute(context.Background(), request("first", 7))), outcome.OK)
+	since := time.Now()
+	refused := flood(e, 2*time.Second, nil)
+	is.True(s.arrived(since) <= 10*26/10+3) // up to 600 ms more until the last have ended
+	is.True(s.arrived(since) >= 15)
+	for _, resp := range refused {
+		is.Equal(kind(resp).Answer().Ran, outcome.NotRun)
+		is.True(kind(resp) != outcome.Overloaded || resp.GetRetryAfterMs() > 0)
+	}
+	is.Equal(e.Execute(context.Background(), request("next", 7)).GetLoad().GetNotice().GetLimitPerS(), 10.0)
+	s.setLimit("")
+	until(t, "the limit is lifted", func() bool {
+		return e.Execute(context.Background(), request(fmt.Sprint(time.Now().UnixNano()), 7)).GetLoad().GetNotice() == nil
+	})
+}
+
+// A server that is lost for a while and announces itself again is the same boot.
+func TestLimitIsForgottenWhenServerReturns(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	s := &limitedServer{limit: "10"}
+	f.handler = s.serve
+	is.Equal(kind(e.Execute(context.Background(), request("first", 7))), outcome.OK)
+	e.markLost(e.server, "no heartbeat", false)
+	e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 2, BootTime: 1})
+	is.Equal(e.admission.limitPerS(), 10.0)
+	e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2})
+	is.Equal(e.admission.limitPerS(), 0.0) // another boot is another server
+}
+
+// A daemon that restarts beside a server with a limit knows it from a daemon that passed
+// a response on, or else sends one request at a time until the first response.
+func TestRestartedDaemonForgetsTheLimit(t *testing.T) {
+	for name, notice := range map[string]*wire.ServerNotice{"passed on": {Server: "i-1@1", LimitPerS: 10}, "not passed on": nil} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			e, f := start(t)
+			s := &limitedServer{limit: "10"}
+			f.handler = s.serve
+			since := time.Now()
+			flood(e, 500*time.Millisecond, notice)
+			is.True(s.arrived(since) <= 10*11/10+3)
+			is.Equal(e.admission.limitPerS(), 10.0)
+		})
+	}
+}
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -400,6 +400,27 @@
 	}
 }
 
+// What a server said of itself goes with later requests to it, until it says otherwise.
+func TestNoticeIsNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	s := newFakeDaemon()
+	s.view.Services["front"].Shards[0].Owner.BackendName = "i-1@1"
+	named := &wire.ServerNotice{Server: "i-1@1", LimitPerS: 3}
+	s.respond = func(target string, req *wire.Request) (*wire.Response, error) {
+		resp, err := okResponse(target, req)
+		resp.Load = &wire.ServerLoad{Notice: named}
+		return resp, err
+	}
+	srv := newTestGateway(t, s)
+	send(t, srv, "GET", "/read/1")
+	is.True(s.lastRequest.GetNotice() == nil)
+	named = nil
+	send(t, srv, "GET", "/read/1")
+	is.Equal(s.lastRequest.GetNotice().GetLimitPerS(), 3.0)
+	send(t, srv, "GET", "/read/1")
+	is.True(s.lastRequest.GetNotice() == nil) // the response before had none
+}
+
 func TestTeamOverRateIsRefused(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -52,6 +52,7 @@
 	bounds         settings.Bounds
 	placementWatch *routing.PlacementWatch
 	learnedOwners  *routing.LearnedOwners
+	notices        *notices
 
 	mu          sync.Mutex
 	serverStats map[uint64]*loadbalance.Server // by incarnation
@@ -61,7 +62,7 @@
 func newSender(set settings.Daemon, c kernel.Control, p kernel.Peers, x kernel.Executor, clk clock.Clock) *sender {
 	return &sender{
 		control: c, forwarder: routing.NewForwarder(c, p, x, clk), clock: clk, dataCentre: set.DataCentre, bounds: set.Bounds,
-		placementWatch: routing.NewPlacementWatch(c), learnedOwners: routing.NewLearnedOwners(),
+		placementWatch: routing.NewPlacementWatch(c), learnedOwners: routing.NewLearnedOwners(), notices: newNotices(),
 		serverStats: map[uint64]*loadbalance.Server{}, budgets: map[budgetKey]*retry.Budget{},
 	}
 }
@@ -221,10 +222,13 @@
 	}
 	stats := s.statsOf(target, v)
 	s.countSent(stats)
+	sent := s.notices.of(target.BackendName)
+	x.req.Notice = sent
 	resp, err := s.forwarder.Call(ctx, v, target, x.req)
 	if err == nil {
 		err = answer.Check(resp)
 	}
+	s.notices.record(target.BackendName, sent, resp)
 	s.recordResult(stats, resp, err)
 	s.recordAttempt(x, state, target, resp, err)
 	return resp, err
@@ -346,7 +350,7 @@
 		st.ApplyReport(now, loadbalance.Report{
 			Slots: int(load.GetSlots()), Load: int(load.GetRunning() + load.GetWaiting()),
 			Service: time.Duration(load.GetServiceUs()) * time.Microsecond, Cold: load.GetCold(),
-			Slowdown: float64(load.GetPacePercent()) / 100,
+			Slowdown: float64(load.GetPacePercent()) / 100, NextStart: time.Duration(load.GetNextStartMs()) * time.Millisecond,
 		})
 	}
 	switch kind := outcome.KindOf(err); {
