Backend servers that say in a response that they leave get nothing after their drain time

Cause: the header was not read, and what a daemon knows of its server ended with its process.

Change: the daemon beside the server hears it from the response and drains as after an announcement. Responses carry it to the daemons that pass them on, with the time since it was first said; they send it along with later requests to that boot, so that a restarted daemon hears it from the first of these. None of this needs the store.

--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -63,6 +63,8 @@
 	// more from all daemons together. It is valid if Limited is set.
 	LimitPerS float64
 	Limited   bool
+	// Leaving means that the server stops soon and must receive no new requests.
+	Leaving bool
 }
 
 // KeyRange is a range of numeric keys with its fencing token.
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -73,7 +73,7 @@
 	misdirected := resp.StatusCode == http.StatusMisdirectedRequest
 	perS, err := strconv.ParseFloat(resp.Header.Get("Limit"), 64)
 	return protocol.BackendAnswer{
-		LimitPerS: perS, Limited: err == nil,
+		LimitPerS: perS, Limited: err == nil, Leaving: resp.Header.Get("Leaving") != "",
 		ID: resp.Header.Get("Id"), Sealed: resp.Header.Get("Seal") != "",
 		NotRun: misdirected || resp.Header.Get("Not-Run") != "", Misdirected: misdirected,
 	}
--- a/daemon/plugins/backend/notice.go
+++ b/daemon/plugins/backend/notice.go
@@ -1,6 +1,8 @@
 package backend
 
 import (
+	"time"
+
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -8,7 +10,8 @@
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
-// observe applies the limit in a response. sent is the time at which the request was sent.
+// observe applies what a response says of the server itself: its limit, and that it is
+// leaving. sent is the time at which the request was sent.
 func (e *executor) observe(s *server, sent clock.Instant, decoded protocol.BackendAnswer) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -19,6 +22,9 @@
 	if decoded.Limited || own {
 		e.logLimit(e.admission.observeLimit(sent, decoded.LimitPerS, decoded.Limited), "response")
 	}
+	if decoded.Leaving {
+		e.leaveObserved(e.clock.Now(), "response")
+	}
 }
 
 // logLimit logs the limit in force if it has changed. The caller holds the lock.
@@ -29,6 +35,14 @@
 	}
 }
 
+// leaveObserved records that the server is leaving since the given time. The caller holds
+// the lock.
+func (e *executor) leaveObserved(since clock.Instant, reason string) {
+	if ev := e.markLeaving(since, reason); ev != nil {
+		go e.control.Post(ev) // Post may block, and the caller holds the lock
+	}
+}
+
 // notice returns what the server said of itself, for the daemons that receive its
 // responses, or nil.
 func (e *executor) notice() *wire.ServerNotice {
@@ -37,11 +51,15 @@
 	if e.server == nil {
 		return nil
 	}
-	perS := e.admission.limitPerS()
-	if perS == 0 {
+	n := &wire.ServerNotice{Server: e.server.bootName(), LimitPerS: e.admission.limitPerS()}
+	if e.server.draining != 0 {
+		n.Leaving = true
+		n.LeavingMs = uint32(e.clock.Now().Sub(e.server.draining).Milliseconds())
+	}
+	if n.GetLimitPerS() == 0 && !n.GetLeaving() {
 		return nil
 	}
-	return &wire.ServerNotice{Server: e.server.bootName(), LimitPerS: perS}
+	return n
 }
 
 // applyNotice applies what the server said of itself to an earlier process of this daemon,
@@ -56,4 +74,7 @@
 		return
 	}
 	e.logLimit(e.admission.learnLimit(n.GetLimitPerS()), "daemon")
+	if n.GetLeaving() {
+		e.leaveObserved(e.clock.Now().Add(-time.Duration(n.GetLeavingMs())*time.Millisecond), "daemon")
+	}
 }
--- a/daemon/plugins/backend/notice_test.go
+++ b/daemon/plugins/backend/notice_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -124,3 +126,45 @@
 		})
 	}
 }
+
+// leavingServer says in its responses that it leaves.
+func leavingServer(w http.ResponseWriter, id string) {
+	w.Header().Set("Leaving", "1")
+	okResponse(w, id)
+}
+
+// A server that says in a response that it leaves gets no request after its drain time,
+// although nothing else tells of it.
+func TestLeavingInResponseIsNotHeard(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	e.bounds.DrainS = 0.5
+	f.handler = leavingServer
+	resp := e.Execute(context.Background(), request("r-1", 7))
+	is.Equal(kind(resp), outcome.OK)
+	is.True(resp.GetLoad().GetNotice().GetLeaving())
+	until(t, "the control state is told", func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return slices.Contains(f.events, control.Event(control.BackendLeaving{}))
+	})
+	f.handler = okResponse
+	time.Sleep(500 * time.Millisecond)
+	resp = e.Execute(context.Background(), request("r-2", 7))
+	is.Equal(kind(resp), outcome.Draining)
+	is.Equal(f.runs("r-2"), 0)
+}
+
+// A daemon that restarts beside a leaving server, which does not announce it, hears
+// of it from a daemon that passed a response on, also while the store is away.
+func TestRestartedDaemonForgetsThatServerLeaves(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	e.bounds.DrainS = 2
+	req := request("r-1", 7)
+	req.Notice = &wire.ServerNotice{Server: "i-1@1", Leaving: true, LeavingMs: 1900}
+	is.Equal(kind(e.Execute(context.Background(), req)), outcome.Draining)
+	is.Equal(f.runs("r-1"), 0)
+	e.Announce(protocol.Announcement{ID: "i-2", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2})
+	is.True(e.notice() == nil) // another boot does not leave
+}
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -405,7 +405,7 @@
 	is := is.New(t)
 	s := newFakeDaemon()
 	s.view.Services["front"].Shards[0].Owner.BackendName = "i-1@1"
-	named := &wire.ServerNotice{Server: "i-1@1", LimitPerS: 3}
+	named := &wire.ServerNotice{Server: "i-1@1", LimitPerS: 3, Leaving: true, LeavingMs: 5000}
 	s.respond = func(target string, req *wire.Request) (*wire.Response, error) {
 		resp, err := okResponse(target, req)
 		resp.Load = &wire.ServerLoad{Notice: named}
@@ -417,6 +417,7 @@
 	named = nil
 	send(t, srv, "GET", "/read/1")
 	is.Equal(s.lastRequest.GetNotice().GetLimitPerS(), 3.0)
+	is.True(s.lastRequest.GetNotice().GetLeavingMs() >= 5000)
 	send(t, srv, "GET", "/read/1")
 	is.True(s.lastRequest.GetNotice() == nil) // the response before had none
 }
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -222,13 +222,13 @@
 	}
 	stats := s.statsOf(target, v)
 	s.countSent(stats)
-	sent := s.notices.of(target.BackendName)
+	sent := s.notices.of(s.clock.Now(), target.BackendName)
 	x.req.Notice = sent
 	resp, err := s.forwarder.Call(ctx, v, target, x.req)
 	if err == nil {
 		err = answer.Check(resp)
 	}
-	s.notices.record(target.BackendName, sent, resp)
+	s.notices.record(s.clock.Now(), target.BackendName, sent, resp)
 	s.recordResult(stats, resp, err)
 	s.recordAttempt(x, state, target, resp, err)
 	return resp, err
