Backend servers that send bytes without end: bounded head, memory and time

What callers saw: a refusal (not run) whose body did not end was passed on only at the deadline, as late as 0.8 s in the test.

Cause: the body of a refusal was read on so that its connection could be reused, whatever its length. Besides, a head could have 10 MB, and each of many responses 8 MB (16 MB while it was read), more together than a small host has. Bytes without end in a body, in chunks or in a head did end their connection with a true outcome before.

--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -39,7 +39,8 @@
 	grantClient   *http.Client
 	releaseClient *http.Client // releases wait for running requests
 
-	crashes *backendconn.CrashTracker
+	crashes   *backendconn.CrashTracker
+	responses backendconn.ResponseReader
 }
 
 func newClient(clk clock.Clock, d protocol.Backends, suspects backendconn.Suspects) *client {
@@ -58,6 +59,7 @@
 		Transport: &http.Transport{
 			MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, IdleConnTimeout: backendconn.IdleTimeout,
 			DialContext: dial, DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 2 << 10,
+			MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
 		},
 	}
 }
@@ -156,7 +158,7 @@
 	if decoded.ID != id {
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response belongs to another request %q", decoded.ID)), protocol.BackendAnswer{}
 	}
-	resp, err := backendconn.ReadResponse(ctx, httpResp)
+	resp, err := c.responses.Read(ctx, httpResp)
 	switch {
 	case err != nil:
 		return answer.Refusal(err), decoded
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -35,6 +35,8 @@
 	client  *http.Client // for requests, on connections that backendconn.Dialer opens
 	grants  *http.Client // for grants, on a separate connection
 	crashes *backendconn.CrashTracker
+
+	responses backendconn.ResponseReader
 }
 
 func newBackend(c kernel.Control, clk clock.Clock, suspects backendconn.Suspects, conns int) *backend {
@@ -45,6 +47,8 @@
 		IdleConnTimeout:     backendconn.IdleTimeout,
 		DialContext:         backendconn.Dialer(clk, b.leaseHeld),
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
 	}}
 	b.grants = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost: 1,
@@ -125,7 +129,7 @@
 			LostRequest: backendconn.LostRequest{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: b.name()},
 		})
 	}
-	resp := readResponse(ctx, httpResp, token)
+	resp := b.readResponse(ctx, httpResp, token)
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
 	return resp
 }
@@ -147,7 +151,7 @@
 
 // readResponse reads the whole response. A truncated response, or one whose
 // truncation could not be detected, becomes a refusal of kind AnswerCut.
-func readResponse(ctx context.Context, httpResp *http.Response, token uint64) *wire.Response {
+func (b *backend) readResponse(ctx context.Context, httpResp *http.Response, token uint64) *wire.Response {
 	defer httpResp.Body.Close()
 	if err := refusalOf(httpResp); err != nil {
 		return answer.Refusal(err)
@@ -155,7 +159,7 @@
 	if !isFramed(httpResp) {
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response has neither a content length nor chunked encoding"))
 	}
-	resp, err := backendconn.ReadResponse(ctx, httpResp)
+	resp, err := b.responses.Read(ctx, httpResp)
 	if err != nil {
 		return answer.Refusal(err)
 	}
