Backend servers' limits and leaving in responses on the native interface; metrics, logs, pages

Cause and change as on the platform interface, for X-Sesamemoor-Limit and X-Sesamemoor-Leaving (docs/BACKEND.md): core/admit keeps the rate with core/pace, refuses by what runs before a team's next request under fair queueing, and moves shards off a limited server by the time for which a run occupies a slot. Both plug-ins share the notices that daemons pass on (daemon/routing). The emulated servers name limits and leave in responses.

The wait for the first response of a server is 500 ms instead of 1 s: a server that was heard only once counts as unresponsive after 600 ms (TestRequestsOfOneCrashShareCrashID was red with 1 s).

Evidence: TestSelfReportIsNotHeard, TestServerGetsMoreThanTheLimitItNames in daemon/plugins/owner, TestLimitedServerGetsMoreThanItsLimit in core/admit (150 of 150 requests of a small team served beside 2850 of a large one).

--- a/core/admit/order.go
+++ b/core/admit/order.go
@@ -7,7 +7,8 @@
 	push(t *Ticket)
 	pop() *Ticket // nil when empty
 	remove(t *Ticket)
-	dropLongest() *Ticket // the ticket to refuse when the queue is full
+	dropLongest() *Ticket  // the ticket to refuse when the queue is full
+	ahead(team string) int // tickets that run before the next one of the team
 	filter(keep func(*Ticket) bool) (dropped []*Ticket)
 	len() int
 }
@@ -98,6 +99,20 @@
 	}
 }
 
+func (o *fairOrder) ahead(team string) int {
+	own := 0
+	if q, ok := o.teams[team]; ok {
+		own = len(q.tickets)
+	}
+	ahead := own
+	for name, q := range o.teams {
+		if name != team {
+			ahead += min(len(q.tickets), own+1)
+		}
+	}
+	return ahead
+}
+
 func (o *fairOrder) remove(t *Ticket) {
 	q := o.teams[t.Team]
 	i := slices.Index(q.tickets, t)
@@ -146,6 +161,8 @@
 	return t
 }
 
+func (o *fifoOrder) ahead(string) int { return o.len() }
+
 func (o *fifoOrder) remove(t *Ticket) {
 	i := slices.Index(o.tickets, t)
 	o.tickets = slices.Delete(o.tickets, i, i+1)
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -12,6 +12,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/pace"
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
 
@@ -44,8 +45,9 @@
 
 // Refusal is a ticket that the queue rejected without running it.
 type Refusal struct {
-	Ticket *Ticket
-	Kind   outcome.Kind // a kind whose answer is outcome.NotRun
+	Ticket     *Ticket
+	Kind       outcome.Kind  // a kind whose answer is outcome.NotRun
+	RetryAfter time.Duration // advised retry delay; 0 for none
 }
 
 // Result classifies the end of a run.
@@ -62,7 +64,7 @@
 //
 // Invariants: Dispatch starts a ticket only while fewer than Limit run. After
 // Dispatch, a ticket waits only if Limit tickets run, the queue backs off after
-// a shed, or the server is unresponsive. A ticket leaves the queue exactly once,
+// a shed, the server's rate has no room, or the server is unresponsive. A ticket leaves the queue exactly once,
 // by Dispatch, a Refusal or Cancel.
 type Queue struct {
 	opts          Options
@@ -71,6 +73,8 @@
 	running       int
 	seq           uint64
 	lastHeartbeat clock.Instant // last heartbeat of the server; zero before the first
+	limit         pace.Limit    // rate that the server names
+	returns       pace.Returns  // of callers that were refused for that rate
 }
 
 // heartbeatTimeout is the time without a heartbeat after which a server gets no
@@ -88,6 +92,34 @@
 	return q.lastHeartbeat != 0 && now.Sub(q.lastHeartbeat) > heartbeatTimeout
 }
 
+// ObserveLimit applies a response of the server, see pace.Limit.Observe.
+func (q *Queue) ObserveLimit(now, sent clock.Instant, perS float64, named bool) {
+	q.limit.Observe(now, sent, perS, named)
+}
+
+// LearnLimit applies a limit that another daemon passed on, see pace.Limit.Learn.
+func (q *Queue) LearnLimit(now clock.Instant, perS float64) { q.limit.Learn(now, perS) }
+
+// Restart starts anew with a server that this process has not sent requests to.
+func (q *Queue) Restart(now clock.Instant) {
+	q.limit = pace.Limit{}
+	q.limit.AwaitResponse(now)
+}
+
+// LimitPerS returns the limit that the server names, in requests per second, or 0.
+func (q *Queue) LimitPerS() float64 { return q.limit.PerS() }
+
+// SlotTime returns the time for which a run occupies a slot, see pace.Limit.SlotTime.
+func (q *Queue) SlotTime(took time.Duration) time.Duration {
+	return q.limit.SlotTime(took, q.ramp.slots)
+}
+
+// StartDelay returns the time until Dispatch may start a ticket again: after a shed, or
+// when the server's limit has room. It is 0 if neither holds tickets back.
+func (q *Queue) StartDelay(now clock.Instant) time.Duration {
+	return max(q.Backoff(now), q.limit.Delay(now, q.running))
+}
+
 // New returns a queue for a backend server with no slots. Nothing runs before
 // SetSlots is called.
 func New(opts Options) *Queue {
@@ -124,7 +156,10 @@
 // longest queue, possibly t itself; a full FIFO queue refuses t.
 func (q *Queue) Submit(now clock.Instant, t *Ticket) []Refusal {
 	if q.tooLate(now, t) {
-		return []Refusal{{t, outcome.DeadlineNotRun}}
+		return []Refusal{{Ticket: t, Kind: outcome.DeadlineNotRun}}
+	}
+	if start := q.limit.Next(now, q.order.ahead(t.Team)); start > now && q.tooLate(start, t) {
+		return []Refusal{{t, outcome.Overloaded, q.returns.Next(now, start, q.limit.PerS())}}
 	}
 	q.seq++
 	t.seq = q.seq
@@ -135,29 +170,31 @@
 	}
 	dropped := q.order.dropLongest()
 	dropped.state = idle
-	return []Refusal{{dropped, outcome.Overloaded}}
+	return []Refusal{{Ticket: dropped, Kind: outcome.Overloaded}}
 }
 
-// Dispatch starts waiting tickets up to the limit, and none during a backoff or
+// Dispatch starts waiting tickets up to the limit and the server's rate, and none during
+// a backoff or
 // while the backend server is unresponsive. It refuses tickets that it reaches
 // and that can no longer meet their deadline.
 func (q *Queue) Dispatch(now clock.Instant) (started []*Ticket, refused []Refusal) {
 	if q.ramp.backoffLeft(now) > 0 || q.Unresponsive(now) {
 		return nil, nil
 	}
-	for q.running < q.ramp.limit {
+	for q.running < q.ramp.limit && q.limit.Delay(now, q.running) == 0 {
 		t := q.order.pop()
 		if t == nil {
 			break
 		}
 		if q.tooLate(now, t) {
 			t.state = idle
-			refused = append(refused, Refusal{t, outcome.DeadlineNotRun})
+			refused = append(refused, Refusal{Ticket: t, Kind: outcome.DeadlineNotRun})
 			continue
 		}
 		t.state = running
 		t.began = now
 		q.running++
+		q.limit.Take(now)
 		started = append(started, t)
 	}
 	return started, refused
@@ -206,7 +243,7 @@
 	var refused []Refusal
 	for _, t := range q.order.filter(func(t *Ticket) bool { return !lost(t.Shard) }) {
 		t.state = idle
-		refused = append(refused, Refusal{t, outcome.NotOwner})
+		refused = append(refused, Refusal{Ticket: t, Kind: outcome.NotOwner})
 	}
 	return refused
 }
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -21,7 +21,12 @@
 	burst = 0.1
 	// firstResponseWait is the longest time for which requests to a server whose limit
 	// is not known are sent one at a time, see AwaitResponse.
-	firstResponseWait = time.Second
+	firstResponseWait = 500 * time.Millisecond
+	// unknownPoll is the interval at which waiting requests are looked at while it is not
+	// known whether the server has a limit. The end of a run starts the next at once.
+	unknownPoll = 100 * time.Millisecond
+	// maxReturn bounds the delay after which a refused caller is told to return.
+	maxReturn = 2 * time.Second
 )
 
 // Limit is the rate that one boot of a backend server names. The zero value has no limit.
@@ -76,6 +81,15 @@
 	l.at = now
 }
 
+// SlotTime returns the time for which a run that took the given time occupies one of the
+// server's slots: at least that in which a slot serves one request under the limit.
+func (l *Limit) SlotTime(took time.Duration, slots int) time.Duration {
+	if l.perS == 0 {
+		return took
+	}
+	return max(took, time.Duration(float64(slots)/l.perS*float64(time.Second)))
+}
+
 // PerS returns the limit in requests per second, or 0 if none is in force.
 func (l *Limit) PerS() float64 { return l.perS }
 
@@ -104,6 +118,15 @@
 	return now.Add(time.Duration(missing / l.perS * float64(time.Second)))
 }
 
+// Delay returns the time until one more request may start while others run: when the
+// limit has room or, while it is not known whether there is one, when no request runs.
+func (l *Limit) Delay(now clock.Instant, running int) time.Duration {
+	if l.Unknown(now) && running > 0 {
+		return unknownPoll
+	}
+	return l.Next(now, 0).Sub(now)
+}
+
 // Take records the start of a request.
 func (l *Limit) Take(now clock.Instant) {
 	if l.perS == 0 {
--- a/core/runqueue/limited.go
+++ b/core/runqueue/limited.go
@@ -28,7 +28,7 @@
 // lately, so that the smallest is served first.
 type limited struct {
 	limit   pace.Limit
-	retryAt clock.Instant // time that the last refusal named; each further one is a request later
+	returns pace.Returns // of callers that were refused for that rate
 
 	asked   map[string]*decaying // arrivals by class
 	started map[string]*decaying // starts by class
@@ -89,6 +89,9 @@
 // LimitPerS returns the limit that the server names, in requests per second, or 0.
 func (q *Queue) LimitPerS() float64 { return q.limit.PerS() }
 
+// SlotTime returns the time for which a run occupies a slot, see pace.Limit.SlotTime.
+func (q *Queue) SlotTime(took time.Duration) time.Duration { return q.limit.SlotTime(took, q.slots) }
+
 // NextStart returns the time until the limit allows a request after those that wait, or 0.
 func (q *Queue) NextStart(now clock.Instant) time.Duration {
 	return q.limit.Next(now, len(q.waiting)).Sub(now)
@@ -97,35 +100,22 @@
 // mayStartLimited reports whether the limit allows one more start. While it is not known
 // whether the server has a limit, one request runs at a time.
 func (q *Queue) mayStartLimited(now clock.Instant) bool {
-	if q.limit.Unknown(now) && len(q.running) > 0 {
-		return false
-	}
-	return q.limit.Next(now, 0) <= now
+	return q.limitDelay(now) == 0
 }
 
 // limitDelay returns the time until the limit allows one more start.
 func (q *Queue) limitDelay(now clock.Instant) time.Duration {
-	if q.limit.Unknown(now) {
-		return unknownLimitPoll
-	}
-	return q.limit.Next(now, 0).Sub(now)
+	return q.limit.Delay(now, len(q.running))
 }
 
-// unknownLimitPoll is the interval at which waiting tickets are looked at while it is not
-// known whether the server has a limit. The end of a run starts the next at once.
-const unknownLimitPoll = 100 * time.Millisecond
-
 // limitedRetryAfter returns the delay after which the limit has room for a refused request,
-// or 0 without a limit. Each refusal takes the place of one request, so that callers who
-// come back as told do not exceed the limit together.
+// or 0 without a limit.
 func (q *Queue) limitedRetryAfter(now clock.Instant) time.Duration {
 	perS := q.limit.PerS()
 	if perS == 0 {
 		return 0
 	}
-	next := max(q.retryAt, q.limit.Next(now, len(q.waiting))).Add(time.Duration(float64(time.Second) / perS))
-	q.retryAt = min(next, now.Add(maxRetryAfter))
-	return q.retryAt.Sub(now)
+	return q.returns.Next(now, q.limit.Next(now, len(q.waiting)), perS)
 }
 
 // recordAsked counts an arrival.
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -292,7 +292,7 @@
 func (q *Queue) refuse(now, finish clock.Instant, t *Ticket, reason string) *Refusal {
 	delay := retryAfter(now, finish, t)
 	if limited := q.limitedRetryAfter(now); limited > delay {
-		delay = min(limited, maxRetryAfter)
+		delay = limited
 		reason += " under the limit that the server names"
 	}
 	return &Refusal{Ticket: t, Reason: reason, RetryAfter: delay}
--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -79,6 +79,7 @@
 		c.Status(http.StatusBadRequest)
 		return
 	}
+	s.reportSelf(c)
 	ctx, cancel := deadline(c.Request)
 	defer cancel()
 	s.waitWhileFrozen(ctx)
@@ -115,6 +116,18 @@
 	}
 }
 
+// reportSelf sets the headers of a response that tell of the server itself.
+func (s *Server) reportSelf(c *gin.Context) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.LimitPerS > 0 {
+		c.Header(headerLimit, strconv.FormatFloat(s.faults.LimitPerS, 'f', -1, 64))
+	}
+	if s.faults.Leaving {
+		c.Header(headerLeaving, "1")
+	}
+}
+
 // echo returns the body of a response. It identifies the request, so that a test
 // detects a response that belongs to another request.
 func (s *Server) echo(r *http.Request, bodyBytes int) string {
--- a/ctl/emulate/backend/options.go
+++ b/ctl/emulate/backend/options.go
@@ -40,6 +40,8 @@
 	headerDeadline   = "X-Sesamemoor-Deadline-Ms"
 	headerExpires    = "X-Sesamemoor-Expires-Us"
 	headerRefused    = "X-Sesamemoor-Refused"
+	headerLimit      = "X-Sesamemoor-Limit"
+	headerLeaving    = "X-Sesamemoor-Leaving"
 	headerCrash      = "X-Emulate-Crash" // crashes the server that runs the request
 	crashBodyPrefix  = "emulate:crash"   // the same, as a prefix of the body
 )
@@ -63,7 +65,8 @@
 	SlowFactor      float64 `json:"slow_factor"` // factor on the service time; 0 means 1
 	Frozen          bool    `json:"frozen"`      // requests neither start nor complete, nothing is announced
 	NoAnnouncements bool    `json:"silent"`
-	Leaving         bool    `json:"leaving"` // announcements report that the server leaves
+	Leaving         bool    `json:"leaving"`     // announcements and responses report that the server leaves
+	LimitPerS       float64 `json:"limit_per_s"` // responses name this limit; 0 means none
 }
 
 // State is the response to GET /emulate/state.
--- a/daemon/plugins/backend/admission.go
+++ b/daemon/plugins/backend/admission.go
@@ -142,11 +142,7 @@
 func (a *admission) serviceTime(took time.Duration) time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	perS := a.queue.LimitPerS()
-	if perS == 0 {
-		return took
-	}
-	return max(took, time.Duration(float64(a.queue.Slots())/perS*float64(time.Second)))
+	return a.queue.SlotTime(took)
 }
 
 func (a *admission) setSlowdown(slowdown float64) {
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -62,6 +62,7 @@
 		zap.String("reason", resp.GetDetail()),
 		zap.Uint32("running", resp.GetLoad().GetRunning()),
 		zap.Uint32("waiting", resp.GetLoad().GetWaiting()),
+		zap.Float64("limit_per_s", resp.GetLoad().GetNotice().GetLimitPerS()),
 		zap.Uint32("service_us", resp.GetServiceTimeUs()),
 		zap.Int64("us", e.clock.Now().Sub(arrived).Microseconds()),
 	)
--- a/daemon/plugins/backend/metrics.go
+++ b/daemon/plugins/backend/metrics.go
@@ -42,6 +42,11 @@
 	if err != nil {
 		return err
 	}
+	limit, err := m.Float64ObservableGauge("sesamemoor_backend_limit_per_second",
+		metric.WithDescription("requests per second that the backend server takes by its own word; 0 if it names no limit"))
+	if err != nil {
+		return err
+	}
 	_, err = m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		for _, k := range outcome.Kinds() {
 			if n := e.counters.byKind[k].Load(); n > 0 {
@@ -49,11 +54,12 @@
 			}
 		}
 		o.ObserveInt64(unsent, e.counters.unsentGrants.Load())
+		o.ObserveFloat64(limit, e.admission.limitPerS())
 		load := e.admission.load()
 		o.ObserveInt64(queue, int64(load.GetSlots()), metric.WithAttributes(attribute.String("state", "slots")))
 		o.ObserveInt64(queue, int64(load.GetRunning()), metric.WithAttributes(attribute.String("state", "running")))
 		o.ObserveInt64(queue, int64(load.GetWaiting()), metric.WithAttributes(attribute.String("state", "waiting")))
 		return nil
-	}, runs, queue, unsent)
+	}, runs, queue, unsent, limit)
 	return err
 }
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -37,6 +37,7 @@
 	naive          bool
 	placementWatch *routing.PlacementWatch
 	learnedOwners  *routing.LearnedOwners
+	notices        *routing.Notices
 
 	mu      sync.Mutex
 	budgets map[string]*retry.Budget // by service
@@ -48,6 +49,7 @@
 		naive:          set.Policy.Retries == "naive",
 		placementWatch: routing.NewPlacementWatch(c),
 		learnedOwners:  routing.NewLearnedOwners(),
+		notices:        routing.NewNotices(),
 		budgets:        map[string]*retry.Budget{},
 	}
 }
@@ -234,7 +236,10 @@
 	if err := setRemainingTimeout(ctx, x.req); err != nil {
 		return nil, err
 	}
+	sent := t.notices.Of(t.clock.Now(), target.BackendName)
+	x.req.Notice = sent
 	resp, err := t.forwarder.Call(ctx, v, target, x.req)
+	t.notices.Record(t.clock.Now(), target.BackendName, sent, resp)
 	if target == shard.Owner {
 		a.ownerUnreachable = err != nil
 	}
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -52,7 +52,7 @@
 	bounds         settings.Bounds
 	placementWatch *routing.PlacementWatch
 	learnedOwners  *routing.LearnedOwners
-	notices        *notices
+	notices        *routing.Notices
 
 	mu          sync.Mutex
 	serverStats map[uint64]*loadbalance.Server // by incarnation
@@ -62,7 +62,7 @@
 func newSender(set settings.Daemon, c kernel.Control, p kernel.Peers, x kernel.Executor, clk clock.Clock) *sender {
 	return &sender{
 		control: c, forwarder: routing.NewForwarder(c, p, x, clk), clock: clk, dataCentre: set.DataCentre, bounds: set.Bounds,
-		placementWatch: routing.NewPlacementWatch(c), learnedOwners: routing.NewLearnedOwners(), notices: newNotices(),
+		placementWatch: routing.NewPlacementWatch(c), learnedOwners: routing.NewLearnedOwners(), notices: routing.NewNotices(),
 		serverStats: map[uint64]*loadbalance.Server{}, budgets: map[budgetKey]*retry.Budget{},
 	}
 }
@@ -222,13 +222,13 @@
 	}
 	stats := s.statsOf(target, v)
 	s.countSent(stats)
-	sent := s.notices.of(s.clock.Now(), target.BackendName)
+	sent := s.notices.Of(s.clock.Now(), target.BackendName)
 	x.req.Notice = sent
 	resp, err := s.forwarder.Call(ctx, v, target, x.req)
 	if err == nil {
 		err = answer.Check(resp)
 	}
-	s.notices.record(s.clock.Now(), target.BackendName, sent, resp)
+	s.notices.Record(s.clock.Now(), target.BackendName, sent, resp)
 	s.recordResult(stats, resp, err)
 	s.recordAttempt(x, state, target, resp, err)
 	return resp, err
--- a/daemon/plugins/owner/admission.go
+++ b/daemon/plugins/owner/admission.go
@@ -22,7 +22,7 @@
 	waiters map[*admit.Ticket]chan error // capacity 1; receives nil when the ticket is dispatched
 	sheds   uint64
 
-	dispatchScheduled bool // a dispatch at the end of the backoff is scheduled
+	dispatchScheduled bool // a dispatch is scheduled
 }
 
 func newAdmission(clk clock.Clock, set settings.Daemon) *admission {
@@ -116,25 +116,63 @@
 // itself for the end of a backoff. The caller holds the lock.
 func (a *admission) dispatch() {
 	now := a.clock.Now()
-	if backoff := a.queue.Backoff(now); backoff > 0 && a.queue.Waiting() > 0 {
-		a.scheduleDispatch(backoff)
-		return
-	}
 	started, refused := a.queue.Dispatch(now)
 	for _, t := range started {
 		a.notify(t, nil)
 	}
 	a.refuse(refused)
+	if delay := a.queue.StartDelay(now); delay > 0 && a.queue.Waiting() > 0 {
+		a.scheduleDispatch(delay)
+	}
+}
+
+// observeLimit applies the limit in a response to a request that was sent at sent. It
+// reports whether the limit changed.
+func (a *admission) observeLimit(sent clock.Instant, perS float64, named bool) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	before := a.queue.LimitPerS()
+	a.queue.ObserveLimit(a.clock.Now(), sent, perS, named)
+	return a.queue.LimitPerS() != before
+}
+
+// learnLimit applies a limit that another daemon passed on.
+func (a *admission) learnLimit(perS float64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.LearnLimit(a.clock.Now(), perS)
+}
+
+// limitPerS returns the limit that the backend server names, in requests per second, or 0.
+func (a *admission) limitPerS() float64 {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.LimitPerS()
+}
+
+// serviceTime returns the time for which a run that took the given time occupies a slot.
+// Under the server's limit it is at least the time for which a slot serves one request.
+func (a *admission) serviceTime(took time.Duration) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.queue.SlotTime(took)
+}
+
+// restart starts anew with another process of the backend server.
+func (a *admission) restart() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.queue.Restart(a.clock.Now())
 }
 
-// scheduleDispatch calls dispatch after the backoff unless a call is scheduled
+// scheduleDispatch calls dispatch after the delay unless a call is scheduled
 // already. The caller holds the lock.
-func (a *admission) scheduleDispatch(backoff time.Duration) {
+func (a *admission) scheduleDispatch(delay time.Duration) {
 	if a.dispatchScheduled {
 		return
 	}
 	a.dispatchScheduled = true
-	time.AfterFunc(backoff, func() {
+	time.AfterFunc(delay, func() {
 		a.mu.Lock()
 		defer a.mu.Unlock()
 		a.dispatchScheduled = false
@@ -144,7 +182,9 @@
 
 func (a *admission) refuse(refused []admit.Refusal) {
 	for _, r := range refused {
-		a.notify(r.Ticket, outcome.New(r.Kind, "refused in the admission queue of the backend server"))
+		err := outcome.New(r.Kind, "refused in the admission queue of the backend server")
+		err.RetryAfter = r.RetryAfter
+		a.notify(r.Ticket, err)
 	}
 }
 
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -26,6 +26,8 @@
 	headerDeadline = "X-Sesamemoor-Deadline-Ms" // remaining time when sent, milliseconds
 	headerExpires  = "X-Sesamemoor-Expires-Us"  // the same deadline as wall-clock time of this host, microseconds since 1970
 	headerRefused  = "X-Sesamemoor-Refused"     // "fenced", "expired" or "shed": the request did not run
+	headerLimit    = "X-Sesamemoor-Limit"       // requests per second that the server takes, a decimal number
+	headerLeaving  = "X-Sesamemoor-Leaving"     // "1" if the server wants to stop
 )
 
 // backend is the HTTP client for the daemon's backend server.
@@ -109,17 +111,18 @@
 }
 
 // run sends the request to the backend server and returns the whole response, or
-// a refusal. No byte of the request is written after until.
-func (b *backend) run(ctx context.Context, req *wire.Request, token uint64, until clock.Instant) *wire.Response {
+// a refusal, and what the server says of itself. No byte of the request is written after
+// until.
+func (b *backend) run(ctx context.Context, req *wire.Request, token uint64, until clock.Instant) (*wire.Response, selfReport) {
 	addr := b.addr()
 	if addr == "" {
-		return answer.Refusal(outcome.New(outcome.NoOwner, "no backend server is announced"))
+		return answer.Refusal(outcome.New(outcome.NoOwner, "no backend server is announced")), selfReport{}
 	}
 	trace := &backendconn.Trace{Until: until}
 	ctx = trace.Attach(ctx)
 	httpReq, err := newRequest(ctx, addr, req, token, b.deadline(until))
 	if err != nil {
-		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err))
+		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err)), selfReport{}
 	}
 	start := time.Now()
 	httpResp, err := b.client.Do(httpReq)
@@ -127,11 +130,12 @@
 		return b.crashes.Refusal(ctx, backendconn.FailedAttempt{
 			Trace: trace, Addr: addr, Err: err,
 			LostRequest: backendconn.LostRequest{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: b.name()},
-		})
+		}), selfReport{}
 	}
+	report := readSelfReport(httpResp.Header)
 	resp := b.readResponse(ctx, httpResp, token)
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
-	return resp
+	return resp, report
 }
 
 // deadline is the deadline of a request in the two forms that are sent to a
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -34,7 +34,11 @@
 	deadline := e.clock.Now().Add(timeout)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	e.applyNotice(req.GetNotice())
 	resp := e.execute(ctx, req, deadline)
+	if n := e.notice(); n != nil {
+		resp.Load = &wire.ServerLoad{Notice: n}
+	}
 	e.log.Info("run",
 		zap.String("request_id", req.GetRequestId()),
 		zap.String("team", req.GetTeam()),
@@ -43,6 +47,7 @@
 		zap.Uint64("generation", resp.GetGeneration()),
 		zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
 		zap.String("reason", resp.GetDetail()),
+		zap.Float64("limit_per_s", resp.GetLoad().GetNotice().GetLimitPerS()),
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
 	return resp
@@ -166,9 +171,10 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	resp := e.backend.run(ctx, r.request, r.token, now.Add(timeout))
+	resp, report := e.backend.run(ctx, r.request, r.token, now.Add(timeout))
+	e.observe(now, report)
 	if outcome.Kind(resp.GetKind()) == outcome.OK {
-		e.load.RecordServiceTime(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond)
+		e.load.RecordServiceTime(e.admission.serviceTime(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond))
 	}
 	e.recordEnd(r, resp)
 	return resp
--- a/daemon/plugins/owner/metrics.go
+++ b/daemon/plugins/owner/metrics.go
@@ -23,6 +23,8 @@
 	rows := gauge("sesamemoor_request_ids", "Rows of the request-id table.")
 	sheds, _ := m.Int64ObservableCounter("sesamemoor_backend_sheds",
 		metric.WithDescription("Requests refused by the backend server for overload."))
+	perS, _ := m.Float64ObservableGauge("sesamemoor_backend_limit_per_second",
+		metric.WithDescription("Requests per second that the backend server takes by its own word; 0 if it names no limit."))
 	observe := func(_ context.Context, o metric.Observer) error {
 		f := e.admission.stats()
 		o.ObserveInt64(slots, f.slots)
@@ -32,9 +34,10 @@
 		o.ObserveInt64(cold, f.cold)
 		o.ObserveInt64(rows, int64(e.ids.len()))
 		o.ObserveInt64(sheds, int64(f.sheds))
+		o.ObserveFloat64(perS, e.admission.limitPerS())
 		return nil
 	}
-	if _, err := m.RegisterCallback(observe, slots, limit, running, waiting, cold, rows, sheds); err != nil {
+	if _, err := m.RegisterCallback(observe, slots, limit, running, waiting, cold, rows, sheds, perS); err != nil {
 		return fmt.Errorf("owner: metrics: %w", err)
 	}
 	return nil
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -62,6 +62,8 @@
 	quiesced map[view.ShardID]uint64 // newest token under which each shard was quiesced
 	draining map[view.ShardID]control.Quiesce
 	report   kernel.BackendReport // newest announcement
+
+	leavingSince clock.Instant // when the server first said in a response that it leaves; 0 if it did not
 }
 
 func newExecutor(c kernel.Control, clk clock.Clock, load kernel.LoadMeter, suspects kernel.Suspects, set settings.Daemon, log *zap.Logger) *executor {
@@ -235,9 +237,13 @@
 	e.mu.Lock()
 	last := e.report
 	e.report = r
-	e.mu.Unlock()
 	restarted := last.BootID != r.BootID || last.Addr != r.Addr
 	if restarted {
+		e.leavingSince = 0
+	}
+	e.mu.Unlock()
+	if restarted {
+		e.admission.restart()
 		e.grants.reset()
 		e.backend.restarted(r.BootID)
 	}
--- a/daemon/plugins/gateway/notices.go
+++ b/daemon/routing/notices.go
@@ -1,4 +1,4 @@
-package gateway
+package routing
 
 import (
 	"sync"
@@ -14,12 +14,12 @@
 // maxNotices bounds the number of servers with a notice; a full table is cleared.
 const maxNotices = 4096
 
-// notices holds what backend servers said of themselves in responses that this daemon
+// Notices holds what backend servers said of themselves in responses that this daemon
 // passed on. It sends them along with later requests, so that a daemon that has
 // restarted beside such a server knows them. It is safe for concurrent use.
-type notices struct {
+type Notices struct {
 	mu       sync.Mutex
-	byServer map[string]notice
+	byServer map[string]notice // by name of the server in the view
 }
 
 type notice struct {
@@ -27,10 +27,11 @@
 	at     clock.Instant // when it arrived
 }
 
-func newNotices() *notices { return &notices{byServer: map[string]notice{}} }
+// NewNotices returns an empty table.
+func NewNotices() *Notices { return &Notices{byServer: map[string]notice{}} }
 
-// of returns the notice of a server, for a request that is sent now, or nil.
-func (n *notices) of(now clock.Instant, server string) *wire.ServerNotice {
+// Of returns the notice of a server, for a request that is sent now, or nil.
+func (n *Notices) Of(now clock.Instant, server string) *wire.ServerNotice {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	known, ok := n.byServer[server]
@@ -44,9 +45,9 @@
 	return out
 }
 
-// record stores the notice in a response. A response without one to a request that was
+// Record stores the notice in a response of a server. A response without one to a request that was
 // sent with it says that it holds no more.
-func (n *notices) record(now clock.Instant, server string, sent *wire.ServerNotice, resp *wire.Response) {
+func (n *Notices) Record(now clock.Instant, server string, sent *wire.ServerNotice, resp *wire.Response) {
 	received := resp.GetLoad().GetNotice()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -55,7 +56,7 @@
 		if len(n.byServer) >= maxNotices {
 			clear(n.byServer)
 		}
-		n.byServer[received.GetServer()] = notice{received, now}
+		n.byServer[server] = notice{received, now}
 	case sent != nil && outcome.Kind(resp.GetKind()) == outcome.OK:
 		delete(n.byServer, server)
 	}
