core/pace: Observe and Learn report a change, which both plug-ins compared by themselves

No change of behaviour but a log line for a limit that another daemon passed on to the native interface's owner. Tests of the packages pass.

--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -93,12 +93,14 @@
 }
 
 // ObserveLimit applies a response of the server, see pace.Limit.Observe.
-func (q *Queue) ObserveLimit(now, sent clock.Instant, perS float64, named bool) {
-	q.limit.Observe(now, sent, perS, named)
+func (q *Queue) ObserveLimit(now, sent clock.Instant, perS float64, named bool) (changed bool) {
+	return q.limit.Observe(now, sent, perS, named)
 }
 
 // LearnLimit applies a limit that another daemon passed on, see pace.Limit.Learn.
-func (q *Queue) LearnLimit(now clock.Instant, perS float64) { q.limit.Learn(now, perS) }
+func (q *Queue) LearnLimit(now clock.Instant, perS float64) (changed bool) {
+	return q.limit.Learn(now, perS)
+}
 
 // Restart starts anew with a server that this process has not sent requests to.
 func (q *Queue) Restart(now clock.Instant) {
--- a/core/pace/pace.go
+++ b/core/pace/pace.go
@@ -50,25 +50,30 @@
 // Observe applies a response to a request that was sent at sent. perS is the limit that
 // it names, in requests per second, and named reports whether it names one. A
 // response without a limit lifts it only if its request was sent after the limit was
-// last named: an earlier one may have crossed the response that named it.
-func (l *Limit) Observe(now, sent clock.Instant, perS float64, named bool) {
+// last named: an earlier one may have crossed the response that named it. It reports
+// whether the limit in force has changed.
+func (l *Limit) Observe(now, sent clock.Instant, perS float64, named bool) (changed bool) {
+	before := l.perS
 	l.awaitUntil = 0
-	if named {
+	switch {
+	case named:
 		l.set(now, perS)
-		return
-	}
-	if l.perS > 0 && sent > l.namedAt {
+	case l.perS > 0 && sent > l.namedAt:
 		*l = Limit{}
 	}
+	return l.perS != before
 }
 
 // Learn applies a limit that another daemon passed on, unless one is in force already or
-// a response of the server was seen here: the server itself knows better.
-func (l *Limit) Learn(now clock.Instant, perS float64) {
-	if l.perS == 0 && l.Unknown(now) && perS > 0 {
-		l.awaitUntil = 0
-		l.set(now, perS)
+// a response of the server was seen here: the server itself knows better. It reports
+// whether the limit in force has changed.
+func (l *Limit) Learn(now clock.Instant, perS float64) (changed bool) {
+	if l.perS != 0 || !l.Unknown(now) || perS <= 0 {
+		return false
 	}
+	l.awaitUntil = 0
+	l.set(now, perS)
+	return true
 }
 
 // set puts a limit in force. A first one starts without accumulated requests, since the
--- a/daemon/plugins/backend/admission.go
+++ b/daemon/plugins/backend/admission.go
@@ -115,9 +115,7 @@
 func (a *admission) observeLimit(sent clock.Instant, perS float64, named bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := a.queue.LimitPerS()
-	a.queue.ObserveLimit(a.clock.Now(), sent, perS, named)
-	return a.queue.LimitPerS() != before
+	return a.queue.ObserveLimit(a.clock.Now(), sent, perS, named)
 }
 
 // learnLimit applies a limit that another daemon passed on. It reports whether the limit
@@ -125,9 +123,7 @@
 func (a *admission) learnLimit(perS float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := a.queue.LimitPerS()
-	a.queue.LearnLimit(a.clock.Now(), perS)
-	return a.queue.LimitPerS() != before
+	return a.queue.LearnLimit(a.clock.Now(), perS)
 }
 
 // limitPerS returns the limit that the server names, in requests per second, or 0.
--- a/daemon/plugins/owner/admission.go
+++ b/daemon/plugins/owner/admission.go
@@ -131,16 +131,15 @@
 func (a *admission) observeLimit(sent clock.Instant, perS float64, named bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	before := a.queue.LimitPerS()
-	a.queue.ObserveLimit(a.clock.Now(), sent, perS, named)
-	return a.queue.LimitPerS() != before
+	return a.queue.ObserveLimit(a.clock.Now(), sent, perS, named)
 }
 
-// learnLimit applies a limit that another daemon passed on.
-func (a *admission) learnLimit(perS float64) {
+// learnLimit applies a limit that another daemon passed on. It reports whether the limit
+// changed.
+func (a *admission) learnLimit(perS float64) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.queue.LearnLimit(a.clock.Now(), perS)
+	return a.queue.LearnLimit(a.clock.Now(), perS)
 }
 
 // limitPerS returns the limit that the backend server names, in requests per second, or 0.
--- a/daemon/plugins/owner/notice.go
+++ b/daemon/plugins/owner/notice.go
@@ -43,14 +43,19 @@
 	if !r.answered {
 		return
 	}
-	if e.admission.observeLimit(sent, r.limitPerS, r.limited) {
-		e.log.Info("backend server limit", zap.Float64("limit_per_s", e.admission.limitPerS()), zap.String("source", "response"))
-	}
+	e.logLimit(e.admission.observeLimit(sent, r.limitPerS, r.limited), "response")
 	if r.leaving {
 		e.markLeaving(e.clock.Now())
 	}
 }
 
+// logLimit logs the limit in force if it has changed.
+func (e *executor) logLimit(changed bool, source string) {
+	if changed {
+		e.log.Info("backend server limit", zap.Float64("limit_per_s", e.admission.limitPerS()), zap.String("source", source))
+	}
+}
+
 // markLeaving tells the control state that the backend server leaves, unless it was told.
 func (e *executor) markLeaving(since clock.Instant) {
 	e.mu.Lock()
@@ -90,7 +95,7 @@
 	if !same {
 		return
 	}
-	e.admission.learnLimit(n.GetLimitPerS())
+	e.logLimit(e.admission.learnLimit(n.GetLimitPerS()), "daemon")
 	if n.GetLeaving() {
 		e.markLeaving(e.clock.Now().Add(-time.Duration(n.GetLeavingMs()) * time.Millisecond))
 	}
