--- a/ctl/scenario/checks_self_test.go
+++ b/ctl/scenario/checks_self_test.go
@@ -84,3 +84,14 @@
 	is.NoErr(checkRateLimit(samples, runs, 10, 20))
 	is.True(checkRateLimit(samples, nil, 10, 20) != nil) // an empty history must not pass
 }
+
+func TestCheckLimitFindsTooManyRequests(t *testing.T) {
+	is := is.New(t)
+	var starts []int64
+	for i := range 29 { // 1.5 times 4 requests a second for 4 s, and 5 more
+		starts = append(starts, int64(i)*100_000)
+	}
+	is.NoErr(checkLimit(starts, 4))
+	is.True(checkLimit(append(starts, 3_999_999), 4) != nil)
+	is.True(checkLimit(nil, 4) != nil)
+}
--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -236,6 +236,7 @@
 			faults[name] = b
 		}
 	}
+	s.faultSet[args[0]] = time.Now()
 	return s.fleet.sendJSON(http.MethodPut, "http://"+s.fleet.addr(m.index, backendPort)+"/emulate/faults", faults)
 }
 
--- a/ctl/scenario/expect_test.go
+++ b/ctl/scenario/expect_test.go
@@ -25,6 +25,8 @@
 //	expect state B FIELD VALUE      a field of a backend server's state
 //	expect repeated OUTCOME N       number of answers with the outcome in the last repeat
 //	expect within rate=R burst=B    the workload's runs do not exceed rate and burst
+//	expect limit B PER_SECOND       since limitLead after it was told to name this limit, the
+//	                                backend server ran no more than the users' bound allows
 func (s *scenario) cmdExpect(_ *testscript.TestScript, args []string) error {
 	switch args[0] {
 	case "status", "outcome", "ran":
@@ -50,6 +52,8 @@
 		return s.expectRepeated(args[1], args[2])
 	case "within":
 		return s.expectWithin(args[1:])
+	case "limit":
+		return s.expectLimit(args[1], args[2])
 	default:
 		return fmt.Errorf("unknown property %q", args[0])
 	}
@@ -182,6 +186,58 @@
 }
 
 // expectWithin checks the workload's runs against a rate and a burst.
+// The users' bound on the requests of a backend server that names a limit: from limitLead
+// after it first did, in any limitWindow, limitOverage times what the limit allows and
+// limitSlack requests more.
+const (
+	limitLead    = 3 * time.Second
+	limitWindow  = 4 * time.Second
+	limitOverage = 1.5
+	limitSlack   = 5
+)
+
+func (s *scenario) expectLimit(name, perS string) error {
+	rate, err := strconv.ParseFloat(perS, 64)
+	if err != nil {
+		return err
+	}
+	m, err := s.fleet.member(name)
+	if err != nil {
+		return err
+	}
+	runs, err := s.fleet.runsOf(m)
+	if err != nil {
+		return err
+	}
+	since := s.faultSet[name].Add(limitLead).UnixMicro()
+	var starts []int64
+	for _, r := range runs {
+		if r.StartUS >= since {
+			starts = append(starts, r.StartUS)
+		}
+	}
+	return checkLimit(starts, rate)
+}
+
+// checkLimit checks the start times of runs, in microseconds, against the users' bound.
+func checkLimit(starts []int64, rate float64) error {
+	if len(starts) == 0 {
+		return errors.New("no request ran under the limit")
+	}
+	slices.Sort(starts)
+	allowed := int(limitOverage*rate*limitWindow.Seconds()) + limitSlack
+	first := 0
+	for i, at := range starts {
+		for at-starts[first] >= limitWindow.Microseconds() {
+			first++
+		}
+		if n := i - first + 1; n > allowed {
+			return fmt.Errorf("%d requests within %v up to %s, %d are allowed", n, limitWindow, time.UnixMicro(at).Format(time.RFC3339Nano), allowed)
+		}
+	}
+	return nil
+}
+
 func (s *scenario) expectWithin(args []string) error {
 	o, err := parseOptions(args)
 	if err != nil {
--- a/ctl/scenario/script_test.go
+++ b/ctl/scenario/script_test.go
@@ -54,7 +54,7 @@
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/scripts",
 		Setup: func(env *testscript.Env) error {
-			s := &scenario{dir: env.WorkDir, vars: map[string]string{}}
+			s := &scenario{dir: env.WorkDir, vars: map[string]string{}, faultSet: map[string]time.Time{}}
 			env.Values["scenario"] = s
 			env.Defer(s.close)
 			return nil
@@ -112,6 +112,7 @@
 	samples  []sample // of the stopped workload
 	repeats  []sample // of the last repeat command
 	vars     map[string]string
+	faultSet map[string]time.Time // when the faults of each backend server were last set
 	versions *versionMonitor
 }
 
--- a/ctl/scenario/soak_test.go
+++ b/ctl/scenario/soak_test.go
@@ -110,7 +110,7 @@
 
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
-		scenario: &scenario{dir: filepath.Join(t.TempDir(), fmt.Sprintf("soak-%d", seed)), vars: map[string]string{}},
+		scenario: &scenario{dir: filepath.Join(t.TempDir(), fmt.Sprintf("soak-%d", seed)), vars: map[string]string{}, faultSet: map[string]time.Time{}},
 		t:        t, rand: rand.New(rand.NewPCG(seed, 0)), killed: map[string]bool{},
 	}
 	if err := os.Mkdir(s.dir, 0o755); err != nil {
