daemon/plugins/owner: the notice of a server does not lock admission under its own lock

Cause: lock order. The admission queue asks under its lock whether a shard is still held, which takes the executor's lock; notice(), for each response, took them the other way round. The control goroutine then waits for the executor's lock for ever.

Change: notice() reads the limit before it takes the executor's lock.

Evidence: TestNoticeAndAdmissionWaitForOneAnother, red in 3 of 3 plays before. Then daemon_restarted and backend_limited green in 4 of 4 plays.

--- a/daemon/plugins/owner/notice.go
+++ b/daemon/plugins/owner/notice.go
@@ -73,9 +73,10 @@
 // notice returns what the backend server said of itself, for the daemons that receive its
 // responses, or nil.
 func (e *executor) notice() *wire.ServerNotice {
+	perS := e.admission.limitPerS() // before e.mu: the admission queue locks e.mu while it is locked
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	n := &wire.ServerNotice{Server: bootName(e.report), LimitPerS: e.admission.limitPerS()}
+	n := &wire.ServerNotice{Server: bootName(e.report), LimitPerS: perS}
 	if e.leavingSince != 0 {
 		n.Leaving = true
 		n.LeavingMs = uint32(e.clock.Now().Sub(e.leavingSince).Milliseconds())
--- a/daemon/plugins/owner/notice_test.go
+++ b/daemon/plugins/owner/notice_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
@@ -45,6 +46,36 @@
 	is.Equal(other.admission.limitPerS(), 0.0)
 }
 
+// Requests, which check their shard while the admission queue is locked, and responses,
+// which tell of the server, must not wait for one another.
+func TestNoticeAndAdmissionWaitForOneAnother(t *testing.T) {
+	is := is.New(t)
+	server := newRawServer(t, func(int64, *http.Request) string { return okHeader + "\r\nok" })
+	o := newTestOwner(t, server.addr, nil)
+	o.report(server.addr, false)
+	o.hold(2, nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		var wg sync.WaitGroup
+		for worker := range 64 {
+			wg.Go(func() {
+				for i := range 300 {
+					req := request("", fmt.Sprint(worker, i))
+					req.TimeoutMs = 20
+					o.Execute(context.Background(), req)
+				}
+			})
+		}
+		wg.Wait()
+	}()
+	select {
+	case <-done:
+	case <-time.After(4 * eventTimeout):
+		is.Fail() // deadlock
+	}
+}
+
 func TestServerGetsMoreThanTheLimitItNames(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string {
