daemon/plugins/owner: a server that refuses a request gets it again only within the budget

Callers saw nothing; the server did: on the native interface the owner sent a request that its server had refused up to three times more, and no budget counted it, while the entry paid for its own attempts only.

Cause: the list of ways to a second arrival (docs/PATH.md, "Repeats") has this one at the owner, below the place that counts.

Change: the owner asks the same daemon's Repeats before each further try, and says in its answer whether bytes of the request were sent, so that the entry pays for a fenced one too.

Evidence: TestShedRequestIsSentAgainBeyondBudget, red with the loop as it was (4 arrivals, 1 is allowed); green now.

--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -127,14 +127,17 @@
 	start := time.Now()
 	httpResp, err := b.client.Do(httpReq)
 	if err != nil {
-		return b.crashes.Refusal(ctx, backendconn.FailedAttempt{
+		refusal := b.crashes.Refusal(ctx, backendconn.FailedAttempt{
 			Trace: trace, Addr: addr, Err: err,
 			LostRequest: backendconn.LostRequest{Fingerprint: req.GetFingerprint(), Service: req.GetService(), Server: b.name()},
-		}), selfReport{}
+		})
+		refusal.Arrived = trace.Wrote()
+		return refusal, selfReport{}
 	}
 	report := readSelfReport(httpResp.Header)
 	resp := b.readResponse(ctx, httpResp, token)
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
+	resp.Arrived = true
 	return resp, report
 }
 
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -14,6 +14,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
 const (
@@ -90,19 +91,22 @@
 }
 
 // admit waits for the grant and runs the request. It retries with backoff while
-// the backend server sheds the request.
+// the backend server sheds the request and the retry budget has room.
 func (e *executor) admit(ctx context.Context, r *run) *wire.Response {
 	if e.checksFence() {
 		if err := e.grants.wait(ctx, grantKey{r.shard, r.token}, func() error { return e.stillHeld(r) }); err != nil {
 			return answer.Refusal(err)
 		}
 	}
+	var sends routing.Sends
 	pause := shedBackoff
 	for try := 1; ; try++ {
 		resp := e.attempt(ctx, r)
-		if outcome.Kind(resp.GetKind()) != outcome.BackendShed || try == maxShedAttempts {
+		e.repeats.Record(r.request, &sends, resp, nil)
+		if outcome.Kind(resp.GetKind()) != outcome.BackendShed || try == maxShedAttempts || !e.repeats.Allow(r.request, &sends) {
 			return resp
 		}
+		r.request.Repeat = true
 		select {
 		case <-ctx.Done():
 			return resp
--- a/daemon/plugins/owner/fake_test.go
+++ b/daemon/plugins/owner/fake_test.go
@@ -18,6 +18,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
 const service = "orders"
@@ -58,10 +59,21 @@
 		Held:     map[view.ShardID]view.Held{},
 		Services: map[string]*view.Service{service: {Base: 8, Shards: make([]view.Shard, 8)}},
 	})
-	b.executor = newExecutor(c, clock.Boot{}, noLoad{}, noSuspects{}, set, zap.NewNop())
+	b.executor = newExecutor(c, clock.Boot{}, noLoad{}, noSuspects{}, routing.NewRepeats(set, c, new(startedClock)), set, zap.NewNop())
 	return b
 }
 
+// startedClock is the boot clock of a daemon that has been running for longer than any
+// window: its first reading is an hour old.
+type startedClock struct{ started atomic.Bool }
+
+func (c *startedClock) Now() clock.Instant {
+	if c.started.CompareAndSwap(false, true) {
+		return clock.Boot{}.Now().Add(-time.Hour)
+	}
+	return clock.Boot{}.Now()
+}
+
 // noSuspects refuses no request and records nothing.
 type noSuspects struct{}
 
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -20,6 +20,7 @@
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
 func init() {
@@ -54,6 +55,7 @@
 	grants    *grants
 	admission *admission
 	ids       *ids
+	repeats   *routing.Repeats
 
 	idMoves []func() // request-id moves of splits and merges since the last view; control goroutine only
 
@@ -66,7 +68,7 @@
 	leavingSince clock.Instant // when the server first said in a response that it leaves; 0 if it did not
 }
 
-func newExecutor(c kernel.Control, clk clock.Clock, load kernel.LoadMeter, suspects kernel.Suspects, set settings.Daemon, log *zap.Logger) *executor {
+func newExecutor(c kernel.Control, clk clock.Clock, load kernel.LoadMeter, suspects kernel.Suspects, repeats *routing.Repeats, set settings.Daemon, log *zap.Logger) *executor {
 	b := newBackend(c, clk, suspects, set.Limits.BackendConns)
 	return &executor{
 		control:   c,
@@ -78,6 +80,7 @@
 		grants:    newGrants(b.sendGrant),
 		admission: newAdmission(clk, set),
 		ids:       newIDs(clk, set.Limits.RequestIDs),
+		repeats:   repeats,
 		running:   newInflight(),
 		quiesced:  map[view.ShardID]uint64{},
 		draining:  map[view.ShardID]control.Quiesce{},
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -103,6 +103,21 @@
 	}
 }
 
+// A backend server that refuses a request must not get it again beyond the retry budget.
+func TestShedRequestIsSentAgainBeyondBudget(t *testing.T) {
+	is := is.New(t)
+	shed := "HTTP/1.1 503 Service Unavailable\r\nX-Sesamemoor-Refused: shed\r\nContent-Length: 0\r\n\r\n"
+	server := newRawServer(t, func(int64, *http.Request) string { return shed })
+	b := newTestOwner(t, server.addr, func(s *settings.Daemon) {
+		s.Policy.ColdStart = "none"
+		s.Bounds.RetryRatio, s.Bounds.RetryExtra = 0, 0
+	})
+	b.report(server.addr, false)
+	b.hold(2, nil)
+	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.BackendShed)
+	is.Equal(server.requests.Load(), int64(1))
+}
+
 func TestShedRequestsAreRetried(t *testing.T) {
 	is := is.New(t)
 	shed := "HTTP/1.1 503 Service Unavailable\r\nX-Sesamemoor-Refused: shed\r\nContent-Length: 0\r\n\r\n"
