--- a/core/control/simulation_network_test.go
+++ b/core/control/simulation_network_test.go
@@ -104,12 +104,18 @@
 		}
 		return
 	}
-	w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+	w.appendRecord(data)
 	if w.forgeConsent {
 		w.forgeConsents()
 	}
 }
 
+// appendRecord appends a record at the end of the log.
+func (w *world) appendRecord(data []byte) {
+	w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+	w.appendedAt = append(w.appendedAt, w.now)
+}
+
 // forgeConsents appends the consents of all standbys at once.
 func (w *world) forgeConsents() {
 	st := w.replay()
@@ -124,7 +130,7 @@
 				Body: &wire.Record_Consent{Consent: &wire.Consent{Incarnation: sh.Standby, Refs: []*wire.ShardRef{
 					{Service: name, Shard: uint32(i), Generation: sh.Generation}}}}}
 			data, _ := proto.Marshal(rec)
-			w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+			w.appendRecord(data)
 		}
 	}
 }
@@ -187,7 +193,7 @@
 		if err != nil {
 			panic(err)
 		}
-		w.log = append(w.log, logstream.Entry{Offset: uint64(len(w.log) + 1), Data: data})
+		w.appendRecord(data)
 	}
 	n.nextOff = first
 	n.inbox = append(n.inbox, Trimmed{Stream: stream, First: first})
--- a/core/control/simulation_test.go
+++ b/core/control/simulation_test.go
@@ -72,9 +72,26 @@
 	if w.chance(o.Leave) {
 		n.inbox = append(n.inbox, Shutdown{})
 	}
+	if w.chance(o.Restore) {
+		w.restoreLog()
+	}
 	w.startRequests()
 }
 
+// restoreLog takes the log down and brings it back without the records of its last
+// seconds.
+func (w *world) restoreLog() {
+	back := w.randomUpTo(9 * time.Second)
+	away := w.randomUpTo(3 * time.Second)
+	w.logDownUntil = w.now + away
+	kept := 0
+	for kept < len(w.log) && w.appendedAt[kept] < w.now-back {
+		kept++
+	}
+	w.tracef("log restored to %d of %d records, away until %v", kept, len(w.log), w.logDownUntil)
+	w.log, w.appendedAt = w.log[:kept:kept], w.appendedAt[:kept]
+}
+
 // pauseLength returns a random pause, usually near the lease term and sometimes much
 // longer.
 func (w *world) pauseLength() time.Duration {
@@ -285,6 +302,24 @@
 	return odds
 }
 
+// A log that comes back without the records of its last seconds must not lead to two
+// owners of a shard, to a token that was given before, or to a shard that nobody serves.
+func TestRestoredLogHasTwoOwnersOfAShard(t *testing.T) {
+	first, _ := strconv.ParseUint(os.Getenv("SESAMEMOOR_WALK_SEED"), 10, 64)
+	for i := range simulationCount(t, 16) {
+		seed := first + uint64(i) + 1
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			odds := oddsFor(seed)
+			odds.Restore = 0.001
+			w := newWorld(seed, 5+int(seed%3), 3, odds)
+			if err := w.simulate(60 * time.Second); err != nil {
+				w.fail(t, seed, err)
+			}
+		})
+	}
+}
+
 func TestSimulationHasOneOwnerPerShard(t *testing.T) {
 	first, _ := strconv.ParseUint(os.Getenv("SESAMEMOOR_WALK_SEED"), 10, 64)
 	for i := range simulationCount(t, 16) {
--- a/core/control/simulation_world_test.go
+++ b/core/control/simulation_world_test.go
@@ -27,6 +27,7 @@
 	Pause, Restart, Partition, Outage        float64 // per step
 	CutLog, BackendFlap, Patch, Leave, Stall float64 // per step
 	Trim, Suspect                            float64 // per step
+	Restore                                  float64 // per step
 }
 
 // world is a fleet of control states in virtual time, with a fake log and a fake
@@ -38,6 +39,7 @@
 	now          time.Duration
 	nodes        []*node
 	log, cfg     []logstream.Entry
+	appendedAt   []time.Duration // of the records of log
 	configs      int
 	shards       uint32
 	logDownUntil time.Duration
@@ -291,8 +293,8 @@
 	}
 	now := w.clock(n)
 	w.step(n, Records{Stream: logstream.ConfigStream, Entries: w.cfg[n.state.history.Next-1:], Next: uint64(len(w.cfg) + 1), AsOf: now})
-	entries := w.log[n.nextOff-1:]
-	n.nextOff = uint64(len(w.log) + 1)
+	entries := w.log[min(n.nextOff-1, uint64(len(w.log))):]
+	n.nextOff = max(n.nextOff, uint64(len(w.log)+1))
 	w.step(n, Records{Stream: logstream.PlacementStream(simRegion), Entries: entries, Next: n.nextOff, AsOf: now})
 }
 
