core: eras of the log: replay, ownership and configuration after a restored store

Callers saw, after the store came back from a copy: requests handled by an older version (CONFIG), and in a simulation two owners of a key and tokens that were given out again.

Cause: positions in the log were taken as lasting and what it acknowledged as kept. Replay of the restored past makes former owners owners again, and incarnations and generations start there.

Change: a position is an era and an offset (logstream.Position). A new era of the placement begins with a start, the placement that a daemon knows, which replaces what the restored log says on all daemons. Members go on with what they serve, and claim it where the start gives it to another. Nothing changes hands until all members in service have adopted the era, lapsed or left. Incarnations carry the era, the start lifts all generations. Witnesses do not renew leases under an earlier era. The version in force never goes back; the start tells it to daemons that start, with the data centres that are out of service.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -74,6 +74,7 @@
 	newSealer     func(lease.Params, []string) leaseSealer
 	member        membership
 	claim         slotClaim
+	era           eraState
 	rights        map[view.ShardID]*right
 	takeovers     []pendingTakeover       // takeovers and recorded releases that are not appended yet
 	sealers       map[uint64]*sealAttempt // by incarnation
@@ -227,6 +228,7 @@
 
 func (s *State) tick() {
 	s.tickSlot()
+	s.tickEra()
 	s.tickMembership()
 	s.tickWitness()
 	s.tickSealers()
@@ -261,6 +263,7 @@
 	if e.Stream != s.placementStream() {
 		return
 	}
+	s.era.log = max(s.era.log, logstream.EraOf(e.Next))
 	before := s.fold.Next
 	for _, entry := range e.Entries {
 		s.applyPlacementRecord(entry)
@@ -280,9 +283,26 @@
 	if entry.Offset < s.fold.Next {
 		return
 	}
-	rec, verdict := s.fold.Apply(entry.Offset, entry.Data)
+	var rec *wire.Record
+	var verdict fold.Verdict
+	if s.era.waiting {
+		verdict = s.fold.ApplyRecordOfStart(entry.Data)
+		s.fold.Next = entry.Offset + 1
+	} else {
+		rec, verdict = s.fold.Apply(entry.Offset, entry.Data)
+	}
+	switch {
+	case verdict.Start != nil:
+		s.eraStarted(verdict.Start, verdict.Resplit)
+		return
+	case s.era.waiting:
+		return
+	}
 	s.trackSnapshot(s.placementStream(), rec)
-	if rec != nil {
+	switch {
+	case verdict.WrongEra:
+		s.outbox.resend(rec.GetId(), s.now)
+	case rec != nil:
 		s.outbox.confirm(rec.GetId())
 	}
 	if !verdict.Accepted {
@@ -295,12 +315,12 @@
 		s.tables.members = nil // addresses may have changed
 	}
 	if a := rec.GetAnnounce(); a != nil && a.GetSlot() == s.opts.Slot {
-		if s.claim.announceSeen(entry.Offset, rec.GetId()) {
-			s.witness.SetStartOffset(entry.Offset)
+		if at := s.fold.Slots[s.opts.Slot].Offset; s.claim.announceSeen(at, rec.GetId()) {
+			s.witness.SetStartOffset(at)
 		}
 	}
 	if rec.GetJoin() != nil {
-		s.joinSeen(entry.Offset, rec.GetId())
+		s.joinSeen(logstream.Position(s.fold.Base, logstream.OffsetOf(entry.Offset)), rec.GetId())
 	}
 	if sp := rec.GetSplitKey(); sp != nil {
 		s.splitSeen(sp)
@@ -331,7 +351,9 @@
 		s.emitDecision(Decision{Action: "configuration", Generation: verdict.Version})
 		s.configChanged()
 	}
-	if e.AsOf != 0 && s.history.Next >= e.Next {
+	// A daemon that starts in a new era learns the configuration in force from its start.
+	known := s.fresh.Known() != 0 || logstream.EraOf(e.Next) == 0 || s.caughtUp && !s.needsStart()
+	if e.AsOf != 0 && s.history.Next >= e.Next && known {
 		s.fresh.Advance(e.AsOf)
 	}
 	s.checkNewerRecords()
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -150,7 +150,7 @@
 // is read, and enough witnesses are known.
 func (s *State) join() {
 	m := &s.member
-	if m.backend == nil || m.draining || !s.caughtUp || s.stopping || s.slotLost() {
+	if m.backend == nil || m.draining || !s.caughtUp || s.needsStart() || s.stopping || s.slotLost() {
 		return
 	}
 	if s.opts.SlotIsHost && s.now < s.started.Add(restartSpread) {
@@ -211,7 +211,7 @@
 	m := &s.member
 	for _, r := range m.holder.Tick(s.now) {
 		s.sendTo(r.Witness, &wire.Datagram{Body: &wire.Datagram_Renew{
-			Renew: &wire.Renew{Incarnation: m.incarnation, Seq: r.Seq, Joining: r.Joining}}})
+			Renew: &wire.Renew{Incarnation: m.incarnation, Seq: r.Seq, Joining: r.Joining, Era: s.fold.Base}}})
 	}
 	if !m.readySent && s.leaseHeld() {
 		m.readySent = true
--- a/core/control/outbox.go
+++ b/core/control/outbox.go
@@ -45,6 +45,26 @@
 	}
 }
 
+// resend makes a record that is still pending due now.
+func (o *outbox) resend(id []byte, now clock.Instant) {
+	if len(id) != 16 {
+		return
+	}
+	if out, ok := o.pending[[16]byte(id)]; ok && !out.once {
+		out.next = now
+	}
+}
+
+// keepLeaves drops all records but leaves, which are due now.
+func (o *outbox) keepLeaves(now clock.Instant) {
+	for id, out := range o.pending {
+		if out.record.GetLeave() == nil {
+			delete(o.pending, id)
+		}
+		out.next = now
+	}
+}
+
 // append sends a record to the placement stream and retries until replay shows it.
 func (s *State) append(rec *wire.Record) [16]byte {
 	return s.send(rec, false)
@@ -66,6 +86,7 @@
 	rec.Id = id[:]
 	rec.Version = fold.VersionOf(rec)
 	rec.Author = author
+	rec.Era = s.stampEra()
 	s.outbox.order++
 	s.outbox.pending[id] = &outgoing{
 		stream: s.placementStream(), record: rec, next: s.now.Add(appendRetry), backoff: appendRetry, once: once, order: s.outbox.order,
@@ -88,6 +109,9 @@
 
 // tickOutbox retries the records that are due, and drops those that are sent only once.
 func (s *State) tickOutbox() {
+	if s.needsStart() {
+		return // replay of the new era would reject them
+	}
 	var due []*outgoing
 	for id, out := range s.outbox.pending {
 		if s.now < out.next {
@@ -104,6 +128,7 @@
 		out.backoff = min(2*out.backoff, appendRetryMax)
 		out.next = s.now.Add(out.backoff)
 		out.attempts++
+		out.record.Era = s.stampEra()
 		s.emit(Append{Stream: out.stream, Record: out.record})
 	}
 }
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -82,7 +82,7 @@
 
 func (s *State) tickPlanner() {
 	p := &s.planner
-	if s.now < p.next || !s.leaseHeld() || s.stopping {
+	if s.now < p.next || !s.leaseHeld() || s.stopping || !s.placementSettled() {
 		return
 	}
 	p.next = s.now.Add(planInterval)
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -223,6 +223,8 @@
 		return "the standby holds no lease"
 	case s.member.departReason != "" || s.stopping:
 		return "leaving"
+	case s.fold.Claiming:
+		return "the era of the log is not open"
 	case sh.Generation != generation || msg.GetOwner() != 0 && sh.Owner != msg.GetOwner() || sh.Standby != s.member.incarnation:
 		return "replay shows another placement"
 	}
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -99,9 +99,13 @@
 		if r.owned {
 			s.dirty = true // the recorded generation is part of the view
 		}
-		if !r.owned && !r.releasing && mayOwn && !s.hasIrrevocableRelease() {
+		if !r.owned && !r.releasing && mayOwn && !s.hasIrrevocableRelease() && s.placementSettled() {
 			s.acquire(id, r, sh.Generation, TakeOver{Resumed: r.resumed}, true, "replay shows this daemon as owner")
 		}
+	case s.fold.Claiming && r.owned:
+		// Claimed, but replay does not show the record yet.
+	case s.fold.Claiming && r.resumed != NotResumed:
+		// Its release was aborted; it is resumed once the era is open.
 	case sh.Standby == me && (r.taken == sh.Generation+1 || r.consented == sh.Generation+1):
 		// Taken over or consented, but replay does not show the record yet.
 	default:
@@ -150,7 +154,7 @@
 // successor.
 func (s *State) takeOver(id view.ShardID, sh *fold.Shard, withoutIDs bool, effect TakeOver) bool {
 	r := s.right(id)
-	if r.consented == sh.Generation+1 || r.taken == sh.Generation+1 {
+	if r.consented == sh.Generation+1 || r.taken == sh.Generation+1 || s.fold.Claiming {
 		return false
 	}
 	r.taken = sh.Generation + 1
@@ -165,7 +169,7 @@
 // tickRights starts releases that are due, repeats release messages, and sends
 // consents.
 func (s *State) tickRights() {
-	if !s.leaseHeld() {
+	if !s.leaseHeld() || s.fold.Claiming {
 		return
 	}
 	s.sendConsents()
--- a/core/control/snapshots.go
+++ b/core/control/snapshots.go
@@ -25,7 +25,7 @@
 )
 
 // Trimmed reports that records of a stream from the replay position on were trimmed,
-// and that reading continues at First.
+// and that reading continues at First. If First is in a later era, the log was restored.
 type Trimmed struct {
 	Stream string
 	First  uint64
@@ -43,6 +43,9 @@
 // trimmed starts collecting records for a snapshot. The daemon's previous state stays
 // in force until the snapshot is complete.
 func (s *State) trimmed(e Trimmed) {
+	if s.restored(e) || e.Stream == s.placementStream() && s.era.waiting && !s.skippedStart(e) {
+		return
+	}
 	s.collectors[e.Stream] = snapshot.NewCollector(e.Stream, e.First)
 	s.emitDecision(Decision{Action: "read_snapshot", Reason: "records of " + e.Stream + " were trimmed"})
 }
@@ -55,7 +58,15 @@
 	if !ok {
 		return e
 	}
-	for _, entry := range e.Entries {
+	for i, entry := range e.Entries {
+		if e.Stream == s.placementStream() {
+			if verdict := s.fold.ApplyRecordOfStart(entry.Data); verdict.Start != nil {
+				s.fold.Next = entry.Offset + 1
+				delete(s.collectors, e.Stream)
+				s.eraStarted(verdict.Start, true)
+				return Records{Stream: e.Stream, Entries: e.Entries[i+1:], Next: e.Next, AsOf: e.AsOf}
+			}
+		}
 		asOf, state, whole := c.Add(entry)
 		if whole && s.restore(e.Stream, asOf, state) {
 			delete(s.collectors, e.Stream)
@@ -93,9 +104,14 @@
 // lease, and joins again.
 func (s *State) restorePlacement(asOf uint64, state []byte) bool {
 	f, err := fold.Decode(state)
-	if err != nil || f.Next != asOf || f.Next < s.fold.Next {
+	if err != nil || f.Next != asOf || f.Base < s.fold.Base {
+		return false
+	}
+	f.Next = logstream.Position(s.era.log, logstream.OffsetOf(f.Next))
+	if f.Next < s.fold.Next {
 		return false
 	}
+	s.era.startedAt = s.now
 	if s.member.holder != nil {
 		s.emitDecision(Decision{Action: "abandon", Reason: "a snapshot skipped records that were not read", Member: s.member.incarnation})
 		s.dropIncarnation()
@@ -138,7 +154,7 @@
 // tickSnapshots writes the snapshots that are due. The planners of a region do so in
 // order of rank, each only if those before it did not.
 func (s *State) tickSnapshots() {
-	if !s.leaseHeld() || s.stopping || s.now < s.nextSnapshotCheck {
+	if !s.leaseHeld() || s.stopping || s.now < s.nextSnapshotCheck || !s.placementSettled() {
 		return
 	}
 	s.nextSnapshotCheck = s.now.Add(time.Second)
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -57,6 +57,9 @@
 	if s.slotLost() {
 		return // the slot's other process is the witness now
 	}
+	if r.GetEra() < s.fold.Base {
+		return // a member that goes by an earlier era may hold what others were given in this one
+	}
 	ack, refused := s.witness.Renew(s.now, r.GetIncarnation(), r.GetJoining())
 	if !ack && !refused {
 		return
--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -29,7 +29,11 @@
 	recentIDs   *idwindow.Window
 
 	published      *Config         // newest version by an external author; nil if there is none
+	publishedDoc   []byte          // its JSON document
 	outDataCentres map[string]bool // data centres taken out of service by orders
+	// restored is set until the first summary after the log was restored, which may be older
+	// than the orders in force.
+	restored bool
 }
 
 // Verdict is the result of applying a configuration record.
@@ -146,6 +150,7 @@
 		return rejected("%v", err)
 	}
 	h.published = cfg
+	h.publishedDoc = p.GetDocument()
 	h.Version = p.GetVersion()
 	h.rebuildConfig()
 	return Verdict{Accepted: true, Version: h.Version}
@@ -168,7 +173,10 @@
 // applyStanding applies the summary of records that the log no longer keeps: the newest
 // published version and all data-centre orders in force.
 func (h *History) applyStanding(st *wire.Standing) Verdict {
-	clear(h.outDataCentres)
+	if !h.restored {
+		clear(h.outDataCentres)
+	}
+	h.restored = false
 	for _, name := range st.GetOut() {
 		h.outDataCentres[name] = true
 	}
--- a/core/fold/encode.go
+++ b/core/fold/encode.go
@@ -24,7 +24,7 @@
 // Encode returns the encoded state. Equal states have equal encodings. Data from
 // the configuration, such as Service.Base, is not encoded.
 func (s *State) Encode() ([]byte, error) {
-	out := &wire.PlacementState{Next: s.Next, RecentIds: s.seen.Encode(), Gone: s.ended, Newer: s.Newer}
+	out := &wire.PlacementState{Next: s.Next, RecentIds: s.seen.Encode(), Gone: s.ended, Newer: s.Newer, Era: s.Era, Base: s.Base, Claiming: s.Claiming}
 	for _, name := range slices.Sorted(maps.Keys(s.Slots)) {
 		slot := s.Slots[name]
 		out.Slots = append(out.Slots, &wire.SlotState{Offset: slot.Offset, Announce: &wire.Announce{
@@ -34,7 +34,7 @@
 	}
 	for _, inc := range slices.Sorted(maps.Keys(s.Members)) {
 		m := s.Members[inc]
-		out.Members = append(out.Members, &wire.MemberState{Incarnation: inc, Phase: uint32(m.Phase), Join: &wire.Join{
+		out.Members = append(out.Members, &wire.MemberState{Incarnation: inc, Phase: uint32(m.Phase), Era: m.Era, Join: &wire.Join{
 			Slot: m.Slot, Service: m.Service, BackendServer: m.BackendServer, BackendAddr: m.BackendAddr,
 			Slots: m.Slots, ChecksFence: m.ChecksFence, Witnesses: m.Witnesses,
 		}})
@@ -87,6 +87,7 @@
 		return nil, fmt.Errorf("%w: invalid next offset or record ids", ErrState)
 	}
 	s.Next, s.seen, s.ended, s.Newer = in.GetNext(), window, in.GetGone(), in.GetNewer()
+	s.Era, s.Base, s.Claiming = in.GetEra(), in.GetBase(), in.GetClaiming()
 	for _, slot := range in.GetSlots() {
 		a := slot.GetAnnounce()
 		s.Slots[a.GetSlot()] = &Slot{
@@ -102,7 +103,7 @@
 		s.Members[m.GetIncarnation()] = &Member{
 			Incarnation: m.GetIncarnation(), Slot: j.GetSlot(), Service: j.GetService(), BackendServer: j.GetBackendServer(),
 			BackendAddr: j.GetBackendAddr(), Slots: j.GetSlots(), ChecksFence: j.GetChecksFence(),
-			Witnesses: j.GetWitnesses(), Phase: Phase(m.GetPhase()),
+			Witnesses: j.GetWitnesses(), Phase: Phase(m.GetPhase()), Era: m.GetEra(),
 		}
 	}
 	for _, inc := range s.ended {
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -10,6 +10,8 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamemoor/sesamemoor/core/idwindow"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/snapshot"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -39,7 +41,8 @@
 	return baseVersion
 }
 
-// Incarnation is the offset of a member's join record. Zero means none.
+// Incarnation is the position of a member's join record. Its era is State.Base, so that
+// incarnations of an era are above those of earlier ones. Zero means none.
 type Incarnation = uint64
 
 // Slot is a place where a daemon runs. The daemon may act as witness.
@@ -74,6 +77,7 @@
 	ChecksFence   bool   // the backend server rejects stale generations
 	Witnesses     []string
 	Phase         Phase
+	Era           uint64 // era that the member has adopted or joined in
 }
 
 // Shard is the placement of one shard.
@@ -114,9 +118,16 @@
 	// its values may differ between daemons.
 	Epoch uint64
 
+	// Era is the era of the newest records; 0 if they name none. Base is the newest era
+	// with a start, 0 if there was none. While Claiming is set it is not open: no shard
+	// changes hands.
+	Era, Base uint64
+	Claiming  bool
+
 	seen     *idwindow.Window
-	ended    []Incarnation // ended members that are retained, oldest first
-	recorded int           // sum of Service.recorded over all services
+	starts   *snapshot.Assembler // of the starts of eras; nil if none is incomplete
+	ended    []Incarnation       // ended members that are retained, oldest first
+	recorded int                 // sum of Service.recorded over all services
 }
 
 // New returns the state before the first record.
@@ -133,7 +144,10 @@
 // Verdict is the result of replaying a record.
 type Verdict struct {
 	Accepted bool
-	Reason   string // why the record was rejected; empty if it was accepted
+	Reason   string         // why the record was rejected; empty if it was accepted
+	WrongEra bool           // rejected for its era only: the author may append it again in the present one
+	Start    *wire.EraStart // the start of an era, which replaced the state
+	Resplit  bool           // the start has other split keys than the state before
 }
 
 func accepted() Verdict { return Verdict{Accepted: true} }
@@ -160,10 +174,16 @@
 	if len(rec.GetId()) != idwindow.IDBytes {
 		return rec, rejected("record id has %d bytes instead of 16", len(rec.GetId()))
 	}
+	if rec.GetSnapshot().GetStartsEra() != 0 {
+		return rec, s.applyStart(rec.GetSnapshot())
+	}
+	if verdict := s.checkEra(rec); !verdict.Accepted {
+		return rec, verdict
+	}
 	if !s.seen.Add(idwindow.ID(rec.GetId())) {
 		return rec, rejected("record id was seen before")
 	}
-	return rec, s.applyBody(offset, rec)
+	return rec, s.applyBody(logstream.Position(s.Base, logstream.OffsetOf(offset)), rec)
 }
 
 func (s *State) applyBody(offset uint64, rec *wire.Record) Verdict {
@@ -192,6 +212,10 @@
 		return s.splitKey(rec.GetAuthor(), body.SplitKey)
 	case *wire.Record_MergeKey:
 		return s.mergeKey(rec.GetAuthor(), body.MergeKey)
+	case *wire.Record_Adopt:
+		return s.adopt(rec.GetAuthor(), body.Adopt)
+	case *wire.Record_OpenEra:
+		return s.openEra(body.OpenEra)
 	case *wire.Record_Snapshot:
 		return accepted()
 	default:
--- a/core/fold/members.go
+++ b/core/fold/members.go
@@ -64,6 +64,7 @@
 		Slots:         j.GetSlots(),
 		ChecksFence:   j.GetChecksFence(),
 		Witnesses:     slices.Clone(j.GetWitnesses()),
+		Era:           s.Base,
 	}
 	s.Epoch++
 	return accepted()
@@ -170,18 +171,18 @@
 	s.retainEnded(inc)
 	for _, svc := range s.Services {
 		for i := range svc.Shards {
-			svc.Shards[i].end(inc)
+			svc.Shards[i].end(inc, s.floor())
 		}
 	}
 	return accepted()
 }
 
-func (sh *Shard) end(inc Incarnation) {
+func (sh *Shard) end(inc Incarnation, floor uint64) {
 	if sh.Owner == inc {
-		sh.promote()
+		sh.promote(floor)
 	}
 	if sh.Standby == inc {
-		sh.setStandby(0)
+		sh.setStandby(0, floor)
 	}
 	if sh.HasPending && sh.Pending == inc {
 		sh.HasPending = false
@@ -191,13 +192,13 @@
 
 // promote makes the standby the owner, as a takeover does. A shard without a
 // standby has no owner afterwards.
-func (sh *Shard) promote() {
+func (sh *Shard) promote(floor uint64) {
 	sh.Owner = sh.Standby
 	sh.Standby = 0
 	if sh.Owner == 0 {
-		sh.Generation += 2
+		sh.raise(2, floor)
 	} else {
-		sh.Generation++
+		sh.raise(1, floor)
 	}
 	sh.Handover = false
 	if sh.HasPending {
@@ -205,16 +206,16 @@
 		sh.HasPending = false
 		sh.Pending = 0
 		if next != sh.Owner {
-			sh.setStandby(next)
+			sh.setStandby(next, floor)
 		}
 	}
 }
 
 // setStandby replaces the standby. Since the generation increases by two, the
 // previous standby can no longer take over.
-func (sh *Shard) setStandby(inc Incarnation) {
+func (sh *Shard) setStandby(inc Incarnation, floor uint64) {
 	sh.Standby = inc
-	sh.Generation += 2
+	sh.raise(2, floor)
 	sh.HasPending = false
 	sh.Pending = 0
 	sh.Handover = false
--- a/core/fold/shards.go
+++ b/core/fold/shards.go
@@ -50,7 +50,7 @@
 		return false
 	}
 	if sh.Standby == 0 {
-		sh.setStandby(pl.GetStandby())
+		sh.setStandby(pl.GetStandby(), s.floor())
 		return true
 	}
 	sh.Pending = pl.GetStandby()
@@ -65,7 +65,7 @@
 		return false
 	}
 	sh.Owner = pl.GetOwner()
-	sh.setStandby(pl.GetStandby())
+	sh.setStandby(pl.GetStandby(), s.floor())
 	return true
 }
 
@@ -79,7 +79,7 @@
 		if err != nil || sh.Standby != author || sh.Owner == 0 {
 			continue
 		}
-		sh.setStandby(sh.Pending)
+		sh.setStandby(sh.Pending, s.floor())
 		count++
 	}
 	if count == 0 {
@@ -119,9 +119,9 @@
 			continue
 		}
 		previous := sh.Owner
-		sh.promote()
+		sh.promote(s.floor())
 		if t.GetFormerStandsBy() && sh.Standby == 0 && sh.Owner == author && s.inService(previous) {
-			sh.setStandby(previous)
+			sh.setStandby(previous, s.floor())
 		}
 		count++
 	}
--- a/core/fold/split.go
+++ b/core/fold/split.go
@@ -36,8 +36,8 @@
 	parent = &svc.Shards[body.GetParent().GetShard()] // recordShard may have reallocated the shards
 	child := &svc.Shards[body.GetShard()]
 	child.Owner = parent.Owner
-	child.setStandby(parent.Standby)
-	parent.advanceGeneration()
+	child.setStandby(parent.Standby, s.floor())
+	parent.advanceGeneration(s.floor())
 	svc.Split[body.GetKeyHash()] = body.GetShard()
 	svc.Free = slices.DeleteFunc(svc.Free, func(n uint32) bool { return n == body.GetShard() })
 	return accepted()
@@ -45,8 +45,8 @@
 
 // advanceGeneration increases the generation by two, past that of a takeover that
 // is not in the log yet. A pending standby proposal stays pending.
-func (sh *Shard) advanceGeneration() {
-	sh.Generation += 2
+func (sh *Shard) advanceGeneration(floor uint64) {
+	sh.raise(2, floor)
 	sh.Handover = false
 }
 
@@ -100,7 +100,7 @@
 		return rejected("the shards have different standbys or are not both owned by %d", author)
 	}
 	*child = Shard{Generation: child.Generation + 2}
-	parent.advanceGeneration()
+	parent.advanceGeneration(s.floor())
 	delete(svc.Split, m.GetKeyHash())
 	svc.Free = append(svc.Free, m.GetSplit().GetShard())
 	slices.Sort(svc.Free)
--- a/core/logstream/http.go
+++ b/core/logstream/http.go
@@ -58,26 +58,41 @@
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(waitMS)*time.Millisecond+responseGrace)
 	defer cancel()
 	query := url.Values{}
-	query.Set("from", strconv.FormatUint(from, 10))
+	query.Set("from", strconv.FormatUint(OffsetOf(from), 10))
 	query.Set("max", strconv.Itoa(max))
 	query.Set("wait_ms", strconv.Itoa(waitMS))
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, h.recordsURL(stream)+"?"+query.Encode(), nil)
 	if err != nil {
 		return Batch{}, fmt.Errorf("logstream: read: %w", err)
 	}
-	var batch Batch
-	status, err := h.do(req, &batch)
+	var answer struct {
+		Batch
+		Era uint64 `json:"era"`
+	}
+	status, err := h.do(req, &answer)
 	if err != nil {
 		return Batch{}, fmt.Errorf("%w: read: %w", ErrUnavailable, err)
 	}
-	switch status {
-	case http.StatusOK:
-		return batch, nil
-	case http.StatusGone:
-		return Batch{First: batch.First, Next: batch.Next}, ErrTrimmed
-	default:
+	if status != http.StatusOK && status != http.StatusGone {
 		return Batch{}, fmt.Errorf("%w: read: status %d", ErrUnavailable, status)
 	}
+	if restored, err := CheckEra(answer.Era, from); err != nil {
+		return restored, err
+	}
+	batch := answer.Batch.inEra(answer.Era)
+	if status == http.StatusGone {
+		return Batch{First: batch.First, Next: batch.Next}, ErrTrimmed
+	}
+	return batch, nil
+}
+
+// inEra returns the batch of offsets with positions in an era.
+func (b Batch) inEra(era uint64) Batch {
+	out := Batch{First: Position(era, b.First), Next: Position(era, b.Next)}
+	for _, e := range b.Records {
+		out.Records = append(out.Records, Entry{Offset: Position(era, e.Offset), Data: e.Data})
+	}
+	return out
 }
 
 // do sends a request and decodes the response body into out if the status is 200
--- a/core/snapshot/collector.go
+++ b/core/snapshot/collector.go
@@ -35,7 +35,7 @@
 		return 0, nil, false
 	}
 	asOf, state, ok = c.assembler.Add(rec.GetSnapshot())
-	return asOf, state, ok && asOf >= c.first
+	return asOf, state, ok && logstream.OffsetOf(asOf) >= logstream.OffsetOf(c.first) && logstream.OffsetOf(asOf) <= logstream.OffsetOf(entry.Offset)
 }
 
 // Collected returns the records added so far. Replay skips those that the snapshot
