daemon, platform: readers follow the log into a new era

Cause: readers kept their offset. The restored topic was shorter, so they waited beyond its end until it had grown past them.

Change: the client of the store reads the era that each answer names and gives positions in it. A read from an earlier era tells the first position of the new one; the relay drops what it held, wakes those who wait, and resets the other streams; followers and daemons that are cut from the store learn it from peers and surveys. Both stand-in stores can be restored.

--- a/ctl/emulate/platform/platform.go
+++ b/ctl/emulate/platform/platform.go
@@ -24,6 +24,7 @@
 	faults        Faults
 	faultsChanged chan struct{} // closed and replaced by SetFaults
 	appendLimiter *rate.Limiter // nil if there is no limit
+	era           uint64        // 0 until the first restore; rises with each
 }
 
 // New returns an empty log that keeps all records.
@@ -35,7 +36,7 @@
 }
 
 // Handler returns the HTTP API: the protocol of package logstream, GET and PUT
-// /admin/faults, and POST /admin/trim. Faults do not apply to the admin paths.
+// /admin/faults, POST /admin/trim and POST /admin/restore. Faults do not apply to the admin paths.
 func (s *Server) Handler() http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	engine := gin.New()
@@ -44,6 +45,7 @@
 	engine.GET("/admin/faults", s.getFaults)
 	engine.PUT("/admin/faults", s.putFaults)
 	engine.POST("/admin/trim", s.postTrim)
+	engine.POST("/admin/restore", s.postRestore)
 	return engine
 }
 
@@ -119,15 +121,15 @@
 		s.mu.Lock()
 		st := s.stream(c.Param("stream"))
 		batch, trimmed := st.read(query.from, query.limit)
-		appended := st.appended
+		appended, era := st.appended, s.era
 		s.mu.Unlock()
 		if trimmed {
-			c.JSON(http.StatusGone, batch)
+			c.JSON(http.StatusGone, answer{era, batch})
 			return
 		}
 		remaining := time.Until(deadline)
 		if len(batch.Records) > 0 || remaining <= 0 {
-			s.respondRead(c, batch)
+			s.respondRead(c, answer{era, batch})
 			return
 		}
 		select {
@@ -141,8 +143,14 @@
 
 // respondRead writes the batch of a read, unless an outage has begun while the read
 // waited.
-func (s *Server) respondRead(c *gin.Context, batch logstream.Batch) {
-	s.withOutage(c, func(c *gin.Context) { c.JSON(http.StatusOK, batch) })
+func (s *Server) respondRead(c *gin.Context, a answer) {
+	s.withOutage(c, func(c *gin.Context) { c.JSON(http.StatusOK, a) })
+}
+
+// answer is the body of the response to a read.
+type answer struct {
+	Era uint64 `json:"era,omitempty"`
+	logstream.Batch
 }
 
 func (s *Server) postTrim(c *gin.Context) {
@@ -158,6 +166,30 @@
 	c.Status(http.StatusNoContent)
 }
 
+func (s *Server) postRestore(c *gin.Context) {
+	var body struct {
+		LoseMS int64 `json:"lose_ms"` // records of this time are lost
+	}
+	if err := c.ShouldBindJSON(&body); err != nil || body.LoseMS < 0 {
+		c.JSON(http.StatusBadRequest, gin.H{"error": "lose_ms must be a time of at least 0"})
+		return
+	}
+	s.Restore(time.Duration(body.LoseMS) * time.Millisecond)
+	c.Status(http.StatusNoContent)
+}
+
+// Restore emulates a log that comes back from a copy of the given age: the records of all
+// streams that were appended since are lost, and their offsets are given out again.
+func (s *Server) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	since := time.Now().Add(-age)
+	for _, st := range s.streams {
+		st.dropSince(since)
+	}
+	s.era = max(s.era, logstream.FirstEra) + 1
+}
+
 // Trim drops the records of a stream before the given offset.
 func (s *Server) Trim(name string, before uint64) {
 	s.mu.Lock()
--- a/ctl/emulate/platform/stream.go
+++ b/ctl/emulate/platform/stream.go
@@ -37,10 +37,11 @@
 }
 
 // read returns up to limit records from offset from on. It returns a batch without
-// records and true if the record at from was trimmed.
+// records and true if there is no record at from and never will be by waiting: it was trimmed,
+// or is beyond the next one.
 func (st *stream) read(from uint64, limit int) (logstream.Batch, bool) {
 	batch := logstream.Batch{First: st.first, Next: st.next(), Records: []logstream.Entry{}}
-	if from < st.first {
+	if from < st.first || from > batch.Next {
 		return batch, true
 	}
 	for offset := from; offset < batch.Next && len(batch.Records) < limit; offset++ {
@@ -49,6 +50,15 @@
 	return batch, false
 }
 
+// dropSince drops the records that were appended after a time.
+func (st *stream) dropSince(at time.Time) {
+	kept := len(st.records)
+	for kept > 0 && st.appendTimes[kept-1].After(at) {
+		kept--
+	}
+	st.records, st.appendTimes = st.records[:kept:kept], st.appendTimes[:kept:kept]
+}
+
 // trim drops the records before the given offset.
 func (st *stream) trim(before uint64) {
 	before = min(max(before, st.first), st.next())
--- a/daemon/kernel/relay.go
+++ b/daemon/kernel/relay.go
@@ -20,8 +20,11 @@
 	// batch.Next was the head of the stream at asOf.
 	Apply(stream string, from uint64, batch logstream.Batch, asOf clock.Instant)
 	// Reset drops the stored records of a stream whose records at the read
-	// position were trimmed. Reading continues at offset first.
+	// position were trimmed, or whose log was restored. Reading continues at position
+	// first. A restored log has a new era for all streams.
 	Reset(stream string, first uint64)
+	// Restored returns a channel that is closed when the era of the stream advances.
+	Restored(stream string) <-chan struct{}
 	// Read reads from the peer that this daemon follows. It returns ErrNoPeer if
 	// the daemon reads from the platform.
 	Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error)
--- a/daemon/plugins/logclient/reader.go
+++ b/daemon/plugins/logclient/reader.go
@@ -68,6 +68,12 @@
 			r.hasRead = true
 			r.relay.Apply(r.stream, from, batch, asOf)
 			r.gather(ctx, batch)
+		case r.relay.NextOffset(r.stream) > from:
+			// The log was restored, and another stream's reader knows it.
+		case errors.Is(err, logstream.ErrRestored):
+			r.logger.Warn("the log was restored", zap.String("stream", r.stream), zap.Uint64("era", logstream.EraOf(batch.First)))
+			r.hasRead = false
+			r.relay.Reset(r.stream, batch.First)
 		case errors.Is(err, logstream.ErrTrimmed) && batch.First > from:
 			r.logger.Warn("records were trimmed; starting from a snapshot",
 				zap.String("stream", r.stream), zap.Uint64("from", from), zap.Uint64("first", batch.First))
@@ -95,9 +101,19 @@
 // of which the head of the stream is known. For a read from the platform it is the
 // time of sending, however long the read waited: the answer proves no later one.
 func (r *reader) read(ctx context.Context, from uint64) (logstream.Batch, clock.Instant, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	restored := r.relay.Restored(r.stream)
+	go func() {
+		select {
+		case <-restored:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
 	batch, asOf, err := r.relay.Read(ctx, r.stream, from)
-	if err == nil {
-		return batch, asOf, nil
+	if err == nil || errors.Is(err, logstream.ErrRestored) {
+		return batch, asOf, err
 	}
 	wait := r.maxWaitMS
 	if !r.hasRead {
--- a/daemon/plugins/logclient/reader_test.go
+++ b/daemon/plugins/logclient/reader_test.go
@@ -26,22 +26,26 @@
 	down        bool
 	maxRecords  int // most records that fit an answer; 0 means any number
 	reads       int
+	era         uint64
 }
 
 func (l *fakeLog) Read(_ context.Context, _ string, from uint64, limit, waitMS int) (logstream.Batch, error) {
 	l.reads++
 	time.Sleep(l.delay)
-	batch := logstream.Batch{First: l.first, Next: l.next}
+	batch := logstream.Batch{First: logstream.Position(l.era, l.first), Next: logstream.Position(l.era, l.next)}
+	if restored, err := logstream.CheckEra(l.era, from); err != nil {
+		return restored, err
+	}
 	switch {
 	case l.down:
 		return logstream.Batch{}, logstream.ErrUnavailable
-	case from < l.first:
+	case from < batch.First:
 		return batch, logstream.ErrTrimmed
 	}
 	if l.maxRecords > 0 && limit > l.maxRecords {
 		return logstream.Batch{}, logstream.ErrUnavailable
 	}
-	for o := from; o < min(l.next, from+uint64(limit)); o++ {
+	for o := from; o < min(batch.Next, from+uint64(limit)); o++ {
 		batch.Records = append(batch.Records, logstream.Entry{Offset: o})
 	}
 	if len(batch.Records) == 0 {
@@ -71,6 +75,8 @@
 	r.next = first
 }
 
+func (r *fakeRelay) Restored(string) <-chan struct{} { return nil }
+
 func (r *fakeRelay) Read(context.Context, string, uint64) (logstream.Batch, clock.Instant, error) {
 	return logstream.Batch{}, 0, kernel.ErrNoPeer
 }
@@ -105,6 +111,18 @@
 	})
 }
 
+// A reader whose position is beyond the end of a restored log must read it from its
+// beginning.
+func TestReaderWaitsBeyondTheEndOfARestoredLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		relay := &fakeRelay{next: logstream.Position(1, 40)}
+		readFor(t, &fakeLog{first: 1, next: 21, era: 2}, relay, 3*time.Second)
+		is.Equal(relay.restarts, []uint64{logstream.Position(2, 1)})
+		is.Equal(relay.taken, 20)
+	})
+}
+
 func TestReaderBacksOffWhileLogIsDown(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -12,6 +12,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -124,8 +125,22 @@
 	return r.source[stream]
 }
 
-// Reset implements kernel.Relay.
-func (r *relay) Reset(stream string, first uint64) { r.stores[stream].reset(first) }
+// Reset implements kernel.Relay. All streams are in the same log, so that a new era of one
+// is that of the others.
+func (r *relay) Reset(stream string, first uint64) {
+	if !r.stores[stream].reset(first) {
+		return
+	}
+	era := logstream.EraOf(first)
+	for name, other := range r.stores {
+		if name != stream && logstream.EraOf(other.position()) < era {
+			other.reset(logstream.Position(era, 1))
+		}
+	}
+}
+
+// Restored implements kernel.Relay.
+func (r *relay) Restored(stream string) <-chan struct{} { return r.stores[stream].restoredSignal() }
 
 // Read implements kernel.Relay.
 func (r *relay) Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
@@ -138,6 +153,9 @@
 		return logstream.Batch{}, 0, kernel.ErrNoPeer
 	}
 	batch, asOf, err := r.ask(ctx, addr, stream, from, r.maxWait(stream))
+	if errors.Is(err, logstream.ErrRestored) {
+		return batch, 0, err
+	}
 	if err != nil {
 		r.backOff(addr)
 		r.logSource(stream, "")
@@ -213,6 +231,14 @@
 	switch {
 	case answer == nil || answer.GetStream() != stream:
 		return logstream.Batch{}, 0, fmt.Errorf("relay: %s: expected a batch of records of the requested stream, got another frame or stream", addr)
+	case logstream.EraOf(answer.GetFirst()) > logstream.EraOf(from):
+		first := answer.GetFirst()
+		if logstream.OffsetOf(from) == 1 { // a daemon that has read nothing needs the stream from its beginning
+			first = logstream.Position(logstream.EraOf(first), 1)
+		}
+		return logstream.Batch{First: first}, 0, fmt.Errorf("relay: %s: %w", addr, logstream.ErrRestored)
+	case logstream.EraOf(answer.GetFirst()) < logstream.EraOf(from):
+		return logstream.Batch{}, 0, fmt.Errorf("relay: %s reads an earlier era of the log", addr)
 	case answer.GetFirst() > from:
 		return logstream.Batch{}, 0, fmt.Errorf("relay: %s holds no records before %d: %w", addr, answer.GetFirst(), logstream.ErrTrimmed)
 	}
--- a/daemon/plugins/relay/store.go
+++ b/daemon/plugins/relay/store.go
@@ -43,11 +43,12 @@
 	// sent.
 	compressed *wire.LogEntry
 	deflating  sync.Mutex    // guards compressed
-	changed    chan struct{} // closed and replaced when records or asOf advance
+	changed    chan struct{} // closed and replaced when records, asOf or the era advance
+	restored   chan struct{} // closed and replaced when the era advances
 }
 
 func newStore(stream string, post func(control.Event)) *store {
-	return &store{stream: stream, post: post, first: 1, next: 1, changed: make(chan struct{})}
+	return &store{stream: stream, post: post, first: 1, next: 1, changed: make(chan struct{}), restored: make(chan struct{})}
 }
 
 // position returns the offset of the next record to read.
@@ -69,7 +70,8 @@
 func (s *store) apply(from uint64, batch logstream.Batch, asOf clock.Instant) (added []logstream.Entry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if from > s.next {
+	era := logstream.EraOf(s.next)
+	if from > s.next || logstream.EraOf(from) != era || batch.Next != 0 && logstream.EraOf(batch.Next) != era {
 		return nil
 	}
 	for _, e := range batch.Records {
@@ -142,13 +144,35 @@
 	s.entries = append([]logstream.Entry(nil), s.entries[drop:]...)
 }
 
-// reset drops all records and continues at offset first.
-func (s *store) reset(first uint64) {
+// reset drops all records and continues at position first: records before it were
+// trimmed or, if it is in a later era, the log was restored. It reports whether it did: a
+// position of an earlier era is ignored.
+func (s *store) reset(first uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.first, s.next, s.head, s.asOf = first, first, 0, 0
+	if first <= s.next {
+		return false
+	}
+	s.first, s.head = first, 0
+	if logstream.EraOf(first) > logstream.EraOf(s.next) {
+		close(s.restored)
+		s.restored = make(chan struct{})
+	} else {
+		s.asOf = 0
+	}
+	s.next = first
 	s.entries, s.bytes, s.published, s.publishedVersion = nil, 0, 0, 0
 	s.post(control.Trimmed{Stream: s.stream, First: first})
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return true
+}
+
+// restoredSignal returns a channel that is closed when the log's era changes.
+func (s *store) restoredSignal() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.restored
 }
 
 // poll returns the records from offset from on. It waits up to wait for records
@@ -169,7 +193,8 @@
 			batch.HeadAgeMs = arrived.Sub(s.asOf).Milliseconds()
 		}
 		s.mu.Unlock()
-		if len(batch.Entries) > 0 || batch.First > from || newer {
+		behind := logstream.EraOf(from) > logstream.EraOf(batch.First)
+		if len(batch.Entries) > 0 || batch.First > from || newer || behind {
 			return batch
 		}
 		select {
--- a/daemon/plugins/relay/survey.go
+++ b/daemon/plugins/relay/survey.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -112,6 +113,10 @@
 		}
 		from := s.position()
 		batch, asOf, err := r.ask(ctx, d.PeerAddr, stream, from, wait)
+		if errors.Is(err, logstream.ErrRestored) {
+			r.log.Info("log was restored, by a survey", zap.String("stream", stream), zap.String("peer", d.PeerAddr), zap.Uint64("first", batch.First))
+			r.Reset(stream, batch.First)
+		}
 		if err != nil {
 			continue
 		}
