daemon/plugins/backend: a refusal without an id counts only on a new connection

It could happen here: a refusal names no request if it has no id, and on a kept connection it may be left from an earlier one. And a connection with an answer of another request was used again, if that answer had no body.

Change: on a kept connection a refusal without an id means that the request may have run. Connections with a foreign answer are closed.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -96,13 +96,28 @@
 type Trace struct {
 	Until clock.Instant // the request may be written before this time
 	conn  atomic.Pointer[guardedConn]
+	kept  atomic.Bool
+}
+
+// Kept reports whether the request was sent on a connection that had carried another one.
+// A faulty server may have left bytes of its answer there.
+func (t *Trace) Kept() bool { return t.kept.Load() }
+
+// CloseConn closes the request's connection, so that no other request is sent on it.
+func (t *Trace) CloseConn() {
+	if c := t.conn.Load(); c != nil {
+		_ = c.Close()
+	}
 }
 
 // Attach returns a context that makes the HTTP transport report the request's
 // connection to the trace.
 func (t *Trace) Attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.SetConn(info.Conn) },
+		GotConn: func(info httptrace.GotConnInfo) {
+			t.kept.Store(info.Reused)
+			t.SetConn(info.Conn)
+		},
 	})
 }
 
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -94,7 +94,7 @@
 		refusal.Arrived = trace.Wrote()
 		return refusal, protocol.BackendAnswer{}, err
 	}
-	resp, answer := c.answer(runCtx, httpResp, req.GetRequestId())
+	resp, answer := c.answer(runCtx, httpResp, req.GetRequestId(), trace)
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
 	resp.Arrived = true
 	return resp, answer, nil
@@ -149,15 +149,18 @@
 
 // answer reads the complete response. Unless it says that the request did not
 // run, a response that is incomplete, without the server's seal or to another request
-// becomes a refusal after which the request may have run.
-func (c *client) answer(ctx context.Context, httpResp *http.Response, id string) (*wire.Response, protocol.BackendAnswer) {
+// becomes a refusal after which the request may have run. A refusal without an id counts only
+// on a new connection: on a kept one it may be an earlier refusal that the server wrote once
+// more.
+func (c *client) answer(ctx context.Context, httpResp *http.Response, id string, trace *backendconn.Trace) (*wire.Response, protocol.BackendAnswer) {
 	defer httpResp.Body.Close()
 	decoded := c.protocol.Decode(httpResp)
-	if decoded.NotRun && (decoded.ID == id || decoded.ID == "") {
+	if decoded.NotRun && (decoded.ID == id || decoded.ID == "" && !trace.Kept()) {
 		backendconn.DrainBody(httpResp)
 		return answer.Refusal(notRunError(httpResp.StatusCode, decoded)), decoded
 	}
 	if decoded.ID != id {
+		trace.CloseConn()
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response belongs to another request %q", decoded.ID)), protocol.BackendAnswer{}
 	}
 	resp, err := c.responses.Read(ctx, httpResp)
