daemon/plugins/gateway: a stopping daemon takes no late request that may outlast it

Change: in the second half of the time until it stops, a daemon refuses a request whose time does not end before, at once, not run, with a short Retry-After.

Evidence: TestLateRequestIsCutAtTheEndOfAShutdown, two of four cases red without the check (the test needs the view's LeavingSince, which the code before lacks).

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -106,6 +106,7 @@
 	consentRefused  clock.Instant // when the log last refused a consent; zero if never
 	afterView       []Effect      // effects that follow the view of the step
 	stopping        bool
+	stoppingSince   clock.Instant
 	departed        bool
 	departedAt      clock.Instant // when the daemon stopped being a member for good
 }
--- a/core/control/departure.go
+++ b/core/control/departure.go
@@ -79,6 +79,7 @@
 		return
 	}
 	s.stopping = true
+	s.stoppingSince = s.now
 	s.dirty = true
 	s.abandonJoin()
 	s.depart("shutdown")
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -76,6 +76,7 @@
 		Lease:           s.cell,
 		OutOfService:    s.selfOut() || s.member.draining,
 		Leaving:         s.stopping,
+		LeavingSince:    s.stoppingSince,
 	}
 }
 
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"os"
 	"strings"
+	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
 )
@@ -116,6 +117,19 @@
 	GraceS              float64 `json:"grace_s"`               // time from SIGTERM until the process is killed; 0 means shutdown_grace_ms
 }
 
+// killMargin is the part of the time before the platform kills the process that is left
+// unused.
+const killMargin = 400 * time.Millisecond
+
+// StopTime returns the time from SIGTERM until the process has stopped, or 0 if the platform
+// sets no limit.
+func (b Bounds) StopTime() time.Duration {
+	if b.GraceS == 0 {
+		return 0
+	}
+	return max(0, time.Duration(b.GraceS*float64(time.Second))-killMargin)
+}
+
 // Policy selects each policy or its naive baseline, for experiments.
 type Policy struct {
 	ColdStart  string `json:"cold_start"` // "ramp" or "none"
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -132,8 +132,9 @@
 	// OutOfService reports that this daemon's data centre or backend server is out of
 	// service by an operator's order, or that its backend server is draining.
 	OutOfService bool
-	// Leaving reports that this daemon is shutting down.
-	Leaving bool
+	// Leaving reports that this daemon is shutting down, LeavingSince since when.
+	Leaving      bool
+	LeavingSince clock.Instant
 }
 
 // LeaseCell publishes the lease deadline to request goroutines. It is safe for
--- a/daemon/cmd/sesamemoord/commands.go
+++ b/daemon/cmd/sesamemoord/commands.go
@@ -140,9 +140,6 @@
 	// still accepts callers. The platform checks readiness every second and stops
 	// sending callers after two failed checks.
 	minListenTime = 2300 * time.Millisecond
-	// killMargin is the part of the time before the platform kills the process that is
-	// left unused.
-	killMargin = 400 * time.Millisecond
 	// inFlightTime is the part of the grace time reserved for requests in progress
 	// after the shards were handed off.
 	inFlightTime = 2 * time.Second
@@ -160,7 +157,7 @@
 	if set.Bounds.GraceS == 0 {
 		return shutdownPhases{handoff: grace, total: grace + stopTimeout}
 	}
-	total := time.Duration(set.Bounds.GraceS*float64(time.Second)) - killMargin
+	total := set.Bounds.StopTime()
 	return shutdownPhases{handoff: max(total-inFlightTime, 0), listen: min(minListenTime, total), total: total}
 }
 
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -71,7 +71,8 @@
 	runs               *retry.Runs // of the backend server beside this daemon
 	metrics            *instruments
 	log                *zap.Logger
-	service            string // service of the backend server beside this daemon
+	stopTime           time.Duration // from the start of a shutdown until the process stops; 0 means no limit
+	service            string        // service of the backend server beside this daemon
 	secret             []byte
 	weightedRoundRobin *weightedRoundRobin
 
@@ -100,7 +101,7 @@
 	return &gateway{
 		control: p.Control, clock: p.Clock, protocol: p.Protocol, limiter: p.Limiter, suspects: p.Suspects,
 		sender: p.Sender, runs: p.Runs, metrics: p.Metrics, log: p.Log.Named("gateway"),
-		service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
+		stopTime: p.Settings.Bounds.StopTime(), service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
 		weightedRoundRobin: newWeightedRoundRobin(), localShares: newLocalShares(), timeoutEstimators: newTimeoutEstimators(), hashes: map[string]string{},
 	}
 }
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -158,6 +158,7 @@
 	set := settings.Default()
 	set.KeyHashSecret = secret
 	set.BackendService = "front"
+	set.Bounds.GraceS = 6
 	m, err := newInstruments(&kernel.Metrics{Meter: noop.Meter{}})
 	if err != nil {
 		t.Fatal(err)
@@ -467,6 +468,33 @@
 	is.Equal(len(s.targets), 0)
 }
 
+// A request that comes late in a shutdown and may outlast the process must not be taken: it
+// would be cut.
+func TestLateRequestIsCutAtTheEndOfAShutdown(t *testing.T) {
+	for name, tc := range map[string]struct {
+		ago  time.Duration // start of the shutdown
+		path string
+		want int
+	}{
+		"early":         {time.Second, "/sync/1", 200},
+		"late, short":   {3500 * time.Millisecond, "/read/1", 200},
+		"late, long":    {3500 * time.Millisecond, "/sync/1", 503},
+		"near the stop": {5500 * time.Millisecond, "/read/1", 503},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFakeDaemon()
+			s.view.Config.HostRoutes = append(s.view.Config.HostRoutes, fleet.HostRoute{
+				Name: "sync", Host: "a", Prefix: "/sync/", Targets: []fleet.WeightedRoute{{Service: "back", Weight: 1}}, TimeoutMS: 4000, MaxTries: 2})
+			s.view.Hosts = fleet.NewHostTable(s.view.Config)
+			s.view.Leaving, s.view.LeavingSince = true, clock.Boot{}.Now().Add(-tc.ago)
+			resp := send(t, newTestGateway(t, s), "POST", tc.path)
+			is.Equal(resp.StatusCode, tc.want)
+			is.Equal(len(s.targets) > 0, tc.want == 200)
+		})
+	}
+}
+
 func TestReadyUntilLeaving(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -29,6 +29,9 @@
 	retryAfterJitter = 0.3
 	// defaultMaxBodyBytes bounds a request body if the configuration does not.
 	defaultMaxBodyBytes = 8 << 20
+	// leavingRetryAfter is the Retry-After of a request that a stopping daemon refuses: any
+	// other daemon takes it.
+	leavingRetryAfter = 50 * time.Millisecond
 	// responseMargin is the part of the time to the deadline that is reserved for
 	// the transfer of the response from the owner's daemon.
 	responseMargin = 15 * time.Millisecond
@@ -84,6 +87,9 @@
 	if err := g.authenticate(v, x, decoded.Key); err != nil {
 		return nil, err
 	}
+	if err := g.checkStop(v, x); err != nil {
+		return nil, err
+	}
 	if err := readBody(w, r, x, v.Config.CallerLimits.MaxBodyBytes); err != nil {
 		return nil, err
 	}
@@ -131,6 +137,25 @@
 	return nil
 }
 
+// lateShare is the share of the time until the process stops, after which it takes no more
+// requests that may outlast it.
+const lateShare = 0.5
+
+// checkStop refuses a request that arrives late in a shutdown and whose time does not end
+// before the process does: it would be cut without an answer.
+func (g *gateway) checkStop(v *view.View, x *exchange) error {
+	if !v.Leaving || v.LeavingSince == 0 || g.stopTime == 0 {
+		return nil
+	}
+	left := g.stopTime - g.clock.Now().Sub(v.LeavingSince)
+	if left > time.Duration(lateShare*float64(g.stopTime)) || time.Until(x.limit) < left {
+		return nil
+	}
+	err := outcome.New(outcome.Draining, "this daemon stops in %v, before the request's time is up", left)
+	err.RetryAfter = leavingRetryAfter
+	return err
+}
+
 // authenticate sets the request's team by its caller key. Requests without a key
 // on an anonymous route count as nested: backend servers make them for requests
 // that they run.
