--- a/core/control/control.go
+++ b/core/control/control.go
@@ -270,6 +270,7 @@
 		s.applyPlacementRecord(entry)
 	}
 	if s.fold.Next != before {
+		s.publishEra()
 		s.reconcileSlot()
 		s.reconcileRights()
 	}
--- a/core/control/era.go
+++ b/core/control/era.go
@@ -33,6 +33,7 @@
 
 // eraState is the progress of a new era of the placement stream.
 type eraState struct {
+	settled   bool          // as in the newest view
 	log       uint64        // newest era of the log
 	waiting   bool          // records are not applied until the start of the era
 	writeAt   clock.Instant // when this daemon writes the start; zero if none is due
@@ -252,3 +253,11 @@
 	s.appendOnce(&wire.Record{Body: &wire.Record_OpenEra{OpenEra: &wire.OpenEra{Era: s.fold.Base}}})
 	s.emitDecision(Decision{Action: "open_era", Reason: "all members have adopted it", Generation: s.fold.Base})
 }
+
+// publishEra makes a view due when the era has been opened or started.
+func (s *State) publishEra() {
+	if settled := s.placementSettled(); settled != s.era.settled {
+		s.era.settled = settled
+		s.dirty = true
+	}
+}
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -73,6 +73,8 @@
 		Starting:        s.starting(),
 		Slots:           len(s.fold.Slots),
 		NewerRecords:    s.newerRecords,
+		LogEra:          s.era.log,
+		EraSettled:      s.placementSettled(),
 		Lease:           s.cell,
 		OutOfService:    s.selfOut() || s.member.draining,
 		Leaving:         s.stopping,
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -122,6 +122,10 @@
 	Starting []Daemon
 	// Slots is the number of known slots, in service or not.
 	Slots int
+	// LogEra is the era of the log that this daemon has read; EraSettled reports that replay
+	// has its start and its opening, so that shards may change hands.
+	LogEra     uint64
+	EraSettled bool
 	// NewerRecords counts the log records in formats or of kinds that this daemon
 	// does not support.
 	NewerRecords uint64
--- a/ctl/scenario/commands_test.go
+++ b/ctl/scenario/commands_test.go
@@ -201,6 +201,12 @@
 func (s *scenario) cmdPlatform(_ *testscript.TestScript, args []string) error {
 	faults := map[string]any{}
 	switch args[0] {
+	case "restore": // platform restore MS: comes back without the records of the last MS milliseconds
+		n, err := strconv.Atoi(args[1])
+		if err != nil {
+			return err
+		}
+		return s.fleet.sendJSON(http.MethodPost, "http://"+s.fleet.logAddr+"/admin/restore", map[string]any{"lose_ms": n})
 	case "up":
 	case "down":
 		faults["down"] = true
@@ -211,7 +217,7 @@
 		}
 		faults[map[string]string{"slow": "delay_ms", "lose": "lose_answer"}[args[0]]] = n
 	default:
-		return fmt.Errorf("unknown state %q, expected up, down, slow or lose", args[0])
+		return fmt.Errorf("unknown state %q, expected up, down, slow, lose or restore", args[0])
 	}
 	return s.fleet.sendJSON(http.MethodPut, "http://"+s.fleet.logAddr+"/admin/faults", faults)
 }
--- a/daemon/kernel/gauges.go
+++ b/daemon/kernel/gauges.go
@@ -26,6 +26,15 @@
 	{"sesamemoor_shards_held", "shards that this daemon owns", func(v *view.View, _ clock.Instant) float64 {
 		return float64(len(v.Held))
 	}},
+	{"sesamemoor_log_era", "era of the log, which rises when it comes back from a copy", func(v *view.View, _ clock.Instant) float64 {
+		return float64(v.LogEra)
+	}},
+	{"sesamemoor_log_era_settled", "1 once shards may change hands in the era of the log", func(v *view.View, _ clock.Instant) float64 {
+		if v.EraSettled {
+			return 1
+		}
+		return 0
+	}},
 	{"sesamemoor_config_version", "version of the configuration in force here", func(v *view.View, _ clock.Instant) float64 {
 		return float64(v.ConfigVersion)
 	}},
