--- a/core/control/era.go
+++ b/core/control/era.go
@@ -56,9 +56,9 @@
 	return s.fold.Era
 }
 
-// restored handles a log that came back from a copy. first is the first position of the
-// new era, from which the stream is read again. It returns false if the stream is not in
-// a new era.
+// restored handles a log that came back from a copy. e.First is the position from which
+// the stream is read again. It returns false if that is not in a new era, or if this daemon
+// has read nothing and the stream's beginning was trimmed.
 func (s *State) restored(e Trimmed) bool {
 	next := &s.fold.Next
 	if e.Stream == logstream.ConfigStream {
