--- a/daemon/plugins/gateway/budget_test.go
+++ b/daemon/plugins/gateway/budget_test.go
@@ -276,6 +276,8 @@
 		"servers crash":  {setUp: lost(0.3, outcome.BackendCrashed, true)},
 		"errors":         {setUp: lost(0.3, outcome.BackendError, true)},
 		"declines between": {setUp: lost(0.3, outcome.AnswerCut, true), fault: func(f *repeatFleet) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
 			cut := f.fail
 			f.fail = func(at time.Duration, req *wire.Request) (*wire.Response, error, bool) {
 				if at > 10*time.Second && f.rng.Float64() < 0.2 {
