core/hold, platform: keys granted in the replies to a server's announcements

Callers of a service whose servers take their keys from the replies to their heartbeats got refusals only: daemons called /sesamemoor/grant, which such servers do not have.

A daemon now learns from a server's announcements, by the list of held keys in them, which way it takes keys. The duration counts from the sending of the announcement, so a late reply grants no longer than the lease.

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -56,6 +56,13 @@
 	nextGrant       clock.Instant // time when the next grant is due
 	inFlight        bool
 	closed          bool // no further grants are sent
+
+	// Of a server that takes its grants from replies.
+	repliedIn        uint64 // sequence number of the last announcement whose reply contained the grant
+	taken            bool   // the server has listed the keys under the token
+	omitted          bool   // a reply since the shard was closed did not contain it
+	released         bool   // the server has released the keys since the shard was closed
+	releasedHandover string // handover token that came with the release, or ""
 }
 
 // Table is the state of all grants to one boot of a backend server.
--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -73,6 +73,20 @@
 	Token       uint64
 }
 
+// KeyGrant is a range of keys that a backend server is to hold, with the handover token
+// that the previous holder returned on release, or "".
+type KeyGrant struct {
+	KeyRange
+	Handover string
+}
+
+// ReleasedKeys is a range of keys that a backend server has released, with the handover
+// token for the next holder.
+type ReleasedKeys struct {
+	First, Last uint32 // inclusive
+	Handover    string
+}
+
 // ErrFenced reports that the backend server has seen a higher fencing token.
 var ErrFenced = errors.New("protocol: the backend server has seen a higher fencing token")
 
@@ -101,14 +115,35 @@
 	Sequence uint64        // increases with each announcement of one boot
 	BootTime int64         // start of this boot, in milliseconds since 1970; 0 if unspecified
 	ColdFor  time.Duration // remaining time for which the backend server is cold
+
+	// GrantsInReply means that the server takes its keys from the replies to its
+	// announcements; Backends.Grant and Backends.Release are not used for it. Held are
+	// the keys that it holds or still works on, Released those that it has released
+	// since its last acknowledged announcement.
+	GrantsInReply bool
+	Held          []KeyRange
+	Released      []ReleasedKeys
+}
+
+// AnnouncementReply is the reply to an announcement.
+type AnnouncementReply struct {
+	Acknowledged bool
+	// HasGrants means that Grants are all keys that the server is to hold, for the
+	// duration Hold counted from the time when it sent the announcement. The server
+	// releases all others. Without HasGrants, it keeps what it holds until that expires.
+	HasGrants bool
+	Grants    []KeyGrant
+	Hold      time.Duration
 }
 
-// AnnouncementSink receives announcements and leave notices. Its methods report
-// whether the message may be acknowledged.
+// AnnouncementSink receives announcements and leave notices.
 type AnnouncementSink interface {
-	Announce(a Announcement) bool
+	// Announce handles an announcement and returns the reply. Until ctx ends it may
+	// wait for something to tell the server. fit returns how many of the first grants a
+	// reply can contain.
+	Announce(ctx context.Context, a Announcement, fit func([]KeyGrant) int) AnnouncementReply
 	// Leave handles the leave notice of a backend server: it stops soon and must
-	// receive no new requests.
+	// receive no new requests. It reports whether the notice may be acknowledged.
 	Leave(id string, bootTime int64) bool
 }
 
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -51,6 +51,7 @@
 	callFailures  int           // unanswered calls since lastHeartbeat
 	down          bool          // counts as lost
 	exited        bool          // its process has ended, and with it all holds
+	grantsInReply bool          // takes its keys from the replies to its announcements
 }
 
 // bootName identifies one boot of a server.
@@ -69,15 +70,18 @@
 }
 
 // Announce implements protocol.AnnouncementSink.
-func (e *executor) Announce(a protocol.Announcement) bool {
-	now := e.clock.Now()
+func (e *executor) Announce(ctx context.Context, a protocol.Announcement, fit func([]protocol.KeyGrant) int) protocol.AnnouncementReply {
+	arrived := e.clock.Now()
 	e.mu.Lock()
-	ev := e.applyAnnouncement(now, a)
+	ev := e.applyAnnouncement(arrived, a)
 	e.mu.Unlock()
 	if ev != nil {
 		e.control.Post(ev)
 	}
-	return true
+	if !a.GrantsInReply {
+		return protocol.AnnouncementReply{Acknowledged: true}
+	}
+	return e.replyWithGrants(ctx, arrived, a, fit)
 }
 
 // applyAnnouncement applies an announcement and returns the event for the control
@@ -101,6 +105,9 @@
 	s.lastHeartbeat = now
 	s.callFailures = 0
 	v := e.control.View()
+	if s.grantsInReply = a.GrantsInReply; s.grantsInReply {
+		e.applyReportedKeys(v, a)
+	}
 	e.admission.setSlots(slotsOf(v, a))
 	s.coldUntil = now.Add(a.ColdFor)
 	e.setColdLimit(v)
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -190,7 +190,7 @@
 	t.Cleanup(cancel)
 	go e.sendDueGrants(ctx)
 	go renew(ctx, lease)
-	e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 1})
+	announce(e, protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 1})
 	for id := range held {
 		e.HandleEffect(control.TakeOver{Shard: id, Token: 2})
 	}
@@ -386,8 +386,8 @@
 	e, f := start(t)
 	count := func() int { f.mu.Lock(); defer f.mu.Unlock(); return len(f.events) }
 	before := count()
-	is.True(e.Announce(protocol.Announcement{ID: "i-0", Service: "front", Addr: "127.0.0.1:1", Slots: 1, Sequence: 9, BootTime: 0}))                // an earlier boot
-	is.True(e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: "127.0.0.1:1", Slots: 1, Sequence: 1, BootTime: 1, Leaving: true})) // out of order
+	is.True(announce(e, protocol.Announcement{ID: "i-0", Service: "front", Addr: "127.0.0.1:1", Slots: 1, Sequence: 9, BootTime: 0}))                // an earlier boot
+	is.True(announce(e, protocol.Announcement{ID: "i-1", Service: "front", Addr: "127.0.0.1:1", Slots: 1, Sequence: 1, BootTime: 1, Leaving: true})) // out of order
 	is.Equal(count(), before)
 	is.Equal(e.server.addr, f.addr)
 }
@@ -396,7 +396,7 @@
 func TestNewBootHoldsNoKeys(t *testing.T) {
 	is := is.New(t)
 	e, f := start(t)
-	is.True(e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2}))
+	is.True(announce(e, protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2}))
 	f.mu.Lock()
 	last := f.events[len(f.events)-1].(control.BackendUp)
 	f.mu.Unlock()
@@ -425,7 +425,7 @@
 func TestColdLimitAppliesOnceConfigurationIsRead(t *testing.T) {
 	is := is.New(t)
 	e, f := start(t)
-	is.True(e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 2, BootTime: 1, ColdFor: time.Minute}))
+	is.True(announce(e, protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 2, BootTime: 1, ColdFor: time.Minute}))
 	const perS = 3
 	v := *f.View()
 	cfg := *v.Config
@@ -447,3 +447,8 @@
 	}
 	is.True(ran <= perS*(1+int(time.Since(started)/time.Second)))
 }
+
+// announce reports whether the executor acknowledges an announcement.
+func announce(e *executor, a protocol.Announcement) bool {
+	return e.Announce(context.Background(), a, func(grants []protocol.KeyGrant) int { return len(grants) }).Acknowledged
+}
--- a/daemon/plugins/backend/grants.go
+++ b/daemon/plugins/backend/grants.go
@@ -71,7 +71,7 @@
 func (e *executor) dueGrants() (*server, []hold.Grant) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.server == nil || e.server.down {
+	if e.server == nil || e.server.down || e.server.grantsInReply {
 		return nil, nil
 	}
 	v := e.control.View()
@@ -186,7 +186,11 @@
 	e.mu.Lock()
 	ended := e.bootEnded(s)
 	e.mu.Unlock()
-	if !ended {
+	switch {
+	case ended:
+	case s.grantsInReply:
+		handover = e.awaitReleaseInReply(q, s)
+	default:
 		handover = e.releaseKeys(q, s)
 	}
 	e.await(func() bool { return e.bootEnded(s) || e.running[q.Shard] == 0 })
--- a/daemon/plugins/backend/metrics.go
+++ b/daemon/plugins/backend/metrics.go
@@ -14,12 +14,13 @@
 // maxKind is the exclusive upper bound of the outcome kinds that are counted.
 const maxKind = 64
 
-// counters counts runs by outcome kind, repeats that were sent to the server, and grants
-// that were not sent in time.
+// counters counts runs by outcome kind, repeats that were sent to the server, grants
+// that were not sent in time, and ranges of keys that did not fit into a reply.
 type counters struct {
 	repeats      atomic.Int64
 	byKind       [maxKind]atomic.Int64
 	unsentGrants atomic.Int64
+	unfitGrants  atomic.Int64
 }
 
 func (c *counters) record(k outcome.Kind) {
@@ -49,6 +50,11 @@
 	if err != nil {
 		return err
 	}
+	unfit, err := m.Int64ObservableCounter("sesamemoor_backend_unfit_grants",
+		metric.WithDescription("ranges of keys that did not fit into the reply to an announcement of the backend server"))
+	if err != nil {
+		return err
+	}
 	limit, err := m.Float64ObservableGauge("sesamemoor_backend_limit_per_second",
 		metric.WithDescription("requests per second that the backend server takes by its own word; 0 if it names no limit"))
 	if err != nil {
@@ -62,12 +68,13 @@
 		}
 		o.ObserveInt64(repeats, e.counters.repeats.Load())
 		o.ObserveInt64(unsent, e.counters.unsentGrants.Load())
+		o.ObserveInt64(unfit, e.counters.unfitGrants.Load())
 		o.ObserveFloat64(limit, e.admission.limitPerS())
 		load := e.admission.load()
 		o.ObserveInt64(queue, int64(load.GetSlots()), metric.WithAttributes(attribute.String("state", "slots")))
 		o.ObserveInt64(queue, int64(load.GetRunning()), metric.WithAttributes(attribute.String("state", "running")))
 		o.ObserveInt64(queue, int64(load.GetWaiting()), metric.WithAttributes(attribute.String("state", "waiting")))
 		return nil
-	}, runs, repeats, queue, unsent, limit)
+	}, runs, repeats, queue, unsent, unfit, limit)
 	return err
 }
--- a/daemon/plugins/backend/notice_test.go
+++ b/daemon/plugins/backend/notice_test.go
@@ -104,9 +104,9 @@
 	f.handler = s.serve
 	is.Equal(kind(e.Execute(context.Background(), request("first", 7))), outcome.OK)
 	e.markLost(e.server, "no heartbeat", false)
-	e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 2, BootTime: 1})
+	announce(e, protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 2, BootTime: 1})
 	is.Equal(e.admission.limitPerS(), 10.0)
-	e.Announce(protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2})
+	announce(e, protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2})
 	is.Equal(e.admission.limitPerS(), 0.0) // another boot is another server
 }
 
@@ -165,6 +165,6 @@
 	req.Notice = &wire.ServerNotice{Server: "i-1@1", Leaving: true, LeavingMs: 1900}
 	is.Equal(kind(e.Execute(context.Background(), req)), outcome.Draining)
 	is.Equal(f.runs("r-1"), 0)
-	e.Announce(protocol.Announcement{ID: "i-2", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2})
+	announce(e, protocol.Announcement{ID: "i-2", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2})
 	is.True(e.notice() == nil) // another boot does not leave
 }
