core/placement: neighbouring shards of a service with bounded key ranges stay together

A reply to an announcement holds 4 KiB, some 150 ranges of keys. 2,048 shards that are spread one by one give each of four servers some 400 ranges; what does not fit is lost. Shards of such services are placed in runs, as long as needed for 64 runs a member. Balance still moves single shards.

TestKeyRangesOfAServerFitInAReply was red for 3, 4 and 7 servers.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -44,6 +44,9 @@
 	// KeySpace is the number of numeric keys, starting at 0, that the shards
 	// partition into ranges; 0 means that the hash of a key selects its shard.
 	KeySpace uint32 `json:"key_space,omitempty"`
+	// Contiguous means that a backend server can hold a bounded number of key ranges, so
+	// that neighbouring shards should have the same owner.
+	Contiguous bool `json:"contiguous,omitempty"`
 	// Keyless means that any backend server may run any request; Shards is 0.
 	Keyless     bool    `json:"keyless,omitempty"`
 	Connections uint32  `json:"connections,omitempty"`   // connections that each backend server accepts; 0 means no limit
--- a/core/placement/balance.go
+++ b/core/placement/balance.go
@@ -230,7 +230,7 @@
 
 func (r *round) rank(n int, to *candidate, want float64) rank {
 	sh := &r.svc.Shards[n]
-	k := rank{stage: 2, distance: math.Abs(r.shardLoads[n] - want), weight: rendezvous(r.service, n, to.inc)}
+	k := rank{stage: 2, distance: math.Abs(r.shardLoads[n] - want), weight: r.weight(n, to.inc)}
 	switch {
 	case sh.HasPending && sh.Pending == to.inc:
 		k.stage = 1
--- a/core/placement/round.go
+++ b/core/placement/round.go
@@ -39,6 +39,15 @@
 	frozen     bool         // no moves in this round; a standby may belong to a move in progress
 	multiDC    bool         // candidates are in more than one data centre
 	bound      float64      // ratio to the mean load above which shards move
+	runLength  int          // neighbouring shards that prefer the same member
+	owners     runChoice    // of the owner of the last shard that was placed
+	standbys   runChoice    // of its standby
+}
+
+// runChoice is the member that was chosen for the last shard, in one role.
+type runChoice struct {
+	run int
+	inc fold.Incarnation
 }
 
 // newRound returns the round of a service, or nil if no member may own its shards
@@ -51,7 +60,10 @@
 	}
 	r := &round{
 		service: name, svc: svc, plan: plan, byInc: map[fold.Incarnation]*candidate{}, touched: map[int]bool{},
-		bound: loadFactor, frozen: load.Frozen[name],
+		bound: loadFactor, frozen: load.Frozen[name], runLength: 1,
+	}
+	if cfg.Services[name].Contiguous {
+		r.runLength = runLength(int(svc.Base), len(members))
 	}
 	if tolerance, ok := load.Tolerance[name]; ok {
 		r.bound = tolerance
@@ -77,6 +89,22 @@
 	return r
 }
 
+// maxRuns is the number of runs of neighbouring shards of a member for which the length
+// of runs is chosen. It leaves a member room for the runs of a lost one, and for shards
+// that move alone.
+const maxRuns = 64
+
+// runLength returns the length of runs with which members have at most maxRuns each.
+func runLength(shards, members int) int {
+	return max(1, (shards+maxRuns*members-1)/(maxRuns*members))
+}
+
+// weight returns the rendezvous weight of a member for shard n. It is the same for all
+// shards of a run.
+func (r *round) weight(n int, inc fold.Incarnation) uint64 {
+	return rendezvous(r.service, n/r.runLength, inc)
+}
+
 // maxHotPasses is the maximum number of passes that search for hot shards.
 const maxHotPasses = 3
 
@@ -233,7 +261,7 @@
 	if standby != nil && (r.frozen || sh.Handover || owner == nil || standby.dc != ownerDC || !r.multiDC || r.relieves(owner, standby)) {
 		return
 	}
-	c := r.pickCandidate(n, func(c *candidate) float64 { return c.standbyLoad }, sh.Owner, ownerDC)
+	c := r.pickCandidate(n, &r.standbys, func(c *candidate) float64 { return c.standbyLoad }, sh.Owner, ownerDC)
 	if c == nil || c.inc == nextStandby || standby != nil && c.dc == ownerDC {
 		return
 	}
@@ -243,10 +271,10 @@
 
 // assign proposes an owner and a standby for an ownerless shard.
 func (r *round) assign(n int) {
-	owner := r.pickCandidate(n, func(c *candidate) float64 { return c.load }, 0, "")
+	owner := r.pickCandidate(n, &r.owners, func(c *candidate) float64 { return c.load }, 0, "")
 	owner.load += r.shardLoads[n]
 	pl := &wire.Placement{Ref: r.ref(n), Owner: owner.inc}
-	if c := r.pickCandidate(n, func(c *candidate) float64 { return c.standbyLoad }, owner.inc, owner.dc); c != nil {
+	if c := r.pickCandidate(n, &r.standbys, func(c *candidate) float64 { return c.standbyLoad }, owner.inc, owner.dc); c != nil {
 		c.standbyLoad += r.shardLoads[n]
 		pl.Standby = c.inc
 	}
@@ -267,13 +295,14 @@
 // pickCandidate returns the candidate with the lowest penalty for shard n, where
 // load returns the load of a candidate in the role to fill. A candidate is penalized
 // if the shard raises its load above loadFactor times its share of the mean, unless it
-// has no load yet, and more if it is in avoidDC. The method better decides ties.
+// has no load yet or was chosen for the shard before in the same run, and more if it
+// is in avoidDC. The method better decides ties. The choice is kept in last.
 // It returns nil if there is no candidate other than avoid.
-func (r *round) pickCandidate(n int, load func(*candidate) float64, avoid fold.Incarnation, avoidDC string) *candidate {
+func (r *round) pickCandidate(n int, last *runChoice, load func(*candidate) float64, avoid fold.Incarnation, avoidDC string) *candidate {
 	var best *candidate
 	var bestWeight uint64
 	bestPenalty := 0
-	start := int(rendezvous(r.service, n, 0) % uint64(len(r.candidates)))
+	start := int(r.weight(n, 0) % uint64(len(r.candidates)))
 	for i := range r.candidates {
 		c := r.candidates[(start+i)%len(r.candidates)]
 		if i >= maxProbes && best != nil && bestPenalty == 0 {
@@ -283,17 +312,21 @@
 			continue
 		}
 		penalty := 0
-		if load(c)+r.shardLoads[n] > max(loadFactor*r.mean*c.weight, r.shardLoads[n]) {
+		continuesRun := r.runLength > 1 && *last == runChoice{n / r.runLength, c.inc}
+		if !continuesRun && load(c)+r.shardLoads[n] > max(loadFactor*r.mean*c.weight, r.shardLoads[n]) {
 			penalty += penaltyOverBound
 		}
 		if avoidDC != "" && c.dc == avoidDC {
 			penalty += penaltySameDC
 		}
-		weight := rendezvous(r.service, n, c.inc)
+		weight := r.weight(n, c.inc)
 		if best == nil || penalty < bestPenalty || penalty == bestPenalty && r.better(penalty, load, c, best, weight, bestWeight) {
 			best, bestPenalty, bestWeight = c, penalty, weight
 		}
 	}
+	if best != nil {
+		*last = runChoice{n / r.runLength, best.inc}
+	}
 	return best
 }
 
