daemon/backendconn: a discarded connection fails no other request

After an answer of another request the connection was closed, but the transport could still offer it to the next request, which ended as connection_lost, "may have run", though nothing was written. An order that may not be repeated was lost.

The connection is marked, its next write writes nothing, and the request goes to another connection.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -10,6 +10,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptrace"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,10 @@
 	IdleTimeout = 4 * time.Second
 )
 
+// ErrDiscarded is the write error of a connection on which an answer of another request
+// arrived or may arrive. Nothing of the request was written.
+var ErrDiscarded = errors.New("connection discarded by an earlier request")
+
 // ErrLeaseEnded is the write error of a connection after Trace.Until of its current
 // request, or while no lease is held.
 var ErrLeaseEnded = errors.New("lease ended or deadline passed before the request was written")
@@ -46,6 +51,7 @@
 	clock     clock.Clock
 	until     atomic.Int64 // Trace.Until of the current request
 	state     atomic.Uint32
+	discarded atomic.Bool // closed, although the transport may still offer it for a request
 }
 
 // beginRequest marks the start of a request on this connection. The request may be
@@ -70,6 +76,9 @@
 // under a lease, that is the end of the lease: a later lease does not cover the
 // request.
 func (c *guardedConn) Write(b []byte) (int, error) {
+	if c.discarded.Load() {
+		return 0, ErrDiscarded
+	}
 	if int64(c.clock.Now()) >= c.until.Load() || !c.leaseHeld() {
 		return 0, ErrLeaseEnded
 	}
@@ -103,13 +112,32 @@
 // A faulty server may have left bytes of its answer there.
 func (t *Trace) Kept() bool { return t.kept.Load() }
 
-// CloseConn closes the request's connection, so that no other request is sent on it.
-func (t *Trace) CloseConn() {
+// Discard closes the request's connection, so that no other request is sent on it. The
+// transport may already have given it to another request, which DiscardedUnwritten
+// reports.
+func (t *Trace) Discard() {
 	if c := t.conn.Load(); c != nil {
+		c.discarded.Store(true)
 		_ = c.Close()
 	}
 }
 
+// DiscardAfterResponse lets the response on the request's connection be read, and makes
+// sure that no other request is sent on it.
+func (t *Trace) DiscardAfterResponse() {
+	if c := t.conn.Load(); c != nil {
+		c.discarded.Store(true)
+	}
+}
+
+// DiscardedUnwritten reports whether the request was given a connection that another
+// request had discarded, and no byte of it was or will be written. It can be sent on
+// another connection.
+func (t *Trace) DiscardedUnwritten() bool {
+	c := t.conn.Load()
+	return c != nil && c.discarded.Load() && c.block()
+}
+
 // Attach returns a context that makes the HTTP transport report the request's
 // connection to the trace.
 func (t *Trace) Attach(ctx context.Context) context.Context {
@@ -136,3 +164,21 @@
 	c := t.conn.Load()
 	return c != nil && !c.block()
 }
+
+// Do sends the request that newRequest returns, which may be written until a given time.
+// If the connection turns out to be discarded by an earlier request, it sends it on
+// another one. trace is nil if newRequest failed.
+func Do(ctx context.Context, client *http.Client, until clock.Instant, newRequest func(context.Context) (*http.Request, error)) (resp *http.Response, trace *Trace, err error) {
+	for {
+		trace := &Trace{Until: until}
+		req, err := newRequest(trace.Attach(ctx))
+		if err != nil {
+			return nil, nil, err
+		}
+		resp, err := client.Do(req)
+		if err != nil && trace.DiscardedUnwritten() && ctx.Err() == nil {
+			continue
+		}
+		return resp, trace, err
+	}
+}
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -77,15 +77,16 @@
 // refusal, the decoded headers, and the transport's error if there was one. remaining
 // is the time left to respond.
 func (c *client) run(ctx context.Context, s *server, req *wire.Request, remaining time.Duration) (*wire.Response, protocol.BackendAnswer, error) {
-	trace := &backendconn.Trace{Until: c.clock.Now().Add(remaining)}
+	until := c.clock.Now().Add(remaining)
 	runCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
-	httpReq, err := c.newRequest(trace.Attach(runCtx), s, req, remaining)
-	if err != nil {
+	start := time.Now()
+	httpResp, trace, err := backendconn.Do(runCtx, c.requestClient, until, func(ctx context.Context) (*http.Request, error) {
+		return c.newRequest(ctx, s, req, until.Sub(c.clock.Now()))
+	})
+	if trace == nil {
 		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err)), protocol.BackendAnswer{}, nil
 	}
-	start := time.Now()
-	httpResp, err := c.requestClient.Do(httpReq)
 	if err != nil {
 		refusal := c.crashes.Refusal(runCtx, backendconn.FailedAttempt{
 			Trace: trace, Addr: s.addr, Err: err,
@@ -160,7 +161,7 @@
 		return answer.Refusal(notRunError(httpResp.StatusCode, decoded)), decoded
 	}
 	if decoded.ID != id {
-		trace.CloseConn()
+		trace.Discard()
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response belongs to another request %q", decoded.ID)), protocol.BackendAnswer{}
 	}
 	resp, err := c.responses.Read(ctx, httpResp)
