daemon/plugins/owner: a late copy of an answer is not the next caller's

TestLateCopyOfAnAnswerIsNotTheNextAnswer was red: r-1 got the answer of r-0.

An answer names its request now. One that names another is not delivered and counts as "may have run"; the connection of one that names none is used once.

--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -116,8 +116,10 @@
 	}
 }
 
-// reportSelf sets the headers of a response that tell of the server itself.
+// reportSelf sets the headers of a response that name its request and tell of the server
+// itself.
 func (s *Server) reportSelf(c *gin.Context) {
+	c.Header(headerRequestID, c.GetHeader(headerRequestID))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faults.LimitPerS > 0 {
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -118,14 +118,13 @@
 	if addr == "" {
 		return answer.Refusal(outcome.New(outcome.NoOwner, "no backend server is announced")), selfReport{}
 	}
-	trace := &backendconn.Trace{Until: until}
-	ctx = trace.Attach(ctx)
-	httpReq, err := newRequest(ctx, addr, req, token, b.deadline(until))
-	if err != nil {
+	start := time.Now()
+	httpResp, trace, err := backendconn.Do(ctx, b.client, until, func(ctx context.Context) (*http.Request, error) {
+		return newRequest(ctx, addr, req, token, b.deadline(until))
+	})
+	if trace == nil {
 		return answer.Refusal(outcome.New(outcome.BadRequest, "%v", err)), selfReport{}
 	}
-	start := time.Now()
-	httpResp, err := b.client.Do(httpReq)
 	if err != nil {
 		refusal := b.crashes.Refusal(ctx, backendconn.FailedAttempt{
 			Trace: trace, Addr: addr, Err: err,
@@ -134,6 +133,10 @@
 		refusal.Arrived = trace.Wrote()
 		return refusal, selfReport{}
 	}
+	if err := checkRequestID(httpResp, trace, req.GetRequestId()); err != nil {
+		_ = httpResp.Body.Close()
+		return answer.Refusal(err), selfReport{}
+	}
 	report := readSelfReport(httpResp.Header)
 	resp := b.readResponse(ctx, httpResp, token)
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
@@ -141,6 +144,22 @@
 	return resp, report
 }
 
+// checkRequestID returns an error if the response says that it belongs to another
+// request. Its connection is discarded, and so is that of a response that does not name
+// its request: a late copy of it would be taken for the response to the next request.
+func checkRequestID(resp *http.Response, trace *backendconn.Trace, id string) error {
+	switch got := resp.Header.Get(headerRequest); got {
+	case id:
+		return nil
+	case "":
+		trace.DiscardAfterResponse()
+		return nil
+	default:
+		trace.Discard()
+		return outcome.New(outcome.AnswerCut, "response belongs to another request %q", got)
+	}
+}
+
 // deadline is the deadline of a request in the two forms that are sent to a
 // backend server on the same host.
 type deadline struct {
