core/lease: leases that last for the longest run of a service

Callers of services with keys got 500 for requests that ran longer than what was left of a hold of 1.2 s: the server measures a run against the hold under which it began.

A hold ends with its daemon's lease, so the lease lasts longer where routes allow long runs; the length stands in the join record. Weighed: renewing earlier only (at most 1.2 s remain); longer leases for all (the promise of 2 s after a loss goes for services with short runs too); holds longer than the lease, ended by the successor (a server is reached from its own host only).

--- a/core/control/bench_test.go
+++ b/core/control/bench_test.go
@@ -45,7 +45,7 @@
 	s.member.readySent = true
 	s.member.incarnation = 8
 	s.member.witnesses = s.fold.Members[8].Witnesses
-	s.member.holder = lease.NewHolder(params, now, s.member.witnesses)
+	s.member.holder = lease.NewHolder(params, now, s.member.witnesses, params.Term)
 	s.fold.Next = benchMembers + 1
 	s.planner.next = now.Add(time.Hour * 1000)
 	s.reconcileRights()
--- a/core/control/control.go
+++ b/core/control/control.go
@@ -70,7 +70,8 @@
 	readAsOf clock.Instant // time as of which the whole placement stream is known
 
 	witness       witnessRole
-	newHolder     func(lease.Params, clock.Instant, []string) leaseHolder
+	leaseTermOf   func(service string) time.Duration // length of the leases of a service's members
+	newHolder     func(p lease.Params, joinSent clock.Instant, witnesses []string, term time.Duration) leaseHolder
 	newSealer     func(lease.Params, []string) leaseSealer
 	member        membership
 	claim         slotClaim
@@ -114,7 +115,7 @@
 // witnessRole is the part of lease.Witness that State uses.
 type witnessRole interface {
 	SetStartOffset(offset uint64)
-	Renew(now clock.Instant, inc uint64, joining bool) (ack, refused bool)
+	Renew(now clock.Instant, inc uint64, joining bool, term time.Duration) (promised time.Duration, refused bool)
 	Seal(now clock.Instant, inc uint64) (lease.SealState, time.Duration)
 	Watch(now clock.Instant, inc uint64)
 	Expired(now clock.Instant) []lease.Overdue
@@ -123,7 +124,7 @@
 // leaseHolder is the part of lease.Holder that State uses.
 type leaseHolder interface {
 	Tick(now clock.Instant) []lease.Renewal
-	Ack(now clock.Instant, witness string, seq uint64)
+	Ack(now clock.Instant, witness string, seq uint64, promise time.Duration)
 	Refused(witness string)
 	Unacknowledged() []string
 	Deadline(now clock.Instant) clock.Instant
@@ -159,13 +160,14 @@
 		snapshotSchedule: map[string]*snapshotSchedule{},
 		fresh:            view.NewFreshness(opts.StaleConfig),
 		dirty:            true,
-		newHolder: func(p lease.Params, sent clock.Instant, witnesses []string) leaseHolder {
-			return lease.NewHolder(p, sent, witnesses)
+		newHolder: func(p lease.Params, sent clock.Instant, witnesses []string, term time.Duration) leaseHolder {
+			return lease.NewHolder(p, sent, witnesses, term)
 		},
 		newSealer: func(p lease.Params, witnesses []string) leaseSealer {
 			return lease.NewSealer(p, witnesses)
 		},
 	}
+	s.leaseTermOf = func(service string) time.Duration { return leaseTerm(s.opts.Lease, s.history.Config, service) }
 	s.tables.stale = true
 	s.fold.EnsureService(view.KeeperService, view.KeeperShards)
 	return s
--- a/core/control/era.go
+++ b/core/control/era.go
@@ -26,9 +26,6 @@
 	startRetry = 2 * time.Second
 	// minRetention is the time for which the log keeps records at least.
 	minRetention = 15 * time.Second
-	// openTerms is the time, in lease terms, between the start of an era and its opening.
-	// Members that have not read the start lose their leases in it.
-	openTerms = 2
 )
 
 // eraState is the progress of a new era of the placement stream.
@@ -245,8 +242,9 @@
 	if rank < 0 || !s.leaseHeld() || !s.fold.AllAdopted() || !s.caughtUp {
 		return
 	}
-	term := time.Duration(float64(s.opts.Lease.Term) * (1 + s.opts.Lease.Drift))
-	if s.now < s.era.startedAt.Add(openTerms*term+time.Duration(rank)*startStagger) || s.now < s.era.openAt {
+	// Members that have not read the start lose the longest lease in this time.
+	wait := s.driftedTerm(s.opts.Lease.Term + s.opts.Lease.Longest())
+	if s.now < s.era.startedAt.Add(wait+time.Duration(rank)*startStagger) || s.now < s.era.openAt {
 		return
 	}
 	s.era.openAt = s.now.Add(startRetry)
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -34,6 +34,7 @@
 	joinSent         clock.Instant
 	incarnation      fold.Incarnation
 	holder           leaseHolder
+	leaseTerm        time.Duration // length of its leases
 	witnesses        []string
 	readySent        bool
 	departReason     string                   // why the incarnation hands off its shards and leaves; empty if it stays
@@ -81,7 +82,7 @@
 // lease.Witness.SetStartOffset.
 const restartSpread = 400 * time.Millisecond
 
-// termMargin is added to the lease term. After both, nothing is held under the lease of
+// termMargin is added to the length of a lease. After both, nothing is held under the lease of
 // a process that ended.
 const termMargin = 100 * time.Millisecond
 
@@ -93,24 +94,32 @@
 	if !s.opts.SlotIsHost || s.claim.offset == 0 || s.stopping || m.predecessorsEnded {
 		return
 	}
-	term := time.Duration(float64(s.opts.Lease.Term) * (1 + s.opts.Lease.Drift))
-	termOver := s.now >= s.started.Add(term+termMargin)
-	if !termOver && m.backend == nil {
-		return
-	}
-	m.predecessorsEnded = termOver
+	ended := true
 	for _, inc := range slices.Sorted(maps.Keys(s.fold.Members)) {
 		old := s.fold.Members[inc]
 		if old.Slot != s.opts.Slot || old.Phase == fold.Gone || inc > s.claim.offset || m.ownIncarnations[inc] || m.endedIncarnations[inc] {
 			continue
 		}
-		if !termOver && old.BackendServer == m.backend.Name {
+		rebooted := m.backend != nil && old.BackendServer != m.backend.Name
+		if !rebooted && s.now < s.started.Add(s.leaseOf(old)+termMargin) {
+			ended = false
 			continue
 		}
 		m.recordEnded(inc)
 		s.sendAs(inc, &wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: inc}}}, false)
 		s.emitDecision(Decision{Action: "end_predecessor", Reason: "an earlier process of this slot has ended", Member: inc})
 	}
+	m.predecessorsEnded = ended && s.now >= s.started.Add(s.driftedTerm(s.opts.Lease.Term)+termMargin)
+}
+
+// leaseOf returns the time after which nothing is held under the last lease of a member.
+func (s *State) leaseOf(m *fold.Member) time.Duration {
+	return s.driftedTerm(max(s.opts.Lease.Term, milliseconds(m.LeaseMS)))
+}
+
+// driftedTerm returns the time on this clock that covers a term on any other.
+func (s *State) driftedTerm(term time.Duration) time.Duration {
+	return time.Duration(float64(term) * (1 + s.opts.Lease.Drift))
 }
 
 // recordEnded records an incarnation of an earlier process that this one ended.
@@ -168,6 +177,7 @@
 	m.incarnation = 0
 	m.witnesses = witnesses
 	m.joinSent = s.now
+	m.leaseTerm = s.leaseTermOf(m.backend.Service)
 	m.joinID = s.appendOnce(&wire.Record{Body: &wire.Record_Join{Join: &wire.Join{
 		Slot:          s.opts.Slot,
 		Service:       m.backend.Service,
@@ -176,6 +186,7 @@
 		Slots:         m.backend.Slots,
 		ChecksFence:   m.backend.ChecksFence,
 		Witnesses:     witnesses,
+		LeaseMs:       uint32(m.leaseTerm.Milliseconds()),
 	}}})
 	s.emitDecision(Decision{Action: "join", Reason: "backend server announced", Count: len(witnesses)})
 }
@@ -199,7 +210,7 @@
 	m.incarnation = offset
 	m.readySent = false
 	m.departReason = ""
-	m.holder = s.newHolder(s.opts.Lease, m.joinSent, m.witnesses)
+	m.holder = s.newHolder(s.opts.Lease, m.joinSent, m.witnesses, m.leaseTerm)
 	s.cell = new(view.LeaseCell)
 	s.dirty = true
 	if s.stopping {
@@ -211,7 +222,7 @@
 	m := &s.member
 	for _, r := range m.holder.Tick(s.now) {
 		s.sendTo(r.Witness, &wire.Datagram{Body: &wire.Datagram_Renew{
-			Renew: &wire.Renew{Incarnation: m.incarnation, Seq: r.Seq, Joining: r.Joining, Era: s.fold.Base}}})
+			Renew: &wire.Renew{Incarnation: m.incarnation, Seq: r.Seq, Joining: r.Joining, Era: s.fold.Base, TermMs: uint32(r.Term.Milliseconds())}}})
 	}
 	if !m.readySent && s.leaseHeld() {
 		m.readySent = true
--- a/core/control/release_test.go
+++ b/core/control/release_test.go
@@ -169,7 +169,7 @@
 		if n == witness || !n.state.leaseHeld() || !slices.Contains(n.state.member.witnesses, witness.name) {
 			continue
 		}
-		if _, refused := witness.state.witness.Renew(w.clock(witness), inc, false); refused {
+		if _, refused := witness.state.witness.Renew(w.clock(witness), inc, false, 0); refused {
 			count++
 		}
 	}
--- a/core/control/simulation_test.go
+++ b/core/control/simulation_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/lease"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/view"
 )
@@ -323,6 +324,34 @@
 	}
 }
 
+// Members whose leases are as long as there are stand beside others with the shortest.
+func TestSimulationWithLongLeases(t *testing.T) {
+	first, _ := strconv.ParseUint(os.Getenv("SESAMEMOOR_WALK_SEED"), 10, 64)
+	for i := range simulationCount(t, 16) {
+		seed := first + uint64(i) + 1
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			odds := oddsFor(seed)
+			if seed%2 == 0 {
+				odds.Restore = 0.001
+			}
+			w := newWorld(seed, 5+int(seed%3), 3, odds)
+			w.params.MaxTerm = lease.MaxTerms * w.params.Term
+			w.onNewState = func(s *State) {
+				s.leaseTermOf = func(string) time.Duration {
+					if s.opts.DataCentre == "a" {
+						return s.opts.Lease.Term
+					}
+					return s.opts.Lease.Longest()
+				}
+			}
+			if err := w.simulate(60 * time.Second); err != nil {
+				w.fail(t, seed, err)
+			}
+		})
+	}
+}
+
 func TestSimulationHasOneOwnerPerShard(t *testing.T) {
 	first, _ := strconv.ParseUint(os.Getenv("SESAMEMOOR_WALK_SEED"), 10, 64)
 	for i := range simulationCount(t, 16) {
--- a/core/control/witness.go
+++ b/core/control/witness.go
@@ -28,8 +28,11 @@
 }
 
 // suspicionTerms is the time, in lease terms, for which a suspected daemon is assumed
-// to be lost. A lost one is sealed by then, also by witnesses that have restarted.
-const suspicionTerms = 3
+// to be lost. A lost one is sealed by then, also by witnesses that have restarted and
+// if its leases are the longest.
+const suspicionTerms = lease.MaxTerms
+
+func milliseconds(n uint32) time.Duration { return time.Duration(n) * time.Millisecond }
 
 // recentlySuspected reports whether an incarnation was suspected within suspicionTerms
 // and may be lost.
@@ -60,12 +63,12 @@
 	if r.GetEra() < s.fold.Base {
 		return // a member that goes by an earlier era may hold what others were given in this one
 	}
-	ack, refused := s.witness.Renew(s.now, r.GetIncarnation(), r.GetJoining())
-	if !ack && !refused {
+	promised, refused := s.witness.Renew(s.now, r.GetIncarnation(), r.GetJoining(), milliseconds(r.GetTermMs()))
+	if promised == 0 && !refused {
 		return
 	}
 	s.sendTo(from, &wire.Datagram{Body: &wire.Datagram_RenewAck{RenewAck: &wire.RenewAck{
-		Incarnation: r.GetIncarnation(), Seq: r.GetSeq(), Refused: refused}}})
+		Incarnation: r.GetIncarnation(), Seq: r.GetSeq(), Refused: refused, TermMs: uint32(promised.Milliseconds())}}})
 }
 
 func (s *State) ackReceived(from string, a *wire.RenewAck) {
@@ -77,7 +80,7 @@
 		m.holder.Refused(from)
 		return
 	}
-	m.holder.Ack(s.now, from, a.GetSeq())
+	m.holder.Ack(s.now, from, a.GetSeq(), milliseconds(a.GetTermMs()))
 	s.cell.Set(m.holder.Deadline(s.now))
 }
 
--- a/core/fold/members.go
+++ b/core/fold/members.go
@@ -64,6 +64,7 @@
 		Slots:         j.GetSlots(),
 		ChecksFence:   j.GetChecksFence(),
 		Witnesses:     slices.Clone(j.GetWitnesses()),
+		LeaseMS:       j.GetLeaseMs(),
 		Era:           s.Base,
 	}
 	s.Epoch++
--- a/core/hold/hold_test.go
+++ b/core/hold/hold_test.go
@@ -72,6 +72,21 @@
 	is.Equal(table.ExpiredBy(shard, 2), clock.Instant(0)) // removed after its end
 }
 
+// A grant that is half over when it is renewed leaves a long run too little time.
+func TestLongGrantsAreRenewedEarly(t *testing.T) {
+	is := is.New(t)
+	const lease = 4 * time.Second
+	table := New(10 * time.Second)
+	table.Acquire(shard, 2, "")
+	due := table.Due(start, start.Add(lease))
+	is.True(table.Start(&due[0], start, start.Add(lease)))
+	table.Answered(due[0], start)
+	at := start.Add(maxRenewInterval)
+	is.Equal(len(table.Due(at.Add(-ms), at.Add(lease))), 0)
+	is.Equal(len(table.Due(at, at.Add(lease))), 1)
+	is.True(table.Holds(at.Add(2900*ms), shard, 2)) // what is left for a run
+}
+
 func TestUnansweredGrantDelaysRelease(t *testing.T) {
 	is := is.New(t)
 	table, _ := newGrantedTable(t, 2)
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 )
@@ -10,7 +11,8 @@
 type Renewal struct {
 	Witness string
 	Seq     uint64
-	Joining bool // the first lease has not been obtained yet
+	Joining bool          // the first lease has not been obtained yet
+	Term    time.Duration // promise that the holder asks for
 }
 
 // Holder is the state of one incarnation's own lease.
@@ -20,11 +22,13 @@
 // once Lost reports true, acknowledgements have no effect.
 type Holder struct {
 	params    Params
+	term      time.Duration // promise that the holder asks for
 	witnesses []string
 	joinSent  clock.Instant
 	seq       uint64
 	unacked   map[string]map[uint64]clock.Instant // send times of unacknowledged renewals, by witness and sequence number
 	acked     map[string]clock.Instant            // send time of the newest acknowledged renewal
+	promised  map[string]clock.Instant            // end of each witness's promise
 	nextSend  clock.Instant
 	nextRetry clock.Instant
 	deadline  clock.Instant // zero until the first lease is obtained
@@ -35,14 +39,17 @@
 const maxUnacknowledged = 16
 
 // NewHolder returns the lease holder of an incarnation whose join record was
-// sent at joinSent.
-func NewHolder(p Params, joinSent clock.Instant, witnesses []string) *Holder {
+// sent at joinSent. It asks for promises of the length term, at least Params.Term and at
+// most Params.MaxTerm. All renewals of an incarnation ask for the same.
+func NewHolder(p Params, joinSent clock.Instant, witnesses []string, term time.Duration) *Holder {
 	h := &Holder{
 		params:    p,
+		term:      p.clamp(term),
 		witnesses: slices.Clone(witnesses),
 		joinSent:  joinSent,
 		unacked:   map[string]map[uint64]clock.Instant{},
 		acked:     map[string]clock.Instant{},
+		promised:  map[string]clock.Instant{},
 	}
 	for _, w := range witnesses {
 		h.unacked[w] = map[uint64]clock.Instant{}
@@ -97,7 +104,7 @@
 	renewals := make([]Renewal, 0, len(witnesses))
 	for _, w := range witnesses {
 		h.recordSent(w, now)
-		renewals = append(renewals, Renewal{Witness: w, Seq: h.seq, Joining: h.deadline == 0})
+		renewals = append(renewals, Renewal{Witness: w, Seq: h.seq, Joining: h.deadline == 0, Term: h.term})
 	}
 	return renewals
 }
@@ -112,8 +119,9 @@
 	pending[h.seq] = now
 }
 
-// Ack records an acknowledgement that arrived at now.
-func (h *Holder) Ack(now clock.Instant, witness string, seq uint64) {
+// Ack records an acknowledgement that arrived at now, with the promise that the witness
+// gave. A witness that does not name its promise gave one of Params.Term.
+func (h *Holder) Ack(now clock.Instant, witness string, seq uint64, promise time.Duration) {
 	h.check(now)
 	if h.lost {
 		return
@@ -123,9 +131,9 @@
 		return
 	}
 	delete(h.unacked[witness], seq)
-	if at > h.acked[witness] {
-		h.acked[witness] = at
-	}
+	h.acked[witness] = max(h.acked[witness], at)
+	until := at.Add(h.params.holderTerm(min(h.params.clamp(promise), h.term)))
+	h.promised[witness] = max(h.promised[witness], until)
 	h.extend()
 }
 
@@ -140,21 +148,18 @@
 // extend moves the deadline to the end of the lease that a majority of the
 // witnesses has acknowledged.
 func (h *Holder) extend() {
-	times := make([]clock.Instant, 0, len(h.witnesses))
+	ends := make([]clock.Instant, 0, len(h.witnesses))
 	for _, w := range h.witnesses {
-		if at, ok := h.acked[w]; ok {
-			times = append(times, at)
+		if until, ok := h.promised[w]; ok {
+			ends = append(ends, until)
 		}
 	}
 	need := majority(len(h.witnesses))
-	if len(times) < need {
+	if len(ends) < need {
 		return
 	}
-	slices.Sort(times)
-	until := times[len(times)-need].Add(h.params.holderTerm())
-	if until > h.deadline {
-		h.deadline = until
-	}
+	slices.Sort(ends)
+	h.deadline = max(h.deadline, ends[len(ends)-need])
 }
 
 // check marks the lease as lost when its deadline, or the timeout for the first
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -18,9 +18,12 @@
 
 // Params are the lease parameters. All daemons of a fleet use the same values.
 type Params struct {
-	Term  time.Duration // length of a witness's promise, from its acknowledgement
-	Renew time.Duration // interval between renewals
-	Drift float64       // largest clock rate error, as a fraction
+	Term time.Duration // length of a witness's promise, from its acknowledgement, unless the holder asks for a longer one
+	// MaxTerm is the longest promise that a holder may ask for. It is at most MaxTerms
+	// terms. 0 means Term.
+	MaxTerm time.Duration
+	Renew   time.Duration // interval between renewals
+	Drift   float64       // largest clock rate error, as a fraction
 }
 
 // firstLeaseTerms is the number of terms within which a holder must obtain its
@@ -28,10 +31,26 @@
 // that it does not know.
 const firstLeaseTerms = 3
 
-// holderTerm returns the length of a lease on the holder's clock. It is short
-// enough to end before a term ends on any witness's clock.
-func (p Params) holderTerm() time.Duration {
-	return scale(p.Term, (1-p.Drift)/(1+p.Drift))
+// MaxTerms bounds Params.MaxTerm, in terms. A witness that has restarted and forgotten a
+// promise seals an incarnation that it does not know after firstLeaseTerms terms at the
+// earliest, so that no longer promise could be kept.
+const MaxTerms = firstLeaseTerms
+
+// Longest returns the longest promise of a witness to a holder with a lease.
+func (p Params) Longest() time.Duration {
+	return max(p.Term, min(p.MaxTerm, MaxTerms*p.Term))
+}
+
+// clamp returns the promise that a holder gets that asks for one of the given length; 0
+// means Term.
+func (p Params) clamp(term time.Duration) time.Duration {
+	return min(max(term, p.Term), p.Longest())
+}
+
+// holderTerm returns the length of a lease on the holder's clock, for a promise of the
+// given length. It is short enough to end before the promise ends on any witness's clock.
+func (p Params) holderTerm(promise time.Duration) time.Duration {
+	return scale(promise, (1-p.Drift)/(1+p.Drift))
 }
 
 // firstLeaseTimeout returns the time after sending its join record within which
--- a/core/lease/reference_test.go
+++ b/core/lease/reference_test.go
@@ -50,8 +50,8 @@
 					count++
 				}
 			}
-			if count >= 2 && at.Add(testParams.holderTerm()) > until {
-				until = at.Add(testParams.holderTerm())
+			if count >= 2 && at.Add(testParams.holderTerm(testParams.Term)) > until {
+				until = at.Add(testParams.holderTerm(testParams.Term))
 				limit = until
 			}
 		}
@@ -65,7 +65,7 @@
 func TestHolderMatchesReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := clock.Instant(time.Hour)
-		holder := NewHolder(testParams, now, []string{"a", "b", "c"})
+		holder := NewHolder(testParams, now, []string{"a", "b", "c"}, testParams.Term)
 		ref := &refHolder{joinSent: now, sent: map[Renewal]clock.Instant{}}
 		var recent []Renewal
 		t.Repeat(map[string]func(*rapid.T){
@@ -84,7 +84,7 @@
 				}
 				r := rapid.SampledFrom(recent).Draw(t, "renewal")
 				now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "delay")) * time.Millisecond)
-				holder.Ack(now, r.Witness, r.Seq)
+				holder.Ack(now, r.Witness, r.Seq, testParams.Term)
 				ref.acks = append(ref.acks, refAck{at: now, renewal: r})
 			},
 			"": func(t *rapid.T) {
@@ -166,7 +166,8 @@
 			"wait": func(t *rapid.T) { now = advance(t, now) },
 			"renew": func(t *rapid.T) {
 				joining := rapid.Bool().Draw(t, "joining")
-				ack, refused := witness.Renew(now, 1, joining)
+				promised, refused := witness.Renew(now, 1, joining, 0)
+				ack := promised > 0
 				wantAck, wantRefused := ref.renew(now, joining)
 				if ack != wantAck || refused != wantRefused {
 					t.Fatalf("renew: got ack %v, refused %v; want %v, %v", ack, refused, wantAck, wantRefused)
@@ -195,7 +196,7 @@
 func (s *refSealer) sealedBy(now clock.Instant) []string {
 	var list []string
 	for r, state := range s.answers {
-		fresh := now.Sub(s.sent[r]) < testParams.holderTerm()
+		fresh := now.Sub(s.sent[r]) < testParams.holderTerm(testParams.Term)
 		if state == Sealed && fresh && !slices.Contains(list, r.Witness) {
 			list = append(list, r.Witness)
 		}
@@ -247,9 +248,9 @@
 func TestHolderRetriesBeforeExpiry(t *testing.T) {
 	is := is.New(t)
 	now := clock.Instant(time.Hour)
-	h := NewHolder(testParams, now, []string{"a", "b", "c"})
+	h := NewHolder(testParams, now, []string{"a", "b", "c"}, testParams.Term)
 	for _, r := range h.Tick(now) {
-		h.Ack(now, r.Witness, r.Seq)
+		h.Ack(now, r.Witness, r.Seq, testParams.Term)
 	}
 	counts := map[string]int{}
 	for range 24 {
@@ -257,7 +258,7 @@
 		for _, r := range h.Tick(now) {
 			counts[r.Witness]++
 			if r.Witness == "a" {
-				h.Ack(now, r.Witness, r.Seq)
+				h.Ack(now, r.Witness, r.Seq, testParams.Term)
 			}
 		}
 	}
--- a/core/lease/restart_test.go
+++ b/core/lease/restart_test.go
@@ -16,13 +16,13 @@
 	is := is.New(t)
 	now := clock.Instant(time.Hour)
 	w := NewWitness(Params{Term: 1200 * time.Millisecond, Renew: 400 * time.Millisecond, Drift: 0.02}, now)
-	ack, _ := w.Renew(now, 20, true)
-	is.True(!ack) // the witness has not read its own record yet
+	promised, _ := w.Renew(now, 20, true, 0)
+	is.Equal(promised, time.Duration(0)) // the witness has not read its own record yet
 	w.SetStartOffset(15)
-	ack, _ = w.Renew(now, 14, false)
-	is.True(!ack)
-	ack, _ = w.Renew(now, 20, true)
-	is.True(ack)
+	promised, _ = w.Renew(now, 14, false, 0)
+	is.Equal(promised, time.Duration(0))
+	promised, _ = w.Renew(now, 20, true, 0)
+	is.True(promised > 0)
 	state, _ := w.Seal(now, 20)
 	is.Equal(state, Live)
 }
--- a/core/lease/sealer.go
+++ b/core/lease/sealer.go
@@ -20,7 +20,8 @@
 // Sealer collects seals of one incarnation's lease.
 //
 // A seal counts for one holder term after its request was sent, on this host's
-// clock. The witness of an older seal may have restarted and forgotten it.
+// clock. The witness of an older seal may have restarted and forgotten it. That does not
+// depend on the length of promises: a witness seals only when its own has ended.
 type Sealer struct {
 	params      Params
 	witnesses   []string
@@ -102,4 +103,4 @@
 }
 
 // validity returns the time for which a seal counts after its request was sent.
-func (s *Sealer) validity() time.Duration { return s.params.holderTerm() }
+func (s *Sealer) validity() time.Duration { return s.params.holderTerm(s.params.Term) }
--- a/core/lease/simulation_test.go
+++ b/core/lease/simulation_test.go
@@ -15,9 +15,10 @@
 // seed must produce a lease that is held after it lapsed.
 type rules struct {
 	margin, abstain, refuse, waitUnknown, freshSeals, lossIsFinal, firstDeadline, firstPromise bool
+	boundedTerm, promisedTerm                                                                  bool
 }
 
-var allRules = rules{true, true, true, true, true, true, true, true}
+var allRules = rules{true, true, true, true, true, true, true, true, true, true}
 
 // faultRates are the clock drift and the probabilities of faults in a simulation.
 type faultRates struct {
@@ -26,6 +27,8 @@
 	restart, pause, cut, newSealer float64 // per step of simTick
 	ackOutage                      float64 // probability that acknowledgements are lost at the start of the simulation
 	longCuts                       bool    // cuts last about as long as a witness retains seals
+	longTerm                       bool    // the holder asks for the longest promise that there is
+	oldWitness                     bool    // one witness gives promises of one term only and does not say so
 }
 
 // maxExtraDelay bounds the additional delay of a late message.
@@ -46,6 +49,7 @@
 	rules         rules
 	faults        faultRates
 	params        Params
+	term          time.Duration // promise that the holder asks for
 	now           time.Duration
 	queue         map[time.Duration][]func()
 	hosts         [5]simHost // three witnesses, the holder, the sealer
@@ -73,6 +77,11 @@
 	if !r.margin {
 		sim.params.Drift = 0
 	}
+	sim.term = sim.params.Term
+	if f.longTerm {
+		sim.term = MaxTerms * sim.params.Term
+		sim.params.MaxTerm = sim.term
+	}
 	for i := range sim.hosts {
 		sim.hosts[i] = simHost{rate: 1 + f.drift*(2*sim.rng.Float64()-1), base: time.Duration(1+sim.rng.IntN(99)) * time.Hour}
 	}
@@ -91,7 +100,7 @@
 	if !sim.rules.firstDeadline {
 		sent = sent.Add(time.Hour)
 	}
-	sim.holder = NewHolder(sim.params, sent, simWitnesses)
+	sim.holder = NewHolder(sim.params, sent, simWitnesses, sim.term)
 }
 
 func (sim *leaseSimulation) clock(host int) clock.Instant {
@@ -144,19 +153,51 @@
 }
 
 func (sim *leaseSimulation) handleRenewal(i int, r Renewal) {
-	ack, refused := sim.witnesses[i].Renew(sim.clock(i), simIncarnation, r.Joining && sim.rules.firstPromise)
+	term := r.Term
+	oldVersion := sim.faults.oldWitness && i == 0
+	if oldVersion {
+		term = 0
+	}
+	promised, refused := sim.witnesses[i].Renew(sim.clock(i), simIncarnation, r.Joining && sim.rules.firstPromise, term)
+	if !sim.rules.boundedTerm {
+		promised = sim.promiseUnboundedTerm(i, r, refused)
+	}
+	ack := promised > 0
 	if refused && !sim.rules.refuse {
 		ack = true
 	}
+	if oldVersion {
+		promised = 0
+	}
+	if !sim.rules.promisedTerm {
+		promised = r.Term
+	}
 	if !ack || sim.now < sim.acksLostUntil || sim.hosts[i].cut > sim.now {
 		return
 	}
 	sim.send(holderHost, func() {
 		sim.resumeLostLease()
-		sim.holder.Ack(sim.clock(holderHost), r.Witness, r.Seq)
+		sim.holder.Ack(sim.clock(holderHost), r.Witness, r.Seq, promised)
 	})
 }
 
+// promiseUnboundedTerm gives a promise that is longer than a restarted witness waits, and
+// makes the holder count it.
+func (sim *leaseSimulation) promiseUnboundedTerm(i int, r Renewal, refused bool) time.Duration {
+	const unbounded = 4 * MaxTerms
+	p, known := sim.witnesses[i].promises[simIncarnation]
+	if !known || refused || p.sealed {
+		return 0
+	}
+	term := unbounded * sim.params.Term
+	if !r.Joining {
+		p.extend(max(p.until, sim.clock(i).Add(term)), sim.params)
+	}
+	sim.holder.term, sim.holder.params.MaxTerm = term, term
+	sim.holder.params.Term = term
+	return term
+}
+
 // resumeLostLease lets a holder continue after its lease ended, if the rule
 // lossIsFinal is disabled.
 func (sim *leaseSimulation) resumeLostLease() {
@@ -261,6 +302,8 @@
 	f := usualFaults
 	for seed := range uint64(3000) {
 		f.longCuts = seed%3 == 0
+		f.longTerm = seed%2 == 0
+		f.oldWitness = seed%4 == 0
 		if err := newLeaseSimulation(seed, allRules, f).run(90 * time.Second); err != nil {
 			t.Fatalf("seed %d: %v", seed, err)
 		}
@@ -275,6 +318,10 @@
 	largeDrift.drift = 0.15
 	// A lease survives these cuts and restarts.
 	fewFaults := faultRates{drift: 0.01, loss: 0.05, restart: 0.002, cut: 0.004}
+	longTerms := frequentRestarts
+	longTerms.longTerm = true
+	oldWitness := usualFaults
+	oldWitness.longTerm, oldWitness.oldWitness = true, true
 	tests := []struct {
 		name      string
 		faults    faultRates
@@ -288,6 +335,8 @@
 		{"seals no older than a term", fewFaults, func(r *rules) { r.freshSeals = false }, 0},
 		{"a broken lease is never mended", usualFaults, func(r *rules) { r.lossIsFinal = false }, 0},
 		{"deadline of the first lease", frequentRestarts, func(r *rules) { r.firstDeadline = false }, 15_550},
+		{"no promise is longer than a restarted witness waits", longTerms, func(r *rules) { r.boundedTerm = false }, 0},
+		{"a lease is as long as the witness promised", oldWitness, func(r *rules) { r.promisedTerm = false }, 0},
 		{"longer promise to a joining incarnation", frequentRestarts, func(r *rules) { r.firstPromise = false }, 0},
 	}
 	for _, tt := range tests {
@@ -321,7 +370,7 @@
 		p := Params{Term: time.Second, Renew: time.Second / 3, Drift: 0.01}
 		w := NewWitness(p, 1)
 		now := clock.Instant(time.Hour)
-		w.Renew(now, simIncarnation, false)
+		w.Renew(now, simIncarnation, false, 0)
 		now = now.Add(p.Term + retentionTerms*p.Term - time.Millisecond)
 		state, _ := w.Seal(now, simIncarnation)
 		is.Equal(state, Sealed)
@@ -331,8 +380,8 @@
 		}
 		now = now.Add(p.Term / 2)
 		w.Expired(now)
-		ack, refused := w.Renew(now, simIncarnation, false)
-		is.Equal(ack, discardEarly)
+		promised, refused := w.Renew(now, simIncarnation, false, 0)
+		is.Equal(promised > 0, discardEarly)
 		is.Equal(refused, !discardEarly)
 	}
 }
--- a/core/lease/witness.go
+++ b/core/lease/witness.go
@@ -62,33 +62,37 @@
 // start.
 func (w *Witness) SetStartOffset(offset uint64) { w.startOffset = offset }
 
-// Renew handles a renewal. It returns ack if it gives a promise, refused if the
-// incarnation is sealed, and neither if the witness abstains after its start.
+// Renew handles a renewal. It gives a promise, or returns refused if the incarnation is
+// sealed, or neither if the witness abstains after its start.
 //
 // A joining incarnation gets a promise for the whole time within which it may
 // obtain its first lease: a gap in the renewals ends an obtained lease
 // permanently, but does not prevent a first lease.
-func (w *Witness) Renew(now clock.Instant, inc uint64, joining bool) (ack, refused bool) {
+//
+// term is the promise that the holder asks for, the same in all renewals of an
+// incarnation. promised is the promise given, or 0.
+func (w *Witness) Renew(now clock.Instant, inc uint64, joining bool, term time.Duration) (promised time.Duration, refused bool) {
 	p, known := w.promises[inc]
 	if known && p.sealed {
-		return false, true
+		return 0, true
 	}
 	joinedAfterStart := w.startOffset != 0 && inc > w.startOffset
 	if now < w.started.Add(w.params.abstention()) && !joinedAfterStart {
-		return false, false
+		return 0, false
 	}
 	if !known {
 		p = &promise{}
 		w.promises[inc] = p
 	}
-	term := w.params.Term
+	promised = w.params.clamp(term)
+	length := promised
 	if joining {
-		term = w.params.firstPromise()
+		length = w.params.firstPromise()
 	}
-	p.extend(now.Add(term), w.params)
+	p.extend(now.Add(length), w.params)
 	p.watched = true
 	p.nextReport = p.until
-	return true, false
+	return promised, false
 }
 
 // Seal handles a seal request. With the state Live, it also returns the time
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
+	"github.com/sesamemoor/sesamemoor/core/lease"
 )
 
 // Daemon holds the settings of one sesamemoord process.
@@ -72,7 +73,10 @@
 
 // Lease holds the durations of membership leases.
 type Lease struct {
-	TermMS    int64 `json:"term_ms"`   // duration of a lease
+	TermMS int64 `json:"term_ms"` // duration of a lease
+	// MaxTermMS is the longest duration of a lease, for services whose requests may run for
+	// long; 0 means term_ms. It must not be set before all daemons support it.
+	MaxTermMS int64 `json:"max_term_ms"`
 	RenewMS   int64 `json:"renew_ms"`  // interval between renewals
 	DriftPPM  int64 `json:"drift_ppm"` // maximum clock rate error of a host, in parts per million
 	SettleMS  int64 `json:"settle_ms"` // time to wait for other slots before the first join
@@ -331,6 +335,9 @@
 	if l.TermMS < 100 || l.TermMS > 60_000 {
 		add("lease.term_ms: %d is not in 100 to 60000", l.TermMS)
 	}
+	if l.MaxTermMS != 0 && (l.MaxTermMS < l.TermMS || l.MaxTermMS > lease.MaxTerms*l.TermMS) {
+		add("lease.max_term_ms: %d is neither 0 nor in term_ms to %d times term_ms", l.MaxTermMS, lease.MaxTerms)
+	}
 	if l.RenewMS < 10 || l.RenewMS*2 > l.TermMS {
 		add("lease.renew_ms: %d is not in 10 to half of term_ms", l.RenewMS)
 	}
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -64,9 +64,10 @@
 		WitnessAddr: cmp.Or(set.Advertise.WitnessAddr, set.WitnessAddr),
 		EntryAddr:   cmp.Or(set.Advertise.EntryAddr, set.EntryAddr),
 		Lease: lease.Params{
-			Term:  time.Duration(set.Lease.TermMS) * time.Millisecond,
-			Renew: time.Duration(set.Lease.RenewMS) * time.Millisecond,
-			Drift: float64(set.Lease.DriftPPM) / 1e6,
+			Term:    time.Duration(set.Lease.TermMS) * time.Millisecond,
+			MaxTerm: time.Duration(set.Lease.MaxTermMS) * time.Millisecond,
+			Renew:   time.Duration(set.Lease.RenewMS) * time.Millisecond,
+			Drift:   float64(set.Lease.DriftPPM) / 1e6,
 		},
 		StaleConfig:     time.Duration(set.Limits.StaleConfigMS) * time.Millisecond,
 		JoinWait:        time.Duration(set.Lease.SettleMS) * time.Millisecond,
