daemon/edge: pipelined requests run side by side

A connection is split into lanes, each a net.Conn with one request at a time, and answers keep the order. A request that may not run twice, and all while the daemon stops, wait for their turn: what stands behind an answer that closes the connection counts as not read and is sent again. While others stand behind it, an answer does not close the connection because the daemon stops.

--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -16,15 +16,31 @@
 // requests in progress until the deadline of the stop; then it closes all
 // connections. name is the prefix of errors.
 func Listen(lc fx.Lifecycle, srv *http.Server, name, addr string) {
+	listen(lc, srv, name, addr, func(l net.Listener) net.Listener { return l })
+}
+
+// ListenPipelined is Listen for callers that send further requests on a connection before
+// the first is answered: they are served side by side, see AwaitTurn.
+func ListenPipelined(lc fx.Lifecycle, srv *http.Server, name, addr string) {
+	srv.ConnContext = withLane
+	listen(lc, srv, name, addr, func(l net.Listener) net.Listener { return newPipelineListener(l) })
+}
+
+func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, wrap func(net.Listener) net.Listener) {
 	unused := &unusedConns{conns: map[net.Conn]bool{}}
-	srv.ConnState = unused.track
+	srv.ConnState = func(conn net.Conn, state http.ConnState) {
+		if l, ok := conn.(*lane); ok && state == http.StateIdle {
+			l.answered()
+		}
+		unused.track(conn, state)
+	}
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
 			listener, err := net.Listen("tcp", addr)
 			if err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
-			go func() { _ = srv.Serve(listener) }() // returns when the listener is closed
+			go func() { _ = srv.Serve(wrap(listener)) }() // returns when the listener is closed
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
--- /dev/null
+++ b/daemon/edge/pipeline.go
@@ -0,0 +1,536 @@
+package edge
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// maxPipelined bounds the requests of one connection that are in progress. Further
+	// ones are not read until an earlier one is answered.
+	maxPipelined = 16
+	// maxUnreadBytes bounds the bytes that were read from a connection and not yet by the
+	// server of its request.
+	maxUnreadBytes = 64 << 10
+	// readChunkBytes is the size of one read from a connection.
+	readChunkBytes = 4 << 10
+	// maxHeadBytes bounds the head of a request that is examined. The server of the request
+	// answers a longer one.
+	maxHeadBytes = 1 << 20
+)
+
+// pipelineListener accepts connections on which callers may send further requests before
+// the first is answered. net/http reads the next request of a connection only after the
+// answer to the one before. So each connection is split into lanes: each lane is a
+// net.Conn that carries one request at a time, the requests of several lanes run side by
+// side, and their answers are written in the order of the requests.
+//
+// Only requests whose end is known from their head are split. A request with a chunked
+// body or an unusual head, and all that follows it, stays on one lane.
+type pipelineListener struct {
+	net.Listener
+	lanes  chan net.Conn
+	closed chan struct{}
+	once   sync.Once
+}
+
+func newPipelineListener(l net.Listener) *pipelineListener {
+	p := &pipelineListener{Listener: l, lanes: make(chan net.Conn), closed: make(chan struct{})}
+	go p.acceptConns()
+	return p
+}
+
+func (l *pipelineListener) acceptConns() {
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				_ = l.Close()
+				return
+			}
+			time.Sleep(acceptRetryDelay)
+			continue
+		}
+		p := &pipeline{conn: conn, open: l.open}
+		p.changed = sync.NewCond(&p.mu)
+		if first := p.newLane(); l.open(first) {
+			go p.read()
+		} else {
+			_ = conn.Close()
+		}
+	}
+}
+
+// acceptRetryDelay is the delay after a failed accept, for example for lack of
+// descriptors.
+const acceptRetryDelay = 10 * time.Millisecond
+
+// open hands a lane to the server. It reports false if the listener is closed.
+func (l *pipelineListener) open(lane *lane) bool {
+	select {
+	case l.lanes <- lane:
+		return true
+	case <-l.closed:
+		return false
+	}
+}
+
+// Accept returns the next lane.
+func (l *pipelineListener) Accept() (net.Conn, error) {
+	select {
+	case lane := <-l.lanes:
+		return lane, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+// Close stops accepting connections. Further requests of open connections that would
+// need a new lane wait for one.
+func (l *pipelineListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return l.Listener.Close()
+}
+
+// pipeline is one connection.
+type pipeline struct {
+	conn net.Conn
+	open func(*lane) bool
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	lanes   []*lane // open lanes
+	order   []*lane // lanes with a request, in the order of the requests
+	readErr error   // why no more bytes come from the connection
+	closed  bool
+}
+
+// lane carries one request at a time and its answer. All fields below p are guarded by
+// p.mu.
+type lane struct {
+	p            *pipeline
+	unread       []byte // received and not yet read by the server
+	answer       []byte // written before it is this lane's turn
+	deadline     time.Time
+	timer        *time.Timer
+	busy         bool // has a request whose answer is not written
+	done         bool // the server has given the whole answer
+	closing      bool // the answer is the last of the connection
+	closed       bool
+	afterRequest bool // the server must not get more bytes: another lane was chosen to remain
+}
+
+func (p *pipeline) newLane() *lane {
+	l := &lane{p: p}
+	p.mu.Lock()
+	p.lanes = append(p.lanes, l)
+	p.mu.Unlock()
+	return l
+}
+
+// read splits the connection into requests until it ends.
+func (p *pipeline) read() {
+	buf := make([]byte, readChunkBytes)
+	var pending []byte // read and not yet given to a lane
+	more := func() bool {
+		n, err := p.conn.Read(buf)
+		pending = append(pending, buf[:n]...)
+		if err != nil && n == 0 {
+			p.endReading(err)
+			return false
+		}
+		return true
+	}
+	for {
+		if len(pending) == 0 && !more() {
+			return
+		}
+		l := p.laneForRequest()
+		if l == nil {
+			return
+		}
+		head, fed := 0, 0
+		for {
+			head = headBytes(pending)
+			if head > 0 || len(pending) > maxHeadBytes {
+				break
+			}
+			if !p.feed(l, pending[fed:]) {
+				return
+			}
+			fed = len(pending)
+			if !more() {
+				return
+			}
+		}
+		body, known := bodyBytes(pending[:head])
+		if !known {
+			if !p.feed(l, pending[fed:]) {
+				return
+			}
+			p.feedAll(l, buf)
+			return
+		}
+		end := int64(head) + body
+		for end > int64(len(pending)) {
+			if !p.feed(l, pending[fed:]) {
+				return
+			}
+			end -= int64(len(pending))
+			pending, fed = pending[:0], 0
+			if !more() {
+				return
+			}
+		}
+		if !p.feed(l, pending[fed:end]) {
+			return
+		}
+		pending = pending[:copy(pending, pending[end:])]
+	}
+}
+
+// feedAll gives all further bytes of the connection to a lane.
+func (p *pipeline) feedAll(l *lane, buf []byte) {
+	for {
+		n, err := p.conn.Read(buf)
+		if n > 0 && !p.feed(l, buf[:n]) {
+			return
+		}
+		if err != nil {
+			p.endReading(err)
+			return
+		}
+	}
+}
+
+// headBytes returns the length of the head at the start of data, including the empty line
+// that ends it, or 0 if that is missing.
+func headBytes(data []byte) int {
+	for at := 0; ; {
+		end := bytes.IndexByte(data[at:], '\n')
+		if end < 0 {
+			return 0
+		}
+		line := bytes.TrimSuffix(data[at:at+end], []byte("\r"))
+		at += end + 1
+		if len(line) == 0 {
+			return at
+		}
+	}
+}
+
+// bodyBytes returns the length of the body that follows a head. known is false if it is
+// not certain, or if the connection may not be used as usual after the request.
+func bodyBytes(head []byte) (length int64, known bool) {
+	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
+	if err != nil || !req.ProtoAtLeast(1, 1) || req.Method == http.MethodConnect || req.Close ||
+		req.ContentLength < 0 || len(req.TransferEncoding) > 0 ||
+		req.Header.Get("Expect") != "" || req.Header.Get("Upgrade") != "" {
+		return 0, false
+	}
+	return req.ContentLength, true
+}
+
+// laneForRequest returns the lane of the next request, which is not answered from then
+// on, or nil if the connection has ended.
+func (p *pipeline) laneForRequest() *lane {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		if p.closed {
+			return nil
+		}
+		if i := slices.IndexFunc(p.lanes, (*lane).idle); i >= 0 {
+			return p.begin(p.lanes[i])
+		}
+		if len(p.order) < maxPipelined && len(p.order) > 0 && !p.order[len(p.order)-1].closing {
+			p.mu.Unlock()
+			l := p.newLane()
+			opened := p.open(l)
+			p.mu.Lock()
+			if opened {
+				return p.begin(l)
+			}
+			p.remove(l)
+		}
+		p.changed.Wait()
+	}
+}
+
+// begin marks the lane as busy with the next request. The caller holds the lock.
+func (p *pipeline) begin(l *lane) *lane {
+	l.busy = true
+	p.order = append(p.order, l)
+	return l
+}
+
+// feed gives bytes to the server of a lane. It reports false if the connection has ended.
+func (p *pipeline) feed(l *lane, data []byte) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(l.unread) > maxUnreadBytes && !l.closed && !p.closed {
+		p.changed.Wait()
+	}
+	l.unread = append(l.unread, data...)
+	p.changed.Broadcast()
+	return !p.closed && !l.closed
+}
+
+// endReading records that no more bytes come from the connection.
+func (p *pipeline) endReading(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readErr = err
+	p.changed.Broadcast()
+}
+
+// advance writes the answers whose turn has come. Of several lanes that wait for a request
+// then, one remains. The caller holds the lock.
+func (p *pipeline) advance() {
+	for len(p.order) > 0 {
+		l := p.order[0]
+		if len(l.answer) > 0 {
+			_ = p.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
+			_, err := p.conn.Write(l.answer)
+			l.answer = nil
+			if err != nil {
+				l.closed = true
+			}
+		}
+		if l.closed {
+			p.end()
+			return
+		}
+		if l.closing {
+			if c, ok := p.conn.(interface{ CloseWrite() error }); ok {
+				_ = c.CloseWrite()
+			}
+			return
+		}
+		if !l.done {
+			return
+		}
+		p.order = p.order[1:]
+		l.busy, l.done = false, false
+		l.afterRequest = slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() })
+		p.changed.Broadcast()
+	}
+}
+
+// idle reports whether the lane waits for a request.
+func (l *lane) idle() bool { return !l.busy && !l.closed && !l.afterRequest }
+
+// end closes the connection and all its lanes. The caller holds the lock.
+func (p *pipeline) end() {
+	if p.closed {
+		return
+	}
+	p.closed = true
+	if p.readErr == nil {
+		p.readErr = net.ErrClosed
+	}
+	_ = p.conn.Close()
+	p.changed.Broadcast()
+}
+
+// remove forgets a lane. The caller holds the lock.
+func (p *pipeline) remove(l *lane) {
+	l.closed = true
+	p.lanes = slices.DeleteFunc(p.lanes, func(other *lane) bool { return other == l })
+}
+
+// answered records that the server has given the whole answer to a lane's request and
+// waits for the next one.
+func (l *lane) answered() {
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.busy {
+		l.done = true
+		p.advance()
+	}
+}
+
+// Read returns bytes of the lane's request.
+func (l *lane) Read(b []byte) (int, error) {
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(l.unread) == 0 {
+		switch {
+		case l.closed:
+			return 0, net.ErrClosed
+		case l.afterRequest:
+			l.closed = true
+			return 0, io.EOF
+		case p.readErr != nil:
+			return 0, p.readErr
+		case !l.deadline.IsZero() && !time.Now().Before(l.deadline):
+			return 0, os.ErrDeadlineExceeded
+		}
+		p.changed.Wait()
+	}
+	n := copy(b, l.unread)
+	l.unread = l.unread[n:]
+	if len(l.unread) == 0 {
+		l.unread = nil
+	}
+	p.changed.Broadcast()
+	return n, nil
+}
+
+// Write writes a part of the answer, or keeps it until the answers before it are written.
+func (l *lane) Write(b []byte) (int, error) {
+	p := l.p
+	p.mu.Lock()
+	if p.closed || l.closed {
+		p.mu.Unlock()
+		return 0, net.ErrClosed
+	}
+	if len(p.order) > 0 && p.order[0] != l {
+		l.answer = append(l.answer, b...)
+		p.mu.Unlock()
+		return len(b), nil
+	}
+	p.mu.Unlock() // nobody else writes while it is this lane's turn
+	return p.conn.Write(b)
+}
+
+// CloseWrite makes the answer the last one of the connection.
+func (l *lane) CloseWrite() error {
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.closing = true
+	p.advance()
+	return nil
+}
+
+// Close closes the lane. It closes the connection if the lane's answer is the last one, or
+// if no other lane is open.
+func (l *lane) Close() error {
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.stopTimer()
+	p.remove(l)
+	if l.busy || len(p.lanes) == 0 {
+		p.advance()
+	}
+	if len(p.lanes) == 0 {
+		p.end()
+	}
+	p.changed.Broadcast()
+	return nil
+}
+
+func (l *lane) stopTimer() {
+	if l.timer != nil {
+		l.timer.Stop()
+		l.timer = nil
+	}
+}
+
+// SetReadDeadline implements net.Conn for the lane alone.
+func (l *lane) SetReadDeadline(t time.Time) error {
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.stopTimer()
+	l.deadline = t
+	if !t.IsZero() {
+		l.timer = time.AfterFunc(time.Until(t), func() {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.changed.Broadcast()
+		})
+	}
+	p.changed.Broadcast()
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn. It is the connection's while it is this lane's turn;
+// an answer that is kept until then is written within WriteTimeout.
+func (l *lane) SetWriteDeadline(t time.Time) error {
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.order) > 0 && p.order[0] != l {
+		return nil
+	}
+	return p.conn.SetWriteDeadline(t)
+}
+
+// SetDeadline implements net.Conn.
+func (l *lane) SetDeadline(t time.Time) error {
+	return errors.Join(l.SetReadDeadline(t), l.SetWriteDeadline(t))
+}
+
+// LocalAddr implements net.Conn.
+func (l *lane) LocalAddr() net.Addr { return l.p.conn.LocalAddr() }
+
+// RemoteAddr implements net.Conn.
+func (l *lane) RemoteAddr() net.Addr { return l.p.conn.RemoteAddr() }
+
+// laneKey is the context key of a request's lane.
+type laneKey struct{}
+
+func withLane(ctx context.Context, conn net.Conn) context.Context {
+	if l, ok := conn.(*lane); ok {
+		return context.WithValue(ctx, laneKey{}, l)
+	}
+	return ctx
+}
+
+// AwaitTurn waits until all earlier requests of the request's connection are answered. A
+// request that must not run twice has to wait: if an earlier answer closes the connection,
+// its caller takes it for unread and sends it again. It returns the error of ctx if that
+// ends first.
+func AwaitTurn(ctx context.Context) error {
+	l, ok := ctx.Value(laneKey{}).(*lane)
+	if !ok {
+		return nil
+	}
+	p := l.p
+	stop := context.AfterFunc(ctx, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.changed.Broadcast()
+	})
+	defer stop()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(p.order) > 0 && p.order[0] != l {
+		if err := ctx.Err(); err != nil {
+			return err
+		}
+		if p.closed {
+			return net.ErrClosed
+		}
+		p.changed.Wait()
+	}
+	return nil
+}
+
+// Followed reports whether further requests of the same connection stand behind this one.
+// An answer that closes the connection would leave them without one.
+func Followed(ctx context.Context) bool {
+	l, ok := ctx.Value(laneKey{}).(*lane)
+	if !ok {
+		return false
+	}
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return len(l.p.order) > 0 && l.p.order[len(l.p.order)-1] != l
+}
+
+var _ net.Conn = (*lane)(nil)
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -116,7 +116,7 @@
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
-	edge.Listen(lc, srv, "gateway: callers", set.EntryAddr)
+	edge.ListenPipelined(lc, srv, "gateway: callers", set.EntryAddr)
 }
 
 // serveProbes starts the server for the platform's readiness probes.
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -63,7 +63,7 @@
 	g.metrics.record(x.req.GetService(), outcome.Kind(resp.GetKind()), took)
 	g.logRequest(x, resp, took)
 	unread := r.ContentLength != 0 && !x.bodyRead
-	if unread || g.control.View().Leaving {
+	if unread || g.control.View().Leaving && !edge.Followed(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	g.writeResponse(w, r, x, resp)
@@ -93,6 +93,11 @@
 	if err := readBody(w, r, x, v.Config.CallerLimits.MaxBodyBytes); err != nil {
 		return nil, err
 	}
+	if !x.route.Idempotent || v.Leaving {
+		if err := edge.AwaitTurn(r.Context()); err != nil {
+			return nil, outcome.New(outcome.CancelledNotRun, "waiting for earlier requests of the connection: %v", err)
+		}
+	}
 	return g.forward(r.Context(), v, x)
 }
 
