core/fleet: a patch made after a restore of the log takes effect

After a restore, daemons that knew patches of the lost seconds rejected each patch that an operator made on the version which the log shows, and went on so for good (native interface). Daemons that started later took it.

A daemon replays the restored stream beside what is in force, and changes over at the first patch that is new to it. Versions have the era in their upper bits.

TestPatchAfterRestoreIsNotTaken could not pass: its patches were invalid, so no version that it lost had been in force. It uses valid ones, and also checks what is in force before and after, and that a daemon that starts comes to the same version. Red without the change.

--- a/core/fleet/encode.go
+++ b/core/fleet/encode.go
@@ -16,6 +16,9 @@
 // Encode returns the history in its deterministic encoding: equal histories yield
 // equal bytes. The published version and the data-centre orders are not encoded.
 func (h *History) Encode() ([]byte, error) {
+	if h.renewed != nil {
+		return h.renewed.Encode() // what only lost records said is not passed on
+	}
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(&wire.ConfigState{
 		Next: h.Next, Version: h.Version, Doc: h.Doc, RecentIds: h.recentIDs.Encode(), ShardCounts: h.shardCounts, Newer: h.Newer,
 	})
--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -6,6 +6,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamemoor/sesamemoor/core/idwindow"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -15,7 +16,9 @@
 // History replays the configuration stream. Version 0 is the empty configuration. A
 // patch increments the version and is accepted only if its base version is the current
 // version, so that one of several concurrent operators succeeds. A published record
-// sets the version of its author instead.
+// sets the version of its author instead. After the log was restored, the versions that
+// patches make have the era of the log in their upper bits, as in logstream.Position, so
+// that they are above all of earlier eras.
 type History struct {
 	Next    uint64 // offset of the first record not yet applied
 	Version uint64
@@ -34,6 +37,9 @@
 	// restored is set until the first summary after the log was restored, which may be older
 	// than the orders in force.
 	restored bool
+	// renewed replays the stream of patches anew after the log was restored. What is in force
+	// stays until it has a patch that this history has not seen.
+	renewed *History
 }
 
 // Verdict is the result of applying a configuration record.
@@ -58,6 +64,9 @@
 		return nil, rejected("offset %d already applied", offset)
 	}
 	h.Next = offset + 1
+	if h.renewed != nil {
+		return h.applyRenewed(offset, data)
+	}
 	rec := new(wire.Record)
 	if err := proto.Unmarshal(data, rec); err != nil {
 		return nil, rejected("not a record: %v", err)
@@ -102,8 +111,9 @@
 )
 
 func (h *History) applyConfigPatch(p *wire.ConfigPatch) Verdict {
-	if p.GetBaseVersion() != h.Version {
-		return rejected("base version %d is not the current version %d", p.GetBaseVersion(), h.Version)
+	current := logstream.OffsetOf(h.Version)
+	if p.GetBaseVersion() != current {
+		return rejected("base version %d is not the current version %d", p.GetBaseVersion(), current)
 	}
 	doc, cfg, err := ApplyPatch(h.Doc, p.GetMergePatch())
 	if err != nil {
@@ -114,7 +124,10 @@
 	}
 	h.Doc = doc
 	h.Config = cfg
-	h.Version++
+	h.Version = current + 1
+	if era := logstream.EraOf(h.Next); era > logstream.FirstEra {
+		h.Version = logstream.Position(era, current+1)
+	}
 	return Verdict{Accepted: true, Version: h.Version}
 }
 
--- a/core/fleet/restored.go
+++ b/core/fleet/restored.go
@@ -3,13 +3,36 @@
 import (
 	"slices"
 
+	"github.com/sesamemoor/sesamemoor/core/idwindow"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
 // Restored tells the history that the log came back from a copy. Next is the position from
 // which it is read again. The version in force does not go back, and data centres that are
-// out of service stay so until an order about them is read.
-func (h *History) Restored() { h.restored = h.published != nil || len(h.outDataCentres) > 0 }
+// out of service stay so until an order about them is read. A patch that an operator makes
+// on the version that the log shows now takes effect, and with it goes what only the lost
+// records said.
+func (h *History) Restored() {
+	h.restored = h.published != nil || len(h.outDataCentres) > 0
+	if h.published == nil && h.Version > 0 {
+		h.renewed = NewHistory()
+	}
+}
+
+// applyRenewed replays a record of a log that was restored.
+func (h *History) applyRenewed(offset uint64, data []byte) (*wire.Record, Verdict) {
+	rec, verdict := h.renewed.Apply(offset, data)
+	if rec == nil || len(rec.GetId()) != idwindow.IDBytes {
+		return rec, verdict
+	}
+	if !h.recentIDs.Add(idwindow.ID(rec.GetId())) {
+		return rec, Verdict{Reason: ReasonDuplicate}
+	}
+	if verdict.Accepted {
+		*h = *h.renewed
+	}
+	return rec, verdict
+}
 
 // Standing returns the newest version by an external author and the data centres out of
 // service by its orders, or nil if there is no such version.
