--- a/daemon/plugins/admin/announce.go
+++ b/daemon/plugins/admin/announce.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"regexp"
+	"strconv"
 	"strings"
 	"time"
 
@@ -111,12 +112,13 @@
 	if err != nil {
 		return err.Error()
 	}
+	number, portErr := strconv.ParseUint(port, 10, 16)
 	ip, sender := net.ParseIP(host), net.ParseIP(from)
 	switch {
 	case ip == nil || ip.IsUnspecified():
 		return fmt.Sprintf("%q is not the IP address of a host", host)
-	case port == "" || port == "0":
-		return "no port"
+	case portErr != nil || number == 0:
+		return fmt.Sprintf("port %q is not in 1 to 65535", port)
 	case sender == nil || !sender.IsLoopback() && !sender.Equal(ip):
 		return fmt.Sprintf("sender %s may not announce %s", from, host)
 	}
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -73,6 +73,11 @@
 func (e *executor) Announce(ctx context.Context, a protocol.Announcement, fit func([]protocol.KeyGrant) int) protocol.AnnouncementReply {
 	arrived := e.clock.Now()
 	e.mu.Lock()
+	if e.isForeign(a) {
+		e.mu.Unlock()
+		e.log.Warn("announcement of an unknown service refused", zap.String("instance", a.ID), zap.String("service", a.Service))
+		return protocol.AnnouncementReply{}
+	}
 	ev := e.applyAnnouncement(arrived, a)
 	e.mu.Unlock()
 	if ev != nil {
@@ -84,6 +89,18 @@
 	return e.replyWithGrants(ctx, arrived, a, fit)
 }
 
+// isForeign reports whether an announcement is of another boot than the server's and names
+// a service that the configuration does not have. It comes from another writer and must not
+// replace the server. The caller holds the lock.
+func (e *executor) isForeign(a protocol.Announcement) bool {
+	if s := e.server; s != nil && s.id == a.ID && s.bootTime == a.BootTime {
+		return false
+	}
+	services := e.control.View().Config.Services
+	_, known := services[a.Service]
+	return len(services) > 0 && !known
+}
+
 // applyAnnouncement applies an announcement and returns the event for the control
 // state, or nil. It ignores announcements of an earlier boot or out of order. The
 // caller holds the lock.
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -392,6 +392,16 @@
 	is.Equal(e.server.addr, f.addr)
 }
 
+// Another writer's announcement names a service that nobody configured. It took the place of
+// the server, which lost all its keys.
+func TestAnnouncementOfAnUnknownServiceIsRefused(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	is.True(!announce(e, protocol.Announcement{ID: "odd", Service: "no-such", Addr: "127.0.0.1:1", Slots: 1, Sequence: 9, BootTime: 9}))
+	is.Equal(e.server.addr, f.addr)
+	is.Equal(kind(e.Execute(context.Background(), request("r-1", 7))), outcome.OK)
+}
+
 // A new boot of the same instance holds no keys: all are granted again.
 func TestNewBootHoldsNoKeys(t *testing.T) {
 	is := is.New(t)
