daemon/edge: a stopping listener reads no further requests

A connection's bytes are read ahead of the server of their lane, so a stop could close a lane whose request had been read and not begun. A stop first ends the reading between requests, and lanes with a request are not closed as unused.

--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -18,6 +18,8 @@
 const (
 	// MaxShards bounds the shard numbers of a service; the highest is MaxShards-1.
 	MaxShards = 1 << 20
+	// maxDivided bounds the shards into which a record divides the keys of a service.
+	maxDivided = 1 << 16
 	// maxRecordedShards bounds the shards that records refer to, over all services.
 	maxRecordedShards = 1 << 22
 )
@@ -253,8 +255,8 @@
 
 // divideKeys sets the number of shards of a service whose shards never had an owner.
 func (s *State) divideKeys(d *wire.DivideKeys) Verdict {
-	if d.GetShards() == 0 || d.GetShards() > MaxShards {
-		return rejected("number of shards must be in 1 to %d, but is %d", MaxShards, d.GetShards())
+	if d.GetShards() == 0 || d.GetShards() > maxDivided {
+		return rejected("number of shards must be in 1 to %d, but is %d", maxDivided, d.GetShards())
 	}
 	if svc, ok := s.Services[d.GetService()]; ok && (svc.Divided > 0 || svc.recorded > 0) {
 		return rejected("the keys of service %q are divided already", d.GetService())
--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -28,6 +28,7 @@
 
 func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, wrap func(net.Listener) net.Listener) {
 	unused := &unusedConns{conns: map[net.Conn]bool{}}
+	var served net.Listener
 	srv.ConnState = func(conn net.Conn, state http.ConnState) {
 		if l, ok := conn.(*lane); ok && state == http.StateIdle {
 			l.answered()
@@ -40,10 +41,14 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
-			go func() { _ = srv.Serve(wrap(listener)) }() // returns when the listener is closed
+			served = wrap(listener)
+			go func() { _ = srv.Serve(served) }() // returns when the listener is closed
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
+			if p, ok := served.(*pipelineListener); ok {
+				p.stop()
+			}
 			unused.close()
 			err := srv.Shutdown(ctx)
 			if errors.Is(err, context.DeadlineExceeded) {
@@ -70,7 +75,7 @@
 		delete(u.conns, conn)
 		return
 	}
-	if u.stopping {
+	if l, ok := conn.(*lane); u.stopping && (!ok || !l.fed()) {
 		_ = conn.Close()
 		return
 	}
@@ -83,6 +88,8 @@
 	defer u.mu.Unlock()
 	u.stopping = true
 	for conn := range u.conns {
-		_ = conn.Close()
+		if l, ok := conn.(*lane); !ok || !l.fed() {
+			_ = conn.Close()
+		}
 	}
 }
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -41,10 +41,14 @@
 	lanes  chan net.Conn
 	closed chan struct{}
 	once   sync.Once
+
+	mu       sync.Mutex
+	open     map[*pipeline]bool
+	stopping bool
 }
 
 func newPipelineListener(l net.Listener) *pipelineListener {
-	p := &pipelineListener{Listener: l, lanes: make(chan net.Conn), closed: make(chan struct{})}
+	p := &pipelineListener{Listener: l, lanes: make(chan net.Conn), closed: make(chan struct{}), open: map[*pipeline]bool{}}
 	go p.acceptConns()
 	return p
 }
@@ -60,22 +64,50 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		p := &pipeline{conn: conn, open: l.open}
+		p := &pipeline{conn: conn, serve: l.serve}
 		p.changed = sync.NewCond(&p.mu)
-		if first := p.newLane(); l.open(first) {
-			go p.read()
+		if first := p.newLane(); l.add(p) && l.serve(first) {
+			go func() {
+				defer l.remove(p)
+				p.read()
+			}()
 		} else {
+			l.remove(p)
 			_ = conn.Close()
 		}
 	}
 }
 
+func (l *pipelineListener) add(p *pipeline) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[p] = true
+	return !l.stopping
+}
+
+func (l *pipelineListener) remove(p *pipeline) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.open, p)
+}
+
+// stop stops reading requests from the connections: what was not read counts as not read
+// for the callers. Requests of which a byte was read are read to their end.
+func (l *pipelineListener) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stopping = true
+	for p := range l.open {
+		p.stop()
+	}
+}
+
 // acceptRetryDelay is the delay after a failed accept, for example for lack of
 // descriptors.
 const acceptRetryDelay = 10 * time.Millisecond
 
-// open hands a lane to the server. It reports false if the listener is closed.
-func (l *pipelineListener) open(lane *lane) bool {
+// serve hands a lane to the server. It reports false if the listener is closed.
+func (l *pipelineListener) serve(lane *lane) bool {
 	select {
 	case l.lanes <- lane:
 		return true
@@ -103,15 +135,17 @@
 
 // pipeline is one connection.
 type pipeline struct {
-	conn net.Conn
-	open func(*lane) bool
+	conn  net.Conn
+	serve func(*lane) bool
 
-	mu      sync.Mutex
-	changed *sync.Cond
-	lanes   []*lane // open lanes
-	order   []*lane // lanes with a request, in the order of the requests
-	readErr error   // why no more bytes come from the connection
-	closed  bool
+	mu       sync.Mutex
+	reading  bool // a part of a request was read, and the rest was not
+	stopping bool
+	changed  *sync.Cond
+	lanes    []*lane // open lanes
+	order    []*lane // lanes with a request, in the order of the requests
+	readErr  error   // why no more bytes come from the connection
+	closed   bool
 }
 
 // lane carries one request at a time and its answer. All fields below p are guarded by
@@ -144,6 +178,9 @@
 	more := func() bool {
 		n, err := p.conn.Read(buf)
 		pending = append(pending, buf[:n]...)
+		if err != nil && n == 0 && p.stopped() {
+			return false
+		}
 		if err != nil && n == 0 {
 			p.endReading(err)
 			return false
@@ -151,9 +188,10 @@
 		return true
 	}
 	for {
-		if len(pending) == 0 && !more() {
+		if len(pending) == 0 && !(p.beginReading(false) && more()) {
 			return
 		}
+		p.beginReading(true)
 		l := p.laneForRequest()
 		if l == nil {
 			return
@@ -198,6 +236,39 @@
 	}
 }
 
+// beginReading records whether a part of a request was read. It reports false if the
+// connection stops and none was.
+func (p *pipeline) beginReading(reading bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.reading = reading
+	return reading || !p.stopping
+}
+
+// stop ends the reading of the connection, unless a part of a request was read.
+func (p *pipeline) stop() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.stopping = true
+	if !p.reading {
+		_ = p.conn.SetReadDeadline(time.Now())
+	}
+}
+
+// stopped reports whether reading ends because the connection stops.
+func (p *pipeline) stopped() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stopping && !p.reading
+}
+
+// fed reports whether the server of the lane has got bytes of a request.
+func (l *lane) fed() bool {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return l.busy
+}
+
 // feedAll gives all further bytes of the connection to a lane.
 func (p *pipeline) feedAll(l *lane, buf []byte) {
 	for {
@@ -255,7 +326,7 @@
 		if len(p.order) < maxPipelined && len(p.order) > 0 && !p.order[len(p.order)-1].closing {
 			p.mu.Unlock()
 			l := p.newLane()
-			opened := p.open(l)
+			opened := p.serve(l)
 			p.mu.Lock()
 			if opened {
 				return p.begin(l)
--- a/daemon/edge/pipeline_test.go
+++ b/daemon/edge/pipeline_test.go
@@ -241,6 +241,63 @@
 	is.True(err != nil)
 }
 
+// During a stop under load, requests that had just been accepted were cut off without an
+// answer. Each request of which a byte was read gets one.
+func TestStopAnswersEveryRequestThatWasRead(t *testing.T) {
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		addr := l.Addr().String()
+		_ = l.Close()
+		var ran, answered atomic.Int64
+		handler := http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if AwaitTurn(r.Context()) != nil {
+				return // an earlier answer closed the connection
+			}
+			ran.Add(1)
+			time.Sleep(time.Millisecond)
+		})
+		lc := fxtest.NewLifecycle(t)
+		ListenPipelined(lc, &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}, "test", addr)
+		lc.RequireStart()
+		var callers sync.WaitGroup
+		stop := make(chan struct{})
+		for range 8 {
+			callers.Go(func() {
+				for {
+					select {
+					case <-stop:
+						return
+					default:
+					}
+					conn, err := net.Dial("tcp", addr)
+					if err != nil {
+						return
+					}
+					_ = conn.SetDeadline(time.Now().Add(waitTimeout))
+					_, _ = io.WriteString(conn, get("/1")+get("/2"))
+					r := bufio.NewReader(conn)
+					for range 2 {
+						if _, err := http.ReadResponse(r, nil); err == nil {
+							answered.Add(1)
+						}
+					}
+					_ = conn.Close()
+				}
+			})
+		}
+		time.Sleep(20 * time.Millisecond)
+		lc.RequireStop()
+		close(stop)
+		callers.Wait()
+		if ran.Load() != answered.Load() {
+			t.Fatalf("%d requests ran and %d were answered", ran.Load(), answered.Load())
+		}
+	}
+}
+
 func TestAwaitTurnEndsWithItsContext(t *testing.T) {
 	is := is.New(t)
 	p := &pipeline{}
