core/control: shards are placed although the planners are gone

Traced with all logs: no daemon proposed an owner after the start. The planners are the three oldest members in service, and these were on machines that never came back, as were others after them; a member whose witnesses are gone too is never sealed, so it stays in service for replay.

A daemon that sees shards without an owner for 4.5 s, and no planner's record in that time, plans itself, each up to 2 s later than others. What stays: the shards that such a member owns. TestShardsArePlacedAlthoughThePlannersAreGone was red.

--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/placement"
@@ -21,6 +23,12 @@
 	// replanInterval is the time after which a round runs although nothing changed,
 	// because the records of the last one may be lost.
 	replanInterval = 1 * time.Second
+	// unattendedTime is the time for which shards stay without an owner, and replay shows no
+	// planner's record, before any other daemon plans. The planners may be members that are
+	// gone and whose witnesses are gone too, so that their leases do not lapse.
+	unattendedTime = plannerCount * plannerStagger
+	// unattendedSpread is the range of the additional delay of each such daemon.
+	unattendedSpread = 2 * time.Second
 )
 
 // planner is the state of this daemon's planning.
@@ -32,6 +40,7 @@
 	workSince    clock.Instant // since when rounds have found work; zero if the last found none
 	peerPlanSeen clock.Instant // when replay last showed another planner's record
 	since        clock.Instant // when this daemon became a planner; zero while it is none
+	orphansSince clock.Instant // since when shards have had no owner; zero while all have one
 
 	memberWait   map[string]memberWait // by service
 	nextBalance  clock.Instant         // when ranges may move again
@@ -87,6 +96,9 @@
 	}
 	p.next = s.now.Add(planInterval)
 	rank := slices.Index(s.planners(), s.member.incarnation)
+	if rank < 0 && s.unattended() {
+		rank = 0
+	}
 	s.recordPlanning(rank >= 0)
 	if rank < 0 || s.proposalsOutstanding() || !s.planDue() {
 		return
@@ -104,6 +116,32 @@
 	}
 }
 
+// unattended reports whether shards that could have an owner have had none for so long that
+// the planners seem to be lost.
+func (s *State) unattended() bool {
+	p := &s.planner
+	if !s.hasOrphans() {
+		p.orphansSince = 0
+		return false
+	}
+	if p.orphansSince == 0 {
+		p.orphansSince = s.now
+	}
+	spread := time.Duration(xxhash.Sum64String(s.opts.Slot) % uint64(unattendedSpread))
+	return s.now >= max(p.orphansSince, p.peerPlanSeen).Add(unattendedTime+spread)
+}
+
+// hasOrphans reports whether a shard of a service with members has no owner.
+func (s *State) hasOrphans() bool {
+	for name, svc := range s.fold.Services {
+		orphan := func(sh fold.Shard) bool { return sh.Owner == 0 }
+		if slices.ContainsFunc(svc.Shards[:min(int(svc.Base), len(svc.Shards))], orphan) && s.membersOf(name) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // recordPlanning records since when this daemon has been a planner.
 func (s *State) recordPlanning(planning bool) {
 	switch {
