--- a/core/control/control.go
+++ b/core/control/control.go
@@ -332,7 +332,7 @@
 	if m := rec.GetMergeKey(); m != nil {
 		s.mergeSeen(m)
 	}
-	if rec.GetSplitKey() != nil || rec.GetMergeKey() != nil || rec.GetDivideKeys() != nil {
+	if rec.GetSplitKey() != nil || rec.GetMergeKey() != nil {
 		s.tables.next = 0 // lookups of held shards need tables with the new split keys
 	}
 	s.recordPeerPlan(rec)
--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -103,9 +103,6 @@
 	if rank < 0 || s.proposalsOutstanding() || !s.planDue() {
 		return
 	}
-	if s.divideKeys(rank) {
-		return
-	}
 	plan := s.plan()
 	if plan.Empty() {
 		p.workSince = 0
@@ -183,7 +180,7 @@
 
 // recordPeerPlan records that another planner's record took effect.
 func (s *State) recordPeerPlan(rec *wire.Record) {
-	if rec.GetAuthor() != s.member.incarnation && (rec.GetPropose() != nil || rec.GetHandover() != nil || rec.GetDivideKeys() != nil) {
+	if rec.GetAuthor() != s.member.incarnation && (rec.GetPropose() != nil || rec.GetHandover() != nil) {
 		s.planner.peerPlanSeen = s.now
 	}
 }
@@ -203,22 +200,18 @@
 	// many ranges of each service. A member that joins then gets its share within 2 s.
 	rangesPerMove = 32
 	// rangePlacements is the maximum number of placements in one record of a service
-	// with many ranges. Such a record is below the log's size limit.
+	// with many ranges. It covers all ranges of a service with some thousand, in a
+	// record below the log's size limit.
 	rangePlacements = 4096
-	// rangeRecords is the maximum number of such records in one round.
-	rangeRecords = 4
 )
 
 // planLimits returns the number of changes allowed in a round.
 func (s *State) planLimits() placement.Limits {
 	limits := placement.DefaultLimits
-	for name, svc := range s.history.Config.Services {
-		if divided := s.fold.Services[name]; divided != nil && divided.Divided > 0 {
-			svc.Shards = divided.Divided
-		}
+	for _, svc := range s.history.Config.Services {
 		if svc.KeySpace != 0 && svc.Region == s.opts.Region {
 			limits.MaxMoves += int(svc.Shards / rangesPerMove)
-			limits.MaxPlacements = rangePlacements * rangeRecords
+			limits.MaxPlacements = rangePlacements
 		}
 	}
 	return limits
@@ -230,10 +223,10 @@
 	for _, b := range plan.Balances {
 		s.emitDecision(Decision{Action: "balance", Reason: "load of a member is outside its bounds", Count: b.Moves, Balance: &b})
 	}
-	for placements := range slices.Chunk(plan.Placements, rangePlacements) {
-		id := s.appendOnce(&wire.Record{Body: &wire.Record_Propose{Propose: &wire.Propose{Placements: placements}}})
+	if len(plan.Placements) > 0 {
+		id := s.appendOnce(&wire.Record{Body: &wire.Record_Propose{Propose: &wire.Propose{Placements: plan.Placements}}})
 		p.outstanding = append(p.outstanding, id)
-		s.emitDecision(Decision{Action: "propose", Reason: "owners, standbys or balance", Count: len(placements)})
+		s.emitDecision(Decision{Action: "propose", Reason: "owners, standbys or balance", Count: len(plan.Placements)})
 	}
 	if len(plan.Handovers) > 0 {
 		id := s.appendOnce(&wire.Record{Body: &wire.Record_Handover{Handover: &wire.Handover{Refs: plan.Handovers}}})
--- a/core/fold/encode.go
+++ b/core/fold/encode.go
@@ -52,7 +52,7 @@
 }
 
 func (svc *Service) encode(name string) *wire.ServiceState {
-	out := &wire.ServiceState{Name: name, Named: uint32(svc.recorded), Free: svc.Free, Divided: svc.Divided}
+	out := &wire.ServiceState{Name: name, Named: uint32(svc.recorded), Free: svc.Free}
 	for _, sh := range svc.Shards[:svc.recorded] {
 		out.Owners = append(out.Owners, sh.Owner)
 		out.Standbys = append(out.Standbys, sh.Standby)
@@ -142,12 +142,5 @@
 		svc.Split[hash] = in.SplitShards[i]
 	}
 	svc.Free = in.GetFree()
-	if int(in.GetDivided()) > n {
-		return fmt.Errorf("%w: keys of service %q are divided into more than its %d shards", ErrState, in.GetName(), n)
-	}
-	svc.Divided = in.GetDivided()
-	if svc.Divided > 0 {
-		s.EnsureService(in.GetName(), svc.Divided)
-	}
 	return nil
 }
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -18,8 +18,6 @@
 const (
 	// MaxShards bounds the shard numbers of a service; the highest is MaxShards-1.
 	MaxShards = 1 << 20
-	// maxDivided bounds the shards into which a record divides the keys of a service.
-	maxDivided = 1 << 16
 	// maxRecordedShards bounds the shards that records refer to, over all services.
 	maxRecordedShards = 1 << 22
 )
@@ -102,8 +100,7 @@
 // or higher belong to split keys.
 type Service struct {
 	Shards   []Shard
-	Base     uint32            // number of hash shards: Divided, or that of the configuration
-	Divided  uint32            // number of shards by a DivideKeys record; 0 without one
+	Base     uint32            // number of hash shards, from the configuration
 	Split    map[uint64]uint32 // key hash to shard number
 	Free     []uint32          // shard numbers of merged keys, available for reuse
 	recorded int               // one more than the highest shard number that a record referred to
@@ -218,8 +215,6 @@
 		return s.mergeKey(rec.GetAuthor(), body.MergeKey)
 	case *wire.Record_Adopt:
 		return s.adopt(rec.GetAuthor(), body.Adopt)
-	case *wire.Record_DivideKeys:
-		return s.divideKeys(body.DivideKeys)
 	case *wire.Record_OpenEra:
 		return s.openEra(body.OpenEra)
 	case *wire.Record_Snapshot:
@@ -239,36 +234,16 @@
 	return rejected("record kind is not supported by this version")
 }
 
-// EnsureService sets the number of a service's hash shards, which never changes once one
-// has an owner, and allocates the shards. The number comes from the configuration, for
-// which replay does not wait: whether a record is accepted never depends on it. A record
-// that divides the keys goes before.
+// EnsureService sets the number of a service's hash shards, which never changes,
+// and allocates the shards. The number comes from the configuration, for which
+// replay does not wait: whether a record is accepted never depends on it.
 func (s *State) EnsureService(name string, shards uint32) *Service {
 	svc := s.service(name)
-	if svc.Divided > 0 {
-		shards = svc.Divided
-	}
 	svc.Base = shards
 	svc.grow(int(shards))
 	return svc
 }
 
-// divideKeys sets the number of shards of a service whose shards never had an owner.
-func (s *State) divideKeys(d *wire.DivideKeys) Verdict {
-	if d.GetShards() == 0 || d.GetShards() > maxDivided {
-		return rejected("number of shards must be in 1 to %d, but is %d", maxDivided, d.GetShards())
-	}
-	if svc, ok := s.Services[d.GetService()]; ok && (svc.Divided > 0 || svc.recorded > 0) {
-		return rejected("the keys of service %q are divided already", d.GetService())
-	}
-	if !s.recordShard(d.GetService(), d.GetShards()-1) {
-		return rejected("service %q cannot have %d shards", d.GetService(), d.GetShards())
-	}
-	s.Services[d.GetService()].Divided = d.GetShards()
-	s.EnsureService(d.GetService(), d.GetShards())
-	return accepted()
-}
-
 // service returns the placement of a service and creates it on first use.
 func (s *State) service(name string) *Service {
 	svc, ok := s.Services[name]
--- a/core/placement/plan_test.go
+++ b/core/placement/plan_test.go
@@ -88,10 +88,6 @@
 	m.completePlan(name)
 }
 
-func proposal(plan Plan) *wire.Record {
-	return &wire.Record{Body: &wire.Record_Propose{Propose: &wire.Propose{Placements: plan.Placements}}}
-}
-
 // applyPlan makes a plan and applies its records to the fold. It fails the test if
 // the plan places a shard on an ineligible member.
 func (m *fleetModel) applyPlan(t fataler) Plan {
@@ -103,7 +99,7 @@
 			t.Fatalf("plan proposes an ineligible member: %v", pl)
 		}
 	}
-	m.apply(0, proposal(plan))
+	m.apply(0, &wire.Record{Body: &wire.Record_Propose{Propose: &wire.Propose{Placements: plan.Placements}}})
 	m.apply(0, &wire.Record{Body: &wire.Record_Handover{Handover: &wire.Handover{Refs: plan.Handovers}}})
 	return plan
 }
