core/hold: grants are renewed when half of their time is over

With leases of up to 4 s, renewal each 0.8 s costs a daemon twice the calls that a run needs: half of such a grant is longer than nearly all runs.

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -32,12 +32,9 @@
 	SendWithin = maxCallDelay / 2
 	// minHold is the shortest duration of a grant.
 	minHold = 100 * time.Millisecond
-	// renewFraction is the fraction of a grant's duration after which it is renewed, if
-	// maxRenewInterval is not over before.
-	renewFraction = 0.55
-	// maxRenewInterval bounds the time between renewals. A server ends work that outlasts
-	// the hold under which it began, so long grants are renewed early.
-	maxRenewInterval = 800 * time.Millisecond
+	// renewFraction is the fraction of a grant's duration after which it is renewed. A server
+	// ends work that outlasts the hold under which it began, so half of it is left for a run.
+	renewFraction = 0.5
 	// retryDelay is the delay before a failed or unanswered grant is sent again.
 	retryDelay = 150 * time.Millisecond
 )
@@ -145,7 +142,7 @@
 	}
 	e.inFlight = false
 	e.heldUntil = max(e.heldUntil, sent.Add(time.Duration(float64(g.Hold)/maxClockRatio)))
-	e.nextGrant = sent.Add(min(time.Duration(renewFraction*float64(g.Hold)), maxRenewInterval))
+	e.nextGrant = sent.Add(time.Duration(renewFraction * float64(g.Hold)))
 }
 
 // Unsent records that a started grant was not written and never will be. The next
