--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -151,16 +151,16 @@
 // lane carries one request at a time and its answer. All fields below p are guarded by
 // p.mu.
 type lane struct {
-	p            *pipeline
-	unread       []byte // received and not yet read by the server
-	answer       []byte // written before it is this lane's turn
-	deadline     time.Time
-	timer        *time.Timer
-	busy         bool // has a request whose answer is not written
-	done         bool // the server has given the whole answer
-	closing      bool // the answer is the last of the connection
-	closed       bool
-	afterRequest bool // the server must not get more bytes: another lane was chosen to remain
+	p        *pipeline
+	unread   []byte // received and not yet read by the server
+	answer   []byte // written before it is this lane's turn
+	deadline time.Time
+	timer    *time.Timer
+	busy     bool // has a request whose answer is not written
+	done     bool // the server has given the whole answer
+	closing  bool // the answer is the last of the connection
+	closed   bool
+	surplus  bool // another lane waits for the next request, and this one ends
 }
 
 func (p *pipeline) newLane() *lane {
@@ -392,13 +392,13 @@
 		}
 		p.order = p.order[1:]
 		l.busy, l.done = false, false
-		l.afterRequest = slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() })
+		l.surplus = slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() })
 		p.changed.Broadcast()
 	}
 }
 
 // idle reports whether the lane waits for a request.
-func (l *lane) idle() bool { return !l.busy && !l.closed && !l.afterRequest }
+func (l *lane) idle() bool { return !l.busy && !l.closed && !l.surplus }
 
 // end closes the connection and all its lanes. The caller holds the lock.
 func (p *pipeline) end() {
@@ -440,7 +440,7 @@
 		switch {
 		case l.closed:
 			return 0, net.ErrClosed
-		case l.afterRequest:
+		case l.surplus:
 			l.closed = true
 			return 0, io.EOF
 		case p.readErr != nil:
