--- a/review/platform/standin/cases.go
+++ b/review/platform/standin/cases.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +89,7 @@
 			"information": map[string]any{"service": m.service, "slots": 9}, // no version, no zone
 			"status":      map[string]any{"state": "ready", "sequence": 1},  // no cold_remaining_s
 		}
+		m.worker.awaitRenewed(5 * time.Second)
 		if trouble {
 			rec.add("another writer sends an announcement without version, zone and cold_remaining_s to %s", m.name)
 			rec.add("it is answered %d", post(m.control, "i-0dd0dd00", odd))
@@ -99,9 +102,6 @@
 // restartDelay is the time from the end of a daemon to its next start.
 const restartDelay = 50 * time.Millisecond
 
-// renewed is the time left of a hold that was just renewed.
-const renewed = 1200 * time.Millisecond
-
 // lateAnnouncement: a server crashes while a heartbeat of it is held up, and is back as
 // another boot. Its daemon is killed and starts again; then the heartbeat arrives.
 func lateAnnouncement(rec *record, dir string, trouble bool) error {
@@ -145,11 +145,7 @@
 		// its holds were just renewed.
 		for range 20 {
 			<-beats
-			if fresh.heldRanges(renewed) > fresh.heldRanges(0)/2 {
-				break
-			}
-			time.Sleep(300 * time.Millisecond)
-			if fresh.heldRanges(renewed) > fresh.heldRanges(0)/2 {
+			if fresh.awaitRenewed(300 * time.Millisecond) {
 				break
 			}
 		}
@@ -275,3 +271,90 @@
 	fmt.Printf("orders %d, refused %d\n", orders.Load(), refused.Load())
 	return nil
 }
+
+const (
+	memoryMB  = 284      // memory_mb of the settings
+	bodyBytes = 32 << 20 // half of max_body_bytes
+	uploads   = 8        // orders sent at once
+	rounds    = 3
+)
+
+// largeBodies: a few requesters send large orders at once. The platform kills a process
+// that takes more memory than it may, and starts it again.
+func largeBodies(rec *record, dir string, trouble bool) error {
+	f, err := startWatched(rec, dir, 4, 2, 30*time.Millisecond)
+	defer f.stop()
+	if err != nil {
+		return err
+	}
+	size := 24000
+	if trouble {
+		size = bodyBytes
+	}
+	body := strings.Repeat("b", size)
+	ended := 0
+	for _, m := range f.machines[:2] {
+		ends := 0
+		for round := range rounds {
+			done := make(chan struct{})
+			over := make(chan int, 1)
+			go func() { over <- watchMemory(m.cmd.Process.Pid, done) }()
+			var wg sync.WaitGroup
+			for i := range uploads {
+				wg.Go(func() {
+					f.send(m, "POST", "/order/1", fmt.Sprintf("order-%s-%d-%d", m.name, round, i), i*8000, body, 2500*time.Millisecond)
+				})
+			}
+			killed := false
+			go func() { wg.Wait(); close(done) }()
+			if mb := <-over; mb > memoryMB {
+				killed = true
+				rec.add("daemon %s takes %d MB of memory; the platform ends it", m.name, mb)
+				f.killDaemon(m)
+			}
+			<-done
+			if killed {
+				ends++
+				time.Sleep(restartDelay)
+				if err := f.startDaemon(m); err != nil {
+					return err
+				}
+			}
+			if !f.awaitServed(20*time.Second) || !m.awaitReady(10*time.Second) {
+				return errNotServed
+			}
+			time.Sleep(time.Second)
+		}
+		if ends >= rounds {
+			ended++
+		}
+		fmt.Printf("%s: ended %d times of %d\n", m.name, ends, rounds)
+	}
+	if ended >= 2 {
+		rec.breach("Fault: at %d machines processes ended by themselves %d times, over their memory", ended, rounds)
+	}
+	return nil
+}
+
+// watchMemory returns the most memory that a process was seen to take, in MB, once that
+// is over memoryMB or done is closed.
+func watchMemory(pid int, done <-chan struct{}) int {
+	most := 0
+	for {
+		data, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+		for line := range strings.Lines(string(data)) {
+			kb := 0
+			if n, _ := fmt.Sscanf(line, "VmRSS: %d kB", &kb); n == 1 {
+				most = max(most, kb>>10)
+			}
+		}
+		if most > memoryMB {
+			return most
+		}
+		select {
+		case <-done:
+			return most
+		case <-time.After(2 * time.Millisecond):
+		}
+	}
+}
--- a/review/platform/standin/fleet.go
+++ b/review/platform/standin/fleet.go
@@ -25,7 +25,7 @@
 {"name":"order","host":"shop.example","path_prefix":"/order/","kind":"unsafe","timeout_s":2.5,"target_latency_s":0.4,"service":"storefront","max_attempts":2,"priority":0},
 {"name":"sync","host":"shop.example","path_prefix":"/sync/","kind":"safe","timeout_s":4,"target_latency_s":0.6,"service":"inventory","max_attempts":2,"priority":2}],
 "services":[{"name":"storefront","sharded":true,"connection_limit":130,"cold_start_s":3,"cold_per_s":40},{"name":"inventory","connection_limit":130,"cold_start_s":3,"cold_per_s":40}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_s":5,"idle_timeout_s":30},
+"limits":{"max_header_bytes":16384,"max_body_bytes":67108864,"header_timeout_s":5,"idle_timeout_s":30},
 "tenants":[{"name":"pier","api_keys":["2b9wu3fexd9dnn2ctnfz"],"rate_per_s":0,"burst":0}]}`
 
 // record is the list of what was sent, answered and run.
@@ -335,3 +335,18 @@
 		}
 	}
 }
+
+// awaitReady waits until the daemon answers the platform's readiness probe with 200.
+func (m *machine) awaitReady(limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(50 * time.Millisecond) {
+		resp, err := http.Get("http://" + m.ready + "/sesamemoor/readiness")
+		if err != nil {
+			continue
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode == http.StatusOK {
+			return true
+		}
+	}
+	return false
+}
--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -48,7 +48,7 @@
 	rec.add("case %s, trouble %v", name, trouble)
 	cases := map[string]func(*record, string, bool) error{
 		"odd-announcement": oddAnnouncement, "late-announcement": lateAnnouncement,
-		"late-refusal": lateRefusal, "supervised-restart": supervisedRestart,
+		"late-refusal": lateRefusal, "supervised-restart": supervisedRestart, "large-bodies": largeBodies,
 	}
 	run, ok := cases[name]
 	if !ok {
--- a/review/platform/standin/worker.go
+++ b/review/platform/standin/worker.go
@@ -202,6 +202,20 @@
 	return n
 }
 
+// renewed is the time left of a hold that was just renewed.
+const renewed = 1200 * time.Millisecond
+
+// awaitRenewed waits until most of the boot's holds were just renewed. It reports false
+// after limit.
+func (w *worker) awaitRenewed(limit time.Duration) bool {
+	for deadline := time.Now().Add(limit); time.Now().Before(deadline); time.Sleep(10 * time.Millisecond) {
+		if w.heldRanges(renewed) > w.heldRanges(0)/2 {
+			return true
+		}
+	}
+	return false
+}
+
 func (w *worker) serve(c net.Conn) {
 	defer func() {
 		w.mu.Lock()
@@ -297,7 +311,7 @@
 }
 
 func (w *worker) body(req *http.Request, body []byte) string {
-	return fmt.Sprintf("%s %s %s %d", w.id, req.Method, req.URL.Path, len(body))
+	return fmt.Sprintf("%s %s %s %d", w.id, req.Method, req.RequestURI, len(body))
 }
 
 type keyRange struct {
