review: end all processes if a run is interrupted

Tried: a run whose output was cut left its daemons behind. Cause: the signal for a closed pipe ended the driver. Measured: after an interrupted run and one with a closed pipe no daemon and no folder was left.

--- a/review/platform/standin/cases.go
+++ b/review/platform/standin/cases.go
@@ -21,7 +21,6 @@
 // startWatched starts a fleet and waits until it serves.
 func startWatched(rec *record, dir string, storefront, inventory int, serviceTime time.Duration) (*fleet, error) {
 	f, err := newFleet(rec, dir, storefront, inventory, serviceTime)
-	current = f
 	if err != nil {
 		return f, err
 	}
@@ -106,7 +105,6 @@
 // another boot. Its daemon is killed and starts again; then the heartbeat arrives.
 func lateAnnouncement(rec *record, dir string, trouble bool) error {
 	f, err := newFleet(rec, dir, 4, 2, 30*time.Millisecond)
-	current = f
 	defer f.stop()
 	if err != nil {
 		return err
--- a/review/platform/standin/fleet.go
+++ b/review/platform/standin/fleet.go
@@ -132,9 +132,10 @@
 // newFleet starts the store, the workers and the daemons.
 func newFleet(rec *record, dir string, storefront, inventory int, serviceTime time.Duration) (*fleet, error) {
 	f := &fleet{rec: rec, dir: dir, store: newStore()}
+	current = f
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
-		return nil, err
+		return f, err
 	}
 	go func() { _ = http.Serve(l, f.store.handler()) }()
 	f.storeURL = l.Addr().String()
@@ -150,7 +151,7 @@
 		for range 7 {
 			p, err := freePort(m.ip)
 			if err != nil {
-				return nil, err
+				return f, err
 			}
 			ports = append(ports, p)
 		}
@@ -158,17 +159,17 @@
 		data, _ := json.MarshalIndent(settingsOf(m, f.storeURL, ports), "", " ")
 		m.settings, m.log = filepath.Join(dir, m.name+".json"), filepath.Join(dir, m.name+".log")
 		if err := os.WriteFile(m.settings, data, 0o600); err != nil {
-			return nil, err
+			return f, err
 		}
 		m.worker = f.newBoot(m, ports[6], serviceTime)
 		if err := m.worker.start(); err != nil {
-			return nil, err
+			return f, err
 		}
 		f.machines = append(f.machines, m)
 	}
 	for _, m := range f.machines {
 		if err := f.startDaemon(m); err != nil {
-			return nil, err
+			return f, err
 		}
 		go m.worker.beat(m.control, beatInterval)
 	}
@@ -215,6 +216,9 @@
 
 // stop ends all daemons and workers.
 func (f *fleet) stop() {
+	if f == nil {
+		return
+	}
 	for _, m := range f.machines {
 		if m.cmd != nil {
 			_ = m.cmd.Process.Kill()
--- a/review/platform/standin/main.go
+++ b/review/platform/standin/main.go
@@ -60,12 +60,19 @@
 		if current != nil {
 			current.stop()
 		}
+		_ = os.RemoveAll(dir)
 		os.Exit(couldNot)
 	}
 	time.AfterFunc(112*time.Second, func() { abort("the case took too long") })
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() { <-signals; abort("interrupted") }()
+	signal.Ignore(syscall.SIGPIPE) // a reader of the output that ends must not leave daemons behind
+	defer func() {
+		if p := recover(); p != nil {
+			abort(fmt.Sprint("panic: ", p))
+		}
+	}()
 	err = run(rec, dir, trouble)
 	switch {
 	case rec.broken:
