daemon/backendconn: do not repeat a request on the connection that refused it

Cause: a server may write a refusal once more where the next answer is expected. The owner's daemon sends the refused request to the same server again, mostly on the same connection and with the same id, so the copy passed the check of the id.

TestCopyOfARefusalAnswersTheRetry fails without this change, for both interfaces (backend_shed instead of ok).

A connection now remembers the requests whose answer allows a repeat, and a repeat that is given such a connection closes it and takes another. A copy can thus only meet requests with another id, which discard it. Connections are kept for all other requests; one is closed after 64 ids, so the memory is bounded and no id is ever forgotten on an open connection.

--- a/daemon/answer/answer.go
+++ b/daemon/answer/answer.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"net/http"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
@@ -40,3 +41,9 @@
 	}
 	return nil
 }
+
+// AllowsRepeat reports whether a request may be sent again after this response: it is a
+// refusal of any kind, or the backend server's own error.
+func AllowsRepeat(resp *wire.Response) bool {
+	return outcome.Kind(resp.GetKind()) != outcome.OK || resp.GetStatus() >= http.StatusInternalServerError
+}
--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -12,6 +12,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,9 +26,12 @@
 	// most backend servers, so that a request is rarely written to a connection
 	// that the server is closing.
 	IdleTimeout = 4 * time.Second
+	// maxBarred bounds the requests that are barred from one connection. It is closed
+	// after that.
+	maxBarred = 64
 )
 
-// ErrDiscarded is the write error of a connection on which an answer of another request
+// ErrDiscarded is the write error of a connection on which an answer to another sending
 // arrived or may arrive. Nothing of the request was written.
 var ErrDiscarded = errors.New("connection discarded by an earlier request")
 
@@ -52,13 +56,35 @@
 	until     atomic.Int64 // Trace.Until of the current request
 	state     atomic.Uint32
 	discarded atomic.Bool // closed, although the transport may still offer it for a request
+
+	mu     sync.Mutex
+	barred map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
 }
 
 // beginRequest marks the start of a request on this connection. The request may be
-// written before the time until.
-func (c *guardedConn) beginRequest(until clock.Instant) {
+// written before the time until. If it is barred from this connection, the connection is
+// discarded.
+func (c *guardedConn) beginRequest(id string, until clock.Instant) {
 	c.until.Store(int64(until))
 	c.state.CompareAndSwap(written, unwritten)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.barred[id] {
+		c.discarded.Store(true)
+	}
+}
+
+// bar records that a request must not be sent on this connection again.
+func (c *guardedConn) bar(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.barred == nil {
+		c.barred = map[string]bool{}
+	}
+	c.barred[id] = true
+	if len(c.barred) >= maxBarred {
+		c.discarded.Store(true)
+	}
 }
 
 // block reports whether the current request has written nothing. If so, it closes the
@@ -103,9 +129,11 @@
 
 // Trace records the connection of one request.
 type Trace struct {
-	Until clock.Instant // the request may be written before this time
-	conn  atomic.Pointer[guardedConn]
-	kept  atomic.Bool
+	RequestID string        // "" for a call that is not a request
+	Until     clock.Instant // the request may be written before this time
+
+	conn atomic.Pointer[guardedConn]
+	kept atomic.Bool
 }
 
 // Kept reports whether the request was sent on a connection that had carried another one.
@@ -130,7 +158,16 @@
 	}
 }
 
-// DiscardedUnwritten reports whether the request was given a connection that another
+// BarRepeat makes sure that this request is not sent on the same connection again. It is
+// called after an answer that allows a repeat: a late copy of that answer has the same id,
+// and would be taken for the answer to the repeat, which the server runs.
+func (t *Trace) BarRepeat() {
+	if c := t.conn.Load(); c != nil {
+		c.bar(t.RequestID)
+	}
+}
+
+// DiscardedUnwritten reports whether the request was given a connection that an earlier
 // request had discarded, and no byte of it was or will be written. It can be sent on
 // another connection.
 func (t *Trace) DiscardedUnwritten() bool {
@@ -153,7 +190,7 @@
 // request on it.
 func (t *Trace) SetConn(conn net.Conn) {
 	if c, ok := conn.(*guardedConn); ok {
-		c.beginRequest(t.Until)
+		c.beginRequest(t.RequestID, t.Until)
 		t.conn.Store(c)
 	}
 }
@@ -165,12 +202,12 @@
 	return c != nil && !c.block()
 }
 
-// Do sends the request that newRequest returns, which may be written until a given time.
-// If the connection turns out to be discarded by an earlier request, it sends it on
-// another one. trace is nil if newRequest failed.
-func Do(ctx context.Context, client *http.Client, until clock.Instant, newRequest func(context.Context) (*http.Request, error)) (resp *http.Response, trace *Trace, err error) {
+// Do sends the request with an id, which newRequest returns and which may be written until
+// a given time. If the connection turns out to be discarded by an earlier request, it sends
+// it on another one. trace is nil if newRequest failed.
+func Do(ctx context.Context, client *http.Client, id string, until clock.Instant, newRequest func(context.Context) (*http.Request, error)) (resp *http.Response, trace *Trace, err error) {
 	for {
-		trace := &Trace{Until: until}
+		trace := &Trace{RequestID: id, Until: until}
 		req, err := newRequest(trace.Attach(ctx))
 		if err != nil {
 			return nil, nil, err
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -81,7 +81,7 @@
 	runCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
 	start := time.Now()
-	httpResp, trace, err := backendconn.Do(runCtx, c.requestClient, until, func(ctx context.Context) (*http.Request, error) {
+	httpResp, trace, err := backendconn.Do(runCtx, c.requestClient, req.GetRequestId(), until, func(ctx context.Context) (*http.Request, error) {
 		return c.newRequest(ctx, s, req, until.Sub(c.clock.Now()))
 	})
 	if trace == nil {
@@ -95,10 +95,13 @@
 		refusal.Arrived = trace.Wrote()
 		return refusal, protocol.BackendAnswer{}, err
 	}
-	resp, answer := c.answer(runCtx, httpResp, req.GetRequestId(), trace)
+	resp, decoded := c.answer(runCtx, httpResp, req.GetRequestId(), trace)
+	if answer.AllowsRepeat(resp) {
+		trace.BarRepeat()
+	}
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
 	resp.Arrived = true
-	return resp, answer, nil
+	return resp, decoded, nil
 }
 
 // sendGrant grants keys to the server. Nothing is written after until. The error
--- a/daemon/plugins/backend/faulty_server_test.go
+++ b/daemon/plugins/backend/faulty_server_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -95,6 +97,54 @@
 	is.Equal(kind, outcome.OK)
 }
 
+// A refusal that a faulty server wrote once more must not be taken for the answer to the next
+// sending of the same request: it has the same id, and the server runs the request.
+func TestCopyOfARefusalAnswersTheRetry(t *testing.T) {
+	is := is.New(t)
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nId: r-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	var ran atomic.Int64
+	var refused atomic.Bool
+	addr := rawServer(t, func(n int, id string) (string, bool) {
+		if n == 1 && refused.CompareAndSwap(false, true) {
+			return refusal, true
+		}
+		ran.Add(1)
+		whole := "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole"
+		if n == 2 {
+			return refusal + whole, true // the copy is read where the next answer is expected
+		}
+		return whole, true
+	})
+	c := newClient(clock.Boot{}, &fake{}, noSuspects{})
+	kind, _ := runRaw(c, addr, "r-1")
+	is.Equal(kind, outcome.BackendShed)
+	kind, resp := runRaw(c, addr, "r-1")
+	is.Equal(ran.Load(), int64(1))
+	is.Equal(kind, outcome.OK)
+	is.Equal(string(resp.GetBody()), "whole")
+}
+
+// A connection on which a request was refused must stay in use for others, and the refusals
+// that it remembers are bounded.
+func TestRefusalsCloseConnections(t *testing.T) {
+	is := is.New(t)
+	var conns atomic.Int64
+	addr := rawServer(t, func(n int, id string) (string, bool) {
+		if n == 1 {
+			conns.Add(1)
+		}
+		return "HTTP/1.1 503 Service Unavailable\r\nId: " + id + "\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", true
+	})
+	c := newClient(clock.Boot{}, &fake{}, noSuspects{})
+	const requests = 200
+	for i := range requests {
+		kind, _ := runRaw(c, addr, fmt.Sprint("r-", i))
+		is.Equal(kind, outcome.BackendShed)
+	}
+	is.True(conns.Load() > 1)
+	is.True(conns.Load() <= requests/50)
+}
+
 // A response whose head breaks off must not become a success.
 func TestBrokenHeadIsAnswered(t *testing.T) {
 	whole := "HTTP/1.1 200 OK\r\nId: r-1\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole"
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -119,7 +119,7 @@
 		return answer.Refusal(outcome.New(outcome.NoOwner, "no backend server is announced")), selfReport{}
 	}
 	start := time.Now()
-	httpResp, trace, err := backendconn.Do(ctx, b.client, until, func(ctx context.Context) (*http.Request, error) {
+	httpResp, trace, err := backendconn.Do(ctx, b.client, req.GetRequestId(), until, func(ctx context.Context) (*http.Request, error) {
 		return newRequest(ctx, addr, req, token, b.deadline(until))
 	})
 	if trace == nil {
@@ -139,6 +139,9 @@
 	}
 	report := readSelfReport(httpResp.Header)
 	resp := b.readResponse(ctx, httpResp, token)
+	if answer.AllowsRepeat(resp) {
+		trace.BarRepeat()
+	}
 	resp.ServiceTimeUs = uint32(time.Since(start).Microseconds())
 	resp.Arrived = true
 	return resp, report
--- a/daemon/plugins/owner/late_copy_test.go
+++ b/daemon/plugins/owner/late_copy_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -89,3 +90,55 @@
 		})
 	}
 }
+
+// A server wrote a refusal once more when the same request was sent again on that connection.
+// The copy answered it, although the server ran it.
+func TestCopyOfARefusalAnswersTheRetry(t *testing.T) {
+	is := is.New(t)
+	var refused atomic.Bool
+	var ran atomic.Int64
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	t.Cleanup(func() { _ = listener.Close() })
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\n" + headerRequest + ": r-1\r\n" + headerRefused + ": shed\r\nContent-Length: 0\r\n\r\n"
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		for n := 1; ; n++ {
+			if _, err := http.ReadRequest(r); err != nil {
+				return
+			}
+			answer := refusal
+			if !refused.CompareAndSwap(false, true) {
+				ran.Add(1)
+				answer = "HTTP/1.1 200 OK\r\n" + headerRequest + ": r-1\r\nContent-Length: 5\r\n\r\nwhole"
+				if n > 1 {
+					answer = refusal + answer
+				}
+			}
+			_, _ = conn.Write([]byte(answer))
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	lease := new(view.LeaseCell)
+	lease.Set(clock.Boot{}.Now().Add(time.Minute))
+	f := viewControl{view: &view.View{Lease: lease, Backend: &view.Backend{Name: "b", Addr: listener.Addr().String()}}}
+	b := newBackend(f, clock.Boot{}, nil, 4)
+	run := func() *wire.Response {
+		resp, _ := b.run(context.Background(), &wire.Request{RequestId: "r-1", Method: "POST", Path: "/"}, 1, clock.Boot{}.Now().Add(5*time.Second))
+		return resp
+	}
+	is.Equal(outcome.Kind(run().GetKind()), outcome.BackendShed)
+	resp := run()
+	is.Equal(ran.Load(), int64(1))
+	is.Equal(outcome.Kind(resp.GetKind()), outcome.OK)
+	is.Equal(string(resp.GetBody()), "whole")
+}
