core/control: end a predecessor at once only for a later boot of its server

Cause: endPredecessors took any name that differs from the recorded one for a reboot, and ended the incarnation of the process before without waiting for its lease, under which the present boot still held keys.

The names carry the boot time; only a later one proves that the recorded boot is over. An earlier boot or one without a time leads to the wait for the lease that any other restart has. The tests of restarts use names with boot times, as the platform's interface does: a reboot without a later time is now no proof.

--- a/core/control/fake_fleet_test.go
+++ b/core/control/fake_fleet_test.go
@@ -64,11 +64,16 @@
 		JoinWait: 1500 * time.Millisecond, Witnesses: 3,
 		Rand: rand.New(rand.NewPCG(uint64(i), 7)),
 	}, f.now)
-	d.inbox = []Event{BackendUp{Name: fmt.Sprintf("server-%d", i), Service: "storefront", Addr: "10.0.1.1:1", Slots: 9}}
+	d.inbox = announced(fmt.Sprintf("server-%d", i))
 	f.daemons = append(f.daemons, d)
 	return d
 }
 
+// announced returns the event of a backend server's announcement.
+func announced(name string) []Event {
+	return []Event{BackendUp{Name: name, Service: "storefront", Addr: "10.0.1.1:1", Slots: 9}}
+}
+
 // patch appends a configuration patch.
 func (f *fakeFleet) patch(base uint64, patch string) {
 	id := make([]byte, 16)
@@ -225,9 +230,14 @@
 // startedFleet returns a fleet whose shards all have an owner and a standby.
 func startedFleet(t testing.TB, n int) *fakeFleet {
 	f := newFakeFleet(t, n, 3)
+	f.start()
+	return f
+}
+
+// start waits until all shards are placed.
+func (f *fakeFleet) start() {
 	f.patch(0, fakeConfig)
 	f.until(20*time.Second, "first placement", func() bool {
 		return f.held("storefront") == 12 && f.protected(f.daemons[0], "storefront")
 	})
-	return f
 }
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -88,7 +88,9 @@
 
 // endPredecessors ends the incarnations of the previous process in this slot. That
 // process ended before this one started. Grants to its backend server are invalid once
-// a term has passed, or once the server has rebooted, because a new boot holds nothing.
+// a term has passed, or once the server has rebooted, because a new boot holds nothing. An
+// announcement of another boot proves that only if that boot is later: it may have been
+// delayed until the boot that sent it was over.
 func (s *State) endPredecessors() {
 	m := &s.member
 	if !s.opts.SlotIsHost || s.claim.offset == 0 || s.stopping || m.predecessorsEnded {
@@ -100,7 +102,7 @@
 		if old.Slot != s.opts.Slot || old.Phase == fold.Gone || inc > s.claim.offset || m.ownIncarnations[inc] || m.endedIncarnations[inc] {
 			continue
 		}
-		rebooted := m.backend != nil && old.BackendServer != m.backend.Name
+		rebooted := m.backend != nil && isLaterBoot(m.backend.Name, old.BackendServer)
 		if !rebooted && s.now < s.started.Add(s.leaseOf(old)+termMargin) {
 			ended = false
 			continue
--- a/core/control/predecessor_test.go
+++ b/core/control/predecessor_test.go
@@ -17,6 +17,16 @@
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
+// startedFleetOfBoots is startedFleet with names that tell the boots of the backend servers.
+func startedFleetOfBoots(t testing.TB, n int) *fakeFleet {
+	f := newFakeFleet(t, n, 3)
+	for i, d := range f.daemons {
+		d.inbox = announced(BootName(fmt.Sprintf("server-%d", i), 1000))
+	}
+	f.start()
+	return f
+}
+
 // restartAll ends all processes and starts a new one in each slot, on the same host as
 // the previous one. The backend servers keep running, or reboot if newBoots is set.
 func (f *fakeFleet) restartAll(newBoots bool) {
@@ -26,8 +36,9 @@
 		d.dead = true
 		opts := &f.add(i, 3).state.opts
 		opts.SlotIsHost = true
+		f.daemons[i].inbox = announced(BootName(fmt.Sprintf("server-%d", i), 1000))
 		if newBoots {
-			f.daemons[i].inbox = []Event{BackendUp{Name: fmt.Sprintf("server-%d-again", i), Service: "storefront", Addr: "10.0.1.1:1", Slots: 9}}
+			f.daemons[i].inbox = announced(BootName(fmt.Sprintf("server-%d-again", i), 2000))
 		}
 		opts.Rand = rand.New(rand.NewPCG(uint64(i), 8)) // other record ids
 	}
@@ -37,7 +48,7 @@
 // at once that leaves no daemon to seal the old leases, in which case keys had no owner
 // for 8 s.
 func TestKeysAreServedAgainAfterAllProcessesRestart(t *testing.T) {
-	f := startedFleet(t, 6)
+	f := startedFleetOfBoots(t, 6)
 	f.restartAll(false)
 	f.until(4*time.Second, "served after the restart of all", func() bool { return f.held("storefront") == 12 })
 }
@@ -46,17 +57,49 @@
 // so there is nothing to wait for. The guarantee: a key is served again within 2 s of a
 // loss.
 func TestKeysAreServedAtOnceAfterAllHostsRestart(t *testing.T) {
-	f := startedFleet(t, 6)
+	f := startedFleetOfBoots(t, 6)
 	f.restartAll(true)
 	f.until(2*time.Second, "served after the restart of all hosts", func() bool { return f.held("storefront") == 12 })
 }
 
+// TestLateAnnouncementEndsTheIncarnation: the first announcement that a restarted daemon gets
+// may be a late one of a boot before the present one. It must not end the incarnation of the
+// process before, whose grants the present boot still holds.
+func TestLateAnnouncementEndsTheIncarnation(t *testing.T) {
+	for name, late := range map[string]string{
+		"earlier boot":      BootName("server-0-before", 500),
+		"same id":           BootName("server-0", 500),
+		"without boot time": BootName("server-0-before", 0),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := startedFleetOfBoots(t, 6)
+			old := f.daemons[0]
+			held := old.state.member.incarnation
+			is.True(held != 0)
+			old.dead = true
+			restarted := f.add(0, 3)
+			restarted.state.opts.SlotIsHost = true
+			restarted.state.opts.Rand = rand.New(rand.NewPCG(0, 8))
+			restarted.inbox = announced(late)
+			started := f.now
+			for f.now < started.Add(2*time.Second) {
+				f.tick()
+				if m := restarted.state.fold.Members[held]; m != nil && m.Phase == fold.Gone {
+					break
+				}
+			}
+			is.True(f.now >= started.Add(restarted.state.opts.Lease.Term)) // what the process before granted may be held until then
+		})
+	}
+}
+
 // TestShardsArePlacedAlthoughThePlannersAreGone: after a loss of power the three oldest
 // members do not come back, nor do their witnesses. They stay in service for replay, and no
 // other daemon placed the shards that lost their owners: for 18 s nearly all requests were
 // refused.
 func TestShardsArePlacedAlthoughThePlannersAreGone(t *testing.T) {
-	f := startedFleet(t, 9)
+	f := startedFleetOfBoots(t, 9)
 	gone := map[string]bool{}
 	for _, inc := range f.daemons[0].state.planners() {
 		gone[f.daemons[0].state.fold.Members[inc].Slot] = true
@@ -100,7 +143,7 @@
 // its announcement in the log.
 func TestOwnIncarnationIsNotEndedAsAPredecessor(t *testing.T) {
 	is := is.New(t)
-	f := startedFleet(t, 6)
+	f := startedFleetOfBoots(t, 6)
 	f.restartAll(false)
 	f.until(5*time.Second, "all ready", func() bool {
 		for _, d := range f.daemons {
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"strconv"
 	"time"
 
 	"go.uber.org/fx"
@@ -55,7 +54,7 @@
 }
 
 // bootName identifies one boot of a server.
-func (s *server) bootName() string { return s.id + "@" + strconv.FormatInt(s.bootTime, 10) }
+func (s *server) bootName() string { return control.BootName(s.id, s.bootTime) }
 
 // upEvent returns the event that makes the server a member.
 func (s *server) upEvent() control.BackendUp {
