daemon/backend: a server that listens is not displaced from another address

Callers would see keys with two holders (OWNER): an announcement of a later boot at another address displaced a server that is up.

Cause: startBoot took every later boot for proof that the present one is over and reset the account of its holds. That holds at one address, where only one process listens.

The daemon now asks whether something still listens at the present server's address. It does so only in this case, so nothing changes for restarts at the same address. A server that ended refuses connections and is replaced at once; a silent one stands in the way only until its holds have run out (TestSilentServerKeepsTheNextOneOut).

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -195,6 +195,16 @@
 	return e != nil && now < e.heldUntil
 }
 
+// MayHold reports whether the server may hold keys of any shard at now.
+func (t *Table) MayHold(now clock.Instant) bool {
+	for _, e := range t.entries {
+		if now < e.maybeHeldUntil {
+			return true
+		}
+	}
+	return false
+}
+
 // Close stops further grants of a shard. It reports whether a grant is in flight,
 // in which case its answer must be awaited before a release is sent.
 func (t *Table) Close(id view.ShardID, token uint64) (inFlight bool) {
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/sesamemoor/sesamemoor/core/protocol"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/backendconn"
 	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
@@ -71,14 +73,12 @@
 // Announce implements protocol.AnnouncementSink.
 func (e *executor) Announce(ctx context.Context, a protocol.Announcement, fit func([]protocol.KeyGrant) int) protocol.AnnouncementReply {
 	arrived := e.clock.Now()
-	e.mu.Lock()
-	if e.isForeign(a) {
-		e.mu.Unlock()
-		e.log.Warn("announcement of an unknown service refused", zap.String("instance", a.ID), zap.String("service", a.Service))
+	ev, err := e.admit(arrived, a)
+	if err != nil {
+		e.log.Warn("announcement refused", zap.String("instance", a.ID), zap.String("service", a.Service),
+			zap.String("addr", a.Addr), zap.Error(err))
 		return protocol.AnnouncementReply{}
 	}
-	ev := e.applyAnnouncement(arrived, a)
-	e.mu.Unlock()
 	if ev != nil {
 		e.control.Post(ev)
 	}
@@ -88,11 +88,61 @@
 	return e.replyWithGrants(ctx, arrived, a, fit)
 }
 
+// admit applies an announcement and returns the event for the control state, or nil. It
+// returns an error for an announcement that is not of this daemon's backend server.
+func (e *executor) admit(arrived clock.Instant, a protocol.Announcement) (control.Event, error) {
+	var ended *server // nothing listens at its address
+	for {
+		e.mu.Lock()
+		if e.isForeign(a) {
+			e.mu.Unlock()
+			return nil, errUnknownService
+		}
+		incumbent := e.incumbent(arrived, a)
+		if incumbent == nil || incumbent == ended {
+			ev := e.applyAnnouncement(arrived, a)
+			e.mu.Unlock()
+			return ev, nil
+		}
+		e.mu.Unlock()
+		if backendconn.Listening(incumbent.addr) {
+			return nil, errAddressOfAnother
+		}
+		ended = incumbent
+	}
+}
+
+var (
+	errUnknownService   = errors.New("backend: the service is not configured")
+	errAddressOfAnother = errors.New("backend: the server that is in use has another address, where it still listens")
+)
+
+// incumbent returns the server that an announcement would displace although another address
+// is announced, or nil. It stands in the way while it counts as up or may hold keys, unless
+// its process has ended: they would be handed over while it holds them. The caller holds the
+// lock.
+func (e *executor) incumbent(now clock.Instant, a protocol.Announcement) *server {
+	s := e.server
+	if s == nil || a.Addr == s.addr || s.exited || e.isPresent(a) || a.BootTime < s.bootTime {
+		return nil
+	}
+	if s.down && !e.holds.MayHold(now) {
+		return nil
+	}
+	return s
+}
+
+// isPresent reports whether an announcement is of the boot that is in use. The caller holds
+// the lock.
+func (e *executor) isPresent(a protocol.Announcement) bool {
+	return e.server != nil && e.server.id == a.ID && e.server.bootTime == a.BootTime
+}
+
 // isForeign reports whether an announcement is of another boot than the server's and names
 // a service that the configuration does not have. It comes from another writer and must not
 // replace the server. The caller holds the lock.
 func (e *executor) isForeign(a protocol.Announcement) bool {
-	if s := e.server; s != nil && s.id == a.ID && s.bootTime == a.BootTime {
+	if e.isPresent(a) {
 		return false
 	}
 	services := e.control.View().Config.Services
@@ -109,7 +159,7 @@
 		e.log.Info("announcement of an earlier boot ignored", zap.String("instance", a.ID), zap.Int64("born", a.BootTime))
 		return nil
 	}
-	sameBoot := s != nil && a.ID == s.id && a.BootTime == s.bootTime
+	sameBoot := e.isPresent(a)
 	if sameBoot && a.Sequence <= s.sequence {
 		return nil // out of order
 	}
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -46,6 +46,7 @@
 	maxOpenConns atomic.Int64
 	released     atomic.Int64
 	addr         string
+	stop         func() // ends the server; its port refuses connections
 	misdirect    atomic.Bool
 }
 
@@ -172,6 +173,7 @@
 	srv.Start()
 	t.Cleanup(srv.Close)
 	f.addr = strings.TrimPrefix(srv.URL, "http://")
+	f.stop = func() { _ = srv.Listener.Close() }
 	lease := new(view.LeaseCell)
 	lease.Set(clock.Boot{}.Now().Add(1500 * time.Millisecond))
 	held := map[view.ShardID]view.Held{}
@@ -402,6 +404,40 @@
 	is.Equal(kind(e.Execute(context.Background(), request("r-1", 7))), outcome.OK)
 }
 
+// An announcement for another address displaced a server that was up and held keys: they were
+// handed over while it held them. It counts once nothing listens at the server's address.
+func TestAnnouncementForAnotherAddressDisplacesTheServer(t *testing.T) {
+	is := is.New(t)
+	e, f := start(t)
+	other := rawServer(t, func(int, string) (string, bool) { return "", false })
+	a := protocol.Announcement{ID: "i-2", Service: "front", Addr: other, Slots: 1, Sequence: 1, BootTime: 9}
+	is.True(!announce(e, a))
+	is.Equal(e.server.addr, f.addr)
+	is.Equal(kind(e.Execute(context.Background(), request("r-1", 7))), outcome.OK)
+	f.stop()
+	a.Sequence++
+	is.True(announce(e, a))
+	is.Equal(e.server.addr, other)
+}
+
+// A server that neither answers nor holds keys must not keep the next one out, although
+// something listens at its address.
+func TestSilentServerKeepsTheNextOneOut(t *testing.T) {
+	is := is.New(t)
+	e, _ := start(t)
+	e.dropHolds()
+	e.markLost(e.server, "no heartbeat", false)
+	is.True(announce(e, protocol.Announcement{ID: "i-2", Service: "front", Addr: "127.0.0.1:1", Slots: 1, Sequence: 1, BootTime: 9}))
+	is.Equal(e.server.id, "i-2")
+}
+
+// dropHolds removes all holds from the account.
+func (e *executor) dropHolds() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.holds.Reset()
+}
+
 // A new boot of the same instance holds no keys: all are granted again.
 func TestNewBootHoldsNoKeys(t *testing.T) {
 	is := is.New(t)
--- a/daemon/plugins/backend/replies.go
+++ b/daemon/plugins/backend/replies.go
@@ -89,8 +89,7 @@
 // isNewest reports whether a is the newest announcement of the server's present boot. The
 // caller holds the lock.
 func (e *executor) isNewest(a protocol.Announcement) bool {
-	s := e.server
-	return s != nil && s.id == a.ID && s.bootTime == a.BootTime && s.sequence == a.Sequence
+	return e.isPresent(a) && e.server.sequence == a.Sequence
 }
 
 // awaitReleaseInReply waits until a server that takes its keys from replies has released
