core/fleet: decode only the routes that a version changes

Cause, one part of it: each daemon decoded each version as a whole, 31 ms of processor time for 4,200 routes, in the goroutine of the control state. On a host with 0.16 of a core that is 0.2 s, in which nothing else runs: pings of peers stay unanswered and links are closed. The next version, which differs in one route, costs the same again.

Whatever it cannot split goes through Parse, with the same errors.

--- a/core/fleet/fleet.go
+++ b/core/fleet/fleet.go
@@ -7,7 +7,6 @@
 package fleet
 
 import (
-	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -112,21 +111,28 @@
 	if len(data) > maxConfigBytes {
 		return nil, fmt.Errorf("%w: %d bytes exceed %d", ErrInvalid, len(data), maxConfigBytes)
 	}
-	dec := json.NewDecoder(bytes.NewReader(data))
-	dec.DisallowUnknownFields()
 	var c Config
-	if err := dec.Decode(&c); err != nil {
+	if err := decodeStrictly(data, &c); err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrInvalid, err)
 	}
-	if dec.More() {
-		return nil, fmt.Errorf("%w: data after the document", ErrInvalid)
-	}
-	if problems := c.problems(); len(problems) > 0 {
-		return nil, fmt.Errorf("%w: %s", ErrInvalid, strings.Join(problems, "; "))
+	if err := c.check(); err != nil {
+		return nil, err
 	}
 	return &c, nil
 }
 
+var errMoreData = errors.New("data after the document")
+
+// check returns an error that wraps ErrInvalid and names the violated rules, or nil.
+func (c *Config) check() error { return invalid(c.problems()) }
+
+func invalid(problems []string) error {
+	if len(problems) == 0 {
+		return nil
+	}
+	return fmt.Errorf("%w: %s", ErrInvalid, strings.Join(problems, "; "))
+}
+
 // ApplyPatch applies an RFC 7396 merge patch to the document and checks the result.
 // It does not modify doc. The error wraps ErrInvalid.
 func ApplyPatch(doc, patch []byte) ([]byte, *Config, error) {
--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -31,6 +31,7 @@
 	shardCounts map[string]uint32 // shard count of each service that ever existed
 	recentIDs   *idwindow.Window
 
+	parser         Parser          // of published versions
 	published      *Config         // newest version by an external author; nil if there is none
 	publishedDoc   []byte          // its JSON document
 	outDataCentres map[string]bool // data centres taken out of service by orders
@@ -155,7 +156,7 @@
 	if h.published != nil && p.GetVersion() <= h.Version {
 		return rejected("version %d is not above %d", p.GetVersion(), h.Version)
 	}
-	cfg, err := Parse(p.GetDocument())
+	cfg, err := h.parser.Parse(p.GetDocument())
 	if err != nil {
 		return rejected("%v", err)
 	}
--- a/core/fleet/published.go
+++ b/core/fleet/published.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 )
 
 // maxRouteTimeoutMS bounds the timeout and the latency objective of a host route.
@@ -17,12 +16,14 @@
 	if err != nil {
 		return nil, err
 	}
-	if problems := c.publishedProblems(); len(problems) > 0 {
-		return nil, fmt.Errorf("%w: %s", ErrInvalid, strings.Join(problems, "; "))
+	if err := c.checkPublished(); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
+func (c *Config) checkPublished() error { return invalid(c.publishedProblems()) }
+
 // publishedProblems returns the violated rules of ParsePublished, sorted.
 func (c *Config) publishedProblems() []string {
 	var list []string
