daemon/plugins/relay: a survey brings a large record once

Cause: a daemon whose knowledge of the configuration is 1.1 s old asks a daemon of each data centre each 300 ms, and each of them sent the whole record: five copies of some 100 KB over a link of 10 Mbit/s, each of which was decompressed. Daemons with followers then compressed it again.

TestSurveyBringsALargeRecordFromEachDataCentre and TestCompressedRecordIsCompressedAgain fail without this change.

Records that became known meanwhile are not decompressed, and the compressed form of a record is passed on as it came.

--- a/daemon/plugins/relay/fleet_test.go
+++ b/daemon/plugins/relay/fleet_test.go
@@ -12,8 +12,6 @@
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/sesamemoor/sesamemoor/core/settings"
 )
 
 // The log refuses some daemons, at once or without an answer, and serves the others; two
@@ -37,17 +35,6 @@
 	bridge bool    // two data centres do not reach each other
 }
 
-// platformBounds are the bounds of the platform interface for configuration reads.
-func platformBounds() settings.Bounds {
-	bounds := settings.Default().Bounds
-	bounds.LogReadersPerCentre = 1
-	bounds.LogReaderCentres = 2
-	bounds.LogWaitMS = 400
-	bounds.LogStaleMS = 1100
-	bounds.LogSurveyMS = 300
-	return bounds
-}
-
 // draw returns a random share of the nodes.
 func (c *cluster) draw(share float64) []*node {
 	var drawn []*node
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -78,6 +78,7 @@
 	logDown      bool                     // the last survey found the log down; only used to log changes
 	source       map[string]string        // peer from which each stream is read, "" for the platform
 	backoffUntil map[string]clock.Instant // by peer address
+	fetching     map[string]clock.Instant // by stream: when the fetch of a survey began
 }
 
 func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
@@ -87,6 +88,7 @@
 		configWait:  time.Duration(configWaitFactor * float64(set.Bounds.LogWaitMS) * float64(time.Millisecond)),
 		surveyAfter: time.Duration(set.Bounds.LogStaleMS) * time.Millisecond, surveyInterval: time.Duration(set.Bounds.LogSurveyMS) * time.Millisecond,
 		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, backoffUntil: map[string]clock.Instant{},
+		fetching: map[string]clock.Instant{},
 	}
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
 		r.stores[stream] = newStore(stream, c.Post)
@@ -152,7 +154,7 @@
 	if addr == "" {
 		return logstream.Batch{}, 0, kernel.ErrNoPeer
 	}
-	batch, asOf, err := r.ask(ctx, addr, stream, from, r.maxWait(stream))
+	batch, asOf, err := r.ask(ctx, addr, stream, from, maxAnswerRecords, r.maxWait(stream))
 	if errors.Is(err, logstream.ErrRestored) {
 		return batch, 0, err
 	}
@@ -213,17 +215,19 @@
 	r.backoffUntil[addr] = now.Add(retryBackoff + rand.N(retryBackoff/2))
 }
 
-// ask reads from a peer, which waits up to wait for new records. The returned time
+// ask reads up to limit records from a peer, which waits up to wait for new ones. With limit
+// 0 it asks for the head only. Records that arrive meanwhile from another source are left
+// out of the batch. The returned time
 // is that as of which the peer knew the head, on this host's clock, or 0 if it
 // never did. The peer reports how old its knowledge of the head was when the request
 // arrived. Subtracted from the time at which the request was sent, this age gives a
 // time that is never too late.
-func (r *relay) ask(ctx context.Context, addr, stream string, from uint64, wait time.Duration) (logstream.Batch, clock.Instant, error) {
+func (r *relay) ask(ctx context.Context, addr, stream string, from uint64, limit uint32, wait time.Duration) (logstream.Batch, clock.Instant, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+callSlack)
 	defer cancel()
 	sent := r.clock.Now()
 	frame, err := r.peers.Call(ctx, addr, &wire.Frame{Body: &wire.Frame_ReadRecords{ReadRecords: &wire.ReadRecords{
-		Stream: stream, From: from, Max: maxAnswerRecords, WaitMs: uint32(wait.Milliseconds()), AcceptDeflate: true}}})
+		Stream: stream, From: from, Max: limit, WaitMs: uint32(wait.Milliseconds()), AcceptDeflate: true}}})
 	if err != nil {
 		return logstream.Batch{}, 0, fmt.Errorf("relay: %s: %w", addr, err)
 	}
@@ -243,12 +247,17 @@
 		return logstream.Batch{}, 0, fmt.Errorf("relay: %s holds no records before %d: %w", addr, answer.GetFirst(), logstream.ErrTrimmed)
 	}
 	batch := logstream.Batch{First: answer.GetFirst(), Next: answer.GetNext()}
+	known := r.stores[stream].position()
 	for _, e := range answer.GetEntries() {
+		if e.GetOffset() < known {
+			continue
+		}
 		data, err := recordOf(e)
 		if err != nil {
 			return logstream.Batch{}, 0, fmt.Errorf("relay: %s: %w", addr, err)
 		}
 		batch.Records = append(batch.Records, logstream.Entry{Offset: e.GetOffset(), Data: data})
+		r.stores[stream].keepCompressed(e)
 	}
 	if answer.GetNext() == 0 {
 		return batch, 0, nil
--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -287,6 +287,17 @@
 
 var record = binary.BigEndian.AppendUint64(make([]byte, 300), 1)
 
+// platformBounds are the bounds of the platform interface for configuration reads.
+func platformBounds() settings.Bounds {
+	bounds := settings.Default().Bounds
+	bounds.LogReadersPerCentre = 1
+	bounds.LogReaderCentres = 2
+	bounds.LogWaitMS = 400
+	bounds.LogStaleMS = 1100
+	bounds.LogSurveyMS = 300
+	return bounds
+}
+
 // threeReaders has three readers in each data centre.
 var threeReaders = readers{perCentre: 3}
 
@@ -620,3 +631,39 @@
 	_, err = recordOf(&wire.LogEntry{Offset: 1, Data: []byte("not compressed"), Deflated: true})
 	is.True(err != nil)
 }
+
+// A daemon that lacks a large version got it from a daemon of each data centre at once, which
+// filled its link and kept its processor busy while it was late already.
+func TestSurveyBringsALargeRecordFromEachDataCentre(t *testing.T) {
+	for round := range 5 {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			w := newCluster(t, 5, 3, platformBounds())
+			large := published(t, 1, 250_000)
+			late := w.nodes["dc0-00"]
+			for _, n := range w.nodes {
+				if n != late {
+					n.Apply(logstream.ConfigStream, 1, logstream.Batch{First: 1, Next: 2, Records: []logstream.Entry{{Offset: 1, Data: large}}}, n.clock.Now())
+				}
+			}
+			late.survey(t.Context(), round)
+			is.True(late.has(1))
+			is.True(late.bytes.Load() < 2*int64(len(deflate(large))))
+		})
+	}
+}
+
+// A record that a peer sent compressed is passed on as it came.
+func TestCompressedRecordIsCompressedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newCluster(t, 1, 2, platformBounds())
+		large := published(t, 1, 100_000)
+		parent, child := w.nodes["dc0-00"], w.nodes["dc0-01"]
+		parent.Apply(logstream.ConfigStream, 1, logstream.Batch{First: 1, Next: 2, Records: []logstream.Entry{{Offset: 1, Data: large}}}, parent.clock.Now())
+		_, _, err := child.ask(t.Context(), parent.name, logstream.ConfigStream, 1, maxAnswerRecords, 0)
+		is.NoErr(err)
+		is.Equal(child.configStore().compressed.GetOffset(), uint64(1))
+		is.Equal(child.configStore().compressed.GetData(), deflate(large))
+	})
+}
--- a/daemon/plugins/relay/store.go
+++ b/daemon/plugins/relay/store.go
@@ -175,7 +175,7 @@
 	return s.restored
 }
 
-// poll returns the records from offset from on. It waits up to wait for records
+// poll returns up to limit records from offset from on. It waits up to wait for records
 // or, if wakeOnHead is set, until the head is known as of a later time. The age of
 // the head is counted to the arrival of the request, so that waits do not add to
 // it in a chain of daemons that read from one another.
@@ -187,7 +187,7 @@
 	for {
 		s.mu.Lock()
 		batch := s.batch(from, limit)
-		newer := wakeOnHead && s.asOf > completeAsOf
+		newer := wakeOnHead && s.asOf > completeAsOf || limit == 0 && s.next > from
 		changed := s.changed
 		if s.asOf != 0 {
 			batch.HeadAgeMs = arrived.Sub(s.asOf).Milliseconds()
@@ -230,6 +230,19 @@
 	return e
 }
 
+// keepCompressed keeps a record in the form in which a peer sent it, so that it is not
+// compressed again for followers.
+func (s *store) keepCompressed(e *wire.LogEntry) {
+	if !e.GetDeflated() {
+		return
+	}
+	s.deflating.Lock()
+	defer s.deflating.Unlock()
+	if e.GetOffset() > s.compressed.GetOffset() {
+		s.compressed = e
+	}
+}
+
 // batch returns the records held from offset from on, and none if that record
 // was trimmed. Next is 0 as long as the head is unknown.
 func (s *store) batch(from uint64, limit int) *wire.RecordBatch {
