daemon/owner: bound the head of an answer to a grant

Here callers see nothing of it; one limit was missing.

Cause: the client for grants of the native interface had the default limit of net/http for a head, 10 MB, while requests have 64 KB.

The client has the limit of requests now; one grant is sent at a time, so at most 64 KB of a head are held.

--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -56,6 +56,8 @@
 		MaxConnsPerHost: 1,
 		IdleConnTimeout: backendconn.IdleTimeout,
 		DialContext:     (&net.Dialer{Timeout: backendconn.DialTimeout}).DialContext,
+
+		MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
 	}}
 	return b
 }
--- a/daemon/plugins/peer/protocol_test.go
+++ b/daemon/plugins/peer/protocol_test.go
@@ -235,3 +235,83 @@
 		}
 	})
 }
+
+// Bytes without end that are no session, no hello or no frame must not be kept,
+// whichever side dialled: few of them are read.
+func TestEndlessBytesOnALink(t *testing.T) {
+	filler := bytes.Repeat([]byte("x"), 16<<10)
+	// flood writes filler until the other side closes, or takes no more for a second, and
+	// returns the number of bytes.
+	flood := func(w net.Conn) (sent int) {
+		for {
+			_ = w.SetWriteDeadline(time.Now().Add(time.Second))
+			n, err := w.Write(filler)
+			sent += n
+			if err != nil {
+				return sent
+			}
+		}
+	}
+	const mostBytes = 16 << 20 // one frame, and what the kernel takes
+	greet := encoded(t, hello(protocolVersion))
+	for name, start := range map[string][]byte{
+		"no hello":        {},
+		"short frames":    append(bytes.Clone(greet), 0, 0, 0, 3),
+		"the longest one": binary.BigEndian.AppendUint32(bytes.Clone(greet), maxFrameBytes),
+	} {
+		t.Run("as the client, "+name, func(t *testing.T) {
+			is := is.New(t)
+			s, _ := startTestServer(t, echo(new(atomic.Int64)))
+			conn, err := net.Dial("tcp", s.listener.Addr().String())
+			is.NoErr(err)
+			mux, err := yamux.Client(conn, yamuxConfig())
+			is.NoErr(err)
+			defer mux.Close()
+			stream, err := mux.Open()
+			is.NoErr(err)
+			_, err = stream.Write(start)
+			is.NoErr(err)
+			is.True(flood(stream) < mostBytes)
+		})
+		t.Run("as the server, "+name, func(t *testing.T) {
+			is := is.New(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			t.Cleanup(func() { _ = listener.Close() })
+			sent := make(chan int, 10)
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						mux, err := yamux.Server(conn, yamuxConfig())
+						if err != nil {
+							return
+						}
+						defer mux.Close()
+						stream, err := mux.Accept()
+						if err != nil {
+							return
+						}
+						_, _ = stream.Write(start)
+						sent <- flood(stream)
+					}()
+				}
+			}()
+			n := startTestNetwork(t, clock.Boot{})
+			_, err = n.Call(within(t, lossBound), listener.Addr().String(), request("a", true))
+			is.True(err != nil)
+			is.True(<-sent < mostBytes)
+		})
+	}
+	t.Run("no session", func(t *testing.T) {
+		is := is.New(t)
+		s, _ := startTestServer(t, echo(new(atomic.Int64)))
+		conn, err := net.Dial("tcp", s.listener.Addr().String())
+		is.NoErr(err)
+		defer conn.Close()
+		is.True(flood(conn) < mostBytes)
+	})
+}
