daemon/peer: bound the probes of peers that one unresponsive peer causes

Cause, the main part of it: while any session of a daemon is unconfirmed for 0.3 s, all of its sessions were pinged at each check, ten times a second. A version that keeps daemons busy for 0.3 s thus made each of them send and answer hundreds of pings a second, which on 0.16 of a core takes the whole share; so pings stayed unanswered, links were closed and dialled again, and the state kept itself up.

TestUnresponsivePeerFloodsOthersWithPings fails without it.

A check now probes at most 8 sessions, those that were silent longest, only after 0.3 s without a frame, and each once in 0.6 s. Sessions that broke for the same cause are still found before a call uses them (TestUnresponsiveSessionTriggersProbes), in order of their silence.

--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -247,7 +248,7 @@
 }
 
 // check closes unresponsive and idle sessions. The cause may affect other
-// sessions too, so all are probed when one is unconfirmed or unresponsive.
+// sessions too, so these are probed when one is unconfirmed or unresponsive.
 func (n *network) check() {
 	now := n.clock.Now()
 	n.checkDraining(now)
@@ -268,8 +269,8 @@
 	if worst == healthy {
 		return
 	}
-	for _, s := range live {
-		s.probe()
+	for _, s := range dueProbes(now, slices.Collect(maps.Values(live))) {
+		s.probe(now)
 	}
 }
 
--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -91,6 +91,40 @@
 	}
 }
 
+// One unresponsive peer made a daemon ping all others ten times a second. Where many daemons
+// had a slow peer, answering pings took all of their processor time, and more peers became
+// unresponsive.
+func TestUnresponsivePeerFloodsOthersWithPings(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	n := startTestNetwork(t, clock.Boot{})
+	const others = 30
+	for range others {
+		s, _ := startTestServer(t, echo(&runs))
+		_, err := n.Call(within(t, lossBound), s.listener.Addr().String(), request("a", true))
+		is.NoErr(err)
+	}
+	s, _ := startTestServer(t, echo(&runs))
+	p := startProxy(t, s.listener.Addr().String())
+	_, err := n.Call(within(t, lossBound), p.addr(), request("a", true))
+	is.NoErr(err)
+	time.Sleep(2 * probeSilence) // all links are idle
+	received := func() (bytes uint64) {
+		for _, s := range n.sessions(n.clock.Now()) {
+			bytes += s.traffic.bytesRead.Load()
+		}
+		return bytes
+	}
+	before := received()
+	p.each(func(c *proxied) { c.discard.Store(true) })
+	start := time.Now()
+	_, err = n.Call(within(t, 10*time.Second), p.addr(), request("b", true))
+	is.Equal(outcome.KindOf(err), outcome.ConnectionLost)
+	checks := uint64(time.Since(start)/checkInterval) + 1
+	pong := uint64(len(encoded(t, &wire.Frame{Id: 1, Tag: 1 << 63, Body: &wire.Frame_Pong{Pong: &wire.Pong{ClockUs: 1 << 40}}})))
+	is.True(received()-before <= checks*maxProbes*pong)
+}
+
 func TestStaleLinkIsPingedBeforeNonIdempotentRequest(t *testing.T) {
 	is := is.New(t)
 	var runs atomic.Int64
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -27,7 +27,8 @@
 	control    atomic.Pointer[clientLink] // all other frames; nil until the first
 	opening    sync.Mutex                 // locked while the control link is opened
 	probing    atomic.Bool
-	draining   atomic.Bool // the peer accepts no more frames
+	lastProbe  clock.Instant // only used by network.check
+	draining   atomic.Bool   // the peer accepts no more frames
 	clock      clock.Clock
 }
 
@@ -194,7 +195,8 @@
 
 // probe pings the peer, so that check detects an unresponsive peer also on a
 // session without calls.
-func (s *session) probe() {
+func (s *session) probe(now clock.Instant) {
+	s.lastProbe = now
 	if !s.probing.CompareAndSwap(false, true) {
 		return
 	}
