daemon/backend: grant keys only to the process of the server that is known

Cause: grants go to an address. After the crash they were written on new connections, which lead to the next boot; its acknowledgement looks like that of the one before. When the boot announced itself, the account of holds was reset although it held keys.

TestNextBootGetsTheGrantsOfTheOneBefore fails without it.

The loss of a connection on which the server had answered now raises a doubt. While it lasts, grants are written only on connections opened before, which cannot lead to another process; an answer on one of them or an announcement removes it. A new boot ends the calls to the one before, and connections from before it carry no more grants. A server that merely resets connections keeps its grants (TestResetConnectionsEndGrants).

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -146,14 +146,14 @@
 }
 
 // Unsent records that a started grant was not written and never will be. The next
-// grant is due at once.
-func (t *Table) Unsent(g Grant, now clock.Instant) {
+// grant is due at the given time.
+func (t *Table) Unsent(g Grant, next clock.Instant) {
 	e := t.find(g.Shard, g.Token)
 	if e == nil {
 		return
 	}
 	e.inFlight = false
-	e.nextGrant = now
+	e.nextGrant = next
 }
 
 // Failed records that a grant got no answer, or an answer other than an
--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -39,6 +39,10 @@
 // request, or while no lease is held.
 var ErrLeaseEnded = errors.New("lease ended or deadline passed before the request was written")
 
+// ErrOtherProcess is the write error of a connection that may lead to a process of the
+// backend server that is not known yet.
+var ErrOtherProcess = errors.New("the backend server may have restarted")
+
 // Write states of the current request on a guarded connection.
 const (
 	unwritten uint32 = iota
@@ -51,16 +55,49 @@
 // whether any byte of that request was written.
 type guardedConn struct {
 	net.Conn
-	leaseHeld func() bool
+	guards
 	clock     clock.Clock
+	opened    clock.Instant
 	until     atomic.Int64 // Trace.Until of the current request
 	state     atomic.Uint32
 	discarded atomic.Bool // closed, although the transport may still offer it for a request
+	answered  atomic.Bool // bytes were read
+	closed    atomic.Bool // by this daemon
 
 	mu     sync.Mutex
 	barred map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
 }
 
+// guards are the conditions under which a connection may be used.
+type guards struct {
+	leaseHeld  func() bool
+	continuity *Continuity // nil if the connections of the server are not watched
+	// knownOnly means that nothing is written to another process than the known one.
+	knownOnly bool
+}
+
+// Read reads and records whether the server still uses the connection.
+func (c *guardedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.continuity == nil {
+		return n, err
+	}
+	if n > 0 {
+		c.answered.Store(true)
+		c.continuity.Answered(c.opened)
+	}
+	if err != nil && c.answered.Load() && !c.closed.Load() {
+		c.continuity.Lost(c.clock.Now())
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *guardedConn) Close() error {
+	c.closed.Store(true)
+	return c.Conn.Close()
+}
+
 // beginRequest marks the start of a request on this connection. The request may be
 // written before the time until. If it is barred from this connection, the connection is
 // discarded.
@@ -108,6 +145,9 @@
 	if int64(c.clock.Now()) >= c.until.Load() || !c.leaseHeld() {
 		return 0, ErrLeaseEnded
 	}
+	if c.knownOnly && !c.continuity.LeadsToKnown(c.opened) {
+		return 0, ErrOtherProcess
+	}
 	if !c.state.CompareAndSwap(unwritten, written) && c.state.Load() == blocked {
 		return 0, net.ErrClosed
 	}
@@ -117,13 +157,25 @@
 // Dialer returns a dial function for guarded connections. leaseHeld is called before
 // each write.
 func Dialer(clk clock.Clock, leaseHeld func() bool) func(context.Context, string, string) (net.Conn, error) {
+	return dialer(clk, guards{leaseHeld: leaseHeld})
+}
+
+// WatchedDialer returns a dial function for guarded connections that report to continuity
+// what becomes of them. With knownOnly they write only to the process that is known.
+func WatchedDialer(clk clock.Clock, continuity *Continuity, knownOnly bool) func(context.Context, string, string) (net.Conn, error) {
+	always := func() bool { return true }
+	return dialer(clk, guards{leaseHeld: always, continuity: continuity, knownOnly: knownOnly})
+}
+
+func dialer(clk clock.Clock, g guards) func(context.Context, string, string) (net.Conn, error) {
 	dialer := &net.Dialer{Timeout: DialTimeout}
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		opened := clk.Now() // before the process that accepts it can have ended
 		conn, err := dialer.DialContext(ctx, network, addr)
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn, leaseHeld: leaseHeld, clock: clk}, nil
+		return &guardedConn{Conn: conn, guards: g, clock: clk, opened: opened}, nil
 	}
 }
 
--- /dev/null
+++ b/daemon/backendconn/continuity.go
@@ -0,0 +1,73 @@
+package backendconn
+
+import (
+	"sync"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+// continuityMargin covers the order in which one event is seen: a process that ends resets
+// its connections, and its last announcement may just have been sent.
+const continuityMargin = 100 * time.Millisecond
+
+// Continuity tells which connections certainly lead to the process of the backend server
+// that is known. A listening socket may outlast the process, so that a connection opened
+// after its end reaches the next one.
+//
+// The loss of a connection raises a doubt. An answer on a connection that was opened before
+// the doubt removes it, since the connections of a process end with it, and so does an
+// announcement.
+type Continuity struct {
+	mu        sync.Mutex
+	doubted   clock.Instant // since when; 0 if there is no doubt
+	restarted clock.Instant // when the process became known
+}
+
+// Lost records that the server ended a connection on which it had answered.
+func (c *Continuity) Lost(now clock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.doubted == 0 {
+		c.doubted = now
+	}
+}
+
+// Answered records an answer on a connection that was opened at opened.
+func (c *Continuity) Answered(opened clock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leadsToKnown(opened) {
+		c.doubted = 0
+	}
+}
+
+// Announced records an announcement of the known process.
+func (c *Continuity) Announced(now clock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if now.Sub(c.doubted) >= continuityMargin {
+		c.doubted = 0
+	}
+}
+
+// Restarted records that another process is known from now on. Connections that were opened
+// before lead to the process before it, or nobody knows to which.
+func (c *Continuity) Restarted(now clock.Instant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.doubted = 0
+	c.restarted = now
+}
+
+// LeadsToKnown reports whether a connection opened at opened leads to the known process, if
+// it is still open.
+func (c *Continuity) LeadsToKnown(opened clock.Instant) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.leadsToKnown(opened)
+}
+
+func (c *Continuity) leadsToKnown(opened clock.Instant) bool {
+	return opened >= c.restarted && (c.doubted == 0 || c.doubted.Sub(opened) > continuityMargin)
+}
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -53,6 +53,9 @@
 	down          bool          // counts as lost
 	exited        bool          // its process has ended, and with it all holds
 	grantsInReply bool          // takes its keys from the replies to its announcements
+
+	ctx context.Context    // ends when another boot is known
+	end context.CancelFunc // ends ctx
 }
 
 // bootName identifies one boot of a server.
@@ -170,6 +173,7 @@
 	s.slots = a.Slots
 	s.lastHeartbeat = now
 	s.callFailures = 0
+	e.client.continuity.Announced(now)
 	v := e.control.View()
 	if s.grantsInReply = a.GrantsInReply; s.grantsInReply {
 		e.applyReportedKeys(v, a)
@@ -204,7 +208,11 @@
 // startBoot replaces the server's state by that of a new boot, which holds no keys.
 // The caller holds the lock.
 func (e *executor) startBoot(a protocol.Announcement) *server {
+	if e.server != nil {
+		e.server.end()
+	}
 	e.server = &server{id: a.ID, bootTime: a.BootTime, service: a.Service, addr: a.Addr}
+	e.server.ctx, e.server.end = context.WithCancel(context.Background())
 	e.holds.Reset()
 	e.admission.restart()
 	e.client.serverRestarted(e.server.bootName())
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -39,18 +39,17 @@
 	grantClient   *http.Client
 	releaseClient *http.Client // releases wait for running requests
 
-	crashes   *backendconn.CrashTracker
-	responses backendconn.ResponseReader
+	continuity backendconn.Continuity
+	crashes    *backendconn.CrashTracker
+	responses  backendconn.ResponseReader
 }
 
 func newClient(clk clock.Clock, d protocol.Backends, suspects backendconn.Suspects) *client {
-	always := func() bool { return true }
-	return &client{
-		clock: clk, protocol: d, crashes: backendconn.NewCrashTracker(clk, suspects),
-		requestClient: httpClient(maxConnections, backendconn.Dialer(clk, always)),
-		grantClient:   httpClient(maxConcurrentGrants, backendconn.Dialer(clk, always)),
-		releaseClient: httpClient(maxReleases, (&net.Dialer{Timeout: backendconn.DialTimeout}).DialContext),
-	}
+	c := &client{clock: clk, protocol: d, crashes: backendconn.NewCrashTracker(clk, suspects)}
+	c.requestClient = httpClient(maxConnections, backendconn.WatchedDialer(clk, &c.continuity, false))
+	c.grantClient = httpClient(maxConcurrentGrants, backendconn.WatchedDialer(clk, &c.continuity, true))
+	c.releaseClient = httpClient(maxReleases, (&net.Dialer{Timeout: backendconn.DialTimeout}).DialContext)
+	return c
 }
 
 func httpClient(conns int, dial func(context.Context, string, string) (net.Conn, error)) *http.Client {
@@ -68,6 +67,7 @@
 // attributes recently lost requests to its crash.
 func (c *client) serverRestarted(bootName string) {
 	c.crashes.RecordRestart(bootName)
+	c.continuity.Restarted(c.clock.Now())
 	c.requestClient.CloseIdleConnections()
 	c.grantClient.CloseIdleConnections()
 	c.releaseClient.CloseIdleConnections()
@@ -109,14 +109,16 @@
 func (c *client) sendGrant(ctx context.Context, s *server, keys protocol.KeyRange, g hold.Grant, until clock.Instant) error {
 	trace := &backendconn.Trace{Until: until}
 	err := c.protocol.Grant(trace.Attach(ctx), c.grantClient, s.addr, keys, g.Hold, g.Handover)
-	if err != nil && errors.Is(err, backendconn.ErrLeaseEnded) && !trace.Wrote() {
+	held := errors.Is(err, backendconn.ErrLeaseEnded) || errors.Is(err, backendconn.ErrOtherProcess)
+	if held && !trace.Wrote() {
 		return fmt.Errorf("%w: %w", errUnsent, err)
 	}
 	return err
 }
 
-// errUnsent reports that a grant was not written in time.
-var errUnsent = errors.New("backend: grant not sent in time")
+// errUnsent reports that a grant was not written: it was late, or the server may have
+// restarted.
+var errUnsent = errors.New("backend: grant not sent")
 
 // singleUseBody is a request body that the transport cannot rewind, so that it never
 // resends a request on its own.
--- a/daemon/plugins/backend/grants.go
+++ b/daemon/plugins/backend/grants.go
@@ -14,6 +14,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/backendconn"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -29,6 +30,9 @@
 	// releaseSlack is the extra time for the response to a release after the latest
 	// end of the hold.
 	releaseSlack = 300 * time.Millisecond
+	// unknownServerDelay is the delay of a grant while the server may have restarted: each
+	// attempt opens a connection.
+	unknownServerDelay = 100 * time.Millisecond
 	// pollInterval is the interval at which conditions are polled: those of a
 	// release, and the grant that a request waits for.
 	pollInterval = 10 * time.Millisecond
@@ -86,12 +90,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, grantTimeout)
 	defer cancel()
+	defer context.AfterFunc(s.ctx, cancel)() // no grant to one boot reaches the next
 	err := e.client.sendGrant(ctx, s, keys, g, sent.Add(hold.SendWithin))
 	switch {
 	case err == nil:
 		e.handleGranted(s, g, sent)
 	case errors.Is(err, errUnsent):
-		e.handleUnsentGrant(g)
+		e.handleUnsentGrant(g, err)
 	case errors.Is(err, protocol.ErrFenced):
 		e.mu.Lock()
 		e.holds.Refused(g)
@@ -132,10 +137,15 @@
 	}
 }
 
-// handleUnsentGrant makes the grant due again, with a new hold time.
-func (e *executor) handleUnsentGrant(g hold.Grant) {
+// handleUnsentGrant makes the grant due again, with a new hold time: at once if it was late,
+// and after unknownServerDelay if the server may have restarted.
+func (e *executor) handleUnsentGrant(g hold.Grant, err error) {
+	due := e.clock.Now()
+	if errors.Is(err, backendconn.ErrOtherProcess) {
+		due = due.Add(unknownServerDelay)
+	}
 	e.mu.Lock()
-	e.holds.Unsent(g, e.clock.Now())
+	e.holds.Unsent(g, due)
 	e.mu.Unlock()
 	e.counters.unsentGrants.Add(1)
 }
--- /dev/null
+++ b/daemon/plugins/backend/supervised_test.go
@@ -0,0 +1,139 @@
+package backend
+
+import (
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/protocol"
+)
+
+// supervisor keeps the listening socket of a backend server while its process restarts, as
+// with socket activation: connections wait for the next boot.
+type supervisor struct {
+	net.Listener
+	mu      sync.Mutex
+	conns   []net.Conn
+	boots   chan net.Conn // connections for the present boot
+	crashed atomic.Bool   // connections wait
+	waiting []net.Conn
+}
+
+func supervise(t *testing.T) *supervisor {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &supervisor{Listener: l, boots: make(chan net.Conn, 100)}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				close(s.boots)
+				return
+			}
+			s.mu.Lock()
+			s.conns = append(s.conns, c)
+			if s.crashed.Load() {
+				s.waiting = append(s.waiting, c)
+			} else {
+				s.boots <- c
+			}
+			s.mu.Unlock()
+		}
+	}()
+	return s
+}
+
+// Accept implements net.Listener.
+func (s *supervisor) Accept() (net.Conn, error) {
+	c, ok := <-s.boots
+	if !ok {
+		return nil, net.ErrClosed
+	}
+	return c, nil
+}
+
+// crash resets all connections. Later ones wait for restart.
+func (s *supervisor) crash() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed.Store(true)
+	for _, c := range s.conns {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	s.conns = nil
+}
+
+func (s *supervisor) restart() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.crashed.Store(false)
+	for _, c := range s.waiting {
+		s.boots <- c
+	}
+}
+
+// A server that was back behind the same listening socket was granted the keys of the boot
+// that had crashed, under its generations, until it announced itself.
+func TestNextBootGetsTheGrantsOfTheOneBefore(t *testing.T) {
+	is := is.New(t)
+	s := supervise(t)
+	var second atomic.Bool
+	var grants atomic.Int64 // to the second boot
+	e, f := startOn(t, s, func(next http.Handler) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if second.Load() && strings.HasPrefix(r.URL.Path, "/grant/") {
+				grants.Add(1)
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
+	time.Sleep(2 * continuityTime) // all connections are older than that
+	s.crash()
+	time.Sleep(50 * time.Millisecond)
+	second.Store(true)
+	s.restart()
+	time.Sleep(time.Second) // grants are renewed meanwhile
+	is.Equal(grants.Load(), int64(0))
+	is.True(announce(e, protocol.Announcement{ID: "i-2", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2}))
+	is.Equal(e.server.id, "i-2")
+}
+
+// A server that only resets some connections stays granted.
+func TestResetConnectionsEndGrants(t *testing.T) {
+	is := is.New(t)
+	s := supervise(t)
+	e, f := startOn(t, s, func(h http.Handler) http.Handler { return h })
+	time.Sleep(2 * continuityTime)
+	s.mu.Lock()
+	for _, c := range s.conns[:1] {
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	sequence := uint64(1)
+	for end := time.Now().Add(2500 * time.Millisecond); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
+		if sequence++; sequence%8 == 0 {
+			is.True(announce(e, protocol.Announcement{ID: "i-1", Service: "front", Addr: f.addr, Slots: 4, Sequence: sequence, BootTime: 1}))
+		}
+		f.mu.Lock()
+		for key, end := range f.holdEnds {
+			if time.Now().After(end) {
+				t.Fatalf("keys from %d are not held any more", key)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
+
+// continuityTime is the age from which on a connection certainly leads to the process that
+// answered on another one.
+const continuityTime = 100 * time.Millisecond
