daemon/edge: bound the memory of request bodies together

Callers lost all requests of a machine when a few others sent large orders to it: 8 orders of 32 MB at once took the daemon over its memory, and the platform ended it.

Cause: bodies were read whole up to max_body_bytes, 64 MB, although no frame between daemons holds more than 10 MB, and nothing bounded them together; the bound on running frames did not depend on the memory.

A body that cannot be forwarded is refused before it is read. All others share an eighth of the memory beyond 64 KB each, counted before reading if their size is known, so that those that fit are read and the others refused at once. Responses use the same reader (daemon/bodies) as before.

--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -5,10 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
-	"sync/atomic"
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/bodies"
 )
 
 const (
@@ -23,46 +23,16 @@
 	// sharedResponseBytes is the memory that all responses that are being read may take
 	// together beyond ownResponseBytes each.
 	sharedResponseBytes = 32 << 20
-	// readChunkBytes is the size of the first read of a body.
-	readChunkBytes = 4 << 10
 )
 
 // ResponseReader reads the responses of a backend server. It bounds the memory that they
 // take, one by one and together: a server may send bytes without end. It is safe for
 // concurrent use.
-type ResponseReader struct {
-	shared atomic.Int64 // bytes taken of sharedResponseBytes
-}
-
-// errNoMemory reports that sharedResponseBytes are taken.
-var errNoMemory = errors.New("too many large responses at once")
+type ResponseReader struct{ bodies *bodies.Reader }
 
-// readBody reads a body of at most maxResponseBytes+1 bytes.
-func (r *ResponseReader) readBody(body io.Reader) ([]byte, error) {
-	taken := int64(0)
-	defer func() { r.shared.Add(-taken) }()
-	data := make([]byte, 0, readChunkBytes)
-	for len(data) <= maxResponseBytes {
-		if len(data) == cap(data) {
-			grown := 2 * cap(data)
-			if more := int64(grown - max(cap(data), ownResponseBytes)); more > 0 {
-				taken += more
-				if r.shared.Add(more) > sharedResponseBytes {
-					return nil, errNoMemory
-				}
-			}
-			data = append(make([]byte, 0, grown), data...)
-		}
-		n, err := body.Read(data[len(data):cap(data)])
-		data = data[:len(data)+n]
-		if errors.Is(err, io.EOF) {
-			return data, nil
-		}
-		if err != nil {
-			return nil, err
-		}
-	}
-	return data, nil
+// NewResponseReader returns a reader of responses.
+func NewResponseReader() ResponseReader {
+	return ResponseReader{bodies: bodies.NewReader(ownResponseBytes, sharedResponseBytes)}
 }
 
 // Read reads a backend server's response completely; a truncated one is an
@@ -71,9 +41,10 @@
 	if httpResp.ContentLength > maxResponseBytes {
 		return nil, outcome.New(outcome.AnswerTooLarge, "response of %d bytes exceeds %d", httpResp.ContentLength, maxResponseBytes)
 	}
-	body, err := r.readBody(httpResp.Body)
+	body, release, err := r.bodies.Read(httpResp.Body, maxResponseBytes)
+	release() // the bound is on the responses that are being read
 	switch {
-	case errors.Is(err, errNoMemory):
+	case errors.Is(err, bodies.ErrNoMemory):
 		return nil, outcome.New(outcome.AnswerTooLarge, "%v", err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && err != nil:
 		return nil, outcome.New(outcome.DeadlineMaybeRan, "response incomplete at the deadline")
--- a/daemon/backendconn/response_test.go
+++ b/daemon/backendconn/response_test.go
@@ -41,7 +41,7 @@
 func TestLargeResponsesExceedMemoryTogether(t *testing.T) {
 	is := is.New(t)
 	const responses, size = 40, 7 << 20
-	var r ResponseReader
+	r := NewResponseReader()
 	var mu sync.Mutex
 	var wg, ended sync.WaitGroup
 	release := make(chan struct{})
@@ -60,10 +60,10 @@
 		})
 	}
 	ended.Wait() // all are read as far as possible, or refused
-	is.True(r.shared.Load() <= sharedResponseBytes)
+	is.True(r.bodies.Taken() <= sharedResponseBytes)
 	close(release)
 	wg.Wait()
 	is.True(refused >= responses-sharedResponseBytes/size)
 	is.True(refused < responses)
-	is.Equal(r.shared.Load(), int64(0))
+	is.Equal(r.bodies.Taken(), int64(0))
 }
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -4,7 +4,7 @@
 package edge
 
 import (
-	"io"
+	"errors"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +12,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/daemon/bodies"
 )
 
 const (
@@ -44,26 +45,57 @@
 	return named
 }
 
-// ReadBody reads the whole body, of at most limit bytes. The error is an
-// *outcome.Err.
-func ReadBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+const (
+	// maxForwardedBytes bounds the body of a request, which a frame between daemons must
+	// hold beside the headers.
+	maxForwardedBytes = 9 << 20
+	// ownBodyBytes is the memory that the body of each request may take.
+	ownBodyBytes = 64 << 10
+	// bodiesShare is the fraction of the process's memory that all bodies that are held may
+	// take beyond ownBodyBytes each. Each is copied into a frame and out of it.
+	bodiesShare = 1.0 / 8
+	// defaultBodiesBytes is that bound if the memory is not limited.
+	defaultBodiesBytes = 64 << 20
+)
+
+// NewBodies returns the reader of request bodies for a process with a memory limit in MB; 0
+// means no limit.
+func NewBodies(memoryMB int64) *bodies.Reader {
+	if memoryMB <= 0 {
+		return bodies.NewReader(ownBodyBytes, defaultBodiesBytes)
+	}
+	return bodies.NewReader(ownBodyBytes, int64(bodiesShare*float64(memoryMB)*(1<<20)))
+}
+
+// ReadBody reads the whole body, of at most limit bytes. A body that cannot be forwarded is
+// refused before it is read. The caller calls release when it no longer needs the body. The
+// error is an *outcome.Err.
+func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, reader *bodies.Reader) (body []byte, release func(), err error) {
+	none := func() {}
+	limit = min(limit, maxForwardedBytes)
 	if r.ContentLength > limit {
-		return nil, outcome.New(outcome.BodyTooLarge, "body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
+		return nil, none, outcome.New(outcome.BodyTooLarge, "body of %d bytes exceeds the limit of %d bytes", r.ContentLength, limit)
 	}
 	if r.ContentLength == 0 {
-		return nil, nil
+		return nil, none, nil
 	}
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	body, err := io.ReadAll(io.LimitReader(r.Body, limit+1))
-	if err != nil {
-		return nil, outcome.New(outcome.BadRequest, "read body: %v", err)
+	if r.ContentLength > 0 {
+		body, release, err = reader.ReadSized(r.Body, r.ContentLength)
+	} else {
+		body, release, err = reader.Read(r.Body, limit)
 	}
-	if int64(len(body)) > limit {
-		return nil, outcome.New(outcome.BodyTooLarge, "body exceeds the limit of %d bytes", limit)
+	switch {
+	case errors.Is(err, bodies.ErrNoMemory):
+		return nil, release, outcome.New(outcome.Overloaded, "read body: %v", err)
+	case err != nil:
+		return nil, release, outcome.New(outcome.BadRequest, "read body: %v", err)
+	case int64(len(body)) > limit:
+		return nil, release, outcome.New(outcome.BodyTooLarge, "body exceeds the limit of %d bytes", limit)
 	}
 	_ = ctl.SetReadDeadline(time.Time{})
-	return body, nil
+	return body, release, nil
 }
 
 // Fingerprint returns a hash that identifies requests with the same body and
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -45,7 +45,7 @@
 }
 
 func newClient(clk clock.Clock, d protocol.Backends, suspects backendconn.Suspects) *client {
-	c := &client{clock: clk, protocol: d, crashes: backendconn.NewCrashTracker(clk, suspects)}
+	c := &client{clock: clk, protocol: d, crashes: backendconn.NewCrashTracker(clk, suspects), responses: backendconn.NewResponseReader()}
 	c.requestClient = httpClient(maxConnections, backendconn.WatchedDialer(clk, &c.continuity, false))
 	c.grantClient = httpClient(maxConcurrentGrants, backendconn.WatchedDialer(clk, &c.continuity, true))
 	c.releaseClient = httpClient(maxReleases, (&net.Dialer{Timeout: backendconn.DialTimeout}).DialContext)
--- a/daemon/plugins/entry/entry.go
+++ b/daemon/plugins/entry/entry.go
@@ -16,6 +16,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/daemon/bodies"
 	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
@@ -65,6 +66,7 @@
 	metrics         *instruments
 	log             *zap.Logger
 	inflightLimiter *inflightLimiter
+	bodies          *bodies.Reader
 }
 
 type entryParams struct {
@@ -90,6 +92,7 @@
 		metrics:         p.Metrics,
 		log:             p.Log.Named("entry"),
 		inflightLimiter: newInflightLimiter(p.Settings.Limits.MaxInflight),
+		bodies:          edge.NewBodies(p.Settings.Bounds.MemoryMB),
 	}
 }
 
--- a/daemon/plugins/entry/request.go
+++ b/daemon/plugins/entry/request.go
@@ -48,7 +48,7 @@
 	if req.TimeoutMs, err = timeoutOf(r.Header, svc); err != nil {
 		return err
 	}
-	if req.Body, err = edge.ReadBody(w, r, svc.BodyLimit()); err != nil {
+	if req.Body, x.releaseBody, err = edge.ReadBody(w, r, svc.BodyLimit(), e.bodies); err != nil {
 		return err
 	}
 	x.bodyRead = true
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -22,11 +22,14 @@
 	key      string       // the caller key; never leaves this daemon
 	target   *view.Member // daemon of the last attempt, or nil
 	bodyRead bool         // the whole body was read
+
+	releaseBody func() // called when the body is no longer needed
 }
 
 func (e *entry) serve(c *gin.Context) {
 	started := time.Now()
-	x := &exchange{req: &wire.Request{RequestId: uuid.NewString()}}
+	x := &exchange{req: &wire.Request{RequestId: uuid.NewString()}, releaseBody: func() {}}
+	defer func() { x.releaseBody() }()
 	resp, err := e.process(c.Writer, c.Request, x)
 	if err != nil {
 		resp = answer.Refusal(err)
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/sesamemoor/sesamemoor/core/retry"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/bodies"
 	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
@@ -62,6 +63,7 @@
 
 // gateway is the HTTP handler for callers.
 type gateway struct {
+	bodies             *bodies.Reader
 	control            kernel.Control
 	clock              clock.Clock
 	protocol           protocol.Callers
@@ -100,7 +102,7 @@
 func newGateway(p gatewayParams) *gateway {
 	return &gateway{
 		control: p.Control, clock: p.Clock, protocol: p.Protocol, limiter: p.Limiter, suspects: p.Suspects,
-		sender: p.Sender, runs: p.Runs, metrics: p.Metrics, log: p.Log.Named("gateway"),
+		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, metrics: p.Metrics, log: p.Log.Named("gateway"),
 		stopTime: p.Settings.Bounds.StopTime(), service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
 		weightedRoundRobin: newWeightedRoundRobin(), localShares: newLocalShares(), timeoutEstimators: newTimeoutEstimators(), hashes: map[string]string{},
 	}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -90,7 +90,9 @@
 	if err := g.checkStop(v, x); err != nil {
 		return nil, err
 	}
-	if err := readBody(w, r, x, v.Config.CallerLimits.MaxBodyBytes); err != nil {
+	release, err := g.readBody(w, r, x, v.Config.CallerLimits.MaxBodyBytes)
+	defer release()
+	if err != nil {
 		return nil, err
 	}
 	if !x.route.Idempotent || v.Leaving {
@@ -188,15 +190,15 @@
 	return nil
 }
 
-// readBody reads the whole body. A limit of 0 or less means defaultMaxBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, x *exchange, limit int64) error {
+// readBody reads the whole body, which the request needs until release is called. A limit
+// of 0 or less means defaultMaxBodyBytes.
+func (g *gateway) readBody(w http.ResponseWriter, r *http.Request, x *exchange, limit int64) (release func(), err error) {
 	if limit <= 0 {
 		limit = defaultMaxBodyBytes
 	}
-	var err error
-	x.req.Body, err = edge.ReadBody(w, r, limit)
+	x.req.Body, release, err = edge.ReadBody(w, r, limit, g.bodies)
 	x.bodyRead = err == nil
-	return err
+	return release, err
 }
 
 // forward sends a routed request on, within the caller's deadline.
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -42,7 +42,7 @@
 }
 
 func newBackend(c kernel.Control, clk clock.Clock, suspects backendconn.Suspects, conns int) *backend {
-	b := &backend{control: c, clock: clk, crashes: backendconn.NewCrashTracker(clk, suspects)}
+	b := &backend{control: c, clock: clk, crashes: backendconn.NewCrashTracker(clk, suspects), responses: backendconn.NewResponseReader()}
 	b.client = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
--- a/daemon/plugins/peer/server.go
+++ b/daemon/plugins/peer/server.go
@@ -27,8 +27,10 @@
 	// maxRunning bounds the running frames of one link. A frame is running from its
 	// receipt until its answer is written or the link ends.
 	maxRunning = 4096
-	// maxRunningBytes bounds the total size of all running frames of this daemon.
+	// maxRunningBytes bounds the total size of all running frames of this daemon, as does
+	// runningShare of the process's memory, if that is limited.
 	maxRunningBytes = 128 << 20
+	runningShare    = 1.0 / 8
 	// lingerTimeout bounds each of the two waits of a stop: for the peers to close
 	// their sessions and, after this server has closed the sending halves of the
 	// remaining ones, for these to end.
@@ -49,6 +51,7 @@
 	cancel       context.CancelFunc
 	listener     net.Listener
 	runningBytes atomic.Int64 // total size of running frames
+	runningLimit int64
 	requests     sync.WaitGroup
 
 	mu       sync.Mutex
@@ -68,9 +71,20 @@
 		log:      log.Named("peer"),
 		ctx:      ctx,
 		cancel:   cancel,
-		sessions: map[*yamux.Session]net.Conn{},
-		links:    map[*serverLink]bool{},
+
+		runningLimit: runningLimit(set.Bounds.MemoryMB),
+		sessions:     map[*yamux.Session]net.Conn{},
+		links:        map[*serverLink]bool{},
+	}
+}
+
+// runningLimit returns the bound on running frames of a process with a memory limit in MB; 0
+// means no limit.
+func runningLimit(memoryMB int64) int64 {
+	if memoryMB <= 0 {
+		return maxRunningBytes
 	}
+	return min(maxRunningBytes, int64(runningShare*float64(memoryMB)*(1<<20)))
 }
 
 func startServer(lc fx.Lifecycle, s *server) {
@@ -165,8 +179,8 @@
 	if s.stopping {
 		return outcome.New(outcome.Draining, "daemon is stopping")
 	}
-	if s.runningBytes.Load()+int64(size) > maxRunningBytes {
-		return outcome.New(outcome.Overloaded, "running frames would exceed %d bytes", maxRunningBytes)
+	if s.runningBytes.Load()+int64(size) > s.runningLimit {
+		return outcome.New(outcome.Overloaded, "running frames would exceed %d bytes", s.runningLimit)
 	}
 	s.runningBytes.Add(int64(size))
 	if frame.GetRequest() != nil {
