daemon/peer: a cancel frame is not dropped while the queue is full

Cause: the frame that ends a request at the owner's daemon was offered to the queue of its link and dropped if that was full, as behind a large record on a slow link.

Evidence: TestCancelIsDroppedWhileTheQueueIsFull fails without this change: the frame never arrives.

Such frames are now kept beside the queue and written with the next batch. Each call sends at most one, so that they are bounded by the calls.

--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -151,13 +151,13 @@
 }
 
 // abandon ends a call whose context ended. It sends a cancel frame to the peer
-// if the peer may run the call.
+// if the peer may run the call, also while the queue is full: each call sends one at most.
 func (l *clientLink) abandon(ctx context.Context, c *call, id uint64) error {
 	if c.withdraw(callQueued) {
 		return notRunError(ctx)
 	}
 	if data, err := encode(&wire.Frame{Id: id, Body: &wire.Frame_Cancel{Cancel: &wire.Cancel{}}}); err == nil {
-		l.offer(outFrame{data: data})
+		l.post(outFrame{data: data})
 	}
 	if errors.Is(ctx.Err(), context.Canceled) {
 		return outcome.New(outcome.CancelledMaybeRan, "cancelled after the frame was sent")
--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -246,6 +247,42 @@
 	}
 }
 
+// A caller left while the queue of the link to the owner's daemon was full. The message that
+// ends its request was dropped, and the server worked on.
+func TestCancelIsDroppedWhileTheQueueIsFull(t *testing.T) {
+	is := is.New(t)
+	here, there := net.Pipe()
+	defer there.Close()
+	l := startClientLink(newPipe(here), newFrameReader(here), clock.Boot{}, 0, linkEvents{ended: func() {}})
+	defer l.shut()
+	r := newFrameReader(there)
+	ctx, leave := context.WithCancel(t.Context())
+	left := make(chan error, 1)
+	go func() {
+		_, err := l.call(ctx, request("a", true))
+		left <- err
+	}()
+	first, _, err := r.next()
+	is.NoErr(err)
+	for range 2 * writeQueue {
+		go func() { _, _ = l.call(t.Context(), request("b", true)) }()
+	}
+	for len(l.out) < writeQueue {
+		time.Sleep(time.Millisecond)
+	}
+	leave()
+	is.Equal(outcome.KindOf(<-left), outcome.CancelledMaybeRan)
+	is.NoErr(there.SetReadDeadline(time.Now().Add(lossBound)))
+	for {
+		frame, _, err := r.next()
+		is.NoErr(err)
+		if frame.GetCancel() != nil {
+			is.Equal(frame.GetId(), first.GetId())
+			return
+		}
+	}
+}
+
 func TestStopWaitsForRunningRequests(t *testing.T) {
 	is := is.New(t)
 	started, release := make(chan struct{}), make(chan struct{})
--- a/daemon/plugins/peer/pipe.go
+++ b/daemon/plugins/peer/pipe.go
@@ -37,13 +37,17 @@
 	closed    chan struct{}
 	once      sync.Once
 	bytesRead atomic.Uint64
-	buf       []byte // batch being written, from the pool
+	wake      chan struct{} // capacity 1; wakes writeLoop for overflow
+	buf       []byte        // batch being written, from the pool
 	calls     []*call
 	sent      []func()
+
+	mu       sync.Mutex
+	overflow []outFrame // frames of post that found the queue full
 }
 
 func newPipe(conn net.Conn) *pipe {
-	return &pipe{conn: conn, out: make(chan outFrame, writeQueue), closed: make(chan struct{})}
+	return &pipe{conn: conn, out: make(chan outFrame, writeQueue), closed: make(chan struct{}), wake: make(chan struct{}, 1)}
 }
 
 // Read implements io.Reader.
@@ -80,6 +84,29 @@
 	}
 }
 
+// post queues a frame without waiting, also if the queue is full.
+func (p *pipe) post(f outFrame) {
+	if p.offer(f) {
+		return
+	}
+	p.mu.Lock()
+	p.overflow = append(p.overflow, f)
+	p.mu.Unlock()
+	select {
+	case p.wake <- struct{}{}:
+	default:
+	}
+}
+
+// takeOverflow returns the frames of post that found the queue full.
+func (p *pipe) takeOverflow() []outFrame {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	taken := p.overflow
+	p.overflow = nil
+	return taken
+}
+
 // writeLoop writes queued frames until the link ends.
 func (p *pipe) writeLoop() {
 	defer p.shut()
@@ -91,6 +118,12 @@
 			if err := p.writeBatch(f); err != nil {
 				return
 			}
+		case <-p.wake:
+			for _, f := range p.takeOverflow() {
+				if err := p.writeBatch(f); err != nil {
+					return
+				}
+			}
 		}
 	}
 }
