daemon/backendconn: an idle connection that is closed is no sign of a restart

Callers would be refused while a server that closes idle connections quickly lost its keys again and again.

Cause: the end of any connection raised the doubt whether the server had restarted, and grants on new connections waited for the next announcement. A server may close idle connections at any time, also after less than the interval of renewals, so that every renewal needs a new connection.

Evidence: TestIdleTimeoutEndsGrants, a server with an idle timeout of 20 ms and no announcements, fails without this change.

A doubt is now raised by a reset, and by an end where an answer was due. A process that crashes resets its connections or ends them instead of answering; one that closes them while nobody waits does neither.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -14,6 +14,7 @@
 	"net/http/httptrace"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -62,6 +63,7 @@
 	state     atomic.Uint32
 	discarded atomic.Bool // closed, although the transport may still offer it for a request
 	answered  atomic.Bool // bytes were read
+	awaiting  atomic.Bool // no byte was read since the current request began
 	closed    atomic.Bool // by this daemon
 
 	mu     sync.Mutex
@@ -84,9 +86,12 @@
 	}
 	if n > 0 {
 		c.answered.Store(true)
+		c.awaiting.Store(false)
 		c.continuity.Answered(c.opened)
 	}
-	if err != nil && c.answered.Load() && !c.closed.Load() {
+	// A server may close an idle connection at any time.
+	broken := errors.Is(err, syscall.ECONNRESET) || err != nil && c.awaiting.Load()
+	if broken && c.answered.Load() && !c.closed.Load() {
 		c.continuity.Lost(c.clock.Now())
 	}
 	return n, err
@@ -104,6 +109,7 @@
 func (c *guardedConn) beginRequest(id string, until clock.Instant) {
 	c.until.Store(int64(until))
 	c.state.CompareAndSwap(written, unwritten)
+	c.awaiting.Store(true)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.barred[id] {
--- a/daemon/backendconn/continuity.go
+++ b/daemon/backendconn/continuity.go
@@ -15,7 +15,7 @@
 // that is known. A listening socket may outlast the process, so that a connection opened
 // after its end reaches the next one.
 //
-// The loss of a connection raises a doubt. An answer on a connection that was opened before
+// The loss of a connection, by a reset or instead of an answer, raises a doubt. An answer on a connection that was opened before
 // the doubt removes it, since the connections of a process end with it, and so does an
 // announcement.
 type Continuity struct {
--- a/daemon/plugins/backend/backend_test.go
+++ b/daemon/plugins/backend/backend_test.go
@@ -160,19 +160,15 @@
 // waits until all are granted to the backend server.
 func start(t *testing.T) (*executor, *fake) {
 	t.Helper()
-	return startOn(t, nil, func(h http.Handler) http.Handler { return h })
+	return startWith(t, func(*httptest.Server) {})
 }
 
-// startOn is start with a server on a listener, if it is not nil, and with another handler
-// around it.
-func startOn(t *testing.T, listener net.Listener, wrap func(http.Handler) http.Handler) (*executor, *fake) {
+// startWith is start with a server that is changed before it starts.
+func startWith(t *testing.T, change func(*httptest.Server)) (*executor, *fake) {
 	t.Helper()
 	f := &fake{holdEnds: map[uint32]time.Time{}, ran: map[string]int{}, handler: okResponse}
-	srv := httptest.NewUnstartedServer(wrap(f))
-	if listener != nil {
-		_ = srv.Listener.Close()
-		srv.Listener = listener
-	}
+	srv := httptest.NewUnstartedServer(f)
+	change(srv)
 	srv.Config.ConnState = func(_ net.Conn, state http.ConnState) {
 		switch state {
 		case http.StateNew:
--- a/daemon/plugins/backend/supervised_test.go
+++ b/daemon/plugins/backend/supervised_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -51,6 +52,12 @@
 	return s
 }
 
+// listenFor makes a server use the supervisor's socket.
+func (s *supervisor) listenFor(srv *httptest.Server) {
+	_ = srv.Listener.Close()
+	srv.Listener = s
+}
+
 // Accept implements net.Listener.
 func (s *supervisor) Accept() (net.Conn, error) {
 	c, ok := <-s.boots
@@ -88,8 +95,10 @@
 	s := supervise(t)
 	var second atomic.Bool
 	var grants atomic.Int64 // to the second boot
-	e, f := startOn(t, s, func(next http.Handler) http.Handler {
-		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	e, f := startWith(t, func(srv *httptest.Server) {
+		s.listenFor(srv)
+		next := srv.Config.Handler
+		srv.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			if second.Load() && strings.HasPrefix(r.URL.Path, "/grant/") {
 				grants.Add(1)
 			}
@@ -111,7 +120,7 @@
 func TestResetConnectionsEndGrants(t *testing.T) {
 	is := is.New(t)
 	s := supervise(t)
-	e, f := startOn(t, s, func(h http.Handler) http.Handler { return h })
+	e, f := startWith(t, s.listenFor)
 	time.Sleep(2 * continuityTime)
 	s.mu.Lock()
 	for _, c := range s.conns[:1] {
@@ -134,6 +143,20 @@
 	}
 }
 
+// A server that closes idle connections quickly needs new ones for each renewal of its grants.
+func TestIdleTimeoutEndsGrants(t *testing.T) {
+	_, f := startWith(t, func(srv *httptest.Server) { srv.Config.IdleTimeout = 20 * time.Millisecond })
+	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) { // without an announcement
+		f.mu.Lock()
+		for key, end := range f.holdEnds {
+			if time.Now().After(end) {
+				t.Fatalf("keys from %d are not held any more", key)
+			}
+		}
+		f.mu.Unlock()
+	}
+}
+
 // continuityTime is the age from which on a connection certainly leads to the process that
 // answered on another one.
 const continuityTime = 100 * time.Millisecond
