daemon/backendconn: a call that was written once counts as written

A server might have held keys longer than its daemon counted (OWNER). Found while tracing a red test under load; not reported.

Cause: net/http sends a grant again on another connection if the first ends without an answer. If that connection refused the write, the grant counted as unsent, although the server may execute what was written on the first. Since grants are refused on connections that may lead to another process, this comes with each lost connection.

Evidence: TestCallThatWasWrittenBeforeCountsAsUnsent fails without this change.

A Trace remembers that the call was written on a connection before the present one, and such a grant counts as unanswered, with its whole hold.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -190,8 +190,9 @@
 	RequestID string        // "" for a call that is not a request
 	Until     clock.Instant // the request may be written before this time
 
-	conn atomic.Pointer[guardedConn]
-	kept atomic.Bool
+	conn  atomic.Pointer[guardedConn]
+	kept  atomic.Bool
+	wrote atomic.Bool // on a connection before conn: the transport sends some calls again
 }
 
 // Kept reports whether the request was sent on a connection that had carried another one.
@@ -248,6 +249,9 @@
 // request on it.
 func (t *Trace) SetConn(conn net.Conn) {
 	if c, ok := conn.(*guardedConn); ok {
+		if before := t.conn.Load(); before != nil && before.state.Load() == written {
+			t.wrote.Store(true)
+		}
 		c.beginRequest(t.RequestID, t.Until)
 		t.conn.Store(c)
 	}
@@ -257,7 +261,7 @@
 // After it has returned false, no byte of the request will be written.
 func (t *Trace) Wrote() bool {
 	c := t.conn.Load()
-	return c != nil && !c.block()
+	return c != nil && !c.block() || t.wrote.Load()
 }
 
 // Do sends the request with an id, which newRequest returns and which may be written until
