--- a/daemon/plugins/backend/supervised_test.go
+++ b/daemon/plugins/backend/supervised_test.go
@@ -145,7 +145,7 @@
 
 // A server that closes idle connections quickly needs new ones for each renewal of its grants.
 func TestIdleTimeoutEndsGrants(t *testing.T) {
-	_, f := startWith(t, func(srv *httptest.Server) { srv.Config.IdleTimeout = 100 * time.Millisecond })
+	_, f := startWith(t, func(srv *httptest.Server) { srv.Config.IdleTimeout = 20 * time.Millisecond })
 	for end := time.Now().Add(3 * time.Second); time.Now().Before(end); time.Sleep(100 * time.Millisecond) { // without an announcement
 		f.mu.Lock()
 		for key, end := range f.holdEnds {
