daemon: a request's line tells how old the configuration was

Callers saw requests handled by a version of seconds ago (CONFIG). The line of such a request named the version, but not how old the daemon's knowledge was that it is the newest one, so that a daemon that knew of its age, one that was wrong about it, and a request that waited could not be told apart. The request lines of both interfaces have config_age_ms now, that of the native interface config_version too, and a read of the log that fails is logged with the time it took.

--- a/core/view/freshness.go
+++ b/core/view/freshness.go
@@ -41,6 +41,15 @@
 // stream, or zero if it has not read it yet.
 func (f *Freshness) Known() clock.Instant { return clock.Instant(f.knownAsOf.Load()) }
 
+// Age returns the time since the configuration was last known to be current, or a
+// negative duration if it has not been read yet.
+func (f *Freshness) Age(now clock.Instant) time.Duration {
+	if f == nil || f.Known() == 0 {
+		return -1
+	}
+	return max(now.Sub(f.Known()), 0)
+}
+
 // Outage returns the time as of which the log was last found to be down for a
 // majority of the data centres, or zero if it never was.
 func (f *Freshness) Outage() clock.Instant { return clock.Instant(f.outage.Load()) }
--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -147,6 +147,8 @@
 		zap.String("service", x.req.GetService()),
 		zap.Uint32("shard", x.req.GetShard()),
 		zap.Uint64("generation", generation),
+		zap.Uint64("config_version", x.configVersion),
+		zap.Int64("config_age_ms", x.configAge.Milliseconds()),
 		zap.String("owner", owner),
 		zap.String("reason", resp.GetDetail()),
 		zap.Stringer("outcome", kind),
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -24,6 +24,9 @@
 	bodyRead bool         // the whole body was read
 	started  time.Time    // from which the caller's time counts
 
+	configVersion uint64        // version of the configuration that was used
+	configAge     time.Duration // of the knowledge that it was the newest one, view.Freshness.Age
+
 	releaseBody func() // called when the body is no longer needed
 }
 
@@ -54,6 +57,7 @@
 		return nil, err
 	}
 	v := e.ctrl.View()
+	x.configVersion, x.configAge = v.ConfigVersion, v.ConfigFreshness.Age(e.clock.Now())
 	if v.ConfigFreshness.Stale(e.clock.Now()) {
 		return nil, errStale
 	}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -45,8 +45,9 @@
 	callerTimeout  time.Duration // stated by the caller; 0 if it was not
 	usedLocalShare bool          // the team's rate was checked against this daemon's local share
 	lastTarget     *view.Member
-	attemptLog     string // slot and outcome of each attempt, for the log
-	configVersion  uint64 // version of the configuration that was used
+	attemptLog     string        // slot and outcome of each attempt, for the log
+	configVersion  uint64        // version of the configuration that was used
+	configAge      time.Duration // of the knowledge that it was the newest one, view.Freshness.Age
 	bodyRead       bool
 }
 
@@ -76,6 +77,7 @@
 	}
 	v := g.control.View()
 	x.configVersion = v.ConfigVersion
+	x.configAge = v.ConfigFreshness.Age(g.clock.Now())
 	if !configKnown(v) || v.Hosts == nil {
 		return nil, outcome.New(outcome.ConfigStale, "no configuration is known yet")
 	}
@@ -338,6 +340,7 @@
 		zap.Uint32("shard", x.req.GetShard()),
 		zap.Uint64("generation", resp.GetGeneration()),
 		zap.Uint64("config_version", x.configVersion),
+		zap.Int64("config_age_ms", x.configAge.Milliseconds()),
 		zap.Bool("keeper_away", x.usedLocalShare),
 		zap.String("owner", lastTarget),
 		zap.Uint32("attempts", x.req.GetAttempt()),
--- a/daemon/plugins/logclient/reader.go
+++ b/daemon/plugins/logclient/reader.go
@@ -61,6 +61,7 @@
 func (r *reader) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		from := r.relay.NextOffset(r.stream)
+		began := r.clock.Now()
 		batch, asOf, err := r.read(ctx, from)
 		switch {
 		case err == nil:
@@ -79,7 +80,7 @@
 				zap.String("stream", r.stream), zap.Uint64("from", from), zap.Uint64("first", batch.First))
 			r.relay.Reset(r.stream, batch.First)
 		default:
-			r.logger.Debug("read failed", zap.String("stream", r.stream), zap.Error(err))
+			r.logger.Info("read failed", zap.String("stream", r.stream), zap.Duration("took", r.clock.Now().Sub(began)), zap.Error(err))
 			r.backOff(ctx)
 		}
 	}
