core/view, daemon/peer: a daemon knows that its configuration was replaced

What callers saw: requests handled by a version that had been replaced seconds before, 404 for routes that others served (CONFIG). Cause: a daemon measures how old its knowledge of the configuration is, but on the platform's interface nothing depended on it, and age alone cannot decide: while the log is away, serving on is right. What tells the two apart was missing: the daemon exchanged requests with peers that had the newer configuration, and no frame said so.

Each frame now names the position that its sender has read. A daemon that is told of a later one, and whose own was last known to be the newest longer ago than bounds.config_apply_s, refuses callers (config_stale, not run, Retry-After 0.3 s) and is not ready, on both interfaces, also where a survey took the log for down. What a peer said counts for the same time only, so that a version that is lost with the only daemon that had it stops nobody.

Cost: up to 11 bytes a frame, one atomic load to send and one to receive.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -37,11 +37,10 @@
 	EntryAddr   string
 
 	Lease lease.Params
-	// StaleConfig is the time since the configuration was last known to be current,
-	// after which requests on open routes are refused.
-	StaleConfig time.Duration
-	JoinWait    time.Duration // how long the first join waits for other slots to announce themselves
-	Witnesses   int           // desired size of the witness set, odd
+	// Freshness has the ages of the configuration from which callers are refused.
+	Freshness view.FreshnessLimits
+	JoinWait  time.Duration // how long the first join waits for other slots to announce themselves
+	Witnesses int           // desired size of the witness set, odd
 	// SlotIsHost reports that a slot belongs to one host, on which the platform runs
 	// one process at a time. A new process can then assume that the previous one has
 	// ended, and may end its incarnations. The name of a backend server then changes
@@ -158,7 +157,7 @@
 		cell:             new(view.LeaseCell),
 		collectors:       map[string]*snapshot.Collector{},
 		snapshotSchedule: map[string]*snapshotSchedule{},
-		fresh:            view.NewFreshness(opts.StaleConfig),
+		fresh:            view.NewFreshness(opts.Freshness),
 		dirty:            true,
 		newHolder: func(p lease.Params, sent clock.Instant, witnesses []string, term time.Duration) leaseHolder {
 			return lease.NewHolder(p, sent, witnesses, term)
@@ -183,6 +182,7 @@
 	s.afterView = s.afterView[:0]
 	s.checkLease()
 	s.handle(ev)
+	s.fresh.SetNext(s.history.Next)
 	s.refreshTables()
 	if s.dirty {
 		s.dirty = false
@@ -358,7 +358,7 @@
 	// A daemon that starts in a new era learns the configuration in force from its start.
 	known := s.fresh.Known() != 0 || logstream.EraOf(e.Next) == 0 || s.caughtUp && !s.needsStart()
 	if e.AsOf != 0 && s.history.Next >= e.Next && known {
-		s.fresh.Advance(e.AsOf)
+		s.fresh.Advance(e.AsOf, s.now)
 	}
 	s.checkNewerRecords()
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -113,6 +113,7 @@
 	RecordRing          uint64  `json:"record_ring"`           // number of newest records of each author that the log keeps permanently
 	LogReadersPerCentre int     `json:"log_readers"`           // number of daemons per data centre that read the log themselves
 	LogReaderCentres    int     `json:"log_reader_centres"`    // number of data centres per region whose daemons read the log; daemons of the others follow them; 0 means all
+	ConfigApplyS        float64 `json:"config_apply_s"`        // time within which a version of the configuration must be in force at all daemons; one that knows of a newer version refuses callers after it
 	LogWaitMS           int     `json:"log_wait_ms"`           // maximum wait of one read for configuration records
 	LogPlacementWaitMS  int     `json:"log_placement_wait_ms"` // maximum wait of one read for placement records; unlike the configuration, the placement need not be confirmed as current
 	LogStaleMS          int     `json:"log_stale_ms"`          // time since the configuration was last known to be current, above which peers are queried
@@ -156,7 +157,7 @@
 		Interface: InterfaceNative,
 		Bounds: Bounds{
 			DrainS: 2, RetryRatio: 0.2, RetryWindowS: 10, RetryExtra: 30, MaxHoldS: 10, ColdOverage: 1, AnnounceIntervalS: 1,
-			RangeShards: 64, RecordRing: 512, LogReadersPerCentre: 3, LogWaitMS: 1000,
+			RangeShards: 64, RecordRing: 512, LogReadersPerCentre: 3, ConfigApplyS: 5, LogWaitMS: 1000,
 			LogPlacementWaitMS: 1000, LogStaleMS: 2500, LogSurveyMS: 1000,
 		},
 		LogLevel:        "info",
@@ -306,7 +307,7 @@
 	}{
 		{"drain_s", b.DrainS}, {"max_hold_s", b.MaxHoldS}, {"announce_interval_s", b.AnnounceIntervalS},
 		{"range_shards", float64(b.RangeShards)}, {"record_ring", float64(b.RecordRing)},
-		{"log_readers", float64(b.LogReadersPerCentre)}, {"log_wait_ms", float64(b.LogWaitMS)},
+		{"log_readers", float64(b.LogReadersPerCentre)}, {"config_apply_s", b.ConfigApplyS}, {"log_wait_ms", float64(b.LogWaitMS)},
 		{"log_placement_wait_ms", float64(b.LogPlacementWaitMS)}, {"log_stale_ms", float64(b.LogStaleMS)},
 		{"log_survey_ms", float64(b.LogSurveyMS)},
 	}
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -69,7 +69,10 @@
 			Renew:   time.Duration(set.Lease.RenewMS) * time.Millisecond,
 			Drift:   float64(set.Lease.DriftPPM) / 1e6,
 		},
-		StaleConfig:     time.Duration(set.Limits.StaleConfigMS) * time.Millisecond,
+		Freshness: view.FreshnessLimits{
+			Unconfirmed: time.Duration(set.Limits.StaleConfigMS) * time.Millisecond,
+			Replaced:    time.Duration(set.Bounds.ConfigApplyS * float64(time.Second)),
+		},
 		JoinWait:        time.Duration(set.Lease.SettleMS) * time.Millisecond,
 		Witnesses:       set.Lease.Witnesses,
 		SlotIsHost:      set.Interface == settings.InterfacePlatform,
--- a/daemon/kernel/gauges_test.go
+++ b/daemon/kernel/gauges_test.go
@@ -23,10 +23,10 @@
 	is := is.New(t)
 	now := clock.Boot{}.Now()
 	v := &view.View{
-		Lease: new(view.LeaseCell), ConfigFreshness: view.NewFreshness(time.Second), ConfigVersion: 7,
+		Lease: new(view.LeaseCell), ConfigFreshness: view.NewFreshness(view.FreshnessLimits{Unconfirmed: time.Second, Replaced: time.Second}), ConfigVersion: 7,
 		Held: map[view.ShardID]view.Held{{Service: "s"}: {}},
 	}
-	v.ConfigFreshness.Advance(now)
+	v.ConfigFreshness.Advance(now, now)
 	v.Lease.Set(now.Add(time.Hour))
 	m, err := NewMetrics()
 	is.NoErr(err)
--- a/daemon/plugins/entry/entry_test.go
+++ b/daemon/plugins/entry/entry_test.go
@@ -382,8 +382,8 @@
 	} {
 		s := &fakeEnv{take: take}
 		v := placedView(member(2, "a"), member(3, "b"), 7)
-		v.ConfigFreshness = view.NewFreshness(limit)
-		v.ConfigFreshness.Advance(clock.Boot{}.Now())
+		v.ConfigFreshness = view.NewFreshness(view.FreshnessLimits{Unconfirmed: limit, Replaced: limit})
+		v.ConfigFreshness.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
 		s.view.Store(v)
 		_, srv := newTestEntry(t, s)
 		started := time.Now()
@@ -400,12 +400,12 @@
 func TestTokenWaitContinuesWhileConfigurationIsFresh(t *testing.T) {
 	is := is.New(t)
 	const limit = 300 * time.Millisecond
-	fresh := view.NewFreshness(limit)
-	fresh.Advance(clock.Boot{}.Now())
+	fresh := view.NewFreshness(view.FreshnessLimits{Unconfirmed: limit, Replaced: limit})
+	fresh.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
 	s := &fakeEnv{take: func(ctx context.Context) error {
 		for range 8 {
 			time.Sleep(limit / 4)
-			fresh.Advance(clock.Boot{}.Now())
+			fresh.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
 		}
 		return ctx.Err()
 	}}
--- a/daemon/plugins/forwarding_test.go
+++ b/daemon/plugins/forwarding_test.go
@@ -95,8 +95,8 @@
 func fleetView(incarnation uint64, ownerAddr, backendAddr string) *view.View {
 	lease := new(view.LeaseCell)
 	lease.Set(clock.Boot{}.Now().Add(time.Hour))
-	fresh := view.NewFreshness(time.Hour)
-	fresh.Advance(clock.Boot{}.Now())
+	fresh := view.NewFreshness(view.FreshnessLimits{Unconfirmed: time.Hour, Replaced: time.Hour})
+	fresh.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
 	owner := &view.Member{Incarnation: 2, Slot: "d2", DataCentre: "a", PeerAddr: ownerAddr}
 	v := &view.View{
 		Incarnation: incarnation,
--- a/daemon/plugins/gateway/budget_test.go
+++ b/daemon/plugins/gateway/budget_test.go
@@ -197,6 +197,7 @@
 		requests: map[string][]time.Duration{}, repeats: map[string][]time.Duration{},
 		arrived: map[string]bool{}, repeated: map[string]bool{},
 	}
+	f.view.ConfigFreshness.Advance(bubbleClock{}.Now(), bubbleClock{}.Now())
 	f.view.Callers = map[string]view.Caller{keyhash.Sum([]byte(secret), teamKey): {Team: "pier"}}
 	f.view.Config.Teams["pier"] = fleet.Team{}
 	shards := make([]view.Shard, 6)
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -127,18 +127,17 @@
 	edge.Listen(lc, srv, "gateway: probes", set.ReadyAddr)
 }
 
-// ready reports whether callers should use this daemon: it knows the configuration and
-// is not leaving.
+// ready reports whether callers should use this daemon: its configuration may be used and
+// it is not leaving.
 func (g *gateway) ready() bool {
 	v := g.control.View()
-	return configKnown(v) && !v.Leaving
+	return configUsable(v, g.clock.Now()) && !v.Leaving
 }
 
-// configKnown reports whether the daemon has read the configuration up to its newest
-// version at least once. While a daemon that starts catches up, the versions that it
-// has applied are those of the past.
-func configKnown(v *view.View) bool {
-	return v.ConfigVersion > 0 && v.ConfigFreshness.Known() != 0
+// configUsable reports whether requests may be handled by the configuration of a view. That
+// of a daemon that starts and catches up is one of the past.
+func configUsable(v *view.View, now clock.Instant) bool {
+	return v.ConfigVersion > 0 && v.Hosts != nil && !v.ConfigFreshness.Stale(now)
 }
 
 // hash returns the keyed hash of a caller key.
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -116,10 +116,12 @@
 	return &view.Member{Incarnation: inc, Slot: name, DataCentre: dc, PeerAddr: name, Slots: 4}
 }
 
+var freshnessLimits = view.FreshnessLimits{Unconfirmed: time.Hour, Replaced: time.Hour}
+
 func newFakeDaemon() *fakeDaemon {
 	priority := uint32(0)
-	freshness := view.NewFreshness(1)
-	freshness.Advance(1)
+	freshness := view.NewFreshness(freshnessLimits)
+	freshness.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
 	cfg := &fleet.Config{
 		Services: map[string]fleet.Service{"front": {Shards: 1, KeySpace: 16}, "back": {Keyless: true}, "new": {Keyless: true}},
 		HostRoutes: []fleet.HostRoute{
@@ -250,7 +252,7 @@
 func TestDaemonWithoutConfigurationRefuses(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
-	s.view = &view.View{Config: &fleet.Config{}, Lease: new(view.LeaseCell), ConfigFreshness: view.NewFreshness(1)}
+	s.view = &view.View{Config: &fleet.Config{}, Lease: new(view.LeaseCell), ConfigFreshness: view.NewFreshness(freshnessLimits)}
 	resp := send(t, newTestGateway(t, s), "GET", "/read/1")
 	is.Equal(resp.StatusCode, 503)
 	is.True(resp.Header.Get("Retry-After") != "")
@@ -261,17 +263,42 @@
 func TestStartingDaemonHandlesRequestsByOldVersion(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
-	s.view.ConfigFreshness = view.NewFreshness(1) // the newest version is not known yet
-	g := &gateway{control: s}
+	s.view.ConfigFreshness = view.NewFreshness(freshnessLimits) // the newest version is not known yet
+	g := &gateway{control: s, clock: clock.Boot{}}
 	is.True(!g.ready())
 	resp := send(t, newTestGateway(t, s), "GET", "/read/1")
 	is.Equal(resp.StatusCode, 503)
 	is.Equal(send(t, newTestGateway(t, s), "GET", "/nowhere/1").StatusCode, 503)
-	s.view.ConfigFreshness.Advance(1)
+	s.view.ConfigFreshness.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
 	is.True(g.ready())
 	is.Equal(send(t, newTestGateway(t, s), "GET", "/read/1").StatusCode, 200)
 }
 
+// A daemon whose peers have a newer configuration refuses at once what an old one would
+// decide, and says so to the platform.
+func TestReplacedConfigurationDecidesRequests(t *testing.T) {
+	is := is.New(t)
+	s := newFakeDaemon()
+	now := clock.Boot{}.Now()
+	s.view.ConfigFreshness = view.NewFreshness(view.FreshnessLimits{Unconfirmed: time.Hour, Replaced: time.Second})
+	s.view.ConfigFreshness.Advance(now, now)
+	g := &gateway{control: s, clock: clock.Boot{}}
+	is.True(g.ready())
+	time.Sleep(1100 * time.Millisecond)
+	srv := newTestGateway(t, s)
+	is.Equal(send(t, srv, "GET", "/read/1").StatusCode, 200) // its age alone costs nobody anything
+	s.view.ConfigFreshness.ObservePeer(1, clock.Boot{}.Now())
+	is.True(!g.ready())
+	for _, path := range []string{"/read/1", "/nowhere/1", "/split/1"} {
+		resp := send(t, srv, "GET", path)
+		is.Equal(resp.StatusCode, 503)
+		is.True(resp.Header.Get("Retry-After") != "")
+	}
+	s.view.ConfigFreshness.SetNext(1)
+	is.True(g.ready())
+	is.Equal(send(t, srv, "GET", "/read/1").StatusCode, 200)
+}
+
 // A request that is not idempotent is never sent again once it may have run, and
 // its status does not claim that it did not run.
 func TestNonIdempotentRequestIsNotResent(t *testing.T) {
@@ -503,7 +530,7 @@
 func TestReadyUntilLeaving(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
-	g := &gateway{control: s}
+	g := &gateway{control: s, clock: clock.Boot{}}
 	is.True(g.ready())
 	s.view.Leaving = true
 	is.True(!g.ready())
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
@@ -32,6 +33,9 @@
 	// leavingRetryAfter is the Retry-After of a request that a stopping daemon refuses: any
 	// other daemon takes it.
 	leavingRetryAfter = 50 * time.Millisecond
+	// staleRetryAfter is the Retry-After of a request that a daemon with a replaced
+	// configuration refuses. It asks peers for the newer one at about this interval.
+	staleRetryAfter = 300 * time.Millisecond
 )
 
 // exchange is one request of a caller and its state in this daemon.
@@ -76,10 +80,10 @@
 		return nil, outcome.New(outcome.BadRequest, "%v", err)
 	}
 	v := g.control.View()
-	x.configVersion = v.ConfigVersion
-	x.configAge = v.ConfigFreshness.Age(g.clock.Now())
-	if !configKnown(v) || v.Hosts == nil {
-		return nil, outcome.New(outcome.ConfigStale, "no configuration is known yet")
+	now := g.clock.Now()
+	x.configVersion, x.configAge = v.ConfigVersion, v.ConfigFreshness.Age(now)
+	if !configUsable(v, now) {
+		return nil, staleRefusal(v, now)
 	}
 	if err := g.applyRoute(v, r, x, decoded); err != nil {
 		return nil, err
@@ -103,6 +107,16 @@
 	return g.forward(r.Context(), v, x)
 }
 
+// staleRefusal refuses a request while the configuration cannot be used.
+func staleRefusal(v *view.View, now clock.Instant) *outcome.Err {
+	if v.ConfigVersion == 0 || !v.ConfigFreshness.Replaced(now) {
+		return outcome.New(outcome.ConfigStale, "no configuration is known to be current yet")
+	}
+	err := outcome.New(outcome.ConfigStale, "version %d was replaced, and the newer one is not read yet", v.ConfigVersion)
+	err.RetryAfter = staleRetryAfter
+	return err
+}
+
 // applyRoute matches the request to a route and fills in what the route sets.
 func (g *gateway) applyRoute(v *view.View, r *http.Request, x *exchange, decoded protocol.CallerRequest) error {
 	route := v.Hosts.Match(r.Host, r.URL.Path)
--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -10,6 +10,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -44,7 +45,8 @@
 // clientLink is the calling end of a link.
 type clientLink struct {
 	*pipe
-	clock clock.Clock
+	clock  clock.Clock
+	config *view.Freshness // of this daemon
 	// offset is the peer's clock minus this host's, in nanoseconds, never more
 	// than the true difference.
 	offset       atomic.Int64
@@ -73,8 +75,8 @@
 
 // startClientLink starts a link after its handshake. offset is that of the
 // peer's clock, see clientLink.
-func startClientLink(p *pipe, r *frameReader, clk clock.Clock, offset int64, events linkEvents) *clientLink {
-	l := &clientLink{pipe: p, clock: clk, waiting: map[uint64]*call{}, lastSync: clk.Now(), events: events}
+func startClientLink(p *pipe, r *frameReader, clk clock.Clock, config *view.Freshness, offset int64, events linkEvents) *clientLink {
+	l := &clientLink{pipe: p, clock: clk, config: config, waiting: map[uint64]*call{}, lastSync: clk.Now(), events: events}
 	l.offset.Store(offset)
 	l.lastReceived.Store(int64(clk.Now()))
 	l.touch()
@@ -103,6 +105,7 @@
 	frame.Id = id
 	frame.Tag = c.tag
 	frame.DeadlineUs = l.peerDeadline(ctx)
+	frame.ConfigNext = l.config.Next()
 	data, err := encode(frame)
 	if err != nil {
 		return nil, err
@@ -216,7 +219,9 @@
 		if err != nil {
 			return
 		}
-		l.lastReceived.Store(int64(l.clock.Now()))
+		now := l.clock.Now()
+		l.lastReceived.Store(int64(now))
+		l.config.ObservePeer(frame.GetConfigNext(), now)
 		if isLeaveNotice(frame) {
 			l.events.leaveNotice()
 			continue
@@ -235,7 +240,7 @@
 // answerPing answers a ping of the peer behind all cancel frames posted so far.
 func (l *clientLink) answerPing(ping *wire.Frame) {
 	pong := &wire.Pong{ClockUs: microseconds(l.clock.Now())}
-	if data, err := encode(&wire.Frame{Id: ping.GetId(), Tag: ping.GetTag(), Body: &wire.Frame_Pong{Pong: pong}}); err == nil {
+	if data, err := encode(&wire.Frame{Id: ping.GetId(), Tag: ping.GetTag(), ConfigNext: l.config.Next(), Body: &wire.Frame_Pong{Pong: pong}}); err == nil {
 		l.post(outFrame{data: data})
 	}
 }
@@ -340,7 +345,7 @@
 
 // ping queues a ping whose answer is not awaited; its bytes count in check.
 func (l *clientLink) ping() {
-	if data, err := encode(&wire.Frame{Body: &wire.Frame_Ping{Ping: &wire.Ping{}}}); err == nil {
+	if data, err := encode(&wire.Frame{ConfigNext: l.config.Next(), Body: &wire.Frame_Ping{Ping: &wire.Ping{}}}); err == nil {
 		l.offer(outFrame{data: data})
 	}
 }
--- a/daemon/plugins/peer/helpers_test.go
+++ b/daemon/plugins/peer/helpers_test.go
@@ -57,7 +57,7 @@
 	t.Helper()
 	core, logs := observer.New(zap.WarnLevel)
 	set := settings.Daemon{Slot: "server", PeerAddr: "127.0.0.1:0"}
-	s := newServer(set, clock.Boot{}, instrumentsForTest(t), kernel.FrameHandlers{Handlers: []kernel.FrameHandler{h}}, zap.New(core))
+	s := newServer(set, clock.Boot{}, nil, instrumentsForTest(t), kernel.FrameHandlers{Handlers: []kernel.FrameHandler{h}}, zap.New(core))
 	if err := s.start(); err != nil {
 		t.Fatal(err)
 	}
@@ -72,7 +72,7 @@
 // startTestNetwork returns a network that checks its sessions.
 func startTestNetwork(t testing.TB, clk clock.Clock) *network {
 	t.Helper()
-	n, err := newNetwork(settings.Daemon{Slot: "client", PeerAddr: "127.0.0.1:0"}, clk, instrumentsForTest(t), zap.NewNop())
+	n, err := newNetwork(settings.Daemon{Slot: "client", PeerAddr: "127.0.0.1:0"}, clk, nil, instrumentsForTest(t), zap.NewNop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/daemon/plugins/peer/late.go
+++ b/daemon/plugins/peer/late.go
@@ -103,7 +103,7 @@
 
 // pingPeer sends a ping ahead of the queued answers.
 func (l *serverLink) pingPeer(tag uint64) {
-	if data, err := encode(&wire.Frame{Tag: tag, Body: &wire.Frame_Ping{Ping: &wire.Ping{}}}); err == nil {
+	if data, err := encode(&wire.Frame{Tag: tag, ConfigNext: l.srv.config.Next(), Body: &wire.Frame_Ping{Ping: &wire.Ping{}}}); err == nil {
 		l.post(outFrame{data: data})
 	}
 }
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
@@ -40,6 +41,7 @@
 type network struct {
 	log     *zap.Logger
 	clock   clock.Clock
+	config  *view.Freshness // of this daemon
 	metrics *instruments
 	dialer  net.Dialer
 	hello   *wire.Hello
@@ -67,7 +69,7 @@
 
 // newNetwork returns a network that dials from the IP address of the daemon's
 // own peer address.
-func newNetwork(set settings.Daemon, clk clock.Clock, m *instruments, log *zap.Logger) (*network, error) {
+func newNetwork(set settings.Daemon, clk clock.Clock, config *view.Freshness, m *instruments, log *zap.Logger) (*network, error) {
 	host, _, err := net.SplitHostPort(set.PeerAddr)
 	if err != nil {
 		return nil, fmt.Errorf("peer: own address: %w", err)
@@ -75,6 +77,7 @@
 	return &network{
 		log:     log.Named("peer"),
 		clock:   clk,
+		config:  config,
 		metrics: m,
 		dialer:  net.Dialer{Timeout: dialTimeout, LocalAddr: &net.TCPAddr{IP: net.ParseIP(host)}},
 		hello:   &wire.Hello{Slot: set.Slot, DataCentre: set.DataCentre, ProtocolVersion: protocolVersion},
@@ -207,7 +210,7 @@
 	defer close(d.ready)
 	conn, err := n.dialer.Dial("tcp", addr)
 	if err == nil {
-		d.session, err = openSession(conn, n.hello, n.clock, func() { n.logMismatch(addr) }, n.trackDraining)
+		d.session, err = openSession(conn, n.hello, n.clock, n.config, func() { n.logMismatch(addr) }, n.trackDraining)
 	}
 	d.err = err
 	n.mu.Lock()
--- a/daemon/plugins/peer/peer.go
+++ b/daemon/plugins/peer/peer.go
@@ -14,6 +14,7 @@
 	"github.com/hashicorp/yamux"
 	"go.uber.org/fx"
 
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
 
@@ -23,6 +24,7 @@
 
 func module() fx.Option {
 	return fx.Options(
+		fx.Provide(func(c kernel.Control) *view.Freshness { return c.View().ConfigFreshness }, fx.Private),
 		fx.Provide(
 			newInstruments,
 			newNetwork,
--- a/daemon/plugins/peer/server.go
+++ b/daemon/plugins/peer/server.go
@@ -17,6 +17,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
@@ -44,6 +45,7 @@
 	addr         string
 	hello        *wire.Hello
 	clock        clock.Clock
+	config       *view.Freshness // of this daemon
 	metrics      *instruments
 	handlers     []kernel.FrameHandler
 	log          *zap.Logger
@@ -60,12 +62,13 @@
 	links    map[*serverLink]bool // links whose handshake is done
 }
 
-func newServer(set settings.Daemon, clk clock.Clock, m *instruments, group kernel.FrameHandlers, log *zap.Logger) *server {
+func newServer(set settings.Daemon, clk clock.Clock, config *view.Freshness, m *instruments, group kernel.FrameHandlers, log *zap.Logger) *server {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &server{
 		addr:     set.PeerAddr,
 		hello:    &wire.Hello{Slot: set.Slot, DataCentre: set.DataCentre, ProtocolVersion: protocolVersion},
 		clock:    clk,
+		config:   config,
 		metrics:  m,
 		handlers: group.Handlers,
 		log:      log.Named("peer"),
--- a/daemon/plugins/peer/serverlink.go
+++ b/daemon/plugins/peer/serverlink.go
@@ -89,6 +89,7 @@
 
 // receive handles one frame after the hello. An error ends the link.
 func (l *serverLink) receive(frame *wire.Frame, size int) error {
+	l.srv.config.ObservePeer(frame.GetConfigNext(), l.srv.clock.Now())
 	switch frame.GetBody().(type) {
 	case *wire.Frame_Cancel:
 		l.cancelRunning(frame.GetId())
@@ -202,6 +203,7 @@
 // the queue is full. An answer that cannot be encoded is replaced by a response
 // of kind outcome.AnswerTooLarge.
 func (l *serverLink) send(frame, answer *wire.Frame, written chan struct{}) bool {
+	answer.ConfigNext = l.srv.config.Next()
 	data, err := encodeAnswer(frame, answer)
 	if err != nil {
 		tooLarge := &wire.Response{Kind: uint32(outcome.AnswerTooLarge), Detail: err.Error()}
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -12,6 +12,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -31,18 +32,19 @@
 	lastProbe  clock.Instant // only used by network.check
 	draining   atomic.Bool   // the peer accepts no more frames
 	clock      clock.Clock
+	config     *view.Freshness
 }
 
 // openSession opens a session with its traffic link on a new connection. It
 // closes the connection if it fails.
-func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, onMismatch func(), onDrain func(*session)) (*session, error) {
+func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, config *view.Freshness, onMismatch func(), onDrain func(*session)) (*session, error) {
 	guarded := newSessionConn(conn)
 	mux, err := yamux.Client(guarded, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("peer: session: %w", err)
 	}
-	s := &session{mux: mux, conn: guarded, hello: hello, clock: clk, onMismatch: onMismatch, onDrain: onDrain}
+	s := &session{mux: mux, conn: guarded, hello: hello, clock: clk, config: config, onMismatch: onMismatch, onDrain: onDrain}
 	if s.traffic, err = s.openLink(); err != nil {
 		s.close()
 		return nil, err
@@ -89,7 +91,7 @@
 	if err := stream.SetDeadline(time.Time{}); err != nil {
 		return nil, fmt.Errorf("peer: stream: %w", err)
 	}
-	return startClientLink(p, r, s.clock, clockOffset(frame.GetHello().GetClockUs(), now), s.events()), nil
+	return startClientLink(p, r, s.clock, s.config, clockOffset(frame.GetHello().GetClockUs(), now), s.events()), nil
 }
 
 func (s *session) events() linkEvents {
--- a/daemon/plugins/peer/session_bench_test.go
+++ b/daemon/plugins/peer/session_bench_test.go
@@ -37,7 +37,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		s, err := openSession(meteredConn{conn, written}, hello, clock.Boot{}, func() {}, func(*session) {})
+		s, err := openSession(meteredConn{conn, written}, hello, clock.Boot{}, nil, func() {}, func(*session) {})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/daemon/plugins/peer/shutdown_test.go
+++ b/daemon/plugins/peer/shutdown_test.go
@@ -66,7 +66,7 @@
 				t.Fatal(err)
 			}
 			late := &lateConn{Conn: conn, lateness: lateness, ended: make(chan struct{})}
-			s, err := openSession(late, &wire.Hello{Slot: "client", ProtocolVersion: protocolVersion}, clock.Boot{}, func() {}, func(*session) {})
+			s, err := openSession(late, &wire.Hello{Slot: "client", ProtocolVersion: protocolVersion}, clock.Boot{}, nil, func() {}, func(*session) {})
 			if err != nil {
 				t.Fatal(err)
 			}
