daemon/logclient: reads that are answered late are not given up for ever

What callers saw: daemons short of processor time had no new version for up to six seconds, and handled requests by the old one (CONFIG). Cause: a read of the platform's store failed 1.5 s after its wait, also where the answer was late or had arrived and the process had not come to read it; the next one began anew, on a new connection, with the same limit.

The reader now sets the limit: 1.5 s beyond the wait, doubled up to 8 s by each read that it ends, and twice the last lateness after one that succeeds.

--- a/daemon/plugins/logclient/reader.go
+++ b/daemon/plugins/logclient/reader.go
@@ -21,6 +21,12 @@
 	// failure up to maxRetryDelay. Up to the same time is added at random.
 	minRetryDelay = 100 * time.Millisecond
 	maxRetryDelay = 800 * time.Millisecond
+	// A read of the platform may take between minPatience and maxPatience beyond its wait.
+	// A read on a connection that has become silent should end early, but one that is
+	// answered late, by a slow log or because this process is short of processor time, must
+	// not begin anew over and over.
+	minPatience = 1500 * time.Millisecond
+	maxPatience = 8 * time.Second
 )
 
 // reader reads one stream continuously, from the peer that the relay selects, or
@@ -36,6 +42,7 @@
 	maxWaitMS   int           // longest wait of a read for new records
 	gatherDelay time.Duration // delay after new records
 	max         int           // records requested; fewer after a failure, as the answer may have been too large
+	patience    time.Duration // time that a read of the platform may take beyond its wait
 }
 
 func startReaders(lc fx.Lifecycle, set settings.Daemon, l logstream.Log, relay kernel.Relay, clk clock.Clock, log *zap.Logger) {
@@ -121,13 +128,31 @@
 		wait = 0
 	}
 	sent := r.clock.Now()
-	batch, err = r.log.Read(ctx, r.stream, from, max(r.max, 1), wait)
+	batch, err = r.readPlatform(ctx, from, wait)
 	if err == nil {
 		r.max = min(2*max(r.max, 1), maxReadRecords)
 	}
 	return batch, sent, err
 }
 
+// readPlatform reads from the platform, and adapts the patience of the next read to the time
+// that this one took.
+func (r *reader) readPlatform(ctx context.Context, from uint64, waitMS int) (logstream.Batch, error) {
+	wait := time.Duration(waitMS) * time.Millisecond
+	patience := min(max(r.patience, minPatience), maxPatience)
+	limited, cancel := context.WithTimeout(ctx, wait+patience)
+	defer cancel()
+	sent := r.clock.Now()
+	batch, err := r.log.Read(limited, r.stream, from, max(r.max, 1), waitMS)
+	switch {
+	case err == nil:
+		r.patience = 2 * (r.clock.Now().Sub(sent) - wait)
+	case limited.Err() != nil && ctx.Err() == nil:
+		r.patience = 2 * patience
+	}
+	return batch, err
+}
+
 // backOff waits before the next read, and reduces the number of records that it
 // requests: the answer may have been too large to be read.
 func (r *reader) backOff(ctx context.Context) {
