daemon/keeper: no tokens by a configuration that was replaced

A keeper whose peers have a newer configuration that had to be in force by now answers keeper_unavailable; entries then use their local share. TestKeeperGrantsByAConfigurationThatItsPeersHaveReplaced was red without the check (ok instead of keeper_unavailable).

--- a/daemon/plugins/keeper/keeper.go
+++ b/daemon/plugins/keeper/keeper.go
@@ -176,7 +176,8 @@
 	now := k.clock.Now()
 	id, held, owned := heldShard(v, req.GetTeam())
 	team, known := v.Config.Teams[req.GetTeam()]
-	if !owned || !known || !v.Lease.Valid(now) || k.quiescedGenerations[id] >= held.Token {
+	overdue := v.ConfigFreshness.Overdue(now) // the team's rate may be lower by now
+	if !owned || !known || overdue || !v.Lease.Valid(now) || k.quiescedGenerations[id] >= held.Token {
 		return &wire.SliceAnswer{Kind: uint32(outcome.KeeperUnavailable)}
 	}
 	need := float64(req.GetWantMilli() / milli)
--- a/daemon/plugins/keeper/keeper_test.go
+++ b/daemon/plugins/keeper/keeper_test.go
@@ -190,6 +190,30 @@
 	})
 }
 
+// A keeper whose peers have a newer configuration gave out tokens at a rate that may have been
+// lowered. Entries use their local share meanwhile.
+func TestKeeperGrantsByAConfigurationThatItsPeersHaveReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newTestFleet(fleet.Team{Rate: 100, Burst: 100})
+		f.hold("a", 2)
+		v := *f.nodes["a"].View()
+		now := bubbleClock{}.Now()
+		v.ConfigFreshness = view.NewFreshness(view.FreshnessLimits{Unconfirmed: time.Hour, Replaced: time.Second})
+		v.ConfigFreshness.Advance(now, now)
+		f.set(f.nodes["a"], &v)
+		kind := func() outcome.Kind {
+			return outcome.Kind(f.nodes["a"].keeper.grant(&wire.SliceRequest{Team: team, WantMilli: milli}).GetKind())
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(kind(), outcome.OK) // nobody has a newer one
+		v.ConfigFreshness.ObservePeer(1, bubbleClock{}.Now())
+		is.Equal(kind(), outcome.KeeperUnavailable)
+		v.ConfigFreshness.SetNext(1)
+		is.Equal(kind(), outcome.OK)
+	})
+}
+
 // TestRequestsShareSliceRequests: 500 concurrent requests at one daemon need at most 3
 // slice requests.
 func TestRequestsShareSliceRequests(t *testing.T) {
