daemon/relay: a log that a peer has read since is not down

Cause: a survey concludes it when the daemons that it asked are as late as itself. A daemon that was told of a newer configuration now knows better. TestSurveyTakesALogForDownThatAPeerHasReadSince was red without it (an outage was recorded). A log that answers late while nobody is ahead still looks like one that is down.

--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -50,6 +50,7 @@
 	last       uint64
 	outage     clock.Instant
 	reads      int // of the platform's log
+	fresh      *view.Freshness
 }
 
 // cluster is a log and a network between relays.
@@ -219,7 +220,9 @@
 	if n.cluster.starting {
 		return &view.View{Starting: inDataCentre(n.cluster.daemons, n.dc)}
 	}
-	return &view.View{Daemons: n.cluster.daemons}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return &view.View{Daemons: n.cluster.daemons, ConfigFreshness: n.fresh}
 }
 
 // Post implements kernel.Control.
@@ -452,6 +455,29 @@
 	})
 }
 
+// A daemon took the log for down, since the peers that it asked were as late as itself, while
+// others had told it of a newer configuration.
+func TestSurveyTakesALogForDownThatAPeerHasReadSince(t *testing.T) {
+	for _, replaced := range []bool{true, false} {
+		runCluster(t, 3, 5, func(t *testing.T, w *cluster) {
+			is := is.New(t)
+			n := w.nodes["dc1-02"]
+			fresh := view.NewFreshness(view.FreshnessLimits{Unconfirmed: time.Hour, Replaced: time.Hour})
+			if replaced {
+				fresh.ObservePeer(1, n.clock.Now())
+			}
+			n.mu.Lock()
+			n.fresh = fresh
+			n.mu.Unlock()
+			w.logDown.Store(true)
+			time.Sleep(5 * time.Second)
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			is.Equal(n.outage == 0, replaced)
+		})
+	}
+}
+
 // Daemons that start together read from one of them in each data centre before
 // any is in service: the log limits the total rate of reads.
 func TestDaemonsStartingTogetherFollowOneReader(t *testing.T) {
--- a/daemon/plugins/relay/survey.go
+++ b/daemon/plugins/relay/survey.go
@@ -55,10 +55,12 @@
 // survey asks one daemon of each data centre, another one in each round, for the head of
 // the log, and fetches new records from the first that has some. When daemons of a majority
 // of the data centres answered and none knew the head as of a recent time, the log is down
-// for all of them, and it cannot have accepted records that are unknown here.
+// for all of them, and it cannot have accepted records that are unknown here, unless a peer has
+// some.
 func (r *relay) survey(ctx context.Context, round int) {
 	started := r.clock.Now()
-	daemons := r.control.View().Daemons
+	v := r.control.View()
+	daemons := v.Daemons
 	names := dataCentres(daemons)
 	ctx, cancel := context.WithTimeout(ctx, surveyTimeout)
 	defer cancel()
@@ -72,7 +74,8 @@
 			reached++
 		}
 	}
-	if isMajority(reached, len(names)) && r.configStore().completeAsOf() != 0 && r.configStale() {
+	replaced := v.ConfigFreshness.Replaced(r.clock.Now())
+	if isMajority(reached, len(names)) && r.configStore().completeAsOf() != 0 && r.configStale() && !replaced {
 		r.control.Post(control.LogOutage{AsOf: started})
 		r.setLogDown(true, reached, len(names))
 	}
