daemon/backendconn: a grant for one process is not written to the next

A call names the process for which it is (Trace.Process), and the connection compares it with the known one when it writes. TestGrantForABootReachesTheNextOne was red: the next boot acknowledged the grant.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -60,7 +60,8 @@
 	guards
 	clock     clock.Clock
 	opened    clock.Instant
-	until     atomic.Int64 // Trace.Until of the current request
+	until     atomic.Int64  // Trace.Until of the current request
+	process   atomic.Uint64 // Trace.Process of the current request
 	state     atomic.Uint32
 	discarded atomic.Bool // closed, although the transport may still offer it for a request
 	answered  atomic.Bool // bytes were read
@@ -132,15 +133,15 @@
 	return c.Conn.Close()
 }
 
-// beginRequest marks the start of a request on this connection. The request may be
-// written before the time until. If it is barred from this connection, the connection is
-// discarded.
-func (c *guardedConn) beginRequest(id string, until clock.Instant) {
-	c.until.Store(int64(until))
+// beginRequest marks the start of a request on this connection. If it is barred from this
+// connection, the connection is discarded.
+func (c *guardedConn) beginRequest(t *Trace) {
+	c.until.Store(int64(t.Until))
+	c.process.Store(t.Process)
 	c.state.CompareAndSwap(written, unwritten)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.barred[id] {
+	if c.barred[t.RequestID] {
 		c.discarded.Store(true)
 	}
 }
@@ -182,7 +183,7 @@
 	if c.knownOnly && !c.answered.Load() {
 		c.continuity.lookForLosses()
 	}
-	if c.knownOnly && !c.continuity.LeadsToKnown(c.opened) {
+	if c.knownOnly && !c.continuity.LeadsTo(c.process.Load(), c.opened) {
 		return 0, ErrOtherProcess
 	}
 	if c.state.Load() == unwritten && c.answered.Load() && c.closedByServer() {
@@ -231,6 +232,7 @@
 type Trace struct {
 	RequestID string        // "" for a call that is not a request
 	Until     clock.Instant // the request may be written before this time
+	Process   uint64        // for which the request is, by Continuity.Restarted; counts if only the known one may get it
 
 	conn  atomic.Pointer[guardedConn]
 	kept  atomic.Bool
@@ -294,7 +296,7 @@
 		if before := t.conn.Load(); before != nil && before.state.Load() == written {
 			t.wrote.Store(true)
 		}
-		c.beginRequest(t.RequestID, t.Until)
+		c.beginRequest(t)
 		t.conn.Store(c)
 	}
 }
--- a/daemon/backendconn/continuity.go
+++ b/daemon/backendconn/continuity.go
@@ -22,6 +22,7 @@
 	mu        sync.Mutex
 	doubted   clock.Instant             // since when; 0 if there is no doubt
 	restarted clock.Instant             // when the process became known
+	process   uint64                    // number of the process that is known
 	conns     map[*guardedConn]struct{} // open connections
 }
 
@@ -82,21 +83,23 @@
 	}
 }
 
-// Restarted records that another process is known from now on. Connections that were opened
-// before lead to the process before it, or nobody knows to which.
-func (c *Continuity) Restarted(now clock.Instant) {
+// Restarted records that another process is known from now on, and returns its number.
+// Connections that were opened before lead to the process before it, or nobody knows to which.
+func (c *Continuity) Restarted(now clock.Instant) (process uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.doubted = 0
 	c.restarted = now
+	c.process++
+	return c.process
 }
 
-// LeadsToKnown reports whether a connection opened at opened leads to the known process, if
-// it is still open.
-func (c *Continuity) LeadsToKnown(opened clock.Instant) bool {
+// LeadsTo reports whether a process is the known one, and a connection opened at opened leads
+// to it if it is still open.
+func (c *Continuity) LeadsTo(process uint64, opened clock.Instant) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.leadsToKnown(opened)
+	return process == c.process && c.leadsToKnown(opened)
 }
 
 func (c *Continuity) leadsToKnown(opened clock.Instant) bool {
--- a/daemon/backendconn/continuity_test.go
+++ b/daemon/backendconn/continuity_test.go
@@ -16,26 +16,27 @@
 	const start = clock.Instant(time.Hour)
 	at := func(d time.Duration) clock.Instant { return start.Add(d) }
 	var c Continuity
-	is.True(c.LeadsToKnown(at(0)))
+	is.True(c.LeadsTo(0, at(0)))
 	c.Lost(at(time.Second))
-	is.True(c.LeadsToKnown(at(0)))
-	is.True(!c.LeadsToKnown(at(time.Second - continuityMargin/2))) // its process may have ended before the loss was seen
-	is.True(!c.LeadsToKnown(at(2 * time.Second)))
+	is.True(c.LeadsTo(0, at(0)))
+	is.True(!c.LeadsTo(0, at(time.Second-continuityMargin/2))) // its process may have ended before the loss was seen
+	is.True(!c.LeadsTo(0, at(2*time.Second)))
 
 	c.Answered(at(2 * time.Second)) // maybe the next process
-	is.True(!c.LeadsToKnown(at(2 * time.Second)))
+	is.True(!c.LeadsTo(0, at(2*time.Second)))
 	c.Announced(at(time.Second + continuityMargin/2)) // sent before the loss
-	is.True(!c.LeadsToKnown(at(2 * time.Second)))
+	is.True(!c.LeadsTo(0, at(2*time.Second)))
 	c.Lost(at(3 * time.Second)) // the doubt stays that of the first loss
-	is.True(!c.LeadsToKnown(at(2 * time.Second)))
+	is.True(!c.LeadsTo(0, at(2*time.Second)))
 
 	c.Answered(at(0)) // the process goes on
-	is.True(c.LeadsToKnown(at(2 * time.Second)))
+	is.True(c.LeadsTo(0, at(2*time.Second)))
 	c.Lost(at(4 * time.Second))
 	c.Announced(at(5 * time.Second))
-	is.True(c.LeadsToKnown(at(5 * time.Second)))
+	is.True(c.LeadsTo(0, at(5*time.Second)))
 	c.Lost(at(6 * time.Second))
-	c.Restarted(at(7 * time.Second))
-	is.True(c.LeadsToKnown(at(7 * time.Second)))
-	is.True(!c.LeadsToKnown(at(6 * time.Second))) // to the process before, or the next one
+	process := c.Restarted(at(7 * time.Second))
+	is.True(c.LeadsTo(process, at(7*time.Second)))
+	is.True(!c.LeadsTo(process, at(6*time.Second)))   // to the process before, or the next one
+	is.True(!c.LeadsTo(process-1, at(7*time.Second))) // a call for the process before
 }
--- a/daemon/backendconn/idle_test.go
+++ b/daemon/backendconn/idle_test.go
@@ -52,7 +52,7 @@
 	is.True(second.DiscardedUnwritten())
 	_, err = conn.Read(make([]byte, 1))
 	is.True(err != nil)
-	is.True(continuity.LeadsToKnown(clock.Boot{}.Now()))
+	is.True(continuity.LeadsTo(0, clock.Boot{}.Now()))
 }
 
 // A grant was written on a new connection although a crash had reset the others: it reached the
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -41,7 +41,8 @@
 // server is the state of one boot of the backend server.
 type server struct {
 	id            string
-	bootTime      int64 // start of this boot, milliseconds since 1970
+	process       uint64 // its number, see backendconn.Continuity
+	bootTime      int64  // start of this boot, milliseconds since 1970
 	service       string
 	addr          string
 	sequence      uint64
@@ -215,7 +216,7 @@
 	e.server.ctx, e.server.end = context.WithCancel(context.Background())
 	e.holds.Reset()
 	e.admission.restart()
-	e.client.serverRestarted(e.server.bootName())
+	e.server.process = e.client.serverRestarted(e.server.bootName())
 	e.log.Info("backend server began a life", zap.String("instance", a.ID), zap.Int64("born", a.BootTime),
 		zap.String("service", a.Service), zap.String("addr", a.Addr), zap.Uint32("slots", a.Slots),
 		zap.Duration("cold_for", a.ColdFor))
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -64,13 +64,14 @@
 }
 
 // serverRestarted closes the idle connections to the server's previous boot and
-// attributes recently lost requests to its crash.
-func (c *client) serverRestarted(bootName string) {
+// attributes recently lost requests to its crash. It returns the number of the new process.
+func (c *client) serverRestarted(bootName string) (process uint64) {
 	c.crashes.RecordRestart(bootName)
-	c.continuity.Restarted(c.clock.Now())
+	process = c.continuity.Restarted(c.clock.Now())
 	c.requestClient.CloseIdleConnections()
 	c.grantClient.CloseIdleConnections()
 	c.releaseClient.CloseIdleConnections()
+	return process
 }
 
 // run sends the request once. It returns the server's complete response or a
@@ -107,7 +108,7 @@
 // sendGrant grants keys to the server. Nothing is written after until. The error
 // wraps errUnsent if nothing was written and never will be.
 func (c *client) sendGrant(ctx context.Context, s *server, keys protocol.KeyRange, g hold.Grant, until clock.Instant) error {
-	trace := &backendconn.Trace{Until: until}
+	trace := &backendconn.Trace{Until: until, Process: s.process}
 	err := c.protocol.Grant(trace.Attach(ctx), c.grantClient, s.addr, keys, g.Hold, g.Handover)
 	held := errors.Is(err, backendconn.ErrLeaseEnded) || errors.Is(err, backendconn.ErrOtherProcess)
 	if held && !trace.Wrote() {
--- a/daemon/plugins/backend/supervised_test.go
+++ b/daemon/plugins/backend/supervised_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -12,6 +13,8 @@
 
 	"github.com/matryer/is"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/hold"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
 )
 
@@ -116,6 +119,33 @@
 	is.Equal(e.server.id, "i-2")
 }
 
+// A grant that was prepared for a boot, and whose connection was opened after the next one had
+// announced itself, reached that one.
+func TestGrantForABootReachesTheNextOne(t *testing.T) {
+	is := is.New(t)
+	var grants atomic.Int64
+	e, f := startWith(t, func(srv *httptest.Server) {
+		next := srv.Config.Handler
+		srv.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.HasPrefix(r.URL.Path, "/grant/999/") {
+				grants.Add(1)
+			}
+			next.ServeHTTP(w, r)
+		})
+	})
+	send := func(s *server) error {
+		keys := protocol.KeyRange{First: 999, Last: 999, Token: 1}
+		return e.client.sendGrant(t.Context(), s, keys, hold.Grant{Hold: time.Second}, clock.Boot{}.Now().Add(time.Second))
+	}
+	first := e.server
+	is.NoErr(send(first))
+	is.True(announce(e, protocol.Announcement{ID: "i-2", Service: "front", Addr: f.addr, Slots: 4, Sequence: 1, BootTime: 2}))
+	is.True(errors.Is(send(first), errUnsent))
+	is.Equal(grants.Load(), int64(1))
+	is.NoErr(send(e.server))
+	is.Equal(grants.Load(), int64(2))
+}
+
 // A server that only resets some connections stays granted.
 func TestResetConnectionsEndGrants(t *testing.T) {
 	is := is.New(t)
