daemon/backendconn: no grants on kept connections of a server that closes them quickly

What callers saw: keys of a sound server unserved until its next announcement, if it closes idle connections within some 20 ms and the machine is busy. Cause: its close crosses a grant on a kept connection and resets it, which looks like a crash. Once such a server has closed a connection within 100 ms of an answer, a kept connection is no longer used for grants; on a new one nothing can cross.

Evidence: TestGrantIsWrittenOnAKeptConnectionOfAServerThatClosesQuickly was red.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -9,6 +9,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -63,10 +64,11 @@
 	until     atomic.Int64  // Trace.Until of the current request
 	process   atomic.Uint64 // Trace.Process of the current request
 	state     atomic.Uint32
-	discarded atomic.Bool // closed, although the transport may still offer it for a request
-	answered  atomic.Bool // bytes were read
-	awaiting  atomic.Bool // no byte was read since the current request was written
-	closed    atomic.Bool // by this daemon
+	discarded atomic.Bool  // closed, although the transport may still offer it for a request
+	answered  atomic.Bool  // bytes were read
+	lastRead  atomic.Int64 // when bytes were last read
+	awaiting  atomic.Bool  // no byte was read since the current request was written
+	closed    atomic.Bool  // by this daemon
 
 	mu     sync.Mutex
 	barred map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
@@ -89,8 +91,12 @@
 	if n > 0 {
 		c.answered.Store(true)
 		c.awaiting.Store(false)
+		c.lastRead.Store(int64(c.clock.Now()))
 		c.continuity.Answered(c.opened)
 	}
+	if errors.Is(err, io.EOF) && c.answered.Load() && !c.awaiting.Load() && !c.closed.Load() {
+		c.continuity.ClosedIdle(c.clock.Now().Sub(clock.Instant(c.lastRead.Load())))
+	}
 	// A server may close an idle connection at any time.
 	broken := errors.Is(err, syscall.ECONNRESET) || err != nil && c.awaiting.Load()
 	if broken && c.answered.Load() && !c.closed.Load() {
@@ -186,7 +192,7 @@
 	if c.knownOnly && !c.continuity.LeadsTo(c.process.Load(), c.opened) {
 		return 0, ErrOtherProcess
 	}
-	if c.state.Load() == unwritten && c.answered.Load() && c.closedByServer() {
+	if c.state.Load() == unwritten && c.answered.Load() && (c.closedByServer() || c.knownOnly && c.continuity.ClosesQuickly()) {
 		c.discarded.Store(true)
 		return 0, ErrDiscarded
 	}
--- a/daemon/backendconn/continuity.go
+++ b/daemon/backendconn/continuity.go
@@ -11,6 +11,11 @@
 // its connections, and its last announcement may just have been sent.
 const continuityMargin = 100 * time.Millisecond
 
+// quickClose is the idle time below which a server that closes a connection closes kept
+// connections too quickly for them to be used again: its close may cross the next request, which
+// then looks like the loss of a connection.
+const quickClose = 100 * time.Millisecond
+
 // Continuity tells which connections certainly lead to the process of the backend server
 // that is known. A listening socket may outlast the process, so that a connection opened
 // after its end reaches the next one.
@@ -19,11 +24,12 @@
 // the doubt removes it, since the connections of a process end with it, and so does an
 // announcement.
 type Continuity struct {
-	mu        sync.Mutex
-	doubted   clock.Instant             // since when; 0 if there is no doubt
-	restarted clock.Instant             // when the process became known
-	process   uint64                    // number of the process that is known
-	conns     map[*guardedConn]struct{} // open connections
+	mu            sync.Mutex
+	doubted       clock.Instant             // since when; 0 if there is no doubt
+	restarted     clock.Instant             // when the process became known
+	process       uint64                    // number of the process that is known
+	closesQuickly bool                      // the known process closed a connection within quickClose of an answer
+	conns         map[*guardedConn]struct{} // open connections
 }
 
 func (c *Continuity) add(conn *guardedConn) {
@@ -65,6 +71,20 @@
 	}
 }
 
+// ClosedIdle records that the server closed a connection that had been idle for a time.
+func (c *Continuity) ClosedIdle(idle time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closesQuickly = c.closesQuickly || idle < quickClose
+}
+
+// ClosesQuickly reports whether the known process closes connections soon after an answer.
+func (c *Continuity) ClosesQuickly() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closesQuickly
+}
+
 // Answered records an answer on a connection that was opened at opened.
 func (c *Continuity) Answered(opened clock.Instant) {
 	c.mu.Lock()
@@ -90,6 +110,7 @@
 	defer c.mu.Unlock()
 	c.doubted = 0
 	c.restarted = now
+	c.closesQuickly = false
 	c.process++
 	return c.process
 }
--- a/daemon/backendconn/idle_test.go
+++ b/daemon/backendconn/idle_test.go
@@ -90,3 +90,62 @@
 	_, err = open().Write([]byte("x"))
 	is.Equal(err, ErrOtherProcess)
 }
+
+// A grant was written on a kept connection although the server closes these within
+// milliseconds. The close that crosses it resets the connection, as a crash does.
+func TestGrantIsWrittenOnAKeptConnectionOfAServerThatClosesQuickly(t *testing.T) {
+	is := is.New(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	defer listener.Close()
+	closeNow := make(chan struct{})
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				r := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+					if req.URL.Path == "/closed" {
+						<-closeNow
+						return
+					}
+				}
+			}()
+		}
+	}()
+	var continuity Continuity
+	send := func(conn net.Conn, path string) error {
+		(&Trace{Until: clock.Boot{}.Now().Add(time.Minute)}).SetConn(conn)
+		_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: a\r\n\r\n")
+		if err == nil {
+			_, err = conn.Read(make([]byte, 1000))
+		}
+		return err
+	}
+	dial := WatchedDialer(clock.Boot{}, &continuity, true)
+	var conns [2]net.Conn
+	for i, path := range []string{"/kept", "/closed"} {
+		conns[i], err = dial(context.Background(), "tcp", listener.Addr().String())
+		is.NoErr(err)
+		defer conns[i].Close()
+		is.NoErr(send(conns[i], path))
+	}
+	is.NoErr(send(conns[0], "/kept"))
+	close(closeNow)
+	_, err = conns[1].Read(make([]byte, 1))
+	is.Equal(err, io.EOF)
+	is.True(errors.Is(send(conns[0], "/kept"), ErrDiscarded))
+	fresh, err := dial(context.Background(), "tcp", listener.Addr().String())
+	is.NoErr(err)
+	defer fresh.Close()
+	is.NoErr(send(fresh, "/kept"))
+}
