core/view: the age of a configuration that is not read is logged as -1

What operators saw: config_age_ms 0, that of one read just now, in the lines of requests that a starting daemon refuses, where docs/LOGS.md says -1: the negative age was a nanosecond. TestAgeOfAConfigurationThatIsNotReadIsLoggedAsZero was red.

--- a/core/view/freshness.go
+++ b/core/view/freshness.go
@@ -95,11 +95,11 @@
 // stream, or zero if it has not read it yet.
 func (f *Freshness) Known() clock.Instant { return clock.Instant(f.knownAsOf.Load()) }
 
-// Age returns the time since the configuration was last known to be current, or a
-// negative duration if it has not been read yet.
+// Age returns the time since the configuration was last known to be current, or -1 ms if it
+// has not been read yet.
 func (f *Freshness) Age(now clock.Instant) time.Duration {
 	if f == nil || f.Known() == 0 {
-		return -1
+		return -time.Millisecond
 	}
 	return max(now.Sub(f.Known()), 0)
 }
--- a/core/view/freshness_test.go
+++ b/core/view/freshness_test.go
@@ -64,6 +64,12 @@
 	is.True(f.Stale(after(6 * time.Second)))
 }
 
+func TestAgeOfAConfigurationThatIsNotReadIsLoggedAsZero(t *testing.T) {
+	is := is.New(t)
+	is.Equal(NewFreshness(FreshnessLimits{}).Age(start).Milliseconds(), int64(-1))
+	is.Equal(freshnessAtStart().Age(after(1500*time.Millisecond)).Milliseconds(), int64(1500))
+}
+
 func TestStartingDaemonTakesAnOldHead(t *testing.T) {
 	is := is.New(t)
 	limits := FreshnessLimits{Unconfirmed: time.Minute, Replaced: 2 * time.Second}
