daemon/edge/edgetest: one load for the plays of stops, used close to the stop

The play of stops missed the moment at which a daemon closes its idle connections in 2 of 10 plays on each side: the estimate of that moment came from a stop with many of them. It is now the shortest time seen, and more connections are used around it. The callers move to edgetest, so that the play of the native interface shares them.

--- /dev/null
+++ b/daemon/edge/edgetest/load.go
@@ -0,0 +1,107 @@
+package edgetest
+
+import (
+	"sync"
+	"time"
+)
+
+// Load is the load of many callers, and collects what became of their requests.
+type Load struct {
+	// Next returns the n-th request of a caller, with an id of its own.
+	Next    func(n int) Request
+	Timeout time.Duration // of a request
+
+	callers sync.WaitGroup
+	quit    chan struct{}
+	closeAt time.Duration // shortest time from a SIGTERM until an idle connection was closed; 0: not known yet
+	mu      sync.Mutex
+	results []Result
+}
+
+const (
+	// idleConns is the number of connections to a daemon that are idle when it stops.
+	idleConns = 600
+	// idleConnectors is the number of them that are made at the same time.
+	idleConnectors = 8
+	// idleSpread is the time in which they are used again, around the moment at which the
+	// daemon closes idle connections.
+	idleSpread = 20 * time.Millisecond
+)
+
+// NewLoad returns a load that has not started.
+func NewLoad(next func(n int) Request, timeout time.Duration) *Load {
+	return &Load{Next: next, Timeout: timeout, quit: make(chan struct{})}
+}
+
+// Start starts callers of an address, with a pause between two requests of one. Each request
+// is sent in one write with the next ones up to the given number.
+func (l *Load) Start(addr string, callers int, pause time.Duration, pipelined int) {
+	for range callers {
+		l.callers.Go(func() {
+			c := &KeptCaller{Addr: addr, Timeout: l.Timeout}
+			defer c.Close()
+			for n := 0; ; n += pipelined {
+				var requests []Request
+				for i := range pipelined {
+					requests = append(requests, l.Next(n+i))
+				}
+				l.record(c.Send(requests...))
+				select {
+				case <-l.quit:
+					return
+				case <-time.After(pause):
+				}
+			}
+		})
+	}
+}
+
+// Stop stops the callers and returns all results.
+func (l *Load) Stop() []Result {
+	close(l.quit)
+	l.callers.Wait()
+	return l.results
+}
+
+func (l *Load) record(results []Result) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.results = append(l.results, results...)
+}
+
+// Idle returns callers of an address with idle connections that had an answer each.
+func (l *Load) Idle(addr string) []*KeptCaller {
+	idle := make([]*KeptCaller, idleConns)
+	var wg sync.WaitGroup
+	for first := range idleConnectors {
+		wg.Go(func() {
+			for n := first; n < idleConns; n += idleConnectors {
+				idle[n] = &KeptCaller{Addr: addr, Timeout: l.Timeout}
+				l.record(idle[n].Send(l.Next(n)))
+			}
+		})
+	}
+	wg.Wait()
+	return idle
+}
+
+// UseIdle sends a request on each of the idle connections of a daemon that was told to stop
+// at signalled when it is about to close them. The first of them finds out when that is, for
+// the next stop. UseIdle returns when the connections have ended, or after timeout.
+func (l *Load) UseIdle(idle []*KeptCaller, signalled time.Time, timeout time.Duration) {
+	expected := signalled.Add(l.closeAt)
+	var wg sync.WaitGroup
+	for n, c := range idle[1:] {
+		wg.Go(func() {
+			defer c.Close()
+			time.Sleep(time.Until(expected.Add(idleSpread * time.Duration(n-idleConns/2) / idleConns)))
+			l.record(c.Send(l.Next(n)))
+		})
+	}
+	if idle[0].Connect() == nil && idle[0].AwaitEnd(timeout) {
+		if after := time.Since(signalled); l.closeAt == 0 || after < l.closeAt {
+			l.closeAt = after
+		}
+	}
+	wg.Wait()
+}
