--- a/ctl/scenario/stops_test.go
+++ b/ctl/scenario/stops_test.go
@@ -147,7 +147,8 @@
 		pause = 100 * time.Millisecond
 	}
 	for _, m := range s.fleet.members {
-		s.load.Start(s.fleet.addr(m.index, entryPort), envNumber("SESAMEMOOR_STOPS_CALLERS", 20), pause, 1)
+		addr, count := s.fleet.addr(m.index, entryPort), envNumber("SESAMEMOOR_STOPS_CALLERS", 20)
+		s.load.Start(edgetest.Callers{Addr: addr, Count: count, Pause: pause})
 	}
 	var problems []error
 	for _, m := range s.fleet.members {
--- a/daemon/edge/edgetest/load.go
+++ b/daemon/edge/edgetest/load.go
@@ -33,29 +33,48 @@
 	return &Load{Next: next, Timeout: timeout, quit: make(chan struct{})}
 }
 
-// Start starts callers of an address, with a pause between two requests of one. Each request
-// is sent in one write with the next ones up to the given number.
-func (l *Load) Start(addr string, callers int, pause time.Duration, pipelined int) {
-	for range callers {
+// Callers are callers of one kind.
+type Callers struct {
+	Addr      string
+	Count     int
+	Pause     time.Duration       // between an answer and the next request
+	Pipelined int                 // requests in one write; 0 means 1
+	Next      func(n int) Request // nil means that of the load
+}
+
+// Start starts callers.
+func (l *Load) Start(callers Callers) {
+	next, pipelined := callers.Next, max(1, callers.Pipelined)
+	if next == nil {
+		next = l.Next
+	}
+	for range callers.Count {
 		l.callers.Go(func() {
-			c := &KeptCaller{Addr: addr, Timeout: l.Timeout}
+			c := &KeptCaller{Addr: callers.Addr, Timeout: l.Timeout}
 			defer c.Close()
 			for n := 0; ; n += pipelined {
 				var requests []Request
 				for i := range pipelined {
-					requests = append(requests, l.Next(n+i))
+					requests = append(requests, next(n+i))
 				}
 				l.record(c.Send(requests...))
 				select {
 				case <-l.quit:
 					return
-				case <-time.After(pause):
+				case <-time.After(callers.Pause):
 				}
 			}
 		})
 	}
 }
 
+// Send sends requests on a connection of their own and records what became of them.
+func (l *Load) Send(addr string, requests ...Request) {
+	c := &KeptCaller{Addr: addr, Timeout: l.Timeout}
+	defer c.Close()
+	l.record(c.Send(requests...))
+}
+
 // Stop stops the callers and returns all results.
 func (l *Load) Stop() []Result {
 	close(l.quit)
