daemon/edge: log the callers' connections that end with requests unanswered

Callers lost requests at a planned stop, and nothing that a daemon logs told of it: a request that was read and never reached a handler leaves no line. Each connection that ends during a stop, or with bytes read of requests without an answer, now has a line with the reason of its end, those bytes and the time since the last read, at most 100 a second for each listener. The listeners without pipelining have no such line yet.

--- a/daemon/edge/caller_test.go
+++ b/daemon/edge/caller_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/fx/fxtest"
+	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/daemon/edge/edgetest"
 )
@@ -39,7 +40,7 @@
 func TestRequestBeginsAfterItsCallerLeft(t *testing.T) {
 	const callers = 50
 	for name, wrap := range map[string]func(net.Listener) net.Listener{
-		"pipelined": func(l net.Listener) net.Listener { return newPipelineListener(l) },
+		"pipelined": func(l net.Listener) net.Listener { return newPipelineListener(l, noLog) },
 		"plain":     func(l net.Listener) net.Listener { return l },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -90,7 +91,7 @@
 	p := &presence{release: make(chan struct{})}
 	addr := freeAddr(t)
 	lc := fxtest.NewLifecycle(t)
-	ListenPipelined(lc, &http.Server{Handler: p}, "test", addr)
+	ListenPipelined(lc, &http.Server{Handler: p}, "test", addr, zap.NewNop())
 	lc.RequireStart()
 	c := dialCaller(t, addr)
 	c.send(get("/wait"))
@@ -141,7 +142,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	counting := &countingListener{Listener: inner}
-	listener := newPipelineListener(counting)
+	listener := newPipelineListener(counting, noLog)
 	p := &presence{release: make(chan struct{})}
 	srv := &http.Server{Handler: p, ConnContext: WithConn}
 	go func() { _ = srv.Serve(listener) }()
--- /dev/null
+++ b/daemon/edge/connlog.go
@@ -0,0 +1,60 @@
+package edge
+
+import (
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// endReason tells why a caller's connection ended.
+type endReason string
+
+const (
+	endStop         endReason = "stop"          // the daemon stops, and no request was open
+	endIdle         endReason = "idle"          // no request came for too long
+	endLastAnswer   endReason = "last answer"   // its answer closes the connection
+	endCallerClosed endReason = "caller closed" // the caller closed it or its read failed
+	endWriteError   endReason = "write error"   // an answer could not be written
+	endGraceOver    endReason = "grace over"    // the time of the stop is over
+)
+
+// connEnd describes a caller's connection when it ended.
+type connEnd struct {
+	reason     endReason
+	stopping   bool
+	bytes      int64 // read of requests without an answer
+	unanswered int   // requests without an answer that have begun
+	lastRead   time.Time
+}
+
+// maxEndLines bounds the lines about ended connections per second and listener.
+const maxEndLines = 100
+
+// connLog logs the ends of callers' connections of one listener.
+type connLog struct{ log *zap.Logger }
+
+func newConnLog(log *zap.Logger, listener string) connLog {
+	log = log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(core, time.Second, maxEndLines, 0)
+	}))
+	return connLog{log.With(zap.String("listener", listener))}
+}
+
+// ended logs the end of a connection that left requests without an answer, and all ends
+// during a stop.
+func (c connLog) ended(e connEnd) {
+	if e.bytes == 0 && !e.stopping {
+		return
+	}
+	sinceRead := int64(-1)
+	if !e.lastRead.IsZero() {
+		sinceRead = time.Since(e.lastRead).Milliseconds()
+	}
+	c.log.Info("caller connection ended",
+		zap.String("reason", string(e.reason)),
+		zap.Bool("stopping", e.stopping),
+		zap.Int64("unanswered_bytes", e.bytes),
+		zap.Int("unanswered_requests", e.unanswered),
+		zap.Int64("since_read_ms", sinceRead))
+}
--- a/daemon/edge/followed_test.go
+++ b/daemon/edge/followed_test.go
@@ -54,7 +54,7 @@
 		}
 	}
 	t.Cleanup(func() { _ = srv.Close() })
-	go func() { _ = srv.Serve(newPipelineListener(counter)) }()
+	go func() { _ = srv.Serve(newPipelineListener(counter, noLog)) }()
 	c := dialCaller(t, inner.Addr().String())
 	const behind = 4
 	c.send(strings.Repeat(get("/a"), maxPipelined))
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -12,18 +12,19 @@
 // lane carries one request at a time and its answer. All fields below p are guarded by
 // p.mu.
 type lane struct {
-	p        *pipeline
-	unread   []byte // received and not yet read by the server
-	answer   []byte // written before it is this lane's turn
-	deadline time.Time
-	timer    *time.Timer
-	busy     bool // has a request whose answer is not written
-	done     bool // the server has given the whole answer
-	closing  bool // the answer is the last of the connection
-	closed   bool
-	received time.Time          // when the first bytes of the request were read
-	surplus  bool               // another lane waits for the next request, and this one ends
-	cancel   context.CancelFunc // ends the contexts of the lane's requests
+	p            *pipeline
+	unread       []byte // received and not yet read by the server
+	answer       []byte // written before it is this lane's turn
+	deadline     time.Time
+	timer        *time.Timer
+	busy         bool // has a request whose answer is not written
+	done         bool // the server has given the whole answer
+	closing      bool // the answer is the last of the connection
+	closed       bool
+	received     time.Time          // when the first bytes of the request were read
+	requestBytes int64              // read of the request
+	surplus      bool               // another lane waits for the next request, and this one ends
+	cancel       context.CancelFunc // ends the contexts of the lane's requests
 }
 
 // fed reports whether the server of the lane has got bytes of a request.
@@ -118,7 +119,14 @@
 		p.advance()
 	}
 	if len(p.lanes) == 0 {
-		p.end()
+		switch {
+		case p.receiveErr != nil:
+			p.end(endCallerClosed)
+		case p.stopping:
+			p.end(endStop)
+		default:
+			p.end(endIdle)
+		}
 	}
 	p.changed.Broadcast()
 	return nil
--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -9,20 +9,22 @@
 	"sync"
 
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 )
 
 // Listen serves srv at addr during the lifecycle lc. On stop it accepts no further
 // connections, closes those that have not sent a byte yet, and waits for
 // requests in progress until the deadline of the stop; then it closes all
-// connections. name is the prefix of errors.
-func Listen(lc fx.Lifecycle, srv *http.Server, name, addr string) {
+// connections. name is the prefix of errors and names the listener in log.
+func Listen(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
 	listen(lc, srv, name, addr, func(l net.Listener) net.Listener { return l })
 }
 
 // ListenPipelined is Listen for callers that send further requests on a connection before
 // the first is answered: they are served side by side, see AwaitTurn.
-func ListenPipelined(lc fx.Lifecycle, srv *http.Server, name, addr string) {
-	listen(lc, srv, name, addr, func(l net.Listener) net.Listener { return newPipelineListener(l) })
+func ListenPipelined(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
+	ends := newConnLog(log, name)
+	listen(lc, srv, name, addr, func(l net.Listener) net.Listener { return newPipelineListener(l, ends) })
 }
 
 func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, wrap func(net.Listener) net.Listener) {
--- a/daemon/edge/listen_test.go
+++ b/daemon/edge/listen_test.go
@@ -11,8 +11,12 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/fx/fxtest"
+	"go.uber.org/zap"
 )
 
+// noLog drops the lines about ended connections.
+var noLog = newConnLog(zap.NewNop(), "test")
+
 // freeAddr returns a local TCP address that is not in use.
 func freeAddr(t *testing.T) string {
 	t.Helper()
@@ -46,7 +50,7 @@
 		_, _ = io.WriteString(w, "whole")
 	})}
 	lc := fxtest.NewLifecycle(t)
-	Listen(lc, srv, "callers", addr)
+	Listen(lc, srv, "callers", addr, zap.NewNop())
 	is.NoErr(lc.Start(context.Background()))
 
 	idle, active := dial(t, addr), dial(t, addr)
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -43,10 +43,11 @@
 	mu       sync.Mutex
 	open     map[*pipeline]bool
 	stopping bool
+	log      connLog
 }
 
-func newPipelineListener(l net.Listener) *pipelineListener {
-	p := &pipelineListener{Listener: l, lanes: make(chan net.Conn), closed: make(chan struct{}), open: map[*pipeline]bool{}}
+func newPipelineListener(l net.Listener, log connLog) *pipelineListener {
+	p := &pipelineListener{Listener: l, log: log, lanes: make(chan net.Conn), closed: make(chan struct{}), open: map[*pipeline]bool{}}
 	go p.acceptConns()
 	return p
 }
@@ -62,7 +63,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		p := newPipeline(conn, l.serve)
+		p := newPipeline(conn, l.serve, l.log)
 		if first := p.newLane(); l.add(p) && l.serve(first) {
 			go func() {
 				defer l.remove(p)
@@ -134,6 +135,7 @@
 type pipeline struct {
 	conn  net.Conn
 	serve func(*lane) bool
+	log   connLog
 
 	mu       sync.Mutex
 	reading  bool // a part of a request was read, and the rest was not
@@ -150,6 +152,8 @@
 	needed     bool  // read waits for a chunk
 	received   bool  // no more chunks come
 	receiveErr error // why, unless the connection stops
+	lastRead   time.Time
+	unanswered int64 // bytes read of requests without an answer
 }
 
 // chunk is the result of one read from a connection.
@@ -158,8 +162,8 @@
 	at   time.Time
 }
 
-func newPipeline(conn net.Conn, serve func(*lane) bool) *pipeline {
-	p := &pipeline{conn: conn, serve: serve}
+func newPipeline(conn net.Conn, serve func(*lane) bool, log connLog) *pipeline {
+	p := &pipeline{conn: conn, serve: serve, log: log}
 	p.changed, p.inbound = sync.NewCond(&p.mu), sync.NewCond(&p.mu)
 	return p
 }
@@ -221,6 +225,8 @@
 	if len(c.data) > 0 {
 		p.chunks = append(p.chunks, c)
 		p.chunkBytes += len(c.data)
+		p.unanswered += int64(len(c.data))
+		p.lastRead = c.at
 		p.reading = true
 	}
 	switch {
@@ -432,6 +438,7 @@
 		p.changed.Wait()
 	}
 	l.unread = append(l.unread, data...)
+	l.requestBytes += int64(len(data))
 	p.changed.Broadcast()
 	return !p.closed && !l.closed
 }
@@ -452,11 +459,13 @@
 			_, err := p.conn.Write(l.answer)
 			l.answer = nil
 			if err != nil {
-				l.closed = true
+				p.end(endWriteError)
+				return
 			}
 		}
 		if l.closed {
-			p.end()
+			p.unanswered -= l.requestBytes
+			p.end(endLastAnswer)
 			return
 		}
 		if l.closing {
@@ -469,6 +478,8 @@
 			return
 		}
 		p.order = p.order[1:]
+		p.unanswered -= l.requestBytes
+		l.requestBytes = 0
 		l.busy, l.done = false, false
 		l.surplus = slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() })
 		p.changed.Broadcast()
@@ -484,11 +495,12 @@
 }
 
 // end closes the connection and all its lanes. The caller holds the lock.
-func (p *pipeline) end() {
+func (p *pipeline) end(reason endReason) {
 	if p.closed {
 		return
 	}
 	p.closed = true
+	p.log.ended(connEnd{reason: reason, stopping: p.stopping, bytes: p.unanswered, unanswered: len(p.order), lastRead: p.lastRead})
 	if p.readErr == nil {
 		p.readErr = net.ErrClosed
 	}
--- a/daemon/edge/pipeline_test.go
+++ b/daemon/edge/pipeline_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/fx/fxtest"
+	"go.uber.org/zap"
 )
 
 // waitTimeout bounds the wait for an event of a test.
@@ -30,7 +31,7 @@
 	addr := l.Addr().String()
 	_ = l.Close()
 	lc := fxtest.NewLifecycle(t)
-	ListenPipelined(lc, &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, IdleTimeout: 2 * time.Second}, "test", addr)
+	ListenPipelined(lc, &http.Server{Handler: handler, ReadHeaderTimeout: time.Second, IdleTimeout: 2 * time.Second}, "test", addr, zap.NewNop())
 	lc.RequireStart()
 	t.Cleanup(lc.RequireStop)
 	return addr
@@ -260,7 +261,7 @@
 			time.Sleep(time.Millisecond)
 		})
 		lc := fxtest.NewLifecycle(t)
-		ListenPipelined(lc, &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}, "test", addr)
+		ListenPipelined(lc, &http.Server{Handler: handler, ReadHeaderTimeout: time.Second}, "test", addr, zap.NewNop())
 		lc.RequireStart()
 		var callers sync.WaitGroup
 		stop := make(chan struct{})
@@ -300,7 +301,7 @@
 
 func TestAwaitTurnEndsWithItsContext(t *testing.T) {
 	is := is.New(t)
-	p := newPipeline(nil, nil)
+	p := newPipeline(nil, nil, noLog)
 	first, second := &lane{p: p}, &lane{p: p}
 	p.order = []*lane{first, second}
 	ctx, cancel := context.WithCancel(WithConn(context.Background(), second))
--- a/daemon/plugins/admin/admin.go
+++ b/daemon/plugins/admin/admin.go
@@ -9,6 +9,7 @@
 
 	"github.com/gin-gonic/gin"
 	"go.uber.org/fx"
+	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/adminapi"
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -31,12 +32,13 @@
 	observer         kernel.BackendObserver
 	clock            clock.Clock
 	set              settings.Daemon
+	log              *zap.Logger
 	mu               sync.Mutex
 	lastAnnouncement time.Time // zero if there is no recent one
 }
 
-func newAdmin(c kernel.Control, o kernel.BackendObserver, clk clock.Clock, set settings.Daemon) *admin {
-	return &admin{control: c, observer: o, clock: clk, set: set}
+func newAdmin(c kernel.Control, o kernel.BackendObserver, clk clock.Clock, set settings.Daemon, log *zap.Logger) *admin {
+	return &admin{control: c, observer: o, clock: clk, set: set, log: log.Named("admin")}
 }
 
 func start(lc fx.Lifecycle, a *admin, m *kernel.Metrics, group kernel.AdminRoutes) {
@@ -53,9 +55,9 @@
 	for _, r := range group.Routes {
 		engine.Handle(r.Method, r.Path, gin.WrapH(r.Handler))
 	}
-	listen(lc, a.set.AdminAddr, engine)
+	a.listen(lc, a.set.AdminAddr, engine)
 	if a.set.MetricsAddr != "" {
-		listen(lc, a.set.MetricsAddr, m.Handler())
+		a.listen(lc, a.set.MetricsAddr, m.Handler())
 	}
 	if native {
 		stop := make(chan struct{})
@@ -67,8 +69,8 @@
 // deployment's own network.
 const readHeaderTimeout = 5 * time.Second
 
-func listen(lc fx.Lifecycle, addr string, handler http.Handler) {
-	edge.Listen(lc, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, "admin", addr)
+func (a *admin) listen(lc fx.Lifecycle, addr string, handler http.Handler) {
+	edge.Listen(lc, &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}, "admin", addr, a.log)
 }
 
 // watchAnnouncements reports the backend server as down if no announcement has arrived
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -71,7 +71,7 @@
 func serveAnnouncements(lc fx.Lifecycle, set settings.Daemon, d protocol.Announcements, e *executor) {
 	srv := &http.Server{Handler: d.Handler(e), ReadHeaderTimeout: readHeaderTimeout}
 	kernel.Background(lc, e.watch)
-	edge.Listen(lc, srv, "backend: announcements", set.AnnounceAddr)
+	edge.Listen(lc, srv, "backend: announcements", set.AnnounceAddr, e.log)
 }
 
 // Announce implements protocol.AnnouncementSink.
--- a/daemon/plugins/entry/entry.go
+++ b/daemon/plugins/entry/entry.go
@@ -116,5 +116,5 @@
 }
 
 func start(lc fx.Lifecycle, set settings.Daemon, e *entry) {
-	edge.Listen(lc, e.httpServer(), "entry", set.EntryAddr)
+	edge.Listen(lc, e.httpServer(), "entry", set.EntryAddr, e.log)
 }
--- a/daemon/plugins/gateway/caller_test.go
+++ b/daemon/plugins/gateway/caller_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/matryer/is"
 	"go.uber.org/fx/fxtest"
+	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/edge"
@@ -68,7 +69,7 @@
 	addr := unused.Addr().String()
 	is.NoErr(unused.Close())
 	lc := fxtest.NewLifecycle(t)
-	edge.ListenPipelined(lc, &http.Server{Handler: newTestHandler(t, s)}, "test", addr)
+	edge.ListenPipelined(lc, &http.Server{Handler: newTestHandler(t, s)}, "test", addr, zap.NewNop())
 	lc.RequireStart()
 	defer lc.RequireStop()
 	conn, err := net.Dial("tcp", addr)
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -118,13 +118,13 @@
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
-	edge.ListenPipelined(lc, srv, "gateway: callers", set.EntryAddr)
+	edge.ListenPipelined(lc, srv, "gateway: callers", set.EntryAddr, g.log)
 }
 
 // serveProbes starts the server for the platform's readiness probes.
 func serveProbes(lc fx.Lifecycle, set settings.Daemon, d protocol.Probes, g *gateway) {
 	srv := &http.Server{Handler: d.Handler(g.ready), ReadHeaderTimeout: readHeaderTimeout}
-	edge.Listen(lc, srv, "gateway: probes", set.ReadyAddr)
+	edge.Listen(lc, srv, "gateway: probes", set.ReadyAddr, g.log)
 }
 
 // ready reports whether callers should use this daemon: its configuration may be used and
