backendconn, run lines: the framing of an answer and answers that were discarded

The run lines of both owners have framing, kept and body_bytes now, and each discarded answer has a line that names the request to which it belongs; both are bounded as all lines about single requests are.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -328,6 +328,11 @@
 		if err != nil && trace.DiscardedUnwritten() && ctx.Err() == nil {
 			continue
 		}
+		x := exchangeOf(ctx)
+		x.Framing, x.Kept, x.BodyBytes = "", trace.Kept(), 0
+		if err == nil {
+			x.Framing = framingOf(resp)
+		}
 		return resp, trace, err
 	}
 }
--- /dev/null
+++ b/daemon/backendconn/exchange.go
@@ -0,0 +1,92 @@
+package backendconn
+
+import (
+	"context"
+	"net/http"
+
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+)
+
+// Framing tells where the body of an answer ends.
+type Framing string
+
+// The framings of answers.
+const (
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	FramingClose   Framing = "close" // the body ends with its connection
+	FramingNone    Framing = "none"  // an answer to HEAD, 204 or 304: there is no body
+)
+
+// framingOf returns the framing of an answer.
+func framingOf(resp *http.Response) Framing {
+	bodiless := resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified ||
+		resp.Request != nil && resp.Request.Method == http.MethodHead
+	switch {
+	case bodiless:
+		return FramingNone
+	case len(resp.TransferEncoding) > 0:
+		return FramingChunked
+	case resp.ContentLength >= 0:
+		return FramingLength
+	}
+	return FramingClose
+}
+
+// Exchange describes the newest exchange with the server of a request, and the answers that
+// were discarded in all of its exchanges. It is not safe for concurrent use.
+type Exchange struct {
+	Framing   Framing // "" if there was no answer
+	Kept      bool    // the connection had carried a request before
+	BodyBytes int     // that were passed on
+	Discarded []Discarded
+}
+
+// Discarded describes bytes of an answer that did not belong to the answer of a request.
+type Discarded struct {
+	AnswerID string // the request that they name, or ""
+	Reason   DiscardReason
+}
+
+// DiscardReason tells why bytes of an answer were discarded.
+type DiscardReason string
+
+// DiscardOtherRequest means that an answer names another request, or none although it must.
+const DiscardOtherRequest DiscardReason = "other_request"
+
+type exchangeKey struct{}
+
+// WithExchange returns a context whose exchanges with the server are recorded.
+func WithExchange(ctx context.Context) (context.Context, *Exchange) {
+	x := new(Exchange)
+	return context.WithValue(ctx, exchangeKey{}, x), x
+}
+
+// exchangeOf returns the record of a context, or one that nobody reads.
+func exchangeOf(ctx context.Context) *Exchange {
+	if x, ok := ctx.Value(exchangeKey{}).(*Exchange); ok {
+		return x
+	}
+	return new(Exchange)
+}
+
+// RecordDiscarded records in the Exchange of ctx that an answer was discarded.
+func RecordDiscarded(ctx context.Context, answerID string, reason DiscardReason) {
+	x := exchangeOf(ctx)
+	x.Discarded = append(x.Discarded, Discarded{AnswerID: answerID, Reason: reason})
+}
+
+// LogDiscarded logs a line for each discarded answer of a request that ended with an outcome.
+func (x *Exchange) LogDiscarded(log *zap.Logger, requestID string, kind outcome.Kind) {
+	for _, d := range x.Discarded {
+		log.Info("answer discarded",
+			zap.String("request_id", requestID),
+			zap.String("answer_id", d.AnswerID),
+			zap.String("discard_reason", string(d.Reason)),
+			zap.Stringer("outcome", kind),
+			zap.Bool("kept", x.Kept),
+		)
+	}
+}
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -55,6 +55,7 @@
 	case len(body) > maxResponseBytes:
 		return nil, outcome.New(outcome.AnswerTooLarge, "response exceeds %d bytes", maxResponseBytes)
 	}
+	exchangeOf(ctx).BodyBytes = len(body)
 	resp := &wire.Response{
 		Kind: uint32(outcome.OK), Status: uint32(httpResp.StatusCode), Body: body, BodyLength: uint32(len(body)),
 	}
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -168,6 +168,7 @@
 	}
 	if decoded.ID != id {
 		trace.Discard()
+		backendconn.RecordDiscarded(ctx, decoded.ID, backendconn.DiscardOtherRequest)
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response belongs to another request %q", decoded.ID)), protocol.BackendAnswer{}
 	}
 	resp, err := c.responses.Read(ctx, httpResp)
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -13,6 +13,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/backendconn"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
@@ -44,11 +45,12 @@
 	sent := arrived.Add(-underway)
 	ctx, cancel := context.WithTimeout(ctx, timeout-underway)
 	defer cancel()
+	ctx, exchange := backendconn.WithExchange(ctx)
 	resp := e.execute(ctx, req, sent)
 	resp.Load = e.admission.load()
 	resp.Load.Notice = e.notice()
 	e.counters.record(outcome.Kind(resp.GetKind()))
-	e.logRun(req, resp, arrived, underway)
+	e.logRun(req, resp, exchange, arrived, underway)
 	return resp
 }
 
@@ -63,7 +65,7 @@
 	return max(0, timeout+routing.ResponseMargin-time.Until(deadline))
 }
 
-func (e *executor) logRun(req *wire.Request, resp *wire.Response, arrived clock.Instant, underway time.Duration) {
+func (e *executor) logRun(req *wire.Request, resp *wire.Response, exchange *backendconn.Exchange, arrived clock.Instant, underway time.Duration) {
 	e.log.Info("run",
 		zap.String("request_id", req.GetRequestId()),
 		zap.String("team", req.GetTeam()),
@@ -78,10 +80,14 @@
 		zap.Uint32("running", resp.GetLoad().GetRunning()),
 		zap.Uint32("waiting", resp.GetLoad().GetWaiting()),
 		zap.Float64("limit_per_s", resp.GetLoad().GetNotice().GetLimitPerS()),
+		zap.String("framing", string(exchange.Framing)),
+		zap.Bool("kept", exchange.Kept),
+		zap.Int("body_bytes", exchange.BodyBytes),
 		zap.Uint32("service_us", resp.GetServiceTimeUs()),
 		zap.Int64("underway_us", underway.Microseconds()),
 		zap.Int64("us", e.clock.Now().Sub(arrived).Microseconds()),
 	)
+	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
 }
 
 // execute runs a request whose timeout and latency target count from sent.
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -161,6 +161,7 @@
 		return nil
 	default:
 		trace.Discard()
+		backendconn.RecordDiscarded(resp.Request.Context(), got, backendconn.DiscardOtherRequest)
 		return outcome.New(outcome.AnswerCut, "response belongs to another request %q", got)
 	}
 }
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -14,6 +14,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/backendconn"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
@@ -39,6 +40,7 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	e.applyNotice(req.GetNotice())
+	ctx, exchange := backendconn.WithExchange(ctx)
 	resp := e.execute(ctx, req, deadline)
 	if n := e.notice(); n != nil {
 		resp.Load = &wire.ServerLoad{Notice: n}
@@ -52,8 +54,12 @@
 		zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
 		zap.String("reason", resp.GetDetail()),
 		zap.Float64("limit_per_s", resp.GetLoad().GetNotice().GetLimitPerS()),
+		zap.String("framing", string(exchange.Framing)),
+		zap.Bool("kept", exchange.Kept),
+		zap.Int("body_bytes", exchange.BodyBytes),
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
+	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
 	return resp
 }
 
