--- /dev/null
+++ b/daemon/plugins/owner/stutter_test.go
@@ -0,0 +1,89 @@
+package owner
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/backendconn"
+	"github.com/sesamemoor/sesamemoor/daemon/backendconn/backendconntest"
+)
+
+// answerInOrder is the answer of a stuttering server of this interface.
+func answerInOrder(r *http.Request) backendconntest.Answer {
+	id := r.Header.Get(headerRequest)
+	a := backendconntest.Want(backendconntest.Number(id), id)
+	if a.Status == http.StatusServiceUnavailable {
+		a.Header = []string{headerRefused + ": shed"}
+	}
+	return a
+}
+
+// newStutterBackend returns a client of the server at addr.
+func newStutterBackend(addr string) *backend {
+	lease := new(view.LeaseCell)
+	lease.Set(clock.Boot{}.Now().Add(time.Minute))
+	f := viewControl{view: &view.View{Lease: lease, Backend: &view.Backend{Name: "b", Addr: addr}}}
+	return newBackend(f, clock.Boot{}, noSuspects{}, 16)
+}
+
+// sendTo returns a function that sends a request to the server.
+func sendTo(b *backend, method string) func(id string) backendconntest.Result {
+	return func(id string) backendconntest.Result {
+		req := &wire.Request{RequestId: id, Method: method, Path: "/"}
+		resp, _ := b.run(context.Background(), req, 1, clock.Boot{}.Now().Add(5*time.Second))
+		kind := outcome.Kind(resp.GetKind())
+		return backendconntest.Result{
+			OK: kind == outcome.OK, NotRun: kind.Answer().Ran == outcome.NotRun, Status: int(resp.GetStatus()), Body: string(resp.GetBody()),
+		}
+	}
+}
+
+// A server wrote an answer a second time. The copy was the answer to another request.
+func TestCopyIsAnsweredByTheNativeOwner(t *testing.T) {
+	const callers, requests = 8, 330
+	for name, framing := range map[string]backendconn.Framing{
+		"length": backendconn.FramingLength, "chunked": backendconn.FramingChunked, "close": backendconn.FramingClose,
+	} {
+		t.Run(name, func(t *testing.T) {
+			sound := backendconntest.Server{IDHeader: headerRequest, Framing: framing, Answer: answerInOrder}
+			addr := sound.Start(t)
+			whole := sound.Play(callers, requests, backendconntest.Want, sendTo(newStutterBackend(addr), "GET"))
+			if whole.Foreign+whole.WronglyRefused > 0 {
+				t.Errorf("a server that does not stutter is harmed: %+v", whole)
+			}
+			if framing == backendconn.FramingClose {
+				if whole.OK > 0 {
+					t.Error("an answer without a length was accepted")
+				}
+			} else if conns := sound.Conns(); whole.OK+whole.Refused != requests || conns > whole.Refused+requests/10 { // the rest of a chunked refusal is not read
+				t.Errorf("a server that does not stutter is harmed: %+v, %d connections", whole, conns)
+			}
+			for _, form := range backendconntest.Copies {
+				for _, names := range []bool{true, false} {
+					t.Run(fmt.Sprint(form, ", names the request ", names), func(t *testing.T) {
+						s := backendconntest.Server{
+							IDHeader: headerRequest, Framing: framing, Answer: answerInOrder,
+							Every: 4, MaxDelay: 6 * time.Millisecond, Copy: form, CopyNames: names,
+						}
+						addr := s.Start(t)
+						got := s.Play(callers, requests, backendconntest.Want, sendTo(newStutterBackend(addr), "GET"))
+						t.Logf("%d copies, %d connections: %d of %d successes are foreign or longer", s.Copies(), s.Conns(), got.Foreign, got.OK)
+						if got.Foreign+got.WronglyRefused > 0 {
+							t.Errorf("%d answers are foreign or longer, %d requests that ran are refused, e.g. %s", got.Foreign, got.WronglyRefused, got.Example)
+						}
+						if failed := requests - got.OK - got.Refused; framing != backendconn.FramingClose && failed > s.Copies() {
+							t.Errorf("%d requests failed beside %d copies", failed, s.Copies())
+						}
+					})
+				}
+			}
+		})
+	}
+}
