--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -22,6 +22,7 @@
 	closing  bool // the answer is the last of the connection
 	closed   bool
 	received time.Time          // when the first bytes of the request were read
+	number   int                // of the request on its connection, from 1
 	surplus  bool               // another lane waits for the next request, and this one ends
 	cancel   context.CancelFunc // ends the contexts of the lane's requests
 }
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -141,6 +141,7 @@
 	changed  *sync.Cond
 	lanes    []*lane // open lanes
 	order    []*lane // lanes with a request, in the order of the requests
+	begun    int     // requests given to lanes
 	readErr  error   // why no more bytes come for the lanes
 	closed   bool
 
@@ -479,6 +480,8 @@
 func (p *pipeline) begin(l *lane, received time.Time) *lane {
 	l.busy = true
 	l.received = received
+	p.begun++
+	l.number = p.begun
 	p.order = append(p.order, l)
 	return l
 }
