--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -23,6 +23,7 @@
 	closed       bool
 	received     time.Time          // when the first bytes of the request were read
 	requestBytes int64              // read of the request
+	number       int                // of the request on its connection, from 1
 	surplus      bool               // another lane waits for the next request, and this one ends
 	cancel       context.CancelFunc // ends the contexts of the lane's requests
 }
