ctl/logtrace: show the lines of the caller's connection

"No answer" and "not my answer" are explained by what stood next to the request on its connection and by how that ended. trace showed neither: it gathered the lines of the request's id, its shards and the daemons on its way only.

It now includes lines with the same slot and caller within the window: the neighbours' request lines, answers not written and the connection's end.

--- a/ctl/logtrace/logtrace.go
+++ b/ctl/logtrace/logtrace.go
@@ -1,6 +1,6 @@
 // Package logtrace finds the log lines that concern one request in daemons' logs:
-// the lines of the request and of the calls that it caused, and the decisions about
-// its shards and about the daemons involved.
+// the lines of the request and of the calls that it caused, those of its caller's
+// connection, and the decisions about its shards and about the daemons involved.
 package logtrace
 
 import (
@@ -95,17 +95,17 @@
 // RequestTrace holds the log lines that concern one request, oldest first.
 type RequestTrace struct {
 	Request []Line // lines of the request and of its calls
-	Related []Line // decisions about its shards and the daemons involved
+	Related []Line // of its connection; decisions about its shards and the daemons involved
 	Outcome string // outcome with its meaning; "" without a line of the entry daemon
 }
 
-// Trace returns the lines that concern the request with the id. Decisions are
-// included if they were made at most window before the first or after the last line
+// Trace returns the lines that concern the request with the id. Decisions and lines of
+// the caller's connection are included if they were made at most window before the first or after the last line
 // of the request.
 func (g *Log) Trace(id string, window time.Duration) RequestTrace {
 	var trace RequestTrace
 	for _, l := range g.Lines {
-		if got := l.Text("request_id"); got == id || strings.HasPrefix(got, id+".") {
+		if concerns(l, id) {
 			trace.Request = append(trace.Request, l)
 		}
 	}
@@ -116,7 +116,7 @@
 	involved := scopeOf(trace.Request)
 	from, to := trace.Request[0].At.Add(-window), trace.Request[len(trace.Request)-1].At.Add(window)
 	for _, l := range g.Lines {
-		if !l.At.Before(from) && !l.At.After(to) && involved.includes(l) {
+		if !l.At.Before(from) && !l.At.After(to) && !concerns(l, id) && involved.includes(l) {
 			trace.Related = append(trace.Related, l)
 		}
 	}
@@ -129,18 +129,31 @@
 	return trace
 }
 
+// concerns reports whether a line is one of the request with the id or of its calls.
+func concerns(l Line, id string) bool {
+	got := l.Text("request_id")
+	return got == id || strings.HasPrefix(got, id+".")
+}
+
 func byTime(a, b Line) int { return a.At.Compare(b.At) }
 
-// scope holds the shards of a request and of its calls, and the slots of the daemons
-// that logged, owned or were tried for them.
+// scope holds the shards of a request and of its calls, the slots of the daemons that
+// logged, owned or were tried for them, and the callers' connections.
 type scope struct {
 	shards map[string]map[uint64]bool // by service
 	slots  map[string]bool
+	conns  map[conn]bool
 }
 
+// conn is a connection of a caller.
+type conn struct{ slot, caller string }
+
 func scopeOf(lines []Line) scope {
-	involved := scope{shards: map[string]map[uint64]bool{}, slots: map[string]bool{}}
+	involved := scope{shards: map[string]map[uint64]bool{}, slots: map[string]bool{}, conns: map[conn]bool{}}
 	for _, l := range lines {
+		if caller := l.Text("caller"); caller != "" {
+			involved.conns[conn{l.Slot, caller}] = true
+		}
 		involved.slots[l.Slot] = true
 		if owner := l.Text("owner"); owner != "" {
 			involved.slots[owner] = true
@@ -168,9 +181,12 @@
 	"backend server leaves": true, "link closed": true,
 }
 
-// includes reports whether a line is a decision about one of the request's shards,
-// or about a daemon in the scope.
+// includes reports whether a line is one of a connection in the scope, or a decision
+// about one of the request's shards or about a daemon in the scope.
 func (s scope) includes(l Line) bool {
+	if s.conns[conn{l.Slot, l.Text("caller")}] {
+		return true
+	}
 	if l.Text("request_id") != "" {
 		return false
 	}
--- a/ctl/logtrace/logtrace_test.go
+++ b/ctl/logtrace/logtrace_test.go
@@ -53,6 +53,27 @@
 	is.True(strings.HasSuffix(trace.Outcome, "(shard s/7)"))
 }
 
+// A request without an answer, or with another one's, is explained by its connection.
+func TestTraceShowsTheCallersConnection(t *testing.T) {
+	is := is.New(t)
+	g := new(Log)
+	is.NoErr(g.Read(strings.NewReader(`
+{"ts":"2026-01-01T10:00:04Z","msg":"request","slot":"d1","request_id":"r1","caller":"10.0.0.9:4000","request_number":1,"outcome":"ok"}
+{"ts":"2026-01-01T10:00:05Z","msg":"request","slot":"d1","request_id":"r2","caller":"10.0.0.9:4000","request_number":2,"outcome":"ok"}
+{"ts":"2026-01-01T10:00:05.1Z","msg":"answer not written","slot":"d1","request_id":"r2","caller":"10.0.0.9:4000","outcome":"ok","error":"broken pipe"}
+{"ts":"2026-01-01T10:00:05.2Z","msg":"caller connection ended","slot":"d1","caller":"10.0.0.9:4000","reason":"write error"}
+{"ts":"2026-01-01T10:00:05Z","msg":"request","slot":"d1","request_id":"r3","caller":"10.0.0.9:4001","request_number":1,"outcome":"ok"}
+{"ts":"2026-01-01T10:00:05Z","msg":"request","slot":"d2","request_id":"r4","caller":"10.0.0.9:4000","request_number":1,"outcome":"ok"}
+{"ts":"2026-01-01T10:00:05Z","msg":"request","slot":"d1","request_id":"r5","request_number":0,"outcome":"ok"}
+{"ts":"2026-01-01T10:00:09Z","msg":"caller connection ended","slot":"d1","caller":"10.0.0.9:4000"}
+`)))
+	trace := g.Trace("r2", 2*time.Second)
+	is.Equal(names(trace.Request), []string{"d1 request", "d1 answer not written"})
+	is.Equal(names(trace.Related), []string{"d1 request", "d1 caller connection ended"})
+	is.Equal(trace.Related[0].Text("request_id"), "r1")
+	is.True(strings.HasPrefix(trace.Outcome, "ok"))
+}
+
 func TestUnknownRequest(t *testing.T) {
 	is := is.New(t)
 	trace := read(t).Trace("r2", time.Second)
