--- a/daemon/edge/caller_test.go
+++ b/daemon/edge/caller_test.go
@@ -40,7 +40,7 @@
 func TestRequestBeginsAfterItsCallerLeft(t *testing.T) {
 	const callers = 50
 	for name, wrap := range map[string]func(net.Listener) net.Listener{
-		"pipelined": func(l net.Listener) net.Listener { return newPipelineListener(l, noLog) },
+		"pipelined": func(l net.Listener) net.Listener { return newPipelineListener(l, testConfig) },
 		"plain":     func(l net.Listener) net.Listener { return l },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -75,16 +75,22 @@
 }
 
 func TestChunkedRequestHidesThatItsCallerLeft(t *testing.T) {
-	is := is.New(t)
-	p := &presence{release: make(chan struct{})}
-	defer close(p.release)
-	c := dialCaller(t, servePipelined(t, p))
-	c.send("POST /wait HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get("/wait"))
-	eventually(t, "the first runs", func() bool { return p.begun.Load() == 1 })
-	edgetest.Leave(t, c.Conn)
-	eventually(t, "the context ends", func() bool { return p.ended.Load() >= 1 })
-	eventually(t, "the connection ends", func() bool { return p.ended.Load() == p.begun.Load() })
-	is.Equal(p.present.Load(), int64(1))
+	for name, running := range map[string]int64{"plain": 1, "pipelined": 2} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p := &presence{release: make(chan struct{})}
+			addr, stop := serveUntilStopped(t, listeners[name], &http.Server{Handler: p})
+			defer func() { is.NoErr(stop(t.Context())) }()
+			defer close(p.release)
+			c := dialCaller(t, addr)
+			c.send("POST /wait HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + get("/wait"))
+			eventually(t, "as many run as may", func() bool { return p.begun.Load() == running })
+			edgetest.Leave(t, c.Conn)
+			eventually(t, "the contexts end", func() bool { return p.ended.Load() >= running })
+			eventually(t, "the connection ends", func() bool { return p.ended.Load() == p.begun.Load() })
+			is.Equal(p.present.Load(), running)
+		})
+	}
 }
 
 func TestStopHidesThatACallerLeft(t *testing.T) {
@@ -142,7 +148,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	is.NoErr(err)
 	counting := &countingListener{Listener: inner}
-	listener := newPipelineListener(counting, noLog)
+	listener := newPipelineListener(counting, testConfig)
 	p := &presence{release: make(chan struct{})}
 	srv := &http.Server{Handler: p, ConnContext: WithConn}
 	go func() { _ = srv.Serve(listener) }()
@@ -151,9 +157,11 @@
 	eventually(t, "the request runs", func() bool { return p.begun.Load() == 1 })
 	// reading reports whether the connection may be read.
 	reading := func() bool {
-		listener.mu.Lock()
-		defer listener.mu.Unlock()
-		return len(listener.open) > 0
+		return slices.ContainsFunc(listener.pipelines(), func(p *pipeline) bool {
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			return !p.watching
+		})
 	}
 	listener.stop()
 	eventually(t, "no more is read", func() bool { return !reading() })
--- a/daemon/edge/connlog.go
+++ b/daemon/edge/connlog.go
@@ -14,6 +14,7 @@
 	endStop         endReason = "stop"          // the daemon stops, and no request was open
 	endIdle         endReason = "idle"          // no request came for too long
 	endLastAnswer   endReason = "last answer"   // its answer closes the connection
+	endNoAnswer     endReason = "no answer"     // its server has given up a request
 	endCallerClosed endReason = "caller closed" // the caller closed it or its read failed
 	endWriteError   endReason = "write error"   // an answer could not be written
 	endGraceOver    endReason = "grace over"    // the time of the stop is over
--- a/daemon/edge/followed_test.go
+++ b/daemon/edge/followed_test.go
@@ -43,7 +43,7 @@
 	srv := &http.Server{ConnContext: WithConn, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		running.Add(1)
 		<-release
-		if !Followed(r.Context()) {
+		if EndAfter(r.Context()) {
 			w.Header().Set("Connection", "close")
 		}
 		_, _ = w.Write([]byte(r.URL.Path))
@@ -54,7 +54,7 @@
 		}
 	}
 	t.Cleanup(func() { _ = srv.Close() })
-	go func() { _ = srv.Serve(newPipelineListener(counter, noLog)) }()
+	go func() { _ = srv.Serve(newPipelineListener(counter, testConfig)) }()
 	c := dialCaller(t, inner.Addr().String())
 	const behind = 4
 	c.send(strings.Repeat(get("/a"), maxPipelined))
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -4,38 +4,52 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"os"
+	"slices"
 	"time"
 )
 
+// laneState is the state of a lane.
+type laneState int
+
+const (
+	laneIdle     laneState = iota // waits for a request
+	laneBusy                      // has a request without a whole answer
+	laneAnswered                  // has the whole answer, and waits until it is written
+	laneSurplus                   // another lane is idle, and this one is to end
+	laneClosing                   // has the whole answer, the last one of the connection
+	laneClosed                    // its server has closed it
+)
+
 // lane carries one request at a time and its answer. All fields below p are guarded by
-// p.mu.
+// p.mu, other than the writer.
 type lane struct {
-	p            *pipeline
-	unread       []byte // received and not yet read by the server
-	answer       []byte // written before it is this lane's turn
-	deadline     time.Time
-	timer        *time.Timer
-	busy         bool // has a request whose answer is not written
-	done         bool // the server has given the whole answer
-	closing      bool // the answer is the last of the connection
-	closed       bool
-	received     time.Time          // when the first bytes of the request were read
-	requestBytes int64              // read of the request
-	surplus      bool               // another lane waits for the next request, and this one ends
-	cancel       context.CancelFunc // ends the contexts of the lane's requests
-}
-
-// fed reports whether the server of the lane has got bytes of a request.
-func (l *lane) fed() bool {
-	l.p.mu.Lock()
-	defer l.p.mu.Unlock()
-	return l.busy
+	p        *pipeline
+	state    laneState
+	whole    bool      // the request is complete
+	wrote    bool      // a part of the answer is written or kept
+	received time.Time // when the first bytes of the request were read
+	begun    time.Time // when the lane got them, if the daemon was stopping
+	end      int64     // offset of the end of the request, as far as it was received
+	unread   []byte    // received and not yet read by the server
+	buffer   []byte    // reused for unread
+	answer   []byte    // written before it is this lane's turn
+
+	deadline time.Time // of reads
+	patience time.Duration
+	timer    *time.Timer
+	cancel   context.CancelFunc // ends the contexts of the lane's requests
+
+	writer answerWriter // of the request in progress
 }
 
 // idle reports whether the lane waits for a request.
-func (l *lane) idle() bool { return !l.busy && !l.closed && !l.surplus }
+func (l *lane) idle() bool { return l.state == laneIdle }
+
+// receives reports whether bytes may come for the lane.
+func (l *lane) receives() bool { return l.state == laneIdle || l == l.p.feeding && !l.whole }
 
 // answered records that the server has given the whole answer to a lane's request and
 // waits for the next one.
@@ -43,55 +57,122 @@
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if l.busy {
-		l.done = true
+	switch {
+	case l.state != laneBusy:
+	case l == p.tail:
+		l.state = laneIdle
+		p.tailWhole = false
+		p.doneBytes = l.end
+		p.interrupt()
+	default:
+		l.state = laneAnswered
 		p.advance()
 	}
 }
 
+// receive adds bytes of the lane's request. The caller holds the lock.
+func (l *lane) receive(data []byte) {
+	if len(l.unread) > 0 {
+		l.unread = append(l.unread, data...)
+		return
+	}
+	l.unread = append(l.buffer[:0], data...)
+	if cap(l.unread) <= readChunkBytes {
+		l.buffer = l.unread
+	}
+}
+
 // Read returns bytes of the lane's request.
 func (l *lane) Read(b []byte) (int, error) {
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	settled := false // since the deadline
 	for len(l.unread) == 0 {
 		switch {
-		case l.closed:
+		case p.closed || l.state == laneClosed:
 			return 0, net.ErrClosed
-		case l.surplus:
-			l.closed = true
+		case l.state == laneSurplus:
+			l.state = laneClosed
 			return 0, io.EOF
-		case p.readErr != nil:
+		case l.state == laneAnswered: // waits for its turn
+		case p.readErr != nil && len(p.pending) == 0 && (p.callerLeft || l.receives()):
 			return 0, p.readErr
+		case p.last != nil && l == p.feeding && !l.whole:
+			return 0, io.ErrUnexpectedEOF
 		case !l.deadline.IsZero() && !time.Now().Before(l.deadline):
+			if l.receives() && !settled {
+				p.settle()
+				settled = true
+				continue
+			}
+			l.expire()
 			return 0, os.ErrDeadlineExceeded
 		}
+		settled = false
+		if l == p.tail && l.state == laneIdle {
+			p.tailWaits = true
+			if !p.stopped.IsZero() {
+				p.interrupt()
+			}
+		}
 		p.changed.Wait()
 	}
 	n := copy(b, l.unread)
 	l.unread = l.unread[n:]
-	if len(l.unread) == 0 {
-		l.unread = nil
+	if l == p.tail {
+		p.tailWaits = false
+	}
+	if l == p.feeding && len(p.pending) > 0 {
+		p.dispatch(maxUnreadBytes)
 	}
-	p.changed.Broadcast()
 	return n, nil
 }
 
+// expire records that no request, or not all of it, has come in time. The caller holds the
+// lock, and the reader is not in its read.
+func (l *lane) expire() {
+	p := l.p
+	switch {
+	case l.state == laneIdle && p.drained():
+		p.end(endIdle)
+	case l.state == laneIdle && l != p.tail:
+		l.state = laneClosed
+	case l == p.feeding && !l.whole:
+		p.timeout = endIdle
+	}
+}
+
 // Write writes a part of the answer, or keeps it until the answers before it are written.
 func (l *lane) Write(b []byte) (int, error) {
 	p := l.p
 	p.mu.Lock()
-	if p.closed || l.closed {
+	if p.closed || l.state == laneClosed || l.cutHead() {
 		p.mu.Unlock()
 		return 0, net.ErrClosed
 	}
-	if len(p.order) > 0 && p.order[0] != l {
+	l.wrote = true
+	if p.writing || len(p.order) > 0 && p.order[0] != l {
 		l.answer = append(l.answer, b...)
 		p.mu.Unlock()
 		return len(b), nil
 	}
 	p.mu.Unlock() // nobody else writes while it is this lane's turn
-	return p.conn.Write(b)
+	n, err := p.conn.Write(b)
+	if err != nil {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.end(endWriteError)
+	}
+	return n, err
+}
+
+// cutHead reports whether the head of the lane's request did not come in time. net/http
+// answers 400 to some of what it has read then, although the request may be proper. The
+// caller holds the lock.
+func (l *lane) cutHead() bool {
+	p := l.p
+	return l == p.feeding && p.timeout != "" && p.framing.part == partHead
 }
 
 // CloseWrite makes the answer the last one of the connection.
@@ -99,8 +180,10 @@
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.closing = true
-	p.advance()
+	if l.state == laneBusy {
+		l.state = laneClosing
+		p.advance()
+	}
 	return nil
 }
 
@@ -110,21 +193,19 @@
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.stopTimer()
+	if l.timer != nil {
+		l.timer.Stop()
+	}
 	if l.cancel != nil {
 		l.cancel()
 	}
-	p.remove(l)
-	if l.busy || len(p.lanes) == 0 {
-		p.advance()
-	}
+	l.state = laneClosed
+	p.lanes = slices.DeleteFunc(p.lanes, func(other *lane) bool { return other == l })
+	p.advance()
 	if len(p.lanes) == 0 {
-		switch {
-		case p.receiveErr != nil:
+		if p.callerLeft {
 			p.end(endCallerClosed)
-		case p.stopping:
-			p.end(endStop)
-		default:
+		} else {
 			p.end(endIdle)
 		}
 	}
@@ -138,35 +219,48 @@
 	l.p.mu.Lock()
 	defer l.p.mu.Unlock()
 	ctx, l.cancel = context.WithCancel(ctx)
-	if l.p.receiveErr != nil || l.p.closed {
+	if l.p.callerLeft || l.p.closed {
 		l.cancel()
 	}
 	return ctx
 }
 
-func (l *lane) stopTimer() {
-	if l.timer != nil {
-		l.timer.Stop()
-		l.timer = nil
-	}
-}
-
 // SetReadDeadline implements net.Conn for the lane alone.
 func (l *lane) SetReadDeadline(t time.Time) error {
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.stopTimer()
-	l.deadline = t
-	if !t.IsZero() {
-		l.timer = time.AfterFunc(time.Until(t), func() {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.changed.Broadcast()
+	l.setReadDeadline(t, time.Until(t))
+	return nil
+}
+
+// setReadDeadline sets a deadline that is patience from now. The caller holds the lock.
+func (l *lane) setReadDeadline(t time.Time, patience time.Duration) {
+	l.deadline, l.patience = t, patience
+	switch {
+	case t.IsZero():
+		if l.timer != nil {
+			l.timer.Stop()
+		}
+	case patience <= 0:
+		l.p.changed.Broadcast()
+	case l.timer == nil:
+		l.timer = time.AfterFunc(patience, func() {
+			l.p.mu.Lock()
+			defer l.p.mu.Unlock()
+			l.p.changed.Broadcast()
 		})
+	default:
+		l.timer.Reset(patience)
+	}
+}
+
+// restartTimeout counts the time for the next request from now on. The caller holds the
+// lock.
+func (l *lane) restartTimeout() {
+	if !l.deadline.IsZero() && l.patience > 0 {
+		l.setReadDeadline(time.Now().Add(l.patience), l.patience)
 	}
-	p.changed.Broadcast()
-	return nil
 }
 
 // SetWriteDeadline implements net.Conn. It is the connection's while it is this lane's turn;
@@ -175,7 +269,7 @@
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.order) > 0 && p.order[0] != l {
+	if p.writing || len(p.order) > 0 && p.order[0] != l {
 		return nil
 	}
 	return p.conn.SetWriteDeadline(t)
@@ -222,6 +316,9 @@
 		}
 		p.changed.Wait()
 	}
+	if p.closed {
+		return net.ErrClosed
+	}
 	return nil
 }
 
@@ -240,16 +337,53 @@
 	return l.received
 }
 
-// Followed reports whether further requests of the same connection stand behind this one.
-// An answer that closes the connection would leave them without one.
-func Followed(ctx context.Context) bool {
+// EndAfter makes the answer to a request the last one of its connection, of which no more is
+// read then. It reports false if bytes of further requests were read: they get answers, and
+// this one must not close the connection. The body of the request itself is no longer
+// received.
+func EndAfter(ctx context.Context) bool {
 	l, ok := ctx.Value(laneKey{}).(*lane)
-	if !ok {
+	return !ok || l.endAfter()
+}
+
+func (l *lane) endAfter() bool {
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.last == l || p.closed {
+		return true
+	}
+	if !l.isLast() {
+		return false
+	}
+	p.settle()
+	if l == p.feeding {
+		p.dispatch(math.MaxInt)
+	}
+	if !l.isLast() {
 		return false
 	}
+	p.last = l
+	return true
+}
+
+// endsAtStop reports whether the daemon stops and the lane's answer is to be the last one of
+// its connection.
+func (l *lane) endsAtStop() bool {
 	l.p.mu.Lock()
-	defer l.p.mu.Unlock()
-	return l.p.reading || len(l.p.order) > 0 && l.p.order[len(l.p.order)-1] != l
+	stops := !l.p.stopped.IsZero() && l.whole
+	l.p.mu.Unlock()
+	return stops && l.endAfter()
+}
+
+// isLast reports whether no byte was read behind the lane's request. The caller holds the
+// lock.
+func (l *lane) isLast() bool {
+	p := l.p
+	if len(p.order) == 0 || p.order[len(p.order)-1] != l || p.tail == l && !p.tailWhole {
+		return false
+	}
+	return l == p.feeding || len(p.pending) == 0
 }
 
 var _ net.Conn = (*lane)(nil)
--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -6,52 +6,47 @@
 	"fmt"
 	"net"
 	"net/http"
-	"sync"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 )
 
 // Listen serves srv at addr during the lifecycle lc. On stop it accepts no further
-// connections, closes those that have not sent a byte yet, and waits for
-// requests in progress until the deadline of the stop; then it closes all
-// connections. name is the prefix of errors and names the listener in log.
+// connections, answers all requests of which a byte was read and closes each connection
+// then, until the deadline of the stop; then it closes all connections. name is the prefix of
+// errors and names the listener in log.
 func Listen(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
-	listen(lc, srv, name, addr, func(l net.Listener) net.Listener { return l })
+	listen(lc, srv, name, addr, 1, log)
 }
 
 // ListenPipelined is Listen for callers that send further requests on a connection before
 // the first is answered: they are served side by side, see AwaitTurn.
 func ListenPipelined(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
-	ends := newConnLog(log, name)
-	listen(lc, srv, name, addr, func(l net.Listener) net.Listener { return newPipelineListener(l, ends) })
+	listen(lc, srv, name, addr, maxPipelined, log)
 }
 
-func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, wrap func(net.Listener) net.Listener) {
-	unused := &unusedConns{conns: map[net.Conn]bool{}}
-	var served net.Listener
-	srv.ConnContext = WithConn
-	srv.ConnState = func(conn net.Conn, state http.ConnState) {
-		if l, ok := conn.(*lane); ok && state == http.StateIdle {
-			l.answered()
-		}
-		unused.track(conn, state)
-	}
+func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, requests int, log *zap.Logger) {
+	config := pipelineConfig{requests: requests, maxHead: headLimit(srv), log: newConnLog(log, name)}
+	handleLanes(srv)
+	var listener *pipelineListener
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			listener, err := net.Listen("tcp", addr)
+			inner, err := net.Listen("tcp", addr)
 			if err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
-			served = wrap(listener)
-			go func() { _ = srv.Serve(served) }() // returns when the listener is closed
+			listener = newPipelineListener(inner, config)
+			go func() { _ = srv.Serve(listener) }() // returns when the listener is closed
 			return nil
 		},
 		OnStop: func(ctx context.Context) error {
-			if p, ok := served.(*pipelineListener); ok {
-				p.stop()
+			listener.stop()
+			select {
+			case <-listener.drained:
+			case <-ctx.Done():
+				listener.abort()
 			}
-			unused.close()
+			// It closes connections that it takes for idle, so it runs when none is open.
 			err := srv.Shutdown(ctx)
 			if errors.Is(err, context.DeadlineExceeded) {
 				return srv.Close()
@@ -61,37 +56,76 @@
 	})
 }
 
-// unusedConns tracks the connections that have not sent a byte yet.
-// http.Server.Shutdown waits five seconds for each of them to send a request, and
-// a caller whose host is partitioned never does.
-type unusedConns struct {
-	mu       sync.Mutex
-	conns    map[net.Conn]bool
-	stopping bool
+// headLimit returns the bytes of a head that a server accepts.
+func headLimit(srv *http.Server) int {
+	const slack = 4 << 10 // that net/http allows beyond its limit
+	if srv.MaxHeaderBytes > 0 {
+		return srv.MaxHeaderBytes + slack
+	}
+	return maxHeadBytes + slack
 }
 
-func (u *unusedConns) track(conn net.Conn, state http.ConnState) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	if state != http.StateNew {
-		delete(u.conns, conn)
-		return
+// handleLanes makes srv serve the lanes of a pipelineListener.
+func handleLanes(srv *http.Server) {
+	srv.ConnContext = WithConn
+	srv.ConnState = func(conn net.Conn, state http.ConnState) {
+		if l, ok := conn.(*lane); ok && state == http.StateIdle {
+			l.answered()
+		}
 	}
-	if l, ok := conn.(*lane); u.stopping && (!ok || !l.fed()) {
-		_ = conn.Close()
-		return
+	handler := srv.Handler
+	if handler == nil {
+		handler = http.DefaultServeMux
 	}
-	u.conns[conn] = true
+	srv.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l, ok := r.Context().Value(laneKey{}).(*lane)
+		if !ok {
+			handler.ServeHTTP(w, r)
+			return
+		}
+		l.writer = answerWriter{ResponseWriter: w, lane: l}
+		handler.ServeHTTP(&l.writer, r)
+		l.writer.beforeHeader()
+	})
 }
 
-// close closes the unused connections, and makes track close later ones.
-func (u *unusedConns) close() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.stopping = true
-	for conn := range u.conns {
-		if l, ok := conn.(*lane); !ok || !l.fed() {
-			_ = conn.Close()
-		}
+// answerWriter tells the caller which answer is the last one of its connection while the
+// daemon stops.
+type answerWriter struct {
+	http.ResponseWriter
+	lane  *lane
+	began bool // the header was written
+}
+
+// Unwrap is for http.ResponseController.
+func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *answerWriter) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		w.beforeHeader()
+	}
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter.
+func (w *answerWriter) Write(b []byte) (int, error) {
+	w.beforeHeader()
+	return w.ResponseWriter.Write(b)
+}
+
+// Flush implements http.Flusher.
+func (w *answerWriter) Flush() {
+	w.beforeHeader()
+	_ = http.NewResponseController(w.ResponseWriter).Flush()
+}
+
+func (w *answerWriter) beforeHeader() {
+	if w.began {
+		return
+	}
+	w.began = true
+	if w.lane.endsAtStop() {
+		w.Header().Set("Connection", "close")
 	}
 }
--- a/daemon/edge/listen_test.go
+++ b/daemon/edge/listen_test.go
@@ -14,8 +14,8 @@
 	"go.uber.org/zap"
 )
 
-// noLog drops the lines about ended connections.
-var noLog = newConnLog(zap.NewNop(), "test")
+// testConfig is that of ListenPipelined.
+var testConfig = pipelineConfig{requests: maxPipelined, maxHead: http.DefaultMaxHeaderBytes, log: newConnLog(zap.NewNop(), "test")}
 
 // freeAddr returns a local TCP address that is not in use.
 func freeAddr(t *testing.T) string {
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -1,517 +1,513 @@
 package edge
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"net"
 	"net/http"
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const (
 	// maxPipelined bounds the requests of one connection that are in progress. Further
-	// ones are not read until an earlier one is answered.
+	// ones are not served until an earlier one is answered.
 	maxPipelined = 16
-	// maxUnreadBytes bounds the bytes that were read from a connection and not yet split
-	// into requests, and those of a lane that its server has not read yet.
+	// maxUnreadBytes bounds the bytes that were read from a connection and not yet given to
+	// lanes, and those of a lane that its server has not read yet.
 	maxUnreadBytes = 64 << 10
+	// maxHeadBytes bounds the head of a request if its server has no bound.
+	maxHeadBytes = http.DefaultMaxHeaderBytes
 	// readChunkBytes is the size of one read from a connection.
 	readChunkBytes = 4 << 10
-	// maxHeadBytes bounds the head of a request that is examined. The server of the request
-	// answers a longer one.
-	maxHeadBytes = 1 << 20
+	// closePollInterval is the interval at which a connection is looked at of which no more
+	// is read although bytes wait.
+	closePollInterval = 100 * time.Millisecond
+	// stopReadTimeout bounds, while the daemon stops, the time for the rest of a head and
+	// the time without a byte of a body.
+	stopReadTimeout = time.Second
+	// lingerTime is the time between the end of an answer and the close of a connection of
+	// which not all was read: the close could overtake the answer.
+	lingerTime = 500 * time.Millisecond
 )
 
-// pipelineListener accepts connections on which callers may send further requests before
-// the first is answered. net/http reads the next request of a connection only after the
-// answer to the one before. So each connection is split into lanes: each lane is a
-// net.Conn that carries one request at a time, the requests of several lanes run side by
-// side, and their answers are written in the order of the requests.
-//
-// Only requests whose end is known from their head are split. A request with a chunked
-// body or an unusual head, and all that follows it, stays on one lane.
-type pipelineListener struct {
-	net.Listener
-	lanes  chan net.Conn
-	closed chan struct{}
-	once   sync.Once
-
-	mu       sync.Mutex
-	open     map[*pipeline]bool
-	stopping bool
-	log      connLog
-}
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
 
-func newPipelineListener(l net.Listener, log connLog) *pipelineListener {
-	p := &pipelineListener{Listener: l, log: log, lanes: make(chan net.Conn), closed: make(chan struct{}), open: map[*pipeline]bool{}}
-	go p.acceptConns()
-	return p
-}
-
-func (l *pipelineListener) acceptConns() {
-	for {
-		conn, err := l.Listener.Accept()
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				_ = l.Close()
-				return
-			}
-			time.Sleep(acceptRetryDelay)
-			continue
-		}
-		p := newPipeline(conn, l.serve, l.log)
-		if first := p.newLane(); l.add(p) && l.serve(first) {
-			go func() {
-				defer l.remove(p)
-				p.read()
-			}()
-		} else {
-			l.remove(p)
-			_ = conn.Close()
-		}
-	}
-}
-
-func (l *pipelineListener) add(p *pipeline) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.open[p] = true
-	return !l.stopping
-}
-
-func (l *pipelineListener) remove(p *pipeline) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	delete(l.open, p)
-}
+// pipeline is one connection of a caller. net/http reads the next request of a connection
+// only after the answer to the one before, and closes a connection without a look at what it
+// has read. So a pipeline reads the connection, and splits it into lanes: each lane is a
+// net.Conn that carries one request at a time to a server. The requests of several lanes run
+// side by side, and their answers are written in the order of the requests.
+//
+// Invariant: a connection is closed for want of requests only if no byte of an unanswered
+// one was read. For that the reader is first made to leave its read, and what it brings is
+// served.
+type pipeline struct {
+	conn   net.Conn
+	config pipelineConfig
+	serve  func(*lane)     // gives a new lane to the server
+	onEnd  func(*pipeline) // called once the connection is closed
+
+	mu      sync.Mutex
+	changed *sync.Cond // any of what follows
+	lanes   []*lane    // open lanes
+	order   []*lane    // lanes with a request, in the order of the requests
+	writing bool       // advance writes
+	closed  bool
+	stopped time.Time // when a stop began; zero before
+
+	framing   *framing
+	feeding   *lane  // lane of the request that is being received
+	tail      *lane  // lane of the last request: to it belong all bytes that follow
+	tailWhole bool   // its request is complete
+	tailWaits bool   // its server waits for bytes
+	last      *lane  // its answer is the last one, and no more is read
+	pending   []byte // read, and not yet given to a lane
+
+	halfClosed bool // no more is written
+
+	arrivals   []arrival // of the pending bytes
+	readBytes  int64     // read from the connection
+	givenBytes int64     // of them, given to lanes
+	doneBytes  int64     // of them, of answered requests
+	lastRead   time.Time
 
-// stop stops reading requests from the connections: what was not read counts as not read
-// for the callers. Requests of which a byte was read are read to their end.
-func (l *pipelineListener) stop() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.stopping = true
-	for p := range l.open {
-		p.stop()
-	}
+	readerWakes  *sync.Cond // the reader may have to go on
+	inRead       bool
+	watching     bool // the reader does not read, and only watches
+	interrupted  bool // the read deadline has passed on purpose
+	interrupts   int  // callers that want the reader to stay out of its read
+	readDeadline time.Time
+	readErr      error // why no more is read
+	callerLeft   bool
+	timeout      endReason // set if a request was not complete in time
+}
+
+// pipelineConfig is common to the connections of a listener.
+type pipelineConfig struct {
+	requests int // of one connection that are in progress
+	maxHead  int // bytes of a head that the server accepts
+	log      connLog
 }
 
-// acceptRetryDelay is the delay after a failed accept, for example for lack of
-// descriptors.
-const acceptRetryDelay = 10 * time.Millisecond
-
-// serve hands a lane to the server. It reports false if the listener is closed.
-func (l *pipelineListener) serve(lane *lane) bool {
-	select {
-	case l.lanes <- lane:
-		return true
-	case <-l.closed:
-		return false
-	}
+// arrival is the time at which the bytes up to an offset of the connection were read.
+type arrival struct {
+	end int64
+	at  time.Time
 }
 
-// Accept returns the next lane.
-func (l *pipelineListener) Accept() (net.Conn, error) {
-	select {
-	case lane := <-l.lanes:
-		return lane, nil
-	case <-l.closed:
-		return nil, net.ErrClosed
-	}
+func newPipeline(conn net.Conn, config pipelineConfig, serve func(*lane), onEnd func(*pipeline)) *pipeline {
+	p := &pipeline{conn: conn, config: config, serve: serve, onEnd: onEnd, framing: newFraming(config.maxHead)}
+	p.changed, p.readerWakes = sync.NewCond(&p.mu), sync.NewCond(&p.mu)
+	return p
 }
 
-// Close stops accepting connections. Further requests of open connections that would
-// need a new lane wait for one.
-func (l *pipelineListener) Close() error {
-	l.once.Do(func() { close(l.closed) })
-	return l.Listener.Close()
+// start gives the first lane to the server and reads the connection until it ends.
+func (p *pipeline) start() {
+	p.mu.Lock()
+	p.newLane()
+	p.mu.Unlock()
+	go p.receive()
 }
 
-// pipeline is one connection.
-type pipeline struct {
-	conn  net.Conn
-	serve func(*lane) bool
-	log   connLog
-
-	mu       sync.Mutex
-	reading  bool // a part of a request was read, and the rest was not
-	stopping bool
-	changed  *sync.Cond
-	lanes    []*lane // open lanes
-	order    []*lane // lanes with a request, in the order of the requests
-	readErr  error   // why no more bytes come for the lanes
-	closed   bool
-
-	inbound    *sync.Cond // the fields below change
-	chunks     []chunk    // read from the connection and not yet split into requests
-	chunkBytes int
-	needed     bool  // read waits for a chunk
-	received   bool  // no more chunks come
-	receiveErr error // why, unless the connection stops
-	lastRead   time.Time
-	unanswered int64 // bytes read of requests without an answer
+// newLane opens a lane. The caller holds the lock.
+func (p *pipeline) newLane() *lane {
+	l := &lane{p: p}
+	p.lanes = append(p.lanes, l)
+	p.serve(l)
+	return l
 }
 
-// chunk is the result of one read from a connection.
-type chunk struct {
-	data []byte
-	at   time.Time
-}
+// readerStep is what the reader of a connection does next.
+type readerStep int
 
-func newPipeline(conn net.Conn, serve func(*lane) bool, log connLog) *pipeline {
-	p := &pipeline{conn: conn, serve: serve, log: log}
-	p.changed, p.inbound = sync.NewCond(&p.mu), sync.NewCond(&p.mu)
-	return p
-}
+const (
+	stepRead  readerStep = iota
+	stepWatch            // only look whether the caller closes the connection
+	stepEnd
+)
 
-// receive reads from the connection ahead of read, so that its end is noticed while lanes
-// for further requests or room in a lane are missing.
 func (p *pipeline) receive() {
 	buf := make([]byte, readChunkBytes)
-	for p.mayReceive() {
-		n, err := p.conn.Read(buf)
-		p.add(chunk{data: bytes.Clone(buf[:n]), at: time.Now()}, err)
-	}
-	p.awaitClose()
-}
-
-// closePollInterval is the interval at which the connections of a stopping daemon are looked
-// at.
-const closePollInterval = 100 * time.Millisecond
-
-// awaitClose waits until the caller or this daemon closes a connection of which no more is
-// read. What is read counts as taken for its caller, so that it only looks.
-func (p *pipeline) awaitClose() {
-	for !p.ended() {
-		if peerClosed(p.conn) {
-			p.mu.Lock()
-			defer p.mu.Unlock()
-			p.cancelRequests()
+	for {
+		switch p.nextStep() {
+		case stepRead:
+			n, err := p.conn.Read(buf)
+			p.received(buf[:n], err)
+		case stepWatch:
+			p.watch()
+		case stepEnd:
 			return
 		}
-		time.Sleep(closePollInterval)
 	}
 }
 
-func (p *pipeline) ended() bool {
+// nextStep waits until the reader may go on.
+func (p *pipeline) nextStep() readerStep {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.closed || p.receiveErr != nil
+	for {
+		stopping := !p.stopped.IsZero()
+		if stopping && p.drained() {
+			p.end(endStop)
+		}
+		switch {
+		case p.closed || p.callerLeft:
+			return stepEnd
+		case p.interrupts > 0 || len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0:
+			p.readerWakes.Wait()
+		case p.last != nil || p.tailWhole || p.readErr != nil || stopping && p.feeding == nil:
+			p.enterRead(time.Time{})
+			p.watching = true
+			return stepWatch
+		default:
+			p.enterRead(p.readLimit())
+			p.watching = false
+			return stepRead
+		}
+	}
 }
 
-// mayReceive waits until a chunk may be read. It reports false if no more are. While the
-// connection stops, only the rest of a request is read.
-func (p *pipeline) mayReceive() bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	for !p.closed && !p.received && (p.chunkBytes >= maxUnreadBytes || p.stopping && !p.needed) {
-		p.inbound.Wait()
+// enterRead records that the reader reads. The caller holds the lock.
+func (p *pipeline) enterRead(deadline time.Time) {
+	if p.interrupted || !deadline.Equal(p.readDeadline) {
+		_ = p.conn.SetReadDeadline(deadline)
+	}
+	p.inRead, p.interrupted, p.readDeadline = true, false, deadline
+}
+
+// readLimit returns the time until which a request that is received must go on while the
+// daemon stops, or zero. The caller holds the lock.
+func (p *pipeline) readLimit() time.Time {
+	if p.stopped.IsZero() || p.feeding == nil || p.framing.part == partRest {
+		return time.Time{}
+	}
+	if p.framing.part != partHead {
+		return time.Now().Add(stopReadTimeout)
 	}
-	if p.stopping && !p.reading {
-		p.received = true
+	from := p.stopped
+	if p.feeding.begun.After(from) {
+		from = p.feeding.begun
 	}
-	p.inbound.Broadcast()
-	return !p.closed && !p.received
+	return from.Add(stopReadTimeout)
 }
 
-// add records the result of a read from the connection.
-func (p *pipeline) add(c chunk, err error) {
+// received takes the result of a read from the connection.
+func (p *pipeline) received(data []byte, err error) {
+	now := time.Now()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(c.data) > 0 {
-		p.chunks = append(p.chunks, c)
-		p.chunkBytes += len(c.data)
-		p.unanswered += int64(len(c.data))
-		p.lastRead = c.at
-		p.reading = true
+	p.inRead = false
+	if len(data) > 0 {
+		p.lastRead = now
+		p.readBytes += int64(len(data))
+		p.arrivals = append(p.arrivals, arrival{p.readBytes, now})
+		if len(p.pending) == 0 {
+			p.pending = append(p.pending, data[p.split(data, maxUnreadBytes):]...)
+		} else {
+			p.pending = append(p.pending, data...)
+			p.dispatch(maxUnreadBytes)
+		}
+		if len(p.pending) == 0 {
+			p.arrivals = p.arrivals[:0]
+		}
 	}
 	switch {
 	case err == nil:
-	case p.stopping && errors.Is(err, os.ErrDeadlineExceeded):
-		_ = p.conn.SetReadDeadline(time.Time{}) // mayReceive decides whether more is read
-	default:
-		p.received, p.receiveErr = true, err
-		p.cancelRequests()
+	case !errors.Is(err, os.ErrDeadlineExceeded):
+		p.endReading(err)
+	case !p.readDeadline.IsZero() && !now.Before(p.readDeadline):
+		p.readErr, p.timeout = err, endStop
 	}
-	p.inbound.Broadcast()
+	p.changed.Broadcast()
 }
 
-// cancelRequests ends the contexts of all requests of the connection, and of those that
-// are still to begin. The caller holds the lock.
-func (p *pipeline) cancelRequests() {
+// endReading records that the caller has closed the connection, or that it cannot be read.
+// The caller holds the lock.
+func (p *pipeline) endReading(err error) {
+	p.readErr, p.callerLeft = err, true
 	for _, l := range p.lanes {
 		if l.cancel != nil {
 			l.cancel()
 		}
 	}
+	p.changed.Broadcast()
 }
 
-// next returns the next chunk. It reports false if there is none.
-func (p *pipeline) next() (chunk, bool) {
+// watch waits until the caller closes the connection, or the reader is interrupted. What is
+// read counts as taken for its caller, so that it only looks.
+func (p *pipeline) watch() {
+	closed, waiting := awaitReadable(p.conn)
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.needed = true
-	p.inbound.Broadcast()
-	for len(p.chunks) == 0 && !p.received && !p.closed {
-		p.inbound.Wait()
+	p.inRead = false
+	p.changed.Broadcast()
+	interrupted := p.interrupted
+	p.mu.Unlock()
+	if waiting && !interrupted {
+		time.Sleep(closePollInterval)
+	}
+	if closed || peerClosed(p.conn) {
+		p.mu.Lock()
+		p.endReading(net.ErrClosed)
+		p.mu.Unlock()
+	}
+}
+
+// awaitReadable waits until a connection can be read, and reports whether its peer has
+// closed it or bytes wait.
+func awaitReadable(conn net.Conn) (closed, waiting bool) {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return false, true
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return true, false
 	}
-	p.needed = false
-	if len(p.chunks) == 0 || p.closed {
-		if p.receiveErr != nil {
-			p.endReading(p.receiveErr)
+	var b [1]byte
+	err = raw.Read(func(fd uintptr) bool {
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
+			return false
 		}
-		return chunk{}, false
+		closed, waiting = n <= 0, n > 0
+		return true
+	})
+	return closed || err != nil && !errors.Is(err, os.ErrDeadlineExceeded), waiting
+}
+
+// interrupt makes the reader leave its read. The caller holds the lock.
+func (p *pipeline) interrupt() {
+	if p.inRead && !p.interrupted {
+		p.interrupted = true
+		_ = p.conn.SetReadDeadline(longAgo)
 	}
-	c := p.chunks[0]
-	p.chunks = p.chunks[1:]
-	p.chunkBytes -= len(c.data)
-	p.inbound.Broadcast()
-	return c, true
 }
 
-func (p *pipeline) newLane() *lane {
-	l := &lane{p: p}
-	p.mu.Lock()
-	p.lanes = append(p.lanes, l)
-	p.mu.Unlock()
-	return l
+// settle waits until the reader is out of its read: all that was read is known then, until
+// the lock is given up. The caller holds the lock, which is released meanwhile.
+func (p *pipeline) settle() {
+	p.interrupts++
+	for p.inRead && !p.closed {
+		p.interrupt()
+		p.changed.Wait()
+	}
+	p.interrupts--
+	p.readerWakes.Broadcast()
 }
 
-// read splits the connection into requests until it ends.
-func (p *pipeline) read() {
-	go p.receive()
-	var pending []byte // of the chunks, and not yet given to a lane
-	var lastRead time.Time
-	more := func() bool {
-		c, ok := p.next()
-		if ok {
-			lastRead = c.at
-			pending = append(pending, c.data...)
-		}
-		return ok
+// dispatch gives pending bytes to lanes, of which each holds little more than limit bytes.
+// The caller holds the lock.
+func (p *pipeline) dispatch(limit int) {
+	if n := p.split(p.pending, limit); n > 0 {
+		p.pending = p.pending[:copy(p.pending, p.pending[n:])]
 	}
-	for {
-		if len(pending) == 0 {
-			p.betweenRequests()
-			if !more() {
-				return
-			}
-		}
-		l := p.laneForRequest(lastRead)
-		if l == nil {
-			return
-		}
-		head, fed := 0, 0
-		for {
-			head = headBytes(pending)
-			if head > 0 || len(pending) > maxHeadBytes {
+	if len(p.pending) == 0 && cap(p.pending) > readChunkBytes {
+		p.pending = nil
+	}
+	p.readerWakes.Broadcast()
+}
+
+// split gives bytes to the lanes of their requests and returns how many it gave. The caller
+// holds the lock.
+func (p *pipeline) split(data []byte, limit int) int {
+	n := 0
+	for n < len(data) && !p.closed {
+		if p.feeding == nil {
+			if p.feeding = p.laneForRequest(); p.feeding == nil {
 				break
 			}
-			if !p.feed(l, pending[fed:]) {
-				return
-			}
-			fed = len(pending)
-			if !more() {
-				return
-			}
+			p.begin(p.feeding)
 		}
-		body, known := bodyBytes(pending[:head])
-		if !known {
-			if !p.feed(l, pending[fed:]) {
-				return
-			}
-			p.feedAll(l)
-			return
+		l := p.feeding
+		if len(l.unread) > limit || l.state == laneClosed {
+			break
 		}
-		end := int64(head) + body
-		for end > int64(len(pending)) {
-			if !p.feed(l, pending[fed:]) {
-				return
-			}
-			end -= int64(len(pending))
-			pending, fed = pending[:0], 0
-			if !more() {
-				return
+		used, whole := p.framing.scan(data[n:])
+		l.receive(data[n : n+used])
+		n += used
+		p.givenBytes += int64(used)
+		l.end = p.givenBytes
+		if p.framing.last() {
+			if p.tail = l; l.state == laneIdle {
+				l.state = laneBusy
 			}
+			p.tailWhole, l.whole = whole, whole
+		} else if whole {
+			l.whole = true
+			p.feeding = nil
 		}
-		if !p.feed(l, pending[fed:end]) {
-			return
-		}
-		pending = pending[:copy(pending, pending[end:])]
 	}
-}
-
-// betweenRequests records that all requests of which a part was read are complete.
-func (p *pipeline) betweenRequests() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.reading = len(p.chunks) > 0
-	if p.stopping && !p.reading {
-		_ = p.conn.SetReadDeadline(time.Now())
+	if n > 0 {
+		p.changed.Broadcast()
 	}
+	return n
 }
 
-// stop ends the reading of the connection, unless a part of a request was read.
-func (p *pipeline) stop() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.stopping = true
-	if !p.reading {
-		_ = p.conn.SetReadDeadline(time.Now())
+// laneForRequest returns the lane of the next request, or nil if there is none for now. The
+// caller holds the lock.
+func (p *pipeline) laneForRequest() *lane {
+	if i := slices.IndexFunc(p.lanes, (*lane).idle); i >= 0 {
+		return p.lanes[i]
 	}
-	p.inbound.Broadcast()
-}
-
-// feedAll gives all further bytes of the connection to a lane.
-func (p *pipeline) feedAll(l *lane) {
-	for {
-		c, ok := p.next()
-		if !ok || !p.feed(l, c.data) {
-			return
-		}
+	if n := len(p.order); n >= p.config.requests || n > 0 && p.order[n-1].state >= laneClosing {
+		return nil
 	}
+	return p.newLane()
 }
 
-// headBytes returns the length of the head at the start of data, including the empty line
-// that ends it, or 0 if that is missing.
-func headBytes(data []byte) int {
-	for at := 0; ; {
-		end := bytes.IndexByte(data[at:], '\n')
-		if end < 0 {
-			return 0
-		}
-		line := bytes.TrimSuffix(data[at:at+end], []byte("\r"))
-		at += end + 1
-		if len(line) == 0 {
-			return at
-		}
+// begin gives a lane the request whose first byte comes next. The caller holds the lock.
+func (p *pipeline) begin(l *lane) {
+	l.state, l.whole, l.wrote = laneBusy, false, false
+	for len(p.arrivals) > 1 && p.arrivals[0].end <= p.givenBytes {
+		p.arrivals = slices.Delete(p.arrivals, 0, 1)
 	}
+	l.received = p.arrivals[0].at
+	if !p.stopped.IsZero() {
+		l.begun = time.Now()
+	}
+	p.order = append(p.order, l)
 }
 
-// bodyBytes returns the length of the body that follows a head. known is false if it is
-// not certain, or if the connection may not be used as usual after the request.
-func bodyBytes(head []byte) (length int64, known bool) {
-	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(head)))
-	if err != nil || !req.ProtoAtLeast(1, 1) || req.Method == http.MethodConnect || req.Close ||
-		req.ContentLength < 0 || len(req.TransferEncoding) > 0 ||
-		req.Header.Get("Expect") != "" || req.Header.Get("Upgrade") != "" {
-		return 0, false
+// drained reports whether no byte of an unanswered request was read, provided that the
+// reader is not in its read. The caller holds the lock.
+func (p *pipeline) drained() bool {
+	if p.inRead || len(p.pending) > 0 {
+		return false
 	}
-	return req.ContentLength, true
+	return len(p.order) == 0 || len(p.order) == 1 && p.order[0] == p.tail && p.tail.state == laneIdle && p.tailWaits
 }
 
-// laneForRequest returns the lane of the next request, which is not answered from then
-// on, or nil if the connection has ended. The request's first bytes were read at received.
-func (p *pipeline) laneForRequest(received time.Time) *lane {
+// stop ends the connection once all that was read is answered.
+func (p *pipeline) stop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		if p.closed {
-			return nil
-		}
-		if i := slices.IndexFunc(p.lanes, (*lane).idle); i >= 0 {
-			return p.begin(p.lanes[i], received)
-		}
-		if len(p.order) < maxPipelined && len(p.order) > 0 && !p.order[len(p.order)-1].closing {
-			p.mu.Unlock()
-			l := p.newLane()
-			opened := p.serve(l)
-			p.mu.Lock()
-			if opened {
-				return p.begin(l, received)
-			}
-			p.remove(l)
-		}
-		p.changed.Wait()
-	}
+	p.stopped = time.Now()
+	p.interrupt()
+	p.readerWakes.Broadcast()
 }
 
-// feed gives bytes to the server of a lane. It reports false if the connection has ended.
-func (p *pipeline) feed(l *lane, data []byte) bool {
+// abort closes the connection at once.
+func (p *pipeline) abort() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for len(l.unread) > maxUnreadBytes && !l.closed && !p.closed {
-		p.changed.Wait()
-	}
-	l.unread = append(l.unread, data...)
-	l.requestBytes += int64(len(data))
-	p.changed.Broadcast()
-	return !p.closed && !l.closed
-}
-
-// endReading records that no more bytes come for the lanes. The caller holds the lock.
-func (p *pipeline) endReading(err error) {
-	p.readErr = err
-	p.changed.Broadcast()
+	p.end(endGraceOver)
 }
 
 // advance writes the answers whose turn has come. Of several lanes that wait for a request
-// then, one remains. The caller holds the lock.
+// then, one remains. The caller holds the lock, which is released during writes.
 func (p *pipeline) advance() {
-	for len(p.order) > 0 {
+	for len(p.order) > 0 && !p.writing && !p.closed {
 		l := p.order[0]
 		if len(l.answer) > 0 {
-			_ = p.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
-			_, err := p.conn.Write(l.answer)
-			l.answer = nil
-			if err != nil {
+			if !p.writeKept(l) {
 				p.end(endWriteError)
-				return
 			}
+			continue
 		}
-		if l.closed {
-			p.unanswered -= l.requestBytes
-			p.end(endLastAnswer)
+		switch l.state {
+		case laneClosed:
+			p.endBehind(l)
 			return
-		}
-		if l.closing {
+		case laneClosing:
+			p.last, p.halfClosed = l, true
+			p.interrupt()
 			if c, ok := p.conn.(interface{ CloseWrite() error }); ok {
 				_ = c.CloseWrite()
 			}
 			return
-		}
-		if !l.done {
+		case laneAnswered:
+			p.order = slices.Delete(p.order, 0, 1)
+			p.doneBytes = l.end
+			l.state = laneIdle
+			if slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() }) {
+				l.state = laneSurplus
+			}
+			l.restartTimeout()
+			p.dispatch(maxUnreadBytes)
+			p.changed.Broadcast()
+		default:
 			return
 		}
-		p.order = p.order[1:]
-		p.unanswered -= l.requestBytes
-		l.requestBytes = 0
-		l.busy, l.done = false, false
-		l.surplus = slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() })
-		p.changed.Broadcast()
 	}
+	if !p.stopped.IsZero() && !p.closed {
+		if p.drained() {
+			p.end(endStop)
+		} else if len(p.order) == 0 {
+			p.interrupt()
+		}
+	}
+	p.readerWakes.Broadcast()
 }
 
-// begin marks the lane as busy with the next request. The caller holds the lock.
-func (p *pipeline) begin(l *lane, received time.Time) *lane {
-	l.busy = true
-	l.received = received
-	p.order = append(p.order, l)
-	return l
+// writeKept writes what a lane has answered before its turn. The caller holds the lock.
+func (p *pipeline) writeKept(l *lane) bool {
+	answer := l.answer
+	l.answer = nil
+	p.writing = true
+	p.mu.Unlock()
+	_ = p.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
+	_, err := p.conn.Write(answer)
+	p.mu.Lock()
+	p.writing = false
+	return err == nil
+}
+
+// endBehind ends the connection behind the last answer. The caller holds the lock.
+func (p *pipeline) endBehind(l *lane) {
+	reason := endLastAnswer
+	switch {
+	case !l.whole && p.timeout != "":
+		reason = p.timeout
+	case !l.wrote && p.callerLeft:
+		reason = endCallerClosed
+	case !l.wrote:
+		reason = endNoAnswer
+	}
+	if l.wrote {
+		p.order = slices.Delete(p.order, 0, 1)
+		p.doneBytes = l.end
+	}
+	if c, ok := p.conn.(interface{ CloseWrite() error }); ok && l.wrote && !l.whole && !p.callerLeft && !p.halfClosed {
+		_ = c.CloseWrite()
+		p.shut(reason)
+		time.AfterFunc(lingerTime, p.close)
+		return
+	}
+	p.end(reason)
 }
 
 // end closes the connection and all its lanes. The caller holds the lock.
 func (p *pipeline) end(reason endReason) {
-	if p.closed {
-		return
+	if !p.closed {
+		p.shut(reason)
+		p.close()
 	}
+}
+
+// shut ends all lanes. The caller holds the lock.
+func (p *pipeline) shut(reason endReason) {
 	p.closed = true
-	p.log.ended(connEnd{reason: reason, stopping: p.stopping, bytes: p.unanswered, unanswered: len(p.order), lastRead: p.lastRead})
-	if p.readErr == nil {
-		p.readErr = net.ErrClosed
+	p.config.log.ended(connEnd{
+		reason: reason, stopping: !p.stopped.IsZero(), lastRead: p.lastRead,
+		bytes: p.readBytes - p.doneBytes, unanswered: len(p.order),
+	})
+	for _, l := range p.lanes {
+		if l.cancel != nil {
+			l.cancel()
+		}
 	}
-	_ = p.conn.Close()
-	p.cancelRequests()
+	p.interrupt()
 	p.changed.Broadcast()
-	p.inbound.Broadcast()
+	p.readerWakes.Broadcast()
 }
 
-// remove forgets a lane. The caller holds the lock.
-func (p *pipeline) remove(l *lane) {
-	l.closed = true
-	p.lanes = slices.DeleteFunc(p.lanes, func(other *lane) bool { return other == l })
+func (p *pipeline) close() {
+	_ = p.conn.Close()
+	p.onEnd(p)
 }
--- a/daemon/edge/pipeline_test.go
+++ b/daemon/edge/pipeline_test.go
@@ -301,7 +301,7 @@
 
 func TestAwaitTurnEndsWithItsContext(t *testing.T) {
 	is := is.New(t)
-	p := newPipeline(nil, nil, noLog)
+	p := newPipeline(nil, testConfig, nil, nil)
 	first, second := &lane{p: p}, &lane{p: p}
 	p.order = []*lane{first, second}
 	ctx, cancel := context.WithCancel(WithConn(context.Background(), second))
@@ -310,7 +310,7 @@
 	cancel()
 	is.Equal(<-done, context.Canceled)
 	is.NoErr(AwaitTurn(WithConn(context.Background(), first)))
-	is.True(Followed(WithConn(context.Background(), first)))
-	is.True(!Followed(WithConn(context.Background(), second)))
+	is.True(!EndAfter(WithConn(context.Background(), first)))
+	is.True(EndAfter(WithConn(context.Background(), second)))
 	is.NoErr(AwaitTurn(context.Background()))
 }
--- a/daemon/edge/stop_test.go
+++ b/daemon/edge/stop_test.go
@@ -223,7 +223,7 @@
 	for name, listen := range listeners {
 		t.Run(name, func(t *testing.T) {
 			handler := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-				if r.URL.Path == "/last" && !Followed(r.Context()) {
+				if r.URL.Path == "/last" && EndAfter(r.Context()) {
 					w.Header().Set("Connection", "close")
 				}
 			})
@@ -284,6 +284,29 @@
 	}
 }
 
+// The end of the time for a half head ended the request before it, which was running.
+func TestHalfAHeadDoesNotEndRunningRequests(t *testing.T) {
+	for name, listen := range listeners {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := &gate{release: make(chan struct{})}
+			addr, stop := serveUntilStopped(t, listen, &http.Server{Handler: g, ReadHeaderTimeout: 8 * time.Second})
+			c := dialCaller(t, addr)
+			c.send(get("/1wait") + "GET /2 HTTP/1.1\r\nHo") // both are read at once
+			eventually(t, "the first runs", func() bool { return g.running.Load() == 1 })
+			stopped := make(chan error, 1)
+			go func() { stopped <- stop(context.Background()) }()
+			<-time.After(stopReadTimeout + stopReadTimeout/2)
+			is.Equal(g.ended.Load(), int64(0))
+			close(g.release)
+			got, err := c.answer()
+			is.NoErr(err)
+			is.Equal(got, "/1wait")
+			is.NoErr(<-stopped)
+		})
+	}
+}
+
 func TestStopWithIdleConnectionsIsPrompt(t *testing.T) {
 	for name, listen := range listeners {
 		t.Run(name, func(t *testing.T) {
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -66,7 +66,7 @@
 	g.metrics.record(x.req.GetService(), outcome.Kind(resp.GetKind()), took)
 	g.logRequest(x, resp, took)
 	unread := r.ContentLength != 0 && !x.bodyRead
-	if unread || g.control.View().Leaving && !edge.Followed(r.Context()) {
+	if (unread || g.control.View().Leaving) && edge.EndAfter(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
 	g.writeResponse(w, r, x, resp)
