backendconn: a copy behind an answer that ends with its connection is not its body

A head in such a body that names the request, or another one that the connection carried, or that is the answer's own head without the name, is no part of the body. If what follows it is the same body, or its beginning, the caller gets what stands before the head; otherwise, and if the body ends in the start of such a head, the outcome is answer_cut: the request may have run. Heads that name other requests are part of the body. Bodies are looked at once they are read, in time linear to their size, and answers with a length or in chunks not at all.

Not told apart from a copy that is cut: a body that ends in the status line of its own answer.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -72,6 +72,7 @@
 
 	mu     sync.Mutex
 	barred map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
+	ids    carriedIDs      // of the requests that were sent here
 }
 
 // guards are the conditions under which a connection may be used.
@@ -150,6 +151,9 @@
 	if c.barred[t.RequestID] {
 		c.discarded.Store(true)
 	}
+	if t.RequestID != "" && !c.ids.add(t.RequestID, t.Until, c.clock.Now()) {
+		c.discarded.Store(true)
+	}
 }
 
 // bar records that a request must not be sent on this connection again.
@@ -276,6 +280,18 @@
 	}
 }
 
+// Carried reports whether a request with an id was sent on the connection of this one a short time
+// ago. Its answer may come there a second time.
+func (t *Trace) Carried(id string) bool {
+	c := t.conn.Load()
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ids.contains(id)
+}
+
 // DiscardedUnwritten reports whether the request was given a connection that an earlier
 // request had discarded, and no byte of it was or will be written. It can be sent on
 // another connection.
--- /dev/null
+++ b/daemon/backendconn/copies.go
@@ -0,0 +1,236 @@
+package backendconn
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+)
+
+// statusLineStart is the start of the status line of each answer.
+const statusLineStart = "HTTP/1."
+
+// maxOverlappingHeads bounds how often each byte of a body is looked at. Heads overlap if one
+// line has several status lines.
+const maxOverlappingHeads = 16
+
+// framingFields are fields in which a copy of an answer may differ from it.
+var framingFields = []string{"Connection", "Content-Length", "Date", "Keep-Alive", "Transfer-Encoding"}
+
+// names tells which request an answer names.
+type names struct {
+	own     string                             // of the request
+	of      func(answer *http.Response) string // "" if an answer names none
+	carried func(id string) bool               // on the connection of the request
+}
+
+// ownBody returns the part of body that belongs to an answer that ended with its connection. A
+// faulty server may have written an answer a second time on that connection: its head is then in
+// the body. It names a request that the connection carried, or no request and is otherwise the
+// head of this answer. A head in the body that names another request is part of the body.
+//
+// What stands before a copy of this answer is returned if the copy shows that it is whole:
+// what follows the second head is the same body, or a part of it if the copy is cut.
+// Otherwise the error is an *outcome.Err of kind AnswerCut. lastRead is where the bytes of the last
+// read begin.
+func ownBody(answer *http.Response, body []byte, lastRead int, n names) (own []byte, err error) {
+	effort := maxOverlappingHeads*len(body) + MaxHeaderBytes // bytes to look at
+	for at := indexFrom(body, statusLineStart, 0); at >= 0; at = indexFrom(body, statusLineStart, at+1) {
+		size, whole := scanHead(body[at:])
+		if effort -= size; effort < 0 {
+			return nil, outcome.New(outcome.AnswerCut, "response without a length contains too many heads of responses")
+		}
+		head := body[at : at+size]
+		if !whole {
+			if at+size == len(body) && n.isStartOfCopy(answer, head) {
+				return nil, outcome.New(outcome.AnswerCut, "response without a length ends in the head of a second one")
+			}
+			continue
+		}
+		second, parseErr := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), answer.Request)
+		if parseErr != nil {
+			if n.isStartOfCopy(answer, head) {
+				return nil, outcome.New(outcome.AnswerCut, "response without a length contains a malformed second one")
+			}
+			continue
+		}
+		switch id := n.of(second); {
+		case id == n.own || id == "" && sameHead(answer, second, n.own):
+			if !isCopy(answer, second, head, body[:at], body[at+size:]) {
+				return nil, outcome.New(outcome.AnswerCut, "response without a length contains a second one to the request")
+			}
+			return body[:at], nil
+		case id != "" && n.carried(id):
+			return nil, outcome.New(outcome.AnswerCut, "response without a length contains one to request %q", id)
+		}
+	}
+	// The first bytes of a status line may be the end of a body. Alone they are a copy's.
+	if rest := body[lastRead:]; lastRead > 0 && len(rest) < len(statusLineStart) && strings.HasPrefix(statusLineStart, string(rest)) {
+		return nil, outcome.New(outcome.AnswerCut, "response without a length ends in a status line")
+	}
+	return body, nil
+}
+
+// isCopy reports whether second, with the bytes of its head and what follows it, is a copy of
+// the answer with the body own, or the start of one.
+func isCopy(answer, second *http.Response, head, own, rest []byte) bool {
+	ambiguous := indexFrom(head, statusLineStart, 1) >= 0 // own may end within these bytes
+	lengthFits := second.ContentLength < 0 || second.ContentLength == int64(len(own))
+	return !ambiguous && lengthFits && second.StatusCode == answer.StatusCode && bytes.HasPrefix(own, rest)
+}
+
+// scanHead returns the size of the head of an answer with which data begins, and whether it is
+// whole. Of a head that is not whole, or of other data, it is the size of what was looked at.
+func scanHead(data []byte) (size int, whole bool) {
+	data = data[:min(len(data), MaxHeaderBytes)]
+	for size < len(data) {
+		line := data[size:]
+		end := bytes.IndexByte(line, '\n')
+		if end < 0 {
+			return len(data), false
+		}
+		line = bytes.TrimSuffix(line[:end], []byte("\r"))
+		isStatus, isFold := size == 0, len(line) > 0 && (line[0] == ' ' || line[0] == '\t')
+		name, _, isField := bytes.Cut(line, []byte(":"))
+		size += end + 1
+		switch {
+		case isStatus && !startsStatusLine(line):
+			return size, false
+		case !isStatus && len(line) == 0:
+			return size, true
+		case !isStatus && !isFold && (!isField || bytes.ContainsAny(name, " \t")):
+			return size, false
+		}
+	}
+	return size, false
+}
+
+// startsStatusLine reports whether a line has a version and a status of three digits.
+func startsStatusLine(line []byte) bool {
+	const form = statusLineStart + "d ddd"
+	if len(line) < len(form) || len(line) > len(form) && line[len(form)] != ' ' {
+		return false
+	}
+	for i := len(statusLineStart); i < len(form); i++ {
+		if isDigit := line[i] >= '0' && line[i] <= '9'; isDigit != (form[i] == 'd') {
+			return false
+		}
+	}
+	return true
+}
+
+// isStartOfCopy reports whether data, which is no whole and well-formed head, is the start of the
+// head of an answer to a request that the connection carried.
+func (n names) isStartOfCopy(answer *http.Response, data []byte) bool {
+	lines := strings.Split(string(data), "\n")
+	last := lines[len(lines)-1]
+	statusLine := answer.Proto + " " + answer.Status
+	if len(lines) == 1 {
+		return strings.HasPrefix(statusLine+"\r", last)
+	}
+	start := &http.Response{StatusCode: answer.StatusCode, Header: http.Header{}}
+	for _, line := range lines[1 : len(lines)-1] {
+		if line == "" || line == "\r" {
+			continue
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok {
+			return false
+		}
+		start.Header.Add(textproto.CanonicalMIMEHeaderKey(name), strings.TrimSpace(value))
+	}
+	if id := n.of(start); id != "" {
+		return id == n.own || n.carried(id)
+	}
+	if strings.TrimRight(lines[0], " \r") != strings.TrimRight(statusLine, " ") || !containsFields(answer.Header, start.Header) {
+		return false
+	}
+	return last == "" || last == "\r" || startsField(answer.Header, last)
+}
+
+// sameHead reports whether a head is that of the answer, without the name of its request and
+// with another framing.
+func sameHead(answer, second *http.Response, id string) bool {
+	if second.StatusCode != answer.StatusCode || !containsFields(answer.Header, second.Header) {
+		return false
+	}
+	shared := 0
+	for name, values := range answer.Header {
+		if slices.Contains(framingFields, name) || slices.Contains(values, id) {
+			continue
+		}
+		if !slices.Equal(second.Header[name], values) {
+			return false
+		}
+		shared++
+	}
+	return shared > 0
+}
+
+// containsFields reports whether a header has all fields of a part of it, except framingFields.
+func containsFields(header, part http.Header) bool {
+	for name, values := range part {
+		if slices.Contains(framingFields, name) {
+			continue
+		}
+		for _, value := range values {
+			if !slices.Contains(header[name], value) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// startsField reports whether line is the start of the line of a field of the header, or of
+// one in framingFields.
+func startsField(header http.Header, line string) bool {
+	name, value, hasName := strings.Cut(line, ":")
+	if !hasName {
+		starts := func(field string) bool { return len(name) <= len(field) && strings.EqualFold(field[:len(name)], name) }
+		for field := range header {
+			if starts(field) {
+				return true
+			}
+		}
+		return slices.ContainsFunc(framingFields, starts)
+	}
+	name, value = textproto.CanonicalMIMEHeaderKey(name), strings.TrimSpace(value)
+	return slices.Contains(framingFields, name) ||
+		slices.ContainsFunc(header[name], func(whole string) bool { return strings.HasPrefix(whole, value) })
+}
+
+// indexFrom returns the index of the first text in b at or after from, or -1.
+func indexFrom(b []byte, text string, from int) int {
+	i := bytes.Index(b[from:], []byte(text))
+	if i < 0 {
+		return -1
+	}
+	return from + i
+}
+
+// readRecorder records where the bytes of the last read begin.
+type readRecorder struct {
+	io.Reader
+	read     int
+	lastRead int
+	full     bool // the last read filled its buffer
+}
+
+// Read implements io.Reader.
+func (r *readRecorder) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	if n > 0 {
+		if !r.full { // otherwise the buffer ended, not what had arrived
+			r.lastRead = r.read
+		}
+		r.read += n
+		r.full = n == len(p)
+	}
+	return n, err
+}
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -53,8 +53,11 @@
 // DiscardReason tells why bytes of an answer were discarded.
 type DiscardReason string
 
-// DiscardOtherRequest means that an answer names another request, or none although it must.
-const DiscardOtherRequest DiscardReason = "other_request"
+// The reasons to discard bytes.
+const (
+	DiscardOtherRequest DiscardReason = "other_request" // the answer names another request, or none although it must
+	DiscardCopy         DiscardReason = "copy"          // a second answer in the body of one that ends with its connection
+)
 
 type exchangeKey struct{}
 
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -35,6 +35,34 @@
 	return ResponseReader{bodies: bodies.NewReader(ownResponseBytes, sharedResponseBytes)}
 }
 
+// ReadOwn is Read for the response to the request of a trace. idOf returns the request id that a
+// response names, or "". If the response ended with its connection, a second copy that a faulty
+// server wrote there is left out; see ownBody.
+func (r *ResponseReader) ReadOwn(ctx context.Context, httpResp *http.Response, trace *Trace, idOf func(*http.Response) string) (*wire.Response, error) {
+	if framingOf(httpResp) != FramingClose {
+		return r.Read(ctx, httpResp)
+	}
+	recorder := &readRecorder{Reader: httpResp.Body}
+	httpResp.Body = struct {
+		io.Reader
+		io.Closer
+	}{recorder, httpResp.Body}
+	resp, err := r.Read(ctx, httpResp)
+	if err != nil {
+		return nil, err
+	}
+	own, err := ownBody(httpResp, resp.Body, recorder.lastRead, names{own: trace.RequestID, of: idOf, carried: trace.Carried})
+	if err != nil || len(own) < len(resp.Body) {
+		RecordDiscarded(ctx, trace.RequestID, DiscardCopy)
+	}
+	if err != nil {
+		return nil, err
+	}
+	exchangeOf(ctx).BodyBytes = len(own)
+	resp.Body, resp.BodyLength = own, uint32(len(own))
+	return resp, nil
+}
+
 // Read reads a backend server's response completely; a truncated one is an
 // error. ctx is the context of the attempt. The error is an *outcome.Err.
 func (r *ResponseReader) Read(ctx context.Context, httpResp *http.Response) (*wire.Response, error) {
