backendconn: a connection that was idle before its first request is not a kept one

Kept says whether an earlier answer may have left bytes on a connection; a refusal that names no request counts only if it is false. It was what net/http reports as reused, which includes a connection that was dialled for a request that got another one, and that carried nothing: the first refusal on it ended as answer_cut, and the run line would have said that it was kept. It is now whether a request was written on the connection.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -145,7 +145,8 @@
 func (c *guardedConn) beginRequest(t *Trace) {
 	c.until.Store(int64(t.Until))
 	c.process.Store(t.Process)
-	c.state.CompareAndSwap(written, unwritten)
+	// The transport counts a connection as used once it has been idle.
+	t.kept.Store(c.state.CompareAndSwap(written, unwritten))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.barred[t.RequestID] {
@@ -304,10 +305,7 @@
 // connection to the trace.
 func (t *Trace) Attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			t.kept.Store(info.Reused)
-			t.SetConn(info.Conn)
-		},
+		GotConn: func(info httptrace.GotConnInfo) { t.SetConn(info.Conn) },
 	})
 }
 
