owner: an answer without a name on a kept connection is no answer to the request

The connection of such an answer is not used again, so that on a kept connection all answers before named their requests, and one that names none may be a copy: its outcome is answer_cut, as on the platform's interface, and the connection is closed.

--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -152,11 +152,13 @@
 // checkRequestID returns an error if the response says that it belongs to another
 // request. Its connection is discarded, and so is that of a response that does not name
 // its request: a late copy of it would be taken for the response to the next request.
+// Thus the responses before one on a kept connection named their requests, and one that
+// names none may be a copy of them.
 func checkRequestID(resp *http.Response, trace *backendconn.Trace, id string) error {
-	switch got := resp.Header.Get(headerRequest); got {
-	case id:
+	switch got := resp.Header.Get(headerRequest); {
+	case got == id:
 		return nil
-	case "":
+	case got == "" && !trace.Kept():
 		trace.DiscardAfterResponse()
 		return nil
 	default:
