backendconn: a connection never carries the same request twice before its deadline

Only answers that allow a repeat barred a request from its connection.

A connection that remembers a request until its deadline is now discarded when that request comes again, and the request goes to another one.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -140,8 +140,9 @@
 	return c.Conn.Close()
 }
 
-// beginRequest marks the start of a request on this connection. If it is barred from this
-// connection, the connection is discarded.
+// beginRequest marks the start of a request on this connection. The connection is discarded if
+// it carried the request a short time ago, whose answer may come a second time, or if the request is
+// barred from it.
 func (c *guardedConn) beginRequest(t *Trace) {
 	c.until.Store(int64(t.Until))
 	c.process.Store(t.Process)
@@ -152,7 +153,8 @@
 	if c.barred[t.RequestID] {
 		c.discarded.Store(true)
 	}
-	if t.RequestID != "" && !c.ids.add(t.RequestID, t.Until, c.clock.Now()) {
+	now := c.clock.Now()
+	if t.RequestID != "" && (c.ids.carriedWithin(t.RequestID, now) || !c.ids.add(t.RequestID, t.Until, now)) {
 		c.discarded.Store(true)
 	}
 }
--- a/daemon/backendconn/backendconntest/server.go
+++ b/daemon/backendconn/backendconntest/server.go
@@ -269,3 +269,43 @@
 	wg.Wait()
 	return tally
 }
+
+// RepeatServer runs each request that it reads, also one that it ran before. On a connection that
+// carries a further request it first writes the answer before once more. It returns its address.
+func RepeatServer(t testing.TB, idHeader string, header func(id string) []string) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	var runs atomic.Int64
+	s := &Server{IDHeader: idHeader, Framing: backendconn.FramingLength}
+	serve := func(conn net.Conn) {
+		defer conn.Close()
+		r := bufio.NewReader(conn)
+		last := ""
+		for {
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			id := req.Header.Get(idHeader)
+			head, body := s.encode(Answer{Status: http.StatusOK, Header: header(id), Body: fmt.Sprint("run ", runs.Add(1))}, id)
+			if _, err := io.WriteString(conn, last+head+body); err != nil {
+				return
+			}
+			last = head + body
+		}
+	}
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
--- a/daemon/backendconn/carried.go
+++ b/daemon/backendconn/carried.go
@@ -35,6 +35,11 @@
 	return true
 }
 
+// carriedWithin reports whether the deadline of a request that was carried has not passed.
+func (c *carriedIDs) carriedWithin(id string, now clock.Instant) bool {
+	return c.until != nil && c.until[maphash.String(c.seed, id)] > now
+}
+
 // contains reports whether a request is remembered.
 func (c *carriedIDs) contains(id string) bool {
 	if c.until == nil {
--- /dev/null
+++ b/daemon/backendconn/carried_test.go
@@ -0,0 +1,30 @@
+package backendconn
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+// A connection forgot the requests that it carried, or closed although their deadlines had passed.
+func TestCarriedRequestsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	var open, passed carriedIDs
+	now := clock.Instant(time.Hour)
+	for n := range 3 * maxCarried {
+		now = now.Add(time.Millisecond)
+		id := fmt.Sprint("r-", n)
+		added := open.add(id, now.Add(time.Hour), now)
+		is.Equal(added, n < maxCarried) // the connection is closed then
+		is.Equal(open.carriedWithin(id, now), added)
+		is.True(passed.add(id, now.Add(time.Second), now))
+		is.True(passed.carriedWithin(id, now))
+		is.True(!passed.carriedWithin(id, now.Add(time.Second)))
+	}
+	is.True(len(open.until) <= maxCarried)
+	is.True(len(passed.until) <= maxCarried)
+}
--- a/daemon/plugins/backend/stutter_test.go
+++ b/daemon/plugins/backend/stutter_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -120,3 +122,16 @@
 		}
 	}
 }
+
+// A request whose success was lost on its way back came again. On the same connection the copy of
+// its first answer was taken for the answer to its second run.
+func TestCopyOfASuccessAnswersTheRepeat(t *testing.T) {
+	is := is.New(t)
+	addr := backendconntest.RepeatServer(t, "Id", func(id string) []string { return []string{"Seal: s." + id} })
+	send := sendTo(newClient(clock.Boot{}, &fake{}, noSuspects{}), addr, "GET")
+	for _, want := range []string{"run 1", "run 2", "run 3"} {
+		got := send("r-1")
+		is.True(got.OK)
+		is.Equal(got.Body, want)
+	}
+}
--- a/daemon/plugins/owner/stutter_test.go
+++ b/daemon/plugins/owner/stutter_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/matryer/is"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
@@ -87,3 +89,16 @@
 		})
 	}
 }
+
+// A request whose success was lost on its way back came again. On the same connection the copy of
+// its first answer was taken for the answer to its second run.
+func TestCopyOfASuccessAnswersTheRepeat(t *testing.T) {
+	is := is.New(t)
+	addr := backendconntest.RepeatServer(t, headerRequest, func(string) []string { return nil })
+	send := sendTo(newStutterBackend(addr), "GET")
+	for _, want := range []string{"run 1", "run 2", "run 3"} {
+		got := send("r-1")
+		is.True(got.OK)
+		is.Equal(got.Body, want)
+	}
+}
