owner: test of bytes behind an answer that has no body

The test is new and guards it; at most as many requests fail as answers had bytes behind. Nothing else is changed.

--- a/daemon/plugins/owner/stutter_test.go
+++ b/daemon/plugins/owner/stutter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -102,3 +103,38 @@
 		is.Equal(got.Body, want)
 	}
 }
+
+// A server wrote bytes behind an answer that has no body. They became part of an answer, or the
+// answer to another request.
+func TestBytesBehindAnAnswerWithoutABodyAreAnsweredByTheNativeOwner(t *testing.T) {
+	const callers, requests = 8, 200
+	for name, behind := range map[string]string{
+		"text":                      "bytes that belong to no request",
+		"an answer without a name":  "HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nforeign",
+		"a refusal without a name":  "HTTP/1.1 503 Service Unavailable\r\n" + headerRefused + ": shed\r\nContent-Length: 0\r\n\r\n",
+		"an answer that has its id": "HTTP/1.1 200 OK\r\n" + headerRequest + ": ID\r\nContent-Length: 7\r\n\r\nforeign",
+		"a refusal that has its id": "HTTP/1.1 503 Service Unavailable\r\n" + headerRequest + ": ID\r\n" + headerRefused + ": shed\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for method, status := range map[string]int{"HEAD": http.StatusOK, "GET": http.StatusNoContent, "POST": http.StatusNotModified} {
+			t.Run(fmt.Sprint(name, ", ", status), func(t *testing.T) {
+				want := func(int, string) backendconntest.Answer { return backendconntest.Answer{Status: status} }
+				s := backendconntest.Server{IDHeader: headerRequest, Framing: backendconn.FramingNone, Answer: func(r *http.Request) backendconntest.Answer {
+					id := r.Header.Get(headerRequest)
+					a := backendconntest.Answer{Status: status}
+					if backendconntest.Number(id)%4 == 0 {
+						a.Body = strings.ReplaceAll(behind, "ID", id)
+					}
+					return a
+				}}
+				addr := s.Start(t)
+				got := s.Play(callers, requests, want, sendTo(newStutterBackend(addr), method))
+				if got.Foreign+got.WronglyRefused > 0 {
+					t.Errorf("%d of %d answers are foreign, %d requests that ran are refused, e.g. %s", got.Foreign, got.OK, got.WronglyRefused, got.Example)
+				}
+				if failed := requests - got.OK - got.Refused; failed > requests/4 {
+					t.Errorf("%d requests failed beside %d answers with bytes behind", failed, requests/4)
+				}
+			})
+		}
+	}
+}
