--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -72,6 +72,7 @@
 
 	mu     sync.Mutex
 	barred map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
+	ids    carriedIDs      // of the requests that were sent here
 }
 
 // guards are the conditions under which a connection may be used.
@@ -139,17 +140,23 @@
 	return c.Conn.Close()
 }
 
-// beginRequest marks the start of a request on this connection. If it is barred from this
-// connection, the connection is discarded.
+// beginRequest marks the start of a request on this connection. The connection is discarded if
+// it carried the request a short time ago, whose answer may come a second time, or if the request is
+// barred from it.
 func (c *guardedConn) beginRequest(t *Trace) {
 	c.until.Store(int64(t.Until))
 	c.process.Store(t.Process)
-	c.state.CompareAndSwap(written, unwritten)
+	// The transport counts a connection as used once it has been idle.
+	t.kept.Store(c.state.CompareAndSwap(written, unwritten))
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.barred[t.RequestID] {
 		c.discarded.Store(true)
 	}
+	now := c.clock.Now()
+	if t.RequestID != "" && (c.ids.carriedWithin(t.RequestID, now) || !c.ids.add(t.RequestID, t.Until, now)) {
+		c.discarded.Store(true)
+	}
 }
 
 // bar records that a request must not be sent on this connection again.
@@ -276,6 +283,18 @@
 	}
 }
 
+// Carried reports whether a request with an id was sent on the connection of this one a short time
+// ago. Its answer may come there a second time.
+func (t *Trace) Carried(id string) bool {
+	c := t.conn.Load()
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.ids.contains(id)
+}
+
 // DiscardedUnwritten reports whether the request was given a connection that an earlier
 // request had discarded, and no byte of it was or will be written. It can be sent on
 // another connection.
@@ -288,10 +307,7 @@
 // connection to the trace.
 func (t *Trace) Attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) {
-			t.kept.Store(info.Reused)
-			t.SetConn(info.Conn)
-		},
+		GotConn: func(info httptrace.GotConnInfo) { t.SetConn(info.Conn) },
 	})
 }
 
