daemon/plugins/entry, daemon/routing: requests that wait for a lost owner probe for each other

Each entry's waiting requests, about twenty, had spent the retry budget of the service on their own tries at the lost owner and at standbys that had not taken over yet; after the takeover they waited for tokens, up to 1.5 s, one after another. A daemon that had taken a shard over itself kept its own waiting requests in the same queue, since a takeover ahead of the log did not count as a change of the placement.

The requests that wait for an unreachable owner now probe in turn, one attempt per backoff for all of them. The first answer from the owner or from a successor wakes the others, whose next attempt costs no token, and a takeover by the own daemon counts as a change. A choice between owner and standby holds only for the placement under which it was made: with a newly learned owner it pointed at the lost one again.

--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -24,9 +24,6 @@
 	// minAttemptTimeout is the least remaining timeout for which an attempt is
 	// made.
 	minAttemptTimeout = time.Millisecond
-	// standbyAttempts is the number of attempts at the standby for each one at
-	// an unreachable owner.
-	standbyAttempts = 3
 )
 
 // router forwards requests to the owners of their keys and retries them.
@@ -39,6 +36,7 @@
 	naive          bool
 	placementWatch *routing.PlacementWatch
 	learnedOwners  *routing.LearnedOwners
+	lostOwners     *routing.LostOwners
 	notices        *routing.Notices
 
 	mu      sync.Mutex
@@ -51,6 +49,7 @@
 		naive:          set.Policy.Retries == "naive",
 		placementWatch: routing.NewPlacementWatch(c),
 		learnedOwners:  routing.NewLearnedOwners(),
+		lostOwners:     routing.NewLostOwners(),
 		notices:        routing.NewNotices(),
 		budgets:        map[string]*retry.Budget{},
 	}
@@ -60,16 +59,18 @@
 type placement struct {
 	owner, standby uint64 // incarnations
 	generation     uint64
+	tookOver       bool // this daemon has taken the shard over ahead of the log
 }
 
 // attempts is the state of all attempts for one request.
 type attempts struct {
 	lastPlacement    placement
-	paidRetries      int    // retries that took a token of the retry budget
-	toStandby        bool   // the next attempt goes to the standby
-	standbyStreak    int    // consecutive attempts at the standby
-	ownerUnreachable bool   // the last attempt at the owner got no response
-	ownerHint        uint64 // incarnation that the last response named as owner
+	lastStart        clock.Instant // when the last attempt started
+	paidRetries      int           // retries that took a token of the retry budget
+	toStandby        bool          // the next attempt goes to the standby
+	ownerUnreachable bool          // the last attempt at the owner got no response
+	ownerHint        uint64        // incarnation that the last response named as owner
+	triedSuccessor   bool          // the standby was tried because another one had succeeded the owner
 	failures         retry.Failures
 	sends            routing.Sends
 }
@@ -110,23 +111,24 @@
 
 // awaitRetry waits until the request may be retried. If the request did not run, a
 // change of placement ends the wait immediately. Otherwise the wait ends after a
-// backoff, which repeats until the retry budget has a token. It returns false if ctx
-// ends first.
+// backoff, which repeats until the retry budget has a token and, while the owner is
+// unreachable, no other request has just probed for it. It returns false if ctx ends
+// first.
 func (t *router) awaitRetry(ctx context.Context, x *exchange, a *attempts, verdict retry.Verdict, budget *retry.Budget) bool {
 	if t.naive {
 		t.repeats.Allow(x.req, &a.sends)
 		return sleep(ctx, naiveRetryDelay)
 	}
-	for waits := int(x.req.GetAttempt()); ; waits++ {
-		timer := time.NewTimer(retry.Backoff(waits))
+	waits := int(x.req.GetAttempt())
+	delay := retry.Backoff(waits)
+	for {
+		timer := time.NewTimer(delay)
 		due := false
 		for !due {
 			changed, done := t.placementWatch.Wait()
-			if verdict == retry.AwaitPlacement && t.placementOf(x) != a.lastPlacement && t.repeats.Allow(x.req, &a.sends) {
+			if verdict == retry.AwaitPlacement && t.ownerChanged(x, a) && t.repeats.Allow(x.req, &a.sends) {
 				done()
 				timer.Stop()
-				a.toStandby = false
-				a.standbyStreak = 0
 				return true
 			}
 			select {
@@ -140,30 +142,56 @@
 			}
 			done()
 		}
-		if t.repeats.Allow(x.req, &a.sends) && budget.Take(t.clock.Now()) {
-			a.chooseDaemon(verdict)
+		toStandby, wait := t.chooseDaemon(a, verdict)
+		if wait == 0 && t.repeats.Allow(x.req, &a.sends) && budget.Take(t.clock.Now()) {
+			a.paidRetries++
+			a.toStandby = toStandby
 			return true
 		}
+		waits++
+		delay = wait
+		if wait == 0 {
+			delay = retry.Backoff(waits)
+		}
 	}
 }
 
-// chooseDaemon chooses between owner and standby for the next attempt. A first
-// lost connection does not show whether the owner has changed and is retried at the
-// same daemon; any other failure may mean that it has. While the owner is
-// unreachable, standbyAttempts of standbyAttempts+1 attempts go to the standby.
-func (a *attempts) chooseDaemon(verdict retry.Verdict) {
-	a.paidRetries++
-	if verdict == retry.RetryNow && a.paidRetries == 1 {
-		return
+// ownerChanged reports whether another attempt may find an owner that the last one did
+// not: the placement has changed, or attempts of other requests have found the owner
+// reachable again or its shards with their standbys. It chooses between owner and standby
+// for that attempt.
+func (t *router) ownerChanged(x *exchange, a *attempts) bool {
+	last := a.lastPlacement
+	if t.placementOf(x) != last {
+		return true
 	}
-	if a.toStandby {
-		a.standbyStreak++
+	if a.ownerUnreachable && t.lostOwners.AnsweredSince(a.lastStart, last.owner) {
+		a.toStandby = false
+		return true
 	}
-	if a.toStandby && a.ownerUnreachable && a.standbyStreak < standbyAttempts {
-		return
+	byStandby, byAny := t.lostOwners.SucceededSince(a.lastStart, last.owner, last.standby)
+	if byStandby || byAny && a.ownerUnreachable && !a.triedSuccessor {
+		a.triedSuccessor = true
+		a.toStandby = true
+		return true
+	}
+	return false
+}
+
+// chooseDaemon chooses between owner and standby for the next attempt. A first
+// lost connection does not show whether the owner has changed and is retried at the
+// same daemon; any other failure may mean that it has. The requests that wait for an
+// unreachable owner probe in turn; chooseDaemon returns the time until the next turn if
+// it is not this request's.
+func (t *router) chooseDaemon(a *attempts, verdict retry.Verdict) (toStandby bool, wait time.Duration) {
+	switch {
+	case verdict == retry.RetryNow && a.paidRetries == 0:
+		return a.toStandby, 0
+	case verdict == retry.AwaitPlacement && a.ownerUnreachable:
+		return t.lostOwners.Probe(t.clock.Now(), a.lastPlacement.owner)
+	default:
+		return !a.toStandby, 0
 	}
-	a.toStandby = !a.toStandby
-	a.standbyStreak = 0
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
@@ -187,8 +215,8 @@
 	return id, t.learnedOwners.Apply(id, shard), nil
 }
 
-func placementFrom(shard view.Shard) placement {
-	p := placement{generation: shard.Generation}
+func placementFrom(v *view.View, id view.ShardID, shard view.Shard) placement {
+	p := placement{generation: shard.Generation, tookOver: v.TookOver(id, shard)}
 	if shard.Owner != nil {
 		p.owner = shard.Owner.Incarnation
 	}
@@ -199,8 +227,9 @@
 }
 
 func (t *router) placementOf(x *exchange) placement {
-	_, shard, _ := t.lookup(t.control.View(), x)
-	return placementFrom(shard)
+	v := t.control.View()
+	id, shard, _ := t.lookup(v, x)
+	return placementFrom(v, id, shard)
 }
 
 // target returns the daemon for the next attempt, nil if there is none: the
@@ -227,7 +256,8 @@
 		return nil, edge.ErrCallerLeft
 	}
 	id, shard, err := t.lookup(v, x)
-	a.lastPlacement = placementFrom(shard)
+	a.use(placementFrom(v, id, shard))
+	a.lastStart = t.clock.Now()
 	if err != nil {
 		return nil, err
 	}
@@ -250,6 +280,7 @@
 	t.notices.Record(t.clock.Now(), target.BackendName, sent, resp)
 	if target == shard.Owner {
 		a.ownerUnreachable = err != nil
+		t.recordOwner(target, err)
 	}
 	if err != nil {
 		return nil, err
@@ -260,11 +291,35 @@
 	}
 	if resp.GetGeneration() > shard.Generation {
 		t.learnedOwners.Record(id, resp.GetGeneration(), target)
+		if target == shard.Standby && shard.Owner != nil {
+			t.lostOwners.RecordSuccessor(t.clock.Now(), shard.Owner.Incarnation, target.Incarnation)
+		}
 		t.placementWatch.Notify()
 	}
 	return resp, nil
 }
 
+// recordOwner records whether an attempt at an owner got a response.
+func (t *router) recordOwner(owner *view.Member, err error) {
+	if err != nil {
+		t.lostOwners.RecordUnreachable(owner.Incarnation)
+		return
+	}
+	if t.lostOwners.RecordResponse(t.clock.Now(), owner.Incarnation) {
+		t.placementWatch.Notify()
+	}
+}
+
+// use sets the placement for the next attempt. What earlier attempts found and chose holds
+// for their placement only.
+func (a *attempts) use(p placement) {
+	if p != a.lastPlacement {
+		a.toStandby = false
+		a.ownerUnreachable = false
+	}
+	a.lastPlacement = p
+}
+
 // setRemainingTimeout sets the request's timeout to the time until the deadline
 // of ctx.
 func setRemainingTimeout(ctx context.Context, req *wire.Request) error {
