daemon/plugins/entry, owner: a refusal by a new owner tells who owns the shard

After a takeover that the log does not show yet, an order whose id may be older than the new owner's history of ids is refused by it with unknown_history. The refusal now carries the generation under which the owner holds the shard, and the entry learns from any response that does.

--- a/daemon/plugins/entry/lost_owner_test.go
+++ b/daemon/plugins/entry/lost_owner_test.go
@@ -16,6 +16,7 @@
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/answer"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
@@ -48,24 +49,24 @@
 }
 
 // sendAll routes n requests with keys of their own at once and returns the number of those
-// that are answered within limit.
-func sendAll(t *testing.T, r *router, n int, limit time.Duration) int {
+// that end with kind within limit.
+func sendAll(t *testing.T, r *router, n int, limit time.Duration, kind outcome.Kind) int {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
-	var answered atomic.Int64
+	var ended atomic.Int64
 	for i := range n {
 		go func() {
 			x := &exchange{req: &wire.Request{Service: "stock", Team: "pier", Key: fmt.Sprint("key-", i)}}
-			if _, err := r.route(ctx, x); err == nil {
-				answered.Add(1)
+			if _, err := r.route(ctx, x); outcome.KindOf(err) == kind {
+				ended.Add(1)
 			}
 		}()
 	}
 	<-ctx.Done()
 	time.Sleep(time.Second) // until the router's goroutines have ended
 	synctest.Wait()
-	return int(answered.Load())
+	return int(ended.Load())
 }
 
 // serveAfter answers like a fleet whose daemon d2 is lost: its standbys serve its shards
@@ -89,7 +90,24 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := &fakeEnv{answer: serveAfter(1500 * time.Millisecond)}
-		is.Equal(sendAll(t, waitingRouter(t, s, member(3, "b"), member(4, "a")), 60, 2*time.Second), 60)
+		is.Equal(sendAll(t, waitingRouter(t, s, member(3, "b"), member(4, "a")), 60, 2*time.Second, outcome.OK), 60)
+	})
+}
+
+func TestRequestsWaitOnAlthoughTheNewOwnerRefusedAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		serve := serveAfter(1500 * time.Millisecond)
+		s := &fakeEnv{answer: func(ctx context.Context, to string, req *wire.Request) (*wire.Response, error) {
+			resp, err := serve(ctx, to, req)
+			if err == nil {
+				resp = answer.Refusal(outcome.New(outcome.UnknownHistory, "order"))
+				resp.Generation = 8
+			}
+			return resp, err
+		}}
+		r := waitingRouter(t, s, member(3, "b"), member(4, "a"))
+		is.Equal(sendAll(t, r, 60, 2*time.Second, outcome.UnknownHistory), 60)
 	})
 }
 
@@ -107,7 +125,7 @@
 			}
 			return ok("whole"), nil
 		}
-		is.Equal(sendAll(t, waitingRouter(t, s, member(3, "b"), member(4, "a")), 60, 3*time.Second), 60)
+		is.Equal(sendAll(t, waitingRouter(t, s, member(3, "b"), member(4, "a")), 60, 3*time.Second, outcome.OK), 60)
 	})
 }
 
@@ -132,6 +150,6 @@
 			}
 			s.view.Store(&v)
 		})
-		is.Equal(sendAll(t, r, 20, 2*time.Second), 20)
+		is.Equal(sendAll(t, r, 20, 2*time.Second, outcome.OK), 20)
 	})
 }
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -286,9 +286,6 @@
 		return nil, err
 	}
 	a.ownerHint = resp.GetOwnerHint()
-	if err := answer.Check(resp); err != nil {
-		return resp, err
-	}
 	if resp.GetGeneration() > shard.Generation {
 		t.learnedOwners.Record(id, resp.GetGeneration(), target)
 		if target == shard.Standby && shard.Owner != nil {
@@ -296,7 +293,7 @@
 		}
 		t.placementWatch.Notify()
 	}
-	return resp, nil
+	return resp, answer.Check(resp)
 }
 
 // recordOwner records whether an attempt at an owner got a response.
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -73,7 +73,9 @@
 	}
 	r.id = &dedup.ID{Shard: id, Team: req.GetTeam(), ID: req.GetRequestId()}
 	if err := e.ids.begin(*r.id, r.token); err != nil {
-		return answer.Refusal(err)
+		resp := answer.Refusal(err)
+		resp.Generation = r.token
+		return resp
 	}
 	resp := e.admit(ctx, r)
 	if !r.recorded {
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -310,7 +310,9 @@
 	b := newTestOwner(t, server.addr, nil)
 	b.report(server.addr, false)
 	b.hold(3, nil)
-	is.Equal(kindOf(b.Execute(context.Background(), request("order-1", ""))), outcome.UnknownHistory)
+	refusal := b.Execute(context.Background(), request("order-1", ""))
+	is.Equal(kindOf(refusal), outcome.UnknownHistory)
+	is.Equal(refusal.GetGeneration(), uint64(3))                                   // tells the entry daemon who owns the shard now
 	is.Equal(kindOf(b.Execute(context.Background(), request("", ""))), outcome.OK) // an id that the entry daemon chose
 	is.Equal(server.requests.Load(), int64(1))
 }
