daemon/edge: keep the connection behind a request that waited for 100 (Continue)

Callers that sent a body with Expect at once and a further request behind it lost that one if the first was answered without a read of its body: net/http closes the connection then, and both had been read. The body is complete in memory in this case, so it is read before the answer. A test of a stop whose time is over beside it: the connection of a handler that does not end is closed and logged.

--- a/daemon/edge/connlog_test.go
+++ b/daemon/edge/connlog_test.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"context"
 	"net/http"
 	"testing"
 	"time"
@@ -53,3 +54,34 @@
 	})
 	is.Equal(len(lines), 0)
 }
+
+// A handler that does not end must not delay the stop beyond its time.
+func TestStopEndsRunningRequestsWhenItsTimeIsOver(t *testing.T) {
+	for name, listen := range listeners {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			core, lines := observer.New(zap.InfoLevel)
+			g := &gate{release: make(chan struct{})}
+			defer close(g.release)
+			addr := freeAddr(t)
+			lc := fxtest.NewLifecycle(t)
+			listen(lc, &http.Server{Handler: g}, "test", addr, zap.New(core))
+			lc.RequireStart()
+			c := dialCaller(t, addr)
+			c.send(get("/1wait"))
+			eventually(t, "the request runs", func() bool { return g.running.Load() == 1 })
+			const grace = 200 * time.Millisecond
+			ctx, cancel := context.WithTimeout(t.Context(), grace)
+			defer cancel()
+			begin := time.Now()
+			_ = lc.Stop(ctx)
+			is.True(time.Since(begin) < grace+time.Second)
+			_, err := c.answer()
+			is.True(err != nil)
+			ends := lines.FilterMessage("caller connection ended").All()
+			is.Equal(len(ends), 1)
+			is.Equal(ends[0].ContextMap()["reason"], string(endGraceOver))
+			is.Equal(ends[0].ContextMap()["unanswered_requests"], int64(1))
+		})
+	}
+}
--- a/daemon/edge/followed_test.go
+++ b/daemon/edge/followed_test.go
@@ -71,3 +71,26 @@
 		}
 	}
 }
+
+// An answer to a request that waited for 100 (Continue) closes the connection if the body was
+// not read, under the request that had been read behind it, too.
+func TestUnreadBodyLeavesNoRequestThatWasRead(t *testing.T) {
+	for name, listen := range listeners {
+		for _, head := range []string{"", "Expect: 100-continue\r\n"} {
+			t.Run(name+"/"+head, func(t *testing.T) {
+				is := is.New(t)
+				addr, stop := serveUntilStopped(t, listen, &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})})
+				defer func() { is.NoErr(stop(t.Context())) }()
+				c := dialCaller(t, addr)
+				c.send("POST /1 HTTP/1.1\r\nHost: a\r\n" + head + "Content-Length: 3\r\n\r\nabc" + get("/2"))
+				for answers := 0; answers < 2; {
+					resp, err := http.ReadResponse(c.r, nil)
+					is.NoErr(err)
+					if resp.StatusCode != http.StatusContinue {
+						answers++
+					}
+				}
+			})
+		}
+	}
+}
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -367,6 +367,13 @@
 	return true
 }
 
+// hasWhole reports whether the lane's request is complete.
+func (l *lane) hasWhole() bool {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return l.whole
+}
+
 // endsAtStop reports whether the daemon stops and the lane's answer is to be the last one of
 // its connection.
 func (l *lane) endsAtStop() bool {
--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 
@@ -83,18 +84,20 @@
 			handler.ServeHTTP(w, r)
 			return
 		}
-		l.writer = answerWriter{ResponseWriter: w, lane: l}
+		l.writer = answerWriter{ResponseWriter: w, lane: l, request: r}
 		handler.ServeHTTP(&l.writer, r)
 		l.writer.beforeHeader()
+		l.writer = answerWriter{} // the connection may be idle for long
 	})
 }
 
 // answerWriter tells the caller which answer is the last one of its connection while the
-// daemon stops.
+// daemon stops, and keeps net/http from closing connections of which more was read.
 type answerWriter struct {
 	http.ResponseWriter
-	lane  *lane
-	began bool // the header was written
+	lane    *lane
+	request *http.Request
+	began   bool // the header was written
 }
 
 // Unwrap is for http.ResponseController.
@@ -125,6 +128,10 @@
 		return
 	}
 	w.began = true
+	if w.request.Header["Expect"] != nil && w.lane.hasWhole() {
+		// Else net/http closes the connection, under what was read behind the request.
+		_, _ = io.Copy(io.Discard, w.request.Body)
+	}
 	if w.lane.endsAtStop() {
 		w.Header().Set("Connection", "close")
 	}
