daemon/plugins/gateway: test that a refused body leaves the requests behind it

Callers that sent further requests behind one that was refused before its body was read, for example for an unknown route, lost all of them: the answer closed the connection, although they were read and some had been passed on.

--- a/daemon/plugins/gateway/caller_test.go
+++ b/daemon/plugins/gateway/caller_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -88,6 +89,37 @@
 	is.True(time.Duration(last.Load())*time.Millisecond <= timeout-wait)
 }
 
+// A refusal before the body was read closed the connection under the requests behind it, of
+// which some had been passed on.
+func TestRefusedBodyClosesUnderRequestsBehindIt(t *testing.T) {
+	is := is.New(t)
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := unused.Addr().String()
+	is.NoErr(unused.Close())
+	lc := fxtest.NewLifecycle(t)
+	edge.ListenPipelined(lc, &http.Server{Handler: newTestHandler(t, newFakeDaemon())}, "test", addr, zap.NewNop())
+	lc.RequireStart()
+	defer lc.RequireStop()
+	conn, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(10 * time.Second)))
+	refused := strings.Replace(strings.Replace(readRequest(1), "GET /read", "POST /unknown", 1), "\r\n\r\n", "\r\nContent-Length: 3\r\n\r\nabc", 1)
+	_, err = io.WriteString(conn, refused+readRequest(2)+readRequest(3))
+	is.NoErr(err)
+	r := bufio.NewReader(conn)
+	for i, want := range []int{http.StatusNotFound, http.StatusOK, http.StatusOK} {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatalf("answer %d: %v", i, err)
+		}
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, want)
+	}
+}
+
 // eventually waits until cond holds.
 func eventually(t *testing.T, what string, cond func() bool) {
 	t.Helper()
