daemon/edge: end the connection after an answer that was to be its last

Callers of a connection whose handler had ended it with EndAfter, and whose answer did not say so, kept a connection of which nothing more was read until its idle timeout: their next request waited that long and was then reset. The connection now ends with the answer. Found by reading; the test was red (2 s, the idle timeout) and is green.

--- a/daemon/edge/followed_test.go
+++ b/daemon/edge/followed_test.go
@@ -1,11 +1,13 @@
 package edge
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 )
@@ -94,3 +96,18 @@
 		}
 	}
 }
+
+// The connection stayed open, unread, if the answer did not close it after all.
+func TestConnectionEndsAfterItsLastAnswer(t *testing.T) {
+	is := is.New(t)
+	c := dialCaller(t, servePipelined(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		is.True(EndAfter(r.Context()))
+	})))
+	c.send(get("/1"))
+	_, err := c.answer()
+	is.NoErr(err)
+	begin := time.Now()
+	_, err = c.answer()
+	is.Equal(err, io.ErrUnexpectedEOF)
+	is.True(time.Since(begin) < time.Second) // less than the idle timeout
+}
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -424,6 +424,10 @@
 		case laneAnswered:
 			p.order = slices.Delete(p.order, 0, 1)
 			p.doneBytes = l.end
+			if p.last == l {
+				p.end(endLastAnswer)
+				return
+			}
 			l.state = laneIdle
 			if slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() }) {
 				l.state = laneSurplus
