daemon/edge: tell a handler that its flush failed

Answers that a caller's connection did not take leave no trace unless the handler learns of it. The writer that announces the last answer of a stop hid the error of a flush from http.ResponseController, since it had only Flush; now it has FlushError.

--- a/daemon/edge/followed_test.go
+++ b/daemon/edge/followed_test.go
@@ -111,3 +111,18 @@
 	is.Equal(err, io.ErrUnexpectedEOF)
 	is.True(time.Since(begin) < time.Second) // less than the idle timeout
 }
+
+// A handler that flushes its answer learned nothing of an error.
+func TestFlushReportsThatTheCallerIsGone(t *testing.T) {
+	is := is.New(t)
+	flushed := make(chan error, 1)
+	c := dialCaller(t, servePipelined(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		_, _ = io.WriteString(w, "answer")
+		flushed <- http.NewResponseController(w).Flush()
+	})))
+	c.send(get("/1"))
+	is.NoErr(c.Conn.(*net.TCPConn).SetLinger(0)) // close resets the connection
+	is.NoErr(c.Close())
+	is.True(<-flushed != nil)
+}
--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -118,9 +118,12 @@
 }
 
 // Flush implements http.Flusher.
-func (w *answerWriter) Flush() {
+func (w *answerWriter) Flush() { _ = w.FlushError() }
+
+// FlushError is for http.ResponseController.
+func (w *answerWriter) FlushError() error {
 	w.beforeHeader()
-	_ = http.NewResponseController(w.ResponseWriter).Flush()
+	return http.NewResponseController(w.ResponseWriter).Flush()
 }
 
 func (w *answerWriter) beforeHeader() {
