--- a/daemon/edge/caller.go
+++ b/daemon/edge/caller.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"sync/atomic"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -23,7 +24,7 @@
 	if l, ok := conn.(*lane); ok {
 		return context.WithValue(l.withCancel(ctx), laneKey{}, l)
 	}
-	return context.WithValue(ctx, connKey{}, conn)
+	return context.WithValue(context.WithValue(ctx, connKey{}, conn), countKey{}, new(atomic.Int64))
 }
 
 // CallerLeft reports whether the caller of a request is known to have closed its
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -30,6 +30,7 @@
 	state    laneState
 	whole    bool      // the request is complete
 	wrote    bool      // a part of the answer is written or kept
+	number   int       // of the request on its connection, from 1
 	received time.Time // when the first bytes of the request were read
 	begun    time.Time // when the lane got them, if the daemon was stopping
 	end      int64     // offset of the end of the request, as far as it was received
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -57,6 +57,7 @@
 	changed *sync.Cond // any of what follows
 	lanes   []*lane    // open lanes
 	order   []*lane    // lanes with a request, in the order of the requests
+	begun   int        // requests given to lanes
 	writing bool       // advance writes
 	closed  bool
 	stopped time.Time // when a stop began; zero before
@@ -368,6 +369,8 @@
 		p.arrivals = slices.Delete(p.arrivals, 0, 1)
 	}
 	l.received = p.arrivals[0].at
+	p.begun++
+	l.number = p.begun
 	if !p.stopped.IsZero() {
 		l.begun = time.Now()
 	}
