daemon: log the connection of a request and answers that were not written

The request line of gateway and entry has caller, request_number, behind, body_bytes and, while the daemon leaves, leaving_ms. It is still written before the answer, so that explain shows it to a caller that has one. A failed write gets a line of its own, "answer not written", with request_id and outcome: so the limit on lines of good requests doesn't leave it out (its class is its own). A 204 or 304 no longer writes a body, which net/http refused.

--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -38,8 +38,9 @@
 	}
 }
 
-// writeResponse writes the owner's response, or a refusal if its kind is not OK.
-func writeResponse(w http.ResponseWriter, r *http.Request, req *wire.Request, resp *wire.Response) {
+// writeResponse writes the owner's response, or a refusal if its kind is not OK. It returns
+// how many bytes of the body were taken.
+func writeResponse(w http.ResponseWriter, r *http.Request, req *wire.Request, resp *wire.Response) (int, error) {
 	kind := outcome.Kind(resp.GetKind())
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(edge.WriteTimeout))
 	h := w.Header()
@@ -50,11 +51,14 @@
 	h.Set(HeaderOutcome, kind.String())
 	h.Set(HeaderRan, kind.Answer().Ran.String())
 	if kind == outcome.OK {
-		w.WriteHeader(int(resp.GetStatus()))
-		_, _ = w.Write(resp.GetBody())
-		return
+		status := int(resp.GetStatus())
+		w.WriteHeader(status)
+		if status == http.StatusNoContent || status == http.StatusNotModified {
+			return 0, nil
+		}
+		return w.Write(resp.GetBody())
 	}
-	writeRefusal(w, kind, resp, req)
+	return writeRefusal(w, kind, resp, req)
 }
 
 // copyHeaders copies the backend server's headers except hop-by-hop and system
@@ -101,7 +105,7 @@
 	return edge.ConnectionOptions(values...)
 }
 
-func writeRefusal(w http.ResponseWriter, kind outcome.Kind, resp *wire.Response, req *wire.Request) {
+func writeRefusal(w http.ResponseWriter, kind outcome.Kind, resp *wire.Response, req *wire.Request) (int, error) {
 	answer := kind.Answer()
 	body, err := json.Marshal(Refusal{
 		Outcome: kind.String(), Ran: answer.Ran.String(), Detail: resp.GetDetail(), RequestID: req.GetRequestId(),
@@ -115,11 +119,11 @@
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)+1))
 	w.WriteHeader(answer.Status)
-	_, _ = w.Write(append(body, '\n'))
+	return w.Write(append(body, '\n'))
 }
 
 // logRequest logs the routing decision and the outcome of the request.
-func (e *entry) logRequest(x *exchange, resp *wire.Response, took time.Duration) {
+func (e *entry) logRequest(r *http.Request, x *exchange, resp *wire.Response, took time.Duration) {
 	kind := outcome.Kind(resp.GetKind())
 	answer := kind.Answer()
 	level := zap.InfoLevel
@@ -141,7 +145,7 @@
 	if generation == 0 {
 		generation = x.req.GetGeneration()
 	}
-	line.Write(
+	fields := append(edge.ConnFields(r),
 		zap.String("request_id", x.req.GetRequestId()),
 		zap.String("team", x.req.GetTeam()),
 		zap.String("service", x.req.GetService()),
@@ -155,5 +159,8 @@
 		zap.Stringer("ran", answer.Ran),
 		zap.Uint32("attempts", x.req.GetAttempt()),
 		zap.Float64("ms", float64(took.Microseconds())/1000),
+		zap.Int("body_bytes", len(resp.GetBody())),
+		edge.LeavingField(e.ctrl.View(), e.clock.Now()),
 	)
+	line.Write(fields...)
 }
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -8,11 +8,13 @@
 
 	"github.com/gin-gonic/gin"
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
@@ -39,7 +41,7 @@
 		setRetryAfter(c.Writer.Header(), err)
 	}
 	took := time.Since(x.started)
-	e.logRequest(x, resp, took)
+	e.logRequest(c.Request, x, resp, took)
 	e.metrics.request(x.req, outcome.Kind(resp.GetKind()), took)
 	// Without Connection: close, net/http would read the rest of an unread body
 	// before it sends the response.
@@ -47,7 +49,18 @@
 	if unread || e.ctrl.View().Leaving {
 		c.Header("Connection", "close")
 	}
-	writeResponse(c.Writer, c.Request, x.req, resp)
+	written, err := writeResponse(c.Writer, c.Request, x.req, resp)
+	c.Writer.WriteHeaderNow()
+	edge.LogUnwritten(e.log, unwrap(c.Writer), c.Request, err,
+		zap.String("request_id", x.req.GetRequestId()), zap.Stringer("outcome", outcome.Kind(resp.GetKind())), zap.Int("body_written", written))
+}
+
+// unwrap returns the writer below gin's, whose Flush returns no error.
+func unwrap(w gin.ResponseWriter) http.ResponseWriter {
+	if u, ok := w.(interface{ Unwrap() http.ResponseWriter }); ok {
+		return u.Unwrap()
+	}
+	return w
 }
 
 // process authenticates, admits and forwards a caller's request and returns the
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -64,12 +64,14 @@
 	}
 	took := time.Since(x.started)
 	g.metrics.record(x.req.GetService(), outcome.Kind(resp.GetKind()), took)
-	g.logRequest(x, resp, took)
+	g.logRequest(r, x, resp, took)
 	unread := r.ContentLength != 0 && !x.bodyRead
 	if (unread || g.control.View().Leaving) && edge.EndAfter(r.Context()) {
 		w.Header().Set("Connection", "close")
 	}
-	g.writeResponse(w, r, x, resp)
+	written, err := g.writeResponse(w, r, x, resp)
+	edge.LogUnwritten(g.log, w, r, err,
+		zap.String("request_id", x.req.GetRequestId()), zap.Stringer("outcome", outcome.Kind(resp.GetKind())), zap.Int("body_written", written))
 }
 
 // process decodes, authenticates and forwards a request, and returns its response.
@@ -299,9 +301,10 @@
 	}
 }
 
-// writeResponse sends the backend server's response. If the kind of resp is not OK,
-// it sends the status of the refusal without a body.
-func (g *gateway) writeResponse(w http.ResponseWriter, r *http.Request, x *exchange, resp *wire.Response) {
+// writeResponse sends the backend server's response, and returns how many bytes of its body
+// were taken. If the kind of resp is not OK, it sends the status of the refusal without a
+// body.
+func (g *gateway) writeResponse(w http.ResponseWriter, r *http.Request, x *exchange, resp *wire.Response) (int, error) {
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(edge.WriteTimeout))
 	h := w.Header()
 	kind := outcome.Kind(resp.GetKind())
@@ -313,7 +316,7 @@
 		}
 		h.Set("Content-Length", "0")
 		w.WriteHeader(status)
-		return
+		return 0, nil
 	}
 	status := int(resp.GetStatus())
 	for _, field := range resp.GetHeaders() {
@@ -321,11 +324,15 @@
 			h.Add(name, field.GetValue())
 		}
 	}
-	if status != http.StatusNoContent && status != http.StatusNotModified && r.Method != http.MethodHead {
+	mayHaveBody := status != http.StatusNoContent && status != http.StatusNotModified
+	if mayHaveBody && r.Method != http.MethodHead {
 		h.Set("Content-Length", strconv.Itoa(len(resp.GetBody())))
 	}
 	w.WriteHeader(status)
-	_, _ = w.Write(resp.GetBody())
+	if !mayHaveBody {
+		return 0, nil
+	}
+	return w.Write(resp.GetBody())
 }
 
 // retryAfterSeconds returns the value of the Retry-After header, in seconds with
@@ -340,13 +347,13 @@
 }
 
 // logRequest writes the request's log line.
-func (g *gateway) logRequest(x *exchange, resp *wire.Response, took time.Duration) {
+func (g *gateway) logRequest(r *http.Request, x *exchange, resp *wire.Response, took time.Duration) {
 	kind := outcome.Kind(resp.GetKind())
 	lastTarget := ""
 	if x.lastTarget != nil {
 		lastTarget = x.lastTarget.Slot
 	}
-	g.log.Info("request",
+	fields := append(edge.ConnFields(r),
 		zap.String("request_id", x.req.GetRequestId()),
 		zap.String("team", x.req.GetTeam()),
 		zap.String("route", x.req.GetRoute()),
@@ -368,5 +375,8 @@
 		zap.Int64("patience_ms", x.callerTimeout.Milliseconds()),
 		zap.Float64("waited_ms", float64(x.started.Sub(x.received).Microseconds())/1000),
 		zap.Float64("ms", float64(took.Microseconds())/1000),
+		zap.Int("body_bytes", len(resp.GetBody())),
+		edge.LeavingField(g.control.View(), g.clock.Now()),
 	)
+	g.log.Info("request", fields...)
 }
