daemon/edge: name the caller in the line of a connection that ended

A caller without an answer is looked for by its address and port, which the request lines of its connection have, and the line of that connection's end did not: the two could not be joined.

--- a/daemon/edge/connlog.go
+++ b/daemon/edge/connlog.go
@@ -1,6 +1,7 @@
 package edge
 
 import (
+	"net"
 	"time"
 
 	"go.uber.org/zap"
@@ -22,6 +23,7 @@
 
 // connEnd describes a caller's connection when it ended.
 type connEnd struct {
+	caller     net.Addr
 	reason     endReason
 	stopping   bool
 	bytes      int64 // read of requests without an answer
@@ -53,6 +55,7 @@
 		sinceRead = time.Since(e.lastRead).Milliseconds()
 	}
 	c.log.Info("caller connection ended",
+		zap.Stringer("caller", e.caller),
 		zap.String("reason", string(e.reason)),
 		zap.Bool("stopping", e.stopping),
 		zap.Int64("unanswered_bytes", e.bytes),
--- a/daemon/edge/connlog_test.go
+++ b/daemon/edge/connlog_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -27,8 +28,10 @@
 
 func TestStopLogsRequestsWithoutAnswer(t *testing.T) {
 	is := is.New(t)
+	var addr net.Addr
 	const half = "GET /2 HTTP/1.1\r\nHo"
 	lines := endLines(t, func(c *caller) {
+		addr = c.LocalAddr()
 		c.send(get("/1") + half) // both are read at once
 		_, err := c.answer()
 		is.NoErr(err)
@@ -36,6 +39,7 @@
 	is.Equal(len(lines), 1)
 	fields := lines[0].ContextMap()
 	is.Equal(fields["listener"], "test")
+	is.Equal(fields["caller"], addr.String())
 	is.Equal(fields["reason"], string(endStop))
 	is.Equal(fields["stopping"], true)
 	is.Equal(fields["unanswered_bytes"], int64(len(half)))
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -501,7 +501,7 @@
 func (p *pipeline) shut(reason endReason) {
 	p.closed = true
 	p.config.log.ended(connEnd{
-		reason: reason, stopping: !p.stopped.IsZero(), lastRead: p.lastRead,
+		caller: p.conn.RemoteAddr(), reason: reason, stopping: !p.stopped.IsZero(), lastRead: p.lastRead,
 		bytes: p.readBytes - p.doneBytes, unanswered: len(p.order),
 	})
 	for _, l := range p.lanes {
