--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -31,6 +31,7 @@
 	number   int       // of the request on its connection, from 1
 	whole    bool      // the request is complete
 	wrote    bool      // a part of the answer is written or kept
+	number   int       // of the request on its connection, from 1
 	received time.Time // when the first bytes of the request were read
 	begun    time.Time // when the lane got them, if the daemon was stopping
 	end      int64     // offset of the end of the request, as far as it was received
@@ -368,6 +369,13 @@
 	return true
 }
 
+// hasWhole reports whether the lane's request is complete.
+func (l *lane) hasWhole() bool {
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return l.whole
+}
+
 // endsAtStop reports whether the daemon stops and the lane's answer is to be the last one of
 // its connection.
 func (l *lane) endsAtStop() bool {
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -369,6 +369,8 @@
 		p.arrivals = slices.Delete(p.arrivals, 0, 1)
 	}
 	l.received = p.arrivals[0].at
+	p.begun++
+	l.number = p.begun
 	if !p.stopped.IsZero() {
 		l.begun = time.Now()
 	}
@@ -427,6 +429,10 @@
 		case laneAnswered:
 			p.order = slices.Delete(p.order, 0, 1)
 			p.doneBytes = l.end
+			if p.last == l {
+				p.end(endLastAnswer)
+				return
+			}
 			l.state = laneIdle
 			if slices.ContainsFunc(p.lanes, func(other *lane) bool { return other != l && other.idle() }) {
 				l.state = laneSurplus
@@ -497,7 +503,7 @@
 func (p *pipeline) shut(reason endReason) {
 	p.closed = true
 	p.config.log.ended(connEnd{
-		reason: reason, stopping: !p.stopped.IsZero(), lastRead: p.lastRead,
+		caller: p.conn.RemoteAddr(), reason: reason, stopping: !p.stopped.IsZero(), lastRead: p.lastRead,
 		bytes: p.readBytes - p.doneBytes, unanswered: len(p.order),
 	})
 	for _, l := range p.lanes {
