--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -28,7 +28,6 @@
 type lane struct {
 	p        *pipeline
 	state    laneState
-	number   int       // of the request on its connection, from 1
 	whole    bool      // the request is complete
 	wrote    bool      // a part of the answer is written or kept
 	number   int       // of the request on its connection, from 1
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -374,8 +374,6 @@
 	if !p.stopped.IsZero() {
 		l.begun = time.Now()
 	}
-	p.begun++
-	l.number = p.begun
 	p.order = append(p.order, l)
 }
 
