backendconn, owners: a copy of an order's answer is not the answer to the next order

Two owners of a key could come of it: answers to grants and releases name no request, so that a late second copy of the answer to one order was taken for the answer to the next order on that connection. Releases, and grants on the native interface, did not use backendconn at all.

All orders go through backendconn.Orders now. Each carries an id where requests carry theirs; an answer that names an earlier order of its connection is an error, and the connection is closed. A server need not name orders: one that wrote bytes that belong to no call (on an idle connection, a second answer to an order, or an answer that names another request) then gets each order on a connection of its own until it restarts. Bytes that come while no call waits end their connection before another call is written to it, instead of lying in the transport's buffer; an answer 408 by which servers close idle connections does not count.

Not closed: the first copy that a server ever writes, if it names no order and crosses the next order. Three calls in owner_test.go pass the new parameter of Dialer.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -70,15 +70,20 @@
 	awaiting  atomic.Bool  // no byte was read since the current request was written
 	closed    atomic.Bool  // by this daemon
 
-	mu     sync.Mutex
-	barred map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
-	ids    carriedIDs      // of the requests that were sent here
+	mu      sync.Mutex
+	barred  map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
+	ids     carriedIDs      // of the requests that were sent here
+	current *Trace          // of the call that waits for its answer; nil if none does
+	answers int             // answers that were read since current began, if it is an order
+
+	namesOrders bool // an answer to an order named it
 }
 
 // guards are the conditions under which a connection may be used.
 type guards struct {
 	leaseHeld  func() bool
 	continuity *Continuity // nil if the connections of the server are not watched
+	stutter    *Stutter    // nil if bytes of no answer are not recorded
 	// knownOnly means that nothing is written to another process than the known one.
 	knownOnly bool
 }
@@ -86,6 +91,9 @@
 // Read reads and records whether the server still uses the connection.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n > 0 && !c.accept(b[:n]) {
+		return 0, io.EOF // the transport would keep the bytes for the next request
+	}
 	if c.continuity == nil {
 		return n, err
 	}
@@ -142,7 +150,7 @@
 
 // beginRequest marks the start of a request on this connection. The connection is discarded if
 // it carried the request a short time ago, whose answer may come a second time, or if the request is
-// barred from it.
+// barred from it, or if an answer to an earlier call may be taken for that to an order.
 func (c *guardedConn) beginRequest(t *Trace) {
 	c.until.Store(int64(t.Until))
 	c.process.Store(t.Process)
@@ -150,7 +158,9 @@
 	t.kept.Store(c.state.CompareAndSwap(written, unwritten))
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.barred[t.RequestID] {
+	c.current, c.answers = t, 0
+	orderToStuttering := t.order && t.Kept() && !c.namesOrders && c.stutter != nil && c.stutter.Seen()
+	if c.barred[t.RequestID] || orderToStuttering {
 		c.discarded.Store(true)
 	}
 	now := c.clock.Now()
@@ -214,15 +224,15 @@
 
 // Dialer returns a dial function for guarded connections. leaseHeld is called before
 // each write.
-func Dialer(clk clock.Clock, leaseHeld func() bool) func(context.Context, string, string) (net.Conn, error) {
-	return dialer(clk, guards{leaseHeld: leaseHeld})
+func Dialer(clk clock.Clock, leaseHeld func() bool, stutter *Stutter) func(context.Context, string, string) (net.Conn, error) {
+	return dialer(clk, guards{leaseHeld: leaseHeld, stutter: stutter})
 }
 
 // WatchedDialer returns a dial function for guarded connections that report to continuity
 // what becomes of them. With knownOnly they write only to the process that is known.
 func WatchedDialer(clk clock.Clock, continuity *Continuity, knownOnly bool) func(context.Context, string, string) (net.Conn, error) {
 	always := func() bool { return true }
-	return dialer(clk, guards{leaseHeld: always, continuity: continuity, knownOnly: knownOnly})
+	return dialer(clk, guards{leaseHeld: always, continuity: continuity, stutter: &continuity.Stutter, knownOnly: knownOnly})
 }
 
 func dialer(clk clock.Clock, g guards) func(context.Context, string, string) (net.Conn, error) {
@@ -247,6 +257,7 @@
 	Until     clock.Instant // the request may be written before this time
 	Process   uint64        // for which the request is, by Continuity.Restarted; counts if only the known one may get it
 
+	order bool // sent by Orders
 	conn  atomic.Pointer[guardedConn]
 	kept  atomic.Bool
 	wrote atomic.Bool // on a connection before conn: the transport sends some calls again
--- a/daemon/backendconn/backendconntest/server.go
+++ b/daemon/backendconn/backendconntest/server.go
@@ -309,3 +309,81 @@
 	}()
 	return listener.Addr().String()
 }
+
+// OrderServer answers orders, which are the calls whose path contains "grant" or "release", in turn
+// with 200 and 409, with their number in the header Handover, and requests with 200. Each answer is
+// written a second time.
+type OrderServer struct {
+	IDHeader string
+	Header   func(id string) []string // of answers to requests
+	Together bool                     // copies follow their answers at once, otherwise they precede the next one on their connection
+	Names    bool                     // answers to orders name the id in IDHeader
+
+	orders, conns atomic.Int64
+}
+
+// Conns returns how many connections were opened.
+func (s *OrderServer) Conns() int { return int(s.conns.Load()) }
+
+// Start starts the server for the duration of a test and returns its address.
+func (s *OrderServer) Start(t testing.TB) (addr string) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			s.conns.Add(1)
+			go s.serve(conn)
+		}
+	}()
+	return listener.Addr().String()
+}
+
+func (s *OrderServer) serve(conn net.Conn) {
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	last := ""
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		answer := s.answer(req)
+		first := last
+		if last = answer; s.Together {
+			first = answer
+		}
+		if _, err := io.WriteString(conn, first+answer); err != nil {
+			return
+		}
+	}
+}
+
+func (s *OrderServer) answer(req *http.Request) string {
+	encoder := &Server{IDHeader: s.IDHeader, Framing: backendconn.FramingLength}
+	id := req.Header.Get(s.IDHeader)
+	if !strings.Contains(req.URL.Path, "grant") && !strings.Contains(req.URL.Path, "release") {
+		head, body := encoder.encode(Answer{Status: http.StatusOK, Header: s.Header(id), Body: id}, id)
+		return head + body
+	}
+	n := s.orders.Add(1)
+	a := Answer{Status: http.StatusOK, Header: []string{fmt.Sprint("Handover: ", n)}}
+	if n%2 == 0 {
+		a.Status = http.StatusConflict
+	}
+	if !s.Names {
+		id = ""
+	}
+	head, body := encoder.encode(a, id)
+	return head + body
+}
--- a/daemon/backendconn/continuity.go
+++ b/daemon/backendconn/continuity.go
@@ -24,6 +24,8 @@
 // the doubt removes it, since the connections of a process end with it, and so does an
 // announcement.
 type Continuity struct {
+	Stutter Stutter // of the process that is known
+
 	mu            sync.Mutex
 	doubted       clock.Instant             // since when; 0 if there is no doubt
 	restarted     clock.Instant             // when the process became known
@@ -111,6 +113,7 @@
 	c.doubted = 0
 	c.restarted = now
 	c.closesQuickly = false
+	c.Stutter.Reset()
 	c.process++
 	return c.process
 }
--- /dev/null
+++ b/daemon/backendconn/orders.go
@@ -0,0 +1,164 @@
+package backendconn
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+// Stutter tells whether the backend server wrote bytes that are no answer of a call, mostly an
+// answer that it had written before. If its answers to orders (grants and releases) do not name
+// their order, such a server gets each order on a connection of its own. It is safe for concurrent
+// use.
+type Stutter struct{ seen atomic.Bool }
+
+// Saw records such bytes.
+func (s *Stutter) Saw() { s.seen.Store(true) }
+
+// Seen reports whether there were such bytes since Reset.
+func (s *Stutter) Seen() bool { return s.seen.Load() }
+
+// Reset is called when the server has restarted.
+func (s *Stutter) Reset() { s.seen.Store(false) }
+
+// OrderDialer returns a dial function for connections of orders that may be written at any time.
+func OrderDialer(clk clock.Clock, stutter *Stutter) func(context.Context, string, string) (net.Conn, error) {
+	return dialer(clk, guards{leaseHeld: func() bool { return true }, stutter: stutter})
+}
+
+// ErrCopy is the error of an order whose answer was given to an earlier one.
+var ErrCopy = errors.New("the answer to an earlier call was read instead of the answer")
+
+// Orders is an http.RoundTripper for orders. It names each one in the header IDHeader. An answer that
+// names an earlier one of its connection is ErrCopy; a server need not name any.
+type Orders struct {
+	*http.Transport
+	IDHeader string
+}
+
+type orderTraceKey struct{}
+
+// WithOrderTrace returns a context whose order is recorded by a trace.
+func WithOrderTrace(ctx context.Context, t *Trace) context.Context {
+	return context.WithValue(ctx, orderTraceKey{}, t)
+}
+
+// RoundTrip implements http.RoundTripper.
+func (o Orders) RoundTrip(req *http.Request) (*http.Response, error) {
+	trace, ok := req.Context().Value(orderTraceKey{}).(*Trace)
+	if !ok {
+		trace = &Trace{Until: clock.Instant(math.MaxInt64)}
+	}
+	trace.RequestID, trace.order = strconv.FormatUint(rand.Uint64(), 16), true
+	named := req.WithContext(trace.Attach(req.Context()))
+	named.Header = req.Header.Clone()
+	if o.IDHeader != "" {
+		named.Header.Set(o.IDHeader, trace.RequestID)
+	}
+	resp, err := o.Transport.RoundTrip(named)
+	if err != nil {
+		return nil, err
+	}
+	if trace.isCopy(resp.Header.Get(o.IDHeader)) {
+		_ = resp.Body.Close()
+		return nil, ErrCopy
+	}
+	resp.Body = orderBody{resp.Body, trace}
+	return resp, nil
+}
+
+// isCopy reports whether an answer to the order that names id, or nothing, was given to an earlier
+// call. Its connection is discarded then.
+func (t *Trace) isCopy(id string) bool {
+	c := t.conn.Load()
+	if c == nil || c.stutter == nil {
+		return false
+	}
+	c.mu.Lock()
+	own := id == t.RequestID
+	copied := !own && c.ids.contains(id) || id == "" && c.namesOrders && c.stutter.Seen()
+	c.namesOrders = c.namesOrders || own
+	c.mu.Unlock()
+	if copied {
+		c.stutter.Saw()
+		t.Discard()
+	}
+	return copied
+}
+
+// orderBody ends its order when it is closed.
+type orderBody struct {
+	io.ReadCloser
+	trace *Trace
+}
+
+// Close implements io.Closer.
+func (b orderBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.trace.Answered()
+	return err
+}
+
+// answersIn returns how many heads of answers, other than interim ones, begin in data.
+func answersIn(data []byte) int {
+	count := 0
+	for at := indexFrom(data, statusLineStart, 0); at >= 0; at = indexFrom(data, statusLineStart, at+1) {
+		line, _, _ := bytes.Cut(data[at:], []byte("\r"))
+		if startsStatusLine(line) && line[len(statusLineStart+"d ")] != '1' {
+			count++
+		}
+	}
+	return count
+}
+
+// isTimeout reports whether data is an answer by which a server closes an idle connection.
+func isTimeout(data []byte) bool {
+	return startsStatusLine(data[:min(len(data), len(statusLineStart+"d ddd"))]) && bytes.HasPrefix(data[len(statusLineStart+"d "):], []byte("408"))
+}
+
+// accept looks at data that was read. It reports false if no call waits for it. The connection is not
+// used again after that, nor after a second answer to an order.
+func (c *guardedConn) accept(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.current == nil:
+		if isTimeout(data) {
+			return true
+		}
+	case c.current.order:
+		if c.answers += answersIn(data); c.answers <= 1 {
+			return true
+		}
+	default:
+		return true
+	}
+	c.discarded.Store(true)
+	if c.stutter != nil {
+		c.stutter.Saw()
+	}
+	return c.current != nil
+}
+
+// Answered marks the end of the call: its answer was read. What comes on its connection before the
+// next call belongs to none.
+func (t *Trace) Answered() {
+	c := t.conn.Load()
+	if c == nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.current == t {
+		c.current = nil
+	}
+}
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -46,20 +46,39 @@
 
 func newClient(clk clock.Clock, d protocol.Backends, suspects backendconn.Suspects) *client {
 	c := &client{clock: clk, protocol: d, crashes: backendconn.NewCrashTracker(clk, suspects), responses: backendconn.NewResponseReader()}
-	c.requestClient = httpClient(maxConnections, backendconn.WatchedDialer(clk, &c.continuity, false))
-	c.grantClient = httpClient(maxConcurrentGrants, backendconn.WatchedDialer(clk, &c.continuity, true))
-	c.releaseClient = httpClient(maxReleases, (&net.Dialer{Timeout: backendconn.DialTimeout}).DialContext)
+	c.requestClient = httpClient(transport(maxConnections, backendconn.WatchedDialer(clk, &c.continuity, false)))
+	grants := transport(maxConcurrentGrants, backendconn.WatchedDialer(clk, &c.continuity, true))
+	releases := transport(maxReleases, backendconn.OrderDialer(clk, &c.continuity.Stutter))
+	c.grantClient = httpClient(backendconn.Orders{Transport: grants, IDHeader: idHeader(d)})
+	c.releaseClient = httpClient(backendconn.Orders{Transport: releases, IDHeader: idHeader(d)})
 	return c
 }
 
-func httpClient(conns int, dial func(context.Context, string, string) (net.Conn, error)) *http.Client {
+// idHeader returns the header in which a protocol names requests.
+func idHeader(d protocol.Backends) string {
+	const id = "id"
+	h := http.Header{}
+	d.Encode(h, protocol.BackendRequest{ID: id})
+	for name := range h {
+		if h.Get(name) == id {
+			return name
+		}
+	}
+	return ""
+}
+
+func httpClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
-		Transport: &http.Transport{
-			MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, IdleConnTimeout: backendconn.IdleTimeout,
-			DialContext: dial, DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 2 << 10,
-			MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
-		},
+		Transport:     transport,
+	}
+}
+
+func transport(conns int, dial func(context.Context, string, string) (net.Conn, error)) *http.Transport {
+	return &http.Transport{
+		MaxConnsPerHost: conns, MaxIdleConnsPerHost: conns, IdleConnTimeout: backendconn.IdleTimeout,
+		DialContext: dial, DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 2 << 10,
+		MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
 	}
 }
 
@@ -97,6 +116,7 @@
 		return refusal, protocol.BackendAnswer{}, err
 	}
 	resp, decoded := c.answer(runCtx, httpResp, req.GetRequestId(), trace)
+	trace.Answered()
 	if answer.AllowsRepeat(resp) {
 		trace.BarRepeat()
 	}
@@ -109,7 +129,7 @@
 // wraps errUnsent if nothing was written and never will be.
 func (c *client) sendGrant(ctx context.Context, s *server, keys protocol.KeyRange, g hold.Grant, until clock.Instant) error {
 	trace := &backendconn.Trace{Until: until, Process: s.process}
-	err := c.protocol.Grant(trace.Attach(ctx), c.grantClient, s.addr, keys, g.Hold, g.Handover)
+	err := c.protocol.Grant(backendconn.WithOrderTrace(ctx, trace), c.grantClient, s.addr, keys, g.Hold, g.Handover)
 	held := errors.Is(err, backendconn.ErrLeaseEnded) || errors.Is(err, backendconn.ErrOtherProcess)
 	if held && !trace.Wrote() {
 		return fmt.Errorf("%w: %w", errUnsent, err)
@@ -168,6 +188,7 @@
 	}
 	if decoded.ID != id {
 		trace.Discard()
+		c.continuity.Stutter.Saw()
 		backendconn.RecordDiscarded(ctx, decoded.ID, backendconn.DiscardOtherRequest)
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response belongs to another request %q", decoded.ID)), protocol.BackendAnswer{}
 	}
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -37,6 +36,7 @@
 	client  *http.Client // for requests, on connections that backendconn.Dialer opens
 	grants  *http.Client // for grants, on a separate connection
 	crashes *backendconn.CrashTracker
+	stutter backendconn.Stutter
 
 	responses backendconn.ResponseReader
 }
@@ -47,18 +47,18 @@
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     backendconn.IdleTimeout,
-		DialContext:         backendconn.Dialer(clk, b.leaseHeld),
+		DialContext:         backendconn.Dialer(clk, b.leaseHeld, &b.stutter),
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
 	}}
-	b.grants = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
+	b.grants = &http.Client{CheckRedirect: noRedirect, Transport: backendconn.Orders{IDHeader: headerRequest, Transport: &http.Transport{
 		MaxConnsPerHost: 1,
 		IdleConnTimeout: backendconn.IdleTimeout,
-		DialContext:     (&net.Dialer{Timeout: backendconn.DialTimeout}).DialContext,
+		DialContext:     backendconn.OrderDialer(clk, &b.stutter),
 
 		MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
-	}}
+	}}}
 	return b
 }
 
@@ -69,6 +69,7 @@
 // restarted closes idle connections to the server's previous process.
 func (b *backend) restarted(bootID string) {
 	b.crashes.RecordRestart(bootID)
+	b.stutter.Reset()
 	b.client.CloseIdleConnections()
 }
 
@@ -136,11 +137,13 @@
 		return refusal, selfReport{}
 	}
 	if err := checkRequestID(httpResp, trace, req.GetRequestId()); err != nil {
+		b.stutter.Saw()
 		_ = httpResp.Body.Close()
 		return answer.Refusal(err), selfReport{}
 	}
 	report := readSelfReport(httpResp.Header)
 	resp := b.readResponse(ctx, httpResp, token)
+	trace.Answered()
 	if answer.AllowsRepeat(resp) {
 		trace.BarRepeat()
 	}
--- a/daemon/plugins/owner/owner_test.go
+++ b/daemon/plugins/owner/owner_test.go
@@ -185,7 +185,7 @@
 	b.report(server.addr, false)
 	b.hold(2, nil)
 	trace := &backendconn.Trace{Until: clock.Boot{}.Now().Add(time.Hour)}
-	conn, err := backendconn.Dialer(clock.Boot{}, b.backend.leaseHeld)(context.Background(), "tcp", server.addr)
+	conn, err := backendconn.Dialer(clock.Boot{}, b.backend.leaseHeld, &b.backend.stutter)(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
 	trace.SetConn(conn)
 	b.lease.Set(clock.Boot{}.Now())
@@ -201,7 +201,7 @@
 func TestBarredConnectionNeverWrites(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string { return okResponse })
-	conn, err := backendconn.Dialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
+	conn, err := backendconn.Dialer(clock.Boot{}, func() bool { return true }, new(backendconn.Stutter))(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
 	trace := &backendconn.Trace{Until: clock.Boot{}.Now().Add(time.Hour)}
 	trace.SetConn(conn)
@@ -320,7 +320,7 @@
 func TestWriteAfterAdmittingLeaseFails(t *testing.T) {
 	is := is.New(t)
 	server := newRawServer(t, func(int64, *http.Request) string { return okResponse })
-	conn, err := backendconn.Dialer(clock.Boot{}, func() bool { return true })(context.Background(), "tcp", server.addr)
+	conn, err := backendconn.Dialer(clock.Boot{}, func() bool { return true }, new(backendconn.Stutter))(context.Background(), "tcp", server.addr)
 	is.NoErr(err)
 	trace := &backendconn.Trace{Until: clock.Boot{}.Now()}
 	trace.SetConn(conn)
--- a/daemon/plugins/owner/stutter_test.go
+++ b/daemon/plugins/owner/stutter_test.go
@@ -138,3 +138,28 @@
 		}
 	}
 }
+
+// A copy of the answer to one grant was taken for the answer to the next one, which the server
+// had refused.
+func TestCopyOfTheAnswerToAGrantAnswersTheNext(t *testing.T) {
+	for name, s := range map[string]*backendconntest.OrderServer{
+		"copies at once":         {Together: true},
+		"copies name the grant":  {Names: true},
+		"after copies of others": {},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s.IDHeader, s.Header = headerRequest, func(string) []string { return nil }
+			addr := s.Start(t)
+			b := newStutterBackend(addr)
+			send := sendTo(b, "GET")
+			for n := 1; n <= 2 && !s.Together && !s.Names; n++ { // copies that name their request come first
+				is.Equal(send(backendconntest.ID(n)).OK, n == 1)
+			}
+			for n := 1; n <= 6; n++ {
+				err := b.sendGrant(t.Context(), grantKey{})
+				is.Equal(err == nil, n%2 == 1)
+			}
+		})
+	}
+}
