backendconn: a line for bytes that belong to no call

Bytes that a server writes while no call waits end their connection; they left no trace in the log but net/http's own lines on the standard error, unbounded and with the bytes of the answer, and those that are now discarded left none. TestBytesOfNoAnswerHaveNoLine covers the bound and the count.

--- a/daemon/backendconn/exchange_test.go
+++ b/daemon/backendconn/exchange_test.go
@@ -85,3 +85,24 @@
 	is.Equal(fields["answer_id"], "r-1")
 	is.Equal(fields["discard_reason"], "other_request")
 }
+
+// Bytes that belong to no call left no line, or one for each connection.
+func TestBytesOfNoAnswerHaveNoLine(t *testing.T) {
+	is := is.New(t)
+	core, lines := observer.New(zapcore.InfoLevel)
+	log, now := zap.New(core), clock.Instant(time.Hour)
+	var s Stutter
+	s.LogDiscarded(log, now)
+	is.Equal(lines.Len(), 0)
+	for range 3 {
+		s.discard()
+	}
+	s.LogDiscarded(log, now)
+	s.discard()
+	s.LogDiscarded(log, now.Add(logInterval-1))
+	is.Equal(lines.Len(), 1)
+	is.Equal(lines.All()[0].ContextMap()["count"], int64(3))
+	s.LogDiscarded(log, now.Add(logInterval))
+	is.Equal(lines.Len(), 2)
+	is.Equal(lines.All()[1].ContextMap()["count"], int64(1))
+}
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -11,6 +11,9 @@
 	"net/http"
 	"strconv"
 	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 )
@@ -19,11 +22,34 @@
 // answer that it had written before. If its answers to orders (grants and releases) do not name
 // their order, such a server gets each order on a connection of its own. It is safe for concurrent
 // use.
-type Stutter struct{ seen atomic.Bool }
+type Stutter struct {
+	seen      atomic.Bool
+	discarded atomic.Int64 // how often a connection was closed for such bytes, since LogDiscarded
+	loggedAt  atomic.Int64 // time of the last line
+}
+
+// logInterval bounds the lines of LogDiscarded.
+const logInterval = time.Second
 
 // Saw records such bytes.
 func (s *Stutter) Saw() { s.seen.Store(true) }
 
+// discard records that a connection was closed for such bytes, which no call reads.
+func (s *Stutter) discard() {
+	s.Saw()
+	s.discarded.Add(1)
+}
+
+// LogDiscarded logs a line if connections were closed for such bytes, at most one in
+// logInterval.
+func (s *Stutter) LogDiscarded(log *zap.Logger, now clock.Instant) {
+	last := s.loggedAt.Load()
+	if s.discarded.Load() == 0 || now < clock.Instant(last).Add(logInterval) || !s.loggedAt.CompareAndSwap(last, int64(now)) {
+		return
+	}
+	log.Info("bytes of no answer discarded", zap.Int64("count", s.discarded.Swap(0)))
+}
+
 // Seen reports whether there were such bytes since Reset.
 func (s *Stutter) Seen() bool { return s.seen.Load() }
 
@@ -89,7 +115,7 @@
 	c.namesOrders = c.namesOrders || own
 	c.mu.Unlock()
 	if copied {
-		c.stutter.Saw()
+		c.stutter.discard()
 		t.Discard()
 	}
 	return copied
@@ -144,7 +170,7 @@
 	}
 	c.discarded.Store(true)
 	if c.stutter != nil {
-		c.stutter.Saw()
+		c.stutter.discard()
 	}
 	return c.current != nil
 }
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -88,6 +88,7 @@
 		zap.Int64("us", e.clock.Now().Sub(arrived).Microseconds()),
 	)
 	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
+	e.client.continuity.Stutter.LogDiscarded(e.log, e.clock.Now())
 }
 
 // execute runs a request whose timeout and latency target count from sent.
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -60,6 +60,7 @@
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
 	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
+	e.backend.stutter.LogDiscarded(e.log, e.clock.Now())
 	return resp
 }
 
