daemon/plugins/peer: a full queue drops no refusal, pong or leave notice

A caller's request that came to the owner's daemon at the moment of its stop ended as connection_lost, "may have run", 2 s later, although the daemon had read it and refused it. Refusals, pongs and the leave notice were offered to the queue of the link's writer, which holds 64 frames, and dropped while answers filled it. Without the notice the peer also went on sending, and the stop waited its 2 s for the session to be closed.

They are now written ahead of the queue. Beyond 4096 of them on one link the reader waits for room, so that a peer that reads nothing doesn't fill the memory.

--- a/daemon/plugins/peer/drain.go
+++ b/daemon/plugins/peer/drain.go
@@ -50,7 +50,7 @@
 	}
 }
 
-func (l *serverLink) sendLeaveNotice() { l.send(&wire.Frame{}, newLeaveNotice(), nil) }
+func (l *serverLink) sendLeaveNotice() { l.reply(&wire.Frame{}, newLeaveNotice()) }
 
 // awaitPeers waits until the peers have closed all sessions, for lingerTimeout
 // at most.
--- a/daemon/plugins/peer/pipe.go
+++ b/daemon/plugins/peer/pipe.go
@@ -96,6 +96,13 @@
 	}
 }
 
+// postedFrames returns the number of posted frames that are not written yet.
+func (p *pipe) postedFrames() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.posted)
+}
+
 // takePosted returns the posted frames that are not written yet.
 func (p *pipe) takePosted() []outFrame {
 	p.mu.Lock()
--- a/daemon/plugins/peer/server.go
+++ b/daemon/plugins/peer/server.go
@@ -28,6 +28,8 @@
 	// maxRunning bounds the running frames of one link. A frame is running from its
 	// receipt until its answer is written or the link ends.
 	maxRunning = 4096
+	// maxReplies bounds the refusals and pongs of one link that wait to be written.
+	maxReplies = 4096
 	// maxRunningBytes bounds the total size of all running frames of this daemon, as does
 	// runningShare of the process's memory, if that is limited.
 	maxRunningBytes = 128 << 20
--- a/daemon/plugins/peer/serverlink.go
+++ b/daemon/plugins/peer/serverlink.go
@@ -96,7 +96,7 @@
 		return nil
 	case *wire.Frame_Ping:
 		pong := &wire.Pong{ClockUs: l.clockUs()}
-		l.send(frame, &wire.Frame{Body: &wire.Frame_Pong{Pong: pong}}, nil)
+		l.reply(frame, &wire.Frame{Body: &wire.Frame_Pong{Pong: pong}})
 		return nil
 	case *wire.Frame_Pong:
 		l.late.answered(frame.GetTag())
@@ -184,7 +184,25 @@
 // refuse answers a request that did not run. Other frames get no answer.
 func (l *serverLink) refuse(frame *wire.Frame, err *outcome.Err) {
 	if answer := refusal(frame, err); answer != nil {
-		l.send(frame, answer, nil)
+		l.reply(frame, answer)
+	}
+}
+
+// reply queues a small answer ahead of the others, also while the queue is full. Beyond
+// maxReplies it waits for room, so that the peer sends no more.
+func (l *serverLink) reply(frame, answer *wire.Frame) {
+	answer.ConfigNext = l.srv.config.Next()
+	data, err := encodeAnswer(frame, answer)
+	if err != nil {
+		return
+	}
+	if l.postedFrames() < maxReplies {
+		l.post(outFrame{data: data})
+		return
+	}
+	select {
+	case l.out <- outFrame{data: data}:
+	case <-l.closed:
 	}
 }
 
@@ -197,11 +215,9 @@
 	return &wire.Frame{Body: &wire.Frame_Response{Response: resp}}
 }
 
-// send queues the answer to a frame and reports whether it did. If written is
-// not nil, send waits for room in the queue, and written is closed once the
-// answer is written to the connection. If it is nil, the answer is dropped while
-// the queue is full. An answer that cannot be encoded is replaced by a response
-// of kind outcome.AnswerTooLarge.
+// send queues the answer to a frame and reports whether it did. It waits for room in
+// the queue. written is closed once the answer is written to the connection. An answer
+// that cannot be encoded is replaced by a response of kind outcome.AnswerTooLarge.
 func (l *serverLink) send(frame, answer *wire.Frame, written chan struct{}) bool {
 	answer.ConfigNext = l.srv.config.Next()
 	data, err := encodeAnswer(frame, answer)
@@ -212,9 +228,6 @@
 	if err != nil {
 		return false
 	}
-	if written == nil {
-		return l.offer(outFrame{data: data})
-	}
 	select {
 	case l.out <- outFrame{data: data, sent: func() { close(written) }}:
 		return true
--- a/daemon/plugins/peer/stop_test.go
+++ b/daemon/plugins/peer/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -158,3 +159,23 @@
 	is.Equal(<-slow, outcome.OK)
 	is.NoErr(<-stopped)
 }
+
+// A peer that sends requests and reads no answers must not fill the memory with refusals.
+func TestRepliesThatWaitAreBounded(t *testing.T) {
+	is := is.New(t)
+	s, _ := startTestServer(t, echo(new(atomic.Int64)))
+	conn, _ := net.Pipe()
+	l := newServerLink(s, conn, "peer") // nothing is written
+	for range maxReplies + writeQueue {
+		l.reply(request("a", false), newLeaveNotice())
+	}
+	is.Equal(l.postedFrames(), maxReplies)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		l.reply(request("a", false), newLeaveNotice()) // waits for room
+	}()
+	l.shut()
+	<-ended
+	is.Equal(l.postedFrames(), maxReplies)
+}
