daemon/plugins/peer: a request without time left doesn't close the session

Requests that ran at another daemon for more than 400 ms without a frame between both ended as connection_lost, their answers lost, when an order with little time left came behind them. It is sent only after a ping; its time was up before the pong, and that was taken for a peer that does not answer: the session was closed under all requests on it. Only a caller that had left was told apart so far.

One that really is gone is found by the checks of the links, as for all other requests.

--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -128,7 +128,7 @@
 	req := frame.GetRequest()
 	mustConfirm := !req.GetIdempotent() && l.stale() || l.pingUnanswered.Load()
 	if req != nil && mustConfirm && !l.confirm(ctx, confirmTimeout) {
-		if errors.Is(ctx.Err(), context.Canceled) { // the caller did not wait for the answer
+		if ctx.Err() != nil { // it did not wait for the answer
 			return nil, notRunError(ctx)
 		}
 		n.markUnreachable(addr)
