daemon/plugins/peer: a request beside a leave notice doesn't close the session

Requests that ran at a daemon that had just begun to stop ended as connection_lost, although their daemon waits for them and writes their answers. An order that came to the link between the leave notice and its own ping was refused by the draining link; that was taken for an unanswered ping, and the session was closed under the requests that still ran on it.

A session that drains or has ended is left as it is now, and the order goes to another one.

TestRequestBesideALeaveNoticeLeavesTheSessionOpen: red in 5 of 5 plays before, green in 20 of 20 with -race. It puts the order between the two by hand; how often that happens by itself was not measured.

--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -131,6 +131,9 @@
 		if ctx.Err() != nil { // it did not wait for the answer
 			return nil, notRunError(ctx)
 		}
+		if !s.usable() { // answers of requests before the peer's leave notice may be under way
+			return nil, errNotSent
+		}
 		n.markUnreachable(addr)
 		n.drop(s, "no answer to a ping")
 		return nil, errNotSent
