daemon/plugins/gateway: answer the requests in progress at the end of a stop

A request that still waits at its owner when the time of a shutdown is over had its connection closed without an answer, also if it never came to a server. A request that came late was accepted if its time ended only just before the process did, and could meet the same.

Late requests are accepted only if their time ends before that.

--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -9,6 +9,7 @@
 package gateway
 
 import (
+	"context"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -39,7 +40,7 @@
 func module() fx.Option {
 	return fx.Options(
 		fx.Provide(newGateway, newSender, newInstruments, routing.NewRepeats),
-		fx.Invoke(serveCallers, serveProbes),
+		fx.Invoke(serveCallers, answerBeforeEnd, serveProbes),
 	)
 }
 
@@ -73,8 +74,10 @@
 	runs               *retry.Runs // of the backend server beside this daemon
 	metrics            *instruments
 	log                *zap.Logger
-	stopTime           time.Duration // from the start of a shutdown until the process stops; 0 means no limit
-	service            string        // service of the backend server beside this daemon
+	stopTime           time.Duration   // from the start of a shutdown until the process stops; 0 means no limit
+	ending             context.Context // ends at the end of a stop
+	cancelAll          context.CancelFunc
+	service            string // service of the backend server beside this daemon
 	secret             []byte
 	weightedRoundRobin *weightedRoundRobin
 
@@ -100,7 +103,9 @@
 }
 
 func newGateway(p gatewayParams) *gateway {
+	ending, cancelAll := context.WithCancel(context.Background())
 	return &gateway{
+		ending: ending, cancelAll: cancelAll,
 		control: p.Control, clock: p.Clock, protocol: p.Protocol, limiter: p.Limiter, suspects: p.Suspects,
 		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, metrics: p.Metrics, log: p.Log.Named("gateway"),
 		stopTime: p.Settings.Bounds.StopTime(), service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
@@ -127,6 +132,21 @@
 	edge.Listen(lc, srv, "gateway: probes", set.ReadyAddr)
 }
 
+// lastAnswerTime is the time before the end of a stop at which the requests that are still
+// in progress are cancelled, so that they are answered before the process ends.
+const lastAnswerTime = 100 * time.Millisecond
+
+// answerBeforeEnd cancels the requests that are in progress near the end of a stop. It is
+// called after serveCallers, so that its hook comes first.
+func answerBeforeEnd(lc fx.Lifecycle, g *gateway) {
+	lc.Append(fx.Hook{OnStop: func(ctx context.Context) error {
+		if end, ok := ctx.Deadline(); ok {
+			time.AfterFunc(time.Until(end)-lastAnswerTime, g.cancelAll)
+		}
+		return nil
+	}})
+}
+
 // ready reports whether callers should use this daemon: its configuration may be used and
 // it is not leaving.
 func (g *gateway) ready() bool {
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -512,12 +512,14 @@
 		"late, short":   {3500 * time.Millisecond, "/read/1", 200},
 		"late, long":    {3500 * time.Millisecond, "/sync/1", 503},
 		"near the stop": {5500 * time.Millisecond, "/read/1", 503},
+		"to the stop":   {3500 * time.Millisecond, "/upto/1", 503},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			s := newFakeDaemon()
 			s.view.Config.HostRoutes = append(s.view.Config.HostRoutes, fleet.HostRoute{
-				Name: "sync", Host: "a", Prefix: "/sync/", Targets: []fleet.WeightedRoute{{Service: "back", Weight: 1}}, TimeoutMS: 4000, MaxTries: 2})
+				Name: "sync", Host: "a", Prefix: "/sync/", Targets: []fleet.WeightedRoute{{Service: "back", Weight: 1}}, TimeoutMS: 4000, MaxTries: 2},
+				fleet.HostRoute{Name: "upto", Host: "a", Prefix: "/upto/", Targets: []fleet.WeightedRoute{{Service: "back", Weight: 1}}, TimeoutMS: 2050, MaxTries: 2})
 			s.view.Hosts = fleet.NewHostTable(s.view.Config)
 			s.view.Leaving, s.view.LeavingSince = true, clock.Boot{}.Now().Add(-tc.ago)
 			resp := send(t, newTestGateway(t, s), "POST", tc.path)
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -171,7 +171,7 @@
 		return nil
 	}
 	left := g.stopTime - g.clock.Now().Sub(v.LeavingSince)
-	if left > time.Duration(lateShare*float64(g.stopTime)) || time.Until(x.limit) < left {
+	if left > time.Duration(lateShare*float64(g.stopTime)) || time.Until(x.limit) < left-lastAnswerTime {
 		return nil
 	}
 	err := outcome.New(outcome.Draining, "this daemon stops in %v, before the request's time is up", left)
@@ -236,6 +236,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.limit)
 	defer cancel()
+	defer context.AfterFunc(g.ending, cancel)()
 	if err := g.limit(ctx, v, x); err != nil {
 		return nil, err
 	}
--- a/daemon/plugins/gateway/stop_test.go
+++ b/daemon/plugins/gateway/stop_test.go
@@ -57,6 +57,7 @@
 			is.NoErr(unused.Close())
 			lc := fxtest.NewLifecycle(t)
 			serveCallers(lc, set, g)
+			answerBeforeEnd(lc, g)
 			lc.RequireStart()
 			conn, err := net.Dial("tcp", set.EntryAddr)
 			is.NoErr(err)
@@ -67,11 +68,14 @@
 			<-peers.asked
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
-			go func() { _ = lc.Stop(ctx) }()
+			stopped := make(chan error, 1)
+			go func() { stopped <- lc.Stop(ctx) }()
+			defer func() { <-stopped }()
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			is.NoErr(err) // the connection ended without an answer
 			is.Equal(resp.StatusCode, want)
 			is.NoErr(ctx.Err())
+			is.NoErr(conn.Close())
 		})
 	}
 }
