--- a/core/control/handover_test.go
+++ b/core/control/handover_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -38,6 +39,23 @@
 	loseNewOwner(f, refs[0])
 }
 
+// The log fails after a shard was handed off and before it has the record of the takeover.
+// The previous owner must serve the shard again once its new owner is lost.
+func TestShardIsUnservedAfterLossOfAnUnrecordedNewOwner(t *testing.T) {
+	f := startedFleet(t, 6)
+	f.refuseAppends = true
+	refs := handOverAll(f)
+	f.until(time.Second, "takeover by the standbys", func() bool { return f.held("storefront") == 12 })
+	f.logDown = true
+	id := view.ShardID{Service: "storefront", Shard: refs[0].Shard}
+	for _, d := range f.daemons {
+		if _, ok := d.view.Held[id]; ok {
+			d.dead = true
+		}
+	}
+	f.until(2500*time.Millisecond, "takeover", func() bool { return f.held("storefront") == 12 })
+}
+
 // handOverAll hands off all shards of the first daemon, with planning disabled.
 func handOverAll(f *fakeFleet) []*wire.ShardRef {
 	d := f.daemons[0]
