ctl/scenario: the soak counts requests that were read and closed without an answer

The workload used net/http's client, which repeats a lookup by itself when its connection ends, and counted an order's end as an error like any other: LOST didn't show. Callers now keep connections until they end and tell a request that was read from one that was not; the latter is sent again if the connection was a kept one. Only a daemon that was killed meanwhile may read and close.

--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -20,6 +20,7 @@
 	"github.com/sesamemoor/sesamemoor/core/adminapi"
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
 	"github.com/sesamemoor/sesamemoor/ctl/emulate/platform"
+	"github.com/sesamemoor/sesamemoor/daemon/edge/edgetest"
 )
 
 const (
@@ -66,7 +67,8 @@
 	net     *network
 	logAddr string
 	closers []io.Closer
-	client  *http.Client
+	client  *http.Client // of the tests' own calls
+	callers *callerPool
 	keys    map[string]string // caller key by team
 	version uint64
 }
@@ -93,6 +95,7 @@
 		shards:  opts.shards,
 		net:     newNetwork(),
 		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 256}},
+		callers: &callerPool{free: map[string][]*edgetest.KeptCaller{}},
 		keys:    map[string]string{},
 	}
 	if err := f.startPlatform(); err != nil {
@@ -211,6 +214,7 @@
 		_ = c.Close()
 	}
 	f.client.CloseIdleConnections()
+	f.callers.close()
 }
 
 func (f *fleet) member(name string) (*member, error) {
--- a/ctl/scenario/soak_test.go
+++ b/ctl/scenario/soak_test.go
@@ -14,6 +14,10 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/sesamemoor/sesamemoor/daemon/edge/edgetest"
 )
 
 // The soak test injects random, also concurrent, faults into a fleet of real
@@ -41,7 +45,10 @@
 	soakShutdownTimeout = 15 * time.Second
 	// soakKeys is the number of keys of the workload, soakLookupPeriod its lookup
 	// period.
-	soakKeys         = 16
+	soakKeys = 16
+	// soakIdleConns is the number of connections to a daemon that are idle when it is
+	// terminated.
+	soakIdleConns    = 40
 	soakLookupPeriod = 100 * time.Millisecond
 )
 
@@ -93,9 +100,18 @@
 	schedule  []soakFault
 	rateLimit float64 // rate (per second) and burst of the workload's team
 	killed    map[string]bool
+	signals   *rand.Rand     // of the faults that scheduleSignals adds
+	stopped   *edgetest.Load // the requests on connections that were idle when a daemon was terminated
 
 	mu     sync.Mutex
 	errors []string
+	kills  []kill
+}
+
+// kill is the loss of a daemon: it took place between from and to.
+type kill struct {
+	daemon   string
+	from, to time.Time
 }
 
 // soakFault is a fault with its start and end, relative to the start of the run.
@@ -111,11 +127,13 @@
 func newSoak(t *testing.T, seed uint64) *soak {
 	s := &soak{
 		scenario: &scenario{dir: filepath.Join(t.TempDir(), fmt.Sprintf("soak-%d", seed)), vars: map[string]string{}, faultSet: map[string]time.Time{}},
-		t:        t, rand: rand.New(rand.NewPCG(seed, 0)), killed: map[string]bool{},
+		t:        t, rand: rand.New(rand.NewPCG(seed, 0)), signals: rand.New(rand.NewPCG(seed, 1)), killed: map[string]bool{},
 	}
 	if err := os.Mkdir(s.dir, 0o755); err != nil {
 		t.Fatal(err)
 	}
+	s.stopped = edgetest.NewLoad(s.probe, time.Second)
+	s.stopped.IdleConns = soakIdleConns
 	fleetSlots <- struct{}{}
 	opts := fleetOptions{
 		size: 4 + s.rand.IntN(5), dcs: []string{"busan-a", "busan-b", "ulsan-c"}, service: "storefront",
@@ -158,6 +176,7 @@
 		window = d
 	}
 	s.scheduleFaults(window)
+	s.scheduleSignals(window)
 	s.workload = s.fleet.startWorkload("dealer", soakKeys, strings.Split(s.fleet.entryNames(), ","), soakLookupPeriod, 3*time.Second)
 	_ = s.cmdVersions(nil, []string{"start"})
 	withdrawn := s.withdrawKey()
@@ -203,6 +222,53 @@
 	})
 }
 
+// scheduleSignals adds SIGHUPs, and to one schedule in four a series of terminations of all
+// daemons without a fault of their own, which overlap or come all at once.
+func (s *soak) scheduleSignals(window time.Duration) {
+	for range s.signals.IntN(6) {
+		m := s.fleet.members[s.signals.IntN(len(s.fleet.members))]
+		f := s.hangup(m)
+		f.startAt = time.Duration(s.signals.Int64N(int64(window)))
+		f.endAt = f.startAt
+		s.schedule = append(s.schedule, f)
+	}
+	if s.signals.IntN(4) > 0 {
+		return
+	}
+	at := time.Duration(s.signals.Int64N(int64(window / 2)))
+	gap := time.Duration(max(0, s.signals.IntN(2000)-500)) * time.Millisecond
+	for _, m := range s.fleet.members {
+		if slices.ContainsFunc(s.schedule, func(f soakFault) bool { return f.process == m.daemon.name }) {
+			continue
+		}
+		f := s.restart(m.daemon)
+		f.startAt, f.endAt = at, at
+		s.schedule = append(s.schedule, f)
+		at += gap
+	}
+}
+
+// hangup returns a fault that sends SIGHUP to a daemon that is up.
+func (s *soak) hangup(m *member) soakFault {
+	return soakFault{
+		name: "hang up " + m.daemon.name,
+		begin: func() error {
+			if _, err := s.fleet.status(m); err != nil {
+				return nil
+			}
+			return m.daemon.signal(syscall.SIGHUP)
+		},
+		end: func() error { return nil },
+	}
+}
+
+// probe returns a lookup of the probe team.
+func (s *soak) probe(n int) edgetest.Request {
+	id := uuid.Must(uuid.NewV7()).String()
+	return edgetest.Request{ID: id, Text: fmt.Sprintf("GET /%s/key-%d HTTP/1.1\r\nHost: entry\r\nX-Request-Id: %s\r\nAuthorization: Bearer %s\r\n"+
+		"X-Sesamemoor-Timeout-Ms: 1000\r\n\r\n", s.fleet.service, n%soakKeys, id, s.fleet.keys[probeTeam])}
+}
+
 // randomFault returns a random fault with a random target, without its times.
 func (s *soak) randomFault() soakFault {
 	m := s.fleet.members[s.rand.IntN(len(s.fleet.members))]
@@ -238,8 +304,16 @@
 	}
 	return soakFault{
 		name: "kill " + p.name, process: p.name,
-		begin: func() error { p.kill(); return nil },
-		end:   func() error { return p.start(s.dir) },
+		begin: func() error {
+			k := kill{daemon: p.name, from: time.Now()}
+			p.kill()
+			k.to = time.Now()
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.kills = append(s.kills, k)
+			return nil
+		},
+		end: func() error { return p.start(s.dir) },
 	}
 }
 
@@ -252,12 +326,23 @@
 }
 
 // restart returns a fault that terminates a process and starts it again. The
-// workload keeps sending requests through its entry.
+// workload keeps sending requests through its entry, and connections that were idle before are
+// used again.
 func (s *soak) restart(p *process) soakFault {
 	return soakFault{
 		name: "terminate " + p.name, process: p.name,
-		begin: func() error { return p.terminate(soakShutdownTimeout) },
-		end:   func() error { return p.start(s.dir) },
+		begin: func() error {
+			m, err := s.fleet.member(p.name)
+			if err != nil {
+				return err
+			}
+			idle := s.stopped.Idle(s.fleet.addr(m.index, entryPort))
+			ended := make(chan error, 1)
+			go func() { ended <- p.terminate(soakShutdownTimeout) }()
+			s.stopped.UseIdle(idle, time.Now(), soakShutdownTimeout)
+			return <-ended
+		},
+		end: func() error { return p.start(s.dir) },
 	}
 }
 
@@ -374,6 +459,9 @@
 	for _, problem := range append(checkAnswers(s.samples, runs, s.killed), checkOwnership(runs)...) {
 		s.recordError("accounts", errors.New(problem))
 	}
+	for _, problem := range s.checkRead() {
+		s.recordError("connections", errors.New(problem))
+	}
 	s.recordError("rate", checkRateLimit(s.samples, runs, s.rateLimit, s.rateLimit))
 	served := 0
 	for _, r := range s.samples {
@@ -389,6 +477,26 @@
 	}
 }
 
+// checkRead returns the requests that a daemon had read when it closed their connection,
+// without an answer and without being killed.
+func (s *soak) checkRead() []string {
+	var problems []string
+	for _, r := range s.samples {
+		killed := slices.ContainsFunc(s.kills, func(k kill) bool {
+			return k.daemon == r.entry && !r.start.After(k.to) && !r.end.Before(k.from)
+		})
+		if r.readAndClosed && !killed {
+			problems = append(problems, fmt.Sprintf("request %s through %s, sent at %s, was read, and its connection closed without an answer", r.id, r.entry, r.start.Format(time.RFC3339Nano)))
+		}
+	}
+	for _, r := range s.stopped.Stop() {
+		if r.End == edgetest.ReadAndClosed || r.End == edgetest.Cut {
+			problems = append(problems, fmt.Sprintf("request %s to a terminated daemon, sent at %s: %v", r.ID, r.SentAt.Format(time.RFC3339Nano), r.End))
+		}
+	}
+	return problems
+}
+
 // ended reports whether the process is not running.
 func (p *process) ended() bool {
 	p.mu.Lock()
--- a/ctl/scenario/workload_test.go
+++ b/ctl/scenario/workload_test.go
@@ -4,13 +4,15 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/google/uuid"
+
+	"github.com/sesamemoor/sesamemoor/daemon/edge/edgetest"
 )
 
 // sample is one request and its answer.
@@ -26,6 +28,8 @@
 	ran     string
 	body    string
 	err     error
+
+	readAndClosed bool // the daemon had read the request and closed the connection
 }
 
 // ok reports whether the backend server answered the request with status 200.
@@ -156,10 +160,8 @@
 		s.err = err
 		return s
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), timeout+time.Second)
-	defer cancel()
 	url := fmt.Sprintf("http://%s/%s/%s", f.addr(m.index, entryPort), f.service, key)
-	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	req, err := http.NewRequest(method, url, nil)
 	if err != nil {
 		s.err = err
 		return s
@@ -172,30 +174,84 @@
 	for name, value := range header {
 		req.Header.Set(name, value)
 	}
-	return f.roundTrip(req, s)
-}
-
-func (f *fleet) roundTrip(req *http.Request, s sample) sample {
-	resp, err := f.client.Do(req)
-	if err != nil {
+	var text strings.Builder
+	if err := req.Write(&text); err != nil {
 		s.err = err
-		s.end = time.Now()
 		return s
 	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
+	return f.exchange(req.Host, text.String(), timeout+time.Second, s)
+}
+
+// exchange sends a request and waits for its answer.
+func (f *fleet) exchange(addr, text string, timeout time.Duration, s sample) sample {
+	r := f.callers.send(addr, edgetest.Request{ID: s.id, Text: text}, timeout)
 	s.end = time.Now()
-	s.err = err
-	s.status = resp.StatusCode
-	s.outcome = resp.Header.Get("X-Sesamemoor-Outcome")
-	s.ran = resp.Header.Get("X-Sesamemoor-Ran")
-	s.body = string(body)
+	if r.End != edgetest.Answered {
+		s.readAndClosed = r.End == edgetest.ReadAndClosed
+		s.err = fmt.Errorf("%v: %w", r.End, r.Err)
+		return s
+	}
+	s.status = r.Status
+	s.outcome = r.Header.Get("X-Sesamemoor-Outcome")
+	s.ran = r.Header.Get("X-Sesamemoor-Ran")
+	s.body = r.Body
 	if s.id == "" {
-		s.id = resp.Header.Get("X-Request-Id")
+		s.id = r.Header.Get("X-Request-Id")
 	}
 	return s
 }
 
+// poolResetTimeout is long enough for a reset on loopback, and short beside the period of a
+// workload.
+const poolResetTimeout = 20 * time.Millisecond
+
+// callerPool holds the callers' open connections. They are used until they end.
+type callerPool struct {
+	mu   sync.Mutex
+	free map[string][]*edgetest.KeptCaller // by address
+}
+
+// send sends a request. If the connection that was kept for it ended before the request was
+// read, it is sent again, as any caller may.
+func (p *callerPool) send(addr string, request edgetest.Request, timeout time.Duration) edgetest.Result {
+	deadline := time.Now().Add(timeout)
+	for {
+		c := p.take(addr)
+		c.Timeout = time.Until(deadline)
+		kept := c.Connected()
+		r := c.Send(request)[0]
+		if c.Connected() {
+			p.mu.Lock()
+			p.free[addr] = append(p.free[addr], c)
+			p.mu.Unlock()
+		}
+		if r.End != edgetest.NotRead || !kept {
+			return r
+		}
+	}
+}
+
+func (p *callerPool) take(addr string) *edgetest.KeptCaller {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.free[addr]
+	if len(list) == 0 {
+		return &edgetest.KeptCaller{Addr: addr, ResetTimeout: poolResetTimeout}
+	}
+	p.free[addr] = list[:len(list)-1]
+	return list[len(list)-1]
+}
+
+func (p *callerPool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, list := range p.free {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+}
+
 // outage is a period without a successful lookup of a key.
 type outage struct {
 	key      string
--- a/daemon/edge/edgetest/kept.go
+++ b/daemon/edge/edgetest/kept.go
@@ -61,6 +61,9 @@
 type KeptCaller struct {
 	Addr    string
 	Timeout time.Duration // of a request
+	// ResetTimeout bounds the wait for a reset behind the end of a connection, with which its
+	// end and the request crossed; 0 means defaultResetTimeout.
+	ResetTimeout time.Duration
 
 	conn   *net.TCPConn
 	reader *bufio.Reader
@@ -74,6 +77,9 @@
 	}
 }
 
+// Connected reports whether the caller has a connection.
+func (c *KeptCaller) Connected() bool { return c.conn != nil }
+
 // Connect connects unless there is a connection already.
 func (c *KeptCaller) Connect() error {
 	if c.conn != nil {
@@ -189,8 +195,9 @@
 	return errors.As(err, &netErr) && netErr.Timeout()
 }
 
-// resetTimeout bounds the wait for a reset behind the end of a connection.
-const resetTimeout = 600 * time.Millisecond
+// defaultResetTimeout is longer than net/http waits with the reset of a connection to which it
+// has written its last answer.
+const defaultResetTimeout = 600 * time.Millisecond
 
 // resets reports whether the peer resets an ended connection: then the end and the request
 // crossed, and the peer has bytes that it did not read.
@@ -199,7 +206,11 @@
 	if err != nil {
 		return false
 	}
-	for end := time.Now().Add(resetTimeout); ; time.Sleep(time.Millisecond) {
+	timeout := c.ResetTimeout
+	if timeout == 0 {
+		timeout = defaultResetTimeout
+	}
+	for end := time.Now().Add(timeout); ; time.Sleep(time.Millisecond) {
 		reset, unacked := false, false
 		_ = raw.Control(func(fd uintptr) {
 			info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
--- a/daemon/edge/edgetest/load.go
+++ b/daemon/edge/edgetest/load.go
@@ -10,17 +10,19 @@
 	// Next returns the n-th request of a caller, with an id of its own.
 	Next    func(n int) Request
 	Timeout time.Duration // of a request
+	// IdleConns is the number of connections of Idle; 0 means defaultIdleConns.
+	IdleConns int
 
 	callers sync.WaitGroup
 	quit    chan struct{}
-	closeAt time.Duration // shortest time from a SIGTERM until an idle connection was closed; 0: not known yet
 	mu      sync.Mutex
+	closeAt time.Duration // shortest time from a SIGTERM until an idle connection was closed; 0: not known yet
 	results []Result
 }
 
 const (
-	// idleConns is the number of connections to a daemon that are idle when it stops.
-	idleConns = 600
+	// defaultIdleConns is the number of connections to a daemon that are idle when it stops.
+	defaultIdleConns = 600
 	// idleConnectors is the number of them that are made at the same time.
 	idleConnectors = 8
 	// idleSpread is the time in which they are used again, around the moment at which the
@@ -90,11 +92,15 @@
 
 // Idle returns callers of an address with idle connections that had an answer each.
 func (l *Load) Idle(addr string) []*KeptCaller {
-	idle := make([]*KeptCaller, idleConns)
+	count := l.IdleConns
+	if count == 0 {
+		count = defaultIdleConns
+	}
+	idle := make([]*KeptCaller, count)
 	var wg sync.WaitGroup
 	for first := range idleConnectors {
 		wg.Go(func() {
-			for n := first; n < idleConns; n += idleConnectors {
+			for n := first; n < count; n += idleConnectors {
 				idle[n] = &KeptCaller{Addr: addr, Timeout: l.Timeout}
 				l.record(idle[n].Send(l.Next(n)))
 			}
@@ -106,21 +112,34 @@
 
 // UseIdle sends a request on each of the idle connections of a daemon that was told to stop
 // at signalled when it is about to close them. The first of them finds out when that is, for
-// the next stop. UseIdle returns when the connections have ended, or after timeout.
+// the next stop; if no stop is known yet, the requests are sent when the first has ended. UseIdle
+// returns when the connections have ended, or after timeout.
 func (l *Load) UseIdle(idle []*KeptCaller, signalled time.Time, timeout time.Duration) {
-	expected := signalled.Add(l.closeAt)
+	l.mu.Lock()
+	closeAt := l.closeAt
+	l.mu.Unlock()
+	expected := signalled.Add(closeAt)
+	firstEnded := make(chan struct{})
 	var wg sync.WaitGroup
 	for n, c := range idle[1:] {
 		wg.Go(func() {
 			defer c.Close()
-			time.Sleep(time.Until(expected.Add(idleSpread * time.Duration(n-idleConns/2) / idleConns)))
+			if closeAt > 0 {
+				time.Sleep(time.Until(expected.Add(idleSpread * time.Duration(n-len(idle)/2) / time.Duration(len(idle)))))
+			} else {
+				<-firstEnded
+			}
 			l.record(c.Send(l.Next(n)))
 		})
 	}
 	if idle[0].Connect() == nil && idle[0].AwaitEnd(timeout) {
-		if after := time.Since(signalled); l.closeAt == 0 || after < l.closeAt {
+		after := time.Since(signalled)
+		l.mu.Lock()
+		if l.closeAt == 0 || after < l.closeAt {
 			l.closeAt = after
 		}
+		l.mu.Unlock()
 	}
+	close(firstEnded)
 	wg.Wait()
 }
