backendconn: an answer that is read before its call is written belongs to another

An order could still be answered by a copy of the answer to the one before: the transport's buffer held the copy already when it gave the connection to the next order, and delivered it although the write of that order was refused. The two came together in 10 of 1,200 forms of TestCopyOfTheAnswerToAnOrderAnswersTheNext, in 150 runs with -race beside other work, load average 40 to 50.

Such an answer is discarded now, the connection is closed, and the call, of which nothing was and will be written, goes to another connection. That is decided while the call still owns the connection: the transport passes it on only after it wrote the call. 0 of 1,200 in 150 runs since.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -154,10 +154,10 @@
 func (c *guardedConn) beginRequest(t *Trace) {
 	c.until.Store(int64(t.Until))
 	c.process.Store(t.Process)
-	// The transport counts a connection as used once it has been idle.
-	t.kept.Store(c.state.CompareAndSwap(written, unwritten))
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	// The transport counts a connection as used once it has been idle.
+	t.kept.Store(c.state.CompareAndSwap(written, unwritten))
 	c.current, c.answers = t, 0
 	orderToStuttering := t.order && t.Kept() && !c.namesOrders && c.stutter != nil && c.stutter.Seen()
 	if c.barred[t.RequestID] || orderToStuttering {
@@ -314,6 +314,29 @@
 	return c != nil && c.discarded.Load() && c.block()
 }
 
+// answeredUnwritten reports whether an answer was read although no byte of the request was or will be
+// written: the transport had bytes of another answer in its buffer. The request can be sent on
+// another connection.
+func (t *Trace) answeredUnwritten() bool {
+	c := t.conn.Load()
+	if c == nil || t.wrote.Load() {
+		return false
+	}
+	c.mu.Lock()
+	// The transport gives the connection to another call only after it wrote this one.
+	isUnwritten := c.current == t && c.state.CompareAndSwap(unwritten, blocked)
+	c.mu.Unlock()
+	if !isUnwritten {
+		return false
+	}
+	c.discarded.Store(true)
+	_ = c.Close()
+	if c.stutter != nil {
+		c.stutter.discard()
+	}
+	return true
+}
+
 // Attach returns a context that makes the HTTP transport report the request's
 // connection to the trace.
 func (t *Trace) Attach(ctx context.Context) context.Context {
@@ -355,6 +378,10 @@
 		if err != nil && trace.DiscardedUnwritten() && ctx.Err() == nil {
 			continue
 		}
+		if err == nil && trace.Kept() && trace.answeredUnwritten() {
+			_ = resp.Body.Close()
+			continue
+		}
 		x := exchangeOf(ctx)
 		x.Framing, x.Kept, x.BodyBytes = "", trace.Kept(), 0
 		if err == nil {
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -91,6 +91,18 @@
 		named.Header.Set(o.IDHeader, trace.RequestID)
 	}
 	resp, err := o.Transport.RoundTrip(named)
+	for err == nil && trace.answeredUnwritten() {
+		_ = resp.Body.Close()
+		if !trace.Kept() {
+			return nil, ErrCopy
+		}
+		if named.GetBody != nil {
+			if named.Body, err = named.GetBody(); err != nil {
+				return nil, err
+			}
+		}
+		resp, err = o.Transport.RoundTrip(named)
+	}
 	if err != nil {
 		return nil, err
 	}
