ctl/emulate/backend: a fault that writes answers a second time

With stutter_every the emulated backend server writes every n-th answer of its kept connections once more, stutter_ms milliseconds late, before or after the next answer.

--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -36,6 +36,7 @@
 	faultsChanged chan struct{} // closed and replaced by SetFaults
 	crashed       chan struct{} // closed and replaced by a crash
 	loadSamples   []loadSample  // oldest first
+	answers       int           // answers on kept connections
 
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -44,7 +45,7 @@
 // New returns a backend server. Run serves requests and announces the server to its
 // daemon.
 func New(opts Options) *Server {
-	return &Server{
+	s := &Server{
 		opts:          opts,
 		conns:         newConnections(opts),
 		capacity:      newCapacity(opts, time.Now()),
@@ -53,6 +54,8 @@
 		crashed:       make(chan struct{}),
 		drained:       make(chan struct{}),
 	}
+	s.conns.stutter = s.stutter
+	return s
 }
 
 // Handler returns the HTTP API. /sesamemoor/grant accepts grants, /load returns the
@@ -130,6 +133,15 @@
 	}
 }
 
+// stutter counts an answer. It reports whether it is to be written again, and after which time.
+func (s *Server) stutter() (delay time.Duration, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers++
+	ok = s.faults.StutterEvery > 0 && s.answers%s.faults.StutterEvery == 0
+	return time.Duration(s.faults.StutterMS) * time.Millisecond, ok
+}
+
 // echo returns the body of a response. It identifies the request, so that a test
 // detects a response that belongs to another request.
 func (s *Server) echo(r *http.Request, bodyBytes int) string {
--- a/ctl/emulate/backend/connections.go
+++ b/ctl/emulate/backend/connections.go
@@ -16,8 +16,10 @@
 // connections tracks the server's open connections.
 type connections struct {
 	opts Options
-	mu   sync.Mutex
-	open map[net.Conn]struct{}
+	// stutter reports whether an answer that was written is to be written again, and when.
+	stutter func() (delay time.Duration, ok bool)
+	mu      sync.Mutex
+	open    map[net.Conn]struct{}
 }
 
 func newConnections(opts Options) *connections {
@@ -54,6 +56,11 @@
 // track records the state of a connection. It is the ConnState callback of an
 // http.Server.
 func (c *connections) track(conn net.Conn, state http.ConnState) {
+	if sc, ok := conn.(*slowConn); ok && state == http.StateIdle {
+		if delay, ok := c.stutter(); ok {
+			sc.writeAgain(delay)
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch state {
@@ -85,17 +92,52 @@
 	}
 }
 
-// slowConn delays the first read of a connection by Options.ConnectTime.
+// maxAnswerBytes bounds the answers that are written again.
+const maxAnswerBytes = 64 << 10
+
+// slowConn delays the first read of a connection by Options.ConnectTime. It remembers the answer
+// to the newest request.
 type slowConn struct {
 	net.Conn
 	delay time.Duration
 	once  sync.Once
+
+	mu     sync.Mutex
+	answer []byte
 }
 
 // Read implements net.Conn.
 func (c *slowConn) Read(p []byte) (int, error) {
 	c.once.Do(func() { time.Sleep(c.delay) })
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.mu.Lock()
+		c.answer = nil
+		c.mu.Unlock()
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *slowConn) Write(p []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.answer)+len(p) <= maxAnswerBytes {
+		c.answer = append(c.answer, p...)
+	}
+	return c.Conn.Write(p)
+}
+
+// writeAgain writes the answer to the newest request once more after a delay.
+func (c *slowConn) writeAgain(delay time.Duration) {
+	c.mu.Lock()
+	answer := c.answer
+	c.mu.Unlock()
+	time.AfterFunc(delay, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		_, _ = c.Conn.Write(answer)
+	})
 }
 
 // Serve serves requests until the listener is closed.
--- a/ctl/emulate/backend/options.go
+++ b/ctl/emulate/backend/options.go
@@ -67,6 +67,10 @@
 	NoAnnouncements bool    `json:"silent"`
 	Leaving         bool    `json:"leaving"`     // announcements and responses report that the server leaves
 	LimitPerS       float64 `json:"limit_per_s"` // responses name this limit; 0 means none
+	// StutterEvery makes the server write every n-th answer a second time on its connection,
+	// StutterMS milliseconds late; 0 means none.
+	StutterEvery int `json:"stutter_every"`
+	StutterMS    int `json:"stutter_ms"`
 }
 
 // State is the response to GET /emulate/state.
