backendconn: a connection remembers about twice the requests whose deadlines are open

The requests that a connection carried were forgotten only once 4096 were remembered, so that each busy connection kept all of these although most of their deadlines had passed: memory without use. They are forgotten now whenever their number has doubled. TestCarriedRequestsAreForgotten bounds the memory by twice what waits.

--- a/daemon/backendconn/carried.go
+++ b/daemon/backendconn/carried.go
@@ -6,22 +6,27 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 )
 
-// maxCarried bounds the requests that are remembered of one connection.
-const maxCarried = 4096
+const (
+	// maxCarried bounds the requests that are remembered of one connection.
+	maxCarried = 4096
+	// minForget is the least size of a memory from which requests are forgotten.
+	minForget = 64
+)
 
 // carriedIDs are the ids of the requests that a connection carried, each until the request's
 // deadline. It is not safe for concurrent use.
 type carriedIDs struct {
-	seed  maphash.Seed
-	until map[uint64]clock.Instant // by hash of the id
+	seed     maphash.Seed
+	until    map[uint64]clock.Instant // by hash of the id
+	forgetAt int                      // size of until at which the requests are forgotten whose deadline has passed
 }
 
 // add remembers a request until its deadline. It reports false if too many are remembered.
 func (c *carriedIDs) add(id string, until, now clock.Instant) bool {
 	if c.until == nil {
-		c.seed, c.until = maphash.MakeSeed(), map[uint64]clock.Instant{}
+		c.seed, c.until, c.forgetAt = maphash.MakeSeed(), map[uint64]clock.Instant{}, minForget
 	}
-	if len(c.until) >= maxCarried {
+	if len(c.until) >= c.forgetAt {
 		for hash, end := range c.until {
 			if end <= now {
 				delete(c.until, hash)
@@ -30,6 +35,7 @@
 		if len(c.until) > maxCarried/2 { // otherwise each request would soon pass over all
 			return false
 		}
+		c.forgetAt = max(minForget, 2*len(c.until))
 	}
 	c.until[maphash.String(c.seed, id)] = until
 	return true
--- a/daemon/backendconn/carried_test.go
+++ b/daemon/backendconn/carried_test.go
@@ -26,5 +26,24 @@
 		is.True(!passed.carriedWithin(id, now.Add(time.Second)))
 	}
 	is.True(len(open.until) <= maxCarried)
-	is.True(len(passed.until) <= maxCarried)
+	is.True(len(passed.until) <= 2*int(time.Second/time.Millisecond)) // twice what waits
+}
+
+// BenchmarkCarry measures what remembering requests adds to each at 1000 requests a second of a
+// connection with deadlines of 2 s.
+func BenchmarkCarry(b *testing.B) {
+	var ids carriedIDs
+	now := clock.Instant(time.Hour)
+	names := make([]string, 1<<16)
+	for i := range names {
+		names[i] = fmt.Sprint("r-", i)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		now = now.Add(time.Millisecond)
+		id := names[n%len(names)]
+		if !ids.carriedWithin(id, now) && !ids.add(id, now.Add(2*time.Second), now) {
+			b.Fatal("the connection would be closed")
+		}
+	}
 }
