daemon/plugins/peer: a test waits for a full queue that may never be

TestCancelIsDroppedWhileTheQueueIsFull waited without end for 64 queued frames of 128 that it had sent: the writer puts what it finds in the queue into the batch that it is writing, and beside load more than 64 of them may go there.

It now sends until the queue is full, which it then is for certain, as nobody reads.

--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -265,11 +265,9 @@
 	}()
 	first, _, err := r.next()
 	is.NoErr(err)
-	for range 2 * writeQueue {
+	for len(l.out) < writeQueue { // the batch that is being written may hold any number of them
 		go func() { _, _ = l.call(t.Context(), request("b", true)) }()
-	}
-	for len(l.out) < writeQueue {
-		time.Sleep(time.Millisecond)
+		time.Sleep(100 * time.Microsecond)
 	}
 	leave()
 	is.Equal(outcome.KindOf(<-left), outcome.CancelledMaybeRan)
