daemon/plugins/peer: test of requests that wait at the end of a stop

A request of another daemon that still waits here when the time of a shutdown is over, in the queue of the backend server for example, gets no refusal: the asking daemon sees its session end and must answer "may have run", 502, or give an order up that could go to another server.

--- a/daemon/plugins/peer/stop_test.go
+++ b/daemon/plugins/peer/stop_test.go
@@ -179,3 +179,27 @@
 	<-ended
 	is.Equal(l.postedFrames(), maxReplies)
 }
+
+// A request of another daemon that waited in a queue when the process ended was lost with the
+// session, and its caller could not know that it had not run.
+func TestRequestsInProgressAtTheEndOfAStopAreRefused(t *testing.T) {
+	is := is.New(t)
+	started := make(chan struct{})
+	s, _ := startTestServer(t, handlerFunc(func(ctx context.Context, _ *wire.Request) *wire.Response {
+		close(started)
+		<-ctx.Done()
+		return &wire.Response{Kind: uint32(outcome.CancelledNotRun)}
+	}))
+	n := startTestNetwork(t, clock.Boot{})
+	ended := make(chan outcome.Kind, 1)
+	go func() {
+		ended <- new(results).add(n.Call(within(t, 3*lossBound), s.listener.Addr().String(), request("a", false)))
+	}()
+	<-started
+	ctx := within(t, lossBound/4)
+	stopped := make(chan error, 1)
+	go func() { stopped <- s.stop(ctx) }()
+	is.Equal(<-ended, outcome.CancelledNotRun)
+	is.NoErr(ctx.Err()) // the process ends with the stop
+	is.NoErr(<-stopped)
+}
