daemon/plugins/peer: a ping outlives the request that waits for it

The ping now goes on by itself. Only one that is unanswered for 300 ms closes the session; a request whose time is up before ends as "not run" and decides nothing.

--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -127,20 +127,38 @@
 	l.touch()
 	req := frame.GetRequest()
 	mustConfirm := !req.GetIdempotent() && l.stale() || l.pingUnanswered.Load()
-	if req != nil && mustConfirm && !l.confirm(ctx, confirmTimeout) {
-		if ctx.Err() != nil { // it did not wait for the answer
-			return nil, notRunError(ctx)
-		}
-		if !s.usable() { // answers of requests before the peer's leave notice may be under way
-			return nil, errNotSent
+	if req != nil && mustConfirm {
+		if err := n.confirm(ctx, addr, s, l); err != nil {
+			return nil, err
 		}
-		n.markUnreachable(addr)
-		n.drop(s, "no answer to a ping")
-		return nil, errNotSent
 	}
 	return l.call(ctx, frame)
 }
 
+// confirm pings a peer and waits for its answer, until ctx ends at most. The ping goes on
+// without ctx: if it has no answer within confirmTimeout, the session is closed, also if all
+// requests have less time.
+func (n *network) confirm(ctx context.Context, addr string, s *session, l *clientLink) error {
+	answered := make(chan bool, 1)
+	go func() {
+		ok := l.confirm(context.Background(), confirmTimeout)
+		if !ok && s.usable() { // else answers from before the peer's leave notice may be under way
+			n.markUnreachable(addr)
+			n.drop(s, "no answer to a ping")
+		}
+		answered <- ok
+	}()
+	select {
+	case ok := <-answered:
+		if !ok {
+			return errNotSent
+		}
+		return nil
+	case <-ctx.Done():
+		return notRunError(ctx)
+	}
+}
+
 // session returns the session with a peer. It waits for it to be opened.
 func (n *network) session(ctx context.Context, addr string) (*session, error) {
 	d, unreachable, err := n.dialAttempt(addr)
