daemon/plugins/peer: refuse the requests that wait at the end of a stop

An order that another daemon had sent here, and that still waited when the time of a shutdown was over, was lost with the session: its caller got 502, "may have run", although it had not.

The requests that are still running are cancelled 100 ms before the end of the stop. What waited is refused as not run, and the asking daemon may send it elsewhere.

In the daemon the stop of this plug-in follows that of the callers' listener: if a caller's request there takes all of the time, nothing of this happens.

--- a/daemon/plugins/peer/server.go
+++ b/daemon/plugins/peer/server.go
@@ -38,6 +38,9 @@
 	// their sessions and, after this server has closed the sending halves of the
 	// remaining ones, for these to end.
 	lingerTimeout = 2 * time.Second
+	// lastAnswerTime is the time before the end of a stop at which the requests that are
+	// still running are cancelled, so that they are answered before the process ends.
+	lastAnswerTime = 100 * time.Millisecond
 	// acceptRetryDelay is the delay after a failed accept.
 	acceptRetryDelay = 10 * time.Millisecond
 )
@@ -215,11 +218,14 @@
 }
 
 // stop refuses new frames, sends leave notices, waits for running requests until
-// ctx ends, waits for the peers to close their sessions, and closes the remaining
+// ctx ends, cancels them shortly before that, waits for the peers to close their sessions, and closes the remaining
 // ones. After the end of ctx it may take another two lingerTimeouts.
 func (s *server) stop(ctx context.Context) error {
 	err := s.listener.Close()
 	s.sendLeaveNotice()
+	if end, ok := ctx.Deadline(); ok {
+		defer time.AfterFunc(time.Until(end)-lastAnswerTime, s.cancel).Stop()
+	}
 	idle := make(chan struct{})
 	go func() {
 		s.requests.Wait()
