daemon/plugins/entry, daemon/routing: only news of a successor wakes the waiting requests

Requests that were under way when an entry learned a shard's new owner report it once more when they end, and each report woke the requests that wait for other shards of the lost owner, for an attempt that costs no token. What LearnedOwners knows already now wakes nobody, so that the free attempts of a waiting request are at most as many as shards with news.

--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -286,8 +286,7 @@
 		return nil, err
 	}
 	a.ownerHint = resp.GetOwnerHint()
-	if resp.GetGeneration() > shard.Generation {
-		t.learnedOwners.Record(id, resp.GetGeneration(), target)
+	if resp.GetGeneration() > shard.Generation && t.learnedOwners.Record(id, resp.GetGeneration(), target) {
 		if target == shard.Standby && shard.Owner != nil {
 			t.lostOwners.RecordSuccessor(t.clock.Now(), shard.Owner.Incarnation, target.Incarnation)
 		}
--- a/daemon/routing/routing.go
+++ b/daemon/routing/routing.go
@@ -92,13 +92,16 @@
 	return &LearnedOwners{shard: map[view.ShardID]learnedOwner{}}
 }
 
-// Record stores m as owner of the shard if generation is newer than the stored one.
-func (l *LearnedOwners) Record(id view.ShardID, generation uint64, m *view.Member) {
+// Record stores m as owner of the shard if generation is newer than the stored one, and
+// reports whether it is.
+func (l *LearnedOwners) Record(id view.ShardID, generation uint64, m *view.Member) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.shard[id].generation < generation {
-		l.shard[id] = learnedOwner{generation: generation, member: m}
+	if l.shard[id].generation >= generation {
+		return false
 	}
+	l.shard[id] = learnedOwner{generation: generation, member: m}
+	return true
 }
 
 // Apply returns the shard with the learned owner, and the owner in the view as
