--- a/daemon/edge/random_test.go
+++ b/daemon/edge/random_test.go
@@ -16,8 +16,8 @@
 	"go.uber.org/zap/zaptest/observer"
 )
 
-// randomRequest returns a request, the body of its answer, and whether its method is HEAD.
-func randomRequest(r *rand.Rand, n int) (text, want string, head bool) {
+// randomKindOfRequest returns a request, the body of its answer, and whether its method is HEAD.
+func randomKindOfRequest(r *rand.Rand, n int) (text, want string, head bool) {
 	path := fmt.Sprintf("/%d", n)
 	body := strings.Repeat("b", r.IntN(1+1<<r.IntN(13)))
 	sizes := func() string {
@@ -115,7 +115,7 @@
 					var heads []bool
 					var all strings.Builder
 					for n := range 30 {
-						text, want, head := randomRequest(r, n)
+						text, want, head := randomKindOfRequest(r, n)
 						wants, heads = append(wants, want), append(heads, head)
 						all.WriteString(text)
 					}
