daemon/edge: a request read ahead behind one without a known end is no idle time

Callers that send a request whose end the pipeline does not know (an Upgrade header, for example) and another one behind it at once lost the second: net/http had read it ahead into its own buffer, and the read with which it watches a running request counted as a wait for the next one, which the idle timeout and a stop may end. That read asks for a single byte, and no longer counts. Without the change, in 20 plays of two new tests, the second request was cut 3 times by the idle timeout and 20 times by a stop; with it 0 of 20 each, with -race.

--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -90,6 +90,10 @@
 	defer p.mu.Unlock()
 	settled := false // since the deadline
 	for len(l.unread) == 0 {
+		if l == p.tail {
+			// net/http reads a single byte while a request runs, which it may have read ahead.
+			p.tailWaits = l.state == laneIdle && len(b) > 1
+		}
 		switch {
 		case p.closed || l.state == laneClosed:
 			return 0, net.ErrClosed
@@ -111,11 +115,8 @@
 			return 0, os.ErrDeadlineExceeded
 		}
 		settled = false
-		if l == p.tail && l.state == laneIdle {
-			p.tailWaits = true
-			if !p.stopped.IsZero() {
-				p.interrupt()
-			}
+		if l == p.tail && p.tailWaits && !p.stopped.IsZero() {
+			p.interrupt()
 		}
 		p.changed.Wait()
 	}
@@ -139,7 +140,7 @@
 		p.end(endIdle)
 	case l.state == laneIdle && l != p.tail:
 		l.state = laneClosed
-	case l == p.feeding && !l.whole:
+	case l == p.feeding && !l.whole && l != p.tail:
 		p.timeout = endIdle
 	}
 }
--- a/daemon/edge/stop_test.go
+++ b/daemon/edge/stop_test.go
@@ -358,3 +358,66 @@
 		})
 	}
 }
+
+// The end of a request is not known to the pipeline, and its server keeps the connection.
+func TestConnectionGoesOnBehindARequestWithoutAKnownEnd(t *testing.T) {
+	const upgrade = "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+	for name, listen := range listeners {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, stop := serveUntilStopped(t, listen, &http.Server{Handler: &gate{}, IdleTimeout: time.Second})
+			idle, kept := dialCaller(t, addr), dialCaller(t, addr)
+			for _, c := range []*caller{idle, kept} {
+				c.send(upgrade + get("/2"))
+				for _, want := range []string{"/1", "/2"} {
+					got, err := c.answer()
+					is.NoErr(err)
+					is.Equal(got, want)
+				}
+				c.send(get("/3"))
+				got, err := c.answer()
+				is.NoErr(err)
+				is.Equal(got, "/3")
+			}
+			_, err := idle.answer() // nothing is sent
+			is.Equal(err, io.ErrUnexpectedEOF)
+			late := dialCaller(t, addr)
+			late.send(upgrade)
+			_, err = late.answer()
+			is.NoErr(err)
+			begin := time.Now()
+			is.NoErr(stop(t.Context()))
+			is.True(time.Since(begin) < stopReadTimeout/2)
+		})
+	}
+}
+
+func TestStopAwaitsARequestBehindOneWithoutAKnownEnd(t *testing.T) {
+	for name, listen := range listeners {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := &gate{release: make(chan struct{})}
+			addr, stop := serveUntilStopped(t, listen, &http.Server{Handler: g})
+			c := dialCaller(t, addr)
+			c.send("GET /1 HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n" + get("/2wait")) // both are read at once
+			eventually(t, "the second runs", func() bool { return g.running.Load() == 1 })
+			var stopping sync.WaitGroup
+			stopping.Go(func() { _ = stop(context.Background()) })
+			defer stopping.Wait()
+			eventually(t, "the daemon stops", func() bool {
+				conn, err := net.Dial("tcp", addr)
+				if err == nil {
+					_ = conn.Close()
+				}
+				return err != nil
+			})
+			<-time.After(50 * time.Millisecond) // nothing is to happen
+			close(g.release)
+			for _, want := range []string{"/1", "/2wait"} {
+				got, err := c.answer()
+				is.NoErr(err)
+				is.Equal(got, want)
+			}
+		})
+	}
+}
