daemon/edge: a request with Upgrade, or an option that contains "close", is not the last one

Callers that sent a request with an Upgrade header, or with a connection option such as X-Disclosed, and a further one behind it, lost that one: framing took the first for the last of its connection, net/http served it like any other and went on, and the pipeline no longer knew what was read. Both are ordinary requests to net/http without a hijack, so framing finds their ends and they get lanes; and behind a last request that net/http answers without a close, the rest of a further request is read.

--- a/daemon/edge/framing.go
+++ b/daemon/edge/framing.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 	"sync"
 )
@@ -210,7 +211,7 @@
 // begin reads the head of a request.
 func (f *framing) begin(head []byte) {
 	req, ok := parseHead(head)
-	if !ok || mayBeRefused(req, head) || req.Method == http.MethodConnect || req.Header["Upgrade"] != nil {
+	if !ok || mayBeRefused(req, head) || req.Method == http.MethodConnect {
 		f.giveUp()
 		return
 	}
@@ -303,12 +304,14 @@
 	if req.Close || !req.ProtoAtLeast(1, 1) && (len(values) != 1 || !strings.EqualFold(values[0], "keep-alive")) {
 		return true
 	}
-	for _, value := range values {
-		if strings.Contains(strings.ToLower(value), "close") {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(values, hasCloseOption)
+}
+
+// hasCloseOption reports whether "close" is one of the options in the value of a Connection
+// header, as the server reads it.
+func hasCloseOption(value string) bool {
+	options := strings.FieldsFunc(value, func(r rune) bool { return r == ' ' || r == ',' || r == '\t' })
+	return slices.ContainsFunc(options, func(option string) bool { return strings.EqualFold(option, "close") })
 }
 
 // beginChunk reads the line before a chunk.
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -62,7 +62,7 @@
 	case l.state != laneBusy:
 	case l == p.tail:
 		l.state = laneIdle
-		p.tailWhole = false
+		p.tailWhole, p.tailNext = false, true
 		p.doneBytes = l.end
 		p.interrupt()
 	default:
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -66,6 +66,7 @@
 	feeding   *lane  // lane of the request that is being received
 	tail      *lane  // lane of the last request: to it belong all bytes that follow
 	tailWhole bool   // its request is complete
+	tailNext  bool   // its server went on to a further request, whose end is not known
 	tailWaits bool   // its server waits for bytes
 	last      *lane  // its answer is the last one, and no more is read
 	pending   []byte // read, and not yet given to a lane
@@ -338,7 +339,8 @@
 			if p.tail = l; l.state == laneIdle {
 				l.state = laneBusy
 			}
-			p.tailWhole, l.whole = whole, whole
+			p.tailWhole = whole && !p.tailNext
+			l.whole = p.tailWhole
 		} else if whole {
 			l.whole = true
 			p.feeding = nil
