daemon/edge: a connection with much pending is still watched for its caller's close

A caller that left behind 64 KiB of further requests was not noticed: the reader waits for room then and did not look, so that its requests ran on (GONE). The reader now looks each 100 ms while it waits.

--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -15,7 +15,7 @@
 // Listen serves srv at addr during the lifecycle lc. On stop it accepts no further
 // connections, answers all requests of which a byte was read and closes each connection
 // then, until the deadline of the stop; then it closes all connections. name is the prefix of
-// errors and names the listener in log.
+// errors and names the listener in log. Handlers must not hijack connections.
 func Listen(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
 	listen(lc, srv, name, addr, 1, log)
 }
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -161,8 +161,10 @@
 		switch {
 		case p.closed || p.callerLeft:
 			return stepEnd
-		case p.interrupts > 0 || len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0:
+		case p.interrupts > 0:
 			p.readerWakes.Wait()
+		case len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0:
+			p.awaitRoom()
 		case p.last != nil || p.tailWhole || p.readErr != nil || stopping && p.feeding == nil:
 			p.enterRead(time.Time{})
 			p.watching = true
@@ -175,6 +177,23 @@
 	}
 }
 
+// awaitRoom waits until pending bytes may have been given to lanes, and looks now and then
+// whether the caller closes the connection. The caller holds the lock.
+func (p *pipeline) awaitRoom() {
+	due := false
+	timer := time.AfterFunc(closePollInterval, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		due = true
+		p.readerWakes.Broadcast()
+	})
+	p.readerWakes.Wait()
+	timer.Stop()
+	if due && !p.closed && peerClosed(p.conn) {
+		p.endReading(net.ErrClosed)
+	}
+}
+
 // enterRead records that the reader reads. The caller holds the lock.
 func (p *pipeline) enterRead(deadline time.Time) {
 	if p.interrupted || !deadline.Equal(p.readDeadline) {
