daemon/plugins/entry: a refused body leaves the requests behind it

Callers of the native interface that sent a request behind one whose body was refused, or to a daemon that leaves, lost it although it had been read: the answer closed the connection without a look. It now closes only if edge.EndAfter finds that nothing was read behind it, as on the platform's interface.

--- a/daemon/edge/pipeline_test.go
+++ b/daemon/edge/pipeline_test.go
@@ -73,6 +73,21 @@
 	return string(body), err
 }
 
+// finalAnswer returns the body of the next answer that is not an interim one, or an error.
+func (c *caller) finalAnswer() (string, error) {
+	for {
+		resp, err := http.ReadResponse(c.r, nil)
+		if err != nil {
+			return "", err
+		}
+		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
+		if err != nil || resp.StatusCode >= http.StatusOK {
+			return string(body), err
+		}
+	}
+}
+
 func get(path string) string { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n" }
 
 // gate is a handler that answers with the path and the body, for paths that contain "wait"
--- a/daemon/plugins/entry/caller_test.go
+++ b/daemon/plugins/entry/caller_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+	"go.uber.org/fx/fxtest"
+	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/edge/edgetest"
@@ -72,3 +74,32 @@
 	is.Equal(status, "HTTP/1.1 200 OK\r\n")
 	is.True(time.Duration(s.sent[0].GetTimeoutMs())*time.Millisecond <= timeout-wait)
 }
+
+// A refusal before the body was read closed the connection under a request behind it.
+func TestRefusedBodyClosesUnderRequestsBehindIt(t *testing.T) {
+	is := is.New(t)
+	e, _ := newTestEntry(t, new(fakeEnv))
+	unused, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	addr := unused.Addr().String()
+	is.NoErr(unused.Close())
+	lc := fxtest.NewLifecycle(t)
+	edge.Listen(lc, e.httpServer(), "test", addr, zap.NewNop())
+	lc.RequireStart()
+	defer lc.RequireStop()
+	conn, err := net.Dial("tcp", addr)
+	is.NoErr(err)
+	defer conn.Close()
+	is.NoErr(conn.SetDeadline(time.Now().Add(eventTimeout)))
+	_, err = io.WriteString(conn, "POST /stock/key HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\nabc"+
+		"GET /stock/key HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
+	is.NoErr(err)
+	r := bufio.NewReader(conn)
+	for _, want := range []int{http.StatusUnauthorized, http.StatusOK} {
+		resp, err := http.ReadResponse(r, nil)
+		is.NoErr(err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		is.NoErr(err)
+		is.Equal(resp.StatusCode, want)
+	}
+}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -46,7 +46,7 @@
 	// Without Connection: close, net/http would read the rest of an unread body
 	// before it sends the response.
 	unread := c.Request.ContentLength != 0 && !x.bodyRead
-	if unread || e.ctrl.View().Leaving {
+	if (unread || e.ctrl.View().Leaving) && edge.EndAfter(c.Request.Context()) {
 		c.Header("Connection", "close")
 	}
 	written, err := writeResponse(c.Writer, c.Request, x.req, resp)
