--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -66,6 +66,7 @@
 	feeding   *lane  // lane of the request that is being received
 	tail      *lane  // lane of the last request: to it belong all bytes that follow
 	tailWhole bool   // its request is complete
+	tailNext  bool   // its server went on to a further request, whose end is not known
 	tailWaits bool   // its server waits for bytes
 	last      *lane  // its answer is the last one, and no more is read
 	pending   []byte // read, and not yet given to a lane
@@ -160,8 +161,10 @@
 		switch {
 		case p.closed || p.callerLeft:
 			return stepEnd
-		case p.interrupts > 0 || len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0:
+		case p.interrupts > 0:
 			p.readerWakes.Wait()
+		case len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0:
+			p.awaitRoom()
 		case p.last != nil || p.tailWhole || p.readErr != nil || stopping && p.feeding == nil:
 			p.enterRead(time.Time{})
 			p.watching = true
@@ -174,6 +177,23 @@
 	}
 }
 
+// awaitRoom waits until pending bytes may have been given to lanes, and looks now and then
+// whether the caller closes the connection. The caller holds the lock.
+func (p *pipeline) awaitRoom() {
+	due := false
+	timer := time.AfterFunc(closePollInterval, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		due = true
+		p.readerWakes.Broadcast()
+	})
+	p.readerWakes.Wait()
+	timer.Stop()
+	if due && !p.closed && peerClosed(p.conn) {
+		p.endReading(net.ErrClosed)
+	}
+}
+
 // enterRead records that the reader reads. The caller holds the lock.
 func (p *pipeline) enterRead(deadline time.Time) {
 	if p.interrupted || !deadline.Equal(p.readDeadline) {
@@ -338,7 +358,8 @@
 			if p.tail = l; l.state == laneIdle {
 				l.state = laneBusy
 			}
-			p.tailWhole, l.whole = whole, whole
+			p.tailWhole = whole && !p.tailNext
+			l.whole = p.tailWhole
 		} else if whole {
 			l.whole = true
 			p.feeding = nil
--- a/daemon/edge/stop_test.go
+++ b/daemon/edge/stop_test.go
@@ -107,11 +107,16 @@
 			return unread
 		}
 	}
+	return c.fate(len(pieces[0]))
+}
+
+// fate returns what became of a request that was sent, of which begin bytes were sent first.
+func (c *keptConn) fate(begin int) fate {
 	_, err := c.answer()
 	switch {
 	case err == nil:
 		return answered
-	case errors.Is(err, syscall.ECONNRESET) || acknowledged(c.t, c.Conn) < c.acknowledged+uint64(len(pieces[0])):
+	case errors.Is(err, syscall.ECONNRESET) || acknowledged(c.t, c.Conn) < c.acknowledged+uint64(begin):
 		return unread
 	default:
 		return lost
@@ -248,7 +253,7 @@
 							return
 						}
 						c.acknowledged += uint64(len(get("/last")))
-						count[c.request(0, "")].Add(1)
+						count[c.fate(len(get("/second")))].Add(1)
 						_ = c.Close()
 					})
 				}
@@ -358,3 +363,68 @@
 		})
 	}
 }
+
+// folded has a folded header: its end is not known to the pipeline, and its server keeps the
+// connection.
+const folded = "GET /1 HTTP/1.1\r\nHost: a\r\nX-Note: a\r\n b\r\n\r\n"
+
+func TestConnectionGoesOnBehindARequestWithoutAKnownEnd(t *testing.T) {
+	for name, listen := range listeners {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			addr, stop := serveUntilStopped(t, listen, &http.Server{Handler: &gate{}, IdleTimeout: time.Second})
+			idle, kept := dialCaller(t, addr), dialCaller(t, addr)
+			for _, c := range []*caller{idle, kept} {
+				c.send(folded + get("/2"))
+				for _, want := range []string{"/1", "/2"} {
+					got, err := c.answer()
+					is.NoErr(err)
+					is.Equal(got, want)
+				}
+				c.send(get("/3"))
+				got, err := c.answer()
+				is.NoErr(err)
+				is.Equal(got, "/3")
+			}
+			_, err := idle.answer() // nothing is sent
+			is.Equal(err, io.ErrUnexpectedEOF)
+			late := dialCaller(t, addr)
+			late.send(folded)
+			_, err = late.answer()
+			is.NoErr(err)
+			begin := time.Now()
+			is.NoErr(stop(t.Context()))
+			is.True(time.Since(begin) < stopReadTimeout/2)
+		})
+	}
+}
+
+func TestStopAwaitsARequestBehindOneWithoutAKnownEnd(t *testing.T) {
+	for name, listen := range listeners {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := &gate{release: make(chan struct{})}
+			addr, stop := serveUntilStopped(t, listen, &http.Server{Handler: g})
+			c := dialCaller(t, addr)
+			c.send(folded + get("/2wait")) // both are read at once
+			eventually(t, "the second runs", func() bool { return g.running.Load() == 1 })
+			var stopping sync.WaitGroup
+			stopping.Go(func() { _ = stop(context.Background()) })
+			defer stopping.Wait()
+			eventually(t, "the daemon stops", func() bool {
+				conn, err := net.Dial("tcp", addr)
+				if err == nil {
+					_ = conn.Close()
+				}
+				return err != nil
+			})
+			<-time.After(50 * time.Millisecond) // nothing is to happen
+			close(g.release)
+			for _, want := range []string{"/1", "/2wait"} {
+				got, err := c.answer()
+				is.NoErr(err)
+				is.Equal(got, want)
+			}
+		})
+	}
+}
