backendconn: a copy of another answer is no part of a body on a kept connection

A success could still have foreign bytes at the end of its body beside a server that mixes framings: an answer without a length on a kept connection takes in what comes there late, also the copy of the answer to an earlier request, if that names no request or is cut before or in the name.

On a kept connection a head that names no request and bears the marks of a backend server's answer (its seal, or that it did not run) is none of the body now, nor is the start of any head at its end unless its fields are ones that the answer does not have. The outcome is answer_cut.

--- a/daemon/backendconn/backendconntest/server.go
+++ b/daemon/backendconn/backendconntest/server.go
@@ -46,9 +46,9 @@
 // Server answers requests and writes some answers a second time. Its fields must not be
 // changed after Start.
 type Server struct {
-	IDHeader    string // names the request in requests and answers
-	Framing     backendconn.Framing
-	CloseHeader bool // answers that end with their connection announce it
+	IDHeader    string              // names the request in requests and answers
+	Framing     backendconn.Framing // "" for those of Mixed in turn
+	CloseHeader bool                // answers that end with their connection announce it
 	Answer      func(*http.Request) Answer
 
 	Every     int           // every n-th answer is written twice; 0 for none
@@ -60,6 +60,17 @@
 	read                   sync.Map // ids of requests that were read
 }
 
+// Mixed are the framings that a server without one uses in turn.
+var Mixed = []backendconn.Framing{backendconn.FramingLength, backendconn.FramingChunked, backendconn.FramingLength, backendconn.FramingClose}
+
+// framingOf returns the framing of the answer to a request.
+func (s *Server) framingOf(id string) backendconn.Framing {
+	if s.Framing != "" {
+		return s.Framing
+	}
+	return Mixed[Number(id)%len(Mixed)]
+}
+
 // Copies returns how many answers were written twice.
 func (s *Server) Copies() int { return int(s.copies.Load()) }
 
@@ -104,7 +115,8 @@
 		a := s.Answer(req)
 		id := req.Header.Get(s.IDHeader)
 		s.read.Store(id, nil)
-		head, body := s.encode(a, id)
+		framing := s.framingOf(id)
+		head, body := s.encode(a, framing, id)
 		mu.Lock()
 		_, err = io.WriteString(conn, head+body)
 		mu.Unlock()
@@ -115,11 +127,11 @@
 		if stutters {
 			s.copies.Add(1)
 			if !s.CopyNames {
-				head, body = s.encode(a, "")
+				head, body = s.encode(a, framing, "")
 			}
 		}
 		switch {
-		case s.Framing == backendconn.FramingClose:
+		case framing == backendconn.FramingClose:
 			if stutters {
 				s.writeCopy(conn, &mu, head, body)
 			}
@@ -131,14 +143,14 @@
 }
 
 // encode returns an answer that names the request id, or none if it is "".
-func (s *Server) encode(a Answer, id string) (head, body string) {
+func (s *Server) encode(a Answer, framing backendconn.Framing, id string) (head, body string) {
 	lines := []string{fmt.Sprintf("HTTP/1.1 %d %s", a.Status, http.StatusText(a.Status))}
 	if id != "" {
 		lines = append(lines, s.IDHeader+": "+id)
 	}
 	lines = append(lines, a.Header...)
 	body = a.Body
-	switch s.Framing {
+	switch framing {
 	case backendconn.FramingLength:
 		lines = append(lines, fmt.Sprint("Content-Length: ", len(body)))
 	case backendconn.FramingChunked:
@@ -280,7 +292,7 @@
 	}
 	t.Cleanup(func() { _ = listener.Close() })
 	var runs atomic.Int64
-	s := &Server{IDHeader: idHeader, Framing: backendconn.FramingLength}
+	s := &Server{IDHeader: idHeader}
 	serve := func(conn net.Conn) {
 		defer conn.Close()
 		r := bufio.NewReader(conn)
@@ -291,7 +303,7 @@
 				return
 			}
 			id := req.Header.Get(idHeader)
-			head, body := s.encode(Answer{Status: http.StatusOK, Header: header(id), Body: fmt.Sprint("run ", runs.Add(1))}, id)
+			head, body := s.encode(Answer{Status: http.StatusOK, Header: header(id), Body: fmt.Sprint("run ", runs.Add(1))}, backendconn.FramingLength, id)
 			if _, err := io.WriteString(conn, last+head+body); err != nil {
 				return
 			}
@@ -370,10 +382,10 @@
 }
 
 func (s *OrderServer) answer(req *http.Request) string {
-	encoder := &Server{IDHeader: s.IDHeader, Framing: backendconn.FramingLength}
+	encoder := &Server{IDHeader: s.IDHeader}
 	id := req.Header.Get(s.IDHeader)
 	if !strings.Contains(req.URL.Path, "grant") && !strings.Contains(req.URL.Path, "release") {
-		head, body := encoder.encode(Answer{Status: http.StatusOK, Header: s.Header(id), Body: id}, id)
+		head, body := encoder.encode(Answer{Status: http.StatusOK, Header: s.Header(id), Body: id}, backendconn.FramingLength, id)
 		return head + body
 	}
 	n := s.orders.Add(1)
@@ -384,6 +396,6 @@
 	if !s.Names {
 		id = ""
 	}
-	head, body := encoder.encode(a, id)
+	head, body := encoder.encode(a, backendconn.FramingLength, id)
 	return head + body
 }
--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -22,17 +22,25 @@
 // framingFields are fields in which a copy of an answer may differ from it.
 var framingFields = []string{"Connection", "Content-Length", "Date", "Keep-Alive", "Transfer-Encoding"}
 
+// Marks are what an answer says of itself.
+type Marks struct {
+	RequestID string // of the request, or ""
+	Server    bool   // it is marked as an answer of a backend server, in addition
+}
+
 // names tells which request an answer names.
 type names struct {
-	own     string                             // of the request
-	of      func(answer *http.Response) string // "" if an answer names none
-	carried func(id string) bool               // on the connection of the request
+	own     string // of the request
+	marks   func(answer *http.Response) Marks
+	kept    bool                 // the connection carried other requests, see Trace.Kept
+	carried func(id string) bool // on the connection of the request
 }
 
 // ownBody returns the part of body that belongs to an answer that ended with its connection. A
 // faulty server may have written an answer a second time on that connection: its head is then in
 // the body. It names a request that the connection carried, or no request and is otherwise the
-// head of this answer. A head in the body that names another request is part of the body.
+// head of this answer or, on a kept connection, that of a backend server's answer. A head in the
+// body that names another request is part of the body.
 //
 // What stands before a copy of this answer is returned if the copy shows that it is whole:
 // what follows the second head is the same body, or a part of it if the copy is cut.
@@ -59,13 +67,14 @@
 			}
 			continue
 		}
-		switch id := n.of(second); {
+		marks := n.marks(second)
+		switch id := marks.RequestID; {
 		case id == n.own || id == "" && sameHead(answer, second, n.own):
 			if !isCopy(answer, second, head, body[:at], body[at+size:]) {
 				return nil, outcome.New(outcome.AnswerCut, "response without a length contains a second one to the request")
 			}
 			return body[:at], nil
-		case id != "" && n.carried(id):
+		case id != "" && n.carried(id) || id == "" && n.kept && marks.Server:
 			return nil, outcome.New(outcome.AnswerCut, "response without a length contains one to request %q", id)
 		}
 	}
@@ -131,7 +140,7 @@
 	last := lines[len(lines)-1]
 	statusLine := answer.Proto + " " + answer.Status
 	if len(lines) == 1 {
-		return strings.HasPrefix(statusLine+"\r", last)
+		return strings.HasPrefix(statusLine+"\r", last) || n.kept && startsStatusLineOf(last)
 	}
 	start := &http.Response{StatusCode: answer.StatusCode, Header: http.Header{}}
 	for _, line := range lines[1 : len(lines)-1] {
@@ -144,15 +153,38 @@
 		}
 		start.Header.Add(textproto.CanonicalMIMEHeaderKey(name), strings.TrimSpace(value))
 	}
-	if id := n.of(start); id != "" {
+	marks := n.marks(start)
+	switch id := marks.RequestID; {
+	case id != "":
 		return id == n.own || n.carried(id)
-	}
-	if strings.TrimRight(lines[0], " \r") != strings.TrimRight(statusLine, " ") || !containsFields(answer.Header, start.Header) {
+	case n.kept && (marks.Server || containsNames(answer.Header, start.Header)):
+		return true // another answer's, whose fields have other values
+	case strings.TrimRight(lines[0], " \r") != strings.TrimRight(statusLine, " ") || !containsFields(answer.Header, start.Header):
 		return false
 	}
 	return last == "" || last == "\r" || startsField(answer.Header, last)
 }
 
+// startsStatusLineOf reports whether line may be the start of a status line.
+func startsStatusLineOf(line string) bool {
+	const form = statusLineStart + "1 200"
+	if len(line) >= len(form) {
+		return startsStatusLine([]byte(strings.TrimSuffix(line, "\r")))
+	}
+	return startsStatusLine([]byte(line + form[len(line):]))
+}
+
+// containsNames reports whether a header has all fields of a part of it, except framingFields,
+// with any values.
+func containsNames(header, part http.Header) bool {
+	for name := range part {
+		if _, ok := header[name]; !ok && !slices.Contains(framingFields, name) {
+			return false
+		}
+	}
+	return true
+}
+
 // sameHead reports whether a head is that of the answer, without the name of its request and
 // with another framing.
 func sameHead(answer, second *http.Response, id string) bool {
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -35,10 +35,10 @@
 	return ResponseReader{bodies: bodies.NewReader(ownResponseBytes, sharedResponseBytes)}
 }
 
-// ReadOwn is Read for the response to the request of a trace. idOf returns the request id that a
-// response names, or "". If the response ended with its connection, a second copy that a faulty
+// ReadOwn is Read for the response to the request of a trace. marks returns what a response says
+// of itself. If the response ended with its connection, a second copy that a faulty
 // server wrote there is left out; see ownBody.
-func (r *ResponseReader) ReadOwn(ctx context.Context, httpResp *http.Response, trace *Trace, idOf func(*http.Response) string) (*wire.Response, error) {
+func (r *ResponseReader) ReadOwn(ctx context.Context, httpResp *http.Response, trace *Trace, marks func(*http.Response) Marks) (*wire.Response, error) {
 	if framingOf(httpResp) != FramingClose {
 		return r.Read(ctx, httpResp)
 	}
@@ -51,7 +51,7 @@
 	if err != nil {
 		return nil, err
 	}
-	own, err := ownBody(httpResp, resp.Body, recorder.lastRead, names{own: trace.RequestID, of: idOf, carried: trace.Carried})
+	own, err := ownBody(httpResp, resp.Body, recorder.lastRead, names{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried})
 	if err != nil || len(own) < len(resp.Body) {
 		RecordDiscarded(ctx, trace.RequestID, DiscardCopy)
 	}
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -192,7 +192,10 @@
 		backendconn.RecordDiscarded(ctx, decoded.ID, backendconn.DiscardOtherRequest)
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response belongs to another request %q", decoded.ID)), protocol.BackendAnswer{}
 	}
-	resp, err := c.responses.ReadOwn(ctx, httpResp, trace, func(r *http.Response) string { return c.protocol.Decode(r).ID })
+	resp, err := c.responses.ReadOwn(ctx, httpResp, trace, func(r *http.Response) backendconn.Marks {
+		decoded := c.protocol.Decode(r)
+		return backendconn.Marks{RequestID: decoded.ID, Server: decoded.Sealed || decoded.NotRun}
+	})
 	switch {
 	case err != nil:
 		return answer.Refusal(err), decoded
