backendconn: a body that ends in the name of the protocol is whole

A sound answer without a length whose body ends in "HTTP/1.1" ended as answer_cut: the name was taken for the start of a copy that is cut. Eight bytes or less of a status line cannot be told from the end of a body, except that they came by themselves, later than the bytes before; only then they are a copy's now. Open: up to eight bytes of a copy that arrive together with the body's end are passed on.

--- a/daemon/backendconn/backendconntest/server.go
+++ b/daemon/backendconn/backendconntest/server.go
@@ -177,7 +177,7 @@
 	case TwoPieces:
 		first = rand.IntN(len(data))
 	case CutInStatusLine:
-		first = len("HTTP/1.") + rand.IntN(bytes.IndexByte(data, '\r')-len("HTTP/1."))
+		first = len("HTTP/1.1 ") + rand.IntN(bytes.IndexByte(data, '\r')-len("HTTP/1.1 ")) // less may be the end of a body
 	case CutInHead:
 		line := bytes.IndexByte(data, '\n') + 1
 		first = line + rand.IntN(len(head)-line)
--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -12,8 +12,12 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 )
 
-// statusLineStart is the start of the status line of each answer.
-const statusLineStart = "HTTP/1."
+const (
+	// statusLineStart is the start of the status line of each answer.
+	statusLineStart = "HTTP/1."
+	// protocolName is the first word of nearly all status lines.
+	protocolName = "HTTP/1.1"
+)
 
 // maxOverlappingHeads bounds how often each byte of a body is looked at. Heads overlap if one
 // line has several status lines.
@@ -55,7 +59,7 @@
 		}
 		head := body[at : at+size]
 		if !whole {
-			if at+size == len(body) && n.isStartOfCopy(answer, head) {
+			if at+size == len(body) && size > len(protocolName) && n.isStartOfCopy(answer, head) {
 				return nil, outcome.New(outcome.AnswerCut, "response without a length ends in the head of a second one")
 			}
 			continue
@@ -78,8 +82,8 @@
 			return nil, outcome.New(outcome.AnswerCut, "response without a length contains one to request %q", id)
 		}
 	}
-	// The first bytes of a status line may be the end of a body. Alone they are a copy's.
-	if rest := body[lastRead:]; lastRead > 0 && len(rest) < len(statusLineStart) && strings.HasPrefix(statusLineStart, string(rest)) {
+	// The name of the protocol may be the end of a body. If it came alone it is a copy's.
+	if rest := body[lastRead:]; lastRead > 0 && len(rest) <= len(protocolName) && strings.HasPrefix(protocolName, string(rest)) {
 		return nil, outcome.New(outcome.AnswerCut, "response without a length ends in a status line")
 	}
 	return body, nil
