backendconn, owner: a copy does not fill an answer that broke off

A caller got half of the server's body and the head of a copy as a whole answer: the server broke off an answer with a length and wrote it once more on the same connection, so that the copy's bytes filled the length. A body with a length or in chunks that contains the head of an answer naming this request, or another that the connection carried, is answer_cut now, on both owners, and its connection is closed; unlike in answers without a length, nothing else counts, so that transcripts of other requests pass. Open: a copy that names no request, or whose name lies beyond the length.

--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -89,6 +89,43 @@
 	return body, nil
 }
 
+// containsCopy reports whether a body with a length or in chunks contains the head of an answer that
+// names the request, or another one that the connection carried: the server broke off and
+// wrote an answer behind.
+func (n names) containsCopy(body []byte) bool {
+	effort := maxOverlappingHeads*len(body) + MaxHeaderBytes
+	for at := indexFrom(body, statusLineStart, 0); at >= 0; at = indexFrom(body, statusLineStart, at+1) {
+		size, whole := scanHead(body[at:])
+		if effort -= size; effort < 0 {
+			return false
+		}
+		if !whole && at+size < len(body) {
+			continue
+		}
+		start, ok := startOfHead(strings.Split(string(body[at:at+size]), "\n"))
+		if id := n.marks(start).RequestID; ok && id != "" && (id == n.own || n.carried(id)) {
+			return true
+		}
+	}
+	return false
+}
+
+// startOfHead returns the fields in the lines of a head but the last one, which may be cut.
+func startOfHead(lines []string) (start *http.Response, ok bool) {
+	start = &http.Response{Header: http.Header{}}
+	for _, line := range lines[1:max(1, len(lines)-1)] {
+		if line == "" || line == "\r" {
+			continue
+		}
+		name, value, ok := strings.Cut(line, ":")
+		if !ok {
+			return start, false
+		}
+		start.Header.Add(textproto.CanonicalMIMEHeaderKey(name), strings.TrimSpace(value))
+	}
+	return start, true
+}
+
 // isCopy reports whether second, with the bytes of its head and what follows it, is a copy of
 // the answer with the body own, or the start of one.
 func isCopy(answer, second *http.Response, head, own, rest []byte) bool {
@@ -146,17 +183,11 @@
 	if len(lines) == 1 {
 		return strings.HasPrefix(statusLine+"\r", last) || n.kept && startsStatusLineOf(last)
 	}
-	start := &http.Response{StatusCode: answer.StatusCode, Header: http.Header{}}
-	for _, line := range lines[1 : len(lines)-1] {
-		if line == "" || line == "\r" {
-			continue
-		}
-		name, value, ok := strings.Cut(line, ":")
-		if !ok {
-			return false
-		}
-		start.Header.Add(textproto.CanonicalMIMEHeaderKey(name), strings.TrimSpace(value))
+	start, ok := startOfHead(lines)
+	if !ok {
+		return false
 	}
+	start.StatusCode = answer.StatusCode
 	marks := n.marks(start)
 	switch id := marks.RequestID; {
 	case id != "":
--- a/daemon/backendconn/copies_test.go
+++ b/daemon/backendconn/copies_test.go
@@ -43,7 +43,8 @@
 	t.Helper()
 	trace := &Trace{RequestID: "r-1"}
 	trace.kept.Store(kept)
-	conn := &guardedConn{clock: clock.Boot{}}
+	local, _ := net.Pipe()
+	conn := &guardedConn{Conn: local, clock: clock.Boot{}}
 	conn.ids.add("r-0", clock.Boot{}.Now().Add(time.Minute), clock.Boot{}.Now())
 	trace.conn.Store(conn)
 	r := NewResponseReader()
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -56,7 +56,7 @@
 // The reasons to discard bytes.
 const (
 	DiscardOtherRequest DiscardReason = "other_request" // the answer names another request, or none although it must
-	DiscardCopy         DiscardReason = "copy"          // a second answer in the body of one that ends with its connection
+	DiscardCopy         DiscardReason = "copy"          // a second answer in the body of another
 )
 
 type exchangeKey struct{}
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -36,12 +36,10 @@
 }
 
 // ReadOwn is Read for the response to the request of a trace. marks returns what a response says
-// of itself. If the response ended with its connection, a second copy that a faulty
-// server wrote there is left out; see ownBody.
+// of itself. If the response ended with its connection, a second copy that a faulty server wrote
+// there is left out; see ownBody. A response with a length or in chunks that contains the head of one
+// to this request or another one of its connection is an error.
 func (r *ResponseReader) ReadOwn(ctx context.Context, httpResp *http.Response, trace *Trace, marks func(*http.Response) Marks) (*wire.Response, error) {
-	if framingOf(httpResp) != FramingClose {
-		return r.Read(ctx, httpResp)
-	}
 	recorder := &readRecorder{Reader: httpResp.Body}
 	httpResp.Body = struct {
 		io.Reader
@@ -51,11 +49,18 @@
 	if err != nil {
 		return nil, err
 	}
-	own, err := ownBody(httpResp, resp.Body, recorder.lastRead, names{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried})
+	n := names{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried}
+	own := resp.Body
+	if framingOf(httpResp) == FramingClose {
+		own, err = ownBody(httpResp, resp.Body, recorder.lastRead, n)
+	} else if n.containsCopy(resp.Body) {
+		err = outcome.New(outcome.AnswerCut, "response contains another one")
+	}
 	if err != nil || len(own) < len(resp.Body) {
 		RecordDiscarded(ctx, trace.RequestID, DiscardCopy)
 	}
 	if err != nil {
+		trace.Discard()
 		return nil, err
 	}
 	exchangeOf(ctx).BodyBytes = len(own)
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -142,7 +142,7 @@
 		return answer.Refusal(err), selfReport{}
 	}
 	report := readSelfReport(httpResp.Header)
-	resp := b.readResponse(ctx, httpResp, token)
+	resp := b.readResponse(ctx, httpResp, trace, token)
 	trace.Answered()
 	if answer.AllowsRepeat(resp) {
 		trace.BarRepeat()
@@ -188,7 +188,7 @@
 
 // readResponse reads the whole response. A truncated response, or one whose
 // truncation could not be detected, becomes a refusal of kind AnswerCut.
-func (b *backend) readResponse(ctx context.Context, httpResp *http.Response, token uint64) *wire.Response {
+func (b *backend) readResponse(ctx context.Context, httpResp *http.Response, trace *backendconn.Trace, token uint64) *wire.Response {
 	defer httpResp.Body.Close()
 	if err := refusalOf(httpResp); err != nil {
 		return answer.Refusal(err)
@@ -196,7 +196,9 @@
 	if !isFramed(httpResp) {
 		return answer.Refusal(outcome.New(outcome.AnswerCut, "response has neither a content length nor chunked encoding"))
 	}
-	resp, err := b.responses.Read(ctx, httpResp)
+	resp, err := b.responses.ReadOwn(ctx, httpResp, trace, func(r *http.Response) backendconn.Marks {
+		return backendconn.Marks{RequestID: r.Header.Get(headerRequest)}
+	})
 	if err != nil {
 		return answer.Refusal(err)
 	}
