owner: a server that names no request keeps its answers without a body

A sound server that names no request in its answers lost answers: one that has no body frees its connection before the daemon has looked at it, so that the next request was already sent there when the connection was discarded, and its own answer without a name counted as a copy. An answer without a name on a kept connection is a copy only if the server named a request before; while it never did, no request is written to a connection that carried another one, and goes to a new one instead.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -160,7 +160,8 @@
 	t.kept.Store(c.state.CompareAndSwap(written, unwritten))
 	c.current, c.answers = t, 0
 	orderToStuttering := t.order && t.Kept() && !c.namesOrders && c.stutter != nil && c.stutter.Seen()
-	if c.barred[t.RequestID] || orderToStuttering {
+	toUnnamed := !t.order && t.Kept() && c.stutter != nil && c.stutter.namesNone()
+	if c.barred[t.RequestID] || orderToStuttering || toUnnamed {
 		c.discarded.Store(true)
 	}
 	now := c.clock.Now()
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -24,6 +24,8 @@
 // use.
 type Stutter struct {
 	seen      atomic.Bool
+	named     atomic.Bool  // an answer named its request
+	unnamed   atomic.Bool  // an answer named no request
 	discarded atomic.Int64 // how often a connection was closed for such bytes, since LogDiscarded
 	loggedAt  atomic.Int64 // time of the last line
 }
@@ -53,8 +55,29 @@
 // Seen reports whether there were such bytes since Reset.
 func (s *Stutter) Seen() bool { return s.seen.Load() }
 
+// Named records that an answer named its request.
+func (s *Stutter) Named() { s.named.Store(true) }
+
+// Unnamed records an answer that named no request, on a new connection or one that carried others. It
+// reports whether it may be a copy of another answer: those of the server name their requests. If
+// they never do, no request is sent on a connection that carried another one.
+func (s *Stutter) Unnamed(kept bool) (mayBeCopy bool) {
+	if kept && s.named.Load() {
+		return true
+	}
+	s.unnamed.Store(true)
+	return false
+}
+
+// namesNone reports whether the server has answered and named no request.
+func (s *Stutter) namesNone() bool { return s.unnamed.Load() && !s.named.Load() }
+
 // Reset is called when the server has restarted.
-func (s *Stutter) Reset() { s.seen.Store(false) }
+func (s *Stutter) Reset() {
+	s.seen.Store(false)
+	s.named.Store(false)
+	s.unnamed.Store(false)
+}
 
 // OrderDialer returns a dial function for connections of orders that may be written at any time.
 func OrderDialer(clk clock.Clock, stutter *Stutter) func(context.Context, string, string) (net.Conn, error) {
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -136,8 +136,7 @@
 		refusal.Arrived = trace.Wrote()
 		return refusal, selfReport{}
 	}
-	if err := checkRequestID(httpResp, trace, req.GetRequestId()); err != nil {
-		b.stutter.Saw()
+	if err := b.checkRequestID(httpResp, trace, req.GetRequestId()); err != nil {
 		_ = httpResp.Body.Close()
 		return answer.Refusal(err), selfReport{}
 	}
@@ -155,20 +154,21 @@
 // checkRequestID returns an error if the response says that it belongs to another
 // request. Its connection is discarded, and so is that of a response that does not name
 // its request: a late copy of it would be taken for the response to the next request.
-// Thus the responses before one on a kept connection named their requests, and one that
-// names none may be a copy of them.
-func checkRequestID(resp *http.Response, trace *backendconn.Trace, id string) error {
-	switch got := resp.Header.Get(headerRequest); {
+// One that names none is itself taken for a copy on a kept connection of a server that names them.
+func (b *backend) checkRequestID(resp *http.Response, trace *backendconn.Trace, id string) error {
+	got := resp.Header.Get(headerRequest)
+	switch {
 	case got == id:
+		b.stutter.Named()
 		return nil
-	case got == "" && !trace.Kept():
+	case got == "" && !b.stutter.Unnamed(trace.Kept()):
 		trace.DiscardAfterResponse()
 		return nil
-	default:
-		trace.Discard()
-		backendconn.RecordDiscarded(resp.Request.Context(), got, backendconn.DiscardOtherRequest)
-		return outcome.New(outcome.AnswerCut, "response belongs to another request %q", got)
 	}
+	trace.Discard()
+	b.stutter.Saw()
+	backendconn.RecordDiscarded(resp.Request.Context(), got, backendconn.DiscardOtherRequest)
+	return outcome.New(outcome.AnswerCut, "response belongs to another request %q", got)
 }
 
 // deadline is the deadline of a request in the two forms that are sent to a
