--- a/daemon/cmd/sesamemoord/commands.go
+++ b/daemon/cmd/sesamemoord/commands.go
@@ -69,6 +69,8 @@
 func (*runCommand) SetFlags(*flag.FlagSet) {}
 
 func (*runCommand) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP) // before all else: it ends a process that does not ask for it
 	set, ok := loadSettings(f)
 	if !ok {
 		return exitSettings
@@ -81,7 +83,7 @@
 	defer func() { _ = log.Sync() }()
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	go reloadOnHangup(f.Arg(0), set, level, log)
+	go reloadOnHangup(hangups, f.Arg(0), set, level, log)
 	context.AfterFunc(ctx, stop) // restores the default action: a second signal ends the process
 	if err := serve(ctx, set, log); err != nil {
 		log.Error("daemon failed", zap.Error(err))
--- a/daemon/cmd/sesamemoord/reload.go
+++ b/daemon/cmd/sesamemoord/reload.go
@@ -3,11 +3,9 @@
 import (
 	"maps"
 	"os"
-	"os/signal"
 	"reflect"
 	"slices"
 	"strings"
-	"syscall"
 
 	"go.uber.org/zap"
 
@@ -17,10 +15,8 @@
 // logLevelField is the only settings field that a running daemon applies on reload.
 const logLevelField = "log_level"
 
-// reloadOnHangup reloads the settings file on each SIGHUP.
-func reloadOnHangup(path string, set settings.Daemon, level zap.AtomicLevel, log *zap.Logger) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
+// reloadOnHangup reloads the settings file on each signal of hangups.
+func reloadOnHangup(hangups <-chan os.Signal, path string, set settings.Daemon, level zap.AtomicLevel, log *zap.Logger) {
 	for range hangups {
 		set = reload(path, set, level, log)
 	}
