daemon/edge, daemon/backendconn: names that a reader expects

The lane whose answer is the last one of its connection is lastAnswer, apart from tail, the lane of the last request; what tells which request an answer names is requestIDs. Arrival times that have passed are deleted at once. Nothing else changes; found in a review.

--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -32,8 +32,8 @@
 	Server    bool   // it is marked as an answer of a backend server, in addition
 }
 
-// names tells which request an answer names.
-type names struct {
+// requestIDs tells which request an answer names.
+type requestIDs struct {
 	own     string // of the request
 	marks   func(answer *http.Response) Marks
 	kept    bool                 // the connection carried other requests, see Trace.Kept
@@ -50,7 +50,7 @@
 // what follows the second head is the same body, or a part of it if the copy is cut.
 // Otherwise the error is an *outcome.Err of kind AnswerCut. lastRead is where the bytes of the last
 // read begin.
-func ownBody(answer *http.Response, body []byte, lastRead int, n names) (own []byte, err error) {
+func ownBody(answer *http.Response, body []byte, lastRead int, n requestIDs) (own []byte, err error) {
 	effort := maxOverlappingHeads*len(body) + MaxHeaderBytes // bytes to look at
 	for at := indexFrom(body, statusLineStart, 0); at >= 0; at = indexFrom(body, statusLineStart, at+1) {
 		size, whole := scanHead(body[at:])
@@ -92,7 +92,7 @@
 // containsCopy reports whether a body with a length or in chunks contains the head of an answer that
 // names the request, or another one that the connection carried: the server broke off and
 // wrote an answer behind.
-func (n names) containsCopy(body []byte) bool {
+func (n requestIDs) containsCopy(body []byte) bool {
 	effort := maxOverlappingHeads*len(body) + MaxHeaderBytes
 	for at := indexFrom(body, statusLineStart, 0); at >= 0; at = indexFrom(body, statusLineStart, at+1) {
 		size, whole := scanHead(body[at:])
@@ -176,7 +176,7 @@
 
 // isStartOfCopy reports whether data, which is no whole and well-formed head, is the start of the
 // head of an answer to a request that the connection carried.
-func (n names) isStartOfCopy(answer *http.Response, data []byte) bool {
+func (n requestIDs) isStartOfCopy(answer *http.Response, data []byte) bool {
 	lines := strings.Split(string(data), "\n")
 	last := lines[len(lines)-1]
 	statusLine := answer.Proto + " " + answer.Status
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := names{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried}
+	n := requestIDs{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried}
 	own := resp.Body
 	if framingOf(httpResp) == FramingClose {
 		own, err = ownBody(httpResp, resp.Body, recorder.lastRead, n)
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -103,7 +103,7 @@
 		case l.state == laneAnswered: // waits for its turn
 		case p.readErr != nil && len(p.pending) == 0 && (p.callerLeft || l.receives()):
 			return 0, p.readErr
-		case p.last != nil && l == p.feeding && !l.whole:
+		case p.lastAnswer != nil && l == p.feeding && !l.whole:
 			return 0, io.ErrUnexpectedEOF
 		case !l.deadline.IsZero() && !time.Now().Before(l.deadline):
 			if l.receives() && !settled {
@@ -352,7 +352,7 @@
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.last == l || p.closed {
+	if p.lastAnswer == l || p.closed {
 		return true
 	}
 	if !l.isLast() {
@@ -365,7 +365,7 @@
 	if !l.isLast() {
 		return false
 	}
-	p.last = l
+	p.lastAnswer = l
 	return true
 }
 
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -62,14 +62,14 @@
 	closed  bool
 	stopped time.Time // when a stop began; zero before
 
-	framing   *framing
-	feeding   *lane  // lane of the request that is being received
-	tail      *lane  // lane of the last request: to it belong all bytes that follow
-	tailWhole bool   // its request is complete
-	tailNext  bool   // its server went on to a further request, whose end is not known
-	tailWaits bool   // its server waits for bytes
-	last      *lane  // its answer is the last one, and no more is read
-	pending   []byte // read, and not yet given to a lane
+	framing    *framing
+	feeding    *lane  // lane of the request that is being received
+	tail       *lane  // lane of the last request: to it belong all bytes that follow
+	tailWhole  bool   // its request is complete
+	tailNext   bool   // its server went on to a further request, whose end is not known
+	tailWaits  bool   // its server waits for bytes
+	lastAnswer *lane  // its answer is the last one, and no more is read
+	pending    []byte // read, and not yet given to a lane
 
 	halfClosed bool // no more is written
 
@@ -165,7 +165,7 @@
 			p.readerWakes.Wait()
 		case len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0:
 			p.awaitRoom()
-		case p.last != nil || p.tailWhole || p.readErr != nil || stopping && p.feeding == nil:
+		case p.lastAnswer != nil || p.tailWhole || p.readErr != nil || stopping && p.feeding == nil:
 			p.enterRead(time.Time{})
 			p.watching = true
 			return stepWatch
@@ -386,9 +386,11 @@
 // begin gives a lane the request whose first byte comes next. The caller holds the lock.
 func (p *pipeline) begin(l *lane) {
 	l.state, l.whole, l.wrote = laneBusy, false, false
-	for len(p.arrivals) > 1 && p.arrivals[0].end <= p.givenBytes {
-		p.arrivals = slices.Delete(p.arrivals, 0, 1)
+	past := 0
+	for past < len(p.arrivals)-1 && p.arrivals[past].end <= p.givenBytes {
+		past++
 	}
+	p.arrivals = slices.Delete(p.arrivals, 0, past)
 	l.received = p.arrivals[0].at
 	p.begun++
 	l.number = p.begun
@@ -439,7 +441,7 @@
 			p.endBehind(l)
 			return
 		case laneClosing:
-			p.last, p.halfClosed = l, true
+			p.lastAnswer, p.halfClosed = l, true
 			p.interrupt()
 			if c, ok := p.conn.(interface{ CloseWrite() error }); ok {
 				_ = c.CloseWrite()
@@ -448,7 +450,7 @@
 		case laneAnswered:
 			p.order = slices.Delete(p.order, 0, 1)
 			p.doneBytes = l.end
-			if p.last == l {
+			if p.lastAnswer == l {
 				p.end(endLastAnswer)
 				return
 			}
