--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -69,6 +69,7 @@
 	lastRead  atomic.Int64 // when bytes were last read
 	awaiting  atomic.Bool  // no byte was read since the current request was written
 	closed    atomic.Bool  // by this daemon
+	taken     atomic.Pointer[takenEnd]
 
 	mu      sync.Mutex
 	barred  map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
@@ -130,6 +131,7 @@
 	err = raw.Control(func(fd uintptr) { // Read would wait for the transport's own read
 		n, _, peekErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
+	c.take(EndSeenByLook, peekErr)
 	ended := peekErr == nil && n == 0
 	// Read does not return a reset that was returned here, and returns an end late.
 	if (errors.Is(peekErr, syscall.ECONNRESET) || ended && c.awaiting.Load()) && !c.closed.Load() {
@@ -220,7 +222,9 @@
 	case c.state.Load() == blocked:
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	n, err := c.Conn.Write(b)
+	c.take(EndSeenByWrite, err)
+	return n, err
 }
 
 // Dialer returns a dial function for guarded connections. leaseHeld is called before
@@ -385,6 +389,7 @@
 		}
 		x := exchangeOf(ctx)
 		x.Framing, x.Kept, x.BodyBytes = "", trace.Kept(), 0
+		x.BodyEnd, x.EndSeenBy = "", trace.endSeenBy()
 		if err == nil {
 			x.Framing = framingOf(resp)
 		}
--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -287,6 +287,7 @@
 	read     int
 	lastRead int
 	full     bool // the last read filled its buffer
+	err      error
 }
 
 // Read implements io.Reader.
@@ -299,5 +300,6 @@
 		r.read += n
 		r.full = n == len(p)
 	}
+	r.err = err
 	return n, err
 }
--- /dev/null
+++ b/daemon/backendconn/ending.go
@@ -0,0 +1,71 @@
+package backendconn
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"syscall"
+)
+
+// BodyEnd tells how the body of an answer ended.
+type BodyEnd string
+
+// The ends of bodies.
+const (
+	BodyEndLength BodyEnd = "length" // where its length or its last chunk says, or it has none
+	BodyEndClose  BodyEnd = "close"  // with the server's close
+	BodyEndReset  BodyEnd = "reset"  // with a reset of the connection
+	BodyEndCut    BodyEnd = "cut"    // otherwise
+)
+
+// bodyEndOf returns how the body of an answer ended whose read returned err.
+func bodyEndOf(resp *http.Response, err error) BodyEnd {
+	switch {
+	case errors.Is(err, syscall.ECONNRESET):
+		return BodyEndReset
+	case err != nil && !errors.Is(err, io.EOF):
+		return BodyEndCut
+	case framingOf(resp) == FramingClose:
+		return BodyEndClose
+	}
+	return BodyEndLength
+}
+
+// EndObserver tells what saw the end of a connection before its reader.
+type EndObserver string
+
+// The observers. The kernel reports an error of a socket once, to the first that asks.
+const (
+	EndSeenByLook  EndObserver = "look"  // a look at the socket, see closedByServer
+	EndSeenByWrite EndObserver = "write" // a write
+)
+
+// takenEnd is an error of a socket that something other than its reader was told.
+type takenEnd struct {
+	by  EndObserver
+	err error
+}
+
+// take records an error that a look or a write got.
+func (c *guardedConn) take(by EndObserver, err error) {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return
+	}
+	switch errno {
+	case syscall.EAGAIN, syscall.EINTR:
+	case syscall.EPIPE: // the server had closed the connection, or the error was taken before
+	default:
+		c.taken.CompareAndSwap(nil, &takenEnd{by, err})
+	}
+}
+
+// endSeenBy returns what saw an error of the request's connection before its reader, or "".
+func (t *Trace) endSeenBy() EndObserver {
+	if c := t.conn.Load(); c != nil {
+		if end := c.taken.Load(); end != nil {
+			return end.by
+		}
+	}
+	return ""
+}
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -41,6 +41,8 @@
 	Framing   Framing // "" if there was no answer
 	Kept      bool    // the connection had carried a request before
 	BodyBytes int     // that were passed on
+	BodyEnd   BodyEnd // "" if the body was not read, see ReadOwn
+	EndSeenBy EndObserver
 	Discarded []Discarded
 }
 
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -46,6 +46,8 @@
 		io.Closer
 	}{recorder, httpResp.Body}
 	resp, err := r.Read(ctx, httpResp)
+	x := exchangeOf(ctx)
+	x.BodyEnd, x.EndSeenBy = bodyEndOf(httpResp, recorder.err), trace.endSeenBy()
 	if err != nil {
 		return nil, err
 	}
