backendconn: a run's line tells what followed the answer on its connection

A caller got an answer with a length that broke off and whose missing bytes were the start of the next answer on the connection, or one without a length with odd bytes at its end. Nothing in the lines told either from a whole answer.

followed_by of run is what was read behind an answer with a length when it is passed on: another answer, the rest of one that begins in the body, or other bytes. copy_bytes of "answer discarded" is the size of a copy's body, to compare with body_bytes of the run. The newest bytes of each connection, 8 KiB at most, are held for it. No outcome changes. TestWhatFollowsAnAnswerIsNotRecorded fails without the fields (they do not exist).

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -75,6 +75,7 @@
 	ids     carriedIDs      // of the requests that were sent here
 	current *Trace          // of the call that waits for its answer; nil if none does
 	answers int             // answers that were read since current began, if it is an order
+	tail    readTail
 
 	namesOrders bool // an answer to an order named it
 }
@@ -262,6 +263,7 @@
 	conn  atomic.Pointer[guardedConn]
 	kept  atomic.Bool
 	wrote atomic.Bool // on a connection before conn: the transport sends some calls again
+	head  headScan    // of the answer; guarded by conn.mu
 }
 
 // Kept reports whether the request was sent on a connection that had carried another one.
@@ -384,7 +386,7 @@
 			continue
 		}
 		x := exchangeOf(ctx)
-		x.Framing, x.Kept, x.BodyBytes = "", trace.Kept(), 0
+		x.Framing, x.Kept, x.BodyBytes, x.Follower = "", trace.Kept(), 0, FollowerNone
 		if err == nil {
 			x.Framing = framingOf(resp)
 		}
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -38,9 +38,10 @@
 // Exchange describes the newest exchange with the server of a request, and the answers that
 // were discarded in all of its exchanges. It is not safe for concurrent use.
 type Exchange struct {
-	Framing   Framing // "" if there was no answer
-	Kept      bool    // the connection had carried a request before
-	BodyBytes int     // that were passed on
+	Framing   Framing  // "" if there was no answer
+	Kept      bool     // the connection had carried a request before
+	BodyBytes int      // that were passed on
+	Follower  Follower // known if the framing is FramingLength
 	Discarded []Discarded
 }
 
@@ -48,6 +49,7 @@
 type Discarded struct {
 	AnswerID string // the request that they name, or ""
 	Reason   DiscardReason
+	Bytes    int // of the body behind a head that ended the answer of the request
 }
 
 // DiscardReason tells why bytes of an answer were discarded.
@@ -77,8 +79,12 @@
 
 // RecordDiscarded records in the Exchange of ctx that an answer was discarded.
 func RecordDiscarded(ctx context.Context, answerID string, reason DiscardReason) {
+	recordDiscarded(ctx, Discarded{AnswerID: answerID, Reason: reason})
+}
+
+func recordDiscarded(ctx context.Context, d Discarded) {
 	x := exchangeOf(ctx)
-	x.Discarded = append(x.Discarded, Discarded{AnswerID: answerID, Reason: reason})
+	x.Discarded = append(x.Discarded, d)
 }
 
 // LogDiscarded logs a line for each discarded answer of a request that ended with an outcome.
@@ -88,6 +94,7 @@
 			zap.String("request_id", requestID),
 			zap.String("answer_id", d.AnswerID),
 			zap.String("discard_reason", string(d.Reason)),
+			zap.Int("copy_bytes", d.Bytes),
 			zap.Stringer("outcome", kind),
 			zap.Bool("kept", x.Kept),
 		)
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -191,6 +191,7 @@
 func (c *guardedConn) accept(data []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observe(data)
 	switch {
 	case c.current == nil:
 		if isTimeout(data) {
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -51,13 +51,22 @@
 	}
 	n := requestIDs{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried}
 	own := resp.Body
-	if framingOf(httpResp) == FramingClose {
+	framing := framingOf(httpResp)
+	if framing == FramingLength {
+		exchangeOf(ctx).Follower = followerOf(resp.Body, trace.behind(resp.Body))
+	}
+	if framing == FramingClose {
 		own, err = ownBody(httpResp, resp.Body, recorder.lastRead, n)
 	} else if n.containsCopy(resp.Body) {
 		err = outcome.New(outcome.AnswerCut, "response contains another one")
 	}
 	if err != nil || len(own) < len(resp.Body) {
-		RecordDiscarded(ctx, trace.RequestID, DiscardCopy)
+		d := Discarded{AnswerID: trace.RequestID, Reason: DiscardCopy}
+		if err == nil {
+			size, _ := scanHead(resp.Body[len(own):])
+			d.Bytes = len(resp.Body) - len(own) - size
+		}
+		recordDiscarded(ctx, d)
 	}
 	if err != nil {
 		trace.Discard()
--- /dev/null
+++ b/daemon/backendconn/surplus.go
@@ -0,0 +1,187 @@
+package backendconn
+
+import (
+	"bytes"
+	"iter"
+	"strconv"
+	"strings"
+)
+
+// maxReadAhead is the size of the transport's read buffer: of each read, at most so much lies
+// behind the end of a body.
+const maxReadAhead = 4 << 10
+
+// Follower is what was read behind an answer with a length on its connection.
+type Follower string
+
+// The followers of answers.
+const (
+	FollowerNone   Follower = ""
+	FollowerAnswer Follower = "answer"         // the head of another one begins where the body ends
+	FollowerRest   Follower = "rest_of_answer" // of one that begins in the body
+	FollowerOther  Follower = "other"
+)
+
+// readTail holds the newest bytes that were read on a connection. It is not safe for concurrent use.
+type readTail struct {
+	read   int64  // bytes in all
+	newest []byte // maxReadAhead or more
+}
+
+func (r *readTail) add(data []byte) {
+	r.read += int64(len(data))
+	if len(r.newest)+len(data) > 2*maxReadAhead {
+		keep := min(len(r.newest), max(0, maxReadAhead-len(data)))
+		r.newest = append(r.newest[:0], r.newest[len(r.newest)-keep:]...)
+		data = data[max(0, len(data)-maxReadAhead):]
+	}
+	r.newest = append(r.newest, data...)
+}
+
+// split returns the bytes before and after an offset. It reports false if it lies beyond the bytes that are held.
+func (r *readTail) split(offset int64) (before, after []byte, ok bool) {
+	at := offset - (r.read - int64(len(r.newest)))
+	if at < 0 || at > int64(len(r.newest)) {
+		return nil, nil, false
+	}
+	return r.newest[:at], r.newest[at:], true
+}
+
+// headScan finds the end of the head of an answer, behind interim ones.
+type headScan struct {
+	partial []byte // what was read of it
+	end     int64  // as an offset on the connection; 0 until it is known
+}
+
+// add looks at data, which ends at an offset on the connection.
+func (h *headScan) add(data []byte, end int64) {
+	if h.end != 0 || len(h.partial) > MaxHeaderBytes {
+		return
+	}
+	if len(h.partial) > 0 {
+		data = append(h.partial, data...)
+	}
+	for {
+		size := headSize(data)
+		if size == 0 {
+			h.partial = bytes.Clone(data)
+			return
+		}
+		interim := len(data) > len(protocolName)+1 && data[len(protocolName)+1] == '1'
+		if data = data[size:]; !interim {
+			h.partial, h.end = nil, end-int64(len(data))
+			return
+		}
+	}
+}
+
+// headSize returns the size of the lines up to an empty one with which data begins, or 0 if
+// there is none.
+func headSize(data []byte) int {
+	for at := bytes.IndexByte(data, '\n'); at >= 0; {
+		line := data[at+1:]
+		next := bytes.IndexByte(line, '\n')
+		if next < 0 {
+			return 0
+		}
+		at += 1 + next
+		if next == 0 || next == 1 && line[0] == '\r' {
+			return at + 1
+		}
+	}
+	return 0
+}
+
+// observe records data that was read. The caller holds c.mu.
+func (c *guardedConn) observe(data []byte) {
+	if c.current != nil && !c.current.order {
+		c.current.head.add(data, c.tail.read+int64(len(data)))
+	}
+	c.tail.add(data)
+}
+
+// behind returns the bytes that were read on the connection behind the answer to the request. Its body
+// has a length.
+func (t *Trace) behind(body []byte) []byte {
+	c := t.conn.Load()
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.head.end == 0 {
+		return nil
+	}
+	before, after, ok := c.tail.split(t.head.end + int64(len(body)))
+	end := body[len(body)-min(len(body), len(before)):]
+	if !ok || !bytes.HasSuffix(before, end) {
+		return nil
+	}
+	return bytes.Clone(after)
+}
+
+// followerOf classifies the bytes behind a body.
+func followerOf(body, behind []byte) Follower {
+	switch start := []byte(statusLineStart); {
+	case len(behind) == 0:
+		return FollowerNone
+	case bytes.HasPrefix(behind, start):
+		return FollowerAnswer
+	case crossesEnd(body, behind):
+		return FollowerRest
+	case bytes.HasPrefix(start, behind):
+		return FollowerAnswer
+	}
+	return FollowerOther
+}
+
+// crossesEnd reports whether an answer may begin in a body and end in the bytes behind it.
+func crossesEnd(body, behind []byte) bool {
+	for at := range answerStarts(body) {
+		if mayStartHead(append(bytes.Clone(body[at:]), behind...)) {
+			return true
+		}
+	}
+	return false
+}
+
+// answerStarts yields where an answer may begin in a body that does not contain its end.
+func answerStarts(body []byte) iter.Seq[int] {
+	return func(yield func(int) bool) {
+		end := body[max(0, len(body)-MaxHeaderBytes):]
+		effort := maxOverlappingHeads*len(end) + MaxHeaderBytes // bytes to look at
+		for at := indexFrom(end, statusLineStart, 0); at >= 0; at = indexFrom(end, statusLineStart, at+1) {
+			data := end[at:]
+			size, whole := scanHead(data)
+			if effort -= size; effort < 0 {
+				return
+			}
+			begins := whole && !endsWithin(data, size) || !whole && size == len(data) && mayStartHead(data)
+			if begins && !yield(len(body)-len(data)) {
+				return
+			}
+		}
+		for size := min(len(body), len(statusLineStart)-1); size > 0; size-- {
+			if bytes.HasSuffix(body, []byte(statusLineStart[:size])) && !yield(len(body)-size) {
+				return
+			}
+		}
+	}
+}
+
+// endsWithin reports whether an answer whose head has a size ends within data.
+func endsWithin(data []byte, size int) bool {
+	head, ok := startOfHead(strings.Split(string(data[:size]), "\n"))
+	length, err := strconv.ParseUint(head.Header.Get("Content-Length"), 10, 32)
+	return !ok || err == nil && size+int(length) <= len(data)
+}
+
+// mayStartHead reports whether data may be the start of the head of an answer.
+func mayStartHead(data []byte) bool {
+	if bytes.IndexByte(data, '\n') < 0 {
+		line := string(data)
+		return strings.HasPrefix(line, statusLineStart[:min(len(line), len(statusLineStart))]) && startsStatusLineOf(line)
+	}
+	_, whole := scanHead(append(bytes.Clone(data), "x:\r\n\r\n"...))
+	return whole
+}
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -57,6 +57,7 @@
 		zap.String("framing", string(exchange.Framing)),
 		zap.Bool("kept", exchange.Kept),
 		zap.Int("body_bytes", exchange.BodyBytes),
+		zap.String("followed_by", string(exchange.Follower)),
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
 	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
