--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -59,6 +59,7 @@
 		zap.Int("body_bytes", exchange.BodyBytes),
 		zap.String("body_end", string(exchange.BodyEnd)),
 		zap.String("end_seen_by", string(exchange.EndSeenBy)),
+		zap.String("followed_by", string(exchange.Follower)),
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
 	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
