edge, gateway, entry, peer: the lines of a request tell where its answer was cut

A run's body_bytes and those of the request could be compared, but a link that ended in the middle of an answer left no line with the request's id; "answer not written" had the bytes that net/http's buffer had taken, 6 of 6 of a body of which the connection took none; answers that waited for their turn on a connection that ended were not counted; and nothing said which attempt's answer had been passed on, or how it was framed.

Now: "answer lost with its link" at the caller's daemon, with the bytes of the frame that had come and how the connection ended; "answer not passed on" at the owner's; answer_given and answer_taken in "answer not written"; request_number, answer_taken and answers_unwritten in "caller connection ended"; answer_framing and answer_attempt in "request"; attempt in the native interface's "run". The new lines about single requests have request_id and outcome and are bounded like the others.

No logic of requests changes.

--- a/daemon/edge/connlog.go
+++ b/daemon/edge/connlog.go
@@ -29,6 +29,10 @@
 	bytes      int64 // read of requests without an answer
 	unanswered int   // requests without an answer that have begun
 	lastRead   time.Time
+
+	request     int   // number of the first request without a whole answer; 0 if there is none
+	answerTaken int64 // bytes of its answer that the connection took, with the head
+	unwritten   int64 // bytes of answers that the connection did not take
 }
 
 // maxEndLines bounds the lines about ended connections per second and listener.
@@ -60,5 +64,8 @@
 		zap.Bool("stopping", e.stopping),
 		zap.Int64("unanswered_bytes", e.bytes),
 		zap.Int("unanswered_requests", e.unanswered),
+		zap.Int("request_number", e.request),
+		zap.Int64("answer_taken", e.answerTaken),
+		zap.Int64("answers_unwritten", e.unwritten),
 		zap.Int64("since_read_ms", sinceRead))
 }
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -37,6 +37,8 @@
 	unread   []byte    // received and not yet read by the server
 	buffer   []byte    // reused for unread
 	answer   []byte    // written before it is this lane's turn
+	given    int64     // bytes of the answer that the server has written
+	taken    int64     // of them, taken by the connection
 
 	deadline time.Time // of reads
 	patience time.Duration
@@ -62,6 +64,7 @@
 	case l.state != laneBusy:
 	case l == p.tail:
 		l.state = laneIdle
+		l.given, l.taken = 0, 0
 		p.tailWhole, p.tailNext = false, true
 		p.doneBytes = l.end
 		p.interrupt()
@@ -154,6 +157,7 @@
 		return 0, net.ErrClosed
 	}
 	l.wrote = true
+	l.given += int64(len(b))
 	if p.writing || len(p.order) > 0 && p.order[0] != l {
 		l.answer = append(l.answer, b...)
 		p.mu.Unlock()
@@ -161,9 +165,10 @@
 	}
 	p.mu.Unlock() // nobody else writes while it is this lane's turn
 	n, err := p.conn.Write(b)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l.taken += int64(n)
 	if err != nil {
-		p.mu.Lock()
-		defer p.mu.Unlock()
 		p.end(endWriteError)
 	}
 	return n, err
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -385,7 +385,7 @@
 
 // begin gives a lane the request whose first byte comes next. The caller holds the lock.
 func (p *pipeline) begin(l *lane) {
-	l.state, l.whole, l.wrote = laneBusy, false, false
+	l.state, l.whole, l.wrote, l.given, l.taken = laneBusy, false, false, 0, 0
 	past := 0
 	for past < len(p.arrivals)-1 && p.arrivals[past].end <= p.givenBytes {
 		past++
@@ -482,9 +482,10 @@
 	p.writing = true
 	p.mu.Unlock()
 	_ = p.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	_, err := p.conn.Write(answer)
+	n, err := p.conn.Write(answer)
 	p.mu.Lock()
 	p.writing = false
+	l.taken += int64(n)
 	return err == nil
 }
 
@@ -523,10 +524,7 @@
 // shut ends all lanes. The caller holds the lock.
 func (p *pipeline) shut(reason endReason) {
 	p.closed = true
-	p.config.log.ended(connEnd{
-		caller: p.conn.RemoteAddr(), reason: reason, stopping: !p.stopped.IsZero(), lastRead: p.lastRead,
-		bytes: p.readBytes - p.doneBytes, unanswered: len(p.order),
-	})
+	p.config.log.ended(p.connEnd(reason))
 	for _, l := range p.lanes {
 		if l.cancel != nil {
 			l.cancel()
@@ -537,6 +535,21 @@
 	p.readerWakes.Broadcast()
 }
 
+// connEnd describes the end of the connection. The caller holds the lock.
+func (p *pipeline) connEnd(reason endReason) connEnd {
+	e := connEnd{
+		caller: p.conn.RemoteAddr(), reason: reason, stopping: !p.stopped.IsZero(), lastRead: p.lastRead,
+		bytes: p.readBytes - p.doneBytes, unanswered: len(p.order),
+	}
+	for _, l := range p.order {
+		e.unwritten += l.given - l.taken
+	}
+	if len(p.order) > 0 && p.order[0].state != laneIdle {
+		e.request, e.answerTaken = p.order[0].number, p.order[0].taken
+	}
+	return e
+}
+
 func (p *pipeline) close() {
 	_ = p.conn.Close()
 	p.onEnd(p)
--- a/daemon/edge/requestlog.go
+++ b/daemon/edge/requestlog.go
@@ -58,6 +58,39 @@
 		err = http.NewResponseController(w).Flush()
 	}
 	if err != nil {
-		log.Warn("answer not written", append(fields, zap.String("caller", r.RemoteAddr), zap.Error(err))...)
+		given, taken := bytesOnConn(r.Context())
+		log.Warn("answer not written", append(fields,
+			zap.String("caller", r.RemoteAddr),
+			zap.Int64("answer_given", given),
+			zap.Int64("answer_taken", taken),
+			zap.Error(err))...)
 	}
 }
+
+// bytesOnConn returns how many bytes of the answer to a request, with its head, were given to
+// its connection, and how many of them the connection took; -1 if it is not known.
+func bytesOnConn(ctx context.Context) (given, taken int64) {
+	l, ok := ctx.Value(laneKey{}).(*lane)
+	if !ok {
+		return -1, -1
+	}
+	l.p.mu.Lock()
+	defer l.p.mu.Unlock()
+	return l.given, l.taken
+}
+
+// The framings of answers to callers.
+const (
+	framingLength = "length"
+	framingNone   = "none" // to HEAD, and of status 204 and 304: no body follows
+)
+
+// FramingField returns the field of a request's log line that tells where the caller finds
+// the end of an answer with a status. All answers with a body have a length.
+func FramingField(r *http.Request, status int) zap.Field {
+	framing := framingLength
+	if r.Method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
+		framing = framingNone
+	}
+	return zap.String("answer_framing", framing)
+}
--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -160,6 +160,7 @@
 		zap.Uint32("attempts", x.req.GetAttempt()),
 		zap.Float64("ms", float64(took.Microseconds())/1000),
 		zap.Int("body_bytes", len(resp.GetBody())),
+		edge.FramingField(r, int(resp.GetStatus())),
 		edge.LeavingField(e.ctrl.View(), e.clock.Now()),
 	)
 	line.Write(fields...)
--- a/daemon/plugins/entry/requestlog_test.go
+++ b/daemon/plugins/entry/requestlog_test.go
@@ -59,6 +59,8 @@
 				is.Equal(fields["request_id"], request[0].ContextMap()["request_id"])
 				is.Equal(fields["outcome"], request[0].ContextMap()["outcome"])
 				is.Equal(fields["error"], errBroken.Error())
+				is.Equal(fields["body_bytes"], request[0].ContextMap()["body_bytes"])
+				is.Equal(request[0].ContextMap()["answer_framing"], "length")
 				if name == "write" {
 					is.Equal(fields["body_written"], int64(2))
 				}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -52,7 +52,8 @@
 	written, err := writeResponse(c.Writer, c.Request, x.req, resp)
 	c.Writer.WriteHeaderNow()
 	edge.LogUnwritten(e.log, unwrap(c.Writer), c.Request, err,
-		zap.String("request_id", x.req.GetRequestId()), zap.Stringer("outcome", outcome.Kind(resp.GetKind())), zap.Int("body_written", written))
+		zap.String("request_id", x.req.GetRequestId()), zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
+		zap.Int("body_bytes", len(resp.GetBody())), zap.Int("body_written", written))
 }
 
 // unwrap returns the writer below gin's, whose Flush returns no error.
--- a/daemon/plugins/gateway/requestlog_test.go
+++ b/daemon/plugins/gateway/requestlog_test.go
@@ -13,6 +13,8 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/edge"
 )
 
@@ -71,6 +73,7 @@
 				is.Equal(fields["request_id"], "r-1")
 				is.Equal(fields["outcome"], request[0].ContextMap()["outcome"])
 				is.Equal(fields["error"], errBroken.Error())
+				is.Equal(fields["body_bytes"], request[0].ContextMap()["body_bytes"])
 				if name == "write" {
 					is.Equal(fields["body_written"], int64(2))
 				}
@@ -79,6 +82,47 @@
 	}
 }
 
+func TestRequestLineNamesTheAttemptWhoseAnswerIsPassedOn(t *testing.T) {
+	for name, c := range map[string]struct {
+		answers             []outcome.Kind // a server's own failure for OK
+		attempts, passedOn  uint32
+		bodyBytes, status   int64
+		method, wantFraming string
+	}{
+		"first":            {[]outcome.Kind{outcome.OK, outcome.ConnectionLost}, 2, 1, 5, 500, http.MethodGet, "length"},
+		"second":           {[]outcome.Kind{outcome.ConnectionLost, outcome.OK}, 2, 2, 5, 500, http.MethodGet, "length"},
+		"none":             {[]outcome.Kind{outcome.ConnectionLost, outcome.ConnectionLost}, 2, 0, 0, 502, http.MethodGet, "length"},
+		"without its body": {[]outcome.Kind{outcome.ConnectionLost, outcome.OK}, 2, 2, 0, 500, http.MethodHead, "none"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFakeDaemon()
+			answers := c.answers
+			s.respond = func(string, *wire.Request) (*wire.Response, error) {
+				kind := answers[0]
+				answers = answers[1:]
+				if kind != outcome.OK {
+					return responseOfKind(kind)
+				}
+				resp := &wire.Response{Kind: uint32(outcome.OK), Status: 500, Body: []byte("whole"), BodyLength: 5}
+				if c.method == http.MethodHead {
+					resp.Body, resp.BodyLength = nil, 0
+				}
+				return resp, nil
+			}
+			g, lines := newLoggedHandler(t, s)
+			srv := httptest.NewServer(g)
+			defer srv.Close()
+			is.Equal(int64(send(t, srv, c.method, "/read/1").StatusCode), c.status)
+			fields := lines.FilterMessage("request").All()[0].ContextMap()
+			is.Equal(fields["attempts"], c.attempts)
+			is.Equal(fields["answer_attempt"], c.passedOn)
+			is.Equal(fields["body_bytes"], c.bodyBytes)
+			is.Equal(fields["answer_framing"], c.wantFraming)
+		})
+	}
+}
+
 func TestRequestLineTellsConnectionAndLeaving(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -86,6 +86,9 @@
 	state := &retryState{failedMembers: map[uint64]bool{}}
 	for {
 		resp, err := s.attempt(ctx, x, state)
+		if err == nil {
+			x.answerAttempt = x.req.GetAttempt()
+		}
 		if err == nil && !(resp.GetStatus() >= 500 && x.req.GetIdempotent()) {
 			return resp, nil
 		}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -50,6 +50,7 @@
 	usedLocalShare bool          // the team's rate was checked against this daemon's local share
 	lastTarget     *view.Member
 	attemptLog     string        // slot and outcome of each attempt, for the log
+	answerAttempt  uint32        // number of the attempt whose answer is passed on; 0 if none is
 	configVersion  uint64        // version of the configuration that was used
 	configAge      time.Duration // of the knowledge that it was the newest one, view.Freshness.Age
 	bodyRead       bool
@@ -71,7 +72,8 @@
 	}
 	written, err := g.writeResponse(w, r, x, resp)
 	edge.LogUnwritten(g.log, w, r, err,
-		zap.String("request_id", x.req.GetRequestId()), zap.Stringer("outcome", outcome.Kind(resp.GetKind())), zap.Int("body_written", written))
+		zap.String("request_id", x.req.GetRequestId()), zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
+		zap.Int("body_bytes", len(resp.GetBody())), zap.Int("body_written", written))
 }
 
 // process decodes, authenticates and forwards a request, and returns its response.
@@ -377,6 +379,8 @@
 		zap.Float64("waited_ms", float64(x.started.Sub(x.received).Microseconds())/1000),
 		zap.Float64("ms", float64(took.Microseconds())/1000),
 		zap.Int("body_bytes", len(resp.GetBody())),
+		edge.FramingField(r, int(resp.GetStatus())),
+		zap.Uint32("answer_attempt", x.answerAttempt),
 		edge.LeavingField(g.control.View(), g.clock.Now()),
 	)
 	g.log.Info("request", fields...)
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -51,6 +51,7 @@
 		zap.String("service", req.GetService()),
 		zap.Uint32("shard", req.GetShard()),
 		zap.Uint64("generation", resp.GetGeneration()),
+		zap.Uint32("attempt", req.GetAttempt()),
 		zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
 		zap.String("reason", resp.GetDetail()),
 		zap.Float64("limit_per_s", resp.GetLoad().GetNotice().GetLimitPerS()),
--- a/daemon/plugins/peer/call.go
+++ b/daemon/plugins/peer/call.go
@@ -23,6 +23,7 @@
 	tag  uint64
 	done chan *wire.Frame // receives one frame, or is closed when the link ends
 	ctx  context.Context  // nothing is sent after its end
+	part partialFrame     // what arrived of the answer, once done is closed
 
 	mu    sync.Mutex
 	state callState
--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -67,10 +67,11 @@
 
 // linkEvents are the callbacks of a link.
 type linkEvents struct {
-	mismatch    func() // before the link ends because the tag of an answer is wrong
-	leaveNotice func() // when the peer sent a leave notice
-	drained     func() // when the link is draining and no call waits
-	ended       func() // after the link has ended
+	lost        func(*wire.Request, partialFrame, error) // when a call ends with the link
+	mismatch    func()                                   // before the link ends because the tag of an answer is wrong
+	leaveNotice func()                                   // when the peer sent a leave notice
+	drained     func()                                   // when the link is draining and no call waits
+	ended       func()                                   // after the link has ended
 }
 
 // startClientLink starts a link after its handshake. offset is that of the
@@ -120,7 +121,9 @@
 	select {
 	case answer, ok := <-c.done:
 		if !ok {
-			return nil, linkLostError(c)
+			err := linkLostError(c)
+			l.events.lost(frame.GetRequest(), c.part, err)
+			return nil, err
 		}
 		return answer, nil
 	case <-ctx.Done():
@@ -213,7 +216,7 @@
 }
 
 func (l *clientLink) readLoop(r *frameReader) {
-	defer l.end()
+	defer func() { l.end(r.part) }()
 	for {
 		frame, _, err := r.next()
 		if err != nil {
@@ -262,12 +265,15 @@
 	return true
 }
 
-// end closes the link and fails the waiting calls.
-func (l *clientLink) end() {
+// end closes the link and fails the waiting calls. part is the frame at which it ended.
+func (l *clientLink) end(part partialFrame) {
 	l.shut()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for id, c := range l.waiting {
+		if id == part.id {
+			c.part = part
+		}
 		delete(l.waiting, id)
 		close(c.done)
 	}
--- a/daemon/plugins/peer/frame.go
+++ b/daemon/plugins/peer/frame.go
@@ -7,6 +7,7 @@
 	"slices"
 	"sync"
 
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
@@ -58,6 +59,26 @@
 // but its read buffer, since a daemon has thousands of links.
 type frameReader struct {
 	r io.Reader
+	// part is what arrived of the frame at which the stream ended.
+	part partialFrame
+}
+
+// partialFrame describes a frame of which not all arrived.
+type partialFrame struct {
+	id       uint64 // 0 if it did not arrive
+	length   int    // 0 if it did not arrive
+	received int
+}
+
+// partOf describes the frame of length n that begins with data.
+func partOf(data []byte, n int) partialFrame {
+	part := partialFrame{length: n, received: len(data)}
+	if number, kind, k := protowire.ConsumeTag(data); k > 0 && number == 1 && kind == protowire.VarintType {
+		if id, m := protowire.ConsumeVarint(data[k:]); m > 0 {
+			part.id = id
+		}
+	}
+	return part
 }
 
 // next returns the next frame and its size in bytes. The error is an
@@ -93,7 +114,8 @@
 		have := len(data)
 		step := min(n-have, max(readChunk, have))
 		data = slices.Grow(data, step)[:have+step]
-		if _, err := io.ReadFull(f.r, data[have:]); err != nil {
+		if k, err := io.ReadFull(f.r, data[have:]); err != nil {
+			f.part = partOf(data[:have+k], n)
 			return err
 		}
 	}
--- a/daemon/plugins/peer/helpers_test.go
+++ b/daemon/plugins/peer/helpers_test.go
@@ -28,6 +28,9 @@
 	return &wire.Frame{Body: &wire.Frame_Response{Response: h(ctx, f.GetRequest())}}
 }
 
+// ignoreLost is a linkEvents.lost that does nothing.
+func ignoreLost(*wire.Request, partialFrame, error) {}
+
 // echo answers with the request's body and counts runs.
 func echo(runs *atomic.Int64) handlerFunc {
 	return func(_ context.Context, req *wire.Request) *wire.Response {
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -231,7 +231,7 @@
 	defer close(d.ready)
 	conn, err := n.dialer.Dial("tcp", addr)
 	if err == nil {
-		d.session, err = openSession(conn, n.hello, n.clock, n.config, func() { n.logMismatch(addr) }, n.trackDraining)
+		d.session, err = openSession(conn, n.hello, n.clock, n.config, n.log, n.trackDraining)
 	}
 	d.err = err
 	n.mu.Lock()
@@ -254,12 +254,6 @@
 	return delay/2 + rand.N(delay/2)
 }
 
-// logMismatch logs that a link is closed because the tag of an answer is wrong.
-func (n *network) logMismatch(addr string) {
-	n.log.Warn("link closed", zap.Stringer("kind", outcome.Malformed),
-		zap.String("peer", addr), zap.String("reason", "tag of the answer does not match the call"))
-}
-
 // watch checks all sessions every checkInterval until the network stops.
 func (n *network) watch() {
 	ticker := time.NewTicker(checkInterval)
--- a/daemon/plugins/peer/peer_test.go
+++ b/daemon/plugins/peer/peer_test.go
@@ -254,7 +254,7 @@
 	is := is.New(t)
 	here, there := net.Pipe()
 	defer there.Close()
-	l := startClientLink(newPipe(here), newFrameReader(here), clock.Boot{}, nil, 0, linkEvents{ended: func() {}})
+	l := startClientLink(newPipe(here), newFrameReader(here), clock.Boot{}, nil, 0, linkEvents{lost: ignoreLost, ended: func() {}})
 	defer l.shut()
 	r := newFrameReader(there)
 	ctx, leave := context.WithCancel(t.Context())
--- a/daemon/plugins/peer/serverlink.go
+++ b/daemon/plugins/peer/serverlink.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -162,13 +164,34 @@
 	written := make(chan struct{})
 	defer l.srv.finish(frame, size)
 	answer := l.handle(ctx, frame)
-	if answer == nil || !l.send(frame, answer, written) {
+	if answer == nil {
 		return
 	}
+	if l.send(frame, answer, written) {
+		select {
+		case <-written:
+		case <-l.closed:
+		}
+	}
 	select {
 	case <-written:
-	case <-l.closed:
+		return
+	default:
+	}
+	l.logUnwritten(frame.GetRequest(), answer.GetResponse())
+}
+
+// logUnwritten logs that a link ended before the whole answer to a request was written.
+func (l *serverLink) logUnwritten(req *wire.Request, resp *wire.Response) {
+	if req == nil {
+		return
 	}
+	l.srv.log.Warn("answer not passed on",
+		zap.String("request_id", req.GetRequestId()),
+		zap.Uint32("attempt", req.GetAttempt()),
+		zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
+		zap.Int("body_bytes", len(resp.GetBody())),
+		zap.String("from", l.from))
 }
 
 // handle returns the answer to a frame, or nil if there is none. The handler does not
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/hashicorp/yamux"
+	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
@@ -20,31 +22,34 @@
 // messages is opened with the first of them: a daemon sends requests to all
 // peers of its region, but control messages to few.
 type session struct {
-	mux        *yamux.Session
-	conn       *sessionConn
-	hello      *wire.Hello
-	onMismatch func()
-	onDrain    func(*session)
-	traffic    *clientLink                // callers' requests
-	control    atomic.Pointer[clientLink] // all other frames; nil until the first
-	opening    sync.Mutex                 // locked while the control link is opened
-	probing    atomic.Bool
-	lastProbe  clock.Instant // only used by network.check
-	draining   atomic.Bool   // the peer accepts no more frames
-	clock      clock.Clock
-	config     *view.Freshness
+	mux       *yamux.Session
+	conn      *sessionConn
+	hello     *wire.Hello
+	peer      string      // address of the peer
+	log       *zap.Logger // lines about single calls, and malformed answers
+	onDrain   func(*session)
+	traffic   *clientLink                // callers' requests
+	control   atomic.Pointer[clientLink] // all other frames; nil until the first
+	opening   sync.Mutex                 // locked while the control link is opened
+	probing   atomic.Bool
+	lastProbe clock.Instant // only used by network.check
+	draining  atomic.Bool   // the peer accepts no more frames
+	clock     clock.Clock
+	config    *view.Freshness
 }
 
 // openSession opens a session with its traffic link on a new connection. It
 // closes the connection if it fails.
-func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, config *view.Freshness, onMismatch func(), onDrain func(*session)) (*session, error) {
+func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, config *view.Freshness, log *zap.Logger, onDrain func(*session)) (*session, error) {
 	guarded := newSessionConn(conn)
 	mux, err := yamux.Client(guarded, yamuxConfig())
 	if err != nil {
 		_ = conn.Close()
 		return nil, fmt.Errorf("peer: session: %w", err)
 	}
-	s := &session{mux: mux, conn: guarded, hello: hello, clock: clk, config: config, onMismatch: onMismatch, onDrain: onDrain}
+	s := &session{
+		mux: mux, conn: guarded, hello: hello, clock: clk, config: config, peer: conn.RemoteAddr().String(), log: log, onDrain: onDrain,
+	}
 	if s.traffic, err = s.openLink(); err != nil {
 		s.close()
 		return nil, err
@@ -95,7 +100,28 @@
 }
 
 func (s *session) events() linkEvents {
-	return linkEvents{mismatch: s.onMismatch, leaveNotice: s.drain, drained: s.close, ended: s.close}
+	return linkEvents{lost: s.logLost, mismatch: s.logMismatch, leaveNotice: s.drain, drained: s.close, ended: s.close}
+}
+
+// logMismatch logs that a link is closed because the tag of an answer is wrong.
+func (s *session) logMismatch() {
+	s.log.Warn("link closed", zap.Stringer("kind", outcome.Malformed),
+		zap.String("peer", s.peer), zap.String("reason", "tag of the answer does not match the call"))
+}
+
+// logLost logs that a link ended before the whole answer to a request had come.
+func (s *session) logLost(req *wire.Request, part partialFrame, err error) {
+	if req == nil || errors.Is(err, errNotSent) {
+		return
+	}
+	s.log.Warn("answer lost with its link",
+		zap.String("request_id", req.GetRequestId()),
+		zap.Uint32("attempt", req.GetAttempt()),
+		zap.Stringer("outcome", outcome.KindOf(err)),
+		zap.String("peer", s.peer),
+		zap.Int("frame_bytes", part.length),
+		zap.Int("frame_received", part.received),
+		zap.String("end", s.conn.endReason()))
 }
 
 // drain handles the peer's leave notice: no more calls are sent, and the session
--- a/daemon/plugins/peer/session_bench_test.go
+++ b/daemon/plugins/peer/session_bench_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
@@ -37,7 +39,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		s, err := openSession(meteredConn{conn, written}, hello, clock.Boot{}, nil, func() {}, func(*session) {})
+		s, err := openSession(meteredConn{conn, written}, hello, clock.Boot{}, nil, zap.NewNop(), func(*session) {})
 		if err != nil {
 			b.Fatal(err)
 		}
--- a/daemon/plugins/peer/shutdown.go
+++ b/daemon/plugins/peer/shutdown.go
@@ -14,6 +14,9 @@
 	net.Conn
 	once     sync.Once
 	received chan struct{} // closed when the receive loop gets an error, or the session shuts down
+
+	mu  sync.Mutex
+	why string // the first reason for which the connection ended
 }
 
 func newSessionConn(conn net.Conn) *sessionConn {
@@ -24,13 +27,31 @@
 func (c *sessionConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if err != nil {
+		c.ended("read: " + err.Error())
 		c.once.Do(func() { close(c.received) })
 	}
 	return n, err
 }
 
+// ended records why the connection ended, unless that is known.
+func (c *sessionConn) ended(why string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.why == "" {
+		c.why = why
+	}
+}
+
+// endReason returns why the connection ended, or "" if it has not.
+func (c *sessionConn) endReason() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.why
+}
+
 // Close implements net.Conn. A session that shuts down closes its connection.
 func (c *sessionConn) Close() error {
+	c.ended("closed here")
 	c.once.Do(func() { close(c.received) })
 	return c.Conn.Close()
 }
@@ -39,6 +60,7 @@
 func (c *sessionConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
 	if err != nil {
+		c.ended("write: " + err.Error())
 		c.end()
 	}
 	return n, err
@@ -47,6 +69,7 @@
 // end closes the connection and waits until the receive loop has noticed, or has ended for
 // another reason and shuts the session down itself.
 func (c *sessionConn) end() {
+	c.ended("closed here")
 	_ = c.Conn.Close()
 	<-c.received
 }
--- a/daemon/plugins/peer/shutdown_test.go
+++ b/daemon/plugins/peer/shutdown_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
@@ -66,7 +68,7 @@
 				t.Fatal(err)
 			}
 			late := &lateConn{Conn: conn, lateness: lateness, ended: make(chan struct{})}
-			s, err := openSession(late, &wire.Hello{Slot: "client", ProtocolVersion: protocolVersion}, clock.Boot{}, nil, func() {}, func(*session) {})
+			s, err := openSession(late, &wire.Hello{Slot: "client", ProtocolVersion: protocolVersion}, clock.Boot{}, nil, zap.NewNop(), func(*session) {})
 			if err != nil {
 				t.Fatal(err)
 			}
