backendconn: of two answers to an order that names none, none counts

The first copy that a server ever wrote, of the answer to a grant or a release that names no order, was taken for the answer to the next order: a refused grant counted as given, a release ended with the handover token of another shard.

Cause: an answer without a name belongs to the order by its place on the connection only. A second answer to the same order was seen, but only closed the connection after the first had been returned. Neither can be attributed on a connection that carried another order, so the order ends with ErrCopy, as it does if the answer names an earlier one; the caller counts it as unanswered, and the server gets each order on a connection of its own from then on. Nothing changes for a server that answers once.

--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -146,7 +146,8 @@
 	}
 	c.mu.Lock()
 	own := id == t.RequestID
-	copied := !own && c.ids.contains(id) || id == "" && c.namesOrders && c.stutter.Seen()
+	ambiguous := id == "" && t.Kept() && c.answers > 1 // the first may be an earlier order's
+	copied := !own && c.ids.contains(id) || id == "" && c.namesOrders && c.stutter.Seen() || ambiguous
 	c.namesOrders = c.namesOrders || own
 	c.mu.Unlock()
 	if copied {
