backendconn: a reset that a look or a write is told of stays a reset for the reader

Cause: two readers of one socket's error. The kernel reports a reset once, to the first system call that asks, and an end of file after that. A look at the socket (closedByServer) and a write of the request ask too. The end of file that was left for the reader is the server's close to net/http, and so the end of an answer without a length. It was also taken for the close of an idle connection, and the server for one that closes these quickly.

Now whatever may be told of the error without being the reader records it, and holds a lock for reading until it has. On an end of file of a socket that has ended in both directions the reader takes that lock, and returns the recorded error if there is one. No write waits for the server on such a socket, so the wait is short. After a close without a reset, where a write may wait, the reader does not take the lock: there is no error that could have been taken. A reset that follows the server's close is EPIPE to a writer; that is not recorded, and the answer is whole.

A look that asks poll(2) instead would not take the error, but cannot tell a reset from a reset after the server's close, and does not help against writes.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -69,7 +69,7 @@
 	lastRead  atomic.Int64 // when bytes were last read
 	awaiting  atomic.Bool  // no byte was read since the current request was written
 	closed    atomic.Bool  // by this daemon
-	taken     atomic.Pointer[takenEnd]
+	ending
 
 	mu      sync.Mutex
 	barred  map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
@@ -92,6 +92,9 @@
 // Read reads and records whether the server still uses the connection.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
 	if n > 0 && !c.accept(b[:n]) {
 		return 0, io.EOF // the transport would keep the bytes for the next request
 	}
@@ -128,12 +131,14 @@
 	}
 	var n int
 	var peekErr error
+	c.telling.RLock()
 	err = raw.Control(func(fd uintptr) { // Read would wait for the transport's own read
 		n, _, peekErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	c.take(EndSeenByLook, peekErr)
+	c.telling.RUnlock()
 	ended := peekErr == nil && n == 0
-	// Read does not return a reset that was returned here, and returns an end late.
+	// Read returns these late.
 	if (errors.Is(peekErr, syscall.ECONNRESET) || ended && c.awaiting.Load()) && !c.closed.Load() {
 		c.continuity.Lost(c.clock.Now())
 	}
@@ -222,6 +227,8 @@
 	case c.state.Load() == blocked:
 		return 0, net.ErrClosed
 	}
+	c.telling.RLock()
+	defer c.telling.RUnlock()
 	n, err := c.Conn.Write(b)
 	c.take(EndSeenByWrite, err)
 	return n, err
--- a/daemon/backendconn/ending.go
+++ b/daemon/backendconn/ending.go
@@ -4,7 +4,11 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync"
+	"sync/atomic"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // BodyEnd tells how the body of an answer ended.
@@ -40,6 +44,14 @@
 	EndSeenByWrite EndObserver = "write" // a write
 )
 
+// ending is what is known of the end of a connection. The kernel reports the error of a socket
+// once, and an end of file after that. So whatever else than the reader may be told of the error
+// records it for the reader.
+type ending struct {
+	telling sync.RWMutex // held for reading by who may be told of the error, until it is recorded
+	taken   atomic.Pointer[takenEnd]
+}
+
 // takenEnd is an error of a socket that something other than its reader was told.
 type takenEnd struct {
 	by  EndObserver
@@ -60,6 +72,43 @@
 	}
 }
 
+// endError returns the reason of an end of file: io.EOF if the server has closed the connection.
+func (c *guardedConn) endError() error {
+	if !c.hungUp() { // no error was reported, and a write may be waiting for the server
+		return io.EOF
+	}
+	c.telling.Lock()
+	defer c.telling.Unlock()
+	if end := c.taken.Load(); end != nil {
+		return end.err
+	}
+	return io.EOF
+}
+
+// hungUp reports whether the connection has ended in both directions, so that no write waits.
+func (c *guardedConn) hungUp() bool {
+	conn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return true // closed by this daemon
+	}
+	isUp := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd)}}
+		for {
+			_, err := unix.Poll(fds, 0)
+			if !errors.Is(err, unix.EINTR) {
+				break
+			}
+		}
+		isUp = fds[0].Revents&unix.POLLHUP == 0
+	})
+	return err != nil || !isUp
+}
+
 // endSeenBy returns what saw an error of the request's connection before its reader, or "".
 func (t *Trace) endSeenBy() EndObserver {
 	if c := t.conn.Load(); c != nil {
--- a/daemon/backendconn/resets_test.go
+++ b/daemon/backendconn/resets_test.go
@@ -111,6 +111,9 @@
 				seenBy[x.EndSeenBy]++
 			}
 			t.Logf("%d of %d answers that were reset look whole; resets by the first that saw them: %v", whole, len(answers), seenBy)
+			if len(answers) < requests/2 {
+				t.Errorf("the head of only %d of %d answers was read", len(answers), requests)
+			}
 			if whole > 0 {
 				t.Errorf("%d of %d answers that were reset look whole", whole, len(answers))
 			}
