--- a/daemon/backendconn/backendconntest/server.go
+++ b/daemon/backendconn/backendconntest/server.go
@@ -36,6 +36,13 @@
 // Copies are all forms of a copy.
 var Copies = []Copy{Whole, TwoPieces, CutInStatusLine, CutInHead, CutAfterHead, CutInBody}
 
+// Break is how answers with a length or in chunks break off: the server writes a whole answer behind
+// them and keeps the connection. They are those that would be written twice otherwise.
+type Break struct {
+	Min, Max int  // bytes that are missing; none break off if Max is 0
+	Earlier  bool // the answer behind is the one before on the connection if there is one, not the same once more
+}
+
 // Answer is an answer of the server, without the header that frames its body.
 type Answer struct {
 	Status int
@@ -55,6 +62,7 @@
 	MaxDelay  time.Duration // of a copy
 	Copy      Copy
 	CopyNames bool // copies name the request
+	Break     Break
 
 	answers, copies, conns atomic.Int64
 	read                   sync.Map // ids of requests that were read
@@ -104,6 +112,7 @@
 	defer conn.Close()
 	var mu sync.Mutex // answers and copies are written one after the other
 	r := bufio.NewReader(conn)
+	earlier := ""
 	for {
 		req, err := http.ReadRequest(r)
 		if err != nil {
@@ -117,13 +126,19 @@
 		s.read.Store(id, nil)
 		framing := s.framingOf(id)
 		head, body := s.encode(a, framing, id)
+		stutters := s.Every > 0 && s.answers.Add(1)%int64(s.Every) == 0
+		if stutters && s.Break.Max > 0 && len(body) > 0 && framing != backendconn.FramingClose {
+			s.copies.Add(1)
+			s.breakOff(conn, head+body, len(body), earlier, framing, a, id)
+			continue
+		}
+		earlier = head + body
 		mu.Lock()
 		_, err = io.WriteString(conn, head+body)
 		mu.Unlock()
 		if err != nil {
 			return
 		}
-		stutters := s.Every > 0 && s.answers.Add(1)%int64(s.Every) == 0
 		if stutters {
 			s.copies.Add(1)
 			if !s.CopyNames {
@@ -142,6 +157,29 @@
 	}
 }
 
+// breakOff writes an answer without some of the last bytes of its body, and one behind up to MaxDelay late.
+func (s *Server) breakOff(conn net.Conn, whole string, size int, earlier string, framing backendconn.Framing, a Answer, id string) {
+	next := earlier
+	if !s.Break.Earlier || next == "" {
+		if !s.CopyNames {
+			id = ""
+		}
+		head, body := s.encode(a, framing, id)
+		next = head + body
+	}
+	missing := min(size, len(next), s.Break.Min+rand.IntN(s.Break.Max-s.Break.Min+1))
+	pieces := []string{next}
+	if s.Copy == TwoPieces {
+		first := 1 + rand.IntN(len(next)-1)
+		pieces = []string{next[:first], next[first:]}
+	}
+	_, _ = io.WriteString(conn, whole[:len(whole)-missing])
+	for _, piece := range pieces {
+		time.Sleep(rand.N(s.MaxDelay + 1))
+		_, _ = io.WriteString(conn, piece)
+	}
+}
+
 // encode returns an answer that names the request id, or none if it is "".
 func (s *Server) encode(a Answer, framing backendconn.Framing, id string) (head, body string) {
 	lines := []string{fmt.Sprintf("HTTP/1.1 %d %s", a.Status, http.StatusText(a.Status))}
--- a/daemon/backendconn/surplus_test.go
+++ b/daemon/backendconn/surplus_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -124,3 +125,56 @@
 		}
 	}
 }
+
+// An answer with a length that broke off was filled by the start of a copy and passed on.
+func TestStartOfACopyFillsAnAnswerThatBrokeOff(t *testing.T) {
+	const body = "the body of an answer that is longer than the head of its copy, by some bytes so that all of it fits, and its empty line"
+	for name, copied := range map[string]string{
+		"same":    "HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 120\r\n\r\n" + body,
+		"unnamed": "HTTP/1.1 200 OK\r\nContent-Length: 120\r\n\r\n" + body,
+		"failure": "HTTP/1.1 500 Internal Server Error\r\nId: r-0\r\nContent-Length: 90\r\n\r\n" + body[:90],
+	} {
+		const head = "HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 120\r\n\r\n"
+		for missing := 1; missing <= len(body); missing++ {
+			for _, pieces := range [][]string{{head + body[:len(body)-missing] + copied}, {head + body[:len(body)-missing], copied}} {
+				resp, _, err := readFrom(t, rawServer(t, 0, pieces...), false)
+				if outcome.KindOf(err) != outcome.AnswerCut {
+					t.Errorf("%s, %d bytes are missing: %q, %v", name, missing, resp.GetBody(), err)
+				}
+			}
+		}
+	}
+}
+
+// The copy that filled an answer came in pieces, the first of which ended with the answer.
+func TestCopyInPiecesFillsAnAnswerThatBrokeOff(t *testing.T) {
+	const body = "the body of an answer that is longer than the head of its copy"
+	const head = "HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 62\r\n\r\n"
+	for missing := 1; missing < len(head); missing++ {
+		resp, _, err := readFrom(t, rawServer(t, time.Millisecond, head+body[:len(body)-missing], head[:missing], head[missing:]+body), true)
+		if outcome.KindOf(err) != outcome.AnswerCut {
+			t.Errorf("%d bytes are missing: %q, %v", missing, resp.GetBody(), err)
+		}
+	}
+}
+
+// A whole answer whose body ends like the start of another one was refused or late.
+func TestBodyThatEndsLikeAHeadIsRefused(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nId: r-7\r\nContent-Length: 20\r\n\r\n"
+	for size := 1; size <= len(other); size++ {
+		for _, isSeen := range []bool{false, true} {
+			body := "transcript: " + other[:size]
+			head := "HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+			for _, behind := range []string{"", head + body} {
+				began := time.Now()
+				resp, _, err := readFrom(t, rawServer(t, 0, head+body+behind), isSeen)
+				if err != nil || string(resp.GetBody()) != body {
+					t.Errorf("%q, followed by %q: %q, %v", body, behind, resp.GetBody(), err)
+				}
+				if took := time.Since(began); took > time.Second {
+					t.Errorf("%q took %v", body, took)
+				}
+			}
+		}
+	}
+}
--- a/daemon/plugins/owner/stutter_test.go
+++ b/daemon/plugins/owner/stutter_test.go
@@ -163,3 +163,32 @@
 		})
 	}
 }
+
+// A server broke off an answer and kept the connection. The start of the next answer there was the
+// end of the body that the caller got.
+func TestNextAnswerFillsOneThatBrokeOff(t *testing.T) {
+	const callers, requests = 8, 200
+	for _, framing := range []backendconn.Framing{backendconn.FramingLength, backendconn.FramingChunked} {
+		for _, missing := range [][2]int{{1, 11}, {12, 40}, {41, 300}} { // in the status line, in the head, behind it
+			for _, form := range []backendconntest.Copy{backendconntest.Whole, backendconntest.TwoPieces} {
+				for _, earlier := range []bool{false, true} {
+					for _, delay := range []time.Duration{0, 6 * time.Millisecond} {
+						name := fmt.Sprintf("%s, %d to %d bytes, %s, of the request before %t, late %t", framing, missing[0], missing[1], form, earlier, delay > 0)
+						t.Run(name, func(t *testing.T) {
+							s := backendconntest.Server{
+								IDHeader: headerRequest, Framing: framing, Answer: answerInOrder, Every: 4, MaxDelay: delay, Copy: form, CopyNames: true,
+								Break: backendconntest.Break{Min: missing[0], Max: missing[1], Earlier: earlier},
+							}
+							addr := s.Start(t)
+							got := s.Play(callers, requests, backendconntest.Want, sendTo(newStutterBackend(addr), "GET"))
+							t.Logf("%d answers broke off: %d of %d successes are foreign", s.Copies(), got.Foreign, got.OK)
+							if got.Foreign+got.WronglyRefused > 0 {
+								t.Errorf("%d answers are foreign, %d requests that ran are refused, e.g. %s", got.Foreign, got.WronglyRefused, got.Example)
+							}
+						})
+					}
+				}
+			}
+		}
+	}
+}
