gateway: headers that the server lists in Connection are not passed on

Callers saw headers of an answer that the backend server had listed in Connection, and which so hold for its own connection only. The native interface left them out, the platform's did not: each had its own loop over the headers. Both now use edge.EndToEndHeaders.

TestHeadersListedInTheServersConnectionHeaderAreNotPassedOn failed before ("[1] != nil"). The tests of peer, gateway, entry, edge, plugins and platform pass with -race, known failures left out.

--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -5,6 +5,7 @@
 
 import (
 	"errors"
+	"iter"
 	"net/http"
 	"strings"
 	"time"
@@ -12,6 +13,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/bodies"
 )
 
@@ -45,6 +47,26 @@
 	return named
 }
 
+// EndToEndHeaders returns the canonical names and the values of a backend server's headers
+// that are passed on to the caller.
+func EndToEndHeaders(resp *wire.Response) iter.Seq2[string, string] {
+	return func(yield func(name, value string) bool) {
+		var options []string
+		for _, field := range resp.GetHeaders() {
+			if http.CanonicalHeaderKey(field.GetName()) == "Connection" {
+				options = append(options, field.GetValue())
+			}
+		}
+		listed := ConnectionOptions(options...)
+		for _, field := range resp.GetHeaders() {
+			name := http.CanonicalHeaderKey(field.GetName())
+			if !HopByHopHeaders[name] && !listed[name] && !yield(name, field.GetValue()) {
+				return
+			}
+		}
+	}
+}
+
 const (
 	// maxForwardedBytes bounds the body of a request, which a frame between daemons must
 	// hold beside the headers.
--- a/daemon/plugins/entry/answer.go
+++ b/daemon/plugins/entry/answer.go
@@ -65,13 +65,10 @@
 // headers. Content-Length is the length of the body that follows; only a response
 // to HEAD keeps the value that the backend server sent.
 func copyHeaders(h http.Header, method string, resp *wire.Response) {
-	dropped := connectionHeaders(resp.GetHeaders())
-	for _, field := range resp.GetHeaders() {
-		name := http.CanonicalHeaderKey(field.GetName())
-		if edge.HopByHopHeaders[name] || dropped[name] || strings.HasPrefix(name, systemHeaderPrefix) {
-			continue
+	for name, value := range edge.EndToEndHeaders(resp) {
+		if !strings.HasPrefix(name, systemHeaderPrefix) {
+			h.Add(name, value)
 		}
-		h.Add(name, field.GetValue())
 	}
 	status := int(resp.GetStatus())
 	switch {
@@ -94,17 +91,6 @@
 	return ""
 }
 
-// connectionHeaders returns the header names listed in the Connection headers.
-func connectionHeaders(fields []*wire.Header) map[string]bool {
-	var values []string
-	for _, f := range fields {
-		if http.CanonicalHeaderKey(f.GetName()) == "Connection" {
-			values = append(values, f.GetValue())
-		}
-	}
-	return edge.ConnectionOptions(values...)
-}
-
 func writeRefusal(w http.ResponseWriter, kind outcome.Kind, resp *wire.Response, req *wire.Request) (int, error) {
 	answer := kind.Answer()
 	body, err := json.Marshal(Refusal{
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -207,6 +207,24 @@
 	return resp
 }
 
+// Headers that the server listed in Connection, which hold for its connection only, reached the caller.
+func TestHeadersListedInTheServersConnectionHeaderAreNotPassedOn(t *testing.T) {
+	is := is.New(t)
+	s := newFakeDaemon()
+	s.respond = func(target string, req *wire.Request) (*wire.Response, error) {
+		resp, err := okResponse(target, req)
+		resp.Headers = append(resp.Headers,
+			&wire.Header{Name: "connection", Value: "x-hop, Keep-Alive"},
+			&wire.Header{Name: "X-Hop", Value: "1"},
+			&wire.Header{Name: "X-End", Value: "2"})
+		return resp, err
+	}
+	resp := send(t, newTestGateway(t, s), http.MethodGet, "/read/1")
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.Equal(resp.Header.Values("X-Hop"), nil)
+	is.Equal(resp.Header.Get("X-End"), "2")
+}
+
 func TestForwardsRequestAndResponse(t *testing.T) {
 	is := is.New(t)
 	s := newFakeDaemon()
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -322,10 +322,8 @@
 		return 0, nil
 	}
 	status := int(resp.GetStatus())
-	for _, field := range resp.GetHeaders() {
-		if name := http.CanonicalHeaderKey(field.GetName()); !edge.HopByHopHeaders[name] {
-			h.Add(name, field.GetValue())
-		}
+	for name, value := range edge.EndToEndHeaders(resp) {
+		h.Add(name, value)
 	}
 	mayHaveBody := status != http.StatusNoContent && status != http.StatusNotModified
 	if mayHaveBody && r.Method != http.MethodHead {
