--- a/ctl/emulate/backend/admin.go
+++ b/ctl/emulate/backend/admin.go
@@ -93,8 +93,8 @@
 
 func (s *Server) putFaults(c *gin.Context) {
 	var f Faults
-	if err := c.ShouldBindJSON(&f); err != nil || f.SlowFactor < 0 || f.StutterEvery < 0 || f.StutterMS < 0 {
-		c.JSON(http.StatusBadRequest, gin.H{"error": "faults are not valid JSON, or slow_factor or a stutter field is negative"})
+	if err := c.ShouldBindJSON(&f); err != nil || f.SlowFactor < 0 || min(f.StutterEvery, f.StutterMS, f.UnframedEvery, f.CutEvery) < 0 {
+		c.JSON(http.StatusBadRequest, gin.H{"error": "faults are not valid JSON, or a number is negative"})
 		return
 	}
 	s.SetFaults(f)
--- a/ctl/emulate/backend/backend.go
+++ b/ctl/emulate/backend/backend.go
@@ -37,6 +37,7 @@
 	crashed       chan struct{} // closed and replaced by a crash
 	loadSamples   []loadSample  // oldest first
 	answers       int           // answers on kept connections
+	runAnswers    int           // answers to runs
 
 	drained   chan struct{}
 	drainOnce sync.Once
@@ -115,6 +116,7 @@
 	case "deadline":
 		c.String(http.StatusGatewayTimeout, "%s", s.echo(c.Request, len(body)))
 	default:
+		s.spoil(c)
 		c.String(http.StatusOK, "%s", s.echo(c.Request, len(body)))
 	}
 }
@@ -142,6 +144,28 @@
 	return time.Duration(s.faults.StutterMS) * time.Millisecond, ok
 }
 
+// spoil gives the answer that is written next the faults that are due.
+func (s *Server) spoil(c *gin.Context) {
+	s.mu.Lock()
+	s.runAnswers++
+	n, f := s.runAnswers, s.faults
+	s.mu.Unlock()
+	due := func(every int) bool { return every > 0 && n%every == 0 }
+	if due(f.UnframedEvery) {
+		c.Header("Transfer-Encoding", "identity")
+	}
+	conn, ok := c.Request.Context().Value(connKey{}).(*slowConn)
+	switch {
+	case !ok:
+	case due(f.CutEvery) && n/f.CutEvery%2 == 0:
+		conn.spoilNext(cutAndReset)
+	case due(f.CutEvery):
+		conn.spoilNext(cutBeforeCopy)
+	case due(f.UnframedEvery) && due(f.StutterEvery):
+		conn.spoilNext(writtenTwice)
+	}
+}
+
 // echo returns the body of a response. It identifies the request, so that a test
 // detects a response that belongs to another request.
 func (s *Server) echo(r *http.Request, bodyBytes int) string {
--- a/ctl/emulate/backend/connections.go
+++ b/ctl/emulate/backend/connections.go
@@ -1,7 +1,9 @@
 package backend
 
 import (
+	"bytes"
 	"context"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -92,6 +94,26 @@
 	}
 }
 
+// answerFault is what a server does wrong with an answer.
+type answerFault int
+
+const (
+	noFault       answerFault = iota
+	writtenTwice              // the copy comes before the end of the connection
+	cutAndReset               // the connection is reset soon after the last bytes
+	cutBeforeCopy             // the whole answer follows
+)
+
+const (
+	// cutResetDelay is the longest time between the last bytes of an answer and the reset of its
+	// connection, copyDelay that between an answer that breaks off and its copy.
+	cutResetDelay = 500 * time.Microsecond
+	copyDelay     = 5 * time.Millisecond
+)
+
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
 // maxAnswerBytes bounds the answers that are written again.
 const maxAnswerBytes = 64 << 10
 
@@ -104,6 +126,7 @@
 
 	mu     sync.Mutex
 	answer []byte
+	fault  answerFault // of the answer that is written next
 }
 
 // Read implements net.Conn.
@@ -125,9 +148,35 @@
 	if len(c.answer)+len(p) <= maxAnswerBytes {
 		c.answer = append(c.answer, p...)
 	}
+	fault := c.fault
+	c.fault = noFault
+	switch fault {
+	case cutAndReset:
+		_, _ = c.Conn.Write(p[:rand.IntN(len(p))])
+		time.Sleep(rand.N(cutResetDelay))
+		resetConn(c.Conn)
+		return 0, net.ErrClosed
+	case writtenTwice, cutBeforeCopy:
+		first := p
+		if fault == cutBeforeCopy {
+			head := bytes.Index(p, []byte("\r\n\r\n")) + len("\r\n\r\n")
+			first = p[:head+rand.IntN(max(1, len(p)-head))]
+		}
+		if _, err := c.Conn.Write(first); err != nil {
+			return 0, err
+		}
+		time.Sleep(rand.N(copyDelay))
+	}
 	return c.Conn.Write(p)
 }
 
+// spoilNext gives the answer that is written next a fault.
+func (c *slowConn) spoilNext(fault answerFault) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.fault = fault
+}
+
 // writeAgain writes the answer to the newest request once more after a delay.
 func (c *slowConn) writeAgain(delay time.Duration) {
 	c.mu.Lock()
@@ -146,7 +195,12 @@
 }
 
 func (s *Server) httpServer() *http.Server {
-	return &http.Server{Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, ConnState: s.conns.track}
+	return &http.Server{
+		Handler: s.Handler(), ReadHeaderTimeout: readHeaderTimeout, ConnState: s.conns.track,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+	}
 }
 
 func (s *Server) withConnLimit(l net.Listener) net.Listener {
--- a/ctl/emulate/backend/options.go
+++ b/ctl/emulate/backend/options.go
@@ -71,6 +71,11 @@
 	// StutterMS milliseconds late; 0 means none.
 	StutterEvery int `json:"stutter_every"`
 	StutterMS    int `json:"stutter_ms"`
+	// UnframedEvery makes every n-th answer to a run end with its connection; 0 means none.
+	UnframedEvery int `json:"unframed_every"`
+	// CutEvery makes the server break off every n-th answer to a run, and reset its connection
+	// within cutResetDelay or write the whole answer behind, in turn; 0 means none.
+	CutEvery int `json:"cut_every"`
 }
 
 // State is the response to GET /emulate/state.
