scenario: the team of keeper_frozen_loud exceeds its limit before the freeze

It sent requests for a fixed time and expected some to exceed the limit. Each key is asked for again once its answer has arrived, so a busy machine sends fewer: 945 requests in 7.4 s then, and the limiter has to let 1,140 pass (100 a second and a burst of 400). It was right to refuse none.

The script waits now until a request was refused before it freezes the keeper, 30 s at most. That is stricter: the freeze and the thaw always fall into a time in which the team exceeds its limit, which is what the script is for. All checks stay, over a run that may be longer.

--- a/ctl/scenario/expect_test.go
+++ b/ctl/scenario/expect_test.go
@@ -41,7 +41,7 @@
 	case "outcomes":
 		return s.expectOutcomes(strings.Split(args[2], ","))
 	case "some":
-		return s.expectSome(args[1])
+		return someOutcome(s.samples, args[1])
 	case "errors":
 		return s.expectErrors(args[1])
 	case "runs":
@@ -101,13 +101,12 @@
 	return nil
 }
 
-func (s *scenario) expectSome(outcome string) error {
-	for _, r := range s.samples {
-		if r.outcome == outcome {
-			return nil
-		}
+// someOutcome returns an error unless a request ended with the outcome.
+func someOutcome(samples []sample, outcome string) error {
+	if !slices.ContainsFunc(samples, func(r sample) bool { return r.outcome == outcome }) {
+		return fmt.Errorf("no request of %d ended with outcome %s", len(samples), outcome)
 	}
-	return fmt.Errorf("no request ended with outcome %s", outcome)
+	return nil
 }
 
 func (s *scenario) expectErrors(count string) error {
@@ -258,6 +257,7 @@
 //	held NAME none|some          a daemon, or each daemon of a data centre, owns no shards or some
 //	answer ENTRY KEY OUTCOME [name=value...]  a lookup ends with the outcome
 //	warm B...                    the backend servers are at full capacity
+//	seen OUTCOME                 the running workload saw the outcome
 //	snapshot STREAM              the log contains a complete snapshot; then trims older records
 func (s *scenario) cmdEventually(ts *testscript.TestScript, args []string) error {
 	timeout, err := time.ParseDuration(args[0])
@@ -286,6 +286,8 @@
 			}
 			return nil
 		}, nil
+	case "seen":
+		return func() error { return someOutcome(s.workload.recorded(), args[0]) }, nil
 	case "snapshot":
 		return func() error { return s.fleet.trimToSnapshot(args[0]) }, nil
 	case "protected":
--- a/ctl/scenario/workload_test.go
+++ b/ctl/scenario/workload_test.go
@@ -134,6 +134,13 @@
 	w.samples = append(w.samples, s)
 }
 
+// recorded returns the samples so far.
+func (w *workload) recorded() []sample {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return slices.Clone(w.samples)
+}
+
 // stop waits for the in-flight requests and returns all samples.
 func (w *workload) stop() []sample {
 	w.stopped = time.Now()
