backendconn, backend, owner: an answer that broke off in its head is not filled by the next one

Callers got an answer with the fields of two heads: the server broke off within a line and wrote the next answer, its copy or that to another request, on the same connection. The first head had named the request, so that the status, the body and the mark of another answer could be taken for its own.

A field was read by its first value; that a second head had begun in the middle of a line was not looked for.

Evidence: TestHeadThatBrokeOffIsFilledByTheNextOne cuts a head at each byte.

An answer whose status line or one of several values of a field ends in a status line, or that names another request beside its own, is cut. A field that comes twice, or a single value that quotes a status line, is not. Orders are checked in the same way.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -406,6 +406,12 @@
 		if err == nil {
 			x.Framing = framingOf(resp)
 		}
+		if err == nil && mergesHeads(resp, id) {
+			RecordDiscarded(ctx, id, DiscardMergedHeads)
+			trace.Discard()
+			_ = resp.Body.Close()
+			return nil, trace, errMergedHeads
+		}
 		return resp, trace, err
 	}
 }
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -61,6 +61,7 @@
 const (
 	DiscardOtherRequest DiscardReason = "other_request" // the answer names another request, or none although it must
 	DiscardCopy         DiscardReason = "copy"          // a second answer in the body of another
+	DiscardMergedHeads  DiscardReason = "merged_heads"  // the answer broke off in its head, and another one follows
 )
 
 type exchangeKey struct{}
--- a/daemon/backendconn/failure.go
+++ b/daemon/backendconn/failure.go
@@ -36,6 +36,8 @@
 func (c *CrashTracker) classify(ctx context.Context, a FailedAttempt) *outcome.Err {
 	wrote := a.Trace.Wrote()
 	switch {
+	case errors.Is(a.Err, errMergedHeads):
+		return errMergedHeads
 	case errors.Is(a.Err, ErrLeaseEnded) && !wrote:
 		return outcome.New(outcome.LeaseLost, "%v", a.Err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !wrote:
--- /dev/null
+++ b/daemon/backendconn/heads.go
@@ -0,0 +1,39 @@
+package backendconn
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+)
+
+// errMergedHeads is the error of an answer that broke off in its head, with the head of another one
+// behind. Which of the two a field, the status or the body belongs to cannot be told.
+var errMergedHeads = outcome.New(outcome.AnswerCut, "response broke off in its head and another one follows")
+
+// mergesHeads reports whether the head of an answer to the request id is made of two: what was cut
+// in a line ends in the status line of the next one. A field that both have then comes twice, and
+// the second may name another request.
+func mergesHeads(answer *http.Response, id string) bool {
+	if endsInStatusLine(answer.Status) {
+		return true
+	}
+	for _, values := range answer.Header {
+		if len(values) < 2 {
+			continue
+		}
+		isOther := func(value string) bool { return value != id }
+		namesTwo := id != "" && slices.Contains(values, id) && slices.ContainsFunc(values, isOther)
+		if namesTwo || slices.ContainsFunc(values, endsInStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
+// endsInStatusLine reports whether the rest of a text is the status line of an answer.
+func endsInStatusLine(text string) bool {
+	at := strings.LastIndex(text, statusLineStart)
+	return at >= 0 && startsStatusLine([]byte(text[at:]))
+}
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -129,7 +129,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if trace.isCopy(resp.Header.Get(o.IDHeader)) {
+	if trace.isCopy(resp.Header.Get(o.IDHeader)) || mergesHeads(resp, trace.RequestID) {
+		trace.Discard()
 		_ = resp.Body.Close()
 		return nil, ErrCopy
 	}
@@ -138,7 +139,7 @@
 }
 
 // isCopy reports whether an answer to the order that names id, or nothing, was given to an earlier
-// call. Its connection is discarded then.
+// call.
 func (t *Trace) isCopy(id string) bool {
 	c := t.conn.Load()
 	if c == nil || c.stutter == nil {
@@ -152,7 +153,6 @@
 	c.mu.Unlock()
 	if copied {
 		c.stutter.discard()
-		t.Discard()
 	}
 	return copied
 }
