backendconn: bytes that belong to no call are not read as the server's close

guardedConn.Read returned io.EOF for bytes that came while no call waited for them. io.EOF ends the body of an answer without a length, and stands for the server's close in net/http. No caller was harmed: bytes are refused only between two calls, never while a body is read, and the connection is discarded before it carries another one.

It is an error of its own now. What the transport does with it: the connection is closed, as before. A call that was given the connection at that moment has written nothing (ErrDiscarded): Do sends it on another connection as before. To an order the transport may say that nothing was written and send it again, instead of "server closed idle connection", which it does not send again for a POST. That is by reading net/http; no test shows it.

The tests of daemon/backendconn and both owners are green with -race.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -46,6 +46,10 @@
 // backend server that is not known yet.
 var ErrOtherProcess = errors.New("the backend server may have restarted")
 
+// errNoCallWaits is the read error of a connection on which bytes came while no call waited for
+// them.
+var errNoCallWaits = errors.New("bytes came that belong to no call")
+
 // Write states of the current request on a guarded connection.
 const (
 	unwritten uint32 = iota
@@ -96,7 +100,7 @@
 		err = c.endError()
 	}
 	if n > 0 && !c.accept(b[:n]) {
-		return 0, io.EOF // the transport would keep the bytes for the next request
+		return 0, errNoCallWaits // the transport would keep the bytes for the next request
 	}
 	if c.continuity == nil {
 		return n, err
--- a/daemon/backendconn/resets_test.go
+++ b/daemon/backendconn/resets_test.go
@@ -231,3 +231,24 @@
 	_ = conn.Close()
 	is.True(<-written != nil)
 }
+
+// Bytes that no call awaited were read as the server's close, with which a body may end.
+func TestBytesOfNoCallLookLikeAnEnd(t *testing.T) {
+	is := is.New(t)
+	addr := listen(t, func(conn net.Conn) {
+		_, _ = conn.Read(make([]byte, 1))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\n")
+		_, _ = conn.Read(make([]byte, 1))
+	})
+	conn, err := WatchedDialer(clock.Boot{}, new(Continuity), false)(context.Background(), "tcp", addr)
+	is.NoErr(err)
+	defer conn.Close()
+	trace := &Trace{Until: clock.Boot{}.Now().Add(time.Minute)}
+	trace.SetConn(conn)
+	_, err = conn.Write([]byte("x"))
+	is.NoErr(err)
+	trace.Answered()
+	n, err := conn.Read(make([]byte, 100))
+	is.Equal(n, 0)
+	is.Equal(err, errNoCallWaits)
+}
