backendconn, backend, owner: an answer that broke off is not filled by the start of the next one

Callers got successes whose bodies end in "HTTP/1.1 200 OK\r\nId: r-2-6\r": a server broke off an answer with a length and kept the connection, and the first bytes of the next answer there made up the length. The body was looked through for heads that name a request; the name was not in it.

What follows on the connection tells: a guarded connection sees all bytes, and knows where the head of the answer and so its body ends. If an answer may begin in the body and go on in the bytes behind it, the outcome is answer_cut and the connection is closed. If a status line begins where the body ends, the body is whole. Bytes behind a body that does not end like the start of an answer change nothing. If nothing has followed yet and the body ends in four bytes or more of a head, it waits 20 ms at most for what follows, as a copy may come in pieces; with less than that (one letter is a common end of a body), or where a transcript in the body ends beyond it, only if the server was seen to write bytes of no answer. A sound server keeps its answers and connections; those that end like that are 20 ms late.

TestBodyThatEndsLikeAHeadIsRefused guards whole answers.

--- a/daemon/backendconn/backendconntest/server.go
+++ b/daemon/backendconn/backendconntest/server.go
@@ -127,7 +127,9 @@
 		framing := s.framingOf(id)
 		head, body := s.encode(a, framing, id)
 		stutters := s.Every > 0 && s.answers.Add(1)%int64(s.Every) == 0
-		if stutters && s.Break.Max > 0 && len(body) > 0 && framing != backendconn.FramingClose {
+		if s.Break.Max > 0 && (len(body) == 0 || framing == backendconn.FramingClose) {
+			stutters = false // nothing can break off
+		} else if stutters && s.Break.Max > 0 {
 			s.copies.Add(1)
 			s.breakOff(conn, head+body, len(body), earlier, framing, a, id)
 			continue
@@ -170,7 +172,7 @@
 	missing := min(size, len(next), s.Break.Min+rand.IntN(s.Break.Max-s.Break.Min+1))
 	pieces := []string{next}
 	if s.Copy == TwoPieces {
-		first := 1 + rand.IntN(len(next)-1)
+		first := len("HTTP") + rand.IntN(len(next)-len("HTTP")) // less may be the end of a body
 		pieces = []string{next[:first], next[first:]}
 	}
 	_, _ = io.WriteString(conn, whole[:len(whole)-missing])
@@ -304,7 +306,8 @@
 					tally.OK++
 					if got.Status != want.Status || got.Body != want.Body {
 						tally.Foreign++
-						tally.Example = fmt.Sprintf("%s got status %d and body %.400q", id, got.Status, got.Body)
+						end := got.Body[max(0, len(got.Body)-400):]
+						tally.Example = fmt.Sprintf("%s got status %d and a body of %d bytes that ends in %q", id, got.Status, len(got.Body), end)
 					}
 				case got.NotRun:
 					tally.Refused++
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -38,7 +38,8 @@
 // ReadOwn is Read for the response to the request of a trace. marks returns what a response says
 // of itself. If the response ended with its connection, a second copy that a faulty server wrote
 // there is left out; see ownBody. A response with a length or in chunks that contains the head of one
-// to this request or another one of its connection is an error.
+// to this request or another one of its connection is an error, and so is one with a length whose end is
+// within another response.
 func (r *ResponseReader) ReadOwn(ctx context.Context, httpResp *http.Response, trace *Trace, marks func(*http.Response) Marks) (*wire.Response, error) {
 	recorder := &readRecorder{Reader: httpResp.Body}
 	httpResp.Body = struct {
@@ -51,14 +52,18 @@
 	}
 	n := requestIDs{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried}
 	own := resp.Body
-	framing := framingOf(httpResp)
-	if framing == FramingLength {
-		exchangeOf(ctx).Follower = followerOf(resp.Body, trace.behind(resp.Body))
-	}
-	if framing == FramingClose {
+	follower := FollowerNone
+	switch framingOf(httpResp) {
+	case FramingClose:
 		own, err = ownBody(httpResp, resp.Body, recorder.lastRead, n)
-	} else if n.containsCopy(resp.Body) {
-		err = outcome.New(outcome.AnswerCut, "response contains another one")
+	case FramingLength:
+		follower = trace.follower(ctx, httpResp, resp.Body)
+		exchangeOf(ctx).Follower = follower
+		fallthrough
+	default:
+		if follower == FollowerRest || n.containsCopy(resp.Body) {
+			err = outcome.New(outcome.AnswerCut, "response contains another one")
+		}
 	}
 	if err != nil || len(own) < len(resp.Body) {
 		d := Discarded{AnswerID: trace.RequestID, Reason: DiscardCopy}
@@ -69,6 +74,7 @@
 		recordDiscarded(ctx, d)
 	}
 	if err != nil {
+		trace.sawCopy()
 		trace.Discard()
 		return nil, err
 	}
--- a/daemon/backendconn/surplus.go
+++ b/daemon/backendconn/surplus.go
@@ -2,15 +2,24 @@
 
 import (
 	"bytes"
+	"context"
 	"iter"
+	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // maxReadAhead is the size of the transport's read buffer: of each read, at most so much lies
 // behind the end of a body.
 const maxReadAhead = 4 << 10
 
+// maxFollowerWait bounds the wait for the bytes behind a body that ends like the start of an answer.
+const maxFollowerWait = 20 * time.Millisecond
+
+// minAwaited is the least size of the start of an answer that is not common at the end of a body.
+const minAwaited = len("HTTP")
+
 // Follower is what was read behind an answer with a length on its connection.
 type Follower string
 
@@ -24,8 +33,9 @@
 
 // readTail holds the newest bytes that were read on a connection. It is not safe for concurrent use.
 type readTail struct {
-	read   int64  // bytes in all
-	newest []byte // maxReadAhead or more
+	read   int64         // bytes in all
+	newest []byte        // maxReadAhead or more
+	more   chan struct{} // closed by the next read; nil if nobody waits for it
 }
 
 func (r *readTail) add(data []byte) {
@@ -36,6 +46,18 @@
 		data = data[max(0, len(data)-maxReadAhead):]
 	}
 	r.newest = append(r.newest, data...)
+	if r.more != nil {
+		close(r.more)
+		r.more = nil
+	}
+}
+
+// wait returns a channel that the next read closes.
+func (r *readTail) wait() <-chan struct{} {
+	if r.more == nil {
+		r.more = make(chan struct{})
+	}
+	return r.more
 }
 
 // split returns the bytes before and after an offset. It reports false if it lies beyond the bytes that are held.
@@ -100,24 +122,69 @@
 	c.tail.add(data)
 }
 
-// behind returns the bytes that were read on the connection behind the answer to the request. Its body
-// has a length.
-func (t *Trace) behind(body []byte) []byte {
+// behind returns the bytes that were read on the connection behind the answer to the request, and a
+// channel that is closed once there are more; nil if that is not known. Its body has a length.
+func (t *Trace) behind(body []byte) (data []byte, more <-chan struct{}) {
 	c := t.conn.Load()
 	if c == nil {
-		return nil
+		return nil, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t.head.end == 0 {
-		return nil
+		return nil, nil
 	}
 	before, after, ok := c.tail.split(t.head.end + int64(len(body)))
 	end := body[len(body)-min(len(body), len(before)):]
 	if !ok || !bytes.HasSuffix(before, end) {
-		return nil
+		return nil, nil
+	}
+	return bytes.Clone(after), c.tail.wait()
+}
+
+// follower returns what follows the answer to the request, whose body has a length. If the body ends like
+// the start of another answer, it waits for that a short time.
+func (t *Trace) follower(ctx context.Context, resp *http.Response, body []byte) Follower {
+	var timeout <-chan time.Time
+	for {
+		behind, more := t.behind(body)
+		if more == nil || resp.Close || len(behind) >= len(statusLineStart) || !t.mayBeFilled(body) {
+			return followerOf(body, behind)
+		}
+		if timeout == nil {
+			timer := time.NewTimer(maxFollowerWait)
+			defer timer.Stop()
+			timeout = timer.C
+		}
+		select {
+		case <-more:
+		case <-timeout:
+			return followerOf(body, behind)
+		case <-ctx.Done():
+			return followerOf(body, behind)
+		}
+	}
+}
+
+// sawCopy records that the server wrote an answer within another one.
+func (t *Trace) sawCopy() {
+	if c := t.conn.Load(); c != nil && c.stutter != nil {
+		c.stutter.Saw()
+	}
+}
+
+// mayBeFilled reports whether a body ends in minAwaited bytes or more of the head of an answer, or
+// in less and the server was seen to write bytes of no answer.
+func (t *Trace) mayBeFilled(body []byte) bool {
+	c := t.conn.Load()
+	isSeen := c.stutter != nil && c.stutter.Seen()
+	for at := range answerStarts(body) {
+		_, whole := scanHead(body[at:])
+		if isSeen || !whole && len(body)-at >= minAwaited {
+			return true
+		}
 	}
-	return bytes.Clone(after)
+	return false
 }
 
 // followerOf classifies the bytes behind a body.
