backendconn: test of a chunk that is filled by a head without its empty line, known red

The server broke off a chunk by as many bytes as that head has without its empty line, which then ends the chunk, and the chunks of the next answer follow. The head names the request, but is not whole in the body, so it was not looked at.

--- a/daemon/backendconn/surplus_test.go
+++ b/daemon/backendconn/surplus_test.go
@@ -183,3 +183,16 @@
 		}
 	}
 }
+
+// A chunk that broke off was filled by a head but its empty line, which was taken for the chunk's end.
+func TestChunkIsFilledByAHeadWithoutItsEmptyLine(t *testing.T) {
+	is := is.New(t)
+	const body = "a body of two lines\nthat is long enough to break off in the middle and take in a head there"
+	const head = "HTTP/1.1 200 OK\r\nId: r-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+	const chunk = "5b\r\n" + body + "\r\n"
+	is.Equal(len(body), 0x5b)
+	const missing = len(head) - len("\r\n")
+	resp, _, err := readFrom(t, rawServer(t, 0, head+chunk[:len(chunk)-len("\r\n")-missing]+head+chunk+"0\r\n\r\n"), false)
+	is.Equal(string(resp.GetBody()), "")
+	is.Equal(outcome.KindOf(err), outcome.AnswerCut)
+}
