edge: the write deadline of a connection is that of the answer whose turn it is

- An answer that had waited for its turn left its write deadline of 30 s on the connection: net/http's reset of it came before the answer was written, and was passed over.
A connection that was then kept for longer closed under the answer 100 (Continue) to the next request, which never got an answer.
- An answer whose handler set its deadline while an earlier one was under way was written without any: a caller that read nothing held it without bound.

A lane now keeps its deadline. It becomes the connection's when the lane's turn comes, and again after what was kept has been written.

--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -40,10 +40,11 @@
 	given    int64     // bytes of the answer that the server has written
 	taken    int64     // of them, taken by the connection
 
-	deadline time.Time // of reads
-	patience time.Duration
-	timer    *time.Timer
-	cancel   context.CancelFunc // ends the contexts of the lane's requests
+	writeDeadline time.Time // of the answer
+	deadline      time.Time // of reads
+	patience      time.Duration
+	timer         *time.Timer
+	cancel        context.CancelFunc // ends the contexts of the lane's requests
 
 	writer answerWriter // of the request in progress
 }
@@ -276,6 +277,7 @@
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	l.writeDeadline = t
 	if p.writing || len(p.order) > 0 && p.order[0] != l {
 		return nil
 	}
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -460,6 +460,9 @@
 			}
 			l.restartTimeout()
 			p.dispatch(maxUnreadBytes)
+			if len(p.order) > 0 {
+				_ = p.conn.SetWriteDeadline(p.order[0].writeDeadline)
+			}
 			p.changed.Broadcast()
 		default:
 			return
@@ -486,6 +489,7 @@
 	p.mu.Lock()
 	p.writing = false
 	l.taken += int64(n)
+	_ = p.conn.SetWriteDeadline(l.writeDeadline)
 	return err == nil
 }
 
