--- a/daemon/plugins/forwarding_test.go
+++ b/daemon/plugins/forwarding_test.go
@@ -55,6 +55,13 @@
 // startDaemon runs the peer, owner, suspects and entry plug-ins with a fixed view and
 // returns the entry address.
 func startDaemon(tb testing.TB, v *view.View, peerAddr, backendAddr string) string {
+	tb.Helper()
+	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.InfoLevel))
+	return startLoggedDaemon(tb, v, peerAddr, backendAddr, log)
+}
+
+// startLoggedDaemon is startDaemon with a log.
+func startLoggedDaemon(tb testing.TB, v *view.View, peerAddr, backendAddr string, log *zap.Logger) string {
 	tb.Helper()
 	set := settings.Default()
 	set.EntryAddr = freeAddr(tb)
@@ -62,7 +69,6 @@
 	set.KeyHashSecret = secret
 	c := new(staticControl)
 	c.view.Store(v)
-	log := zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), zapcore.AddSync(io.Discard), zap.InfoLevel))
 	app := fx.New(
 		fx.NopLogger,
 		fx.Supply(set, log),
--- a/daemon/plugins/peer/random_links_test.go
+++ b/daemon/plugins/peer/random_links_test.go
@@ -11,6 +11,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
@@ -88,3 +89,56 @@
 		t.Errorf("%d whole, %d cut, %d withdrawn: a case is missing", whole, cut, withdrawn)
 	}
 }
+
+// An answer under way when its daemon stops must arrive whole or not at all.
+func TestAnswersAreWholeAndTheirOwnWhenTheirDaemonStops(t *testing.T) {
+	const rounds, calls = 40, 8
+	seed := uint64(time.Now().UnixNano())
+	t.Logf("seed %d", seed)
+	var mu sync.Mutex
+	whole, refused, cut := 0, 0, 0
+	for round := range rounds {
+		r := rand.New(rand.NewPCG(seed, uint64(round)))
+		srv, _ := startTestServer(t, handlerFunc(func(ctx context.Context, req *wire.Request) *wire.Response {
+			select {
+			case <-time.After(time.Duration(req.GetTimeoutMs()) * time.Millisecond):
+			case <-ctx.Done():
+			}
+			body := answerOf(req.GetRequestId(), int(req.GetTargetMs()))
+			return &wire.Response{Kind: uint32(outcome.OK), Body: body, BodyLength: uint32(len(body))}
+		}))
+		n := startTestNetwork(t, clock.Boot{})
+		var wg sync.WaitGroup
+		for i := range calls {
+			id, size, pause := fmt.Sprintf("%d-%d", round, i), r.IntN(1<<(10+r.IntN(13))), uint64(r.IntN(30))
+			wg.Go(func() {
+				ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+				defer cancel()
+				req := &wire.Request{RequestId: id, TargetMs: int64(size), TimeoutMs: pause}
+				frame, err := n.Call(ctx, srv.listener.Addr().String(), &wire.Frame{Body: &wire.Frame_Request{Request: req}})
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err != nil:
+					cut++
+				case frame.GetResponse().GetKind() != uint32(outcome.OK):
+					refused++
+				default:
+					whole++
+					if !bytes.Equal(frame.GetResponse().GetBody(), answerOf(id, size)) {
+						t.Errorf("round %d: answer of %d bytes to %s is not its own", round, len(frame.GetResponse().GetBody()), id)
+					}
+				}
+			})
+		}
+		time.Sleep(time.Duration(r.IntN(40)) * time.Millisecond)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Duration(r.IntN(60))*time.Millisecond)
+		_ = srv.stop(ctx)
+		cancel()
+		wg.Wait()
+	}
+	t.Logf("%d whole, %d refused, %d not answered", whole, refused, cut)
+	if whole == 0 {
+		t.Error("no whole answer")
+	}
+}
