--- a/daemon/edge/cut_answer_test.go
+++ b/daemon/edge/cut_answer_test.go
@@ -1,12 +1,14 @@
 package edge
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/fx/fxtest"
@@ -103,3 +105,39 @@
 	is.Equal(FramingField(get, http.StatusNotModified), zap.String("answer_framing", "none"))
 	is.Equal(FramingField(head, http.StatusOK), zap.String("answer_framing", "none"))
 }
+
+// A connection that took a part of an answer must carry nothing behind that part.
+func TestNothingFollowsAnAnswerWhoseWriteFailed(t *testing.T) {
+	for name, requests := range map[string]string{
+		"alone":     get("/large"),
+		"pipelined": get("/large") + get("/small") + get("/small"),
+		"behind":    get("/small") + get("/large") + get("/small"),
+		"upgrade":   "GET /large HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n" + get("/small"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			failed := make(chan struct{})
+			c := dialCaller(t, servePipelined(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				body := []byte("small")
+				if r.URL.Path == "/large" {
+					is.NoErr(AwaitTurn(r.Context()))
+					body = largeAnswer
+				}
+				w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+				_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(50 * time.Millisecond))
+				if _, err := w.Write(body); err != nil {
+					close(failed)
+				}
+			})))
+			c.send(requests)
+			<-failed
+			got, _ := io.ReadAll(c)
+			head, body, _ := strings.Cut(string(got), "Content-Length: "+strconv.Itoa(len(largeAnswer)))
+			is.Equal(strings.Contains(head, "small"), name == "behind")
+			_, body, _ = strings.Cut(body, "\r\n\r\n")
+			is.True(len(body) > 0)
+			is.True(strings.HasPrefix(string(largeAnswer), body))
+			is.True(len(body) < len(largeAnswer))
+		})
+	}
+}
