--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -46,6 +46,10 @@
 // backend server that is not known yet.
 var ErrOtherProcess = errors.New("the backend server may have restarted")
 
+// errNoCallWaits is the read error of a connection on which bytes came while no call waited for
+// them.
+var errNoCallWaits = errors.New("bytes came that belong to no call")
+
 // Write states of the current request on a guarded connection.
 const (
 	unwritten uint32 = iota
@@ -69,12 +73,14 @@
 	lastRead  atomic.Int64 // when bytes were last read
 	awaiting  atomic.Bool  // no byte was read since the current request was written
 	closed    atomic.Bool  // by this daemon
+	ending
 
 	mu      sync.Mutex
 	barred  map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
 	ids     carriedIDs      // of the requests that were sent here
 	current *Trace          // of the call that waits for its answer; nil if none does
 	answers int             // answers that were read since current began, if it is an order
+	tail    readTail
 
 	namesOrders bool // an answer to an order named it
 }
@@ -91,8 +97,11 @@
 // Read reads and records whether the server still uses the connection.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) {
+		err = c.endError()
+	}
 	if n > 0 && !c.accept(b[:n]) {
-		return 0, io.EOF // the transport would keep the bytes for the next request
+		return 0, errNoCallWaits // the transport would keep the bytes for the next request
 	}
 	if c.continuity == nil {
 		return n, err
@@ -127,11 +136,14 @@
 	}
 	var n int
 	var peekErr error
+	c.telling.RLock()
 	err = raw.Control(func(fd uintptr) { // Read would wait for the transport's own read
 		n, _, peekErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
+	c.take(EndSeenByLook, peekErr)
+	c.telling.RUnlock()
 	ended := peekErr == nil && n == 0
-	// Read does not return a reset that was returned here, and returns an end late.
+	// Read returns these late.
 	if (errors.Is(peekErr, syscall.ECONNRESET) || ended && c.awaiting.Load()) && !c.closed.Load() {
 		c.continuity.Lost(c.clock.Now())
 	}
@@ -220,7 +232,11 @@
 	case c.state.Load() == blocked:
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(b)
+	c.telling.RLock()
+	defer c.telling.RUnlock()
+	n, err := c.Conn.Write(b)
+	c.take(EndSeenByWrite, err)
+	return n, err
 }
 
 // Dialer returns a dial function for guarded connections. leaseHeld is called before
@@ -262,6 +278,7 @@
 	conn  atomic.Pointer[guardedConn]
 	kept  atomic.Bool
 	wrote atomic.Bool // on a connection before conn: the transport sends some calls again
+	head  headScan    // of the answer; guarded by conn.mu
 }
 
 // Kept reports whether the request was sent on a connection that had carried another one.
@@ -385,9 +402,16 @@
 		}
 		x := exchangeOf(ctx)
 		x.Framing, x.Kept, x.BodyBytes = "", trace.Kept(), 0
+		x.BodyEnd, x.EndSeenBy, x.Follower = "", trace.endSeenBy(), FollowerNone
 		if err == nil {
 			x.Framing = framingOf(resp)
 		}
+		if err == nil && mergesHeads(resp, id) {
+			RecordDiscarded(ctx, id, DiscardMergedHeads)
+			trace.Discard()
+			_ = resp.Body.Close()
+			return nil, trace, errMergedHeads
+		}
 		return resp, trace, err
 	}
 }
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -129,7 +129,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if trace.isCopy(resp.Header.Get(o.IDHeader)) {
+	if trace.isCopy(resp.Header.Get(o.IDHeader)) || mergesHeads(resp, trace.RequestID) {
+		trace.Discard()
 		_ = resp.Body.Close()
 		return nil, ErrCopy
 	}
@@ -138,7 +139,7 @@
 }
 
 // isCopy reports whether an answer to the order that names id, or nothing, was given to an earlier
-// call. Its connection is discarded then.
+// call.
 func (t *Trace) isCopy(id string) bool {
 	c := t.conn.Load()
 	if c == nil || c.stutter == nil {
@@ -146,12 +147,12 @@
 	}
 	c.mu.Lock()
 	own := id == t.RequestID
-	copied := !own && c.ids.contains(id) || id == "" && c.namesOrders && c.stutter.Seen()
+	ambiguous := id == "" && t.Kept() && c.answers > 1 // the first may be an earlier order's
+	copied := !own && c.ids.contains(id) || id == "" && c.namesOrders && c.stutter.Seen() || ambiguous
 	c.namesOrders = c.namesOrders || own
 	c.mu.Unlock()
 	if copied {
 		c.stutter.discard()
-		t.Discard()
 	}
 	return copied
 }
@@ -191,6 +192,7 @@
 func (c *guardedConn) accept(data []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.observe(data)
 	switch {
 	case c.current == nil:
 		if isTimeout(data) {
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -51,12 +51,16 @@
 		zap.String("service", req.GetService()),
 		zap.Uint32("shard", req.GetShard()),
 		zap.Uint64("generation", resp.GetGeneration()),
+		zap.Uint32("attempt", req.GetAttempt()),
 		zap.Stringer("outcome", outcome.Kind(resp.GetKind())),
 		zap.String("reason", resp.GetDetail()),
 		zap.Float64("limit_per_s", resp.GetLoad().GetNotice().GetLimitPerS()),
 		zap.String("framing", string(exchange.Framing)),
 		zap.Bool("kept", exchange.Kept),
 		zap.Int("body_bytes", exchange.BodyBytes),
+		zap.String("body_end", string(exchange.BodyEnd)),
+		zap.String("end_seen_by", string(exchange.EndSeenBy)),
+		zap.String("followed_by", string(exchange.Follower)),
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
 	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
