backendconn: a field with several ids is not taken for two heads

A sound server that wrote any field twice, once with the id of the request and once with another value (the causes of a call, say), got none of its answers passed on: each was answer_cut, and its connection was closed.

Cause: the check for merged heads looked for the id beside another value in all fields. Only the field by which the request gave its id names the request of an answer.

--- a/daemon/backendconn/heads.go
+++ b/daemon/backendconn/heads.go
@@ -19,12 +19,12 @@
 	if endsInStatusLine(answer.Status) {
 		return true
 	}
-	for _, values := range answer.Header {
+	for name, values := range answer.Header {
 		if len(values) < 2 {
 			continue
 		}
 		isOther := func(value string) bool { return value != id }
-		namesTwo := id != "" && slices.Contains(values, id) && slices.ContainsFunc(values, isOther)
+		namesTwo := namesRequest(answer, name, id) && slices.Contains(values, id) && slices.ContainsFunc(values, isOther)
 		if namesTwo || slices.ContainsFunc(values, endsInStatusLine) {
 			return true
 		}
@@ -32,6 +32,12 @@
 	return false
 }
 
+// namesRequest reports whether a field is one in which the request of an answer gave its id. Others
+// may have several ids.
+func namesRequest(answer *http.Response, name, id string) bool {
+	return id != "" && answer.Request != nil && slices.Contains(answer.Request.Header[name], id)
+}
+
 // endsInStatusLine reports whether the rest of a text is the status line of an answer.
 func endsInStatusLine(text string) bool {
 	at := strings.LastIndex(text, statusLineStart)
