backendconn: an unnamed answer behind one that broke off in its head is found

A server broke off in the head of an answer, behind the name of the request, and gave up the connection with an answer of its HTTP library (408 or 400), which names no request and has other fields. Callers got status 200, a damaged field and the body of the second answer.

Cause: the status line in the middle of a field was looked for only in fields that come twice, because a server may quote one. A quoted one follows a space or a separator, not a letter or another byte of a word.

Not found: a head that broke off directly behind a separator, which looks like a quotation.

--- a/daemon/backendconn/heads.go
+++ b/daemon/backendconn/heads.go
@@ -14,12 +14,16 @@
 
 // mergesHeads reports whether the head of an answer to the request id is made of two: what was cut
 // in a line ends in the status line of the next one. A field that both have then comes twice, and
-// the second may name another request.
+// the second may name another request. If they have no field in common, the status line is known by
+// what it follows: one that is quoted does not follow a word directly.
 func mergesHeads(answer *http.Response, id string) bool {
 	if endsInStatusLine(answer.Status) {
 		return true
 	}
 	for name, values := range answer.Header {
+		if slices.ContainsFunc(values, breaksOffInStatusLine) {
+			return true
+		}
 		if len(values) < 2 {
 			continue
 		}
@@ -43,3 +47,16 @@
 	at := strings.LastIndex(text, statusLineStart)
 	return at >= 0 && startsStatusLine([]byte(text[at:]))
 }
+
+// breaksOffInStatusLine reports whether a word in a text breaks off, and the rest is the status line of
+// an answer.
+func breaksOffInStatusLine(text string) bool {
+	at := strings.LastIndex(text, statusLineStart)
+	return at > 0 && endsInStatusLine(text) && isWordByte(text[at-1])
+}
+
+// isWordByte reports whether a byte cannot stand directly before a quotation.
+func isWordByte(b byte) bool {
+	isLetter, isDigit := b|0x20 >= 'a' && b|0x20 <= 'z', b >= '0' && b <= '9'
+	return isLetter || isDigit || strings.IndexByte("-_.+/\r", b) >= 0
+}
