backendconn: a head in a body names its request although its empty line is missing

A caller got the start of a body, the lines of the next answer's head and that answer's body as one: a broken chunk was filled by these lines, the empty line ended the chunk, and the chunks behind it were those of the next answer. Only whole heads, and those cut by the body's end, were looked at for the name of a request; now the well-formed lines of each are. A body with a length or in chunks that quotes the lines of a head with the name of this very request, or one of its connection, is refused with and without the empty line alike; transcripts of other requests pass.

Open: such a head that names no request.

--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -95,22 +95,21 @@
 func (n requestIDs) containsCopy(body []byte) bool {
 	effort := maxOverlappingHeads*len(body) + MaxHeaderBytes
 	for at := indexFrom(body, statusLineStart, 0); at >= 0; at = indexFrom(body, statusLineStart, at+1) {
-		size, whole := scanHead(body[at:])
+		size, _ := scanHead(body[at:])
 		if effort -= size; effort < 0 {
 			return false
 		}
-		if !whole && at+size < len(body) {
-			continue
-		}
-		start, ok := startOfHead(strings.Split(string(body[at:at+size]), "\n"))
-		if id := n.marks(start).RequestID; ok && id != "" && (id == n.own || n.carried(id)) {
+		// Behind the lines of a head may be those of a body: a chunk can end between both.
+		start, _ := startOfHead(strings.Split(string(body[at:at+size]), "\n"))
+		if id := n.marks(start).RequestID; id != "" && (id == n.own || n.carried(id)) {
 			return true
 		}
 	}
 	return false
 }
 
-// startOfHead returns the fields in the lines of a head but the last one, which may be cut.
+// startOfHead returns the fields in the lines of a head but the last one, which may be cut. It reports
+// false, and returns those before, if a line is none of a head.
 func startOfHead(lines []string) (start *http.Response, ok bool) {
 	start = &http.Response{Header: http.Header{}}
 	for _, line := range lines[1:max(1, len(lines)-1)] {
