backendconn, backend: tests of odd bytes between an answer without a length and its copy, known red

Callers got bodies with an empty line at the end that is not the server's ("...!\r\n"): it wrote that between an answer without a length and the copy of it. The native interface refuses all answers without a length.

--- a/daemon/backendconn/backendconntest/server.go
+++ b/daemon/backendconn/backendconntest/server.go
@@ -61,7 +61,8 @@
 	Every     int           // every n-th answer is written twice; 0 for none
 	MaxDelay  time.Duration // of a copy
 	Copy      Copy
-	CopyNames bool // copies name the request
+	CopyNames bool   // copies name the request
+	Odd       string // is written between an answer that ends with its connection and its copy
 	Break     Break
 
 	answers, copies, conns atomic.Int64
@@ -150,6 +151,7 @@
 		switch {
 		case framing == backendconn.FramingClose:
 			if stutters {
+				_, _ = io.WriteString(conn, s.Odd)
 				s.writeCopy(conn, &mu, head, body)
 			}
 			return
--- a/daemon/backendconn/copies_test.go
+++ b/daemon/backendconn/copies_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -137,6 +138,24 @@
 	}
 }
 
+// Odd bytes between an answer without a length and its copy were the end of its body.
+func TestOddBytesBeforeACopyAreTheEndOfABody(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nId: r-1\r\nSeal: s\r\n\r\n"
+	const unnamed = "HTTP/1.1 200 OK\r\nSeal: s\r\n\r\n"
+	for _, odd := range []string{"\r\n", "\n", "\r\n\r\n", " ", "\t", "\x00", "0\r\n\r\n", "\r\n0\r\n\r\n"} {
+		for _, copied := range []string{head + "whole", unnamed + "whole", head + "who", head} {
+			if got, err := readOwn(t, head, strings.NewReader("whole"+odd+copied)); outcome.KindOf(err) != outcome.AnswerCut {
+				t.Errorf("%q between, then %q: read as %q, %v", odd, copied, got, err)
+			}
+		}
+		for _, behind := range []string{"", head + "whole" + odd, strings.Replace(head, "Seal", "Content-Length: "+strconv.Itoa(len("whole"+odd))+"\r\nSeal", 1)} {
+			if got, err := readOwn(t, head, strings.NewReader("whole"+odd+behind)); err != nil || got != "whole"+odd {
+				t.Errorf("%q at the end of a body, followed by %q: read as %q, %v", odd, behind, got, err)
+			}
+		}
+	}
+}
+
 // The start of a copy's status line that came by itself was the end of a body.
 func TestStartOfAStatusLineIsTheEndOfABody(t *testing.T) {
 	is := is.New(t)
--- a/daemon/plugins/backend/stutter_test.go
+++ b/daemon/plugins/backend/stutter_test.go
@@ -165,3 +165,26 @@
 		}
 	}
 }
+
+// Odd bytes between an answer without a length and its copy were the end of the body that the caller got.
+func TestOddBytesBeforeACopyReachTheCaller(t *testing.T) {
+	const callers, requests = 8, 200
+	for _, odd := range []string{"\r\n", " ", "\x00", "0\r\n\r\n"} {
+		for _, form := range backendconntest.Copies {
+			for _, names := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%q, %s, names the request %t", odd, form, names), func(t *testing.T) {
+					s := backendconntest.Server{
+						IDHeader: "Id", Framing: backendconn.FramingClose, Answer: answerInOrder,
+						Every: 4, MaxDelay: 6 * time.Millisecond, Copy: form, CopyNames: names, Odd: odd,
+					}
+					addr := s.Start(t)
+					got := s.Play(callers, requests, backendconntest.Want, sendTo(newClient(clock.Boot{}, &fake{}, noSuspects{}), addr, "GET"))
+					t.Logf("%d copies: %d of %d successes are longer", s.Copies(), got.Foreign, got.OK)
+					if got.Foreign+got.WronglyRefused > 0 {
+						t.Errorf("%d answers are longer, %d requests that ran are refused, e.g. %s", got.Foreign, got.WronglyRefused, got.Example)
+					}
+				})
+			}
+		}
+	}
+}
