backendconn: odd bytes between an answer without a length and its copy are no part of its body

Callers got bodies with an empty line, a space, a NUL or the end of a chunk at their end that are not the server's: it wrote these between an answer without a length and its copy. What follows the copy's head was the same body without them, which counted as a copy that was cut. It may as well be whole, and the body too long.

If the copy ends before the body does, tells no length, and the body's last byte is a space, a tab, a line end or a NUL, both are possible and the outcome is answer_cut. A copy that has the same bytes, or a length that fits, still shows that the body is whole, and a body that ends in another byte is passed on as before. So a whole answer that ends in a line end, followed by a copy that is cut in its body, is refused now: a server that does not stutter loses none.

Cannot be told: odd bytes that end in another byte, such as text, before a copy without a length; odd bytes behind the copy as well; odd bytes with no copy behind them.

--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -47,7 +47,8 @@
 // body that names another request is part of the body.
 //
 // What stands before a copy of this answer is returned if the copy shows that it is whole:
-// what follows the second head is the same body, or a part of it if the copy is cut.
+// what follows the second head is the same body, or a part of it if the copy is cut and the body does not
+// end in padding.
 // Otherwise the error is an *outcome.Err of kind AnswerCut. lastRead is where the bytes of the last
 // read begin.
 func ownBody(answer *http.Response, body []byte, lastRead int, n requestIDs) (own []byte, err error) {
@@ -130,7 +131,14 @@
 func isCopy(answer, second *http.Response, head, own, rest []byte) bool {
 	ambiguous := indexFrom(head, statusLineStart, 1) >= 0 // own may end within these bytes
 	lengthFits := second.ContentLength < 0 || second.ContentLength == int64(len(own))
-	return !ambiguous && lengthFits && second.StatusCode == answer.StatusCode && bytes.HasPrefix(own, rest)
+	// Odd bytes may stand between both, unless the copy has them too or tells its length.
+	certain := second.ContentLength == int64(len(own)) || len(rest) == len(own) || !endsInPadding(own)
+	return !ambiguous && lengthFits && certain && second.StatusCode == answer.StatusCode && bytes.HasPrefix(own, rest)
+}
+
+// endsInPadding reports whether the last byte of a body is one that servers write between answers.
+func endsInPadding(body []byte) bool {
+	return len(body) > 0 && strings.IndexByte(" \t\r\n\x00", body[len(body)-1]) >= 0
 }
 
 // scanHead returns the size of the head of an answer with which data begins, and whether it is
