backendconn: a run's line names the other request of an answer in the body

A head in a body that names another request is part of the body unless the connection is known to have carried that request, and it forgets those whose deadline has passed. Nothing told whether a body that was passed on contains such a head. quotes of run is the request that it names: if that has a run line of its own, its answer may have come twice. No outcome changes; TestAnswerInABodyIsNotRecorded guards it.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -386,7 +386,7 @@
 			continue
 		}
 		x := exchangeOf(ctx)
-		x.Framing, x.Kept, x.BodyBytes, x.Follower = "", trace.Kept(), 0, FollowerNone
+		x.Framing, x.Kept, x.BodyBytes, x.Follower, x.Quotes = "", trace.Kept(), 0, FollowerNone, ""
 		if err == nil {
 			x.Framing = framingOf(resp)
 		}
--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -38,6 +38,19 @@
 	marks   func(answer *http.Response) Marks
 	kept    bool                 // the connection carried other requests, see Trace.Kept
 	carried func(id string) bool // on the connection of the request
+	quotes  func(id string)      // is called for another request that was not carried; nil for none
+}
+
+// isOther reports whether an id is that of a request that was carried, other than that of the answer.
+func (n requestIDs) isOther(id string) bool {
+	if id == "" || id == n.own {
+		return false
+	}
+	carried := n.carried(id)
+	if !carried && n.quotes != nil {
+		n.quotes(id)
+	}
+	return carried
 }
 
 // ownBody returns the part of body that belongs to an answer that ended with its connection. A
@@ -79,7 +92,7 @@
 				return nil, outcome.New(outcome.AnswerCut, "response without a length contains a second one to the request")
 			}
 			return body[:at], nil
-		case id != "" && n.carried(id) || id == "" && n.kept && marks.Server:
+		case n.isOther(id) || id == "" && n.kept && marks.Server:
 			return nil, outcome.New(outcome.AnswerCut, "response without a length contains one to request %q", id)
 		}
 	}
@@ -102,7 +115,7 @@
 		}
 		// Behind the lines of a head may be those of a body: a chunk can end between both.
 		start, _ := startOfHead(strings.Split(string(body[at:at+size]), "\n"))
-		if id := n.marks(start).RequestID; id != "" && (id == n.own || n.carried(id)) {
+		if id := n.marks(start).RequestID; id != "" && (id == n.own || n.isOther(id)) {
 			return true
 		}
 	}
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -42,6 +42,7 @@
 	Kept      bool     // the connection had carried a request before
 	BodyBytes int      // that were passed on
 	Follower  Follower // known if the framing is FramingLength
+	Quotes    string   // another request that a head in the body names, and that the connection is not known to have carried
 	Discarded []Discarded
 }
 
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	n := requestIDs{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried}
+	n := requestIDs{own: trace.RequestID, marks: marks, kept: trace.Kept(), carried: trace.Carried, quotes: func(id string) { exchangeOf(ctx).Quotes = id }}
 	own := resp.Body
 	follower := FollowerNone
 	switch framingOf(httpResp) {
--- a/daemon/backendconn/surplus_test.go
+++ b/daemon/backendconn/surplus_test.go
@@ -103,6 +103,17 @@
 	is.Equal(lines.All()[0].ContextMap()["copy_bytes"], int64(5))
 }
 
+// A run's line did not tell that the body of its answer contains one to another request.
+func TestAnswerInABodyIsNotRecorded(t *testing.T) {
+	const other = "HTTP/1.1 200 OK\r\nId: r-7\r\n\r\nother"
+	for _, framed := range []string{"Content-Length: 33\r\n\r\n" + other, "Transfer-Encoding: chunked\r\n\r\n21\r\n" + other + "\r\n0\r\n\r\n"} {
+		is := is.New(t)
+		_, x, err := readFrom(t, rawServer(t, 0, "HTTP/1.1 200 OK\r\nId: r-1\r\n"+framed), false)
+		is.NoErr(err)
+		is.Equal(x.Quotes, "r-7")
+	}
+}
+
 // The newest bytes of a connection were lost, or all of them kept.
 func TestNewestBytesOfAConnectionAreLost(t *testing.T) {
 	is := is.New(t)
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -84,6 +84,7 @@
 		zap.Bool("kept", exchange.Kept),
 		zap.Int("body_bytes", exchange.BodyBytes),
 		zap.String("followed_by", string(exchange.Follower)),
+		zap.String("quotes", exchange.Quotes),
 		zap.Uint32("service_us", resp.GetServiceTimeUs()),
 		zap.Int64("underway_us", underway.Microseconds()),
 		zap.Int64("us", e.clock.Now().Sub(arrived).Microseconds()),
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -58,6 +58,7 @@
 		zap.Bool("kept", exchange.Kept),
 		zap.Int("body_bytes", exchange.BodyBytes),
 		zap.String("followed_by", string(exchange.Follower)),
+		zap.String("quotes", exchange.Quotes),
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
 	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
