--- a/daemon/backendconn/carried_test.go
+++ b/daemon/backendconn/carried_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -47,3 +48,26 @@
 		}
 	}
 }
+
+// A copy that came after the deadline of its request was part of a body: its connection had forgotten that
+// it carried the request.
+func TestCopyAfterTheDeadlineIsPartOfABody(t *testing.T) {
+	is := is.New(t)
+	const head = "HTTP/1.1 200 OK\r\nId: r-1\r\nSeal: s\r\n\r\n"
+	for _, sent := range []int{1, minForget - 1, minForget, minForget + 1, 5 * minForget, maxCarried, 3 * maxCarried} {
+		conn := &guardedConn{clock: clock.Boot{}}
+		now := clock.Instant(time.Hour)
+		for n := range sent {
+			now = now.Add(time.Second)
+			is.True(conn.ids.add(fmt.Sprint("c-", n), now.Add(time.Millisecond), now))
+		}
+		for n := max(0, sent-minForget); n < sent; n++ { // the newest ones
+			trace := &Trace{RequestID: "r-1"}
+			trace.conn.Store(conn)
+			ids := requestIDs{own: "r-1", marks: marksOf, carried: trace.Carried}
+			if !ids.containsCopy([]byte("who" + strings.Replace(head, "r-1", fmt.Sprint("c-", n), 1) + "other")) {
+				t.Errorf("%d requests later the one with number %d of %d is forgotten", sent-n, n, sent)
+			}
+		}
+	}
+}
