backendconn: tests of parts of the fix that no test needed

Trials that left out single parts of the checks: the exception for EPIPE, the comparison of ids in two heads, and the status that ends in a status line could each go without a red test.

--- a/daemon/backendconn/heads_other_test.go
+++ b/daemon/backendconn/heads_other_test.go
@@ -68,3 +68,23 @@
 		is.True(!mergesHeads(&http.Response{Status: "200 OK", Header: http.Header{"Id": {"own"}, "Warning": {value}}}, "own"))
 	}
 }
+
+// What the heads of a merged one have in common is only the name of the request, or nothing but the
+// status line.
+func TestHeadThatBrokeOffBehindASeparatorIsFilled(t *testing.T) {
+	for name, text := range map[string]string{
+		"another request's": "HTTP/1.1 200 OK\r\nId: own\r\nSeal: HTTP/1.1 503 No\r\nId: abc\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+		"own, later status": "HTTP/1.1 200 OHTTP/1.1 500 Failed\r\nId: own\r\nContent-Length: 5\r\n\r\nsorry",
+	} {
+		t.Run(name, func(t *testing.T) {
+			var continuity Continuity
+			client := &http.Client{Transport: &http.Transport{DialContext: WatchedDialer(clock.Boot{}, &continuity, false)}}
+			defer client.CloseIdleConnections()
+			responses := NewResponseReader()
+			head, body, err := exchangeOn(client, &responses, answerOnce(t, text), "own")
+			if err == nil {
+				t.Errorf("%s %v %q", head.Status, head.Header, body)
+			}
+		})
+	}
+}
