backendconn: a connection remembers its newest requests after their deadlines

A caller could get a body with a late copy of the answer to an earlier request of its connection, which names that request: with the 65th request the connection forgot all whose deadlines had passed, the newest ones too, and what names a forgotten request counts as a transcript. It remembers the newest 64 requests now, whatever their deadlines: 512 bytes more for each connection.

That users saw this is not shown: a copy must come after the deadline of its request. Open: a copy that is later than 64 requests and its deadline.

--- a/daemon/backendconn/carried.go
+++ b/daemon/backendconn/carried.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/maphash"
+	"slices"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 )
@@ -14,11 +15,13 @@
 )
 
 // carriedIDs are the ids of the requests that a connection carried, each until the request's
-// deadline. It is not safe for concurrent use.
+// deadline, and of the newest minForget ones at any time. It is not safe for concurrent use.
 type carriedIDs struct {
 	seed     maphash.Seed
 	until    map[uint64]clock.Instant // by hash of the id
 	forgetAt int                      // size of until at which the requests are forgotten whose deadline has passed
+	newest   [minForget]uint64        // hashes, the oldest one at position next
+	next     int
 }
 
 // add remembers a request until its deadline. It reports false if too many are remembered.
@@ -37,7 +40,10 @@
 		}
 		c.forgetAt = max(minForget, 2*len(c.until))
 	}
-	c.until[maphash.String(c.seed, id)] = until
+	hash := maphash.String(c.seed, id)
+	c.until[hash] = until
+	c.newest[c.next] = hash
+	c.next = (c.next + 1) % len(c.newest)
 	return true
 }
 
@@ -51,6 +57,7 @@
 	if c.until == nil {
 		return false
 	}
-	_, ok := c.until[maphash.String(c.seed, id)]
-	return ok
+	hash := maphash.String(c.seed, id)
+	_, ok := c.until[hash]
+	return ok || slices.Contains(c.newest[:], hash)
 }
