--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -402,7 +402,7 @@
 		}
 		x := exchangeOf(ctx)
 		x.Framing, x.Kept, x.BodyBytes = "", trace.Kept(), 0
-		x.BodyEnd, x.EndSeenBy, x.Follower = "", trace.endSeenBy(), FollowerNone
+		x.BodyEnd, x.EndSeenBy, x.Follower, x.Quotes = "", trace.endSeenBy(), FollowerNone, ""
 		if err == nil {
 			x.Framing = framingOf(resp)
 		}
--- a/daemon/backendconn/copies.go
+++ b/daemon/backendconn/copies.go
@@ -38,6 +38,19 @@
 	marks   func(answer *http.Response) Marks
 	kept    bool                 // the connection carried other requests, see Trace.Kept
 	carried func(id string) bool // on the connection of the request
+	quotes  func(id string)      // is called for another request that was not carried; nil for none
+}
+
+// isOther reports whether an id is that of a request that was carried, other than that of the answer.
+func (n requestIDs) isOther(id string) bool {
+	if id == "" || id == n.own {
+		return false
+	}
+	carried := n.carried(id)
+	if !carried && n.quotes != nil {
+		n.quotes(id)
+	}
+	return carried
 }
 
 // ownBody returns the part of body that belongs to an answer that ended with its connection. A
@@ -47,7 +60,8 @@
 // body that names another request is part of the body.
 //
 // What stands before a copy of this answer is returned if the copy shows that it is whole:
-// what follows the second head is the same body, or a part of it if the copy is cut.
+// what follows the second head is the same body, or a part of it if the copy is cut and the body does not
+// end in padding.
 // Otherwise the error is an *outcome.Err of kind AnswerCut. lastRead is where the bytes of the last
 // read begin.
 func ownBody(answer *http.Response, body []byte, lastRead int, n requestIDs) (own []byte, err error) {
@@ -78,7 +92,7 @@
 				return nil, outcome.New(outcome.AnswerCut, "response without a length contains a second one to the request")
 			}
 			return body[:at], nil
-		case id != "" && n.carried(id) || id == "" && n.kept && marks.Server:
+		case n.isOther(id) || id == "" && n.kept && marks.Server:
 			return nil, outcome.New(outcome.AnswerCut, "response without a length contains one to request %q", id)
 		}
 	}
@@ -95,22 +109,21 @@
 func (n requestIDs) containsCopy(body []byte) bool {
 	effort := maxOverlappingHeads*len(body) + MaxHeaderBytes
 	for at := indexFrom(body, statusLineStart, 0); at >= 0; at = indexFrom(body, statusLineStart, at+1) {
-		size, whole := scanHead(body[at:])
+		size, _ := scanHead(body[at:])
 		if effort -= size; effort < 0 {
 			return false
 		}
-		if !whole && at+size < len(body) {
-			continue
-		}
-		start, ok := startOfHead(strings.Split(string(body[at:at+size]), "\n"))
-		if id := n.marks(start).RequestID; ok && id != "" && (id == n.own || n.carried(id)) {
+		// Behind the lines of a head may be those of a body: a chunk can end between both.
+		start, _ := startOfHead(strings.Split(string(body[at:at+size]), "\n"))
+		if id := n.marks(start).RequestID; id != "" && (id == n.own || n.isOther(id)) {
 			return true
 		}
 	}
 	return false
 }
 
-// startOfHead returns the fields in the lines of a head but the last one, which may be cut.
+// startOfHead returns the fields in the lines of a head but the last one, which may be cut. It reports
+// false, and returns those before, if a line is none of a head.
 func startOfHead(lines []string) (start *http.Response, ok bool) {
 	start = &http.Response{Header: http.Header{}}
 	for _, line := range lines[1:max(1, len(lines)-1)] {
@@ -131,7 +144,14 @@
 func isCopy(answer, second *http.Response, head, own, rest []byte) bool {
 	ambiguous := indexFrom(head, statusLineStart, 1) >= 0 // own may end within these bytes
 	lengthFits := second.ContentLength < 0 || second.ContentLength == int64(len(own))
-	return !ambiguous && lengthFits && second.StatusCode == answer.StatusCode && bytes.HasPrefix(own, rest)
+	// Odd bytes may stand between both, unless the copy has them too or tells its length.
+	certain := second.ContentLength == int64(len(own)) || len(rest) == len(own) || !endsInPadding(own)
+	return !ambiguous && lengthFits && certain && second.StatusCode == answer.StatusCode && bytes.HasPrefix(own, rest)
+}
+
+// endsInPadding reports whether the last byte of a body is one that servers write between answers.
+func endsInPadding(body []byte) bool {
+	return len(body) > 0 && strings.IndexByte(" \t\r\n\x00", body[len(body)-1]) >= 0
 }
 
 // scanHead returns the size of the head of an answer with which data begins, and whether it is
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -44,6 +44,7 @@
 	BodyEnd   BodyEnd // "" if the body was not read, see ReadOwn
 	EndSeenBy EndObserver
 	Follower  Follower // known if the framing is FramingLength
+	Quotes    string   // another request that a head in the body names, and that the connection is not known to have carried
 	Discarded []Discarded
 }
 
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -86,6 +86,7 @@
 		zap.String("body_end", string(exchange.BodyEnd)),
 		zap.String("end_seen_by", string(exchange.EndSeenBy)),
 		zap.String("followed_by", string(exchange.Follower)),
+		zap.String("quotes", exchange.Quotes),
 		zap.Uint32("service_us", resp.GetServiceTimeUs()),
 		zap.Int64("underway_us", underway.Microseconds()),
 		zap.Int64("us", e.clock.Now().Sub(arrived).Microseconds()),
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -61,6 +61,7 @@
 		zap.String("body_end", string(exchange.BodyEnd)),
 		zap.String("end_seen_by", string(exchange.EndSeenBy)),
 		zap.String("followed_by", string(exchange.Follower)),
+		zap.String("quotes", exchange.Quotes),
 		zap.Uint32("us", resp.GetServiceTimeUs()),
 	)
 	exchange.LogDiscarded(e.log, req.GetRequestId(), outcome.Kind(resp.GetKind()))
