core/control: a trial: the previous owner resumes a shard whose takeover the log refused

The new owner of a planned move that the log definitely refused withdraws its takeover record for good and says so in its answers to the repeated release. The previous owner, which stays the recorded one, resumes under g+2 once the new owner's lease has lapsed, and records the release itself once the log is read again.

go test ./core/control is green but for TestShardIsUnservedAfterLossOfAnUnrecordedNewOwner, which it does not mend; TestShardIsUnservedAfterLossOfANewOwnerThatTheLogRefused and TestRefusedTakeoverIsRecordedLater pass.

It needs a simulation that reaches this state often, and a review of its own.

--- a/core/control/release.go
+++ b/core/control/release.go
@@ -25,6 +25,7 @@
 	r.quiesced = false
 	r.answered = false
 	r.recorded = false
+	r.unappended = false
 	r.marks = nil
 	r.levels = nil
 	r.handover = ""
@@ -82,6 +83,7 @@
 	r.answered = false
 	r.recorded = false
 	r.sent = false
+	r.unappended = false
 	r.releaseGen = sh.Generation
 	if sh.Owner != s.member.incarnation {
 		r.releaseGen = r.taken // replay does not show the takeover yet
@@ -132,6 +134,9 @@
 // has accepted it, after appendRetry, until replay shows the change. Without an answer it
 // suspects the standby and finally writes the release to the log.
 func (s *State) advanceRelease(id view.ShardID, sh *fold.Shard, r *right) {
+	if r.unappended && s.afterRefusedTakeover(id, sh, r) {
+		return
+	}
 	if r.answered && s.now < r.nextSend {
 		return
 	}
@@ -180,11 +185,15 @@
 	r.released = r.releaseGen + 1
 	r.sent = true
 	r.nextSend = s.now.Add(releaseRetry)
-	s.emitAfterView(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
-		Owner: s.member.incarnation,
-		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
-		Marks: r.marks, Levels: r.levels, Handover: r.handover,
-	}})
+	msg := &wire.Release{
+		Owner:   s.member.incarnation,
+		Ref:     &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
+		Resumes: s.mayResume(),
+	}
+	if !r.answered {
+		msg.Marks, msg.Levels, msg.Handover = r.marks, r.levels, r.handover
+	}
+	s.emitAfterView(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: msg})
 }
 
 func (s *State) releaseAnswered(e ReleaseAnswered) {
@@ -194,8 +203,7 @@
 	}
 	if e.Accepted {
 		if r, ok := s.rights[e.Shard]; ok && r.releasing && r.releaseGen == e.Generation {
-			r.answered = true
-			r.nextSend = s.now.Add(appendRetry)
+			s.releaseAccepted(r, e.Unrecorded)
 		}
 		return
 	}
@@ -206,7 +214,8 @@
 // standby at the same generation. It also answers readiness checks.
 func (s *State) releaseReceived(e ReleaseReceived) {
 	reason := s.acceptRelease(e.Msg)
-	s.emit(AnswerRelease{Ticket: e.Ticket, Answer: &wire.ReleaseAnswer{Accepted: reason == "", Reason: reason}})
+	s.emit(AnswerRelease{Ticket: e.Ticket, Answer: &wire.ReleaseAnswer{
+		Accepted: reason == "", Reason: reason, Unrecorded: reason == "" && s.takeoverRefused(e.Msg.GetRef())}})
 }
 
 // acceptRelease returns the reason why a release is refused, or "" if it is accepted. An
@@ -238,6 +247,9 @@
 	s.takeOver(id, sh, false, TakeOver{
 		Marks: msg.GetMarks(), Levels: msg.GetLevels(), Handover: msg.GetHandover(),
 	})
+	if msg.GetResumes() {
+		r.ownerResumes = generation + 1
+	}
 	s.queueTakeover(s.takeoverFrom(sh, msg.GetRef(), msg.GetOwner()))
 	return ""
 }
