--- a/core/control/consent.go
+++ b/core/control/consent.go
@@ -10,22 +10,15 @@
 
 // appendRefused withdraws a consent that the log definitely did not accept: this daemon
 // is still the standby of the shards and the only one that may take them over while the
-// log is down. Takeovers are withdrawn as withdrawTakeovers says. Other records are retried.
+// log is down. Other records are retried.
 func (s *State) appendRefused(e AppendRefused) {
 	out, ok := s.outbox.pending[e.ID]
 	if !ok {
 		return
 	}
 	out.refused++
-	if out.refused < out.attempts {
-		return
-	}
-	if t := out.record.GetTakeover(); t != nil {
-		s.withdrawTakeovers(e.ID, t)
-		return
-	}
 	consent := out.record.GetConsent()
-	if consent == nil {
+	if consent == nil || out.refused < out.attempts {
 		return
 	}
 	delete(s.outbox.pending, e.ID)
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -62,7 +62,6 @@
 	Reason         string
 	ReadinessCheck bool // the message only checked whether the standby could take the shard
 	NoAnswer       bool // no answer arrived
-	Unrecorded     bool // the log did not accept the takeover, and the standby will not append it again
 }
 
 // Quiesced reports that no request of the shard runs any more under the token.
--- a/core/control/release.go
+++ b/core/control/release.go
@@ -25,7 +25,6 @@
 	r.quiesced = false
 	r.answered = false
 	r.recorded = false
-	r.unappended = false
 	r.marks = nil
 	r.levels = nil
 	r.handover = ""
@@ -83,7 +82,6 @@
 	r.answered = false
 	r.recorded = false
 	r.sent = false
-	r.unappended = false
 	r.releaseGen = sh.Generation
 	if sh.Owner != s.member.incarnation {
 		r.releaseGen = r.taken // replay does not show the takeover yet
@@ -134,9 +132,6 @@
 // has accepted it, after appendRetry, until replay shows the change. Without an answer it
 // suspects the standby and finally writes the release to the log.
 func (s *State) advanceRelease(id view.ShardID, sh *fold.Shard, r *right) {
-	if r.unappended && s.afterRefusedTakeover(id, sh, r) {
-		return
-	}
 	if r.answered && s.now < r.nextSend {
 		return
 	}
@@ -185,15 +180,11 @@
 	r.released = r.releaseGen + 1
 	r.sent = true
 	r.nextSend = s.now.Add(releaseRetry)
-	msg := &wire.Release{
-		Owner:   s.member.incarnation,
-		Ref:     &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
-		Resumes: s.mayResume(),
-	}
-	if !r.answered {
-		msg.Marks, msg.Levels, msg.Handover = r.marks, r.levels, r.handover
-	}
-	s.emitAfterView(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: msg})
+	s.emitAfterView(SendRelease{PeerAddr: slot.PeerAddr, Shard: id, Msg: &wire.Release{
+		Owner: s.member.incarnation,
+		Ref:   &wire.ShardRef{Service: id.Service, Shard: id.Shard, Generation: r.releaseGen},
+		Marks: r.marks, Levels: r.levels, Handover: r.handover,
+	}})
 }
 
 func (s *State) releaseAnswered(e ReleaseAnswered) {
@@ -203,7 +194,8 @@
 	}
 	if e.Accepted {
 		if r, ok := s.rights[e.Shard]; ok && r.releasing && r.releaseGen == e.Generation {
-			s.releaseAccepted(r, e.Unrecorded)
+			r.answered = true
+			r.nextSend = s.now.Add(appendRetry)
 		}
 		return
 	}
@@ -214,8 +206,7 @@
 // standby at the same generation. It also answers readiness checks.
 func (s *State) releaseReceived(e ReleaseReceived) {
 	reason := s.acceptRelease(e.Msg)
-	s.emit(AnswerRelease{Ticket: e.Ticket, Answer: &wire.ReleaseAnswer{
-		Accepted: reason == "", Reason: reason, Unrecorded: reason == "" && s.takeoverRefused(e.Msg.GetRef())}})
+	s.emit(AnswerRelease{Ticket: e.Ticket, Answer: &wire.ReleaseAnswer{Accepted: reason == "", Reason: reason}})
 }
 
 // acceptRelease returns the reason why a release is refused, or "" if it is accepted. An
@@ -247,9 +238,6 @@
 	s.takeOver(id, sh, false, TakeOver{
 		Marks: msg.GetMarks(), Levels: msg.GetLevels(), Handover: msg.GetHandover(),
 	})
-	if msg.GetResumes() {
-		r.ownerResumes = generation + 1
-	}
 	s.queueTakeover(s.takeoverFrom(sh, msg.GetRef(), msg.GetOwner()))
 	return ""
 }
--- a/core/control/rights.go
+++ b/core/control/rights.go
@@ -27,9 +27,6 @@
 	consented uint64 // generation g whose standby right was ceded by consent, plus one
 	released  uint64 // generation g released, plus one
 
-	ownerResumes uint64 // generation g whose owner may resume it, see refused.go, plus one
-	unrecorded   uint64 // generation g whose takeover this daemon will not append again, plus one
-
 	readinessCheck readinessCheck // whether the standby can take the shard
 	releasing      bool           // the shard is being released to its standby
 	quiesced       bool           // no request of it runs any more
@@ -37,9 +34,6 @@
 	answered       bool           // the standby accepted the release
 	recorded       bool           // the release was written to the log because the standby did not answer
 	sent           bool           // the standby may have received the release
-	unappended     bool           // the standby will not append its takeover
-	unappendedAt   clock.Instant  // when that was known, or the log last refused the recorded release
-	answeredAt     clock.Instant  // when the standby last answered
 	releaseGen     uint64         // generation under which it is being released
 	releasedAt     clock.Instant  // when it was quiesced
 	nextSend       clock.Instant
--- a/daemon/plugins/peer/releases.go
+++ b/daemon/plugins/peer/releases.go
@@ -46,7 +46,6 @@
 	} else {
 		answered.Accepted = frame.GetReleaseAnswer().GetAccepted()
 		answered.Reason = frame.GetReleaseAnswer().GetReason()
-		answered.Unrecorded = frame.GetReleaseAnswer().GetUnrecorded()
 	}
 	r.control.Post(answered)
 }
