backend, owner: a refusal that broke off in its head is no promise for the next request

A caller was told that its request had not run, although it had: its server wrote a refusal of an earlier request once more, broke off in its head before it named that one, and wrote the answer behind. The merged head had the sign of the refusal and the name of the request. An unsafe request could run twice.

A promise must not rest on that.

A refusal with any field that ends in a status line is cut now: its request may have run. A sound server that quotes one in a refusal loses that promise only.

--- a/daemon/backendconn/heads.go
+++ b/daemon/backendconn/heads.go
@@ -36,6 +36,20 @@
 	return false
 }
 
+// CheckPromise returns an error if an answer to the request says that it did not run, but may be made of
+// two heads: a field ends in a status line, even if a server may quote one there. The connection is
+// discarded then.
+func (t *Trace) CheckPromise(answer *http.Response) error {
+	for _, values := range answer.Header {
+		if slices.ContainsFunc(values, endsInStatusLine) {
+			t.Discard()
+			RecordDiscarded(answer.Request.Context(), t.RequestID, DiscardMergedHeads)
+			return errMergedHeads
+		}
+	}
+	return nil
+}
+
 // namesRequest reports whether a field is one in which the request of an answer gave its id. Others
 // may have several ids.
 func namesRequest(answer *http.Response, name, id string) bool {
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -183,6 +183,9 @@
 	defer httpResp.Body.Close()
 	decoded := c.protocol.Decode(httpResp)
 	if decoded.NotRun && (decoded.ID == id || decoded.ID == "" && !trace.Kept()) {
+		if err := trace.CheckPromise(httpResp); err != nil {
+			return answer.Refusal(err), protocol.BackendAnswer{}
+		}
 		backendconn.DrainBody(httpResp)
 		return answer.Refusal(notRunError(httpResp.StatusCode, decoded)), decoded
 	}
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -191,6 +191,9 @@
 func (b *backend) readResponse(ctx context.Context, httpResp *http.Response, trace *backendconn.Trace, token uint64) *wire.Response {
 	defer httpResp.Body.Close()
 	if err := refusalOf(httpResp); err != nil {
+		if mergedErr := trace.CheckPromise(httpResp); mergedErr != nil {
+			err = mergedErr
+		}
 		return answer.Refusal(err)
 	}
 	if !isFramed(httpResp) {
