--- a/daemon/plugins/entry/entry_test.go
+++ b/daemon/plugins/entry/entry_test.go
@@ -364,6 +364,57 @@
 	is.Equal(s.count(), 1)
 }
 
+// lateView publishes next, and confirms it, just after a request has loaded the view before.
+type lateView struct {
+	*fakeEnv
+	next *view.View
+}
+
+func (l *lateView) View() *view.View {
+	v := l.fakeEnv.View()
+	if l.next != nil {
+		l.view.Store(l.next)
+		l.next.ConfigFreshness.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
+		l.next = nil
+	}
+	return v
+}
+
+// TestRequestDuringFirstConfigurationIsNotRefusedByItsKey checks that a daemon that starts
+// refuses no caller by the empty configuration before its first one.
+func TestRequestDuringFirstConfigurationIsNotRefusedByItsKey(t *testing.T) {
+	is := is.New(t)
+	next := placedView(member(2, "a"), member(3, "b"), 7)
+	next.ConfigFreshness = view.NewFreshness(view.FreshnessLimits{Unconfirmed: time.Hour, Replaced: time.Hour})
+	s := new(fakeEnv)
+	s.view.Store(&view.View{Config: &fleet.Config{}, ConfigFreshness: next.ConfigFreshness, Lease: new(view.LeaseCell)})
+	e, srv := newTestEntry(t, s)
+	e.ctrl = &lateView{fakeEnv: s, next: next}
+	resp, _ := do(t, srv, http.MethodGet, "/stock/k", "")
+	is.True(resp.Header.Get(HeaderOutcome) == outcome.OK.String() || resp.Header.Get(HeaderOutcome) == outcome.ConfigStale.String())
+	resp, _ = do(t, srv, http.MethodGet, "/stock/k", "")
+	is.Equal(resp.Header.Get(HeaderOutcome), outcome.OK.String())
+}
+
+// TestRequestDuringNewConfigurationIsNotAdmittedByWithdrawnKey checks that a daemon that was
+// cut off does not admit a key by its old configuration while it publishes the newest one.
+func TestRequestDuringNewConfigurationIsNotAdmittedByWithdrawnKey(t *testing.T) {
+	is := is.New(t)
+	old := placedView(member(2, "a"), member(3, "b"), 7)
+	old.ConfigFreshness = view.NewFreshness(view.FreshnessLimits{Unconfirmed: time.Minute, Replaced: time.Minute})
+	cutOff := clock.Boot{}.Now().Add(-time.Hour)
+	old.ConfigFreshness.Advance(cutOff, cutOff)
+	next := *old
+	next.Callers = map[string]view.Caller{}
+	s := new(fakeEnv)
+	s.view.Store(old)
+	e, srv := newTestEntry(t, s)
+	e.ctrl = &lateView{fakeEnv: s, next: &next}
+	resp, _ := do(t, srv, http.MethodGet, "/stock/k", "")
+	is.True(resp.StatusCode != http.StatusOK)
+	is.Equal(s.count(), 0)
+}
+
 // TestStaleConfigurationEndsTokenWait checks that a request that waits for a
 // token of its team's rate limit is refused when the configuration becomes stale:
 // its caller key may have been withdrawn.
--- a/daemon/plugins/gateway/gateway_test.go
+++ b/daemon/plugins/gateway/gateway_test.go
@@ -292,6 +292,48 @@
 	is.Equal(send(t, newTestGateway(t, s), "GET", "/read/1").StatusCode, 200)
 }
 
+// lateView publishes next, and confirms it, just after a request has loaded the view before.
+type lateView struct {
+	*fakeDaemon
+	next *view.View
+}
+
+func (l *lateView) View() *view.View {
+	v := l.view
+	if l.next != nil {
+		l.view, l.next = l.next, nil
+		v.ConfigFreshness.Advance(clock.Boot{}.Now(), clock.Boot{}.Now())
+	}
+	return v
+}
+
+// A request that arrives while the newest version is published is not handled by the version
+// of the past before it, neither refused nor admitted.
+func TestRequestDuringNewestVersionIsNotHandledByOldOne(t *testing.T) {
+	for name, oldHasKey := range map[string]bool{"key added": false, "key withdrawn": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := newFakeDaemon()
+			withKey := *s.view
+			withKey.ConfigFreshness = view.NewFreshness(freshnessLimits)
+			withoutKey := withKey
+			withoutKey.Callers = map[string]view.Caller{}
+			old, next, want := &withoutKey, &withKey, http.StatusOK
+			if oldHasKey {
+				old, next, want = next, old, http.StatusUnauthorized
+			}
+			s.view = old
+			g := newTestHandler(t, s).(*gateway)
+			g.control = &lateView{fakeDaemon: s, next: next}
+			srv := httptest.NewServer(g)
+			defer srv.Close()
+			first := send(t, srv, "GET", "/read/1").StatusCode
+			is.True(first == want || first == http.StatusServiceUnavailable)
+			is.Equal(send(t, srv, "GET", "/read/1").StatusCode, want)
+		})
+	}
+}
+
 // A daemon whose peers have a newer configuration refuses at once what an old one would
 // decide, and says so to the platform.
 func TestReplacedConfigurationDecidesRequests(t *testing.T) {
