backendconn: the answer to an order whose head may be made of two does not count

A grant or release could be taken for confirmed by an answer that broke off in its head and was filled by an unnamed one of the server: the status line in a field, directly behind its name, counted as a quotation there. The handover token could be a status line.

TestHeadOfAnOrderThatBrokeOffIsFilledByTheNextOne has that form now and failed before (unnamed, behind an empty value). An order whose answer has any field that ends in a status line is not confirmed, as nothing is lost by sending it again. A server that wrote merged heads counts as one that writes bytes of no answer.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -408,6 +408,7 @@
 		}
 		if err == nil && mergesHeads(resp, id) {
 			RecordDiscarded(ctx, id, DiscardMergedHeads)
+			trace.sawCopy()
 			trace.Discard()
 			_ = resp.Body.Close()
 			return nil, trace, errMergedHeads
--- a/daemon/backendconn/heads.go
+++ b/daemon/backendconn/heads.go
@@ -40,14 +40,23 @@
 // two heads: a field ends in a status line, even if a server may quote one there. The connection is
 // discarded then.
 func (t *Trace) CheckPromise(answer *http.Response) error {
-	for _, values := range answer.Header {
+	if !quotesStatusLine(answer.Header) {
+		return nil
+	}
+	t.sawCopy()
+	t.Discard()
+	RecordDiscarded(answer.Request.Context(), t.RequestID, DiscardMergedHeads)
+	return errMergedHeads
+}
+
+// quotesStatusLine reports whether any value ends in a status line. It may be a quotation.
+func quotesStatusLine(header http.Header) bool {
+	for _, values := range header {
 		if slices.ContainsFunc(values, endsInStatusLine) {
-			t.Discard()
-			RecordDiscarded(answer.Request.Context(), t.RequestID, DiscardMergedHeads)
-			return errMergedHeads
+			return true
 		}
 	}
-	return nil
+	return false
 }
 
 // namesRequest reports whether a field is one in which the request of an answer gave its id. Others
--- a/daemon/backendconn/heads_test.go
+++ b/daemon/backendconn/heads_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -81,21 +82,31 @@
 	}
 }
 
-// The head of an order's answer broke off, and that to the next order was the rest of it.
+// The head of an order's answer broke off, and that to another order was the rest of it.
 func TestHeadOfAnOrderThatBrokeOffIsFilledByTheNextOne(t *testing.T) {
-	is := is.New(t)
-	addr := listen(t, func(conn net.Conn) {
-		defer conn.Close()
-		r := bufio.NewReader(conn)
-		if req, err := http.ReadRequest(r); err == nil {
-			_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nHandover: aHTTP/1.1 200 OK\r\nId: other\r\nHandover: b\r\nContent-Length: 0\r\n\r\n", req.Header.Get("Id"))
-			_, _ = http.ReadRequest(r) // until the client closes
+	for name, next := range map[string]string{
+		"named":   "HTTP/1.1 200 OK\r\nId: other\r\nHandover: b\r\nContent-Length: 0\r\n\r\n",
+		"unnamed": "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for _, value := range []string{"a", ""} {
+			t.Run(name+" behind "+strconv.Quote(value), func(t *testing.T) {
+				is := is.New(t)
+				addr := listen(t, func(conn net.Conn) {
+					defer conn.Close()
+					r := bufio.NewReader(conn)
+					if req, err := http.ReadRequest(r); err == nil {
+						_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nHandover: %s%s", req.Header.Get("Id"), value, next)
+						_, _ = http.ReadRequest(r) // until the client closes
+					}
+				})
+				var stutter Stutter
+				client := &http.Client{Transport: Orders{IDHeader: "Id", Transport: &http.Transport{DialContext: OrderDialer(clock.Boot{}, &stutter)}}}
+				_, err := client.Post("http://"+addr, "", nil)
+				is.True(errors.Is(err, ErrCopy))
+				is.True(stutter.Seen())
+			})
 		}
-	})
-	var stutter Stutter
-	client := &http.Client{Transport: Orders{IDHeader: "Id", Transport: &http.Transport{DialContext: OrderDialer(clock.Boot{}, &stutter)}}}
-	_, err := client.Post("http://"+addr, "", nil)
-	is.True(errors.Is(err, ErrCopy))
+	}
 }
 
 // A whole head is not taken for two.
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -129,7 +129,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if trace.isCopy(resp.Header.Get(o.IDHeader)) || mergesHeads(resp, trace.RequestID) {
+	if trace.isCopy(resp.Header.Get(o.IDHeader)) || mergesHeads(resp, trace.RequestID) || quotesStatusLine(resp.Header) {
 		trace.Discard()
 		_ = resp.Body.Close()
 		return nil, ErrCopy
