core/control: a failing test of a new owner that is lost after the log refused its takeover

The test plays this in virtual time: log refuses, handoff, ten ticks, loss of the new owner; the shard must be served within 2 s (takeoverLimit).

--- a/core/control/handover_test.go
+++ b/core/control/handover_test.go
@@ -56,6 +56,28 @@
 	f.until(2500*time.Millisecond, "takeover", func() bool { return f.held("storefront") == 12 })
 }
 
+// As above, but the log refused the takeover and the new owner lives on for a moment.
+func TestShardIsUnservedAfterLossOfANewOwnerThatTheLogRefused(t *testing.T) {
+	f := startedFleet(t, 6)
+	f.refuseAppends = true
+	refs := handOverAll(f)
+	f.until(time.Second, "takeover by the standbys", func() bool { return f.held("storefront") == 12 })
+	f.logDown = true
+	for range 10 {
+		f.tick()
+		f.checkOwners()
+	}
+	id := view.ShardID{Service: "storefront", Shard: refs[0].Shard}
+	for _, d := range f.daemons {
+		if _, ok := d.view.Held[id]; ok {
+			d.dead = true
+		}
+	}
+	f.until(takeoverLimit, "takeover", func() bool { return f.held("storefront") == 12 })
+	f.refuseAppends, f.logDown = false, false
+	f.until(10*time.Second, "new standbys", func() bool { return f.protected(f.daemons[0], "storefront") && f.held("storefront") == 12 })
+}
+
 // handOverAll hands off all shards of the first daemon, with planning disabled.
 func handOverAll(f *fakeFleet) []*wire.ShardRef {
 	d := f.daemons[0]
