backendconn: where the body of an answer begins is known of the request's newest connection only

The transport may send a call again on another connection; what the first one still reads was looked at as part of the same head, under another lock. Each connection now looks at heads of its own, and a call takes the position from its newest one.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -76,6 +76,7 @@
 	current *Trace          // of the call that waits for its answer; nil if none does
 	answers int             // answers that were read since current began, if it is an order
 	tail    readTail
+	head    headScan // of the answer to current
 
 	namesOrders bool // an answer to an order named it
 }
@@ -160,6 +161,7 @@
 	// The transport counts a connection as used once it has been idle.
 	t.kept.Store(c.state.CompareAndSwap(written, unwritten))
 	c.current, c.answers = t, 0
+	c.beginHead(t)
 	orderToStuttering := t.order && t.Kept() && !c.namesOrders && c.stutter != nil && c.stutter.Seen()
 	toUnnamed := !t.order && t.Kept() && c.stutter != nil && c.stutter.namesNone()
 	if c.barred[t.RequestID] || orderToStuttering || toUnnamed {
@@ -263,7 +265,8 @@
 	conn  atomic.Pointer[guardedConn]
 	kept  atomic.Bool
 	wrote atomic.Bool // on a connection before conn: the transport sends some calls again
-	head  headScan    // of the answer; guarded by conn.mu
+
+	bodyAt atomic.Int64 // where the body of the answer begins, as an offset on conn; 0 until it is known
 }
 
 // Kept reports whether the request was sent on a connection that had carried another one.
--- a/daemon/backendconn/surplus.go
+++ b/daemon/backendconn/surplus.go
@@ -116,54 +116,59 @@
 
 // observe records data that was read. The caller holds c.mu.
 func (c *guardedConn) observe(data []byte) {
-	if c.current != nil && !c.current.order {
-		c.current.head.add(data, c.tail.read+int64(len(data)))
+	if t := c.current; t != nil && !t.order {
+		c.head.add(data, c.tail.read+int64(len(data)))
+		if t.conn.Load() == c {
+			t.bodyAt.Store(c.head.end)
+		}
 	}
 	c.tail.add(data)
 }
 
-// behind returns the bytes that were read on the connection behind the answer to the request, and a
-// channel that is closed once there are more; nil if that is not known. Its body has a length.
-func (t *Trace) behind(body []byte) (data []byte, more <-chan struct{}) {
-	c := t.conn.Load()
-	if c == nil {
+// beginHead is called at the start of a request. The caller holds c.mu.
+func (c *guardedConn) beginHead(t *Trace) {
+	c.head = headScan{}
+	t.bodyAt.Store(0)
+}
+
+// behind returns the bytes that were read on the connection behind the body of the answer to the request,
+// which has a length. With wait, it returns a channel that is closed once there are more, unless
+// the connection is not known.
+func (t *Trace) behind(body []byte, wait bool) (data []byte, more <-chan struct{}) {
+	c, at := t.conn.Load(), t.bodyAt.Load()
+	if c == nil || at == 0 {
 		return nil, nil
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t.head.end == 0 {
+	before, after, ok := c.tail.split(at + int64(len(body)))
+	if !ok || !bytes.HasSuffix(before, body[len(body)-min(len(body), len(before)):]) {
 		return nil, nil
 	}
-	before, after, ok := c.tail.split(t.head.end + int64(len(body)))
-	end := body[len(body)-min(len(body), len(before)):]
-	if !ok || !bytes.HasSuffix(before, end) {
-		return nil, nil
+	if wait {
+		more = c.tail.wait()
 	}
-	return bytes.Clone(after), c.tail.wait()
+	return bytes.Clone(after), more
 }
 
 // follower returns what follows the answer to the request, whose body has a length. If the body ends like
 // the start of another answer, it waits for that a short time.
 func (t *Trace) follower(ctx context.Context, resp *http.Response, body []byte) Follower {
-	var timeout <-chan time.Time
-	for {
-		behind, more := t.behind(body)
-		if more == nil || resp.Close || len(behind) >= len(statusLineStart) || !t.mayBeFilled(body) {
-			return followerOf(body, behind)
-		}
-		if timeout == nil {
-			timer := time.NewTimer(maxFollowerWait)
-			defer timer.Stop()
-			timeout = timer.C
-		}
+	behind, more := t.behind(body, !resp.Close && t.mayBeFilled(body))
+	if more == nil {
+		return followerOf(body, behind)
+	}
+	ctx, cancel := context.WithTimeout(ctx, maxFollowerWait)
+	defer cancel()
+	for more != nil && len(behind) < len(statusLineStart) {
 		select {
 		case <-more:
-		case <-timeout:
-			return followerOf(body, behind)
+			behind, more = t.behind(body, true)
 		case <-ctx.Done():
 			return followerOf(body, behind)
 		}
 	}
+	return followerOf(body, behind)
 }
 
 // sawCopy records that the server wrote an answer within another one.
@@ -177,7 +182,7 @@
 // in less and the server was seen to write bytes of no answer.
 func (t *Trace) mayBeFilled(body []byte) bool {
 	c := t.conn.Load()
-	isSeen := c.stutter != nil && c.stutter.Seen()
+	isSeen := c != nil && c.stutter != nil && c.stutter.Seen()
 	for at := range answerStarts(body) {
 		_, whole := scanHead(body[at:])
 		if isSeen || !whole && len(body)-at >= minAwaited {
@@ -245,9 +250,11 @@
 
 // mayStartHead reports whether data may be the start of the head of an answer.
 func mayStartHead(data []byte) bool {
+	if start := data[:min(len(data), len(statusLineStart))]; !strings.HasPrefix(statusLineStart, string(start)) {
+		return false
+	}
 	if bytes.IndexByte(data, '\n') < 0 {
-		line := string(data)
-		return strings.HasPrefix(line, statusLineStart[:min(len(line), len(statusLineStart))]) && startsStatusLineOf(line)
+		return startsStatusLineOf(string(data))
 	}
 	_, whole := scanHead(append(bytes.Clone(data), "x:\r\n\r\n"...))
 	return whole
