control, entry, gateway: no request is decided by the configuration before the current one

That the two orders below were the cause of that one request is inferred: it was not traced, and the 401 did not come back in an unchanged daemon.

Cause: the freshness of the configuration, which all views share, was advanced within State.Step, before the view with that configuration was published; and a request loaded its view before it checked the freshness. In between, a request passed the check and was decided by the view before: without any callers in a daemon that starts, with withdrawn keys in one that was cut off, by a version of the past on the platform's interface.

Now the freshness is advanced by an effect that follows the Publish (ConfirmConfig), and entry and gateway load the view that they use after the check. Either alone is not enough: with the effect only, the tests of entry and gateway stay red. A change of configuration refuses nobody: its view is published before it is confirmed, as before.

Not changed: the keeper checks Overdue after it has loaded its view, so that one grant may still follow a team's previous rate in that moment.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -8,8 +8,9 @@
 //
 // Invariants: a shard is dispatched only while its right is owned and this daemon's
 // lease is valid; see right for the rules of release and takeover. Effects that depend
-// on the withdrawal of a right follow the Publish of the view without it. One goroutine
-// owns a State. Times are readings of this host's boot clock.
+// on the withdrawal of a right follow the Publish of the view without it, and a
+// configuration counts as current only after the Publish of the view with it. One
+// goroutine owns a State. Times are readings of this host's boot clock.
 package control
 
 import (
@@ -105,6 +106,7 @@
 	recheckConsents bool          // replay changed since consents were last checked
 	consentRefused  clock.Instant // when the log last refused a consent; zero if never
 	afterView       []Effect      // effects that follow the view of the step
+	configAsOf      clock.Instant // as of which the step has read the whole configuration; zero if it has not
 	stopping        bool
 	stoppingSince   clock.Instant
 	departed        bool
@@ -180,14 +182,17 @@
 	}
 	s.effects = s.effects[:0]
 	s.afterView = s.afterView[:0]
+	s.configAsOf = 0
 	s.checkLease()
 	s.handle(ev)
-	s.fresh.SetNext(s.history.Next)
 	s.refreshTables()
 	if s.dirty {
 		s.dirty = false
 		s.emit(Publish{View: s.buildView()})
 	}
+	if s.configAsOf != 0 || s.fresh.Next() != s.history.Next {
+		s.emit(ConfirmConfig{Freshness: s.fresh, Next: s.history.Next, AsOf: s.configAsOf, Now: s.now})
+	}
 	s.effects = append(s.effects, s.afterView...)
 	return s.effects
 }
@@ -358,7 +363,7 @@
 	// A daemon that starts in a new era learns the configuration in force from its start.
 	known := s.fresh.Known() != 0 || logstream.EraOf(e.Next) == 0 || s.caughtUp && !s.needsStart()
 	if e.AsOf != 0 && s.history.Next >= e.Next && known {
-		s.fresh.Advance(e.AsOf, s.now)
+		s.configAsOf = e.AsOf
 	}
 	s.checkNewerRecords()
 }
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -114,6 +114,24 @@
 // Publish replaces the routing view.
 type Publish struct{ View *view.View }
 
+// ConfirmConfig records in the freshness, which all views share, up to where replay has read
+// the configuration. It follows the Publish of the view with that configuration: the view
+// before must not count as current.
+type ConfirmConfig struct {
+	Freshness *view.Freshness
+	Next      uint64        // position after the last record that was read
+	AsOf      clock.Instant // as of which the whole configuration was read, or zero
+	Now       clock.Instant
+}
+
+// Apply carries out the effect.
+func (c ConfirmConfig) Apply() {
+	c.Freshness.SetNext(c.Next)
+	if c.AsOf != 0 {
+		c.Freshness.Advance(c.AsOf, c.Now)
+	}
+}
+
 // Quiesce asks for the running requests of the shard to finish; the view already
 // refuses new ones. Quiesced is the answer.
 type Quiesce struct {
@@ -190,6 +208,7 @@
 func (Append) effect()        {}
 func (SendDatagram) effect()  {}
 func (Publish) effect()       {}
+func (ConfirmConfig) effect() {}
 func (Quiesce) effect()       {}
 func (SendRelease) effect()   {}
 func (AnswerRelease) effect() {}
--- a/core/control/fake_fleet_test.go
+++ b/core/control/fake_fleet_test.go
@@ -144,6 +144,8 @@
 			f.post(e.Addr, Datagram{Msg: proto.CloneOf(e.Msg)})
 		case Publish:
 			d.view = e.View
+		case ConfirmConfig:
+			e.Apply()
 		case Merge:
 			d.merges = append(d.merges, e)
 		case Quiesce:
--- a/core/control/simulation_world_test.go
+++ b/core/control/simulation_world_test.go
@@ -202,6 +202,8 @@
 		w.answerRelease(n, e)
 	case Publish:
 		w.publish(n, e.View)
+	case ConfirmConfig:
+		e.Apply()
 	case Quiesce:
 		if _, held := n.view.Held[e.Shard]; held && !w.keepServing {
 			w.orderError = fmt.Errorf("%s quiesces shard %d while its view holds it", n.name, e.Shard.Shard)
--- a/core/view/freshness.go
+++ b/core/view/freshness.go
@@ -111,7 +111,8 @@
 // Stale reports whether requests must be refused at now, because other daemons
 // may have read a newer configuration. A log that is down for a majority of the
 // data centres counts as down for all daemons, and while it is down for all there
-// is no newer configuration, unless a peer has one.
+// is no newer configuration, unless a peer has one. It is about the configuration that was
+// published last, so a request must load the view that it uses after the check.
 func (f *Freshness) Stale(now clock.Instant) bool {
 	if f == nil {
 		return false // the view was not built by the control state
--- a/ctl/capacity/fleet.go
+++ b/ctl/capacity/fleet.go
@@ -224,6 +224,8 @@
 		d.held = len(e.View.Held)
 		d.view = e.View
 		d.counts.views++
+	case control.ConfirmConfig:
+		e.Apply()
 	}
 }
 
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -130,6 +130,8 @@
 		switch e := effect.(type) {
 		case control.Publish:
 			c.view.Store(e.View)
+		case control.ConfirmConfig:
+			e.Apply()
 		case control.Departed:
 			if !c.departedClosed {
 				c.departedClosed = true
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -248,10 +248,10 @@
 // attempt sends the request to one daemon. If the response is a failure, it
 // returns the response and an error of the same kind.
 func (t *router) attempt(ctx context.Context, x *exchange, a *attempts) (*wire.Response, error) {
-	v := t.control.View()
-	if v.ConfigFreshness.Stale(t.clock.Now()) {
+	if t.control.View().ConfigFreshness.Stale(t.clock.Now()) {
 		return nil, errStale
 	}
+	v := t.control.View() // after the check, see currentView
 	if edge.CallerLeft(ctx) {
 		return nil, edge.ErrCallerLeft
 	}
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -70,10 +70,9 @@
 	if err := x.adoptID(r.Header); err != nil {
 		return nil, err
 	}
-	v := e.ctrl.View()
-	x.configVersion, x.configAge = v.ConfigVersion, v.ConfigFreshness.Age(e.clock.Now())
-	if v.ConfigFreshness.Stale(e.clock.Now()) {
-		return nil, errStale
+	v, err := e.currentView(x)
+	if err != nil {
+		return nil, err
 	}
 	team, err := e.auth.authenticate(v, r.Header, x)
 	if err != nil {
@@ -90,6 +89,20 @@
 	return e.forward(r.Context(), x)
 }
 
+// currentView returns a view whose configuration is current, and stores its version in x. The
+// view is loaded after the check: one that was loaded before may be without the configuration
+// that the check found to be current.
+func (e *entry) currentView(x *exchange) (*view.View, error) {
+	checked, now := e.ctrl.View(), e.clock.Now()
+	x.configVersion, x.configAge = checked.ConfigVersion, checked.ConfigFreshness.Age(now)
+	if checked.ConfigFreshness.Stale(now) {
+		return nil, errStale
+	}
+	v := e.ctrl.View()
+	x.configVersion = v.ConfigVersion
+	return v, nil
+}
+
 // forward sends a request that fillRequest has completed to its owner within the
 // request's timeout.
 func (e *entry) forward(ctx context.Context, x *exchange) (*wire.Response, error) {
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -83,11 +83,9 @@
 	if err != nil {
 		return nil, outcome.New(outcome.BadRequest, "%v", err)
 	}
-	v := g.control.View()
-	now := g.clock.Now()
-	x.configVersion, x.configAge = v.ConfigVersion, v.ConfigFreshness.Age(now)
-	if !configUsable(v, now) {
-		return nil, staleRefusal(v, now)
+	v, err := g.currentView(x)
+	if err != nil {
+		return nil, err
 	}
 	if err := g.applyRoute(v, r, x, decoded); err != nil {
 		return nil, err
@@ -111,6 +109,20 @@
 	return g.forward(r.Context(), v, x)
 }
 
+// currentView returns a view whose configuration may be used, and stores its version in x. The
+// view is loaded after the check: one that was loaded before may be without the configuration
+// that the check found to be current.
+func (g *gateway) currentView(x *exchange) (*view.View, error) {
+	checked, now := g.control.View(), g.clock.Now()
+	x.configVersion, x.configAge = checked.ConfigVersion, checked.ConfigFreshness.Age(now)
+	if !configUsable(checked, now) {
+		return nil, staleRefusal(checked, now)
+	}
+	v := g.control.View()
+	x.configVersion = v.ConfigVersion
+	return v, nil
+}
+
 // staleRefusal refuses a request while the configuration cannot be used.
 func staleRefusal(v *view.View, now clock.Instant) *outcome.Err {
 	if v.ConfigVersion == 0 || !v.ConfigFreshness.Replaced(now) {
