backendconn: a test of a first copy whose first bytes come alone, known red

The tests of answers that broke off and were filled by a copy in pieces leave out first pieces of less than four bytes from a server that has not been seen to stutter. That form is a fault, too: the caller gets a body that ends in H, HT or HTT.

--- a/daemon/backendconn/surplus_test.go
+++ b/daemon/backendconn/surplus_test.go
@@ -174,6 +174,18 @@
 	}
 }
 
+// The first bytes of a server's first copy, in a piece of their own, filled an answer that broke off.
+func TestFirstBytesOfACopyFillAnAnswerThatBrokeOff(t *testing.T) {
+	const body = "the body of an answer that is longer than the head of its copy"
+	const head = "HTTP/1.1 200 OK\r\nId: r-1\r\nContent-Length: 62\r\n\r\n"
+	for missing := 1; missing < minAwaited; missing++ {
+		resp, _, err := readFrom(t, rawServer(t, time.Millisecond, head+body[:len(body)-missing], head[:missing], head[missing:]+body), false)
+		if outcome.KindOf(err) != outcome.AnswerCut {
+			t.Errorf("%d bytes are missing: %q, %v", missing, resp.GetBody(), err)
+		}
+	}
+}
+
 // A whole answer whose body ends like the start of another one was refused or late.
 func TestBodyThatEndsLikeAHeadIsRefused(t *testing.T) {
 	const other = "HTTP/1.1 200 OK\r\nId: r-7\r\nContent-Length: 20\r\n\r\n"
