backendconn: names of the error that a look or a write consumed

A rename, for readers: the lock is errMu and the record is of a consumed error, in place of telling and taken. No logic changes; the tests of backendconn and both owners are green with -race.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -137,12 +137,12 @@
 	}
 	var n int
 	var peekErr error
-	c.telling.RLock()
+	c.errMu.RLock()
 	err = raw.Control(func(fd uintptr) { // Read would wait for the transport's own read
 		n, _, peekErr = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
-	c.take(EndSeenByLook, peekErr)
-	c.telling.RUnlock()
+	c.recordConsumed(EndSeenByLook, peekErr)
+	c.errMu.RUnlock()
 	ended := peekErr == nil && n == 0
 	// Read returns these late.
 	if (errors.Is(peekErr, syscall.ECONNRESET) || ended && c.awaiting.Load()) && !c.closed.Load() {
@@ -234,10 +234,10 @@
 	case c.state.Load() == blocked:
 		return 0, net.ErrClosed
 	}
-	c.telling.RLock()
-	defer c.telling.RUnlock()
+	c.errMu.RLock()
+	defer c.errMu.RUnlock()
 	n, err := c.Conn.Write(b)
-	c.take(EndSeenByWrite, err)
+	c.recordConsumed(EndSeenByWrite, err)
 	return n, err
 }
 
--- a/daemon/backendconn/ending.go
+++ b/daemon/backendconn/ending.go
@@ -48,18 +48,18 @@
 // once, and an end of file after that. So whatever else than the reader may be told of the error
 // records it for the reader.
 type ending struct {
-	telling sync.RWMutex // held for reading by who may be told of the error, until it is recorded
-	taken   atomic.Pointer[takenEnd]
+	errMu    sync.RWMutex // held for reading by what may consume the error, until it is recorded
+	consumed atomic.Pointer[consumedError]
 }
 
-// takenEnd is an error of a socket that something other than its reader was told.
-type takenEnd struct {
+// consumedError is an error of a socket that something other than its reader was told.
+type consumedError struct {
 	by  EndObserver
 	err error
 }
 
-// take records an error that a look or a write got.
-func (c *guardedConn) take(by EndObserver, err error) {
+// recordConsumed records an error of the socket that a look or a write got.
+func (c *guardedConn) recordConsumed(by EndObserver, err error) {
 	var errno syscall.Errno
 	if !errors.As(err, &errno) {
 		return
@@ -68,7 +68,7 @@
 	case syscall.EAGAIN, syscall.EINTR:
 	case syscall.EPIPE: // the server had closed the connection, or the error was taken before
 	default:
-		c.taken.CompareAndSwap(nil, &takenEnd{by, err})
+		c.consumed.CompareAndSwap(nil, &consumedError{by, err})
 	}
 }
 
@@ -77,9 +77,9 @@
 	if !c.hungUp() { // no error was reported, and a write may be waiting for the server
 		return io.EOF
 	}
-	c.telling.Lock()
-	defer c.telling.Unlock()
-	if end := c.taken.Load(); end != nil {
+	c.errMu.Lock()
+	defer c.errMu.Unlock()
+	if end := c.consumed.Load(); end != nil {
 		return end.err
 	}
 	return io.EOF
@@ -112,7 +112,7 @@
 // endSeenBy returns what saw an error of the request's connection before its reader, or "".
 func (t *Trace) endSeenBy() EndObserver {
 	if c := t.conn.Load(); c != nil {
-		if end := c.taken.Load(); end != nil {
+		if end := c.consumed.Load(); end != nil {
 			return end.by
 		}
 	}
