backendconn: one listener for the package's tests

rawServer had a listener of its own beside that of the tests of ends. It now uses that one and closes its connection once its client does. No check changes.

--- a/daemon/backendconn/surplus_test.go
+++ b/daemon/backendconn/surplus_test.go
@@ -25,30 +25,17 @@
 // it open.
 func rawServer(t *testing.T, pause time.Duration, pieces ...string) (addr string) {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = listener.Close() })
-	go func() {
-		for {
-			conn, err := listener.Accept()
-			if err != nil {
-				return
-			}
-			t.Cleanup(func() { _ = conn.Close() })
-			go func() {
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err != nil {
-					return
-				}
-				for _, piece := range pieces {
-					_, _ = io.WriteString(conn, piece)
-					time.Sleep(pause)
-				}
-			}()
+	return listen(t, func(conn net.Conn) {
+		r := bufio.NewReader(conn)
+		if _, err := http.ReadRequest(r); err != nil {
+			return
 		}
-	}()
-	return listener.Addr().String()
+		for _, piece := range pieces {
+			_, _ = io.WriteString(conn, piece)
+			time.Sleep(pause)
+		}
+		_, _ = http.ReadRequest(r) // until the client closes
+	})
 }
 
 // readFrom returns the answer of a server to request r-1 and its record. isSeen tells whether the
