backend, owner: transfer keys of a leaving server only after its hold

Cause: one refused connection counted as the end of the server's process, so that the transfer of all its shards skipped the wait for holds and running requests. A leaving server closes its listener first and works on. The same was concluded from a timed-out probe, from the end of a run's connection (also when the daemon had closed it), and from an announcement of another boot or address.

Runs without an answer and holds of an earlier boot are awaited until the hold under which they began has expired, at both interfaces, for orders and for replies. A timed-out probe is no refusal.

--- a/core/hold/hold.go
+++ b/core/hold/hold.go
@@ -205,6 +205,18 @@
 	return false
 }
 
+// Unexpired returns the shards whose keys the server may hold at now, and the time from which it
+// certainly does not.
+func (t *Table) Unexpired(now clock.Instant) map[view.ShardID]clock.Instant {
+	held := map[view.ShardID]clock.Instant{}
+	for id, e := range t.entries {
+		if now < e.maybeHeldUntil {
+			held[id] = e.maybeHeldUntil
+		}
+	}
+	return held
+}
+
 // Close stops further grants of a shard. It reports whether a grant is in flight,
 // in which case its answer must be awaited before a release is sent.
 func (t *Table) Close(id view.ShardID, token uint64) (inFlight bool) {
--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -75,6 +75,10 @@
 	closed    atomic.Bool  // by this daemon
 	ending
 
+	server        *Process    // to which it leads; nil if it is not recorded
+	over          atomic.Bool // neither side can use it any more
+	endedByServer atomic.Bool // before this daemon closed it
+
 	mu      sync.Mutex
 	barred  map[string]bool // ids of requests that must not be sent here again, see Trace.BarRepeat
 	ids     carriedIDs      // of the requests that were sent here
@@ -101,6 +105,9 @@
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
+	if err != nil {
+		c.recordEnd(!c.closed.Load())
+	}
 	if n > 0 && !c.accept(b[:n]) {
 		return 0, errNoCallWaits // the transport would keep the bytes for the next request
 	}
@@ -155,6 +162,7 @@
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.closed.Store(true)
+	c.recordEnd(false)
 	if c.continuity != nil {
 		c.continuity.remove(c)
 	}
@@ -358,6 +366,14 @@
 	return true
 }
 
+// process returns the process to which the request's connection leads, or nil if it is not known.
+func (t *Trace) process() *Process {
+	if c := t.conn.Load(); c != nil {
+		return c.server
+	}
+	return nil
+}
+
 // Attach returns a context that makes the HTTP transport report the request's
 // connection to the trace.
 func (t *Trace) Attach(ctx context.Context) context.Context {
@@ -403,7 +419,8 @@
 			_ = resp.Body.Close()
 			continue
 		}
-		x := exchangeOf(ctx)
+		x := recordOf(ctx)
+		x.trace = trace
 		x.Framing, x.Kept, x.BodyBytes = "", trace.Kept(), 0
 		x.BodyEnd, x.EndSeenBy, x.Follower, x.Quotes = "", trace.endSeenBy(), FollowerNone, ""
 		if err == nil {
--- a/daemon/backendconn/crash.go
+++ b/daemon/backendconn/crash.go
@@ -1,12 +1,13 @@
 package backendconn
 
 import (
+	"context"
 	"fmt"
-	"net"
 	"sync"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
@@ -36,6 +37,9 @@
 	// announces itself as soon as it listens, but that attempt may fail and be
 	// retried.
 	restartWindow = 3 * time.Second
+	// crashSettle bounds the wait for the ends of the other connections of a process that refuses
+	// connections: those of one that crashed are seen to end within milliseconds.
+	crashSettle = 50 * time.Millisecond
 	// maxLostRequests bounds the requests kept for a restart; the oldest is dropped
 	// first.
 	maxLostRequests = 256
@@ -150,13 +154,20 @@
 	return fmt.Sprintf("%s/%d", c.bootID, c.count)
 }
 
-// Listening reports whether the server at addr accepts a connection within
-// probeTimeout.
-func Listening(addr string) bool {
-	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
-	if err != nil {
+// crashed reports whether the server at an address, whose connection broke, has ended without a
+// notice. A server that is leaving, or has an open connection, may have closed its listener only.
+func crashed(ctx context.Context, p *Process, addr string) bool {
+	if !Refused(addr) {
 		return false
 	}
-	_ = conn.Close()
+	if p == nil {
+		return true
+	}
+	p.Observe(liveness.Refused)
+	for end := time.Now().Add(crashSettle); !p.Ended(); time.Sleep(time.Millisecond) {
+		if p.Leaving() || ctx.Err() != nil || time.Now().After(end) {
+			return false
+		}
+	}
 	return true
 }
--- a/daemon/backendconn/exchange.go
+++ b/daemon/backendconn/exchange.go
@@ -48,6 +48,41 @@
 	Discarded []Discarded
 }
 
+// RunEnd tells whether the server may still run a request whose exchange is over.
+type RunEnd uint8
+
+// The ends of runs.
+const (
+	// RunOver means that the server does not run the request: it has answered or refused it, or
+	// has not got it.
+	RunOver RunEnd = iota
+	// RunCut means that the connection was ended by the server without a whole answer. The run is
+	// over once its process has ended.
+	RunCut
+	// RunAbandoned means that this daemon closed the connection. Most servers end the run then, but
+	// nothing shows it.
+	RunAbandoned
+)
+
+// RunEndOf returns whether the server may still run the request of ctx, which ended with an outcome,
+// and the process that got it.
+func RunEndOf(ctx context.Context, kind outcome.Kind) (RunEnd, *Process) {
+	trace := recordOf(ctx).trace
+	answered := kind == outcome.OK || kind == outcome.BackendError
+	if trace == nil || answered || kind.Answer().Ran == outcome.NotRun {
+		return RunOver, nil
+	}
+	c := trace.conn.Load()
+	switch {
+	case c == nil:
+		return RunOver, nil // not written
+	case c.endedByServer.Load():
+		return RunCut, c.server
+	default:
+		return RunAbandoned, c.server
+	}
+}
+
 // Discarded describes bytes of an answer that did not belong to the answer of a request.
 type Discarded struct {
 	AnswerID string // the request that they name, or ""
@@ -67,18 +102,26 @@
 
 type exchangeKey struct{}
 
+// exchangeRecord is what is recorded in a context.
+type exchangeRecord struct {
+	Exchange
+	trace *Trace // of the newest exchange; nil if nothing was sent
+}
+
 // WithExchange returns a context whose exchanges with the server are recorded.
 func WithExchange(ctx context.Context) (context.Context, *Exchange) {
-	x := new(Exchange)
-	return context.WithValue(ctx, exchangeKey{}, x), x
+	r := new(exchangeRecord)
+	return context.WithValue(ctx, exchangeKey{}, r), &r.Exchange
 }
 
 // exchangeOf returns the record of a context, or one that nobody reads.
-func exchangeOf(ctx context.Context) *Exchange {
-	if x, ok := ctx.Value(exchangeKey{}).(*Exchange); ok {
-		return x
+func exchangeOf(ctx context.Context) *Exchange { return &recordOf(ctx).Exchange }
+
+func recordOf(ctx context.Context) *exchangeRecord {
+	if r, ok := ctx.Value(exchangeKey{}).(*exchangeRecord); ok {
+		return r
 	}
-	return new(Exchange)
+	return new(exchangeRecord)
 }
 
 // RecordDiscarded records in the Exchange of ctx that an answer was discarded.
--- a/daemon/backendconn/failure.go
+++ b/daemon/backendconn/failure.go
@@ -50,9 +50,13 @@
 		return outcome.New(outcome.CancelledMaybeRan, "cancelled")
 	case !wrote:
 		return outcome.New(outcome.OwnerUnreachable, "backend server: %v", a.Err)
-	case Listening(a.Addr):
+	}
+	p := a.Trace.process()
+	switch {
+	case crashed(ctx, p, a.Addr):
+		return outcome.New(outcome.BackendCrashed, "%v", a.Err)
+	case p == nil || !p.Leaving():
 		c.RecordLost(a.LostRequest)
-		return outcome.New(outcome.ConnectionLost, "backend server: %v", a.Err)
 	}
-	return outcome.New(outcome.BackendCrashed, "%v", a.Err)
+	return outcome.New(outcome.ConnectionLost, "backend server: %v", a.Err)
 }
--- /dev/null
+++ b/daemon/backendconn/process.go
@@ -0,0 +1,136 @@
+package backendconn
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+
+	"github.com/sesamemoor/sesamemoor/core/liveness"
+)
+
+// Process is what is known of one process of the backend server: its connections, and the signals
+// that it has given. It is safe for concurrent use.
+type Process struct {
+	mu      sync.Mutex
+	open    int // connections to it that are open or being opened
+	leaving bool
+	signals map[liveness.Signal]bool // that may mean its end
+	ended   bool                     // Ended has reported so, and no sign of life has come since
+}
+
+func newProcess() *Process { return &Process{signals: map[liveness.Signal]bool{}} }
+
+// Observe records a signal that it gave and returns what follows.
+func (p *Process) Observe(signal liveness.Signal) liveness.Conclusion {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if signal == liveness.LeaveNotice {
+		p.leaving, p.ended = true, false // whoever says so has not ended
+	} else {
+		p.signals[signal] = true
+	}
+	return liveness.Conclude(signal, p.stateLocked())
+}
+
+// Announced records an announcement: the process has not ended.
+func (p *Process) Announced() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ended = false
+	clear(p.signals)
+}
+
+// Leaving reports whether it said that it is leaving.
+func (p *Process) Leaving() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leaving
+}
+
+// Refuses reports whether it refused a connection since its last announcement.
+func (p *Process) Refuses() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.signals[liveness.Refused]
+}
+
+// Ended reports whether it is known to have ended. The connections of a process that ends are not
+// seen to end at one time, so that this may become true some time after a signal.
+func (p *Process) Ended() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for signal := range p.signals {
+		p.ended = p.ended || liveness.Conclude(signal, p.stateLocked()).Transfer == liveness.AtOnce
+	}
+	return p.ended
+}
+
+func (p *Process) stateLocked() liveness.Server {
+	return liveness.Server{Leaving: p.leaving, OpenConn: p.open > 0}
+}
+
+func (p *Process) addOpen(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open += n
+}
+
+// Processes keeps what is known of the present process of the backend server.
+type Processes struct{ current atomic.Pointer[Process] }
+
+// NewProcesses returns the record of a server of which nothing is known.
+func NewProcesses() *Processes {
+	ps := new(Processes)
+	ps.current.Store(newProcess())
+	return ps
+}
+
+// Current returns the present process.
+func (ps *Processes) Current() *Process { return ps.current.Load() }
+
+// Restarted records that another process is the present one, and returns it.
+func (ps *Processes) Restarted() *Process {
+	p := newProcess()
+	ps.current.Store(p)
+	return p
+}
+
+// Track returns a dial function whose connections, and their refusals, are recorded of the process
+// that is the present one when the dial begins.
+func (ps *Processes) Track(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, network, addr string) (net.Conn, error) {
+		p := ps.Current()
+		p.addOpen(1)
+		conn, err := dial(ctx, network, addr)
+		if c, ok := conn.(*guardedConn); ok && err == nil {
+			c.server = p
+			return c, nil
+		}
+		p.addOpen(-1)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			p.Observe(liveness.Refused)
+		}
+		return conn, err
+	}
+}
+
+// recordEnd records that the connection has ended, for the first call only.
+func (c *guardedConn) recordEnd(byServer bool) {
+	if c.server != nil && c.over.CompareAndSwap(false, true) {
+		c.endedByServer.Store(byServer)
+		c.server.addOpen(-1)
+	}
+}
+
+// Refused reports whether the server at addr refuses connections. It does not if no answer comes
+// within probeTimeout: a server under load may not take a connection in time.
+func Refused(addr string) bool {
+	conn, err := net.DialTimeout("tcp", addr, probeTimeout)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -59,6 +59,7 @@
 	Connections uint32 // that the server accepts; 0 if not announced
 	ChecksFence bool
 	Cold        bool
+	Leaving     bool
 	Running     uint32 // requests in progress as announced; may be late or wrong
 }
 
--- a/daemon/plugins/admin/announce.go
+++ b/daemon/plugins/admin/announce.go
@@ -136,7 +136,7 @@
 	a.mu.Unlock()
 	a.observer.BackendReported(kernel.BackendReport{
 		Name: body.Name, Service: body.Service, Addr: body.Addr, BootID: body.BootID,
-		Slots: body.Slots, Connections: body.Connections, ChecksFence: body.ChecksFence, Cold: body.Cold, Running: body.Load.Running,
+		Slots: body.Slots, Connections: body.Connections, ChecksFence: body.ChecksFence, Cold: body.Cold, Leaving: body.Leaving, Running: body.Load.Running,
 	})
 	a.control.Post(announcementEvent(body))
 	c.JSON(http.StatusOK, a.announceResponse(body.Leaving))
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -11,6 +11,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
 	"github.com/sesamemoor/sesamemoor/core/settings"
@@ -41,7 +42,8 @@
 // server is the state of one boot of the backend server.
 type server struct {
 	id            string
-	process       uint64 // its number, see backendconn.Continuity
+	process       *backendconn.Process
+	number        uint64 // of the process, see backendconn.Continuity
 	bootTime      int64  // start of this boot, milliseconds since 1970
 	service       string
 	addr          string
@@ -52,7 +54,7 @@
 	lastHeartbeat clock.Instant // last announcement or response
 	callFailures  int           // unanswered calls since lastHeartbeat
 	down          bool          // counts as lost
-	exited        bool          // its process has ended, and with it all holds
+	heldUntil     clock.Instant // when all holds have expired; set once another boot is known
 	grantsInReply bool          // takes its keys from the replies to its announcements
 
 	ctx context.Context    // ends when another boot is known
@@ -95,30 +97,30 @@
 // admit applies an announcement and returns the event for the control state, or nil. It
 // returns an error for an announcement that is not of this daemon's backend server.
 func (e *executor) admit(arrived clock.Instant, a protocol.Announcement) (control.Event, error) {
-	var ended *server // nothing listens at its address
-	for {
+	for probed := false; ; probed = true {
 		e.mu.Lock()
 		if e.isForeign(a) {
 			e.mu.Unlock()
 			return nil, errUnknownService
 		}
 		incumbent := e.incumbent(arrived, a)
-		if incumbent == nil || incumbent == ended {
+		if incumbent == nil {
 			ev := e.applyAnnouncement(arrived, a)
 			e.mu.Unlock()
 			return ev, nil
 		}
 		e.mu.Unlock()
-		if backendconn.Listening(incumbent.addr) {
+		if probed || !backendconn.Refused(incumbent.addr) {
 			return nil, errAddressOfAnother
 		}
-		ended = incumbent
+		// It is no incumbent any more if it has ended, or once its holds have expired.
+		e.markLost(incumbent, "connection refused", liveness.Refused)
 	}
 }
 
 var (
 	errUnknownService   = errors.New("backend: the service is not configured")
-	errAddressOfAnother = errors.New("backend: the server that is in use has another address, where it still listens")
+	errAddressOfAnother = errors.New("backend: the server that is in use has another address, and is not known to have ended")
 )
 
 // incumbent returns the server that an announcement would displace although another address
@@ -127,7 +129,7 @@
 // lock.
 func (e *executor) incumbent(now clock.Instant, a protocol.Announcement) *server {
 	s := e.server
-	if s == nil || a.Addr == s.addr || s.exited || e.isPresent(a) || a.BootTime < s.bootTime {
+	if s == nil || a.Addr == s.addr || s.process.Ended() || e.isPresent(a) || a.BootTime < s.bootTime {
 		return nil
 	}
 	if s.down && !e.holds.MayHold(now) {
@@ -175,6 +177,7 @@
 	s.lastHeartbeat = now
 	s.callFailures = 0
 	e.client.continuity.Announced(now)
+	s.process.Announced()
 	v := e.control.View()
 	if s.grantsInReply = a.GrantsInReply; s.grantsInReply {
 		e.applyReportedKeys(v, a)
@@ -190,7 +193,6 @@
 	}
 	if s.down {
 		s.down = false
-		s.exited = false
 		e.log.Info("backend server back", zap.String("instance", s.id), zap.Int64("born", s.bootTime))
 	}
 	return s.upEvent()
@@ -209,14 +211,20 @@
 // startBoot replaces the server's state by that of a new boot, which holds no keys.
 // The caller holds the lock.
 func (e *executor) startBoot(a protocol.Announcement) *server {
-	if e.server != nil {
-		e.server.end()
-	}
+	previous := e.server
 	e.server = &server{id: a.ID, bootTime: a.BootTime, service: a.Service, addr: a.Addr}
 	e.server.ctx, e.server.end = context.WithCancel(context.Background())
+	e.server.process, e.server.number = e.client.serverRestarted(e.server.bootName())
+	if previous != nil {
+		previous.end()
+		previous.process.Observe(liveness.OtherBoot)
+		for id, until := range e.holds.Unexpired(e.clock.Now()) {
+			previous.heldUntil = max(previous.heldUntil, until)
+			e.addRemainder(id, remainder{process: previous.process, until: until})
+		}
+	}
 	e.holds.Reset()
 	e.admission.restart()
-	e.server.process = e.client.serverRestarted(e.server.bootName())
 	e.log.Info("backend server began a life", zap.String("instance", a.ID), zap.Int64("born", a.BootTime),
 		zap.String("service", a.Service), zap.String("addr", a.Addr), zap.Uint32("slots", a.Slots),
 		zap.Duration("cold_for", a.ColdFor))
@@ -247,6 +255,7 @@
 		return nil
 	}
 	s.draining = now
+	s.process.Observe(liveness.LeaveNotice)
 	e.log.Info("backend server leaves", zap.String("instance", s.id), zap.String("reason", reason))
 	return control.BackendLeaving{}
 }
@@ -268,7 +277,7 @@
 		drained := s != nil && e.drainedLocked(e.clock.Now())
 		e.mu.Unlock()
 		if unresponsive {
-			e.markLost(s, "no heartbeat", false)
+			e.markLost(s, "no heartbeat", liveness.NoAnnouncement)
 		}
 		if drained {
 			e.admission.refuseWaiting(func(view.ShardID) bool { return true },
@@ -306,17 +315,16 @@
 	lost := s.callFailures >= minCallFailures && e.clock.Now().Sub(s.lastHeartbeat) > callFailureTimeout
 	e.mu.Unlock()
 	if lost {
-		e.markLost(s, "no answer: "+err.Error(), false)
+		e.markLost(s, "no answer: "+err.Error(), liveness.NoAnnouncement)
 	}
 }
 
-// markLost records that a boot of the server is over or seems to be; its shards are
-// transferred. exited means that its process has ended, so that it holds no keys. An
-// unresponsive server may hold them until its grants expire. An announcement of the
-// same boot makes it a member again.
-func (e *executor) markLost(s *server, reason string, exited bool) {
+// markLost records that a boot of the server is over or seems to be, as a signal that ends
+// sending and renewing says; its shards are transferred once that allows it. An announcement
+// of the same boot makes it a member again.
+func (e *executor) markLost(s *server, reason string, signal liveness.Signal) {
+	s.process.Observe(signal)
 	e.mu.Lock()
-	s.exited = s.exited || exited
 	current := s == e.server && !s.down
 	if current {
 		s.down = true
@@ -325,7 +333,7 @@
 	if !current {
 		return
 	}
-	e.log.Warn("backend server lost", zap.String("instance", s.id), zap.Int64("born", s.bootTime), zap.Bool("dead", exited), zap.String("reason", reason))
+	e.log.Warn("backend server lost", zap.String("instance", s.id), zap.Int64("born", s.bootTime), zap.Bool("dead", s.process.Ended()), zap.String("reason", reason))
 	e.admission.refuseWaiting(func(view.ShardID) bool { return true }, outcome.New(outcome.NoOwner, "the backend server was lost"))
 	e.control.Post(control.BackendDown{Reason: "backend server lost"})
 }
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -71,7 +71,8 @@
 	holds          *hold.Table
 	quiescedTokens map[view.ShardID]uint64 // newest token under which each shard was quiesced
 	running        map[view.ShardID]int    // dispatched requests that have not ended
-	outSince       clock.Instant           // when the data centre went out of service; 0 if it is in service
+	remainders     map[view.ShardID][]remainder
+	outSince       clock.Instant // when the data centre went out of service; 0 if it is in service
 }
 
 type executorParams struct {
@@ -101,6 +102,7 @@
 		holds:          hold.New(time.Duration(p.Settings.Bounds.MaxHoldS * float64(time.Second))),
 		quiescedTokens: map[view.ShardID]uint64{},
 		running:        map[view.ShardID]int{},
+		remainders:     map[view.ShardID][]remainder{},
 	}
 	e.holdLog = newHoldLog(e.log)
 	e.client = newClient(p.Clock, p.Protocol, p.Suspects)
--- a/daemon/plugins/backend/client.go
+++ b/daemon/plugins/backend/client.go
@@ -40,15 +40,16 @@
 	releaseClient *http.Client // releases wait for running requests
 
 	continuity backendconn.Continuity
+	processes  *backendconn.Processes
 	crashes    *backendconn.CrashTracker
 	responses  backendconn.ResponseReader
 }
 
 func newClient(clk clock.Clock, d protocol.Backends, suspects backendconn.Suspects) *client {
-	c := &client{clock: clk, protocol: d, crashes: backendconn.NewCrashTracker(clk, suspects), responses: backendconn.NewResponseReader()}
-	c.requestClient = httpClient(transport(maxConnections, backendconn.WatchedDialer(clk, &c.continuity, false)))
-	grants := transport(maxConcurrentGrants, backendconn.WatchedDialer(clk, &c.continuity, true))
-	releases := transport(maxReleases, backendconn.OrderDialer(clk, &c.continuity.Stutter))
+	c := &client{clock: clk, protocol: d, processes: backendconn.NewProcesses(), crashes: backendconn.NewCrashTracker(clk, suspects), responses: backendconn.NewResponseReader()}
+	c.requestClient = httpClient(transport(maxConnections, c.processes.Track(backendconn.WatchedDialer(clk, &c.continuity, false))))
+	grants := transport(maxConcurrentGrants, c.processes.Track(backendconn.WatchedDialer(clk, &c.continuity, true)))
+	releases := transport(maxReleases, c.processes.Track(backendconn.OrderDialer(clk, &c.continuity.Stutter)))
 	c.grantClient = httpClient(backendconn.Orders{Transport: grants, IDHeader: idHeader(d)})
 	c.releaseClient = httpClient(backendconn.Orders{Transport: releases, IDHeader: idHeader(d)})
 	return c
@@ -83,14 +84,15 @@
 }
 
 // serverRestarted closes the idle connections to the server's previous boot and
-// attributes recently lost requests to its crash. It returns the number of the new process.
-func (c *client) serverRestarted(bootName string) (process uint64) {
+// attributes recently lost requests to its crash. It returns the new process and its number.
+func (c *client) serverRestarted(bootName string) (process *backendconn.Process, number uint64) {
 	c.crashes.RecordRestart(bootName)
-	process = c.continuity.Restarted(c.clock.Now())
+	number = c.continuity.Restarted(c.clock.Now())
+	process = c.processes.Restarted()
 	c.requestClient.CloseIdleConnections()
 	c.grantClient.CloseIdleConnections()
 	c.releaseClient.CloseIdleConnections()
-	return process
+	return process, number
 }
 
 // run sends the request once. It returns the server's complete response or a
@@ -128,7 +130,7 @@
 // sendGrant grants keys to the server. Nothing is written after until. The error
 // wraps errUnsent if nothing was written and never will be.
 func (c *client) sendGrant(ctx context.Context, s *server, keys protocol.KeyRange, g hold.Grant, until clock.Instant) error {
-	trace := &backendconn.Trace{Until: until, Process: s.process}
+	trace := &backendconn.Trace{Until: until, Process: s.number}
 	err := c.protocol.Grant(backendconn.WithOrderTrace(ctx, trace), c.grantClient, s.addr, keys, g.Hold, g.Handover)
 	held := errors.Is(err, backendconn.ErrLeaseEnded) || errors.Is(err, backendconn.ErrOtherProcess)
 	if held && !trace.Wrote() {
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
 	"github.com/sesamemoor/sesamemoor/core/runqueue"
@@ -251,6 +252,7 @@
 	run := e.runs.Begin(started.Add(remaining), r.request.GetRepeat())
 	resp, decoded, err := e.client.run(ctx, r.server, r.request, remaining)
 	resp.Calls = run.End()
+	e.recordRunEnd(ctx, r, outcome.Kind(resp.GetKind()))
 	if resp.GetArrived() && r.request.GetRepeat() {
 		e.counters.repeats.Add(1)
 	}
@@ -288,9 +290,7 @@
 		e.holds.ReportNotHeld(r.shard, r.token)
 		e.mu.Unlock()
 		e.wakeGrants()
-	case isConnRefused(err):
-		e.markLost(r.server, resp.GetDetail(), true)
-	case kind == outcome.BackendCrashed:
-		e.markLost(r.server, resp.GetDetail(), false)
+	case err != nil && (isConnRefused(err) || r.server.process.Refuses()):
+		e.markLost(r.server, resp.GetDetail(), liveness.Refused)
 	}
 }
--- a/daemon/plugins/backend/grants.go
+++ b/daemon/plugins/backend/grants.go
@@ -11,6 +11,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
 	"github.com/sesamemoor/sesamemoor/core/hold"
+	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
 	"github.com/sesamemoor/sesamemoor/core/view"
@@ -36,6 +37,8 @@
 	// pollInterval is the interval at which conditions are polled: those of a
 	// release, and the grant that a request waits for.
 	pollInterval = 10 * time.Millisecond
+	// minPollInterval is the first interval of a poll that slows down to pollInterval.
+	minPollInterval = time.Millisecond
 )
 
 func startGrants(lc fx.Lifecycle, e *executor) { kernel.Background(lc, e.sendDueGrants) }
@@ -156,11 +159,10 @@
 	e.holds.Failed(g, now)
 }
 
-// handleCallError handles a failed call. A refused connection means that the
-// server's process has ended.
+// handleCallError handles a failed call.
 func (e *executor) handleCallError(s *server, err error) {
 	if isConnRefused(err) {
-		e.markLost(s, "connection refused", true)
+		e.markLost(s, "connection refused", liveness.Refused)
 		return
 	}
 	e.recordCallFailure(s, err)
@@ -192,18 +194,26 @@
 // revoke ends the server's hold of a shard. It posts Quiesced once the server no
 // longer holds the keys and no request of the shard runs.
 func (e *executor) revoke(q control.Quiesce, s *server) {
-	handover := ""
+	handover, released := "", false
 	e.mu.Lock()
-	ended := e.bootEnded(s)
+	inReply := s != nil && s.grantsInReply
 	e.mu.Unlock()
 	switch {
-	case ended:
-	case s.grantsInReply:
-		handover = e.awaitReleaseInReply(q, s)
+	case s == nil || s.process.Ended():
+	case inReply:
+		handover, released = e.awaitReleaseInReply(q, s)
 	default:
-		handover = e.releaseKeys(q, s)
+		handover, released = e.releaseKeys(q, s)
 	}
-	e.await(func() bool { return e.bootEnded(s) || e.running[q.Shard] == 0 })
+	e.mu.Lock()
+	if released { // a server releases keys when its work on them has ended
+		e.dropRemainders(q.Shard, s.process)
+	}
+	e.mu.Unlock()
+	e.await(func() bool {
+		idle := e.running[q.Shard] == 0 || s == e.server && s.process.Ended()
+		return idle && e.remaindersEnded(q.Shard)
+	})
 	e.mu.Lock()
 	e.holds.Drop(q.Shard, q.Token)
 	e.mu.Unlock()
@@ -212,51 +222,53 @@
 }
 
 // releaseKeys asks the server to release the keys and returns its handover token, or
-// "". Without a response it waits until the hold has expired; with one it waits until
-// the hold of any unanswered grant has expired.
-func (e *executor) releaseKeys(q control.Quiesce, s *server) string {
+// "", and whether it has released them. Without a response it waits until the hold has
+// expired; with one it waits until the hold of any unanswered grant has expired.
+func (e *executor) releaseKeys(q control.Quiesce, s *server) (handover string, released bool) {
 	e.await(func() bool { return !e.holds.InFlight(q.Shard, q.Token) })
 	e.mu.Lock()
 	expiry := e.holds.ExpiredBy(q.Shard, q.Token)
 	e.mu.Unlock()
 	now := e.clock.Now()
+	if expiry <= now {
+		return "", false
+	}
+	over := func() bool { return e.clock.Now() >= expiry || s.process.Ended() }
 	keys, ok := keyRangeOf(e.control.View(), q.Shard, q.Token)
-	if !ok || expiry <= now {
-		return "" // the key range is unknown, or the hold has expired
+	if !ok {
+		e.await(over) // the service is not configured any more
+		return "", false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), expiry.Sub(now)+releaseSlack)
 	defer cancel()
-	handover, err := e.protocol.Release(ctx, e.client.releaseClient, s.addr, keys)
+	token, err := e.protocol.Release(ctx, e.client.releaseClient, s.addr, keys)
 	if err == nil {
+		handover, released = token, true
 		e.recordHeartbeat(s)
 		e.mu.Lock()
 		expiry = e.holds.ReleasedBy(q.Shard, q.Token)
 		e.mu.Unlock()
 	} else {
-		handover = ""
 		e.log.Warn("release without answer", zap.String("service", q.Shard.Service),
 			zap.Uint32("shard", q.Shard.Shard), zap.Uint64("generation", q.Token), zap.Error(err))
 		if isConnRefused(err) {
-			e.markLost(s, "connection refused", true)
+			e.markLost(s, "connection refused", liveness.Refused)
 		}
 	}
-	e.await(func() bool { return e.clock.Now() >= expiry || e.bootEnded(s) })
-	return handover
+	e.await(over)
+	return handover, released
 }
 
-// bootEnded reports whether this boot of the server is over. The caller holds the
-// lock.
-func (e *executor) bootEnded(s *server) bool { return s == nil || s.exited || s != e.server }
-
-// await polls condition, under the lock, until it holds.
+// await polls condition, under the lock, until it holds: often at first, since the connections of a
+// process that ends are seen to end within a few milliseconds.
 func (e *executor) await(condition func() bool) {
-	for {
+	for pause := minPollInterval; ; pause = min(2*pause, pollInterval) {
 		e.mu.Lock()
 		met := condition()
 		e.mu.Unlock()
 		if met {
 			return
 		}
-		time.Sleep(pollInterval)
+		time.Sleep(pause)
 	}
 }
--- a/daemon/plugins/backend/replies.go
+++ b/daemon/plugins/backend/replies.go
@@ -55,7 +55,7 @@
 	grants, ok := e.holds.ForReply(arrived, v.Lease.Deadline(), func(id view.ShardID, token uint64) bool {
 		held, inView := v.Held[id]
 		_, hasKeys := keyRangeOf(v, id, token)
-		return hasKeys && inView && held.Token == token
+		return hasKeys && inView && held.Token == token && !e.server.down
 	})
 	if !ok {
 		return reply
@@ -93,19 +93,19 @@
 }
 
 // awaitReleaseInReply waits until a server that takes its keys from replies has released
-// those of a shard, or until its hold has expired. It returns the handover token, or "".
-func (e *executor) awaitReleaseInReply(q control.Quiesce, s *server) string {
-	handover := ""
+// those of a shard, or until its hold has expired. It returns the handover token, or "", and
+// whether it has released them.
+func (e *executor) awaitReleaseInReply(q control.Quiesce, s *server) (handover string, released bool) {
 	e.await(func() bool {
-		if e.bootEnded(s) || e.clock.Now() >= e.holds.ExpiredBy(q.Shard, q.Token) {
+		if s.process.Ended() || e.clock.Now() >= e.holds.ExpiredBy(q.Shard, q.Token) {
 			return true
 		}
-		token, released := e.holds.Released(q.Shard, q.Token)
-		if !released || e.clock.Now() < e.holds.ReleasedBy(q.Shard, q.Token) {
+		token, ok := e.holds.Released(q.Shard, q.Token)
+		if !ok || e.clock.Now() < e.holds.ReleasedBy(q.Shard, q.Token) {
 			return false
 		}
-		handover = token
+		handover, released = token, true
 		return true
 	})
-	return handover
+	return handover, released
 }
--- a/daemon/plugins/owner/backend.go
+++ b/daemon/plugins/owner/backend.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
@@ -31,23 +32,24 @@
 
 // backend is the HTTP client for the daemon's backend server.
 type backend struct {
-	control kernel.Control
-	clock   clock.Clock
-	client  *http.Client // for requests, on connections that backendconn.Dialer opens
-	grants  *http.Client // for grants, on a separate connection
-	crashes *backendconn.CrashTracker
-	stutter backendconn.Stutter
+	control   kernel.Control
+	clock     clock.Clock
+	client    *http.Client // for requests, on connections that backendconn.Dialer opens
+	grants    *http.Client // for grants, on a separate connection
+	crashes   *backendconn.CrashTracker
+	stutter   backendconn.Stutter
+	processes *backendconn.Processes
 
 	responses backendconn.ResponseReader
 }
 
 func newBackend(c kernel.Control, clk clock.Clock, suspects backendconn.Suspects, conns int) *backend {
-	b := &backend{control: c, clock: clk, crashes: backendconn.NewCrashTracker(clk, suspects), responses: backendconn.NewResponseReader()}
+	b := &backend{control: c, clock: clk, processes: backendconn.NewProcesses(), crashes: backendconn.NewCrashTracker(clk, suspects), responses: backendconn.NewResponseReader()}
 	b.client = &http.Client{CheckRedirect: noRedirect, Transport: &http.Transport{
 		MaxConnsPerHost:     conns,
 		MaxIdleConnsPerHost: conns,
 		IdleConnTimeout:     backendconn.IdleTimeout,
-		DialContext:         backendconn.Dialer(clk, b.leaseHeld, &b.stutter),
+		DialContext:         b.processes.Track(backendconn.Dialer(clk, b.leaseHeld, &b.stutter)),
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
@@ -55,7 +57,7 @@
 	b.grants = &http.Client{CheckRedirect: noRedirect, Transport: backendconn.Orders{IDHeader: headerRequest, Transport: &http.Transport{
 		MaxConnsPerHost: 1,
 		IdleConnTimeout: backendconn.IdleTimeout,
-		DialContext:     backendconn.OrderDialer(clk, &b.stutter),
+		DialContext:     b.processes.Track(backendconn.OrderDialer(clk, &b.stutter)),
 
 		MaxResponseHeaderBytes: backendconn.MaxHeaderBytes,
 	}}}
@@ -69,8 +71,12 @@
 // restarted closes idle connections to the server's previous process.
 func (b *backend) restarted(bootID string) {
 	b.crashes.RecordRestart(bootID)
+	previous := b.processes.Current()
+	b.processes.Restarted()
 	b.stutter.Reset()
 	b.client.CloseIdleConnections()
+	b.grants.CloseIdleConnections()
+	previous.Observe(liveness.OtherBoot)
 }
 
 // addr returns the address of the backend server, or "" while none is announced.
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -184,7 +184,8 @@
 	if err != nil {
 		return e.revertDispatch(r, err)
 	}
-	defer e.endRun(number)
+	end := func() { e.endRun(number) }
+	defer func() { end() }()
 	now := e.clock.Now()
 	timeout := min(r.deadline.Sub(now), lease.Deadline().Sub(now)-dispatchMargin)
 	if timeout <= 0 {
@@ -198,6 +199,9 @@
 		e.load.RecordServiceTime(e.admission.serviceTime(time.Duration(resp.GetServiceTimeUs()) * time.Microsecond))
 	}
 	e.recordEnd(r, resp)
+	if runEnd, process := backendconn.RunEndOf(ctx, outcome.Kind(resp.GetKind())); runEnd != backendconn.RunOver {
+		end = func() { e.endRunLater(number, process, runEnd, now.Add(timeout)) }
+	}
 	return resp
 }
 
--- a/daemon/plugins/owner/notice.go
+++ b/daemon/plugins/owner/notice.go
@@ -9,6 +9,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 )
@@ -65,6 +66,7 @@
 	}
 	e.mu.Unlock()
 	if !known {
+		e.backend.processes.Current().Observe(liveness.LeaveNotice)
 		e.log.Info("backend server leaves", zap.String("reason", "response"))
 		e.control.Post(control.BackendLeaving{})
 	}
--- a/daemon/plugins/owner/owner.go
+++ b/daemon/plugins/owner/owner.go
@@ -10,15 +10,18 @@
 
 import (
 	"sync"
+	"time"
 
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/daemon/backendconn"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
@@ -228,6 +231,29 @@
 	}
 }
 
+// endCheckInterval is the interval at which the end of the server's process is checked.
+const endCheckInterval = 10 * time.Millisecond
+
+// endRunLater ends a request that the server may still run although its exchange is over: at its
+// deadline, by which the server ends it, or once a process that had cut its connection has ended.
+func (e *executor) endRunLater(number uint64, process *backendconn.Process, end backendconn.RunEnd, until clock.Instant) {
+	if end != backendconn.RunCut || process == nil {
+		time.AfterFunc(until.Sub(e.clock.Now()), func() { e.endRun(number) })
+		return
+	}
+	if process.Ended() {
+		e.endRun(number)
+		return
+	}
+	time.AfterFunc(min(endCheckInterval, until.Sub(e.clock.Now())), func() {
+		if e.clock.Now() >= until {
+			e.endRun(number)
+			return
+		}
+		e.endRunLater(number, process, end, until)
+	})
+}
+
 // Running implements kernel.BackendObserver.
 func (e *executor) Running() int {
 	e.mu.Lock()
@@ -250,6 +276,11 @@
 		e.grants.reset()
 		e.backend.restarted(r.BootID)
 	}
+	process := e.backend.processes.Current()
+	process.Announced()
+	if r.Leaving {
+		process.Observe(liveness.LeaveNotice)
+	}
 	e.load.RecordRunning(r.Running)
 	slots := int(r.Slots)
 	if r.Connections > 0 {
