core/retry: compare repeats with the requests of the window that counts

Cause: the retry budget compared the repeats of the last 10 s with the requests of the last 10 s when a repeat was decided. The rule compares any 10 s with the requests of the same, the preceding or the half preceding 10 s. When the load changes, the window of the decision is none of these. Repeats also arrive later than they are decided, so that those of more than 10 s may arrive in 10 s, and they were charged with the average calls of a run instead of those that it made.

Ruled out: an arrival that is charged to nothing. The new cases "calls shed" pass before and after.

Change: each daemon compares its repeats in each window that has begun with its own requests of the window half a window earlier; sums over daemons keep this. A repeat is reserved before it is sent, counts for each window in which it may arrive, and is settled with its actual calls. The used share of the ratio is 0.95 instead of 0.8, since the comparison is exact up to slots.

--- a/core/retry/fleetbudget.go
+++ b/core/retry/fleetbudget.go
@@ -16,20 +16,31 @@
 }
 
 const (
-	// ratioShare is the share of FleetLimits.Ratio that is used. The windows of the
-	// daemons are not aligned, so that together they may use more than one allows.
-	ratioShare = 0.8
+	// ratioShare is the share of FleetLimits.Ratio that is used. The rest covers calls of repeated
+	// runs beyond those that are expected, until they are known, and the time between the sending of
+	// a request by its caller and its first attempt.
+	ratioShare = 0.95
 	// extraShare is the share of FleetLimits.Extra that is used. A restarted daemon does
 	// not know what it used before, and may use its part twice in a window.
 	extraShare = 0.5
-	// windowSlots is the number of parts in which a window is counted.
-	windowSlots = 20
+	// windowSlots is the number of parts in which a window is counted. It is even.
+	windowSlots = 40
+	// requestSlots is the number of parts for which requests are kept: those that count for the
+	// oldest window that has not ended begin half a window before it.
+	requestSlots = windowSlots + windowSlots/2
 )
 
 // FleetBudget bounds the repeats that one daemon causes at each service, so that all
-// daemons together stay within FleetLimits. A daemon may repeat in proportion to the
-// callers' requests that it took itself, which needs no agreement, and has an equal part of
-// the extra repeats. It is safe for concurrent use.
+// daemons together stay within FleetLimits in any window. The requests that count for a window are
+// those of the window that begins half a window earlier: each daemon compares its own repeats with its
+// own requests of the same time, so that the sums over all daemons compare alike, without agreement.
+// Each daemon has an equal part of the extra repeats.
+//
+// A repeat is reserved before it is sent and settled when its end is known. It arrives in between,
+// and counts for each window in which it may arrive.
+//
+// It is designed for some hundred services and some thousand requests a second at a daemon. It is
+// safe for concurrent use.
 type FleetBudget struct {
 	mu       sync.Mutex
 	limits   FleetLimits
@@ -60,27 +71,40 @@
 	b.window(now, service).requests[0]++
 }
 
-// Take records a repeat that costs the given number of repeats at each service. It returns
-// false, and records nothing, if one of the services has no room.
-func (b *FleetBudget) Take(now clock.Instant, cost map[string]float64) bool {
+// Reserve records a repeat that is to be sent and is expected to cost the given number of repeats
+// at each service. It returns false, and records nothing, if one of the services has no room.
+// Settle must follow if it returns true.
+func (b *FleetBudget) Reserve(now clock.Instant, cost map[string]float64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for service, n := range cost {
-		if b.window(now, service).repeated()+n > b.allowed(now, service) {
+		if !b.window(now, service).hasRoom(n, ratioShare*b.limits.Ratio, b.extra(now)) {
 			return false
 		}
 	}
 	for service, n := range cost {
-		b.window(now, service).repeats[0] += n
+		b.window(now, service).reserved += n
 	}
 	return true
 }
 
-// allowed returns the number of repeats that are allowed in the window that ends at now.
-func (b *FleetBudget) allowed(now clock.Instant, service string) float64 {
+// Settle ends a reservation: the repeat has ended by now, and caused the given number of repeats at
+// each service, none if it was not sent.
+func (b *FleetBudget) Settle(now clock.Instant, reserved, caused map[string]float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for service, n := range reserved {
+		b.window(now, service).reserved -= n
+	}
+	for service, n := range caused {
+		b.window(now, service).repeats[0] += n
+	}
+}
+
+// extra returns the number of extra repeats in each window.
+func (b *FleetBudget) extra(now clock.Instant) float64 {
 	age := min(1, float64(now.Sub(b.started))/float64(b.limits.Window))
-	part := extraShare * b.limits.Extra / float64(max(b.daemons, 1))
-	return ratioShare*b.limits.Ratio*b.window(now, service).requested() + part*age
+	return age * extraShare * b.limits.Extra / float64(max(b.daemons, 1))
 }
 
 // window returns the counts of a service, advanced to now.
@@ -94,23 +118,24 @@
 	return w
 }
 
-// repeatWindow counts the requests and repeats of a window in slots, the newest first.
-// One slot more than the window has is kept, so that repeats count for a whole window at
-// least and requests at most.
+// repeatWindow counts the requests and repeats of a service in slots, the newest first. A window
+// that begins within a slot touches one slot more than windowSlots, in all of which repeats count,
+// and requests count in those slots only that are surely within the window that counts.
 type repeatWindow struct {
 	slot     int64 // number of the newest slot
-	requests [windowSlots + 1]float64
+	requests [requestSlots]float64
 	repeats  [windowSlots + 1]float64
+	reserved float64 // repeats that have not ended
 }
 
 func (w *repeatWindow) advance(slot int64) {
-	steps := min(slot-w.slot, windowSlots+1)
+	steps := int(min(slot-w.slot, requestSlots))
 	if steps <= 0 {
 		return
 	}
 	w.slot = slot
-	shift(w.requests[:], int(steps))
-	shift(w.repeats[:], int(steps))
+	shift(w.requests[:], steps)
+	shift(w.repeats[:], min(steps, len(w.repeats)))
 }
 
 // shift moves the counts by a number of slots and clears the newest ones.
@@ -119,8 +144,20 @@
 	clear(counts[:steps])
 }
 
-func (w *repeatWindow) requested() float64 { return sum(w.requests[:windowSlots]) }
-func (w *repeatWindow) repeated() float64  { return sum(w.repeats[:]) }
+// hasRoom reports whether n more repeats may arrive in each window that has begun and not ended.
+func (w *repeatWindow) hasRoom(n, ratio, extra float64) bool {
+	const half = windowSlots / 2
+	repeated := w.reserved + n
+	for begin := range w.repeats { // slot in which the window begins
+		repeated += w.repeats[begin]
+		// The slots that are surely less than half a window away from its begin.
+		requested := sum(w.requests[max(0, begin-half+1) : begin+half])
+		if repeated > ratio*requested+extra {
+			return false
+		}
+	}
+	return true
+}
 
 func sum(counts []float64) float64 {
 	total := 0.0
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -106,11 +106,11 @@
 								b.RecordRequest(now, "back")
 							}
 						}
-						for b.Take(now, map[string]float64{"front": 1, "back": calls}) {
+						for take(b, now, map[string]float64{"front": 1, "back": calls}) {
 							repeats["front"]++
 							repeats["back"] += calls
 						}
-						for b.Take(now, map[string]float64{"back": 1}) {
+						for take(b, now, map[string]float64{"back": 1}) {
 							repeats["back"]++
 						}
 					}
@@ -123,6 +123,15 @@
 	}
 }
 
+// take reports whether a repeat is allowed that ends at once.
+func take(b *FleetBudget, now clock.Instant, cost map[string]float64) bool {
+	if !b.Reserve(now, cost) {
+		return false
+	}
+	b.Settle(now, cost, cost)
+	return true
+}
+
 // A daemon that restarts again and again must not start with extra repeats each time.
 func TestRestartsDoNotAddToRetryBudget(t *testing.T) {
 	is := is.New(t)
@@ -131,7 +140,7 @@
 	for start := clock.Instant(time.Hour); start < clock.Instant(time.Hour).Add(limits.Window); start = start.Add(time.Second) {
 		b := NewFleetBudget(start, limits)
 		for now := start; now < start.Add(time.Second); now = now.Add(10 * time.Millisecond) {
-			for b.Take(now, map[string]float64{"front": 1}) {
+			for take(b, now, map[string]float64{"front": 1}) {
 				repeats++
 			}
 		}
--- a/daemon/plugins/entry/router.go
+++ b/daemon/plugins/entry/router.go
@@ -82,6 +82,7 @@
 	budget.RecordRequest(t.clock.Now())
 	t.repeats.RecordRequest(x.req)
 	var a attempts
+	defer t.repeats.End(&a.sends)
 	for {
 		x.req.Attempt++
 		resp, err := t.attempt(ctx, x, &a)
--- a/daemon/plugins/gateway/budget_test.go
+++ b/daemon/plugins/gateway/budget_test.go
@@ -267,6 +267,17 @@
 			}
 		}
 	}
+	shedCalls := func(share float64) func(*repeatFleet) { // the servers of nested calls are full
+		return func(f *repeatFleet) {
+			f.fail = func(at time.Duration, req *wire.Request) (*wire.Response, error, bool) {
+				if at < 5*time.Second || req.GetService() != "back" || f.rng.Float64() >= share {
+					return nil, nil, true
+				}
+				resp, err := responseOfKind(outcome.BackendShed)
+				return resp, err, false
+			}
+		}
+	}
 	for name, tc := range map[string]struct {
 		setUp func(*repeatFleet)
 		fault func(*repeatFleet)
@@ -332,6 +343,18 @@
 			}
 			wg.Wait()
 		}},
+		"calls shed": {setUp: shedCalls(0.7)},
+		"calls shed after bursts": {setUp: shedCalls(0.7), fault: func(f *repeatFleet) {
+			for range 3 {
+				var wg sync.WaitGroup
+				end := f.now() + 4*time.Second
+				for _, d := range f.daemons {
+					wg.Go(func() { f.callers(d, "/list/1", 40, end) })
+				}
+				wg.Wait()
+				time.Sleep(5 * time.Second)
+			}
+		}},
 		"route moves": {setUp: lost(0.4, outcome.AnswerCut, true), fault: func(f *repeatFleet) {
 			time.Sleep(10 * time.Second)
 			f.mu.Lock()
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -84,6 +84,7 @@
 func (s *sender) send(ctx context.Context, x *exchange) (*wire.Response, error) {
 	s.repeats.RecordRequest(x.req)
 	state := &retryState{failedMembers: map[uint64]bool{}}
+	defer s.repeats.End(&state.sends)
 	for {
 		resp, err := s.attempt(ctx, x, state)
 		if err == nil {
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -116,6 +116,7 @@
 		}
 	}
 	var sends routing.Sends
+	defer e.repeats.End(&sends)
 	pause := shedBackoff
 	for try := 1; ; try++ {
 		resp := e.attempt(ctx, r)
--- a/daemon/routing/repeats.go
+++ b/daemon/routing/repeats.go
@@ -50,8 +50,12 @@
 	if sends.arrived == sends.paid {
 		return true
 	}
-	if !r.unlimited && !r.budget.Take(r.clock.Now(), r.calls.Cost(req.GetRoute(), req.GetService())) {
-		return false
+	if !r.unlimited {
+		cost := r.calls.Cost(req.GetRoute(), req.GetService())
+		if !r.budget.Reserve(r.clock.Now(), cost) {
+			return false
+		}
+		sends.reserved = cost
 	}
 	sends.paid = sends.arrived
 	return true
@@ -61,6 +65,8 @@
 type Sends struct {
 	arrived int // attempts that may have arrived at a backend server
 	paid    int // arrived attempts after which Allow returned true
+
+	reserved map[string]float64 // cost of a repeat that was allowed and has not arrived, by service
 }
 
 // Arrived returns the number of attempts that may have arrived at a backend server.
@@ -80,11 +86,44 @@
 	ran := kind.Answer().Ran != outcome.NotRun
 	if ran || resp.GetArrived() || kind == outcome.BackendShed || kind == outcome.Misdirected {
 		sends.arrived++
+		if sends.reserved != nil {
+			r.settle(sends, caused(req, sends.reserved, resp, kind))
+		}
 	}
 	if ran && resp.GetArrived() {
 		r.calls.Record(req.GetRoute(), resp.GetCalls())
 	}
 }
 
+// caused returns the repeats that an arrived repeat caused, of which the given ones were reserved. Its
+// calls are known if the server has refused it or answered. Otherwise it may still run, and causes
+// those that were reserved at least.
+func caused(req *wire.Request, reserved map[string]float64, resp *wire.Response, kind outcome.Kind) map[string]float64 {
+	caused := map[string]float64{req.GetService(): 1}
+	for service, n := range resp.GetCalls() {
+		caused[service] += float64(n)
+	}
+	answered := kind == outcome.OK || kind == outcome.BackendError || kind.Answer().Ran == outcome.NotRun
+	if !answered {
+		for service, n := range reserved {
+			caused[service] = max(caused[service], n)
+		}
+	}
+	return caused
+}
+
+// settle ends the reservation of a repeat, if there is one, with the repeats that it caused.
+func (r *Repeats) settle(sends *Sends, caused map[string]float64) {
+	if sends.reserved == nil {
+		return
+	}
+	r.budget.Settle(r.clock.Now(), sends.reserved, caused)
+	sends.reserved = nil
+}
+
+// End must be called when a request gets no further attempt. A repeat that was allowed and did not
+// arrive costs nothing.
+func (r *Repeats) End(sends *Sends) { r.settle(sends, nil) }
+
 // errNotAllowed is returned for a repeat that Allow did not allow.
 var errNotAllowed = outcome.New(outcome.Overloaded, "the retry budget has no room for a repeat")
