--- a/core/fleet/hostroute.go
+++ b/core/fleet/hostroute.go
@@ -13,6 +13,7 @@
 	Targets []WeightedRoute `json:"targets"`
 	// Idempotent means that a request may run more than once.
 	Idempotent bool     `json:"idempotent,omitempty"`
+	Bulk       bool     `json:"bulk,omitempty"`       // responses are large
 	TimeoutMS  int64    `json:"timeout_ms,omitempty"` // maximum time to respond to a caller; 0 means DefaultTimeoutMS
 	TargetMS   int64    `json:"target_ms,omitempty"`  // latency objective; 0 means the timeout
 	MaxTries   uint32   `json:"max_tries,omitempty"`  // maximum number of backend servers tried for one request; 0 means 1
