--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/link"
+	"github.com/sesamemoor/sesamemoor/core/pace"
 )
 
 const (
@@ -66,7 +68,11 @@
 	Priority uint32        // 0 is the highest
 	Target   clock.Instant // latency objective: an answer up to this time has full value
 	Deadline clock.Instant // deadline: an answer after this time has no value
+	// Size is the expected size of the response in bytes, and Spread its standard deviation, if
+	// the link carries it as bulk; otherwise 0.
+	Size, Spread float64
 
+	promise *link.Transfer // of the link; nil if it has none
 	started clock.Instant
 	number  uint64 // sequence number of the arrival
 }
@@ -99,8 +105,22 @@
 	starts    []clock.Instant // recent starts, oldest first
 
 	limited // rate that the server names
+
+	link        Link         // nil if it is not limited
+	linkReturns pace.Returns // of callers that were refused for the link
+}
+
+// Link predicts when the network link can carry the responses, see package link.
+type Link interface {
+	Promise(now clock.Instant, rank int64, size, spread float64) *link.Transfer
+	Drop(t *link.Transfer)
+	Finish(now, ready clock.Instant, rank int64, size, spread float64, own *link.Transfer) clock.Instant
+	BulkRate(now clock.Instant) float64
 }
 
+// SetLink sets the link that carries the responses.
+func (q *Queue) SetLink(l Link) { q.link = l }
+
 // New returns a queue for a server without slots. Nothing runs before SetSlots is
 // called.
 func New() *Queue {
@@ -251,46 +271,85 @@
 func (q *Queue) Submit(now clock.Instant, t *Ticket) *Refusal {
 	q.lastNumber++
 	t.number = q.lastNumber
-	start, finish := q.predict(now, t)
+	p := q.predict(now, t)
 	q.recordArrival(now, t)
-	if reason := refusalReason(now, start, finish, t); reason != "" {
-		return q.refuse(now, finish, t, reason)
+	if reason := refusalReason(now, p, t); reason != "" {
+		return q.refuse(now, p, t, reason)
+	}
+	if q.link != nil && t.Size > 0 {
+		t.promise = q.link.Promise(now, rank(t), t.Size, t.Spread)
 	}
 	i, _ := slices.BinarySearchFunc(q.waiting, t, q.order(now))
 	q.waiting = slices.Insert(q.waiting, i, t)
 	return nil
 }
 
-// predict returns the times at which a request that arrives now is expected to start
-// and to be answered if the offered load stays the same.
-func (q *Queue) predict(now clock.Instant, t *Ticket) (start, finish clock.Instant) {
+// prediction is the expected course of a request.
+type prediction struct {
+	start  clock.Instant // of the run
+	ready  clock.Instant // end of the run
+	finish clock.Instant // end of the transfer of the response
+	idle   clock.Instant // the same if the link carried no other bulk
+}
+
+// predict returns the expected course of a request that arrives now if the offered load stays
+// the same.
+func (q *Queue) predict(now clock.Instant, t *Ticket) prediction {
 	wait := float64(q.predictStart(now, t).Sub(now))
-	serviceTime := q.serviceTime(now, t.Class)
-	start = now.Add(time.Duration(wait / q.spareShare(now, t, false)))
-	if finish = start.Add(serviceTime); finish <= t.Target {
-		return start, finish
+	p := q.course(now, now.Add(time.Duration(wait/q.spareShare(now, t, false))), t)
+	if p.finish <= t.Target {
+		return p
+	}
+	return q.course(now, now.Add(time.Duration(wait/q.spareShare(now, t, true))), t)
+}
+
+// course returns the expected course of a request that starts at the given time.
+func (q *Queue) course(now, start clock.Instant, t *Ticket) prediction {
+	p := prediction{start: start, ready: start.Add(q.serviceTime(now, t.Class))}
+	p.finish, p.idle = p.ready, p.ready
+	if q.link != nil && t.Size > 0 {
+		p.idle = p.ready.Add(time.Duration((t.Size + t.Spread) / q.link.BulkRate(now) * float64(time.Second)))
+		p.finish = q.link.Finish(now, p.ready, rank(t), t.Size, t.Spread, t.promise)
 	}
-	start = now.Add(time.Duration(wait / q.spareShare(now, t, true)))
-	return start, start.Add(serviceTime)
+	return p
 }
 
-// refusalReason returns the reason to refuse a request with the given predicted
-// start and finish, or "" if it may wait.
-func refusalReason(now, start, finish clock.Instant, t *Ticket) string {
+// refusalReason returns the reason to refuse a request with the given prediction, or "" if it
+// may wait.
+func refusalReason(now clock.Instant, p prediction, t *Ticket) string {
 	switch {
-	case finish > t.Deadline && start > now:
+	case p.ready > t.Deadline && p.start > now:
 		return "no slot before the deadline"
-	case now.Add(time.Duration(minRunShare*float64(finish.Sub(start)))) >= t.Deadline:
+	case now.Add(time.Duration(minRunShare*float64(p.ready.Sub(p.start)))) >= t.Deadline:
 		return "too little time is left"
-	case finish > t.Target && start > now && finish > now.Add(time.Duration(lateShare*float64(t.Deadline.Sub(now)))):
+	case p.ready > t.Target && p.start > now && p.ready > now.Add(time.Duration(lateShare*float64(t.Deadline.Sub(now)))):
 		return "no slot within the latency objective"
+	case p.finish > p.ready && p.finish > latestFinish(now, p, t):
+		return linkReason
 	}
 	return ""
 }
 
+// linkReason is the reason of a refusal for the link.
+const linkReason = "the link cannot carry the response in time"
+
+// latestFinish returns the time until which the response of a request is to be transferred: its
+// deadline or, if it has to wait for other responses, its objective or lateShare of the time left.
+func latestFinish(now clock.Instant, p prediction, t *Ticket) clock.Instant {
+	if p.finish <= p.idle {
+		return t.Deadline
+	}
+	return min(t.Deadline, max(t.Target, now.Add(time.Duration(lateShare*float64(t.Deadline.Sub(now))))))
+}
+
 // refuse returns the refusal of a ticket.
-func (q *Queue) refuse(now, finish clock.Instant, t *Ticket, reason string) *Refusal {
-	delay := retryAfter(now, finish, t)
+func (q *Queue) refuse(now clock.Instant, p prediction, t *Ticket, reason string) *Refusal {
+	if reason == linkReason {
+		// There is room for the response once the backlog has shrunk by the time that it is late.
+		delay := q.linkReturns.Next(now, now.Add(p.finish.Sub(latestFinish(now, p, t))), q.link.BulkRate(now)/t.Size)
+		return &Refusal{Ticket: t, Reason: reason, RetryAfter: max(delay, minRetryAfter)}
+	}
+	delay := retryAfter(now, p.ready, t)
 	if limited := q.limitedRetryAfter(now); limited > delay {
 		delay = limited
 		reason += " under the limit that the server names"
@@ -446,14 +505,15 @@
 		if len(free) > 0 {
 			start = max(start, slices.Min(free))
 		}
-		finish := start.Add(q.serviceTime(now, t.Class))
-		reason := refusalReason(now, start, finish, t)
+		p := q.course(now, start, t)
+		reason := refusalReason(now, p, t)
 		if reason == "" {
 			occupy(free, q.serviceTime(now, t.Class))
 			ahead++
 			return false
 		}
-		refused = append(refused, *q.refuse(now, finish, t, reason))
+		q.dropPromise(t)
+		refused = append(refused, *q.refuse(now, p, t, reason))
 		return true
 	})
 	return refused
@@ -496,6 +556,7 @@
 		return
 	}
 	q.running = slices.Delete(q.running, i, i+1)
+	q.dropPromise(t)
 	took := now.Sub(t.started)
 	if !answered && took <= q.serviceTime(t.started, t.Class) {
 		return
@@ -508,6 +569,15 @@
 	q.all.add(took)
 }
 
+// dropPromise ends the promise of the link for a response: the request does not run, or the
+// response is there and its writer offers it to the link.
+func (q *Queue) dropPromise(t *Ticket) {
+	if t.promise != nil {
+		q.link.Drop(t.promise)
+		t.promise = nil
+	}
+}
+
 // Cancel removes t from the waiting tickets. It returns false if t is not waiting.
 func (q *Queue) Cancel(t *Ticket) bool {
 	i := slices.Index(q.waiting, t)
@@ -515,6 +585,7 @@
 		return false
 	}
 	q.waiting = slices.Delete(q.waiting, i, i+1)
+	q.dropPromise(t)
 	return true
 }
 
@@ -523,6 +594,7 @@
 	var removed []*Ticket
 	q.waiting = slices.DeleteFunc(q.waiting, func(t *Ticket) bool {
 		if match(t) {
+			q.dropPromise(t)
 			removed = append(removed, t)
 			return true
 		}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -109,6 +109,7 @@
 	ColdSlack           float64 `json:"cold_slack"`            // requests per second allowed beyond that
 	AnnounceIntervalS   float64 `json:"announce_interval_s"`   // interval of a backend server's announcements
 	MemoryMB            int64   `json:"memory_mb"`             // memory of the process
+	LinkMbps            float64 `json:"link_mbps"`             // rate of the instance's network link in megabits per second; 0 means not limited
 	RangeShards         uint32  `json:"range_shards"`          // number of shards of a service with numeric keys
 	RecordRing          uint64  `json:"record_ring"`           // number of newest records of each author that the log keeps permanently
 	LogReadersPerCentre int     `json:"log_readers"`           // number of daemons per data centre that read the log themselves
@@ -322,6 +323,7 @@
 	}{
 		{"retry_ratio", b.RetryRatio}, {"retry_extra", b.RetryExtra}, {"cold_slack", b.ColdSlack},
 		{"log_gather_ms", float64(b.LogGatherMS)}, {"log_reader_centres", float64(b.LogReaderCentres)}, {"grace_s", b.GraceS}, {"memory_mb", float64(b.MemoryMB)},
+		{"link_mbps", b.LinkMbps},
 	} {
 		if p.value < 0 {
 			add("bounds.%s: %v is negative", p.field, p.value)
