--- a/core/link/link.go
+++ b/core/link/link.go
@@ -60,6 +60,8 @@
 	// sizeMargin is the number of standard deviations by which the bytes ahead of a response
 	// are expected to exceed their mean.
 	sizeMargin = 1.5
+	// lateShare is a share of the time left until a request's deadline, as in package runqueue.
+	lateShare = 0.5
 )
 
 // NestedRank is the rank of responses to nested calls: a request on another server waits for
@@ -325,4 +327,15 @@
 	return max(1-busy/l.BulkRate(now), minSpareShare)
 }
 
+// LatestFinish returns the time until which a response is to be transferred, given the time at which
+// it is expected to be (finish) and would be on an idle link (idle): its deadline or, if it has to
+// wait for others, its latency objective or lateShare of the time left. Without that, all
+// responses would be as late as their deadlines allow.
+func LatestFinish(now, idle, finish, target, deadline clock.Instant) clock.Instant {
+	if finish <= idle {
+		return deadline
+	}
+	return min(deadline, max(target, now.Add(time.Duration(lateShare*float64(deadline.Sub(now))))))
+}
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/core/loadbalance/loadbalance.go
+++ b/core/loadbalance/loadbalance.go
@@ -54,6 +54,8 @@
 	failureAt   clock.Instant
 	avoidUntil  clock.Instant // until then chosen only if there is no other server
 	nextStart   clock.Instant // earliest start of one more request under the server's limit
+	linkFree    clock.Instant // when its daemon's link has carried the responses reported
+	linkKbps    float64       // rate of the link for large responses in kbit/s; 0 if it is not limited
 }
 
 // Report is the load report of a server, sent with a response.
@@ -66,6 +68,10 @@
 	// NextStart is the time until the limit that the server names allows one more
 	// request; 0 if it names none.
 	NextStart time.Duration
+	// LinkBacklog is the time that the large responses which the link of the server's daemon is to
+	// carry take, and LinkKbps the link's rate for them; zeros if the link is not limited.
+	LinkBacklog time.Duration
+	LinkKbps    float64
 }
 
 // Sent records that a request was sent to the server.
@@ -82,6 +88,7 @@
 	s.cold = r.Cold
 	s.reported = now
 	s.nextStart = now.Add(r.NextStart)
+	s.linkFree, s.linkKbps = now.Add(r.LinkBacklog), r.LinkKbps
 	if r.Slots > 0 {
 		s.Slots = r.Slots
 	}
@@ -129,8 +136,9 @@
 // expectedTime returns the expected response time: the service time, increased by a
 // service time for each round of requests that is served first and by a fifth of a
 // service time at full occupancy, and doubled on a cold server. Failures raise it: it
-// is divided by the square of the success rate, which counts as at least 0.05.
-func (s *Server) expectedTime(now clock.Instant) time.Duration {
+// is divided by the square of the success rate, which counts as at least 0.05. The transfer of a
+// large response of size bytes adds to it.
+func (s *Server) expectedTime(now clock.Instant, size float64) time.Duration {
 	serviceTime := s.serviceTime
 	if serviceTime == 0 {
 		serviceTime = defaultServiceTime
@@ -148,13 +156,23 @@
 		predicted *= 2
 	}
 	successRate := max(1-s.failureRate(now), 0.05)
-	return max(s.nextStart.Sub(now), 0) + time.Duration(predicted/(successRate*successRate))
+	return max(s.nextStart.Sub(now), 0) + time.Duration(predicted/(successRate*successRate)) + s.transferTime(now, size)
+}
+
+// transferTime returns the expected time from the end of a run to that of the transfer of its
+// response, if that is large, and 0 otherwise: small responses do not wait for large ones.
+func (s *Server) transferTime(now clock.Instant, size float64) time.Duration {
+	if size == 0 || s.linkKbps == 0 {
+		return 0
+	}
+	return max(s.linkFree.Sub(now), 0) + time.Duration(size*8/s.linkKbps*float64(time.Millisecond))
 }
 
 // Choose returns the index of the server to send a request to, or -1 if skip holds
-// for all servers. target is the time left until the latency objective. If all
-// others are avoided, an avoided server is chosen at random.
-func Choose(now clock.Instant, servers []*Server, skip func(i int) bool, target time.Duration) int {
+// for all servers. target is the time left until the latency objective, and size the expected size
+// of a large response in bytes, or 0. If all others are avoided, an avoided server is chosen at
+// random.
+func Choose(now clock.Instant, servers []*Server, skip func(i int) bool, target time.Duration, size float64) int {
 	best, near := -1, -1
 	var bestTime, nearTime time.Duration
 	for _, i := range rand.Perm(len(servers)) {
@@ -162,7 +180,7 @@
 		if skip(i) || s.Avoided(now) {
 			continue
 		}
-		predicted := s.expectedTime(now)
+		predicted := s.expectedTime(now, size)
 		if best < 0 || predicted < bestTime {
 			best, bestTime = i, predicted
 		}
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -82,6 +82,7 @@
 	Ticket     *Ticket
 	RetryAfter time.Duration // advised retry delay
 	Reason     string
+	ForLink    bool // the network link cannot carry the response
 }
 
 // Queue holds the running and waiting requests of one backend server and the
@@ -314,6 +315,11 @@
 	return p
 }
 
+// latest returns the time until which the response is to be transferred.
+func (p prediction) latest(now clock.Instant, t *Ticket) clock.Instant {
+	return link.LatestFinish(now, p.idle, p.finish, t.Target, t.Deadline)
+}
+
 // refusalReason returns the reason to refuse a request with the given prediction, or "" if it
 // may wait.
 func refusalReason(now clock.Instant, p prediction, t *Ticket) string {
@@ -324,7 +330,7 @@
 		return "too little time is left"
 	case p.ready > t.Target && p.start > now && p.ready > now.Add(time.Duration(lateShare*float64(t.Deadline.Sub(now)))):
 		return "no slot within the latency objective"
-	case p.finish > p.ready && p.finish > latestFinish(now, p, t):
+	case p.finish > p.ready && p.finish > p.latest(now, t):
 		return linkReason
 	}
 	return ""
@@ -333,21 +339,12 @@
 // linkReason is the reason of a refusal for the link.
 const linkReason = "the link cannot carry the response in time"
 
-// latestFinish returns the time until which the response of a request is to be transferred: its
-// deadline or, if it has to wait for other responses, its objective or lateShare of the time left.
-func latestFinish(now clock.Instant, p prediction, t *Ticket) clock.Instant {
-	if p.finish <= p.idle {
-		return t.Deadline
-	}
-	return min(t.Deadline, max(t.Target, now.Add(time.Duration(lateShare*float64(t.Deadline.Sub(now))))))
-}
-
 // refuse returns the refusal of a ticket.
 func (q *Queue) refuse(now clock.Instant, p prediction, t *Ticket, reason string) *Refusal {
 	if reason == linkReason {
 		// There is room for the response once the backlog has shrunk by the time that it is late.
-		delay := q.linkReturns.Next(now, now.Add(p.finish.Sub(latestFinish(now, p, t))), q.link.BulkRate(now)/t.Size)
-		return &Refusal{Ticket: t, Reason: reason, RetryAfter: max(delay, minRetryAfter)}
+		delay := q.linkReturns.Next(now, now.Add(p.finish.Sub(p.latest(now, t))), q.link.BulkRate(now)/t.Size)
+		return &Refusal{Ticket: t, Reason: reason, RetryAfter: max(delay, minRetryAfter), ForLink: true}
 	}
 	delay := retryAfter(now, p.ready, t)
 	if limited := q.limitedRetryAfter(now); limited > delay {
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -346,6 +346,21 @@
 	return l.received
 }
 
+// ExpectAnswer tells the request's connection the rank and the size of the body that is written
+// next, if it is its turn and the connection shares the network link, see pacing.Conn.
+func ExpectAnswer(ctx context.Context, rank int64, size int) {
+	l, ok := ctx.Value(laneKey{}).(*lane)
+	if !ok {
+		return
+	}
+	p := l.p
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c, ok := p.conn.(interface{ Expect(rank int64, size int) }); ok && !p.closed && !p.writing && len(p.order) > 0 && p.order[0] == l {
+		c.Expect(rank, size)
+	}
+}
+
 // EndAfter makes the answer to a request the last one of its connection, of which no more is
 // read then. It reports false if bytes of further requests were read: they get answers, and
 // this one must not close the connection. The body of the request itself is no longer
--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -17,16 +17,22 @@
 // then, until the deadline of the stop; then it closes all connections. name is the prefix of
 // errors and names the listener in log. Handlers must not hijack connections.
 func Listen(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
-	listen(lc, srv, name, addr, 1, log)
+	listen(lc, srv, name, addr, 1, nil, log)
 }
 
 // ListenPipelined is Listen for callers that send further requests on a connection before
 // the first is answered: they are served side by side, see AwaitTurn.
 func ListenPipelined(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
-	listen(lc, srv, name, addr, maxPipelined, log)
+	ListenWrapped(lc, srv, name, addr, nil, log)
 }
 
-func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, requests int, log *zap.Logger) {
+// ListenWrapped is ListenPipelined with a function that wraps each connection that is accepted, if
+// it is not nil.
+func ListenWrapped(lc fx.Lifecycle, srv *http.Server, name, addr string, wrap func(net.Conn) net.Conn, log *zap.Logger) {
+	listen(lc, srv, name, addr, maxPipelined, wrap, log)
+}
+
+func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, requests int, wrap func(net.Conn) net.Conn, log *zap.Logger) {
 	config := pipelineConfig{requests: requests, maxHead: headLimit(srv), log: newConnLog(log, name)}
 	handleLanes(srv)
 	var listener *pipelineListener
@@ -36,6 +42,9 @@
 			if err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
+			if wrap != nil {
+				inner = wrappingListener{inner, wrap}
+			}
 			listener = newPipelineListener(inner, config)
 			go func() { _ = srv.Serve(listener) }() // returns when the listener is closed
 			return nil
@@ -57,6 +66,21 @@
 	})
 }
 
+// wrappingListener wraps the connections that it accepts.
+type wrappingListener struct {
+	net.Listener
+	wrap func(net.Conn) net.Conn
+}
+
+// Accept implements net.Listener.
+func (l wrappingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.wrap(conn), nil
+}
+
 // headLimit returns the bytes of a head that a server accepts.
 func headLimit(srv *http.Server) int {
 	const slack = 4 << 10 // that net/http allows beyond its limit
--- a/daemon/plugins/backend/admission.go
+++ b/daemon/plugins/backend/admission.go
@@ -11,6 +11,7 @@
 	"github.com/sesamemoor/sesamemoor/core/runqueue"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 )
 
 // admission queues request goroutines for the slots of the backend server. It is
@@ -20,7 +21,8 @@
 	mu                sync.Mutex
 	queue             *runqueue.Queue
 	waiters           map[*runqueue.Ticket]waiter
-	dispatchScheduled bool // a timer will call dispatchDelayed
+	dispatchScheduled bool          // a timer will call dispatchDelayed
+	pacer             *pacing.Pacer // of the network link; nil if there is none
 }
 
 // waiter is a request goroutine that waits for a slot.
@@ -43,7 +45,7 @@
 	a.mu.Lock()
 	if refused := a.queue.Submit(a.clock.Now(), t); refused != nil {
 		a.mu.Unlock()
-		return refusalOf(*refused)
+		return a.refusalOf(*refused)
 	}
 	a.waiters[t] = w
 	a.dispatch()
@@ -169,7 +171,7 @@
 		a.notify(t, nil)
 	}
 	for _, r := range refused {
-		a.notify(r.Ticket, refusalOf(r))
+		a.notify(r.Ticket, a.refusalOf(r))
 	}
 	if delay := a.queue.StartDelay(now); delay > 0 && !a.dispatchScheduled {
 		a.dispatchScheduled = true
@@ -202,7 +204,10 @@
 	}
 }
 
-func refusalOf(r runqueue.Refusal) error {
+func (a *admission) refusalOf(r runqueue.Refusal) error {
+	if r.ForLink {
+		a.pacer.CountRefusal(pacing.AtOwner)
+	}
 	err := outcome.New(outcome.Overloaded, "%s", r.Reason)
 	err.RetryAfter = r.RetryAfter
 	return err
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -22,6 +22,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 )
 
 func init() {
@@ -63,6 +64,7 @@
 	counters   counters
 	holdLog    *holdLog
 	runs       *retry.Runs
+	pacer      *pacing.Pacer // of the network link; nil if there is none
 
 	grantWake chan struct{} // capacity 1; wakes sendDueGrants
 
@@ -83,6 +85,7 @@
 	Suspects kernel.Suspects
 	Settings settings.Daemon
 	Runs     *retry.Runs
+	Pacer    *pacing.Pacer `optional:"true"`
 	Log      *zap.Logger
 }
 
@@ -98,10 +101,15 @@
 		admission:      newAdmission(p.Clock),
 		grantWake:      make(chan struct{}, 1),
 		runs:           p.Runs,
+		pacer:          p.Pacer,
 		holds:          hold.New(time.Duration(p.Settings.Bounds.MaxHoldS * float64(time.Second))),
 		quiescedTokens: map[view.ShardID]uint64{},
 		running:        map[view.ShardID]int{},
 	}
+	if e.pacer.Limited() {
+		e.admission.queue.SetLink(e.pacer)
+		e.admission.pacer = e.pacer
+	}
 	e.holdLog = newHoldLog(e.log)
 	e.client = newClient(p.Clock, p.Protocol, p.Suspects)
 	return e
@@ -201,7 +209,7 @@
 
 // HandleFrame implements kernel.FrameHandler.
 func (e *executor) HandleFrame(ctx context.Context, _ string, frame *wire.Frame) *wire.Frame {
-	return &wire.Frame{Body: &wire.Frame_Response{Response: e.Execute(ctx, frame.GetRequest())}}
+	return &wire.Frame{Body: &wire.Frame_Response{Response: e.serve(ctx, frame.GetRequest(), true)}}
 }
 
 var (
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -37,8 +37,15 @@
 	ticket  *runqueue.Ticket
 }
 
-// Execute implements kernel.Executor.
+// Execute implements kernel.Executor. Its response does not go to another daemon: the entry here
+// accounts for its transfer.
 func (e *executor) Execute(ctx context.Context, req *wire.Request) *wire.Response {
+	return e.serve(ctx, req, false)
+}
+
+// serve runs a request. toPeer tells that its response goes to another daemon over the network
+// link.
+func (e *executor) serve(ctx context.Context, req *wire.Request, toPeer bool) *wire.Response {
 	timeout := time.Duration(req.GetTimeoutMs()) * time.Millisecond
 	arrived := e.clock.Now()
 	underway := timeUnderway(ctx, timeout)
@@ -46,9 +53,12 @@
 	ctx, cancel := context.WithTimeout(ctx, timeout-underway)
 	defer cancel()
 	ctx, exchange := backendconn.WithExchange(ctx)
-	resp := e.execute(ctx, req, sent)
+	resp := e.execute(ctx, req, sent, toPeer)
 	resp.Load = e.admission.load()
 	resp.Load.Notice = e.notice()
+	if backlog, kbps := e.pacer.Backlog(); kbps > 0 {
+		resp.Load.LinkBacklogMs, resp.Load.LinkKbps = uint32(backlog.Milliseconds()), uint32(kbps)
+	}
 	e.counters.record(outcome.Kind(resp.GetKind()))
 	e.logRun(req, resp, exchange, arrived, underway)
 	return resp
@@ -79,6 +89,7 @@
 		zap.String("reason", resp.GetDetail()),
 		zap.Uint32("running", resp.GetLoad().GetRunning()),
 		zap.Uint32("waiting", resp.GetLoad().GetWaiting()),
+		zap.Uint32("link_backlog_ms", resp.GetLoad().GetLinkBacklogMs()),
 		zap.Float64("limit_per_s", resp.GetLoad().GetNotice().GetLimitPerS()),
 		zap.String("framing", string(exchange.Framing)),
 		zap.Bool("kept", exchange.Kept),
@@ -95,8 +106,8 @@
 	e.client.continuity.Stutter.LogDiscarded(e.log, e.clock.Now())
 }
 
-// execute runs a request whose timeout and latency target count from sent.
-func (e *executor) execute(ctx context.Context, req *wire.Request, sent clock.Instant) *wire.Response {
+// execute runs a request whose timeout and latency target count from sent, see serve.
+func (e *executor) execute(ctx context.Context, req *wire.Request, sent clock.Instant, toPeer bool) *wire.Response {
 	r := &run{request: req, ticket: &runqueue.Ticket{
 		Class:    req.GetRoute(),
 		Team:     req.GetTeam(),
@@ -105,6 +116,9 @@
 		Target:   sent.Add(time.Duration(req.GetTargetMs()) * time.Millisecond),
 		Deadline: sent.Add(time.Duration(req.GetTimeoutMs()) * time.Millisecond),
 	}}
+	if toPeer {
+		r.ticket.Size, r.ticket.Spread = e.pacer.Expected(req.GetRoute(), req.GetBulk())
+	}
 	e.applyNotice(req.GetNotice())
 	if err := e.accept(ctx, r); err != nil {
 		return answer.Refusal(err)
@@ -113,6 +127,9 @@
 		return answer.Refusal(err)
 	}
 	resp := e.dispatch(ctx, r)
+	if outcome.Kind(resp.GetKind()) == outcome.OK {
+		e.pacer.RecordSize(req.GetRoute(), len(resp.GetBody()))
+	}
 	e.admission.finish(r.ticket, outcome.Kind(resp.GetKind()) == outcome.OK)
 	return resp
 }
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/sesamemoor/sesamemoor/daemon/bodies"
 	"github.com/sesamemoor/sesamemoor/daemon/edge"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
@@ -71,7 +72,9 @@
 	limiter            kernel.Limiter
 	suspects           kernel.Suspects
 	sender             *sender
-	runs               *retry.Runs // of the backend server beside this daemon
+	runs               *retry.Runs   // of the backend server beside this daemon
+	pacer              *pacing.Pacer // of the network link; nil if there is none
+	transferReturns    *transferReturns
 	metrics            *instruments
 	log                *zap.Logger
 	stopTime           time.Duration   // from the start of a shutdown until the process stops; 0 means no limit
@@ -98,6 +101,7 @@
 	Suspects kernel.Suspects
 	Sender   *sender
 	Runs     *retry.Runs
+	Pacer    *pacing.Pacer `optional:"true"`
 	Metrics  *instruments
 	Log      *zap.Logger
 }
@@ -107,7 +111,7 @@
 	return &gateway{
 		ending: ending, cancelAll: cancelAll,
 		control: p.Control, clock: p.Clock, protocol: p.Protocol, limiter: p.Limiter, suspects: p.Suspects,
-		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, metrics: p.Metrics, log: p.Log.Named("gateway"),
+		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, pacer: p.Pacer, transferReturns: new(transferReturns), metrics: p.Metrics, log: p.Log.Named("gateway"),
 		stopTime: p.Settings.Bounds.StopTime(), service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
 		weightedRoundRobin: newWeightedRoundRobin(), localShares: newLocalShares(), timeoutEstimators: newTimeoutEstimators(), hashes: map[string]string{},
 	}
@@ -123,7 +127,7 @@
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
-	edge.ListenPipelined(lc, srv, "gateway: callers", set.EntryAddr, g.log)
+	edge.ListenWrapped(lc, srv, "gateway: callers", set.EntryAddr, g.pacer.Caller, g.log)
 }
 
 // serveProbes starts the server for the platform's readiness probes.
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -222,7 +222,7 @@
 	excluded := func(i int) bool {
 		return state.failedMembers[members[i].Incarnation] || v.Config.DataCentres[members[i].DataCentre].Out
 	}
-	i := loadbalance.Choose(s.clock.Now(), stats, excluded, time.Until(x.targetTime))
+	i := loadbalance.Choose(s.clock.Now(), stats, excluded, time.Until(x.targetTime), x.transfer.size)
 	if i < 0 {
 		return nil, outcome.New(outcome.NoOwner, "no backend server of the service is known")
 	}
@@ -253,12 +253,12 @@
 // setTimeouts sets the time left until the deadline and until the latency target,
 // in milliseconds, for the daemon that receives the request.
 func setTimeouts(x *exchange) error {
-	remaining := time.Until(x.limit) - routing.ResponseMargin
+	remaining := time.Until(x.limit) - routing.ResponseMargin - x.transfer.time
 	if remaining < time.Millisecond {
 		return outcome.New(outcome.DeadlineNotRun, "deadline passed")
 	}
 	x.req.TimeoutMs = uint64(remaining.Milliseconds())
-	x.req.TargetMs = time.Until(x.targetTime).Milliseconds()
+	x.req.TargetMs = (time.Until(x.targetTime) - x.transfer.time).Milliseconds()
 	return nil
 }
 
@@ -326,6 +326,7 @@
 			Slots: int(load.GetSlots()), Load: int(load.GetRunning() + load.GetWaiting()),
 			Service: time.Duration(load.GetServiceUs()) * time.Microsecond, Cold: load.GetCold(),
 			Slowdown: float64(load.GetPacePercent()) / 100, NextStart: time.Duration(load.GetNextStartMs()) * time.Millisecond,
+			LinkBacklog: time.Duration(load.GetLinkBacklogMs()) * time.Millisecond, LinkKbps: float64(load.GetLinkKbps()),
 		})
 	}
 	switch kind := outcome.KindOf(err); {
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -54,11 +54,15 @@
 	configVersion  uint64        // version of the configuration that was used
 	configAge      time.Duration // of the knowledge that it was the newest one, view.Freshness.Age
 	bodyRead       bool
+	remote         bool // the answer leaves the instance
+	transfer       transfer
 }
 
 // ServeHTTP implements http.Handler.
 func (g *gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	x := &exchange{req: &wire.Request{}, received: edge.ReceivedAt(r.Context()), started: time.Now()}
+	x.remote = g.pacer.Limited() && usesLink(r)
+	defer func() { g.pacer.Drop(x.transfer.promise) }()
 	resp, err := g.process(w, r, x)
 	if err != nil {
 		resp = answer.Refusal(err)
@@ -161,6 +165,8 @@
 	req.Path = r.URL.RequestURI()
 	req.Idempotent = route.Idempotent
 	req.Priority = route.Priority
+	x.transfer.size, x.transfer.spread = g.pacer.Expected(route.Name, route.Bulk)
+	req.Bulk = x.transfer.size > 0
 	req.CallingService = g.service
 	req.Headers = g.forwardHeaders(r.Header)
 	if v.Config.Services[req.Service].Keyless {
@@ -251,6 +257,9 @@
 	ctx, cancel := context.WithDeadline(ctx, x.limit)
 	defer cancel()
 	defer context.AfterFunc(g.ending, cancel)()
+	if err := g.promiseTransfer(x); err != nil {
+		return nil, err
+	}
 	if err := g.limit(ctx, v, x); err != nil {
 		return nil, err
 	}
@@ -258,6 +267,9 @@
 	for service, n := range resp.GetCalls() {
 		parent.AddCalls(service, n)
 	}
+	if err == nil {
+		g.pacer.RecordSize(req.GetRoute(), len(resp.GetBody()))
+	}
 	routing.ReportOutcome(g.suspects, x.req, x.lastTarget, resp, err)
 	return resp, err
 }
@@ -345,6 +357,9 @@
 	if !mayHaveBody {
 		return 0, nil
 	}
+	if r.Method != http.MethodHead {
+		g.beginTransfer(r.Context(), x, len(resp.GetBody()))
+	}
 	return w.Write(resp.GetBody())
 }
 
--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -111,12 +111,18 @@
 	if err != nil {
 		return nil, err
 	}
-	select {
-	case l.out <- outFrame{data: data, call: c}:
-	case <-l.closed:
-		return nil, errNotSent
-	case <-ctx.Done():
-		return nil, notRunError(ctx)
+	if l.bulk.takes(frame, data) {
+		if !l.postBulk(rankOf(frame.GetRequest()), outFrame{data: data, call: c}) {
+			return nil, errNotSent
+		}
+	} else {
+		select {
+		case l.out <- outFrame{data: data, call: c}:
+		case <-l.closed:
+			return nil, errNotSent
+		case <-ctx.Done():
+			return nil, notRunError(ctx)
+		}
 	}
 	select {
 	case answer, ok := <-c.done:
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -20,6 +20,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 )
 
 const (
@@ -45,6 +46,7 @@
 	metrics *instruments
 	dialer  net.Dialer
 	hello   *wire.Hello
+	pacer   *pacing.Pacer // of the network link; set before start
 	stop    chan struct{}
 
 	mu               sync.Mutex
@@ -231,7 +233,7 @@
 	defer close(d.ready)
 	conn, err := n.dialer.Dial("tcp", addr)
 	if err == nil {
-		d.session, err = openSession(conn, n.hello, n.clock, n.config, n.log, n.trackDraining)
+		d.session, err = openPacedSession(conn, n.pacer, n.hello, n.clock, n.config, n.log, n.trackDraining)
 	}
 	d.err = err
 	n.mu.Lock()
--- a/daemon/plugins/peer/peer.go
+++ b/daemon/plugins/peer/peer.go
@@ -1,6 +1,7 @@
 // Package peer carries numbered frames between daemons over yamux sessions. A
 // session has two long-lived streams, called links: one for callers' requests
-// and one for control messages, so that large bodies do not delay the latter.
+// and one for control messages, so that large bodies do not delay the latter. Where the
+// network link of an instance is limited, a third one carries large requests and responses.
 //
 // Invariants: a call whose error means "not run" was not run by the peer. An answer
 // is delivered only to the call whose id and tag it repeats. A request that must not
@@ -16,6 +17,7 @@
 
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 )
 
 func init() {
@@ -27,6 +29,7 @@
 		fx.Provide(func(c kernel.Control) *view.Freshness { return c.View().ConfigFreshness }, fx.Private),
 		fx.Provide(
 			newInstruments,
+			pacing.New,
 			newNetwork,
 			func(n *network) kernel.Peers { return n },
 			newReleases,
@@ -34,10 +37,13 @@
 			kernel.AsEffectHandler(func(r *releases) *releases { return r }),
 			kernel.AsFrameHandler(func(r *releases) *releases { return r }),
 		),
-		fx.Invoke(startNetwork, startServer),
+		fx.Invoke(pacing.RegisterMetrics, usePacer, startNetwork, startServer),
 	)
 }
 
+// usePacer sets the pacer of the network link.
+func usePacer(p *pacing.Pacer, n *network, s *server) { n.pacer, s.pacer = p, p }
+
 // protocolVersion is the version of the peer protocol. Both ends of a link must
 // have the same one.
 const protocolVersion = 1
--- a/daemon/plugins/peer/pipe.go
+++ b/daemon/plugins/peer/pipe.go
@@ -21,7 +21,10 @@
 	writeChunk = 32 << 10
 )
 
-var errWithdrawn = errors.New("call withdrawn before its frame was written")
+var (
+	errWithdrawn  = errors.New("call withdrawn before its frame was written")
+	errPipeClosed = errors.New("link closed")
+)
 
 // outFrame is an encoded frame for the writer.
 type outFrame struct {
@@ -44,6 +47,8 @@
 
 	mu     sync.Mutex
 	posted []outFrame
+
+	bulk bulkQueue // large requests and responses, if the link is limited
 }
 
 func newPipe(conn net.Conn) *pipe {
@@ -114,8 +119,10 @@
 
 // writeLoop writes queued frames until the link ends.
 func (p *pipe) writeLoop() {
+	defer p.bulk.end()
 	defer p.shut()
 	for {
+		next, granted := p.bulk.await()
 		select {
 		case <-p.closed:
 			return
@@ -127,6 +134,10 @@
 			if err := p.writeBatch(p.takePosted()...); err != nil {
 				return
 			}
+		case piece := <-granted:
+			if err := p.writeBulk(next, piece); err != nil {
+				return
+			}
 		}
 	}
 }
@@ -180,12 +191,10 @@
 		}
 	}
 	clear(p.calls)
+	p.bulk.pacer.CountSmall(len(p.buf))
 	for rest := p.buf; len(rest) > 0; {
 		chunk := rest[:min(len(rest), writeChunk)]
-		if err := p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-			return err
-		}
-		if _, err := p.conn.Write(chunk); err != nil {
+		if err := p.write(chunk); err != nil {
 			return err
 		}
 		rest = rest[len(chunk):]
@@ -195,3 +204,12 @@
 	}
 	return nil
 }
+
+// write writes bytes within writeTimeout.
+func (p *pipe) write(b []byte) error {
+	if err := p.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return err
+	}
+	_, err := p.conn.Write(b)
+	return err
+}
--- a/daemon/plugins/peer/server.go
+++ b/daemon/plugins/peer/server.go
@@ -20,6 +20,7 @@
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 )
 
 const (
@@ -54,6 +55,7 @@
 	metrics      *instruments
 	handlers     []kernel.FrameHandler
 	log          *zap.Logger
+	pacer        *pacing.Pacer // of the network link; set before start
 	ctx          context.Context
 	cancel       context.CancelFunc
 	listener     net.Listener
@@ -140,6 +142,8 @@
 	}
 	defer s.removeSession(mux)
 	from := conn.RemoteAddr().String()
+	pacer, wrote, stop := trackBulk(s.pacer, conn)
+	defer stop()
 	for links := 0; ; links++ {
 		stream, err := mux.Accept()
 		if err != nil {
@@ -149,7 +153,9 @@
 			s.reportMalformed(from, outcome.New(outcome.Malformed, "session opened more than %d links", maxLinks))
 			return
 		}
-		go newServerLink(s, stream, from).run()
+		l := newServerLink(s, stream, from)
+		l.bulk.pacer, l.bulk.wrote = pacer, wrote
+		go l.run()
 	}
 }
 
--- a/daemon/plugins/peer/serverlink.go
+++ b/daemon/plugins/peer/serverlink.go
@@ -251,8 +251,12 @@
 	if err != nil {
 		return false
 	}
+	out := outFrame{data: data, sent: func() { close(written) }}
+	if l.bulk.takes(answer, data) {
+		return l.postBulk(rankOf(frame.GetRequest()), out)
+	}
 	select {
-	case l.out <- outFrame{data: data, sent: func() { close(written) }}:
+	case l.out <- out:
 		return true
 	case <-l.closed:
 		return false
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -13,14 +13,17 @@
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/link"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 )
 
 // session is a connection to a peer with its links. The link for control
 // messages is opened with the first of them: a daemon sends requests to all
-// peers of its region, but control messages to few.
+// peers of its region, but control messages to few. So is the link for large requests and
+// responses, which only a daemon with a limited network link opens.
 type session struct {
 	mux       *yamux.Session
 	conn      *sessionConn
@@ -30,7 +33,10 @@
 	onDrain   func(*session)
 	traffic   *clientLink                // callers' requests
 	control   atomic.Pointer[clientLink] // all other frames; nil until the first
-	opening   sync.Mutex                 // locked while the control link is opened
+	bulk      atomic.Pointer[clientLink] // requests with large bodies or responses; nil until the first
+	pacer     *pacing.Pacer              // of the network link; nil if the connection does not use it
+	wrote     func()                     // called after each piece of a large frame
+	opening   sync.Mutex                 // locked while a link is opened on first use
 	probing   atomic.Bool
 	lastProbe clock.Instant // only used by network.check
 	draining  atomic.Bool   // the peer accepts no more frames
@@ -41,14 +47,22 @@
 // openSession opens a session with its traffic link on a new connection. It
 // closes the connection if it fails.
 func openSession(conn net.Conn, hello *wire.Hello, clk clock.Clock, config *view.Freshness, log *zap.Logger, onDrain func(*session)) (*session, error) {
+	return openPacedSession(conn, nil, hello, clk, config, log, onDrain)
+}
+
+// openPacedSession is openSession with the pacer of the network link.
+func openPacedSession(conn net.Conn, pacer *pacing.Pacer, hello *wire.Hello, clk clock.Clock, config *view.Freshness, log *zap.Logger, onDrain func(*session)) (*session, error) {
 	guarded := newSessionConn(conn)
+	var wrote func()
+	pacer, wrote, guarded.onEnd = trackBulk(pacer, conn)
 	mux, err := yamux.Client(guarded, yamuxConfig())
 	if err != nil {
-		_ = conn.Close()
+		_ = guarded.Close()
 		return nil, fmt.Errorf("peer: session: %w", err)
 	}
 	s := &session{
 		mux: mux, conn: guarded, hello: hello, clock: clk, config: config, peer: conn.RemoteAddr().String(), log: log, onDrain: onDrain,
+		pacer: pacer, wrote: wrote,
 	}
 	if s.traffic, err = s.openLink(); err != nil {
 		s.close()
@@ -73,6 +87,7 @@
 // handshake exchanges hellos on a stream and starts its link.
 func (s *session) handshake(stream net.Conn) (*clientLink, error) {
 	p := newPipe(stream)
+	p.bulk.pacer, p.bulk.wrote = s.pacer, s.wrote
 	data, err := encode(&wire.Frame{Body: &wire.Frame_Hello{Hello: s.hello}})
 	if err != nil {
 		return nil, err
@@ -100,7 +115,25 @@
 }
 
 func (s *session) events() linkEvents {
-	return linkEvents{lost: s.logLost, mismatch: s.logMismatch, leaveNotice: s.drain, drained: s.close, ended: s.close}
+	return linkEvents{lost: s.logLost, mismatch: s.logMismatch, leaveNotice: s.drain, drained: s.drained, ended: s.close}
+}
+
+// drained closes the session if no request of its draining links waits for an answer.
+func (s *session) drained() {
+	for _, l := range s.requestLinks() {
+		if l.waitingCalls() > 0 {
+			return
+		}
+	}
+	s.close()
+}
+
+// requestLinks returns the links for requests that are open.
+func (s *session) requestLinks() []*clientLink {
+	if l := s.bulk.Load(); l != nil {
+		return []*clientLink{s.traffic, l}
+	}
+	return []*clientLink{s.traffic}
 }
 
 // logMismatch logs that a link is closed because the tag of an answer is wrong.
@@ -132,7 +165,9 @@
 		return
 	}
 	s.onDrain(s)
-	s.traffic.drain()
+	for _, l := range s.requestLinks() {
+		l.drain()
+	}
 }
 
 // usable reports whether calls can be sent.
@@ -153,21 +188,28 @@
 
 // link returns the link for a frame. Its only error is errNotSent.
 func (s *session) link(frame *wire.Frame) (*clientLink, error) {
-	if frame.GetRequest() != nil {
+	req := frame.GetRequest()
+	switch {
+	case req == nil:
+		return s.controlLink()
+	case s.pacer.Limited() && (req.GetBulk() || len(req.GetBody()) >= link.Large):
+		return s.openOnce(&s.bulk)
+	default:
 		return s.traffic, nil
 	}
-	return s.controlLink()
 }
 
-// controlLink returns the link for control messages. It opens the link on first
-// use.
-func (s *session) controlLink() (*clientLink, error) {
-	if l := s.control.Load(); l != nil {
+// controlLink returns the link for control messages.
+func (s *session) controlLink() (*clientLink, error) { return s.openOnce(&s.control) }
+
+// openOnce returns a link that is opened on first use.
+func (s *session) openOnce(at *atomic.Pointer[clientLink]) (*clientLink, error) {
+	if l := at.Load(); l != nil {
 		return l, nil
 	}
 	s.opening.Lock()
 	defer s.opening.Unlock()
-	if l := s.control.Load(); l != nil {
+	if l := at.Load(); l != nil {
 		return l, nil
 	}
 	l, err := s.openLink()
@@ -175,16 +217,20 @@
 		s.close() // a peer that does not confirm a link does not answer calls either
 		return nil, errNotSent
 	}
-	s.control.Store(l)
+	at.Store(l)
+	if at == &s.bulk && s.draining.Load() {
+		l.drain()
+	}
 	return l, nil
 }
 
 // links returns the links opened so far. They may have ended since.
 func (s *session) links() []*clientLink {
+	links := s.requestLinks()
 	if l := s.control.Load(); l != nil {
-		return []*clientLink{s.traffic, l}
+		links = append(links, l)
 	}
-	return []*clientLink{s.traffic}
+	return links
 }
 
 // close closes the connection, as does the end of any of its links. Each link
--- a/daemon/plugins/peer/shutdown.go
+++ b/daemon/plugins/peer/shutdown.go
@@ -14,6 +14,7 @@
 	net.Conn
 	once     sync.Once
 	received chan struct{} // closed when the receive loop gets an error, or the session shuts down
+	onEnd    func()        // called once after that, if not nil
 
 	mu  sync.Mutex
 	why string // the first reason for which the connection ended
@@ -28,11 +29,18 @@
 	n, err := c.Conn.Read(b)
 	if err != nil {
 		c.ended("read: " + err.Error())
-		c.once.Do(func() { close(c.received) })
+		c.once.Do(c.signalEnd)
 	}
 	return n, err
 }
 
+func (c *sessionConn) signalEnd() {
+	close(c.received)
+	if c.onEnd != nil {
+		c.onEnd()
+	}
+}
+
 // ended records why the connection ended, unless that is known.
 func (c *sessionConn) ended(why string) {
 	c.mu.Lock()
@@ -52,7 +60,7 @@
 // Close implements net.Conn. A session that shuts down closes its connection.
 func (c *sessionConn) Close() error {
 	c.ended("closed here")
-	c.once.Do(func() { close(c.received) })
+	c.once.Do(c.signalEnd)
 	return c.Conn.Close()
 }
 
