--- a/core/link/meter.go
+++ b/core/link/meter.go
@@ -20,8 +20,8 @@
 	// maxRaise and minRateShare bound the rate as multiples of the setting.
 	maxRaise     = 2
 	minRateShare = 0.05
-	// CongestedBytes is the number of bytes that wait at a connection, in flight or not, from
-	// which it counts as congested: more than a piece and a small response.
+	// CongestedBytes is the number of bytes outstanding at a connection from which it counts as
+	// congested: more than a piece and a small response.
 	CongestedBytes = 24 << 10
 )
 
@@ -29,7 +29,7 @@
 type Sample struct {
 	Outstanding int64 // bytes that were written and not acknowledged yet
 	Active      int   // connections with bulk lately
-	Congested   int   // of them, those with CongestedBytes outstanding of which some are in flight
+	Congested   int   // of them, those with CongestedBytes outstanding whose receivers have room
 }
 
 // meter measures the rate of a link while it is saturated.
@@ -42,8 +42,7 @@
 
 // Observe applies a sample, taken some times a second while bulk is written. While most
 // connections with bulk are congested, the link is the bottleneck, and what it delivered is its
-// rate. A connection whose receiver does not read is not congested, as nothing of it is in
-// flight.
+// rate. A connection whose receiver does not read is not congested.
 func (l *Link) Observe(now clock.Instant, s Sample) {
 	if !l.Limited() {
 		return
--- a/core/loadbalance/loadbalance_test.go
+++ b/core/loadbalance/loadbalance_test.go
@@ -104,3 +104,16 @@
 	later := now.Add(500 * time.Millisecond) // the limit has room again
 	is.Equal(Choose(later, servers, none, 300*time.Millisecond, 0), 0)
 }
+
+// A server whose link has much to carry is slow for a large response only.
+func TestLargeResponsesGoWhereTheLinkIsFree(t *testing.T) {
+	is := is.New(t)
+	now := clock.Instant(time.Hour)
+	busy, free := &Server{Near: true, Slots: 4}, &Server{Near: true, Slots: 4}
+	busy.ApplyReport(now, Report{Service: 50 * ms, LinkBacklog: 400 * ms, LinkKbps: 8500})
+	free.ApplyReport(now, Report{Service: 60 * ms, LinkBacklog: 0, LinkKbps: 8500})
+	servers := []*Server{busy, free}
+	is.Equal(Choose(now, servers, func(int) bool { return false }, 400*ms, 90e3), 1)
+	is.Equal(Choose(now, servers, func(int) bool { return false }, 400*ms, 0), 0)
+	is.Equal(Choose(now.Add(400*ms), servers, func(int) bool { return false }, 400*ms, 90e3), 0) // carried by then
+}
--- a/daemon/pacing/conn.go
+++ b/daemon/pacing/conn.go
@@ -19,6 +19,8 @@
 // tracked is a connection whose outstanding bytes are observed.
 type tracked struct {
 	conn     syscall.Conn
+	busy     uint64 // time with data to send, and of it limited by the receiver's window, in microseconds
+	limited  uint64
 	peer     string       // IP address of the other end
 	daemon   bool         // the other end is a daemon, which reads all that comes
 	lastBulk atomic.Int64 // time of the last piece
@@ -67,7 +69,7 @@
 		if last == 0 {
 			continue
 		}
-		outstanding, inFlight := outstandingOf(c.conn)
+		outstanding, congested := c.outstanding()
 		s.Outstanding += int64(outstanding)
 		if now.Sub(last) > activeTime && outstanding == 0 {
 			c.lastBulk.CompareAndSwap(int64(last), 0)
@@ -76,7 +78,7 @@
 		used = true
 		s.Active++
 		switch {
-		case outstanding < link.CongestedBytes || !inFlight:
+		case !congested:
 		case c.daemon:
 			daemons++
 		default:
@@ -90,26 +92,28 @@
 	return s, used
 }
 
-// outstandingOf returns the bytes that were written to a connection and not acknowledged, and
-// whether some of them are in flight: those of a receiver that reads nothing are not.
-func outstandingOf(conn syscall.Conn) (bytes int, inFlight bool) {
-	raw, err := conn.SyscallConn()
+// outstanding returns the bytes that were written to the connection and not acknowledged, and
+// whether these are many and the receiver has not kept them back for most of the time since the last
+// call: the window of a receiver that reads nothing, or slowly, does.
+func (c *tracked) outstanding() (bytes int, congested bool) {
+	raw, err := c.conn.SyscallConn()
 	if err != nil {
 		return 0, false
 	}
+	var info *unix.TCPInfo
+	var infoErr error
 	err = raw.Control(func(fd uintptr) {
-		bytes, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
-		if err != nil || bytes < link.CongestedBytes {
-			return
-		}
-		if info, infoErr := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); infoErr == nil {
-			inFlight = info.Unacked > 0
+		bytes, infoErr = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ)
+		if infoErr == nil {
+			info, infoErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
 		}
 	})
-	if err != nil {
+	if err != nil || infoErr != nil {
 		return 0, false
 	}
-	return bytes, inFlight
+	busy, limited := info.Busy_time-c.busy, info.Rwnd_limited-c.limited
+	c.busy, c.limited = info.Busy_time, info.Rwnd_limited
+	return bytes, bytes >= link.CongestedBytes && 2*limited < busy
 }
 
 // Conn is a connection of a caller. Large writes wait for the turn of each of their pieces. It is
