Nested calls are ranked with the requests that wait for them

All nested calls had one rank and the latency objective of their own route, so that where a service of nested calls was the bottleneck, the most urgent requests failed as often as the least urgent ones, after they had held a slot. A run now carries its priority and objective; the entry gives them to its nested calls. Nested calls still come before all others, in the order of these priorities, on the server's queue and on the link. A priority that gets less than half of the average share goes first, so that none starves.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -64,9 +64,17 @@
 	lateShare = 0.5
 )
 
-// NestedRank is the rank of responses to nested calls: a request on another server waits for
-// them.
-const NestedRank = -1
+// firstNested is the lowest rank of a nested call.
+const firstNested = -(1 << 32)
+
+// Rank returns the rank of a request: lower ranks go first. Nested calls come before all others,
+// since the requests that wait for them hold slots, and have the priorities of these requests.
+func Rank(nested bool, priority uint32) int64 {
+	if nested {
+		return firstNested + int64(priority)
+	}
+	return int64(priority)
+}
 
 // Link is the sending direction of an instance's link.
 type Link struct {
--- a/core/retry/calls.go
+++ b/core/retry/calls.go
@@ -71,6 +71,10 @@
 	deadline clock.Instant
 	repeat   bool
 	calls    map[string]uint32 // by called service
+
+	ranked   bool // priority and target are set
+	priority uint32
+	target   clock.Instant
 }
 
 // NewRuns returns a tracker without running requests.
@@ -112,6 +116,23 @@
 // Repeat reports whether the run is a repeat. It is false for nil.
 func (run *Run) Repeat() bool { return run != nil && run.repeat }
 
+// SetUrgency states the priority and the latency objective of the request that runs.
+func (run *Run) SetUrgency(priority uint32, target clock.Instant) {
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	run.ranked, run.priority, run.target = true, priority, target
+}
+
+// Urgency returns what SetUrgency stated, and false if it was not called or the run is nil.
+func (run *Run) Urgency() (priority uint32, target clock.Instant, ok bool) {
+	if run == nil {
+		return 0, 0, false
+	}
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	return run.priority, run.target, run.ranked
+}
+
 // AddCalls adds calls of the run. It does nothing for nil.
 func (run *Run) AddCalls(service string, n uint32) {
 	if run == nil {
--- a/core/runqueue/limited.go
+++ b/core/runqueue/limited.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"math"
+	"strconv"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/link"
 	"github.com/sesamemoor/sesamemoor/core/pace"
 )
 
@@ -17,7 +19,7 @@
 	// that of all requests, below which the class goes first.
 	minClassShare = 0.5
 	// starvedRank is the rank of the tickets of such a class. It is below all others.
-	starvedRank = nestedRank - 1
+	starvedRank = math.MinInt64
 	// maxTracked bounds the number of teams and of classes with averages; a full table is
 	// cleared.
 	maxTracked = 4096
@@ -35,6 +37,29 @@
 	byTeam  map[string]*decaying // starts by team
 	asks    decaying             // arrivals of all classes
 	runs    decaying             // starts of all classes
+
+	nested rankCounts // nested tickets by rank, with and without a limit
+}
+
+// rankCounts counts the arrivals and starts of the tickets of each rank.
+type rankCounts struct {
+	asked, started map[string]*decaying
+	asks, runs     decaying
+}
+
+func (k *rankCounts) record(table *map[string]*decaying, all *decaying, now clock.Instant, rank int64) {
+	if *table == nil {
+		*table = map[string]*decaying{}
+	}
+	count(*table, now, strconv.FormatInt(rank, 10))
+	all.add(now)
+}
+
+// starved reports whether the share of a rank's tickets that are started is below
+// minClassShare of that of all.
+func (k *rankCounts) starved(now clock.Instant, rank int64) bool {
+	name := strconv.FormatInt(rank, 10)
+	return k.started[name].now(now)*k.asks.now(now) < minClassShare*k.runs.now(now)*k.asked[name].now(now)
 }
 
 func newLimited() limited {
@@ -122,6 +147,9 @@
 
 // recordAsked counts an arrival.
 func (q *Queue) recordAsked(now clock.Instant, t *Ticket) {
+	if t.Nested {
+		q.nested.record(&q.nested.asked, &q.nested.asks, now, rank(t))
+	}
 	if q.limit.PerS() == 0 {
 		return
 	}
@@ -131,6 +159,9 @@
 
 // recordStart counts a start.
 func (q *Queue) recordStart(now clock.Instant, t *Ticket) {
+	if t.Nested {
+		q.nested.record(&q.nested.started, &q.nested.runs, now, rank(t))
+	}
 	if q.limit.PerS() == 0 {
 		return
 	}
@@ -140,8 +171,12 @@
 }
 
 // rank returns the rank of a ticket, which is starvedRank if its class got much less
-// than the others under the server's limit.
+// than the others under the server's limit, and that before all nested tickets if its rank got
+// much less than theirs.
 func (q *Queue) rank(now clock.Instant, t *Ticket) int64 {
+	if t.Nested && q.limit.PerS() == 0 && q.nested.starved(now, rank(t)) {
+		return link.Rank(true, 0) - 1
+	}
 	if q.starved(now, t.Class) {
 		return starvedRank
 	}
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -65,7 +65,7 @@
 	Class    string        // requests of a class have similar service times
 	Team     string        // team of the caller; "" if there is none
 	Nested   bool          // a running request on another server waits for it
-	Priority uint32        // 0 is the highest
+	Priority uint32        // 0 is the highest; of a nested request, that of the request that waits for it
 	Target   clock.Instant // latency objective: an answer up to this time has full value
 	Deadline clock.Instant // deadline: an answer after this time has no value
 	// Size is the expected size of the response in bytes, and Spread its standard deviation, if
@@ -384,18 +384,8 @@
 	return 0
 }
 
-// rank returns the rank of a ticket; lower ranks run first. Nested tickets come
-// before all others, because the request that waits for them holds a slot on
-// another server.
-func rank(t *Ticket) int64 {
-	if t.Nested {
-		return nestedRank
-	}
-	return int64(t.Priority)
-}
-
-// nestedRank is the rank of nested tickets.
-const nestedRank = -1
+// rank returns the rank of a ticket; lower ranks run first.
+func rank(t *Ticket) int64 { return link.Rank(t.Nested, t.Priority) }
 
 // predictStart returns the time at which t would start if no other request
 // arrived.
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -266,6 +266,7 @@
 	}
 	started := e.clock.Now()
 	run := e.runs.Begin(started.Add(remaining), r.request.GetRepeat())
+	run.SetUrgency(r.request.GetPriority(), r.ticket.Target)
 	resp, decoded, err := e.client.run(ctx, r.server, r.request, remaining)
 	resp.Calls = run.End()
 	if resp.GetArrived() && r.request.GetRepeat() {
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -251,6 +251,7 @@
 		parent = g.runs.Parent(g.clock.Now().Add(time.Until(x.received.Add(x.callerTimeout))))
 		parent.AddCalls(req.GetService(), 1)
 		req.Repeat = parent.Repeat()
+		g.rankWithParent(x, parent)
 	} else {
 		x.targetTime = x.targetTime.Add(-g.timeoutEstimators.elapsed(g.clock.Now(), req.GetRoute(), x.callerTimeout))
 	}
@@ -274,6 +275,22 @@
 	return resp, err
 }
 
+// rankWithParent gives a nested call the priority of the request on whose behalf it is made. The
+// call has its full value as long as that request can meet its latency objective.
+func (g *gateway) rankWithParent(x *exchange, parent *retry.Run) {
+	priority, target, ok := parent.Urgency()
+	if !ok {
+		return
+	}
+	x.req.Priority = priority
+	if until := time.Now().Add(target.Sub(g.clock.Now())); until.After(x.targetTime) {
+		x.targetTime = until
+	}
+	if x.targetTime.After(x.limit) {
+		x.targetTime = x.limit
+	}
+}
+
 // limit takes a token of the team's fleet-wide rate. While the keeper is
 // unavailable, it takes one from this daemon's equal share of the rate.
 func (g *gateway) limit(ctx context.Context, v *view.View, x *exchange) error {
