core/runqueue: refused callers return one after the other, at the rate of the slots

Callers that a queue refused together were told the same time, mostly the latest one that is told (2 s), since the predicted wait counts the burst that they are part of as a lasting load. They came back together and were refused again. Each refusal without a limit or link now names the time at which the requests that wait have started, and one service time of a slot later than the refusal before it. Nested calls are left out, as nobody waits for their delay.

--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -56,6 +56,8 @@
 	// slowdownMaxAge is the time in which the weight of a server's reported slowdown
 	// falls to zero. The slowdown changes several times a second.
 	slowdownMaxAge = 400 * time.Millisecond
+	// minReturnsPerS is the least rate at which refused callers are told to return.
+	minReturnsPerS = 1
 	// rateWindow is the period over which the starts on a cold server are counted.
 	rateWindow = time.Second
 )
@@ -109,6 +111,7 @@
 
 	link        Link         // nil if it is not limited
 	linkReturns pace.Returns // of callers that were refused for the link
+	slotReturns pace.Returns // of callers that were refused for the slots
 }
 
 // Link predicts when the network link can carry the responses, see package link.
@@ -347,6 +350,9 @@
 		return &Refusal{Ticket: t, Reason: reason, RetryAfter: max(delay, minRetryAfter), ForLink: true}
 	}
 	delay := retryAfter(now, p.ready, t)
+	if !t.Nested && q.slots > 0 { // a nested call is sent elsewhere at once, or not at all
+		delay = q.returnDelay(now, t)
+	}
 	if limited := q.limitedRetryAfter(now); limited > delay {
 		delay = limited
 		reason += " under the limit that the server names"
@@ -354,6 +360,15 @@
 	return &Refusal{Ticket: t, Reason: reason, RetryAfter: delay}
 }
 
+// returnDelay returns the delay after which a refused caller is to return: when the requests that
+// wait now have started and those refused before are served, at the rate of the slots.
+func (q *Queue) returnDelay(now clock.Instant, t *Ticket) time.Duration {
+	serviceTime := q.serviceTime(now, t.Class)
+	perS := max(float64(q.slots)/serviceTime.Seconds(), minReturnsPerS)
+	first := now.Add(retryAfter(now, q.predictStart(now, t).Add(serviceTime), t))
+	return q.slotReturns.Next(now, first, perS)
+}
+
 // retryAfter returns the advised retry delay: the time by which the predicted
 // finish exceeds the objective, or now if the objective has passed, between
 // minRetryAfter and maxRetryAfter.
