core/nested: requests whose nested calls are not served in time are refused before they run

Where a service of nested calls was the bottleneck, runs took a slot for most of a second and failed for a call that was refused or late. A daemon now learns per route which services its runs call themselves, whether runs fail without these calls, and per service and priority how many of its calls are lost for want of capacity. While more than 5% are, it admits a falling share of the requests that need them, at least a tenth, and refuses the others with kind overloaded and spread Retry-After before they take a slot. Without lost calls nothing changes, and daemons exchange nothing for it.

--- a/core/retry/calls.go
+++ b/core/retry/calls.go
@@ -72,6 +72,9 @@
 	repeat   bool
 	calls    map[string]uint32 // by called service
 
+	direct map[string]uint32 // calls of the run itself that have ended, by called service
+	lost   bool              // some of them were not served
+
 	ranked   bool // priority and target are set
 	priority uint32
 	target   clock.Instant
@@ -133,6 +136,29 @@
 	return run.priority, run.target, run.ranked
 }
 
+// EndCall records the end of a call of the run itself. lost means that it was refused or not
+// answered in time for want of capacity. It does nothing for nil.
+func (run *Run) EndCall(service string, lost bool) {
+	if run == nil {
+		return
+	}
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	if run.direct == nil {
+		run.direct = map[string]uint32{}
+	}
+	run.direct[service]++
+	run.lost = run.lost || lost
+}
+
+// DirectCalls returns the calls of the run itself that have ended, by service, and whether some
+// were lost.
+func (run *Run) DirectCalls() (calls map[string]uint32, lost bool) {
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	return maps.Clone(run.direct), run.lost
+}
+
 // AddCalls adds calls of the run. It does nothing for nil.
 func (run *Run) AddCalls(service string, n uint32) {
 	if run == nil {
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -23,6 +23,7 @@
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/kernel"
 	"github.com/sesamemoor/sesamemoor/daemon/pacing"
+	"github.com/sesamemoor/sesamemoor/daemon/routing"
 )
 
 func init() {
@@ -36,13 +37,14 @@
 		fx.Provide(
 			newExecutor,
 			retry.NewRuns,
+			routing.NewCalls,
 			func(e *executor) kernel.Executor { return e },
 			func(e *executor) kernel.BackendObserver { return e },
 			func(e *executor) protocol.AnnouncementSink { return e },
 			kernel.AsEffectHandler(func(e *executor) *executor { return e }),
 			kernel.AsFrameHandler(func(e *executor) *executor { return e }),
 		),
-		fx.Invoke(startGrants, serveAnnouncements, registerMetrics),
+		fx.Invoke(startGrants, serveAnnouncements, registerMetrics, routing.RegisterCallMetrics),
 	)
 }
 
@@ -64,6 +66,7 @@
 	counters   counters
 	holdLog    *holdLog
 	runs       *retry.Runs
+	calls      *routing.Calls
 	pacer      *pacing.Pacer // of the network link; nil if there is none
 
 	grantWake chan struct{} // capacity 1; wakes sendDueGrants
@@ -85,6 +88,7 @@
 	Suspects kernel.Suspects
 	Settings settings.Daemon
 	Runs     *retry.Runs
+	Calls    *routing.Calls
 	Pacer    *pacing.Pacer `optional:"true"`
 	Log      *zap.Logger
 }
@@ -101,6 +105,7 @@
 		admission:      newAdmission(p.Clock),
 		grantWake:      make(chan struct{}, 1),
 		runs:           p.Runs,
+		calls:          p.Calls,
 		pacer:          p.Pacer,
 		holds:          hold.New(time.Duration(p.Settings.Bounds.MaxHoldS * float64(time.Second))),
 		quiescedTokens: map[view.ShardID]uint64{},
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -123,6 +123,9 @@
 	if err := e.accept(ctx, r); err != nil {
 		return answer.Refusal(err)
 	}
+	if err := e.calls.Admit(req); err != nil {
+		return answer.Refusal(err)
+	}
 	if err := e.admission.acquire(ctx, r.shard, r.ticket); err != nil {
 		return answer.Refusal(err)
 	}
@@ -269,6 +272,7 @@
 	run.SetUrgency(r.request.GetPriority(), r.ticket.Target)
 	resp, decoded, err := e.client.run(ctx, r.server, r.request, remaining)
 	resp.Calls = run.End()
+	e.calls.RecordRun(r.request, run, resp)
 	if resp.GetArrived() && r.request.GetRepeat() {
 		e.counters.repeats.Add(1)
 	}
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -72,7 +72,8 @@
 	limiter            kernel.Limiter
 	suspects           kernel.Suspects
 	sender             *sender
-	runs               *retry.Runs   // of the backend server beside this daemon
+	runs               *retry.Runs // of the backend server beside this daemon
+	calls              *routing.Calls
 	pacer              *pacing.Pacer // of the network link; nil if there is none
 	transferReturns    *transferReturns
 	metrics            *instruments
@@ -101,6 +102,7 @@
 	Suspects kernel.Suspects
 	Sender   *sender
 	Runs     *retry.Runs
+	Calls    *routing.Calls
 	Pacer    *pacing.Pacer `optional:"true"`
 	Metrics  *instruments
 	Log      *zap.Logger
@@ -111,7 +113,7 @@
 	return &gateway{
 		ending: ending, cancelAll: cancelAll,
 		control: p.Control, clock: p.Clock, protocol: p.Protocol, limiter: p.Limiter, suspects: p.Suspects,
-		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, pacer: p.Pacer, transferReturns: new(transferReturns), metrics: p.Metrics, log: p.Log.Named("gateway"),
+		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, calls: p.Calls, pacer: p.Pacer, transferReturns: new(transferReturns), metrics: p.Metrics, log: p.Log.Named("gateway"),
 		stopTime: p.Settings.Bounds.StopTime(), service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
 		weightedRoundRobin: newWeightedRoundRobin(), localShares: newLocalShares(), timeoutEstimators: newTimeoutEstimators(), hashes: map[string]string{},
 	}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -265,6 +265,7 @@
 		return nil, err
 	}
 	resp, err := g.sender.send(ctx, x)
+	g.calls.RecordCall(req, parent, err)
 	for service, n := range resp.GetCalls() {
 		parent.AddCalls(service, n)
 	}
