--- a/core/retry/calls.go
+++ b/core/retry/calls.go
@@ -71,6 +71,13 @@
 	deadline clock.Instant
 	repeat   bool
 	calls    map[string]uint32 // by called service
+
+	direct map[string]uint32 // calls of the run itself that have ended, by called service
+	lost   bool              // some of them were not served
+
+	ranked   bool // priority and target are set
+	priority uint32
+	target   clock.Instant
 }
 
 // NewRuns returns a tracker without running requests.
@@ -112,6 +119,46 @@
 // Repeat reports whether the run is a repeat. It is false for nil.
 func (run *Run) Repeat() bool { return run != nil && run.repeat }
 
+// SetUrgency states the priority and the latency objective of the request that runs.
+func (run *Run) SetUrgency(priority uint32, target clock.Instant) {
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	run.ranked, run.priority, run.target = true, priority, target
+}
+
+// Urgency returns what SetUrgency stated, and false if it was not called or the run is nil.
+func (run *Run) Urgency() (priority uint32, target clock.Instant, ok bool) {
+	if run == nil {
+		return 0, 0, false
+	}
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	return run.priority, run.target, run.ranked
+}
+
+// EndCall records the end of a call of the run itself. lost means that it was refused or not
+// answered in time for want of capacity. It does nothing for nil.
+func (run *Run) EndCall(service string, lost bool) {
+	if run == nil {
+		return
+	}
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	if run.direct == nil {
+		run.direct = map[string]uint32{}
+	}
+	run.direct[service]++
+	run.lost = run.lost || lost
+}
+
+// DirectCalls returns the calls of the run itself that have ended, by service, and whether some
+// were lost.
+func (run *Run) DirectCalls() (calls map[string]uint32, lost bool) {
+	run.runs.mu.Lock()
+	defer run.runs.mu.Unlock()
+	return maps.Clone(run.direct), run.lost
+}
+
 // AddCalls adds calls of the run. It does nothing for nil.
 func (run *Run) AddCalls(service string, n uint32) {
 	if run == nil {
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -124,6 +124,9 @@
 	if err := e.accept(ctx, r); err != nil {
 		return answer.Refusal(err)
 	}
+	if err := e.calls.Admit(req); err != nil {
+		return answer.Refusal(err)
+	}
 	if err := e.admission.acquire(ctx, r.shard, r.ticket); err != nil {
 		return answer.Refusal(err)
 	}
@@ -267,9 +270,11 @@
 	}
 	started := e.clock.Now()
 	run := e.runs.Begin(started.Add(remaining), r.request.GetRepeat())
+	run.SetUrgency(r.request.GetPriority(), r.ticket.Target)
 	resp, decoded, err := e.client.run(ctx, r.server, r.request, remaining)
 	resp.Calls = run.End()
 	e.recordRunEnd(ctx, r, outcome.Kind(resp.GetKind()))
+	e.calls.RecordRun(r.request, run, resp)
 	if resp.GetArrived() && r.request.GetRepeat() {
 		e.counters.repeats.Add(1)
 	}
