gateway, runqueue: calls are known without teams; bulk that waits keeps its objective

Cause: where callers have no keys, nested calls were taken for requests of callers. A link with more demand than it can carry accepted bulk up to half of its deadline, so that all of it was late: 210 of 3,319 in time, median 2,033 ms for an objective of 1,000 ms. Change: a call is known by its id, which extends that of a run in progress at the server beside its entry. Bulk that has to wait for other bulk is refused if its mean finish misses its latency objective.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -307,6 +307,15 @@
 // expected to be there. own is its promise if it has one, or nil: then it goes behind all others
 // of its rank.
 func (l *Link) Finish(now, ready clock.Instant, rank int64, size, spread float64, own *Transfer) clock.Instant {
+	return l.finish(now, ready, rank, size, spread, own, sizeMargin)
+}
+
+// MeanFinish is Finish for responses of their mean sizes. It is as often too late as too early.
+func (l *Link) MeanFinish(now, ready clock.Instant, rank int64, size float64, own *Transfer) clock.Instant {
+	return l.finish(now, ready, rank, size, 0, own, 0)
+}
+
+func (l *Link) finish(now, ready clock.Instant, rank int64, size, spread float64, own *Transfer, deviations float64) clock.Instant {
 	if !l.Limited() || size <= 0 {
 		return ready
 	}
@@ -317,7 +326,7 @@
 	ahead, variance := l.ahead(now, rank, number)
 	variance += spread * spread
 	rate := l.BulkRate(now)
-	margin := sizeMargin * math.Sqrt(variance)
+	margin := deviations * math.Sqrt(variance)
 	wait := seconds((ahead + margin) / (rate * l.spareShare(now, rank)))
 	transfer := seconds((size + margin) / rate)
 	return max(now.Add(wait+seconds(size/rate)), ready.Add(transfer))
--- a/core/retry/calls.go
+++ b/core/retry/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"strings"
 	"sync"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -63,11 +64,13 @@
 type Runs struct {
 	mu      sync.Mutex
 	running map[*Run]struct{}
+	byID    map[string]*Run // by request id
 }
 
 // Run is a request that runs.
 type Run struct {
 	runs     *Runs
+	id       string
 	deadline clock.Instant
 	repeat   bool
 	calls    map[string]uint32 // by called service
@@ -81,15 +84,18 @@
 }
 
 // NewRuns returns a tracker without running requests.
-func NewRuns() *Runs { return &Runs{running: map[*Run]struct{}{}} }
+func NewRuns() *Runs { return &Runs{running: map[*Run]struct{}{}, byID: map[string]*Run{}} }
 
-// Begin records that a request is sent to the backend server. repeat tells whether it may
-// have arrived at one before, or is a call of such a run.
-func (r *Runs) Begin(deadline clock.Instant, repeat bool) *Run {
-	run := &Run{runs: r, deadline: deadline, repeat: repeat, calls: map[string]uint32{}}
+// Begin records that the request with an id is sent to the backend server. repeat tells whether
+// it may have arrived at one before, or is a call of such a run.
+func (r *Runs) Begin(id string, deadline clock.Instant, repeat bool) *Run {
+	run := &Run{runs: r, id: id, deadline: deadline, repeat: repeat, calls: map[string]uint32{}}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.running[run] = struct{}{}
+	if id != "" {
+		r.byID[id] = run
+	}
 	return run
 }
 
@@ -98,9 +104,27 @@
 	run.runs.mu.Lock()
 	defer run.runs.mu.Unlock()
 	delete(run.runs.running, run)
+	if run.runs.byID[run.id] == run {
+		delete(run.runs.byID, run.id)
+	}
 	return maps.Clone(run.calls)
 }
 
+// idSeparators separate the id of a request from what a backend server appends to it for a call.
+const idSeparators = ".:/"
+
+// ByCallID returns the run whose request id the id of a call extends, as in "ID.CALL", or nil if
+// there is none.
+func (r *Runs) ByCallID(callID string) *Run {
+	i := strings.LastIndexAny(callID, idSeparators)
+	if i <= 0 {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.byID[callID[:i]]
+}
+
 // Parent returns the run on whose behalf a call with the given deadline is made: calls
 // have the deadline of their run, so it is the one whose deadline is nearest. It returns
 // nil if no request runs.
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -119,6 +119,7 @@
 	Promise(now clock.Instant, rank int64, size, spread float64) *link.Transfer
 	Drop(t *link.Transfer)
 	Finish(now, ready clock.Instant, rank int64, size, spread float64, own *link.Transfer) clock.Instant
+	MeanFinish(now, ready clock.Instant, rank int64, size float64, own *link.Transfer) clock.Instant
 	BulkRate(now clock.Instant) float64
 }
 
@@ -294,6 +295,7 @@
 	ready  clock.Instant // end of the run
 	finish clock.Instant // end of the transfer of the response
 	idle   clock.Instant // the same if the link carried no other bulk
+	mean   clock.Instant // end of the transfer if all responses have their mean sizes
 }
 
 // predict returns the expected course of a request that arrives now if the offered load stays
@@ -310,10 +312,11 @@
 // course returns the expected course of a request that starts at the given time.
 func (q *Queue) course(now, start clock.Instant, t *Ticket) prediction {
 	p := prediction{start: start, ready: start.Add(q.serviceTime(now, t.Class))}
-	p.finish, p.idle = p.ready, p.ready
+	p.finish, p.idle, p.mean = p.ready, p.ready, p.ready
 	if q.link != nil && t.Size > 0 {
 		p.idle = p.ready.Add(time.Duration((t.Size + t.Spread) / q.link.BulkRate(now) * float64(time.Second)))
 		p.finish = q.link.Finish(now, p.ready, rank(t), t.Size, t.Spread, t.promise)
+		p.mean = q.link.MeanFinish(now, p.ready, rank(t), t.Size, t.promise)
 	}
 	return p
 }
@@ -333,12 +336,24 @@
 		return "too little time is left"
 	case p.ready > t.Target && p.start > now && p.ready > now.Add(time.Duration(lateShare*float64(t.Deadline.Sub(now)))):
 		return "no slot within the latency objective"
-	case p.finish > p.ready && p.finish > p.latest(now, t):
+	case p.finish > p.ready && p.overdue(now, t) > 0:
 		return linkReason
 	}
 	return ""
 }
 
+// overdue returns by how much the transfer of the response is expected to end too late: after
+// latest, or after the latency objective although it would meet that on an idle link. If those
+// that wait were carried up to their deadlines, a link with more demand than it can carry would
+// deliver all of them late.
+func (p prediction) overdue(now clock.Instant, t *Ticket) time.Duration {
+	over := p.finish.Sub(p.latest(now, t))
+	if p.idle <= t.Target {
+		over = max(over, p.mean.Sub(t.Target))
+	}
+	return over
+}
+
 // linkReason is the reason of a refusal for the link.
 const linkReason = "the link cannot carry the response in time"
 
@@ -346,7 +361,7 @@
 func (q *Queue) refuse(now clock.Instant, p prediction, t *Ticket, reason string) *Refusal {
 	if reason == linkReason {
 		// There is room for the response once the backlog has shrunk by the time that it is late.
-		delay := q.linkReturns.Next(now, now.Add(p.finish.Sub(p.latest(now, t))), q.link.BulkRate(now)/t.Size)
+		delay := q.linkReturns.Next(now, now.Add(p.overdue(now, t)), q.link.BulkRate(now)/t.Size)
 		return &Refusal{Ticket: t, Reason: reason, RetryAfter: max(delay, minRetryAfter), ForLink: true}
 	}
 	delay := retryAfter(now, p.ready, t)
--- a/daemon/pacing/pacing.go
+++ b/daemon/pacing/pacing.go
@@ -190,6 +190,13 @@
 	return p.link.Finish(now, ready, rank, size, spread, own)
 }
 
+// MeanFinish implements runqueue.Link.
+func (p *Pacer) MeanFinish(now, ready clock.Instant, rank int64, size float64, own *link.Transfer) clock.Instant {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.link.MeanFinish(now, ready, rank, size, own)
+}
+
 // BulkRate implements runqueue.Link.
 func (p *Pacer) BulkRate(now clock.Instant) float64 {
 	p.mu.Lock()
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -269,7 +269,7 @@
 		return answer.Refusal(outcome.New(outcome.DeadlineNotRun, "too little time is left until the deadline to send the request"))
 	}
 	started := e.clock.Now()
-	run := e.runs.Begin(started.Add(remaining), r.request.GetRepeat())
+	run := e.runs.Begin(r.request.GetRequestId(), started.Add(remaining), r.request.GetRepeat())
 	run.SetUrgency(r.request.GetPriority(), r.ticket.Target)
 	resp, decoded, err := e.client.run(ctx, r.server, r.request, remaining)
 	resp.Calls = run.End()
--- a/daemon/plugins/gateway/budget_test.go
+++ b/daemon/plugins/gateway/budget_test.go
@@ -47,6 +47,8 @@
 	daemons []*repeatDaemon
 	fail    func(at time.Duration, req *wire.Request) (*wire.Response, error, bool) // failure of an attempt; the bool says that the server ran it
 
+	teamless bool // no caller has a key, and calls that no repeat made count as requests
+
 	mu       sync.Mutex
 	view     *view.View
 	requests map[string][]time.Duration // times of callers' requests, by service
@@ -118,15 +120,18 @@
 	if !ran {
 		return resp, err
 	}
-	running := d.runs.Begin(bubbleClock{}.Now().Add(time.Duration(req.GetTimeoutMs())*time.Millisecond), req.GetRepeat())
+	running := d.runs.Begin(id, bubbleClock{}.Now().Add(time.Duration(req.GetTimeoutMs())*time.Millisecond), req.GetRepeat())
 	time.Sleep(work / 2)
 	var wg sync.WaitGroup
 	for range calls {
 		wg.Go(func() {
 			f.mu.Lock()
 			f.seq++
-			call := fmt.Sprintf("call-%d", f.seq)
+			call := fmt.Sprintf("%s.call-%d", id, f.seq)
 			f.repeated[call] = repeat
+			if f.teamless && !repeat {
+				f.requests["back"] = append(f.requests["back"], f.now())
+			}
 			f.mu.Unlock()
 			f.send(d, "/open/1", "Id", call, "Patience", strconv.FormatUint(req.GetTimeoutMs()-uint64(work.Milliseconds()/2), 10))
 		})
@@ -288,6 +293,12 @@
 		"servers crash":  {setUp: lost(0.3, outcome.BackendCrashed, true)},
 		"servers reset":  {setUp: lost(0.4, outcome.BackendReset, false)},
 		"errors":         {setUp: lost(0.3, outcome.BackendError, true)},
+		"no teams": {setUp: func(f *repeatFleet) {
+			lost(0.6, outcome.AnswerCut, true)(f)
+			config := *f.view.Config
+			config.Teams = nil
+			f.teamless, f.view.Config = true, &config
+		}},
 		"declines between": {setUp: lost(0.3, outcome.AnswerCut, true), fault: func(f *repeatFleet) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
--- a/daemon/plugins/gateway/nested_test.go
+++ b/daemon/plugins/gateway/nested_test.go
@@ -23,7 +23,7 @@
 	defer srv.Close()
 	now := clock.Boot{}.Now()
 	for i, priority := range []uint32{1, 4} {
-		run := g.runs.Begin(now.Add(time.Duration(i+1)*200*time.Millisecond), false)
+		run := g.runs.Begin("", now.Add(time.Duration(i+1)*200*time.Millisecond), false)
 		run.SetUrgency(priority, now.Add(time.Duration(i+1)*190*time.Millisecond))
 		defer run.End()
 	}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -201,9 +201,11 @@
 
 // authenticate sets the request's team by its caller key. Requests without a key
 // on an anonymous route count as nested: backend servers make them for requests
-// that they run.
+// that they run. Without teams no caller has a key, so that only an id which extends
+// that of a running request shows a nested one.
 func (g *gateway) authenticate(v *view.View, x *exchange, key string) error {
 	if len(v.Config.Teams) == 0 {
+		x.req.Nested = g.runs.ByCallID(x.req.GetRequestId()) != nil
 		return nil
 	}
 	team, known := "", false
@@ -248,7 +250,7 @@
 	// remaining timeout does not mean that it is a retry.
 	var parent *retry.Run
 	if req.GetNested() {
-		parent = g.runs.Parent(g.clock.Now().Add(time.Until(x.received.Add(x.callerTimeout))))
+		parent = g.parentOf(x)
 		parent.AddCalls(req.GetService(), 1)
 		req.Repeat = parent.Repeat()
 		g.rankWithParent(x, parent)
@@ -276,6 +278,14 @@
 	return resp, err
 }
 
+// parentOf returns the run on whose behalf a nested call is made, or nil if it is not known.
+func (g *gateway) parentOf(x *exchange) *retry.Run {
+	if parent := g.runs.ByCallID(x.req.GetRequestId()); parent != nil {
+		return parent
+	}
+	return g.runs.Parent(g.clock.Now().Add(time.Until(x.received.Add(x.callerTimeout))))
+}
+
 // rankWithParent gives a nested call the priority of the request on whose behalf it is made. The
 // call has its full value as long as that request can meet its latency objective.
 func (g *gateway) rankWithParent(x *exchange, parent *retry.Run) {
--- a/daemon/routing/calls_test.go
+++ b/daemon/routing/calls_test.go
@@ -28,7 +28,7 @@
 					is.True(outcome.RetryAfterOf(err) > 0)
 					refused++
 				}
-				run := runs.Begin(clock.Boot{}.Now(), false)
+				run := runs.Begin("", clock.Boot{}.Now(), false)
 				var err error
 				if kind != outcome.OK {
 					err = outcome.New(kind, "")
--- a/daemon/routing/repeats.go
+++ b/daemon/routing/repeats.go
@@ -35,11 +35,13 @@
 	}
 }
 
-// RecordRequest records the first attempt of a request. Calls of backend servers add
-// nothing to the budget.
+// RecordRequest records the first attempt of a request, which adds to the budget of its service.
+// Calls of backend servers add nothing if callers are known by their keys. Without teams all
+// requests are counted alike, other than the calls of repeated runs, which count as repeats.
 func (r *Repeats) RecordRequest(req *wire.Request) {
-	r.budget.SetDaemons(len(r.control.View().Daemons))
-	if !req.GetNested() {
+	v := r.control.View()
+	r.budget.SetDaemons(len(v.Daemons))
+	if !req.GetRepeat() && (!req.GetNested() || len(v.Config.Teams) == 0) {
 		r.budget.RecordRequest(r.clock.Now(), req.GetService())
 	}
 }
