core/nested: admission recovers within 3 s of an outage

After a short loss of a called service, the share of requests that is admitted rose by 0.05 in half a second, so that requests were refused for up to 9 s after the calls were served again, and a single lost call of a route with few requests lowered it. The share now rises faster after three updates without losses, and falls only for two lost calls or more between two updates.

TestPeerThatReadsNothingDoesNotDelayOthers was red in 2 of 10 runs with -race at load average 40 on 7 processors (another peer's call took over 1 s, or found no session); not traced.

--- a/core/nested/nested.go
+++ b/core/nested/nested.go
@@ -8,6 +8,7 @@
 package nested
 
 import (
+	"math"
 	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/clock"
@@ -22,10 +23,14 @@
 	// is admitted is updated, whichever comes first; the time also bounds how old a share gets
 	// without calls before it rises.
 	updateCalls = 10
-	updateTime  = 500 * time.Millisecond
-	// raise is the amount by which the share rises with an update without losses, or in updateTime
-	// with fewer calls: from the least one to all within 10 s.
-	raise = 0.05
+	updateTime  = 400 * time.Millisecond
+	// minLost is the number of lost calls from which the share falls: a single one tells little.
+	minLost = 2
+	// firstRaise is the amount by which the share rises with an update without losses. After
+	// slowUpdates in a row it doubles with each further one, so that all requests are admitted 3 s
+	// after the end of an outage.
+	firstRaise  = 0.05
+	slowUpdates = 3
 	// minShare is the share that is admitted in any case: it shows when calls are served again,
 	// and keeps each kind from starving.
 	minShare = 0.1
@@ -63,6 +68,7 @@
 // supply is how a service serves calls of one priority.
 type supply struct {
 	share   float64 // of the requests that need it which are admitted
+	clean   int     // updates without losses in a row
 	calls   int     // since the last update
 	lost    int     // of them
 	updated clock.Instant
@@ -114,10 +120,12 @@
 	if s.calls < updateCalls && took < updateTime {
 		return
 	}
-	if float64(s.lost) > maxLoss*float64(s.calls) {
+	if s.lost >= minLost && float64(s.lost) > maxLoss*float64(s.calls) {
 		s.share = max(s.share*(1-float64(s.lost)/float64(s.calls)/2), minShare)
+		s.clean = 0
 	} else {
-		s.share = min(s.share+raise*max(1, float64(took)/float64(updateTime)), 1)
+		s.clean++
+		s.share = min(s.share+firstRaise*math.Exp2(float64(max(0, s.clean-slowUpdates))), 1)
 	}
 	s.servedS = float64(s.calls-s.lost) / max(took, time.Millisecond).Seconds()
 	s.calls, s.lost, s.updated = 0, 0, now
--- a/daemon/pacing/conn.go
+++ b/daemon/pacing/conn.go
@@ -37,8 +37,8 @@
 	return tcp.IP.String()
 }
 
-// Track observes a connection with a daemon while bulk is written to it. Wrote records a piece
-// that was written, and stop ends the observation.
+// Track observes a connection with a daemon while bulk is written to it. wrote records a piece
+// that is written, and stop ends the observation.
 func (p *Pacer) Track(conn net.Conn) (wrote, stop func()) { return p.track(conn, true) }
 
 func (p *Pacer) track(conn net.Conn, daemon bool) (wrote, stop func()) {
--- a/daemon/plugins/peer/bulk.go
+++ b/daemon/plugins/peer/bulk.go
@@ -18,7 +18,7 @@
 // bulkQueue holds the large frames of a pipe that are not written yet.
 type bulkQueue struct {
 	pacer *pacing.Pacer // not limited or nil: there are no such frames
-	wrote func()        // called after each piece
+	wrote func()        // called for each piece
 
 	mu       sync.Mutex
 	frames   []*bulkFrame // by rank, then in the order of their arrival
@@ -117,12 +117,12 @@
 		return nil // withdrawn; nothing of it was written
 	}
 	for rest := *b.data; ; {
-		if err := p.write(rest[:piece]); err != nil {
-			return err
-		}
 		if p.bulk.wrote != nil {
 			p.bulk.wrote()
 		}
+		if err := p.write(rest[:piece]); err != nil {
+			return err
+		}
 		if rest = rest[piece:]; len(rest) == 0 {
 			break
 		}
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -35,7 +35,7 @@
 	control   atomic.Pointer[clientLink] // all other frames; nil until the first
 	bulk      atomic.Pointer[clientLink] // requests with large bodies or responses; nil until the first
 	pacer     *pacing.Pacer              // of the network link; nil if the connection does not use it
-	wrote     func()                     // called after each piece of a large frame
+	wrote     func()                     // called for each piece of a large frame
 	opening   sync.Mutex                 // locked while a link is opened on first use
 	probing   atomic.Bool
 	lastProbe clock.Instant // only used by network.check
