core/link: bulk that has to wait is accepted within its latency objective only

A bulk response was accepted if the link could carry it within half of the time left. The backlog is now bounded by the objective, with which the link carries as many. A response that finds the link idle is always accepted, since a few large ones at the start had all others refused otherwise, and the expected size was never corrected.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -57,9 +57,10 @@
 	// blockedAfter is the time after a grant from which a transfer that has not asked for its
 	// next piece counts as blocked by its receiver. It then delays no others.
 	blockedAfter = 100 * time.Millisecond
-	// sizeMargin is the number of standard deviations by which the bytes ahead of a response
-	// are expected to exceed their mean.
-	sizeMargin = 1.5
+	// usualMargin and safeMargin are the numbers of standard deviations by which the bytes up to
+	// the end of a response may exceed their mean for its objective, and for its deadline.
+	usualMargin = 0.5
+	safeMargin  = 1.5
 	// lateShare is a share of the time left until a request's deadline, as in package runqueue.
 	lateShare = 0.5
 )
@@ -302,25 +303,53 @@
 	return bytes, variance
 }
 
-// Finish returns the time at which the transfer of a response is expected to be complete. size
-// is its expected size, spread the standard deviation, and ready the time at which it is
-// expected to be there. own is its promise if it has one, or nil: then it goes behind all others
-// of its rank.
-func (l *Link) Finish(now, ready clock.Instant, rank int64, size, spread float64, own *Transfer) clock.Instant {
+// Prediction is the expected end of the transfer of a response.
+type Prediction struct {
+	Idle     clock.Instant // if the response had to wait for no other
+	Expected clock.Instant // if responses are a little larger than on average
+	Safe     clock.Instant // if they are much larger
+}
+
+// Predict predicts the transfer of a response. size is its expected size, spread the standard
+// deviation, and ready the time at which it is expected to be there. own is its promise if it has
+// one, or nil: then it goes behind all others of its rank.
+func (l *Link) Predict(now, ready clock.Instant, rank int64, size, spread float64, own *Transfer) Prediction {
 	if !l.Limited() || size <= 0 {
-		return ready
+		return Prediction{Idle: ready, Expected: ready, Safe: ready}
 	}
 	number := uint64(math.MaxUint64)
 	if own != nil {
 		number = own.number
 	}
 	ahead, variance := l.ahead(now, rank, number)
-	variance += spread * spread
+	deviation := math.Sqrt(variance + spread*spread)
 	rate := l.BulkRate(now)
-	margin := sizeMargin * math.Sqrt(variance)
-	wait := seconds((ahead + margin) / (rate * l.spareShare(now, rank)))
-	transfer := seconds((size + margin) / rate)
-	return max(now.Add(wait+seconds(size/rate)), ready.Add(transfer))
+	spare := rate * l.spareShare(now, rank)
+	p := Prediction{Idle: ready.Add(seconds(size / rate))}
+	finish := func(margin float64) clock.Instant {
+		if ahead == 0 {
+			return p.Idle
+		}
+		return max(p.Idle, now.Add(seconds((ahead+margin*deviation)/spare+size/rate)))
+	}
+	p.Expected, p.Safe = finish(usualMargin), finish(safeMargin)
+	return p
+}
+
+// Lateness returns the time by which the transfer of a response is expected to end too late, or 0
+// if the request may be accepted. A response that has to wait for no other is late after its
+// deadline. Otherwise it is late after its latency objective: a longer backlog would carry no more
+// responses, and all of them late. One that cannot meet its objective anyway may take lateShare of
+// the time left.
+func (p Prediction) Lateness(now, target, deadline clock.Instant) time.Duration {
+	latest := target
+	switch {
+	case p.Expected <= p.Idle:
+		return max(p.Idle.Sub(deadline), 0)
+	case p.Idle > target:
+		latest = max(p.Idle, now.Add(time.Duration(lateShare*float64(deadline.Sub(now)))))
+	}
+	return max(p.Expected.Sub(latest), p.Safe.Sub(deadline), 0)
 }
 
 // spareShare returns the share of the bulk rate that the bulk promised to more urgent ranks
@@ -335,15 +364,4 @@
 	return max(1-busy/l.BulkRate(now), minSpareShare)
 }
 
-// LatestFinish returns the time until which a response is to be transferred, given the time at which
-// it is expected to be (finish) and would be on an idle link (idle): its deadline or, if it has to
-// wait for others, its latency objective or lateShare of the time left. Without that, all
-// responses would be as late as their deadlines allow.
-func LatestFinish(now, idle, finish, target, deadline clock.Instant) clock.Instant {
-	if finish <= idle {
-		return deadline
-	}
-	return min(deadline, max(target, now.Add(time.Duration(lateShare*float64(deadline.Sub(now))))))
-}
-
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -118,7 +118,7 @@
 type Link interface {
 	Promise(now clock.Instant, rank int64, size, spread float64) *link.Transfer
 	Drop(t *link.Transfer)
-	Finish(now, ready clock.Instant, rank int64, size, spread float64, own *link.Transfer) clock.Instant
+	Predict(now, ready clock.Instant, rank int64, size, spread float64, own *link.Transfer) link.Prediction
 	BulkRate(now clock.Instant) float64
 }
 
@@ -290,18 +290,20 @@
 
 // prediction is the expected course of a request.
 type prediction struct {
-	start  clock.Instant // of the run
-	ready  clock.Instant // end of the run
-	finish clock.Instant // end of the transfer of the response
-	idle   clock.Instant // the same if the link carried no other bulk
+	start    clock.Instant   // of the run
+	ready    clock.Instant   // end of the run
+	transfer link.Prediction // of the response; zero if the link does not carry it as bulk
 }
 
+// finish returns the expected time at which the response is transferred.
+func (p prediction) finish() clock.Instant { return max(p.ready, p.transfer.Expected) }
+
 // predict returns the expected course of a request that arrives now if the offered load stays
 // the same.
 func (q *Queue) predict(now clock.Instant, t *Ticket) prediction {
 	wait := float64(q.predictStart(now, t).Sub(now))
 	p := q.course(now, now.Add(time.Duration(wait/q.spareShare(now, t, false))), t)
-	if p.finish <= t.Target {
+	if p.finish() <= t.Target {
 		return p
 	}
 	return q.course(now, now.Add(time.Duration(wait/q.spareShare(now, t, true))), t)
@@ -310,17 +312,18 @@
 // course returns the expected course of a request that starts at the given time.
 func (q *Queue) course(now, start clock.Instant, t *Ticket) prediction {
 	p := prediction{start: start, ready: start.Add(q.serviceTime(now, t.Class))}
-	p.finish, p.idle = p.ready, p.ready
 	if q.link != nil && t.Size > 0 {
-		p.idle = p.ready.Add(time.Duration((t.Size + t.Spread) / q.link.BulkRate(now) * float64(time.Second)))
-		p.finish = q.link.Finish(now, p.ready, rank(t), t.Size, t.Spread, t.promise)
+		p.transfer = q.link.Predict(now, p.ready, rank(t), t.Size, t.Spread, t.promise)
 	}
 	return p
 }
 
-// latest returns the time until which the response is to be transferred.
-func (p prediction) latest(now clock.Instant, t *Ticket) clock.Instant {
-	return link.LatestFinish(now, p.idle, p.finish, t.Target, t.Deadline)
+// lateForLink returns the time by which the link carries the response too late, or 0.
+func (p prediction) lateForLink(now clock.Instant, t *Ticket) time.Duration {
+	if p.transfer == (link.Prediction{}) {
+		return 0
+	}
+	return p.transfer.Lateness(now, t.Target, t.Deadline)
 }
 
 // refusalReason returns the reason to refuse a request with the given prediction, or "" if it
@@ -333,7 +336,7 @@
 		return "too little time is left"
 	case p.ready > t.Target && p.start > now && p.ready > now.Add(time.Duration(lateShare*float64(t.Deadline.Sub(now)))):
 		return "no slot within the latency objective"
-	case p.finish > p.ready && p.finish > p.latest(now, t):
+	case p.lateForLink(now, t) > 0:
 		return linkReason
 	}
 	return ""
@@ -346,7 +349,7 @@
 func (q *Queue) refuse(now clock.Instant, p prediction, t *Ticket, reason string) *Refusal {
 	if reason == linkReason {
 		// There is room for the response once the backlog has shrunk by the time that it is late.
-		delay := q.linkReturns.Next(now, now.Add(p.finish.Sub(p.latest(now, t))), q.link.BulkRate(now)/t.Size)
+		delay := q.linkReturns.Next(now, now.Add(p.lateForLink(now, t)), q.link.BulkRate(now)/t.Size)
 		return &Refusal{Ticket: t, Reason: reason, RetryAfter: max(delay, minRetryAfter), ForLink: true}
 	}
 	delay := retryAfter(now, p.ready, t)
--- a/daemon/pacing/pacing.go
+++ b/daemon/pacing/pacing.go
@@ -183,11 +183,11 @@
 	p.link.Drop(t)
 }
 
-// Finish implements runqueue.Link.
-func (p *Pacer) Finish(now, ready clock.Instant, rank int64, size, spread float64, own *link.Transfer) clock.Instant {
+// Predict implements runqueue.Link.
+func (p *Pacer) Predict(now, ready clock.Instant, rank int64, size, spread float64, own *link.Transfer) link.Prediction {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.link.Finish(now, ready, rank, size, spread, own)
+	return p.link.Predict(now, ready, rank, size, spread, own)
 }
 
 // BulkRate implements runqueue.Link.
--- a/daemon/plugins/gateway/transfer.go
+++ b/daemon/plugins/gateway/transfer.go
@@ -60,14 +60,12 @@
 	now := g.clock.Now()
 	t := &x.transfer
 	target, deadline := now.Add(time.Until(x.targetTime)), now.Add(time.Until(x.limit))
-	finish := g.pacer.Finish(now, now, x.rank(), t.size, t.spread, nil)
-	rate := g.pacer.BulkRate(now)
-	t.time = time.Duration((t.size + t.spread) / rate * float64(time.Second))
-	latest := link.LatestFinish(now, now.Add(t.time), finish, target, deadline)
-	if finish > latest {
+	p := g.pacer.Predict(now, now, x.rank(), t.size, t.spread, nil)
+	t.time = p.Idle.Sub(now)
+	if late := p.Lateness(now, target, deadline); late > 0 {
 		g.pacer.CountRefusal(pacing.AtEntry)
 		err := outcome.New(outcome.Overloaded, "the link of the entry cannot carry the response in time")
-		err.RetryAfter = g.transferReturns.next(now, now.Add(finish.Sub(latest)), rate/t.size)
+		err.RetryAfter = g.transferReturns.next(now, now.Add(late), g.pacer.BulkRate(now)/t.size)
 		return err
 	}
 	t.promise = g.pacer.Promise(now, x.rank(), t.size, t.spread)
