core/link, routing: a part of the objective for the entry's link; shed calls refuse no caller

Change: a response that waits for others is to leave the owner within 0.75 of the time left to its objective. A call that a server shed does not count as lost for want of capacity.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -61,6 +61,10 @@
 	// the end of a response may exceed their mean for its objective, and for its deadline.
 	usualMargin = 0.5
 	safeMargin  = 1.5
+	// objectiveShare is the share of the time left until its latency objective in which a response
+	// that waits for others is to have left this instance. The rest is for the link of the entry and
+	// of the caller, which are often as narrow as this one.
+	objectiveShare = 0.75
 	// lateShare is a share of the time left until a request's deadline, as in package runqueue.
 	lateShare = 0.5
 )
@@ -338,11 +342,11 @@
 
 // Lateness returns the time by which the transfer of a response is expected to end too late, or 0
 // if the request may be accepted. A response that has to wait for no other is late after its
-// deadline. Otherwise it is late after its latency objective: a longer backlog would carry no more
-// responses, and all of them late. One that cannot meet its objective anyway may take lateShare of
-// the time left.
+// deadline. Otherwise it is late after objectiveShare of the time to its latency objective: a longer
+// backlog would carry no more responses, and all of them late. One that cannot meet its objective
+// anyway may take lateShare of the time left.
 func (p Prediction) Lateness(now, target, deadline clock.Instant) time.Duration {
-	latest := target
+	latest := now.Add(time.Duration(objectiveShare * float64(target.Sub(now))))
 	switch {
 	case p.Expected <= p.Idle:
 		return max(p.Idle.Sub(deadline), 0)
--- a/daemon/routing/calls.go
+++ b/daemon/routing/calls.go
@@ -52,7 +52,9 @@
 	}
 	lost := false
 	switch outcome.KindOf(err) {
-	case outcome.Overloaded, outcome.BackendShed, outcome.DeadlineNotRun, outcome.DeadlineMaybeRan:
+	// Not BackendShed: daemons keep within a server's slots, so that one which sheds does so whatever
+	// its load, and refusing callers would not help it.
+	case outcome.Overloaded, outcome.DeadlineNotRun, outcome.DeadlineMaybeRan:
 		lost = true
 	}
 	parent.EndCall(req.GetService(), lost)
