One account of the memory that is held on behalf of callers

Cause: memory was counted only while it was read. Answers waited uncounted at the owner for the session, in the session, and at the entry for their turn; a connection was read on after its head was refused; connections were bounded by the descriptors only, and the kernel's buffers grew on their own.

Change: core/callermemory counts a request and its answer from the first byte read to the last byte taken, within a bound for a connection, for the entry and in total, derived from memory_mb. The entry refuses a request (overloaded, not run) whose expected answer has no room; the owner refuses before the run, and reads a longer answer on once there is room. A connection that is full is not read on; callers that take no byte for caller_stall_ms are closed while others need the memory; heads without room or place are closed.

--- /dev/null
+++ b/core/callermemory/callermemory.go
@@ -0,0 +1,304 @@
+// Package callermemory accounts for the memory that a daemon holds on behalf of callers: the
+// bytes read of their requests, the requests and answers that run, that wait in sessions between
+// daemons or for their turn on a connection, and answers until the connection has taken them.
+//
+// It is designed for 4,000 requests a second and 3,000 callers' connections at a daemon with
+// 284 MB, of which each operation costs a few atomic additions.
+package callermemory
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+)
+
+// Limits are the bounds of an Account in bytes.
+type Limits struct {
+	Connection int64 // of one connection of a caller
+	Entry      int64 // of all callers' connections
+	Total      int64 // of callers' connections and requests of other daemons
+}
+
+const (
+	// SmallBytes is the size up to which a reservation may use the last part of a bound, so that
+	// small requests are served while long answers are refused.
+	SmallBytes = 64 << 10
+	// largeShare is the part of a bound that larger reservations may use.
+	largeShare = 0.75
+)
+
+// Account counts memory. A nil *Account counts nothing and refuses nothing. It is safe for concurrent
+// use.
+type Account struct {
+	limits       Limits
+	entry, total atomic.Int64
+	reads        atomic.Int64 // part of entry
+	refusals     [Refusals]atomic.Int64
+	sizes        *sizes // of answers
+
+	connections, refusedConnections, closedConnections atomic.Int64
+}
+
+// Refusal is the reason for which something was not accepted.
+type Refusal int
+
+const (
+	Admitted     Refusal = iota
+	ByConnection         // the connection's bound
+	ByEntry              // the bound of all callers' connections
+	ByTotal              // the bound of the daemon
+	Refusals             // their number
+)
+
+// String returns the name of the bound.
+func (r Refusal) String() string {
+	return [...]string{"none", "connection", "entry", "total"}[r]
+}
+
+// New returns an account with bounds.
+func New(limits Limits) *Account { return &Account{limits: limits, sizes: newSizes()} }
+
+// Entry returns the bytes held for callers' connections.
+func (a *Account) Entry() int64 { return a.entry.Load() }
+
+// Total returns the bytes held in all.
+func (a *Account) Total() int64 { return a.total.Load() }
+
+// Refused returns how many requests were refused for want of memory by a bound.
+func (a *Account) Refused(by Refusal) int64 { return a.refusals[by].Load() }
+
+// CountRefusal counts a request that was refused by a bound.
+func (h *Hold) CountRefusal(by Refusal) {
+	if h != nil && h.account != nil {
+		h.account.refusals[by].Add(1)
+	}
+}
+
+// ExpectedAnswer returns the size that answers of a route have on average.
+func (h *Hold) ExpectedAnswer(route string) int64 {
+	if h == nil || h.account == nil {
+		return unknownBytes
+	}
+	return h.account.sizes.expected(route)
+}
+
+// RecordAnswer records the size of an answer of a route.
+func (h *Hold) RecordAnswer(route string, bytes int) {
+	if h != nil && h.account != nil {
+		h.account.sizes.record(route, bytes)
+	}
+}
+
+// AnswerBytes returns what an answer of n bytes takes while it is passed on: a daemon has it as
+// it was received and as it is written.
+func AnswerBytes(n int64) int64 { return 2 * n }
+
+// Exceeded reports whether more is held than a bound allows: what has arrived is counted even
+// if there is no room for it.
+func (a *Account) Exceeded() bool {
+	return a != nil && (a.entry.Load() > a.limits.Entry || a.total.Load() > a.limits.Total)
+}
+
+// Connections returns how many connections of callers are open.
+func (a *Account) Connections() int64 { return a.connections.Load() }
+
+// RefusedConnections returns how many connections found no place.
+func (a *Account) RefusedConnections() int64 { return a.refusedConnections.Load() }
+
+// ClosedConnections returns how many connections were closed for what others need.
+func (a *Account) ClosedConnections() int64 { return a.closedConnections.Load() }
+
+// CountRefusedConnection counts a connection that found no place.
+func (a *Account) CountRefusedConnection() {
+	if a != nil {
+		a.refusedConnections.Add(1)
+	}
+}
+
+// headShare is the part of the entry's bound that bytes may take that were read of requests and
+// not given to their handlers yet. Proper callers have such bytes for a moment only.
+const headShare = 0.2
+
+// ReadRoom reports whether there is room for further bytes of requests.
+func (a *Account) ReadRoom() bool {
+	return a == nil || a.reads.Load() <= int64(headShare*float64(a.limits.Entry))
+}
+
+// CountRead changes the bytes that were read and not given to handlers, which a Hold counts, too.
+func (a *Account) CountRead(change int64) {
+	if a != nil {
+		a.reads.Add(change)
+	}
+}
+
+// Connection is the share of one connection of a caller.
+type Connection struct {
+	account *Account
+	held    atomic.Int64
+}
+
+// Connection returns the share of a new connection.
+func (a *Account) Connection() *Connection {
+	if a != nil {
+		a.connections.Add(1)
+	}
+	return &Connection{account: a}
+}
+
+// Close ends the share of a connection. forced tells that it was closed for what others need.
+func (c *Connection) Close(forced bool) {
+	if c.account == nil {
+		return
+	}
+	c.account.connections.Add(-1)
+	if forced {
+		c.account.closedConnections.Add(1)
+	}
+}
+
+// Held returns the bytes that are held for the connection.
+func (c *Connection) Held() int64 { return c.held.Load() }
+
+// Full reports whether the connection has reached its bound.
+func (c *Connection) Full() bool {
+	return c.account != nil && c.held.Load() >= c.account.limits.Connection
+}
+
+// Hold returns a hold of the connection without bytes.
+func (c *Connection) Hold() *Hold { return &Hold{account: c.account, conn: c} }
+
+// Hold returns a hold without bytes for a request of another daemon.
+func (a *Account) Hold() *Hold { return &Hold{account: a} }
+
+// Hold is what is held for one request and its answer, or for the bytes read of one connection.
+// It is safe for concurrent use; the methods of a nil *Hold have no effect.
+type Hold struct {
+	account *Account
+	conn    *Connection // nil for a request of another daemon
+
+	mu              sync.Mutex
+	request, answer int64
+	ended           bool
+}
+
+// Reserve raises the part of the answer to n bytes if the bounds have room. A hold that is as
+// high already stays as it is.
+func (h *Hold) Reserve(n int64) Refusal { return h.reserve(n, true, answerOf) }
+
+// ReserveFirst is Reserve without the connection's bound, for a request that waits for no other
+// one of its connection.
+func (h *Hold) ReserveFirst(n int64) Refusal { return h.reserve(n, false, answerOf) }
+
+// ReserveRequest is Reserve for the request's own bytes.
+func (h *Hold) ReserveRequest(n int64) Refusal { return h.reserve(n, true, requestOf) }
+
+func answerOf(h *Hold) *int64  { return &h.answer }
+func requestOf(h *Hold) *int64 { return &h.request }
+
+func (h *Hold) reserve(n int64, ofConn bool, part func(*Hold) *int64) Refusal {
+	if h == nil || h.account == nil {
+		return Admitted
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	more := n - *part(h)
+	if more <= 0 || h.ended {
+		return Admitted
+	}
+	a := h.account
+	by := Admitted
+	switch {
+	case ofConn && h.conn != nil && !fits(h.conn.held.Load(), more, a.limits.Connection):
+		by = ByConnection
+	case !reserve(&a.total, more, bound(a.limits.Total, n)):
+		by = ByTotal
+	case h.conn != nil && !reserve(&a.entry, more, bound(a.limits.Entry, n)):
+		a.total.Add(-more)
+		by = ByEntry
+	}
+	if by != Admitted {
+		return by
+	}
+	if h.conn != nil {
+		h.conn.held.Add(more)
+	}
+	*part(h) = n
+	return Admitted
+}
+
+// bound returns the part of a limit that a reservation of n bytes may use.
+func bound(limit, n int64) int64 {
+	if n <= SmallBytes {
+		return limit
+	}
+	return int64(largeShare * float64(limit))
+}
+
+// fits reports whether more bytes may be held beside those that are. What is held alone fits:
+// else a large answer would never be served.
+func fits(held, more, limit int64) bool { return held+more <= limit || held <= SmallBytes }
+
+// reserve adds n to a counter if it fits.
+func reserve(counter *atomic.Int64, n, limit int64) bool {
+	if !fits(counter.Add(n)-n, n, limit) {
+		counter.Add(-n)
+		return false
+	}
+	return true
+}
+
+// Set sets the part of the answer to n bytes, which exist already, whether there is room or
+// not.
+func (h *Hold) Set(n int64) { h.set(-1, n) }
+
+// SetRequest is Set for the request's own bytes.
+func (h *Hold) SetRequest(n int64) { h.set(n, -1) }
+
+// Release ends the hold. It may be called more than once.
+func (h *Hold) Release() {
+	h.set(0, 0)
+	if h != nil {
+		h.mu.Lock()
+		h.ended = true
+		h.mu.Unlock()
+	}
+}
+
+// set changes the parts that are not negative.
+func (h *Hold) set(request, answer int64) {
+	if h == nil || h.account == nil {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.ended {
+		return
+	}
+	more := int64(0)
+	if request >= 0 {
+		more += request - h.request
+		h.request = request
+	}
+	if answer >= 0 {
+		more += answer - h.answer
+		h.answer = answer
+	}
+	h.account.total.Add(more)
+	if h.conn != nil {
+		h.account.entry.Add(more)
+		h.conn.held.Add(more)
+	}
+}
+
+type holdKey struct{}
+
+// WithHold returns a context for the work on a request.
+func WithHold(ctx context.Context, h *Hold) context.Context {
+	return context.WithValue(ctx, holdKey{}, h)
+}
+
+// HoldOf returns the hold of the request of a context, or nil if it has none.
+func HoldOf(ctx context.Context) *Hold {
+	h, _ := ctx.Value(holdKey{}).(*Hold)
+	return h
+}
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -90,6 +90,18 @@
 	RequestIDs    int   `json:"request_ids"`         // rows of the request-id table
 	BackendConns  int   `json:"backend_connections"` // connections to the backend server
 	StaleConfigMS int64 `json:"stale_config_ms"`     // time since the configuration was last known to be current, after which callers are refused
+	CallerLimits
+}
+
+// CallerLimits bounds what a daemon holds on behalf of callers. A value of 0 is derived from
+// the memory of the process and its limit of descriptors.
+type CallerLimits struct {
+	CallerConnections  int   `json:"caller_connections"`   // open connections of callers
+	CallerConnectionKB int64 `json:"caller_connection_kb"` // memory held for one connection
+	CallerEntryMB      int64 `json:"caller_entry_mb"`      // memory held for all connections of callers
+	CallerMemoryMB     int64 `json:"caller_memory_mb"`     // memory held for callers and for requests of other daemons
+	CallerSocketKB     int   `json:"caller_socket_kb"`     // send buffer of a connection in the kernel, which takes twice as much; the receive buffer has half
+	CallerStallMS      int64 `json:"caller_stall_ms"`      // time for which a caller may take no byte of its answer while memory is short
 }
 
 // Values of Daemon.Interface.
@@ -150,6 +162,7 @@
 		Lease: Lease{TermMS: 1200, RenewMS: 400, DriftPPM: 20_000, SettleMS: 1500, Witnesses: 3},
 		Limits: Limits{
 			MaxInflight: 4096, MaxQueue: 512, RequestIDs: 200_000, BackendConns: 64, StaleConfigMS: 5000,
+			CallerLimits: CallerLimits{CallerSocketKB: 64, CallerStallMS: 5000},
 		},
 		Policy: Policy{
 			ColdStart: "ramp", Stragglers: "measured", HotKeys: "split", Queue: "fair", Retries: "budget",
@@ -367,6 +380,7 @@
 			add("limits.%s: %d is not positive", p.field, p.value)
 		}
 	}
+	l.CallerLimits.check(add)
 }
 
 func (p Policy) check(add addFunc) {
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -5,7 +5,10 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
+	"time"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/bodies"
@@ -91,8 +94,20 @@
 	if httpResp.ContentLength > maxResponseBytes {
 		return nil, outcome.New(outcome.AnswerTooLarge, "response of %d bytes exceeds %d", httpResp.ContentLength, maxResponseBytes)
 	}
-	body, release, err := r.bodies.Read(httpResp.Body, maxResponseBytes)
-	release() // the bound is on the responses that are being read
+	hold := callermemory.HoldOf(ctx)
+	if n := httpResp.ContentLength; n > callermemory.SmallBytes {
+		if err := awaitRoom(ctx, hold, callermemory.AnswerBytes(n)); err != nil {
+			return nil, outcome.New(outcome.DeadlineMaybeRan, "no memory for the response until the deadline")
+		}
+	}
+	body, release, err := r.bodies.ReadWithin(httpResp.Body, maxResponseBytes, func(size int64) error {
+		return awaitRoom(ctx, hold, callermemory.AnswerBytes(size))
+	})
+	release() // this bound is on the responses that are being read
+	if err == nil && cap(body) > len(body)+len(body)/wasteShare {
+		body = slices.Clone(body)
+	}
+	hold.Set(callermemory.AnswerBytes(int64(len(body))))
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
 		return nil, outcome.New(outcome.AnswerTooLarge, "%v", err)
@@ -117,6 +132,27 @@
 	return resp, nil
 }
 
+const (
+	// wasteShare is the part of a body that its buffer may exceed it by. It grows by doubling,
+	// and the answer may wait for long.
+	wasteShare = 8
+	// roomInterval is the interval at which room for a response is looked for.
+	roomInterval = 5 * time.Millisecond
+)
+
+// awaitRoom waits until the hold of a running request has grown to n bytes. Meanwhile nothing
+// more of its response is read, and its slot stays occupied.
+func awaitRoom(ctx context.Context, hold *callermemory.Hold, n int64) error {
+	for hold.ReserveFirst(n) != callermemory.Admitted {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(roomInterval):
+		}
+	}
+	return nil
+}
+
 // DrainBody reads and discards the body of a refusal, so that the connection can
 // be reused. It does not wait for a body that is long or has no length: closing it
 // closes the connection.
--- a/daemon/bodies/bodies.go
+++ b/daemon/bodies/bodies.go
@@ -32,6 +32,12 @@
 // that the body exceeds it. Memory is counted as the body grows. The caller calls release when
 // it no longer needs the body, also after an error, which is ErrNoMemory or one of src.
 func (r *Reader) Read(src io.Reader, limit int64) (body []byte, release func(), err error) {
+	return r.ReadWithin(src, limit, func(int64) error { return nil })
+}
+
+// ReadWithin is Read for a body whose growth to a size also needs the consent of room. It
+// returns the error of room.
+func (r *Reader) ReadWithin(src io.Reader, limit int64, room func(size int64) error) (body []byte, release func(), err error) {
 	taken := int64(0)
 	release = func() { r.taken.Add(-taken) }
 	body, err = read(src, limit, func(size, grown int64) error {
@@ -44,7 +50,7 @@
 			return ErrNoMemory
 		}
 		return nil
-	})
+	}, room)
 	return body, release, err
 }
 
@@ -56,17 +62,20 @@
 	if r.taken.Add(taken) > r.shared && taken > 0 {
 		return nil, release, ErrNoMemory
 	}
-	body, err = read(src, size, func(int64, int64) error { return nil })
+	body, err = read(src, size, func(int64, int64) error { return nil }, func(int64) error { return nil })
 	return body, release, err
 }
 
-// read reads up to limit+1 bytes. It calls grow before each larger buffer.
-func read(src io.Reader, limit int64, grow func(size, grown int64) error) ([]byte, error) {
+// read reads up to limit+1 bytes. It calls grow and room before each larger buffer.
+func read(src io.Reader, limit int64, grow func(size, grown int64) error, room func(size int64) error) ([]byte, error) {
 	body := make([]byte, 0, firstBytes)
 	for int64(len(body)) <= limit {
 		if len(body) == cap(body) {
 			size := int64(cap(body))
 			grown := min(2*size, max(limit, size)+firstBytes)
+			if err := room(grown); err != nil {
+				return nil, err
+			}
 			if err := grow(size, grown); err != nil {
 				return nil, err
 			}
--- a/daemon/edge/connlog.go
+++ b/daemon/edge/connlog.go
@@ -6,6 +6,8 @@
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
+
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 )
 
 // endReason tells why a caller's connection ended.
@@ -19,6 +21,8 @@
 	endCallerClosed endReason = "caller closed" // the caller closed it or its read failed
 	endWriteError   endReason = "write error"   // an answer could not be written
 	endGraceOver    endReason = "grace over"    // the time of the stop is over
+	endMemory       endReason = "memory"        // it takes memory that others need
+	endCrowded      endReason = "crowded"       // its head was not complete when another connection needed its place
 )
 
 // connEnd describes a caller's connection when it ended.
@@ -38,14 +42,32 @@
 // maxEndLines bounds the lines about ended connections per second and listener.
 const maxEndLines = 100
 
-// connLog logs the ends of callers' connections of one listener.
-type connLog struct{ log *zap.Logger }
+// maxRefusedLines bounds the lines about refused connections, and those about requests without
+// room, per second and listener.
+const maxRefusedLines = 1
+
+// connLog logs the ends of callers' connections of one listener, and those that it refuses.
+type connLog struct{ log, refusals *zap.Logger }
 
 func newConnLog(log *zap.Logger, listener string) connLog {
-	log = log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
-		return zapcore.NewSamplerWithOptions(core, time.Second, maxEndLines, 0)
-	}))
-	return connLog{log.With(zap.String("listener", listener))}
+	sampled := func(lines int) *zap.Logger {
+		return log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
+			return zapcore.NewSamplerWithOptions(core, time.Second, lines, 0)
+		})).With(zap.String("listener", listener))
+	}
+	return connLog{sampled(maxEndLines), sampled(maxRefusedLines)}
+}
+
+// refused logs that a connection was closed because as many are open as may be.
+func (c connLog) refused(caller net.Addr, limit int) {
+	c.refusals.Warn("caller connection refused", zap.Stringer("caller", caller), zap.Int("limit", limit))
+}
+
+// noRoom logs that a request was refused because its answer has no room.
+func (c connLog) noRoom(caller net.Addr, by callermemory.Refusal, ofConn int64, memory *callermemory.Account) {
+	c.refusals.Warn("no memory for an answer", zap.Stringer("caller", caller), zap.Stringer("bound", by),
+		zap.Int64("connection_bytes", ofConn), zap.Int64("entry_bytes", memory.Entry()), zap.Int64("total_bytes", memory.Total()),
+		zap.Int64("caller_connections", memory.Connections()))
 }
 
 // ended logs the end of a connection that left requests without an answer, and all ends
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -12,6 +12,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/bodies"
@@ -103,10 +104,21 @@
 	}
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
+	hold := HoldOf(r.Context())
+	room := func(size int64) error {
+		if by := hold.ReserveRequest(callermemory.AnswerBytes(size)); by != callermemory.Admitted {
+			hold.CountRefusal(by)
+			return bodies.ErrNoMemory
+		}
+		return nil
+	}
 	if r.ContentLength > 0 {
+		if err := room(r.ContentLength); err != nil {
+			return nil, none, outcome.New(outcome.Overloaded, "read body: %v", err)
+		}
 		body, release, err = reader.ReadSized(r.Body, r.ContentLength)
 	} else {
-		body, release, err = reader.Read(r.Body, limit)
+		body, release, err = reader.ReadWithin(r.Body, limit, room)
 	}
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
--- a/daemon/edge/framing.go
+++ b/daemon/edge/framing.go
@@ -44,6 +44,7 @@
 	whole   bool // the request is complete
 	final   bool // the request is the last one
 	waits   bool // the caller may wait for the answer 100 before it sends the body
+	refused bool // the server refuses the request for its head, and reads no more
 
 	held      []byte // the start of a head, a chunk line or a trailer
 	searched  int    // bytes of it without the end of a line, beyond lineStart
@@ -102,6 +103,8 @@
 		n, head := f.collect(data, f.maxHead, false)
 		if head != nil {
 			f.begin(head)
+		} else {
+			f.refused = f.final // it is over the limit
 		}
 		return n
 	case partBody, partChunk:
@@ -186,6 +189,9 @@
 	}
 }
 
+// drop forgets what is held of a request of which no more is read.
+func (f *framing) drop() { f.held, f.searched, f.lineStart = nil, 0, 0 }
+
 // giveUp makes the request the last one, without a known end.
 func (f *framing) giveUp() {
 	f.forget()
@@ -212,6 +218,7 @@
 func (f *framing) begin(head []byte) {
 	req, ok := parseHead(head)
 	if !ok || mayBeRefused(req, head) || req.Method == http.MethodConnect {
+		f.refused = req == nil // it is no head, for example an empty line
 		f.giveUp()
 		return
 	}
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -9,6 +9,8 @@
 	"os"
 	"slices"
 	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 )
 
 // laneState is the state of a lane.
@@ -46,7 +48,8 @@
 	timer         *time.Timer
 	cancel        context.CancelFunc // ends the contexts of the lane's requests
 
-	writer answerWriter // of the request in progress
+	hold   *callermemory.Hold // of the request; nil before the first one
+	writer answerWriter       // of the request in progress
 }
 
 // idle reports whether the lane waits for a request.
@@ -66,11 +69,14 @@
 	case l == p.tail:
 		l.state = laneIdle
 		l.given, l.taken = 0, 0
+		l.hold.Release()
 		p.tailWhole, p.tailNext = false, true
 		p.doneBytes = l.end
 		p.interrupt()
 	default:
 		l.state = laneAnswered
+		l.hold.SetRequest(0)
+		l.hold.Set(int64(cap(l.answer)))
 		p.advance()
 	}
 }
@@ -132,6 +138,10 @@
 	if l == p.feeding && len(p.pending) > 0 {
 		p.dispatch(maxUnreadBytes)
 	}
+	if p.readsOver {
+		p.readerWakes.Broadcast()
+	}
+	p.chargeReads()
 	return n, nil
 }
 
@@ -164,15 +174,15 @@
 		p.mu.Unlock()
 		return len(b), nil
 	}
+	before := l.taken
 	p.mu.Unlock() // nobody else writes while it is this lane's turn
-	n, err := p.conn.Write(b)
+	err := p.write(l, b)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l.taken += int64(n)
 	if err != nil {
 		p.end(endWriteError)
 	}
-	return n, err
+	return int(l.taken - before), err
 }
 
 // cutHead reports whether the head of the lane's request did not come in time. net/http
@@ -190,6 +200,11 @@
 	defer p.mu.Unlock()
 	if l.state == laneBusy {
 		l.state = laneClosing
+		if l == p.feeding { // its server reads no more
+			p.pending, l.unread, l.buffer = nil, nil, nil
+			p.framing.drop()
+			p.chargeReads()
+		}
 		p.advance()
 	}
 	return nil
@@ -208,6 +223,7 @@
 		l.cancel()
 	}
 	l.state = laneClosed
+	l.hold.Release()
 	p.lanes = slices.DeleteFunc(p.lanes, func(other *lane) bool { return other == l })
 	p.advance()
 	if len(p.lanes) == 0 {
--- a/daemon/edge/listen.go
+++ b/daemon/edge/listen.go
@@ -17,22 +17,29 @@
 // then, until the deadline of the stop; then it closes all connections. name is the prefix of
 // errors and names the listener in log. Handlers must not hijack connections.
 func Listen(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
-	listen(lc, srv, name, addr, 1, log)
+	ListenCallers(lc, srv, name, addr, Callers{}, log)
 }
 
 // ListenPipelined is Listen for callers that send further requests on a connection before
 // the first is answered: they are served side by side, see AwaitTurn.
 func ListenPipelined(lc fx.Lifecycle, srv *http.Server, name, addr string, log *zap.Logger) {
-	listen(lc, srv, name, addr, maxPipelined, log)
+	ListenCallers(lc, srv, name, addr, Callers{Pipelined: true}, log)
 }
 
-func listen(lc fx.Lifecycle, srv *http.Server, name, addr string, requests int, log *zap.Logger) {
-	config := pipelineConfig{requests: requests, maxHead: headLimit(srv), log: newConnLog(log, name)}
+// ListenCallers is Listen within the bounds for callers.
+func ListenCallers(lc fx.Lifecycle, srv *http.Server, name, addr string, callers Callers, log *zap.Logger) {
+	config := pipelineConfig{
+		requests: 1, maxHead: headLimit(srv), log: newConnLog(log, name),
+		memory: callers.Memory, connections: callers.Connections, stall: callers.Stall,
+	}
+	if callers.Pipelined {
+		config.requests = maxPipelined
+	}
 	handleLanes(srv)
 	var listener *pipelineListener
 	lc.Append(fx.Hook{
 		OnStart: func(context.Context) error {
-			inner, err := net.Listen("tcp", addr)
+			inner, err := listenCallers(addr, callers.SocketBytes)
 			if err != nil {
 				return fmt.Errorf("%s: %w", name, err)
 			}
--- a/daemon/edge/listener.go
+++ b/daemon/edge/listener.go
@@ -15,6 +15,7 @@
 type pipelineListener struct {
 	net.Listener
 	config pipelineConfig
+	relief relief
 
 	mu       sync.Mutex // no lock of a pipeline is taken under it
 	changed  *sync.Cond
@@ -28,6 +29,7 @@
 func newPipelineListener(l net.Listener, config pipelineConfig) *pipelineListener {
 	p := &pipelineListener{Listener: l, config: config, open: map[*pipeline]bool{}, drained: make(chan struct{})}
 	p.changed = sync.NewCond(&p.mu)
+	p.config.relieve = p.relieve
 	go p.acceptConns()
 	return p
 }
@@ -36,10 +38,14 @@
 	for {
 		conn, err := l.Listener.Accept()
 		switch {
+		case err == nil && !l.admit():
+			l.config.memory.CountRefusedConnection()
+			l.config.log.refused(conn.RemoteAddr(), l.config.connections)
+			_ = conn.Close()
 		case err == nil:
 			p := newPipeline(conn, l.config, l.serve, l.remove)
 			if !l.add(p) {
-				_ = conn.Close()
+				p.close()
 				return
 			}
 			p.start()
--- /dev/null
+++ b/daemon/edge/memory_test.go
@@ -0,0 +1,159 @@
+package edge
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/fx/fxtest"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+)
+
+const longAnswer = 540_000
+
+// longAnswers answers each request within memory. It counts what runs, and holds answers back
+// until release is closed.
+type longAnswers struct {
+	running atomic.Int64
+	release chan struct{}
+}
+
+func (h *longAnswers) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	resp, err := WithinMemory(r.Context(), &wire.Request{Service: "s"}, func(context.Context) (*wire.Response, error) {
+		h.running.Add(1)
+		<-h.release
+		return &wire.Response{Kind: uint32(outcome.OK), Body: make([]byte, longAnswer)}, nil
+	})
+	if err != nil {
+		w.WriteHeader(outcome.KindOf(err).Answer().Status)
+		return
+	}
+	_, _ = w.Write(resp.GetBody())
+}
+
+func serveWithin(t *testing.T, handler http.Handler, callers Callers) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := l.Addr().String()
+	_ = l.Close()
+	lc := fxtest.NewLifecycle(t)
+	callers.Pipelined = true
+	ListenCallers(lc, &http.Server{Handler: handler, ReadHeaderTimeout: waitTimeout}, "test", addr, callers, zap.NewNop())
+	lc.RequireStart()
+	t.Cleanup(lc.RequireStop)
+	return addr
+}
+
+// recorded returns an account that expects long answers.
+func recorded(limits callermemory.Limits) *callermemory.Account {
+	a := callermemory.New(limits)
+	for range 50 {
+		a.Hold().RecordAnswer("s ", longAnswer)
+	}
+	return a
+}
+
+func await(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	for end := time.Now().Add(waitTimeout); !holds(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal(what)
+		}
+	}
+}
+
+// A caller within the limits must not notice the account: 16 long answers run side by side.
+func TestPipelinedLongAnswersAreServedSideBySide(t *testing.T) {
+	is := is.New(t)
+	set := settings.Default()
+	set.Bounds.MemoryMB = 284
+	memory := recorded(set.CallerMemory())
+	h := &longAnswers{release: make(chan struct{})}
+	callers := CallersOf(set, memory, true)
+	is.True(callers.Connections > 2500)
+	c := dialCaller(t, serveWithin(t, h, callers))
+	for range maxPipelined {
+		c.send(get("/"))
+	}
+	await(t, "not all requests run", func() bool { return h.running.Load() == maxPipelined })
+	close(h.release)
+	for range maxPipelined {
+		body, err := c.answer()
+		is.NoErr(err)
+		is.Equal(len(body), longAnswer)
+	}
+	await(t, "memory is not given back", func() bool { return memory.Total() == 0 })
+}
+
+// A request whose answer has no room must be refused before it runs, and be served once a caller
+// that reads nothing has been closed.
+func TestCallerThatReadsNothingIsClosedForOthers(t *testing.T) {
+	is := is.New(t)
+	answerBytes := callermemory.AnswerBytes(longAnswer)
+	limits := callermemory.Limits{Connection: 4 * answerBytes, Entry: 3 * answerBytes, Total: 4 * answerBytes}
+	memory := recorded(limits)
+	h := &longAnswers{release: make(chan struct{})}
+	close(h.release)
+	callers := Callers{Memory: memory, SocketBytes: 8 << 10, Stall: time.Second}
+	addr := serveWithin(t, h, callers)
+	silent := dialCaller(t, addr)
+	silent.send(get("/") + get("/"))
+	await(t, "no answer waits", func() bool { return memory.Entry() > answerBytes })
+
+	served := false
+	await(t, "request is never served", func() bool {
+		other := dialCaller(t, addr)
+		other.send(get("/"))
+		resp, err := http.ReadResponse(other.r, nil)
+		is.NoErr(err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = other.Close()
+		if served = resp.StatusCode == http.StatusOK; !served {
+			is.Equal(resp.StatusCode, http.StatusServiceUnavailable)
+		}
+		return memory.ClosedConnections() > 0 && served
+	})
+	is.Equal(h.running.Load() >= 3, true)
+}
+
+// Heads that are never complete must not take the places of callers that send whole requests,
+// and a kept connection that is idle must stay.
+func TestUnfinishedHeadLeavesItsPlace(t *testing.T) {
+	is := is.New(t)
+	h := &longAnswers{release: make(chan struct{})}
+	close(h.release)
+	memory := callermemory.New(callermemory.Limits{Connection: 1 << 30, Entry: 1 << 30, Total: 1 << 30})
+	addr := serveWithin(t, h, Callers{Memory: memory, Connections: 2})
+	idle := dialCaller(t, addr)
+	idle.send(get("/"))
+	_, err := idle.answer()
+	is.NoErr(err)
+	stuck := dialCaller(t, addr)
+	stuck.send("GET / HTTP/1.1\r\nHost: a\r\n")
+	await(t, "connections are not open", func() bool { return memory.Connections() == 2 })
+
+	await(t, "no place for a further caller", func() bool { // until the head is old enough
+		third := dialCaller(t, addr)
+		_, _ = io.WriteString(third, get("/"))
+		_, err := third.answer()
+		return err == nil
+	})
+	idle.send(get("/"))
+	_, err = idle.answer()
+	is.NoErr(err)
+	_, err = stuck.answer()
+	is.True(err != nil)
+}
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 )
 
 const (
@@ -73,6 +75,13 @@
 
 	halfClosed bool // no more is written
 
+	memory       *callermemory.Connection
+	reads        *callermemory.Hold // bytes that were read and not yet taken by servers
+	forced       bool               // closed for what others need
+	readsOver    bool               // they have no room, and no more is read
+	readsCharged int64              // bytes of reads
+	writeSince   time.Time          // when the write in progress last made progress; zero if there is none
+
 	arrivals   []arrival // of the pending bytes
 	readBytes  int64     // read from the connection
 	givenBytes int64     // of them, given to lanes
@@ -95,6 +104,11 @@
 	requests int // of one connection that are in progress
 	maxHead  int // bytes of a head that the server accepts
 	log      connLog
+	memory   *callermemory.Account
+
+	connections int // open ones of the listener; 0 means any number
+	stall       time.Duration
+	relieve     func(stall time.Duration) bool // closes a connection that holds much and does not read
 }
 
 // arrival is the time at which the bytes up to an offset of the connection were read.
@@ -104,7 +118,8 @@
 }
 
 func newPipeline(conn net.Conn, config pipelineConfig, serve func(*lane), onEnd func(*pipeline)) *pipeline {
-	p := &pipeline{conn: conn, config: config, serve: serve, onEnd: onEnd, framing: newFraming(config.maxHead)}
+	p := &pipeline{conn: conn, config: config, serve: serve, onEnd: onEnd, framing: newFraming(config.maxHead), memory: config.memory.Connection()}
+	p.reads = p.memory.Hold()
 	p.changed, p.readerWakes = sync.NewCond(&p.mu), sync.NewCond(&p.mu)
 	return p
 }
@@ -163,8 +178,11 @@
 			return stepEnd
 		case p.interrupts > 0:
 			p.readerWakes.Wait()
-		case len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0:
+		case len(p.pending) >= maxUnreadBytes || stopping && len(p.pending) > 0 || p.memory.Full() && p.feeding == nil && len(p.order) > 0:
+			p.awaitRoom()
+		case p.readsOver:
 			p.awaitRoom()
+			p.chargeReads()
 		case p.lastAnswer != nil || p.tailWhole || p.readErr != nil || stopping && p.feeding == nil:
 			p.enterRead(time.Time{})
 			p.watching = true
@@ -245,6 +263,7 @@
 	case !p.readDeadline.IsZero() && !now.Before(p.readDeadline):
 		p.readErr, p.timeout = err, endStop
 	}
+	p.chargeReads()
 	p.changed.Broadcast()
 }
 
@@ -358,7 +377,7 @@
 			if p.tail = l; l.state == laneIdle {
 				l.state = laneBusy
 			}
-			p.tailWhole = whole && !p.tailNext
+			p.tailWhole = (whole || p.framing.refused) && !p.tailNext
 			l.whole = p.tailWhole
 		} else if whole {
 			l.whole = true
@@ -374,6 +393,9 @@
 // laneForRequest returns the lane of the next request, or nil if there is none for now. The
 // caller holds the lock.
 func (p *pipeline) laneForRequest() *lane {
+	if len(p.order) > 0 && p.memory.Full() {
+		return nil
+	}
 	if i := slices.IndexFunc(p.lanes, (*lane).idle); i >= 0 {
 		return p.lanes[i]
 	}
@@ -392,6 +414,8 @@
 	}
 	p.arrivals = slices.Delete(p.arrivals, 0, past)
 	l.received = p.arrivals[0].at
+	l.hold.Release()
+	l.hold = p.memory.Hold()
 	p.begun++
 	l.number = p.begun
 	if !p.stopped.IsZero() {
@@ -450,6 +474,7 @@
 		case laneAnswered:
 			p.order = slices.Delete(p.order, 0, 1)
 			p.doneBytes = l.end
+			l.hold.Release()
 			if p.lastAnswer == l {
 				p.end(endLastAnswer)
 				return
@@ -485,10 +510,12 @@
 	p.writing = true
 	p.mu.Unlock()
 	_ = p.conn.SetWriteDeadline(time.Now().Add(WriteTimeout))
-	n, err := p.conn.Write(answer)
+	err := p.write(l, answer)
 	p.mu.Lock()
 	p.writing = false
-	l.taken += int64(n)
+	if l.state != laneBusy {
+		l.hold.Set(int64(cap(l.answer)))
+	}
 	_ = p.conn.SetWriteDeadline(l.writeDeadline)
 	return err == nil
 }
@@ -528,12 +555,14 @@
 // shut ends all lanes. The caller holds the lock.
 func (p *pipeline) shut(reason endReason) {
 	p.closed = true
+	p.forced = reason == endMemory || reason == endCrowded
 	p.config.log.ended(p.connEnd(reason))
 	for _, l := range p.lanes {
 		if l.cancel != nil {
 			l.cancel()
 		}
 	}
+	p.chargeReads()
 	p.interrupt()
 	p.changed.Broadcast()
 	p.readerWakes.Broadcast()
@@ -556,5 +585,7 @@
 
 func (p *pipeline) close() {
 	_ = p.conn.Close()
+	p.reads.Release()
+	p.memory.Close(p.forced)
 	p.onEnd(p)
 }
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -185,6 +185,7 @@
 			NewController,
 			func(c *Controller) Control { return c },
 			NewMetrics,
+			NewCallerMemory,
 		),
 	)
 }
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/protocol"
@@ -47,6 +48,7 @@
 	defer cancel()
 	ctx, exchange := backendconn.WithExchange(ctx)
 	resp := e.execute(ctx, req, sent)
+	answer.Hold(callermemory.HoldOf(ctx), req, resp)
 	resp.Load = e.admission.load()
 	resp.Load.Notice = e.notice()
 	e.counters.record(outcome.Kind(resp.GetKind()))
@@ -235,6 +237,9 @@
 
 // dispatch repeats the check of checkDispatch and sends the request.
 func (e *executor) dispatch(ctx context.Context, r *run) *wire.Response {
+	if err := answer.Reserve(ctx, r.request); err != nil {
+		return answer.Refusal(err)
+	}
 	e.mu.Lock()
 	if err := e.checkDispatchLocked(r); err != nil {
 		e.mu.Unlock()
--- a/daemon/plugins/entry/entry.go
+++ b/daemon/plugins/entry/entry.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/daemon/bodies"
@@ -115,6 +116,6 @@
 	}
 }
 
-func start(lc fx.Lifecycle, set settings.Daemon, e *entry) {
-	edge.Listen(lc, e.httpServer(), "entry", set.EntryAddr, e.log)
+func start(lc fx.Lifecycle, set settings.Daemon, memory *callermemory.Account, e *entry) {
+	edge.ListenCallers(lc, e.httpServer(), "entry", set.EntryAddr, edge.CallersOf(set, memory, false), e.log)
 }
--- a/daemon/plugins/entry/serve.go
+++ b/daemon/plugins/entry/serve.go
@@ -86,7 +86,7 @@
 	if err := e.fillRequest(v, w, r, x); err != nil {
 		return nil, err
 	}
-	return e.forward(r.Context(), x)
+	return edge.WithinMemory(r.Context(), x.req, func(ctx context.Context) (*wire.Response, error) { return e.forward(ctx, x) })
 }
 
 // currentView returns a view whose configuration is current, and stores its version in x. The
--- a/daemon/plugins/forwarding_test.go
+++ b/daemon/plugins/forwarding_test.go
@@ -78,6 +78,7 @@
 			func() kernel.LoadMeter { return c },
 			func() clock.Clock { return clock.Boot{} },
 			kernel.NewMetrics,
+			kernel.NewCallerMemory,
 		),
 		kernel.Select("sesamemoor.peer", "sesamemoor.owner", "sesamemoor.suspects", "sesamemoor.entry"),
 		fx.Invoke(func(group kernel.EffectHandlers, observer kernel.BackendObserver) {
--- a/daemon/plugins/gateway/cut_answer_test.go
+++ b/daemon/plugins/gateway/cut_answer_test.go
@@ -258,7 +258,7 @@
 		set.EntryAddr = unused.Addr().String()
 		_ = unused.Close()
 		lc := fxtest.NewLifecycle(quiet{t})
-		serveCallers(lc, set, newTestHandler(t, s).(*gateway))
+		serveCallers(lc, set, nil, newTestHandler(t, s).(*gateway))
 		lc.RequireStart()
 		var wg sync.WaitGroup
 		for i := range conns {
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/keyhash"
@@ -115,7 +116,7 @@
 
 // serveCallers starts the server for callers. On stop it accepts no more
 // connections and waits for requests in flight.
-func serveCallers(lc fx.Lifecycle, set settings.Daemon, g *gateway) {
+func serveCallers(lc fx.Lifecycle, set settings.Daemon, memory *callermemory.Account, g *gateway) {
 	srv := &http.Server{
 		Handler:                      g,
 		ReadHeaderTimeout:            readHeaderTimeout,
@@ -123,7 +124,7 @@
 		MaxHeaderBytes:               maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 	}
-	edge.ListenPipelined(lc, srv, "gateway: callers", set.EntryAddr, g.log)
+	edge.ListenCallers(lc, srv, "gateway: callers", set.EntryAddr, edge.CallersOf(set, memory, true), g.log)
 }
 
 // serveProbes starts the server for the platform's readiness probes.
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -106,7 +106,7 @@
 			return nil, outcome.New(outcome.CancelledNotRun, "waiting for earlier requests of the connection: %v", err)
 		}
 	}
-	return g.forward(r.Context(), v, x)
+	return edge.WithinMemory(r.Context(), x.req, func(ctx context.Context) (*wire.Response, error) { return g.forward(ctx, v, x) })
 }
 
 // currentView returns a view whose configuration may be used, and stores its version in x. The
--- a/daemon/plugins/gateway/stop_test.go
+++ b/daemon/plugins/gateway/stop_test.go
@@ -56,7 +56,7 @@
 			set.EntryAddr = unused.Addr().String()
 			is.NoErr(unused.Close())
 			lc := fxtest.NewLifecycle(t)
-			serveCallers(lc, set, g)
+			serveCallers(lc, set, nil, g)
 			answerBeforeEnd(lc, g)
 			lc.RequireStart()
 			conn, err := net.Dial("tcp", set.EntryAddr)
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -7,6 +7,7 @@
 	"go.uber.org/zap"
 
 	"github.com/sesamemoor/sesamemoor/core/admit"
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/dedup"
 	"github.com/sesamemoor/sesamemoor/core/fold"
@@ -42,6 +43,7 @@
 	e.applyNotice(req.GetNotice())
 	ctx, exchange := backendconn.WithExchange(ctx)
 	resp := e.execute(ctx, req, deadline)
+	answer.Hold(callermemory.HoldOf(ctx), req, resp)
 	if n := e.notice(); n != nil {
 		resp.Load = &wire.ServerLoad{Notice: n}
 	}
@@ -150,6 +152,10 @@
 	if err := e.admission.acquire(ctx, ticket, lost); err != nil {
 		return answer.Refusal(err)
 	}
+	if err := answer.Reserve(ctx, r.request); err != nil {
+		e.admission.release(ticket, admit.Failed)
+		return answer.Refusal(err)
+	}
 	resp := e.dispatch(ctx, r)
 	kind := outcome.Kind(resp.GetKind())
 	if kind == outcome.BackendCrashed || kind == outcome.OwnerUnreachable {
--- a/daemon/plugins/peer/peer.go
+++ b/daemon/plugins/peer/peer.go
@@ -34,7 +34,7 @@
 			kernel.AsEffectHandler(func(r *releases) *releases { return r }),
 			kernel.AsFrameHandler(func(r *releases) *releases { return r }),
 		),
-		fx.Invoke(startNetwork, startServer),
+		fx.Invoke(accountMemory, startNetwork, startServer),
 	)
 }
 
--- a/daemon/plugins/peer/server.go
+++ b/daemon/plugins/peer/server.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
@@ -59,6 +60,7 @@
 	listener     net.Listener
 	runningBytes atomic.Int64 // total size of running frames
 	runningLimit int64
+	memory       *callermemory.Account
 	requests     sync.WaitGroup
 
 	mu       sync.Mutex
--- a/daemon/plugins/peer/serverlink.go
+++ b/daemon/plugins/peer/serverlink.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -135,12 +136,20 @@
 		l.refuse(frame, outcome.New(outcome.Overloaded, "link already has %d running frames", maxRunning))
 		return nil
 	}
-	if err := l.srv.begin(frame, size); err != nil {
+	hold, err := l.srv.holdRequest(frame, size)
+	if err == nil {
+		err = l.srv.begin(frame, size)
+	}
+	if err != nil {
+		hold.Release()
 		l.cancelRunning(frame.GetId())
 		l.refuse(frame, err)
 		return nil
 	}
-	go l.answer(ctx, frame, size)
+	go func() {
+		defer hold.Release() // the answer is written, or the link has ended
+		l.answer(callermemory.WithHold(ctx, hold), frame, size)
+	}()
 	return nil
 }
 
