callermemory: a charge, not a hold

Cause: "hold" is the glossary's word for the time for which a backend server may run requests of granted keys (core/hold), so the same word for counted memory misleads.

Change: callermemory.Hold is callermemory.Charge, and the names that follow from it. No change of behaviour.

--- a/core/callermemory/callermemory.go
+++ b/core/callermemory/callermemory.go
@@ -68,24 +68,24 @@
 func (a *Account) Refused(by Refusal) int64 { return a.refusals[by].Load() }
 
 // CountRefusal counts a request that was refused by a bound.
-func (h *Hold) CountRefusal(by Refusal) {
-	if h != nil && h.account != nil {
-		h.account.refusals[by].Add(1)
+func (c *Charge) CountRefusal(by Refusal) {
+	if c != nil && c.account != nil {
+		c.account.refusals[by].Add(1)
 	}
 }
 
 // ExpectedAnswer returns the size that answers of a route have on average.
-func (h *Hold) ExpectedAnswer(route string) int64 {
-	if h == nil || h.account == nil {
+func (c *Charge) ExpectedAnswer(route string) int64 {
+	if c == nil || c.account == nil {
 		return unknownBytes
 	}
-	return h.account.sizes.expected(route)
+	return c.account.sizes.expected(route)
 }
 
 // RecordAnswer records the size of an answer of a route.
-func (h *Hold) RecordAnswer(route string, bytes int) {
-	if h != nil && h.account != nil {
-		h.account.sizes.record(route, bytes)
+func (c *Charge) RecordAnswer(route string, bytes int) {
+	if c != nil && c.account != nil {
+		c.account.sizes.record(route, bytes)
 	}
 }
 
@@ -124,7 +124,7 @@
 	return a == nil || a.reads.Load() <= int64(headShare*float64(a.limits.Entry))
 }
 
-// CountRead changes the bytes that were read and not given to handlers, which a Hold counts, too.
+// CountRead changes the bytes that were read and not given to handlers, which a Charge counts, too.
 func (a *Account) CountRead(change int64) {
 	if a != nil {
 		a.reads.Add(change)
@@ -164,15 +164,15 @@
 	return c.account != nil && c.held.Load() >= c.account.limits.Connection
 }
 
-// Hold returns a hold of the connection without bytes.
-func (c *Connection) Hold() *Hold { return &Hold{account: c.account, conn: c} }
+// NewCharge returns a charge of the connection without bytes.
+func (c *Connection) NewCharge() *Charge { return &Charge{account: c.account, conn: c} }
 
-// Hold returns a hold without bytes for a request of another daemon.
-func (a *Account) Hold() *Hold { return &Hold{account: a} }
+// NewCharge returns a charge without bytes for a request of another daemon.
+func (a *Account) NewCharge() *Charge { return &Charge{account: a} }
 
-// Hold is what is held for one request and its answer, or for the bytes read of one connection.
-// It is safe for concurrent use; the methods of a nil *Hold have no effect.
-type Hold struct {
+// Charge is what is held for one request and its answer, or for the bytes read of one connection.
+// It is safe for concurrent use; the methods of a nil *Charge have no effect.
+type Charge struct {
 	account *Account
 	conn    *Connection // nil for a request of another daemon
 
@@ -181,48 +181,48 @@
 	ended           bool
 }
 
-// Reserve raises the part of the answer to n bytes if the bounds have room. A hold that is as
+// Reserve raises the part of the answer to n bytes if the bounds have room. A charge that is as
 // high already stays as it is.
-func (h *Hold) Reserve(n int64) Refusal { return h.reserve(n, true, answerOf) }
+func (c *Charge) Reserve(n int64) Refusal { return c.reserve(n, true, answerOf) }
 
 // ReserveFirst is Reserve without the connection's bound, for a request that waits for no other
 // one of its connection.
-func (h *Hold) ReserveFirst(n int64) Refusal { return h.reserve(n, false, answerOf) }
+func (c *Charge) ReserveFirst(n int64) Refusal { return c.reserve(n, false, answerOf) }
 
 // ReserveRequest is Reserve for the request's own bytes.
-func (h *Hold) ReserveRequest(n int64) Refusal { return h.reserve(n, true, requestOf) }
+func (c *Charge) ReserveRequest(n int64) Refusal { return c.reserve(n, true, requestOf) }
 
-func answerOf(h *Hold) *int64  { return &h.answer }
-func requestOf(h *Hold) *int64 { return &h.request }
+func answerOf(c *Charge) *int64  { return &c.answer }
+func requestOf(c *Charge) *int64 { return &c.request }
 
-func (h *Hold) reserve(n int64, ofConn bool, part func(*Hold) *int64) Refusal {
-	if h == nil || h.account == nil {
+func (c *Charge) reserve(n int64, ofConn bool, part func(*Charge) *int64) Refusal {
+	if c == nil || c.account == nil {
 		return Admitted
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	more := n - *part(h)
-	if more <= 0 || h.ended {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	more := n - *part(c)
+	if more <= 0 || c.ended {
 		return Admitted
 	}
-	a := h.account
+	a := c.account
 	by := Admitted
 	switch {
-	case ofConn && h.conn != nil && !fits(h.conn.held.Load(), more, a.limits.Connection):
+	case ofConn && c.conn != nil && !fits(c.conn.held.Load(), more, a.limits.Connection):
 		by = ByConnection
 	case !reserve(&a.total, more, bound(a.limits.Total, n)):
 		by = ByTotal
-	case h.conn != nil && !reserve(&a.entry, more, bound(a.limits.Entry, n)):
+	case c.conn != nil && !reserve(&a.entry, more, bound(a.limits.Entry, n)):
 		a.total.Add(-more)
 		by = ByEntry
 	}
 	if by != Admitted {
 		return by
 	}
-	if h.conn != nil {
-		h.conn.held.Add(more)
+	if c.conn != nil {
+		c.conn.held.Add(more)
 	}
-	*part(h) = n
+	*part(c) = n
 	return Admitted
 }
 
@@ -249,56 +249,56 @@
 
 // Set sets the part of the answer to n bytes, which exist already, whether there is room or
 // not.
-func (h *Hold) Set(n int64) { h.set(-1, n) }
+func (c *Charge) Set(n int64) { c.set(-1, n) }
 
 // SetRequest is Set for the request's own bytes.
-func (h *Hold) SetRequest(n int64) { h.set(n, -1) }
-
-// Release ends the hold. It may be called more than once.
-func (h *Hold) Release() {
-	h.set(0, 0)
-	if h != nil {
-		h.mu.Lock()
-		h.ended = true
-		h.mu.Unlock()
+func (c *Charge) SetRequest(n int64) { c.set(n, -1) }
+
+// Release ends the charge. It may be called more than once.
+func (c *Charge) Release() {
+	c.set(0, 0)
+	if c != nil {
+		c.mu.Lock()
+		c.ended = true
+		c.mu.Unlock()
 	}
 }
 
 // set changes the parts that are not negative.
-func (h *Hold) set(request, answer int64) {
-	if h == nil || h.account == nil {
+func (c *Charge) set(request, answer int64) {
+	if c == nil || c.account == nil {
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.ended {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.ended {
 		return
 	}
 	more := int64(0)
 	if request >= 0 {
-		more += request - h.request
-		h.request = request
+		more += request - c.request
+		c.request = request
 	}
 	if answer >= 0 {
-		more += answer - h.answer
-		h.answer = answer
+		more += answer - c.answer
+		c.answer = answer
 	}
-	h.account.total.Add(more)
-	if h.conn != nil {
-		h.account.entry.Add(more)
-		h.conn.held.Add(more)
+	c.account.total.Add(more)
+	if c.conn != nil {
+		c.account.entry.Add(more)
+		c.conn.held.Add(more)
 	}
 }
 
-type holdKey struct{}
+type chargeKey struct{}
 
-// WithHold returns a context for the work on a request.
-func WithHold(ctx context.Context, h *Hold) context.Context {
-	return context.WithValue(ctx, holdKey{}, h)
+// WithCharge returns a context for the work on a request.
+func WithCharge(ctx context.Context, c *Charge) context.Context {
+	return context.WithValue(ctx, chargeKey{}, c)
 }
 
-// HoldOf returns the hold of the request of a context, or nil if it has none.
-func HoldOf(ctx context.Context) *Hold {
-	h, _ := ctx.Value(holdKey{}).(*Hold)
-	return h
+// ChargeOf returns the charge of the request of a context, or nil if it has none.
+func ChargeOf(ctx context.Context) *Charge {
+	c, _ := ctx.Value(chargeKey{}).(*Charge)
+	return c
 }
--- a/core/callermemory/callermemory_test.go
+++ b/core/callermemory/callermemory_test.go
@@ -13,25 +13,25 @@
 	is := is.New(t)
 	a := New(Limits{Connection: 4 * mb, Entry: 8 * mb, Total: 12 * mb})
 	first := a.Connection()
-	var holds []*Hold
-	reserve := func(h *Hold, n int64) Refusal {
-		holds = append(holds, h)
+	var charges []*Charge
+	reserve := func(h *Charge, n int64) Refusal {
+		charges = append(charges, h)
 		return h.Reserve(n)
 	}
 	for range 4 {
-		is.Equal(reserve(first.Hold(), mb), Admitted)
+		is.Equal(reserve(first.NewCharge(), mb), Admitted)
 	}
 	is.True(first.Full())
-	is.Equal(reserve(first.Hold(), mb), ByConnection)
-	is.Equal(reserve(a.Connection().Hold(), 2*mb), Admitted)
-	is.Equal(reserve(a.Connection().Hold(), 2*mb), ByEntry) // the last quarter is for small ones
-	is.Equal(reserve(a.Connection().Hold(), SmallBytes), Admitted)
-	is.Equal(reserve(a.Hold(), 2*mb), Admitted)
-	is.Equal(reserve(a.Hold(), mb), ByTotal)
+	is.Equal(reserve(first.NewCharge(), mb), ByConnection)
+	is.Equal(reserve(a.Connection().NewCharge(), 2*mb), Admitted)
+	is.Equal(reserve(a.Connection().NewCharge(), 2*mb), ByEntry) // the last quarter is for small ones
+	is.Equal(reserve(a.Connection().NewCharge(), SmallBytes), Admitted)
+	is.Equal(reserve(a.NewCharge(), 2*mb), Admitted)
+	is.Equal(reserve(a.NewCharge(), mb), ByTotal)
 	is.Equal(a.Entry(), int64(6*mb+SmallBytes))
 	is.Equal(a.Total(), int64(8*mb+SmallBytes))
 	is.True(!a.Exceeded())
-	for _, h := range holds {
+	for _, h := range charges {
 		h.Release()
 		h.Release()
 		h.Set(mb) // the work on a request may end after its connection
@@ -45,9 +45,9 @@
 func TestAnswerAloneIsAdmitted(t *testing.T) {
 	is := is.New(t)
 	a := New(Limits{Connection: mb, Entry: mb, Total: mb})
-	h := a.Connection().Hold()
+	h := a.Connection().NewCharge()
 	is.Equal(h.Reserve(16*mb), Admitted)
-	is.Equal(a.Connection().Hold().Reserve(2*SmallBytes), ByTotal)
+	is.Equal(a.Connection().NewCharge().Reserve(2*SmallBytes), ByTotal)
 	h.Release()
 }
 
@@ -56,19 +56,19 @@
 func TestArrivedAnswersAreCountedWithoutRoom(t *testing.T) {
 	is := is.New(t)
 	a := New(Limits{Connection: mb, Entry: mb, Total: 2 * mb})
-	h := a.Connection().Hold()
+	h := a.Connection().NewCharge()
 	is.Equal(h.Reserve(SmallBytes), Admitted)
 	h.Set(3 * mb)
 	is.True(a.Exceeded())
 	h.Set(0)
 	is.True(!a.Exceeded())
 	var none *Account
-	is.Equal(none.Connection().Hold().Reserve(mb), Admitted)
+	is.Equal(none.Connection().NewCharge().Reserve(mb), Admitted)
 }
 
 func TestExpectedSizesFollowTheAnswers(t *testing.T) {
 	is := is.New(t)
-	h := New(Limits{}).Hold()
+	h := New(Limits{}).NewCharge()
 	is.Equal(h.ExpectedAnswer("list"), int64(unknownBytes))
 	for range 100 {
 		h.RecordAnswer("list", 100)
--- a/core/settings/callers_test.go
+++ b/core/settings/callers_test.go
@@ -16,7 +16,7 @@
 	d.Bounds.MemoryMB = 284
 	conn := callermemory.New(d.CallerMemory()).Connection()
 	for range outstanding {
-		is.Equal(conn.Hold().Reserve(callermemory.AnswerBytes(540_000)), callermemory.Admitted)
+		is.Equal(conn.NewCharge().Reserve(callermemory.AnswerBytes(540_000)), callermemory.Admitted)
 	}
 	is.True(!conn.Full())
 }
--- a/daemon/answer/memory.go
+++ b/daemon/answer/memory.go
@@ -14,32 +14,32 @@
 const noRoomRetryAfter = time.Second
 
 // ExpectedBytes returns the memory that the answer to a request is expected to take.
-func ExpectedBytes(hold *callermemory.Hold, req *wire.Request) int64 {
-	return callermemory.AnswerBytes(hold.ExpectedAnswer(sizeKey(req)))
+func ExpectedBytes(charge *callermemory.Charge, req *wire.Request) int64 {
+	return callermemory.AnswerBytes(charge.ExpectedAnswer(sizeKey(req)))
 }
 
 // Reserve reserves memory for the answer to a request at the daemon that runs it. The error is
 // an *outcome.Err of a kind that did not run.
 func Reserve(ctx context.Context, req *wire.Request) error {
-	hold := callermemory.HoldOf(ctx)
-	if by := hold.ReserveFirst(ExpectedBytes(hold, req)); by != callermemory.Admitted {
-		return NoRoom(hold, by)
+	charge := callermemory.ChargeOf(ctx)
+	if by := charge.ReserveFirst(ExpectedBytes(charge, req)); by != callermemory.Admitted {
+		return NoRoom(charge, by)
 	}
 	return nil
 }
 
-// Hold counts the answer to a request as held, and its size for those that follow.
-func Hold(hold *callermemory.Hold, req *wire.Request, resp *wire.Response) {
+// Charge counts the answer to a request as held, and its size for those that follow.
+func Charge(charge *callermemory.Charge, req *wire.Request, resp *wire.Response) {
 	n := len(resp.GetBody())
-	hold.Set(callermemory.AnswerBytes(int64(n)))
+	charge.Set(callermemory.AnswerBytes(int64(n)))
 	if outcome.Kind(resp.GetKind()) == outcome.OK {
-		hold.RecordAnswer(sizeKey(req), n)
+		charge.RecordAnswer(sizeKey(req), n)
 	}
 }
 
 // NoRoom returns the refusal of a request whose answer has no room. It did not run.
-func NoRoom(hold *callermemory.Hold, by callermemory.Refusal) *outcome.Err {
-	hold.CountRefusal(by)
+func NoRoom(charge *callermemory.Charge, by callermemory.Refusal) *outcome.Err {
+	charge.CountRefusal(by)
 	err := outcome.New(outcome.Overloaded, "no memory for the answer within the bound of: %v", by)
 	err.RetryAfter = noRoomRetryAfter
 	return err
--- a/daemon/backendconn/response.go
+++ b/daemon/backendconn/response.go
@@ -94,20 +94,20 @@
 	if httpResp.ContentLength > maxResponseBytes {
 		return nil, outcome.New(outcome.AnswerTooLarge, "response of %d bytes exceeds %d", httpResp.ContentLength, maxResponseBytes)
 	}
-	hold := callermemory.HoldOf(ctx)
+	charge := callermemory.ChargeOf(ctx)
 	if n := httpResp.ContentLength; n > callermemory.SmallBytes {
-		if err := awaitRoom(ctx, hold, callermemory.AnswerBytes(n)); err != nil {
+		if err := awaitRoom(ctx, charge, callermemory.AnswerBytes(n)); err != nil {
 			return nil, outcome.New(outcome.DeadlineMaybeRan, "no memory for the response until the deadline")
 		}
 	}
 	body, release, err := r.bodies.ReadWithin(httpResp.Body, maxResponseBytes, func(size int64) error {
-		return awaitRoom(ctx, hold, callermemory.AnswerBytes(size))
+		return awaitRoom(ctx, charge, callermemory.AnswerBytes(size))
 	})
 	release() // this bound is on the responses that are being read
 	if err == nil && cap(body) > len(body)+len(body)/wasteShare {
 		body = slices.Clone(body)
 	}
-	hold.Set(callermemory.AnswerBytes(int64(len(body))))
+	charge.Set(callermemory.AnswerBytes(int64(len(body))))
 	switch {
 	case errors.Is(err, bodies.ErrNoMemory):
 		return nil, outcome.New(outcome.AnswerTooLarge, "%v", err)
@@ -142,8 +142,8 @@
 
 // awaitRoom waits until the hold of a running request has grown to n bytes. Meanwhile nothing
 // more of its response is read, and its slot stays occupied.
-func awaitRoom(ctx context.Context, hold *callermemory.Hold, n int64) error {
-	for hold.ReserveFirst(n) != callermemory.Admitted {
+func awaitRoom(ctx context.Context, charge *callermemory.Charge, n int64) error {
+	for charge.ReserveFirst(n) != callermemory.Admitted {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -104,10 +104,10 @@
 	}
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	hold := HoldOf(r.Context())
+	charge := ChargeOf(r.Context())
 	room := func(size int64) error {
-		if by := hold.ReserveRequest(callermemory.AnswerBytes(size)); by != callermemory.Admitted {
-			hold.CountRefusal(by)
+		if by := charge.ReserveRequest(callermemory.AnswerBytes(size)); by != callermemory.Admitted {
+			charge.CountRefusal(by)
 			return bodies.ErrNoMemory
 		}
 		return nil
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -48,8 +48,8 @@
 	timer         *time.Timer
 	cancel        context.CancelFunc // ends the contexts of the lane's requests
 
-	hold   *callermemory.Hold // of the request; nil before the first one
-	writer answerWriter       // of the request in progress
+	charge *callermemory.Charge // of the request; nil before the first one
+	writer answerWriter         // of the request in progress
 }
 
 // idle reports whether the lane waits for a request.
@@ -69,14 +69,14 @@
 	case l == p.tail:
 		l.state = laneIdle
 		l.given, l.taken = 0, 0
-		l.hold.Release()
+		l.charge.Release()
 		p.tailWhole, p.tailNext = false, true
 		p.doneBytes = l.end
 		p.interrupt()
 	default:
 		l.state = laneAnswered
-		l.hold.SetRequest(0)
-		l.hold.Set(int64(cap(l.answer)))
+		l.charge.SetRequest(0)
+		l.charge.Set(int64(cap(l.answer)))
 		p.advance()
 	}
 }
@@ -223,7 +223,7 @@
 		l.cancel()
 	}
 	l.state = laneClosed
-	l.hold.Release()
+	l.charge.Release()
 	p.lanes = slices.DeleteFunc(p.lanes, func(other *lane) bool { return other == l })
 	p.advance()
 	if len(p.lanes) == 0 {
--- a/daemon/edge/memory.go
+++ b/daemon/edge/memory.go
@@ -106,15 +106,15 @@
 	p.writeSince = t
 }
 
-// HoldOf returns the account of a request and its answer, or nil if its listener has none.
-func HoldOf(ctx context.Context) *callermemory.Hold {
+// ChargeOf returns the account of a request and its answer, or nil if its listener has none.
+func ChargeOf(ctx context.Context) *callermemory.Charge {
 	l, ok := ctx.Value(laneKey{}).(*lane)
 	if !ok {
 		return nil
 	}
 	l.p.mu.Lock()
 	defer l.p.mu.Unlock()
-	return l.hold
+	return l.charge
 }
 
 // WithinMemory runs a request if there is memory for the answer that it is expected to have, and
@@ -125,13 +125,13 @@
 	if !ok {
 		return run(ctx)
 	}
-	hold := HoldOf(ctx)
-	if by := l.reserve(ctx, hold, answer.ExpectedBytes(hold, req)); by != callermemory.Admitted {
+	charge := ChargeOf(ctx)
+	if by := l.reserve(ctx, charge, answer.ExpectedBytes(charge, req)); by != callermemory.Admitted {
 		l.p.config.log.noRoom(l.p.conn.RemoteAddr(), by, l.p.memory.Held(), l.p.config.memory)
-		return nil, answer.NoRoom(hold, by)
+		return nil, answer.NoRoom(charge, by)
 	}
-	resp, err := run(callermemory.WithHold(ctx, hold))
-	answer.Hold(hold, req, resp)
+	resp, err := run(callermemory.WithCharge(ctx, charge))
+	answer.Charge(charge, req, resp)
 	if config := &l.p.config; config.memory.Exceeded() && config.relieve != nil {
 		config.relieve(arrivalStall)
 	}
@@ -141,21 +141,21 @@
 // reserve reserves memory for the answer to the lane's request. While the connection's bound has
 // no room it waits for the answers to earlier requests. If there is none in the other bounds, it
 // closes a connection whose caller does not read, or returns the bound.
-func (l *lane) reserve(ctx context.Context, hold *callermemory.Hold, n int64) callermemory.Refusal {
-	by := hold.Reserve(n)
+func (l *lane) reserve(ctx context.Context, charge *callermemory.Charge, n int64) callermemory.Refusal {
+	by := charge.Reserve(n)
 	if by == callermemory.ByConnection {
-		by = l.awaitRoom(ctx, hold, n)
+		by = l.awaitRoom(ctx, charge, n)
 	}
 	if by == callermemory.ByEntry || by == callermemory.ByTotal {
 		if relieve := l.p.config.relieve; relieve != nil && relieve(l.p.config.stall) {
-			by = hold.ReserveFirst(n)
+			by = charge.ReserveFirst(n)
 		}
 	}
 	return by
 }
 
 // awaitRoom reserves memory once the answers to earlier requests leave room for it.
-func (l *lane) awaitRoom(ctx context.Context, hold *callermemory.Hold, n int64) callermemory.Refusal {
+func (l *lane) awaitRoom(ctx context.Context, charge *callermemory.Charge, n int64) callermemory.Refusal {
 	p := l.p
 	stop := context.AfterFunc(ctx, func() {
 		p.mu.Lock()
@@ -167,9 +167,9 @@
 	defer p.mu.Unlock()
 	for {
 		if len(p.order) == 0 || p.order[0] == l {
-			return hold.ReserveFirst(n)
+			return charge.ReserveFirst(n)
 		}
-		by := hold.Reserve(n)
+		by := charge.Reserve(n)
 		if by != callermemory.ByConnection || p.closed || ctx.Err() != nil {
 			return by
 		}
--- a/daemon/edge/memory_test.go
+++ b/daemon/edge/memory_test.go
@@ -61,7 +61,7 @@
 func recorded(limits callermemory.Limits) *callermemory.Account {
 	a := callermemory.New(limits)
 	for range 50 {
-		a.Hold().RecordAnswer("s ", longAnswer)
+		a.NewCharge().RecordAnswer("s ", longAnswer)
 	}
 	return a
 }
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -76,11 +76,11 @@
 	halfClosed bool // no more is written
 
 	memory       *callermemory.Connection
-	reads        *callermemory.Hold // bytes that were read and not yet taken by servers
-	forced       bool               // closed for what others need
-	readsOver    bool               // they have no room, and no more is read
-	readsCharged int64              // bytes of reads
-	writeSince   time.Time          // when the write in progress last made progress; zero if there is none
+	reads        *callermemory.Charge // bytes that were read and not yet taken by servers
+	forced       bool                 // closed for what others need
+	readsOver    bool                 // they have no room, and no more is read
+	readsCharged int64                // bytes of reads
+	writeSince   time.Time            // when the write in progress last made progress; zero if there is none
 
 	arrivals   []arrival // of the pending bytes
 	readBytes  int64     // read from the connection
@@ -119,7 +119,7 @@
 
 func newPipeline(conn net.Conn, config pipelineConfig, serve func(*lane), onEnd func(*pipeline)) *pipeline {
 	p := &pipeline{conn: conn, config: config, serve: serve, onEnd: onEnd, framing: newFraming(config.maxHead), memory: config.memory.Connection()}
-	p.reads = p.memory.Hold()
+	p.reads = p.memory.NewCharge()
 	p.changed, p.readerWakes = sync.NewCond(&p.mu), sync.NewCond(&p.mu)
 	return p
 }
@@ -414,8 +414,8 @@
 	}
 	p.arrivals = slices.Delete(p.arrivals, 0, past)
 	l.received = p.arrivals[0].at
-	l.hold.Release()
-	l.hold = p.memory.Hold()
+	l.charge.Release()
+	l.charge = p.memory.NewCharge()
 	p.begun++
 	l.number = p.begun
 	if !p.stopped.IsZero() {
@@ -474,7 +474,7 @@
 		case laneAnswered:
 			p.order = slices.Delete(p.order, 0, 1)
 			p.doneBytes = l.end
-			l.hold.Release()
+			l.charge.Release()
 			if p.lastAnswer == l {
 				p.end(endLastAnswer)
 				return
@@ -514,7 +514,7 @@
 	p.mu.Lock()
 	p.writing = false
 	if l.state != laneBusy {
-		l.hold.Set(int64(cap(l.answer)))
+		l.charge.Set(int64(cap(l.answer)))
 	}
 	_ = p.conn.SetWriteDeadline(l.writeDeadline)
 	return err == nil
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -48,7 +48,7 @@
 	defer cancel()
 	ctx, exchange := backendconn.WithExchange(ctx)
 	resp := e.execute(ctx, req, sent)
-	answer.Hold(callermemory.HoldOf(ctx), req, resp)
+	answer.Charge(callermemory.ChargeOf(ctx), req, resp)
 	resp.Load = e.admission.load()
 	resp.Load.Notice = e.notice()
 	e.counters.record(outcome.Kind(resp.GetKind()))
--- a/daemon/plugins/owner/execute.go
+++ b/daemon/plugins/owner/execute.go
@@ -43,7 +43,7 @@
 	e.applyNotice(req.GetNotice())
 	ctx, exchange := backendconn.WithExchange(ctx)
 	resp := e.execute(ctx, req, deadline)
-	answer.Hold(callermemory.HoldOf(ctx), req, resp)
+	answer.Charge(callermemory.ChargeOf(ctx), req, resp)
 	if n := e.notice(); n != nil {
 		resp.Load = &wire.ServerLoad{Notice: n}
 	}
--- a/daemon/plugins/peer/memory.go
+++ b/daemon/plugins/peer/memory.go
@@ -10,17 +10,17 @@
 // answers, until these are written to the session.
 func accountMemory(s *server, memory *callermemory.Account) { s.memory = memory }
 
-// holdRequest counts a frame of size bytes and the memory of its answer until it is released.
+// chargeRequest counts a frame of size bytes and the memory of its answer until it is released.
 // It fails with outcome.Overloaded if a request has no room. Other frames are small, and their
 // answers bounded.
-func (s *server) holdRequest(frame *wire.Frame, size int) (*callermemory.Hold, *outcome.Err) {
+func (s *server) chargeRequest(frame *wire.Frame, size int) (*callermemory.Charge, *outcome.Err) {
 	if frame.GetRequest() == nil {
 		return nil, nil
 	}
-	hold := s.memory.Hold()
-	if by := hold.ReserveRequest(int64(size)); by != callermemory.Admitted {
-		hold.CountRefusal(by)
+	charge := s.memory.NewCharge()
+	if by := charge.ReserveRequest(int64(size)); by != callermemory.Admitted {
+		charge.CountRefusal(by)
 		return nil, outcome.New(outcome.Overloaded, "no memory for a frame of %d bytes", size)
 	}
-	return hold, nil
+	return charge, nil
 }
--- a/daemon/plugins/peer/serverlink.go
+++ b/daemon/plugins/peer/serverlink.go
@@ -136,19 +136,19 @@
 		l.refuse(frame, outcome.New(outcome.Overloaded, "link already has %d running frames", maxRunning))
 		return nil
 	}
-	hold, err := l.srv.holdRequest(frame, size)
+	charge, err := l.srv.chargeRequest(frame, size)
 	if err == nil {
 		err = l.srv.begin(frame, size)
 	}
 	if err != nil {
-		hold.Release()
+		charge.Release()
 		l.cancelRunning(frame.GetId())
 		l.refuse(frame, err)
 		return nil
 	}
 	go func() {
-		defer hold.Release() // the answer is written, or the link has ended
-		l.answer(callermemory.WithHold(ctx, hold), frame, size)
+		defer charge.Release() // the answer is written, or the link has ended
+		l.answer(callermemory.WithCharge(ctx, charge), frame, size)
 	}()
 	return nil
 }
