--- a/daemon/plugins/peer/peer.go
+++ b/daemon/plugins/peer/peer.go
@@ -37,7 +37,7 @@
 			kernel.AsEffectHandler(func(r *releases) *releases { return r }),
 			kernel.AsFrameHandler(func(r *releases) *releases { return r }),
 		),
-		fx.Invoke(pacing.RegisterMetrics, usePacer, startNetwork, startServer),
+		fx.Invoke(pacing.RegisterMetrics, usePacer, accountMemory, startNetwork, startServer),
 	)
 }
 
