--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/liveness"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
@@ -55,6 +56,7 @@
 	defer cancel()
 	ctx, exchange := backendconn.WithExchange(ctx)
 	resp := e.execute(ctx, req, sent, toPeer)
+	answer.Charge(callermemory.ChargeOf(ctx), req, resp)
 	resp.Load = e.admission.load()
 	resp.Load.Notice = e.notice()
 	if backlog, kbps := e.pacer.Backlog(); kbps > 0 {
@@ -256,6 +258,9 @@
 
 // dispatch repeats the check of checkDispatch and sends the request.
 func (e *executor) dispatch(ctx context.Context, r *run) *wire.Response {
+	if err := answer.Reserve(ctx, r.request); err != nil {
+		return answer.Refusal(err)
+	}
 	e.mu.Lock()
 	if err := e.checkDispatchLocked(r); err != nil {
 		e.mu.Unlock()
