core/rollout: interface and a simple controller

Cause: the daemon's side of roll-outs is built at the same time and needs the types and names of section 2 of docs/design/README.md. Change: Order, Counts with Sent, Histogram, Bounds with LastStep, Decision, Controller with a first rule (fixed share, one threshold), Recorder for a daemon's counts, Picker and Servers for the selection.

--- /dev/null
+++ b/core/rollout/rollout_test.go
@@ -0,0 +1,86 @@
+package rollout
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+)
+
+// Guards against buckets that overlap, leave gaps or lose counts in a message.
+func TestHistogramBucketsAreOrderedAndSurviveAMessage(t *testing.T) {
+	is := is.New(t)
+	var h Histogram
+	last, distinct := -1, 0
+	for d := time.Duration(1); d < 300*time.Second; d += d/8 + 1 {
+		b := bucket(d)
+		is.True(b == last || b == last+1)
+		if b != last {
+			distinct++
+		}
+		last = b
+		h.Observe(d)
+	}
+	is.Equal(distinct, Buckets)
+	is.Equal(HistogramOf(h.Slice()), h)
+	is.Equal(HistogramOf(slices.Repeat([]uint32{1}, Buckets+3))[Buckets-1], uint32(4))
+}
+
+// Guards against a share that clumps, or that starves one of two routes whose requests
+// alternate, and against a share that outlives its validity.
+func TestPickerSpreadsShareEvenlyAndEndsWithValidity(t *testing.T) {
+	is := is.New(t)
+	for _, share := range []float64{0.01, 0.1, 0.5} {
+		p := NewPicker(7)
+		p.Set(Answer{Decision: Decision{Share: share, Servers: 2}, Until: 100})
+		var got [2]float64
+		for i := range 10000 {
+			if toNew, n := p.Pick(99, 3, 3); toNew {
+				is.Equal(n, 2)
+				got[i%2]++
+			}
+			want := share * float64(i+1)
+			is.True(got[0]+got[1] > want-5 && got[0]+got[1] < want+5)
+		}
+		is.True(got[0] > 0.9*share*5000 && got[0] < 1.1*share*5000)
+		toNew, _ := p.Pick(100, 3, 3)
+		is.True(!toNew)
+		toNew, _ = p.Pick(100, 0, 3) // the old version has no servers
+		is.True(toNew)
+		p.Set(Answer{Decision: Decision{State: RolledBack}})
+		p.Set(Answer{Decision: Decision{Share: 1}, Until: 1000})
+		toNew, _ = p.Pick(100, 0, 3)
+		is.True(!toNew)
+	}
+	first := slices.Clone(Servers(1, []string{"a", "b", "c", "d"}, 2))
+	is.Equal(Servers(1, []string{"d", "c", "b", "a"}, 2), first)
+}
+
+// Guards against a first decision of the wrong kind for a plainly bad and a good version.
+func TestControllerRollsBackFailuresAndCompletesOtherwise(t *testing.T) {
+	for _, bad := range []bool{false, true} {
+		is := is.New(t)
+		c := NewController(1, Order{To: "v2", Duration: 12 * time.Second},
+			Bounds{ExposureShare: 0.1, ExposureSlack: 50, Rollback: 5 * time.Second})
+		c.SetServers(1, 3, 3)
+		now := clock.Instant(1)
+		for c.Step(now).State == Running {
+			var r Recorder
+			for i := range 100 {
+				version := "v1"
+				if float64(i) < c.Step(now).Share*100 {
+					version = "v2"
+				}
+				r.Sent("a", version)
+				r.Answered("a", version, bad && version == "v2" && i%2 == 0, 5*time.Millisecond)
+			}
+			now = now.Add(250 * time.Millisecond)
+			c.Add(now, 1, r.Take())
+		}
+		is.Equal(c.Step(now).State == RolledBack, bad)
+		is.True(now.Sub(1) <= 12*time.Second)
+	}
+}
