Version of members and orders of roll-outs in the configuration stream

Cause: the version in announcements of backend servers was decoded and dropped, and an operator's record rollout/SERVICE was passed over, so that nothing could decide about a roll-out.

An order's id is its offset without the era, so that it stays the same order after the store was restored.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -357,6 +357,11 @@
 			s.emitDecision(Decision{Action: "reject_configuration", Reason: verdict.Reason})
 			continue
 		}
+		if order := rec.GetRolloutOrder(); order != nil {
+			s.emitDecision(Decision{Action: "rollout_order", Reason: order.GetService() + " to " + order.GetTo(), Generation: entry.Offset})
+			s.dirty = true
+			continue
+		}
 		s.emitDecision(Decision{Action: "configuration", Generation: verdict.Version})
 		s.configChanged()
 	}
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -35,6 +35,7 @@
 	Addr        string
 	Slots       uint32 // number of requests that it runs concurrently
 	ChecksFence bool   // it rejects stale generations
+	Version     string // of its software; empty if unknown
 }
 
 // BackendDown reports that the backend server is gone or is about to leave.
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -181,14 +181,15 @@
 	m.joinSent = s.now
 	m.leaseTerm = s.leaseTermOf(m.backend.Service)
 	m.joinID = s.appendOnce(&wire.Record{Body: &wire.Record_Join{Join: &wire.Join{
-		Slot:          s.opts.Slot,
-		Service:       m.backend.Service,
-		BackendServer: m.backend.Name,
-		BackendAddr:   m.backend.Addr,
-		Slots:         m.backend.Slots,
-		ChecksFence:   m.backend.ChecksFence,
-		Witnesses:     witnesses,
-		LeaseMs:       uint32(m.leaseTerm.Milliseconds()),
+		Slot:           s.opts.Slot,
+		Service:        m.backend.Service,
+		BackendServer:  m.backend.Name,
+		BackendAddr:    m.backend.Addr,
+		Slots:          m.backend.Slots,
+		ChecksFence:    m.backend.ChecksFence,
+		Witnesses:      witnesses,
+		LeaseMs:        uint32(m.leaseTerm.Milliseconds()),
+		BackendVersion: m.backend.Version,
 	}}})
 	s.emitDecision(Decision{Action: "join", Reason: "backend server announced", Count: len(witnesses)})
 }
--- a/core/control/view.go
+++ b/core/control/view.go
@@ -77,6 +77,7 @@
 		EraSettled:      s.placementSettled(),
 		Lease:           s.cell,
 		OutOfService:    s.selfOut() || s.member.draining,
+		Rollouts:        s.history.Rollouts,
 		Leaving:         s.stopping,
 		LeavingSince:    s.stoppingSince,
 	}
@@ -148,7 +149,7 @@
 	if !ok {
 		return nil
 	}
-	out := &view.Member{Incarnation: inc, Slot: m.Slot, Service: m.Service, BackendName: m.BackendServer, Slots: m.Slots}
+	out := &view.Member{Incarnation: inc, Slot: m.Slot, Service: m.Service, BackendName: m.BackendServer, Slots: m.Slots, Version: m.Version}
 	if slot, ok := s.fold.Slots[m.Slot]; ok {
 		out.DataCentre = slot.DataCentre
 		out.PeerAddr = slot.PeerAddr
--- a/core/fleet/history.go
+++ b/core/fleet/history.go
@@ -28,6 +28,10 @@
 	// support. They have no effect here.
 	Newer uint64
 
+	// Rollouts is the newest order of each service that was not withdrawn; nil if there is
+	// none. It is treated as immutable.
+	Rollouts map[string]RolloutOrder
+
 	shardCounts map[string]uint32 // shard count of each service that ever existed
 	recentIDs   *idwindow.Window
 
@@ -82,10 +86,10 @@
 	if !h.recentIDs.Add(idwindow.ID(rec.GetId())) {
 		return rec, Verdict{Reason: ReasonDuplicate}
 	}
-	return rec, h.applyBody(rec)
+	return rec, h.applyBody(offset, rec)
 }
 
-func (h *History) applyBody(rec *wire.Record) Verdict {
+func (h *History) applyBody(offset uint64, rec *wire.Record) Verdict {
 	switch body := rec.GetBody().(type) {
 	case *wire.Record_ConfigPatch:
 		return h.applyConfigPatch(body.ConfigPatch)
@@ -95,6 +99,8 @@
 		return h.applyOrder(body.DataCentreOrder)
 	case *wire.Record_Standing:
 		return h.applyStanding(body.Standing)
+	case *wire.Record_RolloutOrder:
+		return h.applyRollout(offset, body.RolloutOrder)
 	case *wire.Record_Snapshot:
 		return Verdict{Reason: ReasonSnapshot}
 	case nil:
@@ -190,6 +196,7 @@
 	if !h.restored {
 		clear(h.outDataCentres)
 	}
+	h.setRollouts(st.GetRollouts(), !h.restored)
 	h.restored = false
 	for _, name := range st.GetOut() {
 		h.outDataCentres[name] = true
--- a/core/fleet/restored.go
+++ b/core/fleet/restored.go
@@ -13,7 +13,7 @@
 // on the version that the log shows now takes effect, and with it goes what only the lost
 // records said.
 func (h *History) Restored() {
-	h.restored = h.published != nil || len(h.outDataCentres) > 0
+	h.restored = h.published != nil || len(h.outDataCentres) > 0 || len(h.Rollouts) > 0
 	if h.published == nil && h.Version > 0 {
 		h.renewed = NewHistory()
 	}
@@ -40,7 +40,7 @@
 	if h.published == nil {
 		return nil
 	}
-	st := &wire.Standing{Published: &wire.Published{Version: h.Version, Document: h.publishedDoc}}
+	st := &wire.Standing{Published: &wire.Published{Version: h.Version, Document: h.publishedDoc}, Rollouts: h.encodeRollouts()}
 	for name := range h.outDataCentres {
 		st.Out = append(st.Out, name)
 	}
@@ -61,6 +61,10 @@
 			changed = changed || !h.outDataCentres[name]
 			h.outDataCentres[name] = true
 		}
+		if len(st.GetRollouts()) > 0 {
+			h.setRollouts(st.GetRollouts(), false)
+			changed = true
+		}
 	}
 	if h.applyPublished(st.GetPublished()).Accepted {
 		return true
--- a/core/fold/encode.go
+++ b/core/fold/encode.go
@@ -36,7 +36,7 @@
 		m := s.Members[inc]
 		out.Members = append(out.Members, &wire.MemberState{Incarnation: inc, Phase: uint32(m.Phase), Era: m.Era, Join: &wire.Join{
 			Slot: m.Slot, Service: m.Service, BackendServer: m.BackendServer, BackendAddr: m.BackendAddr,
-			Slots: m.Slots, ChecksFence: m.ChecksFence, Witnesses: m.Witnesses, LeaseMs: m.LeaseMS,
+			Slots: m.Slots, ChecksFence: m.ChecksFence, Witnesses: m.Witnesses, LeaseMs: m.LeaseMS, BackendVersion: m.Version,
 		}})
 	}
 	for _, name := range slices.Sorted(maps.Keys(s.Services)) {
@@ -103,7 +103,7 @@
 		s.Members[m.GetIncarnation()] = &Member{
 			Incarnation: m.GetIncarnation(), Slot: j.GetSlot(), Service: j.GetService(), BackendServer: j.GetBackendServer(),
 			BackendAddr: j.GetBackendAddr(), Slots: j.GetSlots(), ChecksFence: j.GetChecksFence(),
-			Witnesses: j.GetWitnesses(), LeaseMS: j.GetLeaseMs(), Phase: Phase(m.GetPhase()), Era: m.GetEra(),
+			Witnesses: j.GetWitnesses(), LeaseMS: j.GetLeaseMs(), Version: j.GetBackendVersion(), Phase: Phase(m.GetPhase()), Era: m.GetEra(),
 		}
 	}
 	for _, inc := range s.ended {
--- a/core/fold/encode_test.go
+++ b/core/fold/encode_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"runtime"
 	"slices"
+	"strings"
 	"testing"
 
+	"github.com/matryer/is"
 	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
@@ -165,3 +167,24 @@
 	runtime.ReadMemStats(&m)
 	return int64(m.HeapAlloc)
 }
+
+// TestVersionOfMember checks that a member keeps the version of its backend server through a
+// snapshot, and that a join with a version that is too long is accepted without it: daemons
+// that do not read the field accept it too.
+func TestVersionOfMember(t *testing.T) {
+	is := is.New(t)
+	s := New()
+	appendRecord(t, s, &wire.Record{Body: &wire.Record_Announce{Announce: &wire.Announce{Slot: "a", WitnessAddr: "127.0.0.1:1"}}})
+	join := func(version string) *Member {
+		inc, v := appendRecord(t, s, &wire.Record{Body: &wire.Record_Join{Join: &wire.Join{
+			Slot: "a", Service: "storefront", Witnesses: []string{"w"}, BackendVersion: version}}})
+		is.True(v.Accepted)
+		data, err := s.Encode()
+		is.NoErr(err)
+		decoded, err := Decode(data)
+		is.NoErr(err)
+		return decoded.Members[inc]
+	}
+	is.Equal(join("v2").Version, "v2")
+	is.Equal(join(strings.Repeat("x", 200)).Version, "")
+}
--- a/core/fold/fold.go
+++ b/core/fold/fold.go
@@ -76,6 +76,7 @@
 	Slots         uint32 // number of requests that the backend server runs concurrently
 	ChecksFence   bool   // the backend server rejects stale generations
 	Witnesses     []string
+	Version       string // of the backend server's software; empty if unknown
 	LeaseMS       uint32 // length of its leases in milliseconds; 0 means one lease term
 	Phase         Phase
 	Era           uint64 // era that the member has adopted or joined in
--- a/core/fold/members.go
+++ b/core/fold/members.go
@@ -65,12 +65,23 @@
 		ChecksFence:   j.GetChecksFence(),
 		Witnesses:     slices.Clone(j.GetWitnesses()),
 		LeaseMS:       j.GetLeaseMs(),
+		Version:       memberVersion(j),
 		Era:           s.Base,
 	}
 	s.Epoch++
 	return accepted()
 }
 
+// memberVersion returns the version of a joining backend server. One that is too long
+// counts as unknown: daemons that do not read the field accept such a join, so that
+// replay must accept it too.
+func memberVersion(j *wire.Join) string {
+	if len(j.GetBackendVersion()) > maxNameBytes {
+		return ""
+	}
+	return j.GetBackendVersion()
+}
+
 // checkWitnesses returns the reason why a witness set is invalid, or "".
 func checkWitnesses(set []string) string {
 	if len(set)%2 == 0 || len(set) > MaxWitnesses {
--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -109,6 +109,7 @@
 type Announcement struct {
 	ID       string
 	Service  string
+	Version  string // of the server's software; empty if unknown
 	Addr     string
 	Slots    uint32
 	Leaving  bool
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -119,6 +119,9 @@
 	LogStaleMS          int     `json:"log_stale_ms"`          // time since the configuration was last known to be current, above which peers are queried
 	LogSurveyMS         int     `json:"log_survey_ms"`         // interval between these queries
 	LogGatherMS         int     `json:"log_gather_ms"`         // pause after new log records, so that one read returns several
+	ExposureShare       float64 `json:"exposure_share"`        // share of a service's requests that a bad version may get during its roll-out; 0 means that there are no roll-outs
+	ExposureSlack       float64 `json:"exposure_slack"`        // requests allowed beyond that share
+	RollbackS           float64 `json:"rollback_s"`            // time after the 50th bad answer of a version after which it gets no request any more
 	GraceS              float64 `json:"grace_s"`               // time from SIGTERM until the process is killed; 0 means shutdown_grace_ms
 }
 
@@ -322,11 +325,18 @@
 	}{
 		{"retry_ratio", b.RetryRatio}, {"retry_extra", b.RetryExtra}, {"cold_slack", b.ColdSlack},
 		{"log_gather_ms", float64(b.LogGatherMS)}, {"log_reader_centres", float64(b.LogReaderCentres)}, {"grace_s", b.GraceS}, {"memory_mb", float64(b.MemoryMB)},
+		{"exposure_slack", b.ExposureSlack}, {"rollback_s", b.RollbackS},
 	} {
 		if p.value < 0 {
 			add("bounds.%s: %v is negative", p.field, p.value)
 		}
 	}
+	if b.ExposureShare < 0 || b.ExposureShare >= 1 {
+		add("bounds.exposure_share: %v is not in 0 to below 1", b.ExposureShare)
+	}
+	if b.ExposureShare > 0 && b.RollbackS == 0 {
+		add("bounds.rollback_s: required with exposure_share")
+	}
 	if b.ColdOverage < 1 {
 		add("bounds.cold_overage: %v is below 1", b.ColdOverage)
 	}
--- a/core/view/view.go
+++ b/core/view/view.go
@@ -27,6 +27,7 @@
 	BackendName string
 	PeerAddr    string
 	Slots       uint32 // number of requests that its backend server runs concurrently
+	Version     string // of its backend server's software; empty if unknown
 }
 
 // Shard is the route of one shard.
@@ -136,6 +137,9 @@
 	// OutOfService reports that this daemon's data centre or backend server is out of
 	// service by an operator's order, or that its backend server is draining.
 	OutOfService bool
+	// Rollouts holds the newest order of a roll-out of each service, by service; nil
+	// without orders.
+	Rollouts map[string]fleet.RolloutOrder
 	// Leaving reports that this daemon is shutting down, LeavingSince since when.
 	Leaving      bool
 	LeavingSince clock.Instant
--- a/daemon/plugins/admin/announce.go
+++ b/daemon/plugins/admin/announce.go
@@ -31,6 +31,8 @@
 	maxSlots = 65_536
 	// maxBootIDBytes bounds the announced boot id.
 	maxBootIDBytes = 64
+	// maxVersionBytes bounds the announced version.
+	maxVersionBytes = 128
 )
 
 var errAnnouncement = errors.New("announcement")
@@ -42,6 +44,7 @@
 type Announcement struct {
 	Name        string `json:"name"`
 	Service     string `json:"service"`
+	Version     string `json:"version"` // of the server's software; empty if unknown
 	Addr        string `json:"addr"`
 	Slots       uint32 `json:"slots"`
 	Connections uint32 `json:"connections"`
@@ -96,6 +99,9 @@
 	if a.Connections > maxSlots {
 		add("connections: %d exceeds %d", a.Connections, maxSlots)
 	}
+	if len(a.Version) > maxVersionBytes {
+		add("version: longer than %d bytes", maxVersionBytes)
+	}
 	if len(a.BootID) > maxBootIDBytes {
 		add("boot_id: longer than %d bytes", maxBootIDBytes)
 	}
@@ -147,7 +153,7 @@
 		return control.BackendLeaving{}
 	}
 	return control.BackendUp{
-		Name: a.Name, Service: a.Service, Addr: a.Addr, Slots: a.Slots, ChecksFence: a.ChecksFence,
+		Name: a.Name, Service: a.Service, Addr: a.Addr, Slots: a.Slots, ChecksFence: a.ChecksFence, Version: a.Version,
 	}
 }
 
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -44,6 +44,7 @@
 	process       uint64 // its number, see backendconn.Continuity
 	bootTime      int64  // start of this boot, milliseconds since 1970
 	service       string
+	version       string // of its software; empty if unknown
 	addr          string
 	sequence      uint64
 	slots         uint32
@@ -64,7 +65,7 @@
 
 // upEvent returns the event that makes the server a member.
 func (s *server) upEvent() control.BackendUp {
-	return control.BackendUp{Name: s.bootName(), Service: s.service, Addr: s.addr, Slots: s.slots, ChecksFence: true}
+	return control.BackendUp{Name: s.bootName(), Service: s.service, Addr: s.addr, Slots: s.slots, ChecksFence: true, Version: s.version}
 }
 
 // serveAnnouncements starts the server for announcements and the heartbeat watch.
@@ -212,7 +213,7 @@
 	if e.server != nil {
 		e.server.end()
 	}
-	e.server = &server{id: a.ID, bootTime: a.BootTime, service: a.Service, addr: a.Addr}
+	e.server = &server{id: a.ID, bootTime: a.BootTime, service: a.Service, version: a.Version, addr: a.Addr}
 	e.server.ctx, e.server.end = context.WithCancel(context.Background())
 	e.holds.Reset()
 	e.admission.restart()
