daemon/plugins/rollout: roll-outs of services without keys

Cause: orders of roll-outs were replayed, but nothing followed them.

Change: each daemon that sends requests to a service with an order reports their results by route and version to the first planner of the region, which runs the controller and answers with share, servers and validity. The planner restricts the members that get shards in the same way; that part has no test of its own yet.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -23,6 +23,7 @@
 	"github.com/sesamemoor/sesamemoor/core/lease"
 	"github.com/sesamemoor/sesamemoor/core/loadstat"
 	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/placement"
 	"github.com/sesamemoor/sesamemoor/core/snapshot"
 	"github.com/sesamemoor/sesamemoor/core/view"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -50,6 +51,9 @@
 	// PublishedConfig reports that an external author publishes whole versions of the
 	// configuration, so the configuration stream needs no snapshots.
 	PublishedConfig bool
+	// Rollouts reports that VersionLimits events restrict the members of services that have
+	// several versions.
+	Rollouts bool
 	// SnapshotRecords is the number of records after which a snapshot of a stream is
 	// due; 0 means the default.
 	SnapshotRecords int
@@ -69,6 +73,8 @@
 	caughtUp bool          // the placement stream has been read to its head at least once
 	readAsOf clock.Instant // time as of which the whole placement stream is known
 
+	versions map[string]*placement.Versions // by service
+
 	witness       witnessRole
 	leaseTermOf   func(service string) time.Duration // length of the leases of a service's members
 	newHolder     func(p lease.Params, joinSent clock.Instant, witnesses []string, term time.Duration) leaseHolder
@@ -205,6 +211,8 @@
 		s.applyRecords(e)
 	case Datagram:
 		s.handleDatagram(e.Msg)
+	case VersionLimits:
+		s.versions = e.Services
 	case BackendUp:
 		s.backendUp(e)
 	case BackendDown:
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -38,6 +38,12 @@
 	Version     string // of its software; empty if unknown
 }
 
+// VersionLimits restricts the members that may have the shards of services by their
+// versions. It replaces the earlier ones.
+type VersionLimits struct {
+	Services map[string]*placement.Versions
+}
+
 // BackendDown reports that the backend server is gone or is about to leave.
 type BackendDown struct{ Reason string }
 
@@ -87,6 +93,7 @@
 func (Records) event()         {}
 func (Datagram) event()        {}
 func (BackendUp) event()       {}
+func (VersionLimits) event()   {}
 func (BackendDown) event()     {}
 func (BackendLeaving) event()  {}
 func (Suspicion) event()       {}
--- a/core/control/load.go
+++ b/core/control/load.go
@@ -89,8 +89,11 @@
 		PerShard: map[view.ShardID]float64{}, MemberWeight: weights, Frozen: map[string]bool{},
 		Tolerance: map[string]float64{}, AwaitMembers: map[string]bool{},
 	}
+	if s.opts.Rollouts {
+		load.Versions = s.versions
+	}
 	for name, svc := range s.fold.Services {
-		load.AwaitMembers[name] = s.waitsForMembers(name, svc)
+		load.AwaitMembers[name] = s.waitsForMembers(name, svc) || s.awaitsVersionLimits(name)
 		switch {
 		case name == view.KeeperService: // balanced by the number of shards
 		case s.reported(name):
--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -44,6 +44,9 @@
 	Frozen map[string]bool
 	// AwaitMembers is the set of services whose first placement waits for more members.
 	AwaitMembers map[string]bool
+	// Versions restricts the members of services that have several versions, by service;
+	// absent services are not restricted.
+	Versions map[string]*Versions
 	// Tolerance is, by service, the ratio of a member's load to its share of the
 	// mean above which shards move; absent services use loadFactor.
 	Tolerance map[string]float64
@@ -109,9 +112,15 @@
 		if r == nil {
 			continue
 		}
-		if !load.Frozen[name] {
+		switch {
+		case r.versions != nil && len(r.versions.New) > 0:
+			limits.MaxMoves = max(0, limits.MaxMoves-r.rollOut(limits))
+		case !load.Frozen[name]:
 			limits.MaxMoves -= r.balance(limits)
 		}
+		if r.versions != nil {
+			r.evacuate(st, limits)
+		}
 		r.fillRoles(limits)
 	}
 	return *plan
--- a/core/placement/round.go
+++ b/core/placement/round.go
@@ -18,6 +18,8 @@
 	standbyLoad float64 // load of the shards whose standby it is
 	slowed      bool    // capacity is below the nominal capacity
 	owned       []int   // numbers of its shards that may move
+	isNew       bool    // of the version that is being rolled out
+	barred      bool    // chosen by no fillRoles
 }
 
 // ratio returns the load per unit of capacity.
@@ -42,6 +44,7 @@
 	runLength  int          // neighbouring shards that prefer the same member
 	owners     runChoice    // of the owner of the last shard that was placed
 	standbys   runChoice    // of its standby
+	versions   *Versions    // nil if members are not restricted
 }
 
 // runChoice is the member that was chosen for the last shard, in one role.
@@ -55,6 +58,8 @@
 func newRound(st *fold.State, cfg *fleet.Config, load Load, name string, plan *Plan) *round {
 	svc := st.Services[name]
 	members := Eligible(st, cfg, name)
+	versions := load.Versions[name]
+	members = slices.DeleteFunc(members, func(m *fold.Member) bool { return !versions.Allows(m) })
 	if len(members) == 0 || svc.Base == 0 {
 		return nil
 	}
@@ -82,6 +87,7 @@
 		r.candidates = append(r.candidates, c)
 		r.byInc[c.inc] = c
 	}
+	r.setVersions(versions)
 	r.setShardLoads(load)
 	r.mean = r.total / r.capacity
 	r.addLoads()
@@ -258,6 +264,9 @@
 	if owner != nil {
 		ownerDC = owner.dc
 	}
+	if r.replaceBarred(n, owner) {
+		return
+	}
 	if standby != nil && (r.frozen || sh.Handover || owner == nil || standby.dc != ownerDC || !r.multiDC || r.relieves(owner, standby)) {
 		return
 	}
@@ -308,7 +317,7 @@
 		if i >= maxProbes && best != nil && bestPenalty == 0 {
 			break
 		}
-		if c.inc == avoid {
+		if c.inc == avoid || c.barred {
 			continue
 		}
 		penalty := 0
--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -8,6 +8,8 @@
 	"errors"
 	"net/http"
 	"time"
+
+	"github.com/sesamemoor/sesamemoor/core/rollout"
 )
 
 // ErrMalformed reports a message that cannot be decoded.
@@ -153,6 +155,39 @@
 	Handler(sink AnnouncementSink) http.Handler
 }
 
+// RolloutStatus is the recorded state of the newest roll-out of a service.
+type RolloutStatus struct {
+	Service string
+	To      string   // version
+	From    []string // versions that the service had before
+	State   rollout.State
+	Order   uint64 // id of the order, see fleet.RolloutOrder
+	// Problem is why the order was refused; such a status is RolledBack, and Last is the
+	// outcome of the service's last roll-out, which stays in force.
+	Problem string
+	Last    *RolloutStatus // nil if there was none
+	// Started is the time of day at which the roll-out began, and Duration the time within
+	// which it ends.
+	Started  time.Time
+	Duration time.Duration
+	Region   string // of the daemon in charge
+}
+
+// ErrConflict reports that a status was not written, because another record was written
+// after the position.
+var ErrConflict = errors.New("protocol: another record was written before")
+
+// RolloutStatuses keeps the status of the newest roll-out of each service where it outlives
+// the daemon in charge. It is safe for concurrent use.
+type RolloutStatuses interface {
+	// Read returns the statuses by service, and the position as of which they are complete.
+	Read(ctx context.Context) (statuses map[string]RolloutStatus, position uint64, err error)
+	// Write replaces the status of a service if nothing was written after position, and
+	// returns the position after it. The error wraps ErrConflict if something was; after any
+	// other error the status may have been written.
+	Write(ctx context.Context, status RolloutStatus, position uint64) (uint64, error)
+}
+
 // Probes translates the readiness probes of the platform.
 type Probes interface {
 	Handler(ready func() bool) http.Handler
--- a/daemon/kernel/controller.go
+++ b/daemon/kernel/controller.go
@@ -77,6 +77,7 @@
 		Witnesses:       set.Lease.Witnesses,
 		SlotIsHost:      set.Interface == settings.InterfacePlatform,
 		PublishedConfig: set.Interface == settings.InterfacePlatform,
+		Rollouts:        set.Bounds.ExposureShare > 0,
 		SnapshotRecords: snapshotRecords(set),
 		Rand:            rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -101,6 +101,26 @@
 	Take(ctx context.Context, team string) error
 }
 
+// Rollouts restricts the requests of this daemon to the versions that the roll-outs of
+// their services allow, and counts their results by version.
+type Rollouts interface {
+	// Allowed returns which members of a service without keys may run a request, or nil if
+	// all may. choice is that of the request, kept over its attempts; tried reports the
+	// members that have failed it.
+	Allowed(v *view.View, req *wire.Request, choice *VersionChoice, tried func(m *view.Member) bool) func(m *view.Member) bool
+	// Sent counts an attempt that is sent to a member. It returns the function that counts
+	// its result, or nil if it is not needed.
+	Sent(v *view.View, req *wire.Request, target *view.Member) func(resp *wire.Response, err error)
+}
+
+// VersionChoice is the version that a roll-out selected for a request. The zero value
+// means that none was selected yet.
+type VersionChoice struct {
+	Order   uint64 // id of the roll-out's order
+	New     bool   // the new version was selected, or the old one if not
+	Servers int    // number of servers of the new version among which to choose
+}
+
 // AdminRoute is a route that a plug-in adds to the admin server.
 type AdminRoute struct {
 	Method  string
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -40,7 +40,7 @@
 func module() fx.Option {
 	return fx.Options(
 		fx.Provide(newGateway, newSender, newInstruments, routing.NewRepeats),
-		fx.Invoke(serveCallers, answerBeforeEnd, serveProbes),
+		fx.Invoke(useRollouts, serveCallers, answerBeforeEnd, serveProbes),
 	)
 }
 
@@ -113,6 +113,15 @@
 	}
 }
 
+// useRollouts makes the sender follow the roll-outs of services, if the daemon has them.
+func useRollouts(p struct {
+	fx.In
+	Sender   *sender
+	Rollouts kernel.Rollouts `optional:"true"`
+}) {
+	p.Sender.rollouts = p.Rollouts
+}
+
 // serveCallers starts the server for callers. On stop it accepts no more
 // connections and waits for requests in flight.
 func serveCallers(lc fx.Lifecycle, set settings.Daemon, g *gateway) {
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -54,6 +54,7 @@
 	placementWatch *routing.PlacementWatch
 	learnedOwners  *routing.LearnedOwners
 	notices        *routing.Notices
+	rollouts       kernel.Rollouts // nil without roll-outs
 
 	mu          sync.Mutex
 	serverStats map[uint64]*loadbalance.Server // by incarnation
@@ -75,6 +76,7 @@
 	useStandby    bool            // the next attempt at a key goes to the standby
 	serverFailure *wire.Response  // the backend server's own 5xx response, returned if no later attempt succeeds
 	failures      retry.Failures
+	version       kernel.VersionChoice
 
 	ownerDeadline time.Time // end of the wait for the owner of a key; zero before the first retry
 }
@@ -199,10 +201,17 @@
 	s.countSent(stats)
 	sent := s.notices.Of(s.clock.Now(), target.BackendName)
 	x.req.Notice = sent
+	var count func(*wire.Response, error)
+	if s.rollouts != nil {
+		count = s.rollouts.Sent(v, x.req, target)
+	}
 	resp, err := s.forwarder.Call(ctx, v, target, x.req, &state.sends)
 	if err == nil {
 		err = answer.Check(resp)
 	}
+	if count != nil {
+		count(resp, err)
+	}
 	s.notices.Record(s.clock.Now(), target.BackendName, sent, resp)
 	s.recordResult(stats, resp, err)
 	s.recordAttempt(x, state, target, resp, err)
@@ -213,6 +222,11 @@
 // a key.
 func (s *sender) chooseServer(v *view.View, x *exchange, state *retryState) (*view.Member, error) {
 	members := v.Servers[x.req.GetService()]
+	var allowed func(*view.Member) bool
+	if s.rollouts != nil {
+		tried := func(m *view.Member) bool { return state.failedMembers[m.Incarnation] }
+		allowed = s.rollouts.Allowed(v, x.req, &state.version, tried)
+	}
 	stats := make([]*loadbalance.Server, len(members))
 	for i, m := range members {
 		stats[i] = s.statsOf(m, v)
@@ -220,7 +234,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	excluded := func(i int) bool {
-		return state.failedMembers[members[i].Incarnation] || v.Config.DataCentres[members[i].DataCentre].Out
+		return state.failedMembers[members[i].Incarnation] || v.Config.DataCentres[members[i].DataCentre].Out ||
+			allowed != nil && !allowed(members[i])
 	}
 	i := loadbalance.Choose(s.clock.Now(), stats, excluded, time.Until(x.targetTime))
 	if i < 0 {
--- a/daemon/plugins/plugins.go
+++ b/daemon/plugins/plugins.go
@@ -13,6 +13,7 @@
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/owner"     // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/peer"      // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/relay"     // register
+	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/rollout"   // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/stall"     // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/suspects"  // register
 	_ "github.com/sesamemoor/sesamemoor/daemon/plugins/witness"   // register
--- /dev/null
+++ b/daemon/plugins/rollout/coordinator.go
@@ -0,0 +1,430 @@
+package rollout
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/protocol"
+	"github.com/sesamemoor/sesamemoor/core/rollout"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+const (
+	// waitShare is the share of a roll-out's time for which an order waits for servers of its
+	// service, of any version.
+	waitShare = 0.25
+	// reporterAge is the time without a report after which a daemon does not count for the
+	// interval of the reports.
+	reporterAge = 3 * time.Second
+	// shardStepTime is the time in which the planner moves shards once: placements are
+	// proposed each 300 ms, and a move takes a change of the standby and a handover.
+	shardStepTime = time.Second
+)
+
+// coordinator is the part of roll-outs at the daemon in charge. At the other daemons it does
+// nothing. It implements kernel.FrameHandler.
+type coordinator struct {
+	enabled  bool
+	control  kernel.Control
+	clock    clock.Clock
+	log      *zap.Logger
+	bounds   rollout.Bounds
+	region   string
+	statuses protocol.RolloutStatuses
+	now      func() time.Time // time of day
+	wake     chan struct{}    // something is to be written
+
+	mu       sync.Mutex
+	inCharge bool
+	recorded map[string]protocol.RolloutStatus // by service, as read and written; nil until they have been read
+	position uint64                            // as of which recorded is complete
+	stale    bool                              // recorded must be read before the next write
+	charges  map[string]*charge
+}
+
+// charge is a roll-out that this daemon coordinates, or the outcome of the last one.
+type charge struct {
+	order      rollout.Order
+	from       []string
+	started    time.Time
+	limit      clock.Instant // end of the time within which it must end
+	controller *rollout.Controller
+	decision   rollout.Decision
+	sharded    bool
+	exposure   uint64        // requests sent to the new version, as reported here
+	state      rollout.State // as recorded
+	newest     uint64        // newest order that was considered, valid or not
+	last       *protocol.RolloutStatus
+	// waitingFor is an order for a service without servers, known since waitingSince.
+	waitingFor   uint64
+	waitingSince clock.Instant
+	pending      []protocol.RolloutStatus // to be written, in order
+	reporters    map[string]reporter      // by slot
+}
+
+// reporter is what is known of a daemon that reports.
+type reporter struct {
+	at       clock.Instant
+	sequence uint64
+}
+
+func newCoordinator(p params) *coordinator {
+	c := &coordinator{
+		enabled: enabled(p.Settings), control: p.Control, clock: p.Clock, log: p.Log.Named("rollout"), bounds: boundsOf(p.Settings),
+		region: p.Settings.Region, statuses: p.Statuses, now: time.Now, wake: make(chan struct{}, 1), charges: map[string]*charge{},
+	}
+	if c.statuses == nil {
+		c.statuses = newMemoryStatuses()
+	}
+	return c
+}
+
+// Handles implements kernel.FrameHandler.
+func (c *coordinator) Handles(frame *wire.Frame) bool { return frame.GetRolloutReport() != nil }
+
+// HandleFrame implements kernel.FrameHandler.
+func (c *coordinator) HandleFrame(_ context.Context, _ string, frame *wire.Frame) *wire.Frame {
+	return &wire.Frame{Body: &wire.Frame_RolloutAnswer{RolloutAnswer: c.receive(frame.GetRolloutReport())}}
+}
+
+// leads reports whether this daemon is in charge by its own view: it is the first planner
+// and holds its lease, which a daemon that was frozen or cut off does not.
+func (c *coordinator) leads(v *view.View, now clock.Instant) bool {
+	return c.enabled && v.Incarnation != 0 && len(v.Planners) > 0 && v.Planners[0].Incarnation == v.Incarnation && v.Lease.Valid(now)
+}
+
+// receive counts a report and returns the answer.
+func (c *coordinator) receive(report *wire.RolloutReport) *wire.RolloutAnswer {
+	now := c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ch := c.charges[report.GetService()]
+	if !c.inCharge || !c.leads(c.control.View(), now) || ch == nil || ch.newest < report.GetOrder() {
+		return &wire.RolloutAnswer{}
+	}
+	known := ch.reporters[report.GetSlot()]
+	if ch.controller != nil && report.GetSequence() > known.sequence {
+		ch.controller.Add(now, xxhash.Sum64String(report.GetSlot()), decodeCounts(report.GetCounts()))
+		for _, n := range report.GetCounts() {
+			if n.GetVersion() == ch.order.To {
+				ch.exposure += uint64(n.GetSent())
+			}
+		}
+	}
+	ch.reporters[report.GetSlot()] = reporter{now, max(report.GetSequence(), known.sequence)}
+	return c.answer(ch, now)
+}
+
+// answer returns the answer to a report. The end of a roll-out is passed on only once it is
+// recorded; before that, a rollback is in force as a share of zero.
+func (c *coordinator) answer(ch *charge, now clock.Instant) *wire.RolloutAnswer {
+	interval := c.interval(now)
+	a := &wire.RolloutAnswer{
+		Accepted: true, Newest: ch.newest, NextMs: uint32(interval.Milliseconds()),
+		ValidMs: uint32(max(minValidity, 2*interval+reportInterval).Milliseconds()),
+	}
+	if ch.order.ID == 0 {
+		return a // no order was valid
+	}
+	a.Order, a.State, a.To, a.From = ch.order.ID, uint32(ch.state), ch.order.To, ch.from
+	if ch.state == rollout.Running && ch.decision.State != rollout.RolledBack {
+		a.Share, a.Servers = ch.decision.Share, uint32(max(ch.decision.Servers, 0))
+	}
+	return a
+}
+
+// interval returns the time until a daemon's next report.
+func (c *coordinator) interval(now clock.Instant) time.Duration {
+	count := 0
+	for _, ch := range c.charges {
+		for _, r := range ch.reporters {
+			if now.Sub(r.at) < reporterAge {
+				count++
+			}
+		}
+	}
+	return intervalOf(count)
+}
+
+// run decides about all roll-outs of the region while this daemon is in charge.
+func (c *coordinator) run(ctx context.Context) { every(ctx, stepInterval, c.step) }
+
+func (c *coordinator) step() {
+	v, now := c.control.View(), c.clock.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.leads(v, now) {
+		if c.inCharge {
+			c.inCharge, c.recorded = false, nil
+			clear(c.charges)
+		}
+		return
+	}
+	c.inCharge = true
+	if len(v.Rollouts) == 0 && len(c.charges) == 0 {
+		return
+	}
+	if c.recorded == nil {
+		c.wakeWriter()
+		return
+	}
+	for service, order := range v.Rollouts {
+		c.consider(v, now, service, order)
+	}
+	for service, status := range c.recorded {
+		// A running order that the view does not have was withdrawn while nobody was in charge.
+		if _, known := c.charges[service]; !known && status.State == rollout.Running && c.hasRead(v, status.Order) {
+			c.charges[service] = c.resume(now, service, v.Config.Services[service])
+		}
+	}
+	for service, ch := range c.charges {
+		c.advance(v, now, service, ch)
+		if len(ch.pending) > 0 {
+			c.wakeWriter()
+		}
+	}
+}
+
+// hasRead reports whether the view includes the configuration stream up to an order.
+func (c *coordinator) hasRead(v *view.View, order uint64) bool {
+	return logstream.OffsetOf(v.ConfigFreshness.Next()) > order
+}
+
+// consider takes up an order that is new here.
+func (c *coordinator) consider(v *view.View, now clock.Instant, service string, order fleet.RolloutOrder) {
+	ch := c.charges[service]
+	if ch == nil {
+		ch = c.resume(now, service, v.Config.Services[service])
+		c.charges[service] = ch
+	}
+	if order.ID <= ch.newest {
+		return
+	}
+	svc, known := v.Config.Services[service]
+	if known && svc.Region != "" && svc.Region != c.region {
+		ch.newest = order.ID
+		return
+	}
+	if known && order.Problem == "" && len(v.Servers[service]) == 0 && !ch.waited(now, order) {
+		return // its servers may be in another region, or not have been read yet
+	}
+	last := ch.ended()
+	problem := order.Problem
+	switch {
+	case !known:
+		problem = "the service is not known"
+	case problem != "":
+	case ch.controller != nil && ch.state == rollout.Running:
+		problem = "another order for the service is running"
+	default:
+		problem = currentProblem(v, service, last, order.To)
+	}
+	ch.newest = order.ID
+	if problem != "" {
+		c.refuse(ch, service, order, problem, known)
+		return
+	}
+	old, _, _ := split(v, v.Servers[service], last, nil, &order)
+	from := versionsOf(old)
+	if len(from) == 0 && last != nil {
+		from = last.versions()
+	}
+	*ch = charge{
+		order: rollout.Order{Service: service, To: order.To, Duration: order.Duration, ID: order.ID}, from: from,
+		started: c.now(), sharded: !svc.Keyless, newest: order.ID, reporters: map[string]reporter{}, last: ch.last,
+		limit: now.Add(order.Duration),
+	}
+	if last != nil {
+		ch.last = last.status(service)
+	}
+	c.begin(ch, now, order.Duration)
+	ch.pending = append(ch.pending, c.statusOf(ch, rollout.Running))
+	c.logStep(ch, "order")
+}
+
+// waited reports whether an order for a service without servers has been known for so long
+// that it is decided about.
+func (ch *charge) waited(now clock.Instant, order fleet.RolloutOrder) bool {
+	if ch.waitingFor != order.ID {
+		ch.waitingFor, ch.waitingSince = order.ID, now
+	}
+	return now.Sub(ch.waitingSince) >= time.Duration(waitShare*float64(order.Duration))
+}
+
+// begin begins the decision about a roll-out with the time that is left for it.
+func (c *coordinator) begin(ch *charge, now clock.Instant, left time.Duration) {
+	bounds := c.bounds
+	if ch.sharded {
+		bounds.LastStep = min(left/4, 4*shardStepTime)
+	}
+	order := ch.order
+	order.Duration = left
+	ch.controller = rollout.NewController(now, order, bounds)
+}
+
+// currentProblem returns why a version cannot be rolled out since the service has it, or "".
+func currentProblem(v *view.View, service string, last *ended, to string) string {
+	if last != nil && last.state == rollout.Completed && last.to == to {
+		return "the version is the current one"
+	}
+	members := v.Servers[service]
+	if len(members) > 0 && uniform(members) && members[0].Version == to && (last == nil || last.allows(to)) {
+		return "the version is the current one"
+	}
+	return ""
+}
+
+// refuse records that an order is not valid. It changes nothing else.
+func (c *coordinator) refuse(ch *charge, service string, order fleet.RolloutOrder, problem string, known bool) {
+	c.log.Warn("order of a roll-out refused", zap.String("service", service), zap.String("to", order.To),
+		zap.Uint64("order", order.ID), zap.String("reason", problem))
+	if !known {
+		return
+	}
+	status := protocol.RolloutStatus{
+		Service: service, To: order.To, State: rollout.RolledBack, Order: order.ID, Problem: problem, Region: c.region,
+		Started: c.now(), Last: ch.last,
+	}
+	if ch.order.ID != 0 && ch.state != rollout.Running {
+		status.Last = ch.ended().status(service)
+	}
+	ch.pending = append(ch.pending, status)
+	if ch.order.ID != 0 && ch.state == rollout.Running {
+		ch.pending = append(ch.pending, c.statusOf(ch, rollout.Running)) // the newest record is again that of the order in force
+	}
+}
+
+// resume returns the charge of a service as its recorded status has it.
+func (c *coordinator) resume(now clock.Instant, service string, svc fleet.Service) *charge {
+	ch := &charge{reporters: map[string]reporter{}}
+	status, ok := c.recorded[service]
+	if !ok {
+		return ch
+	}
+	ch.newest = status.Order
+	if status.Region != "" && status.Region != c.region {
+		return ch // the daemon in charge is in another region
+	}
+	if status.Problem != "" {
+		if status.Last == nil {
+			return ch
+		}
+		status = *status.Last
+	}
+	ch.order = rollout.Order{Service: service, To: status.To, Duration: status.Duration, ID: status.Order}
+	ch.from, ch.state, ch.started, ch.last, ch.sharded = status.From, status.State, status.Started, status.Last, !svc.Keyless
+	if status.State != rollout.Running {
+		return ch
+	}
+	// The clocks of two hosts may differ: what was used of the time is at least nothing and
+	// at most all of it.
+	used := min(max(c.now().Sub(status.Started), 0), status.Duration)
+	ch.limit = now.Add(status.Duration - used)
+	c.begin(ch, now, status.Duration-used)
+	ch.pending = append(ch.pending, c.statusOf(ch, rollout.Running)) // so that a write of the former daemon in charge conflicts
+	c.logStep(ch, "resumed")
+	return ch
+}
+
+// ended returns the outcome of the service's last valid roll-out that has ended, or nil.
+func (ch *charge) ended() *ended {
+	if ch.order.ID != 0 && ch.state != rollout.Running {
+		return &ended{order: ch.order.ID, state: ch.state, to: ch.order.To, from: ch.from}
+	}
+	if s := ch.last; s != nil {
+		return &ended{order: s.Order, state: s.State, to: s.To, from: s.From}
+	}
+	return nil
+}
+
+func (e *ended) status(service string) *protocol.RolloutStatus {
+	if e == nil {
+		return nil
+	}
+	return &protocol.RolloutStatus{Service: service, To: e.to, From: e.from, State: e.state, Order: e.order}
+}
+
+// versions returns the versions that the outcome left the service with.
+func (e *ended) versions() []string {
+	if e.state == rollout.Completed {
+		return []string{e.to}
+	}
+	return e.from
+}
+
+// advance takes the next decision about a roll-out that has not ended.
+func (c *coordinator) advance(v *view.View, now clock.Instant, service string, ch *charge) {
+	if ch.controller == nil || ch.state != rollout.Running || ch.decision.State != rollout.Running {
+		return
+	}
+	run := &running{order: ch.order.ID, to: ch.order.To, from: ch.from}
+	old, new, _ := split(v, v.Servers[service], ch.ended(), run, nil)
+	if len(ch.from) == 0 && len(old) > 0 {
+		ch.from = versionsOf(old)
+	}
+	ch.controller.SetServers(now, len(old), len(new))
+	d := ch.controller.Step(now)
+	if _, ok := v.Rollouts[service]; !ok && c.hasRead(v, ch.order.ID) {
+		d = rollout.Decision{State: rollout.RolledBack, Reason: "the order was withdrawn"}
+	}
+	switch {
+	case d.State == rollout.Completed && ch.sharded && !c.allMoved(v, service, ch.order.To):
+		if now < ch.limit {
+			d = rollout.Decision{State: rollout.Running, Share: 1, Servers: len(new), Reason: "moves the last shards: " + d.Reason}
+		} else {
+			d = rollout.Decision{State: rollout.RolledBack, Reason: "not all shards have moved in time: " + d.Reason}
+		}
+	case d.State == rollout.Completed:
+		d.Share, d.Servers = ch.decision.Share, ch.decision.Servers // until it is recorded
+	}
+	changed := d.State != ch.decision.State || d.Share != ch.decision.Share || d.Servers != ch.decision.Servers
+	ch.decision = d
+	if changed {
+		c.logStep(ch, d.Reason)
+	}
+	if d.State != rollout.Running {
+		ch.pending = append(ch.pending, c.statusOf(ch, d.State))
+	}
+}
+
+// allMoved reports whether all shards of a service have an owner of the version.
+func (c *coordinator) allMoved(v *view.View, service, version string) bool {
+	svc := v.Services[service]
+	return svc != nil && !slices.ContainsFunc(svc.Shards[:min(int(svc.Base), len(svc.Shards))], func(s view.Shard) bool {
+		return s.Owner == nil || s.Owner.Version != version
+	})
+}
+
+// statusOf returns the status of a roll-out in a state.
+func (c *coordinator) statusOf(ch *charge, state rollout.State) protocol.RolloutStatus {
+	return protocol.RolloutStatus{
+		Service: ch.order.Service, To: ch.order.To, From: ch.from, State: state, Order: ch.order.ID,
+		Started: ch.started, Duration: ch.order.Duration, Region: c.region, Last: ch.last,
+	}
+}
+
+// logStep logs a step of a roll-out.
+func (c *coordinator) logStep(ch *charge, reason string) {
+	c.log.Info("roll-out", zap.String("service", ch.order.Service), zap.String("to", ch.order.To), zap.Strings("from", ch.from),
+		zap.Uint64("order", ch.order.ID), zap.Stringer("state", ch.decision.State), zap.Float64("share", ch.decision.Share),
+		zap.Int("servers", ch.decision.Servers), zap.String("reason", reason))
+}
+
+func (c *coordinator) wakeWriter() {
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+var _ kernel.FrameHandler = (*coordinator)(nil)
--- /dev/null
+++ b/daemon/plugins/rollout/status.go
@@ -0,0 +1,201 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/protocol"
+	"github.com/sesamemoor/sesamemoor/core/rollout"
+)
+
+const (
+	// storeTimeout bounds one call of the store.
+	storeTimeout = 2 * time.Second
+	// storeBackoff is the time between two attempts at a store that fails; up to as much is
+	// added at random.
+	storeBackoff = 200 * time.Millisecond
+)
+
+// runWriter reads and writes the statuses, apart from the decisions, so that a slow store
+// delays none of them.
+func (c *coordinator) runWriter(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-c.wake:
+		}
+		for c.exchange(ctx) {
+			select {
+			case <-ctx.Done():
+				return
+			case <-time.After(storeBackoff + time.Duration(rand.Int64N(int64(storeBackoff)))):
+			}
+		}
+	}
+}
+
+// exchange reads the statuses if they are not known as of now, and writes what is pending.
+// It reports whether it must be called again because the store failed.
+func (c *coordinator) exchange(ctx context.Context) (again bool) {
+	for {
+		c.mu.Lock()
+		mustRead := c.inCharge && (c.recorded == nil || c.stale)
+		status, ok := c.nextWrite()
+		position := c.position
+		c.mu.Unlock()
+		switch {
+		case mustRead:
+			if !c.read(ctx) {
+				return true
+			}
+		case !ok:
+			return false
+		default:
+			if !c.write(ctx, status, position) {
+				return true
+			}
+		}
+	}
+}
+
+// nextWrite returns a status to be written. The caller holds mu.
+func (c *coordinator) nextWrite() (protocol.RolloutStatus, bool) {
+	if !c.inCharge || !c.leads(c.control.View(), c.clock.Now()) {
+		return protocol.RolloutStatus{}, false
+	}
+	for _, ch := range c.charges {
+		if len(ch.pending) > 0 {
+			return ch.pending[0], true
+		}
+	}
+	return protocol.RolloutStatus{}, false
+}
+
+func (c *coordinator) read(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	statuses, position, err := c.statuses.Read(ctx)
+	if err != nil {
+		c.log.Warn("statuses of roll-outs cannot be read", zap.Error(err))
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.recorded, c.position, c.stale = statuses, position, false
+	for service, ch := range c.charges {
+		if status, ok := statuses[service]; ok {
+			c.adopt(ch, status)
+		}
+	}
+	return true
+}
+
+// adopt applies a status that was read: the end of the order in force, if the store has it,
+// stands whatever was decided here; and what the store has need not be written. The caller
+// holds mu.
+func (c *coordinator) adopt(ch *charge, status protocol.RolloutStatus) {
+	if status.Problem != "" && status.Last != nil && status.Last.Order == ch.order.ID {
+		status = *status.Last
+	}
+	if status.Order >= ch.order.ID && status.Region != "" && status.Region != c.region {
+		*ch = charge{reporters: ch.reporters, newest: max(ch.newest, status.Order)} // the daemon in charge is in another region
+		return
+	}
+	if status.Problem == "" && status.Order > ch.newest {
+		// Another daemon in charge has read a later order: take it over from the record.
+		*ch = charge{reporters: ch.reporters, newest: status.Order, order: rollout.Order{
+			Service: status.Service, To: status.To, Duration: status.Duration, ID: status.Order,
+		}, from: status.From, state: status.State, started: status.Started, last: status.Last, sharded: ch.sharded}
+		if ch.state == rollout.Running {
+			ch.limit = c.clock.Now().Add(status.Duration)
+			c.begin(ch, c.clock.Now(), status.Duration)
+		}
+		return
+	}
+	if status.Order != ch.order.ID || status.State == rollout.Running || status.Problem != "" {
+		return
+	}
+	if ch.state == rollout.Running {
+		ch.state = status.State
+		ch.decision = rollout.Decision{State: status.State}
+		c.logStep(ch, "recorded by another daemon in charge, or by a write whose answer was lost")
+	}
+	kept := ch.pending[:0]
+	for _, p := range ch.pending {
+		if p.Order != ch.order.ID {
+			kept = append(kept, p)
+		}
+	}
+	ch.pending = kept
+}
+
+// write writes a status. It reports whether the store answered.
+func (c *coordinator) write(ctx context.Context, status protocol.RolloutStatus, position uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	next, err := c.statuses.Write(ctx, status, position)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		c.stale = true // it may have been written; the next write comes after a read
+		if errors.Is(err, protocol.ErrConflict) {
+			return true
+		}
+		c.log.Warn("status of a roll-out not written", zap.String("service", status.Service), zap.Error(err))
+		return false
+	}
+	c.position = next
+	if c.recorded != nil {
+		c.recorded[status.Service] = status
+	}
+	ch := c.charges[status.Service]
+	if ch == nil || len(ch.pending) == 0 || ch.pending[0].Order != status.Order || ch.pending[0].State != status.State {
+		return true
+	}
+	ch.pending = ch.pending[1:]
+	if status.Order == ch.order.ID && status.State != rollout.Running && status.Problem == "" {
+		ch.state = status.State
+		c.log.Info("roll-out recorded", zap.String("service", status.Service), zap.String("to", status.To),
+			zap.Uint64("order", status.Order), zap.Stringer("state", status.State))
+	}
+	return true
+}
+
+// memoryStatuses keeps the statuses in memory, for deployments without a place for them.
+type memoryStatuses struct {
+	mu       sync.Mutex
+	statuses map[string]protocol.RolloutStatus
+	position uint64
+}
+
+func newMemoryStatuses() *memoryStatuses {
+	return &memoryStatuses{statuses: map[string]protocol.RolloutStatus{}}
+}
+
+// Read implements protocol.RolloutStatuses.
+func (m *memoryStatuses) Read(context.Context) (map[string]protocol.RolloutStatus, uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.statuses), m.position, nil
+}
+
+// Write implements protocol.RolloutStatuses.
+func (m *memoryStatuses) Write(_ context.Context, status protocol.RolloutStatus, position uint64) (uint64, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if position != m.position {
+		return 0, protocol.ErrConflict
+	}
+	m.statuses[status.Service] = status
+	m.position++
+	return m.position, nil
+}
+
+var _ protocol.RolloutStatuses = (*memoryStatuses)(nil)
