daemon/plugins/rollout: tests of failures in virtual time

Cause: the failures of a roll-out (daemon in charge frozen, two in charge, store down, answers lost, a daemon that hears nothing, invalid and withdrawn orders) had no tests. Two faults were found: a status whose write was not answered was written again for ever, and an order that was withdrawn while the daemon in charge changed was never ended.

Change: fakes of daemons, store and clock at the interfaces; a status that was read back is not written again; a report about a roll-out makes a new daemon in charge read the statuses.

--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -46,6 +46,7 @@
 
 	mu       sync.Mutex
 	inCharge bool
+	asked    bool                              // a daemon has reported about a roll-out whose order may have been withdrawn
 	recorded map[string]protocol.RolloutStatus // by service, as read and written; nil until they have been read
 	position uint64                            // as of which recorded is complete
 	stale    bool                              // recorded must be read before the next write
@@ -109,6 +110,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	ch := c.charges[report.GetService()]
+	c.asked = c.asked || ch == nil
 	if !c.inCharge || !c.leads(c.control.View(), now) || ch == nil || ch.newest < report.GetOrder() {
 		return &wire.RolloutAnswer{}
 	}
@@ -165,13 +167,13 @@
 	defer c.mu.Unlock()
 	if !c.leads(v, now) {
 		if c.inCharge {
-			c.inCharge, c.recorded = false, nil
+			c.inCharge, c.asked, c.recorded = false, false, nil
 			clear(c.charges)
 		}
 		return
 	}
 	c.inCharge = true
-	if len(v.Rollouts) == 0 && len(c.charges) == 0 {
+	if len(v.Rollouts) == 0 && len(c.charges) == 0 && !c.asked {
 		return
 	}
 	if c.recorded == nil {
--- /dev/null
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -0,0 +1,483 @@
+package rollout
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"go.uber.org/zap"
+
+	"github.com/sesamemoor/sesamemoor/core/clock"
+	"github.com/sesamemoor/sesamemoor/core/control"
+	"github.com/sesamemoor/sesamemoor/core/fleet"
+	"github.com/sesamemoor/sesamemoor/core/outcome"
+	"github.com/sesamemoor/sesamemoor/core/protocol"
+	"github.com/sesamemoor/sesamemoor/core/rollout"
+	"github.com/sesamemoor/sesamemoor/core/settings"
+	"github.com/sesamemoor/sesamemoor/core/view"
+	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/kernel"
+)
+
+const tick = stepInterval
+
+// fakeStore keeps statuses and may be down or lose the answers to writes.
+type fakeStore struct {
+	*memoryStatuses
+	down, loseAnswers bool
+	calls             int
+	written           []protocol.RolloutStatus
+}
+
+var errStore = errors.New("store")
+
+func (s *fakeStore) Read(ctx context.Context) (map[string]protocol.RolloutStatus, uint64, error) {
+	s.calls++
+	if s.down {
+		return nil, 0, errStore
+	}
+	return s.memoryStatuses.Read(ctx)
+}
+
+func (s *fakeStore) Write(ctx context.Context, status protocol.RolloutStatus, position uint64) (uint64, error) {
+	s.calls++
+	if s.down {
+		return 0, errStore
+	}
+	next, err := s.memoryStatuses.Write(ctx, status, position)
+	if err == nil {
+		s.written = append(s.written, status)
+	}
+	if s.loseAnswers {
+		return 0, errStore
+	}
+	return next, err
+}
+
+// fakeFleet is some daemons that share a view, apart from who they are, and virtual time.
+type fakeFleet struct {
+	t       *testing.T
+	now     clock.Instant
+	store   *fakeStore
+	base    view.View
+	daemons []*fakeDaemon
+	calls   int
+	failAt  func(version string) bool // whether a request to a version fails
+}
+
+// fakeDaemon is a daemon. It implements kernel.Control and kernel.Peers.
+type fakeDaemon struct {
+	fleet       *fakeFleet
+	slot        string
+	incarnation uint64
+	planner     uint64 // incarnation of the daemon that it takes for the one in charge; 0 for the first
+	cut         bool   // its calls fail
+	frozen      bool   // does nothing
+	lease       view.LeaseCell
+	entries     *entries
+	coordinator *coordinator
+	sequence    int
+	sentTo      map[string]int // requests by version
+}
+
+func (d *fakeDaemon) Now() clock.Instant { return d.fleet.now }
+func (d *fakeDaemon) Post(control.Event) {}
+func (d *fakeDaemon) View() *view.View {
+	v := d.fleet.base
+	v.Incarnation, v.Lease = d.incarnation, &d.lease
+	for _, other := range d.fleet.daemons {
+		if d.planner == other.incarnation || d.planner == 0 && !other.frozen {
+			v.Planners = append(v.Planners, &view.Member{Incarnation: other.incarnation, PeerAddr: other.slot})
+		}
+	}
+	return &v
+}
+
+func (d *fakeDaemon) Call(ctx context.Context, addr string, frame *wire.Frame) (*wire.Frame, error) {
+	d.fleet.calls++
+	for _, other := range d.fleet.daemons {
+		if other.slot == addr && !d.cut && !other.cut && !other.frozen {
+			return other.coordinator.HandleFrame(ctx, d.slot, frame), nil
+		}
+	}
+	return nil, outcome.New(outcome.OwnerUnreachable, "unreachable")
+}
+
+// newFakeFleet returns three daemons and a service with old servers of v1 and new ones of v2.
+func newFakeFleet(t *testing.T, old, new int) *fakeFleet {
+	f := &fakeFleet{t: t, now: clock.Instant(time.Hour), store: &fakeStore{memoryStatuses: newMemoryStatuses()}}
+	f.base = view.View{
+		Config:          &fleet.Config{Services: map[string]fleet.Service{"shop": {Keyless: true}}},
+		Servers:         map[string][]*view.Member{},
+		ConfigFreshness: view.NewFreshness(view.FreshnessLimits{}),
+	}
+	f.base.ConfigFreshness.SetNext(1000)
+	f.addServers("v1", old)
+	f.addServers("v2", new)
+	set := settings.Default()
+	set.Bounds.ExposureShare, set.Bounds.ExposureSlack, set.Bounds.RollbackS = 0.1, 50, 5
+	for i := range 3 {
+		d := &fakeDaemon{fleet: f, slot: fmt.Sprint("d-", i), incarnation: uint64(i + 1), sentTo: map[string]int{}}
+		d.lease.Set(clock.Instant(100 * time.Hour))
+		set.Slot = d.slot
+		p := params{Settings: set, Control: d, Peers: d, Clock: d, Log: zap.NewNop(), Statuses: f.store}
+		d.coordinator = newCoordinator(p)
+		d.coordinator.now = func() time.Time { return time.Unix(0, int64(f.now)) }
+		d.entries = newEntries(p, d.coordinator)
+		f.daemons = append(f.daemons, d)
+		f.base.Daemons = append(f.base.Daemons, view.Daemon{})
+	}
+	return f
+}
+
+func (f *fakeFleet) addServers(version string, n int) {
+	list := f.base.Servers["shop"]
+	for range n {
+		inc := uint64(100 + len(list))
+		list = append(list[:len(list):len(list)], &view.Member{Incarnation: inc, Service: "shop", BackendName: fmt.Sprint("b-", inc), Version: version})
+	}
+	f.base.Servers = map[string][]*view.Member{"shop": list}
+}
+
+func (f *fakeFleet) order(id uint64, to string, duration time.Duration) {
+	f.base.Rollouts = map[string]fleet.RolloutOrder{"shop": {Service: "shop", To: to, Duration: duration, ID: id}}
+}
+
+// request sends one request through a daemon and returns the version that got it, or "".
+func (d *fakeDaemon) request() string {
+	v, req, choice := d.View(), &wire.Request{Service: "shop", Route: "r"}, &kernel.VersionChoice{}
+	allowed := d.entries.Allowed(v, req, choice, func(*view.Member) bool { return false })
+	members := v.Servers["shop"]
+	for i := range members {
+		d.sequence++
+		m := members[(d.sequence+i)%len(members)]
+		if allowed != nil && !allowed(m) {
+			continue
+		}
+		d.sentTo[m.Version]++
+		if count := d.entries.Sent(v, req, m); count != nil {
+			resp := &wire.Response{Kind: uint32(outcome.OK), Status: 200, ServiceTimeUs: 5000}
+			if d.fleet.failAt != nil && d.fleet.failAt(m.Version) {
+				resp.Status = 500
+			}
+			count(resp, nil)
+		}
+		return m.Version
+	}
+	return ""
+}
+
+// run lets the daemons work for a time, with requests through each, and returns how many
+// requests each version got.
+func (f *fakeFleet) run(d time.Duration) map[string]int {
+	before := map[string]int{}
+	for _, daemon := range f.daemons {
+		for version, n := range daemon.sentTo {
+			before[version] -= n
+		}
+	}
+	for end := f.now.Add(d); f.now < end; f.now = f.now.Add(tick) {
+		for _, daemon := range f.daemons {
+			if daemon.frozen {
+				continue
+			}
+			for range 10 {
+				daemon.request()
+			}
+			daemon.work()
+		}
+	}
+	for _, daemon := range f.daemons {
+		for version, n := range daemon.sentTo {
+			before[version] += n
+		}
+	}
+	return before
+}
+
+// work does what the daemon's goroutines do in a tick.
+func (d *fakeDaemon) work() {
+	v := d.View()
+	d.entries.holdout.update(d.fleet.now, v)
+	d.coordinator.step()
+	select {
+	case <-d.coordinator.wake:
+		for range 4 { // a store that fails is tried again in the next tick
+			if !d.coordinator.exchange(context.Background()) {
+				break
+			}
+		}
+	default:
+	}
+	for _, s := range d.entries.services {
+		if len(v.Planners) > 0 && d.entries.due(v, s) {
+			d.entries.report(context.Background(), v, s)
+		}
+	}
+}
+
+func (f *fakeFleet) state() (rollout.State, bool) {
+	statuses, _, _ := f.store.memoryStatuses.Read(context.Background())
+	s, ok := statuses["shop"]
+	return s.State, ok
+}
+
+func (f *fakeFleet) expectState(state rollout.State) {
+	f.t.Helper()
+	if got, ok := f.state(); !ok || got != state {
+		f.t.Fatalf("status %v (recorded: %v), expected %v", got, ok, state)
+	}
+}
+
+// TestNoOrderCostsNothing checks that a deployment with roll-outs, but without an order, makes
+// no call of a daemon or of the store for them.
+func TestNoOrderCostsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 0)
+	got := f.run(10 * time.Second)
+	is.Equal(f.calls, 0)
+	is.Equal(f.store.calls, 0)
+	is.Equal(len(f.daemons[0].entries.services), 0)
+	is.True(got["v1"] > 0)
+}
+
+// TestGoodVersionIsCompleted checks that the old version gets nothing once a completion is
+// recorded, also through a daemon that had no part in the roll-out.
+func TestGoodVersionIsCompleted(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 12*time.Second)
+	f.run(12 * time.Second)
+	f.expectState(rollout.Completed)
+	got := f.run(2 * time.Second)
+	is.Equal(got["v1"], 0)
+	is.True(got["v2"] > 0)
+	calls := f.calls
+	f.run(5 * time.Second)
+	is.Equal(f.calls, calls) // the reports have stopped
+}
+
+// TestBadVersionIsRolledBack checks the exposure of a bad version, and that a new order for the
+// same version is a new roll-out, while the recorded end of the first one stays.
+func TestBadVersionIsRolledBack(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.failAt = func(version string) bool { return version == "v2" }
+	f.order(7, "v2", 12*time.Second)
+	got := f.run(6 * time.Second)
+	f.expectState(rollout.RolledBack)
+	is.True(float64(got["v2"]) <= 0.1*float64(got["v1"]+got["v2"])+50)
+	is.Equal(f.run(5 * time.Second)["v2"], 0)
+	f.failAt = nil
+	f.order(9, "v2", 12*time.Second)
+	f.run(14 * time.Second)
+	f.expectState(rollout.Completed)
+	is.Equal(f.store.written[1].Order, uint64(7))
+	is.Equal(f.store.written[1].State, rollout.RolledBack)
+}
+
+// TestDaemonInChargeIsFrozen checks that shares end with their validity when the daemon in
+// charge answers no more, and that the next planner goes on with the same order.
+func TestDaemonInChargeIsFrozen(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 20*time.Second)
+	is.True(f.run(4 * time.Second)["v2"] > 0)
+	for _, d := range f.daemons { // the others still take the first one for the planner
+		d.planner = 1
+	}
+	f.daemons[0].frozen = true
+	f.run(minValidity + 2*reportInterval)
+	is.Equal(f.run(2 * time.Second)["v2"], 0)
+	for _, d := range f.daemons {
+		d.planner = 0
+	}
+	f.run(13 * time.Second)
+	f.expectState(rollout.Completed)
+	is.Equal(f.store.statuses["shop"].Order, uint64(7))
+}
+
+// TestTwoDaemonsInCharge checks that the conditional write admits one end of a roll-out when two
+// daemons take themselves for the one in charge and decide differently, and that the other adopts
+// it.
+func TestTwoDaemonsInCharge(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 12*time.Second)
+	f.daemons[1].planner, f.daemons[2].planner = 2, 2
+	one, two := f.daemons[0], f.daemons[1]
+	f.run(3 * time.Second)
+	is.True(one.coordinator.inCharge && two.coordinator.inCharge)
+	end := func(d *fakeDaemon, state rollout.State) {
+		ch := d.coordinator.charges["shop"]
+		ch.decision = rollout.Decision{State: state}
+		ch.pending = append(ch.pending, d.coordinator.statusOf(ch, state))
+	}
+	end(one, rollout.RolledBack)
+	end(two, rollout.Completed)
+	f.run(time.Second)
+	ends := 0
+	for _, s := range f.store.written {
+		if s.State != rollout.Running {
+			ends++
+		}
+	}
+	is.Equal(ends, 1)
+	is.Equal(one.coordinator.charges["shop"].state, two.coordinator.charges["shop"].state)
+}
+
+// TestStoreIsDown checks that a rollback takes effect while the store is down, and is recorded
+// when it is back, and that a completion has no effect until then.
+func TestStoreIsDown(t *testing.T) {
+	for name, bad := range map[string]bool{"bad": true, "good": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeFleet(t, 3, 3)
+			f.order(7, "v2", 12*time.Second)
+			f.run(time.Second)
+			f.store.down = true
+			f.failAt = func(version string) bool { return bad && version == "v2" }
+			f.run(11 * time.Second)
+			f.expectState(rollout.Running)
+			got := f.run(3 * time.Second)
+			is.True(got["v1"] > 0)
+			if bad {
+				is.Equal(got["v2"], 0)
+			}
+			f.store.down = false
+			f.run(2 * time.Second)
+			if bad {
+				f.expectState(rollout.RolledBack)
+			} else {
+				f.expectState(rollout.Completed)
+				is.Equal(f.run(time.Second)["v1"], 0)
+			}
+		})
+	}
+}
+
+// TestAnswersOfTheStoreAreLost checks that a write whose answer is lost is read again and not
+// followed by another end.
+func TestAnswersOfTheStoreAreLost(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 12*time.Second)
+	f.store.loseAnswers = true
+	f.run(14 * time.Second)
+	f.expectState(rollout.Completed)
+	is.Equal(f.run(2 * time.Second)["v1"], 0)
+	ends := 0
+	for _, s := range f.store.written {
+		if s.State != rollout.Running {
+			ends++
+		}
+	}
+	is.Equal(ends, 1)
+}
+
+// TestDaemonHearsNothing checks that a daemon that is cut off sends nothing to the new version,
+// unless the old one has no servers.
+func TestDaemonHearsNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.daemons[2].cut = true
+	f.order(7, "v2", 20*time.Second)
+	f.run(5 * time.Second)
+	is.Equal(f.daemons[2].sentTo["v2"], 0)
+	is.True(f.daemons[1].sentTo["v2"] > 0)
+	f.base.Servers = map[string][]*view.Member{"shop": f.base.Servers["shop"][3:]}
+	is.Equal(f.daemons[2].request(), "v2")
+}
+
+// TestNewVersionWithoutServers checks that a version without servers is rolled back in time.
+func TestNewVersionWithoutServers(t *testing.T) {
+	f := newFakeFleet(t, 3, 0)
+	f.order(7, "v2", 12*time.Second)
+	f.run(5 * time.Second)
+	f.expectState(rollout.RolledBack)
+}
+
+// TestInvalidOrders checks that an invalid order gets a status and changes nothing: the version
+// that the service has stays in use, and so does a roll-out that is running.
+func TestInvalidOrders(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 0)
+	f.order(7, "v1", 12*time.Second)
+	f.run(time.Second)
+	f.expectState(rollout.RolledBack)
+	is.True(f.run(time.Second)["v1"] > 0)
+
+	f.addServers("v2", 3)
+	f.order(8, "v2", 12*time.Second)
+	f.run(2 * time.Second)
+	f.order(9, "v3", 12*time.Second)
+	is.True(f.run(4 * time.Second)["v2"] > 0)
+	f.expectState(rollout.Running)
+	is.Equal(f.store.statuses["shop"].Order, uint64(8))
+	is.Equal(f.store.written[len(f.store.written)-2].Problem, "another order for the service is running")
+	f.run(8 * time.Second)
+	f.expectState(rollout.Completed)
+
+	f.base.Config = &fleet.Config{}
+	f.order(11, "v5", time.Second)
+	written := len(f.store.written)
+	f.run(time.Second)
+	is.Equal(len(f.store.written), written) // the service is not known
+}
+
+// TestOrderIsWithdrawn checks that a withdrawn order is rolled back, also if the daemon in charge
+// changes at the same time.
+func TestOrderIsWithdrawn(t *testing.T) {
+	for name, change := range map[string]bool{"same daemon in charge": false, "another": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeFleet(t, 3, 3)
+			f.order(7, "v2", 20*time.Second)
+			f.run(4 * time.Second)
+			f.daemons[0].frozen = change
+			f.base.Rollouts = nil
+			f.run(2 * time.Second)
+			f.expectState(rollout.RolledBack)
+			is.Equal(f.run(2 * time.Second)["v2"], 0)
+		})
+	}
+}
+
+// TestServerAppearsBeforeItsOrder checks that a server of another version gets nothing until its
+// order may be expected to be known, and is used after that if there is none.
+func TestServerAppearsBeforeItsOrder(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 0)
+	f.run(6 * time.Second)
+	f.addServers("v2", 1)
+	is.Equal(f.run(4500 * time.Millisecond)["v2"], 0) // config_apply_s is 5 s
+	is.True(f.run(2 * time.Second)["v2"] > 0)
+	is.Equal(f.calls, 0)
+}
+
+// TestReportIsCountedOnce checks that a report whose answer was lost is not counted again.
+func TestReportIsCountedOnce(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 20*time.Second)
+	f.run(time.Second)
+	c := f.daemons[0].coordinator
+	report := &wire.RolloutReport{Service: "shop", Order: 7, Slot: "other", Sequence: 4,
+		Counts: []*wire.RolloutCounts{{Version: "v2", Sent: 5}}}
+	before := c.charges["shop"].exposure
+	is.True(c.receive(report).GetAccepted())
+	is.True(c.receive(report).GetAccepted())
+	is.Equal(c.charges["shop"].exposure, before+5)
+}
+
+// TestReportIntervalGrows checks the rate of reports at the daemon in charge with many daemons.
+func TestReportIntervalGrows(t *testing.T) {
+	for _, daemons := range []int{1, 100, 101, 2000} {
+		if rate := float64(daemons) / intervalOf(daemons).Seconds(); rate > maxReportsPerS+1 {
+			t.Errorf("%d daemons: %.0f reports a second", daemons, rate)
+		}
+	}
+}
--- a/daemon/plugins/rollout/status.go
+++ b/daemon/plugins/rollout/status.go
@@ -119,6 +119,9 @@
 		}
 		return
 	}
+	if len(ch.pending) > 0 && ch.pending[0].Order == status.Order && ch.pending[0].State == status.State {
+		ch.pending = ch.pending[1:] // written, only the answer was lost
+	}
 	if status.Order != ch.order.ID || status.State == rollout.Running || status.Problem != "" {
 		return
 	}
