--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 unit:
 	go test -race -count=1 -timeout 20m $(if $(KNOWN_RED),-skip '$(KNOWN_RED)') $(PACKAGES)
 	go test -count=1 -run 'VersionIsLate' ./daemon/plugins/relay
+	go test -count=1 ./core/rollout
 
 # EXAMPLE is a directory of examples/.
 EXAMPLE ?= hanbit
--- a/core/rollout/histogram.go
+++ b/core/rollout/histogram.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"math"
 	"math/bits"
 	"time"
 )
@@ -31,6 +32,11 @@
 	return min(index, Buckets-1)
 }
 
+// upperEdge returns the latency at which the buckets above bucket i begin.
+func upperEdge(i int) time.Duration {
+	return time.Duration(float64(minLatency) * math.Exp2(float64(i)/2))
+}
+
 // Observe counts one latency.
 func (h *Histogram) Observe(d time.Duration) { h[bucket(d)]++ }
 
--- /dev/null
+++ b/core/rollout/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package rollout
+
+func init() { seedsDivisor = 10 }
--- a/core/rollout/rollout_test.go
+++ b/core/rollout/rollout_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"slices"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
-
-	"github.com/sesamemoor/sesamemoor/core/clock"
 )
 
 // Guards against buckets that overlap, leave gaps or lose counts in a message.
@@ -59,28 +59,36 @@
 	is.Equal(Servers(1, []string{"d", "c", "b", "a"}, 2), first)
 }
 
-// Guards against a first decision of the wrong kind for a plainly bad and a good version.
-func TestControllerRollsBackFailuresAndCompletesOtherwise(t *testing.T) {
-	for _, bad := range []bool{false, true} {
-		is := is.New(t)
-		c := NewController(1, Order{To: "v2", Duration: 12 * time.Second},
-			Bounds{ExposureShare: 0.1, ExposureSlack: 50, Rollback: 5 * time.Second})
-		c.SetServers(1, 3, 3)
-		now := clock.Instant(1)
-		for c.Step(now).State == Running {
-			var r Recorder
-			for i := range 100 {
-				version := "v1"
-				if float64(i) < c.Step(now).Share*100 {
-					version = "v2"
-				}
-				r.Sent("a", version)
-				r.Answered("a", version, bad && version == "v2" && i%2 == 0, 5*time.Millisecond)
+// Guards against counts that are lost or reported twice while requests end at the same time.
+func TestRecorderLosesNothingUnderConcurrency(t *testing.T) {
+	is := is.New(t)
+	var r Recorder
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Go(func() {
+			for i := range 1000 {
+				route := strconv.Itoa(i % (maxRecords + 10))
+				r.Sent(route, "v1")
+				r.Answered(route, "v1", g == 0, time.Millisecond)
 			}
-			now = now.Add(250 * time.Millisecond)
-			c.Add(now, 1, r.Take())
+		})
+	}
+	var sent, failures, latencies uint64
+	take := func() {
+		counts := r.Take()
+		is.True(len(counts) <= maxRecords+1) // one for each version beyond
+		for _, c := range counts {
+			sent += uint64(c.Sent)
+			failures += uint64(c.Failures)
+			latencies += c.Latencies.Total()
 		}
-		is.Equal(c.Step(now).State == RolledBack, bad)
-		is.True(now.Sub(1) <= 12*time.Second)
 	}
+	for range 100 {
+		take()
+	}
+	wg.Wait()
+	take()
+	is.Equal(sent, uint64(4000))
+	is.Equal(failures, uint64(1000))
+	is.Equal(latencies, uint64(4000))
 }
