Roll-outs: the controller with sequential tests, and its slack after a change

Cause: a daemon that takes over a roll-out does not know the exposure before, so that a controller that begins anew would use the slack a second time; and replacing standbys of the old version delayed the move of the last shards.

Change: the status counts the changes of the daemon in charge, each of which halves the slack of the next controller; standbys of the old version stay until the new one has all shards.

--- a/core/placement/rollout.go
+++ b/core/placement/rollout.go
@@ -156,11 +156,12 @@
 }
 
 // replaceBarred proposes another standby for a shard whose standby gets no shards, and
-// reports whether it did. It would take the shard over if the owner were lost.
+// reports whether it did. It would take the shard over if the owner were lost. Standbys of
+// the old version stay until the new one has all shards, so that they do not delay that.
 func (r *round) replaceBarred(n int, owner *candidate) bool {
 	sh := &r.svc.Shards[n]
 	standby := r.byInc[sh.Standby]
-	if r.versions == nil || standby == nil || !standby.barred || sh.HasPending || sh.Handover || owner != nil && owner.barred {
+	if r.versions == nil || standby == nil || !standby.barred || !standby.isNew || sh.HasPending || sh.Handover || owner != nil && owner.barred {
 		return false
 	}
 	dc := ""
--- a/core/protocol/protocol.go
+++ b/core/protocol/protocol.go
@@ -171,6 +171,7 @@
 	Started  time.Time
 	Duration time.Duration
 	Region   string // of the daemon in charge
+	Changes  uint32 // of the daemon in charge since the roll-out began
 }
 
 // ErrConflict reports that a status was not written, because another record was written
--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math"
 	"sync"
 	"time"
 
@@ -67,6 +68,7 @@
 	controller *rollout.Controller
 	decision   rollout.Decision
 	shards     uint32        // of the service; 0 if it is keyless
+	changes    uint32        // of the daemon in charge since the roll-out began
 	exposure   uint64        // requests sent to the new version, as reported here
 	state      rollout.State // as recorded
 	newest     uint64        // newest order that was considered, valid or not
@@ -271,6 +273,7 @@
 // begin begins the decision about a roll-out with the time that is left for it.
 func (c *coordinator) begin(ch *charge, now clock.Instant, left time.Duration) {
 	bounds := c.bounds
+	bounds.ExposureSlack /= math.Exp2(float64(ch.changes)) // the exposure before is not known here
 	if ch.shards > 0 {
 		move := time.Second + time.Duration(ch.shards)*time.Second/shardsMovedPerS
 		bounds.LastStep = min(time.Duration(lastStepShare*float64(left)), move)
@@ -334,6 +337,7 @@
 	if status.State != rollout.Running {
 		return ch
 	}
+	ch.changes = status.Changes + 1
 	// The clocks of two hosts may differ: what was used of the time is at least nothing and
 	// at most all of it.
 	used := min(max(c.now().Sub(status.Started), 0), status.Duration)
@@ -424,7 +428,7 @@
 func (c *coordinator) statusOf(ch *charge, state rollout.State) protocol.RolloutStatus {
 	return protocol.RolloutStatus{
 		Service: ch.order.Service, To: ch.order.To, From: ch.from, State: state, Order: ch.order.ID,
-		Started: ch.started, Duration: ch.order.Duration, Region: c.region, Last: ch.last,
+		Started: ch.started, Duration: ch.order.Duration, Region: c.region, Last: ch.last, Changes: ch.changes,
 	}
 }
 
--- a/daemon/plugins/rollout/logstatus.go
+++ b/daemon/plugins/rollout/logstatus.go
@@ -70,7 +70,7 @@
 	}
 	out := &wire.RolloutStatus{
 		Service: s.Service, To: s.To, From: s.From, State: uint32(s.State), Order: s.Order, Problem: s.Problem,
-		DurationS: s.Duration.Seconds(), Region: s.Region,
+		DurationS: s.Duration.Seconds(), Region: s.Region, Changes: s.Changes,
 	}
 	if !s.Started.IsZero() {
 		out.StartedMs = s.Started.UnixMilli()
@@ -86,7 +86,7 @@
 func decodeStatus(s *wire.RolloutStatus) *protocol.RolloutStatus {
 	out := &protocol.RolloutStatus{
 		Service: s.GetService(), To: s.GetTo(), From: s.GetFrom(), State: rollout.State(s.GetState()), Order: s.GetOrder(),
-		Problem: s.GetProblem(), Duration: seconds(s.GetDurationS()), Region: s.GetRegion(),
+		Problem: s.GetProblem(), Duration: seconds(s.GetDurationS()), Region: s.GetRegion(), Changes: s.GetChanges(),
 	}
 	if s.GetStartedMs() != 0 {
 		out.Started = time.UnixMilli(s.GetStartedMs())
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -369,8 +369,11 @@
 			f.run(11 * time.Second)
 			f.expectState(rollout.Running)
 			got := f.run(3 * time.Second)
-			is.True(got["v1"] > 0)
+			for _, d := range f.daemons { // no daemon knows of an end that is not recorded
+				is.True(d.entries.services["shop"].known.Load().last == nil)
+			}
 			if bad {
+				is.True(got["v1"] > 0)
 				is.Equal(got["v2"], 0)
 			}
 			f.store.down = false
--- a/daemon/plugins/rollout/status.go
+++ b/daemon/plugins/rollout/status.go
@@ -110,7 +110,7 @@
 		// Another daemon in charge has read a later order: take it over from the record.
 		*ch = charge{reporters: ch.reporters, newest: status.Order, order: rollout.Order{
 			Service: status.Service, To: status.To, Duration: status.Duration, ID: status.Order,
-		}, from: status.From, state: status.State, started: status.Started, last: status.Last, shards: ch.shards}
+		}, from: status.From, state: status.State, started: status.Started, last: status.Last, shards: ch.shards, changes: status.Changes + 1}
 		if ch.state == rollout.Running {
 			ch.limit = c.clock.Now().Add(status.Duration)
 			c.begin(ch, c.clock.Now(), status.Duration)
