core/rollout: late steps keep their length

Cause: with ROLLOUT_SEEDS=4 a version that failed 80% of its answers under load was completed (one server, 50 requests a second): the estimate of the old version's latencies rose while the late step ran, the last step began 0.4 s after it, and its answers came too late. Change: the length of the last step is fixed when the late steps begin, and the last step waits for the end of the last of them, at most until the latest time. The log of the test says what becomes of versions whose requests are too few for a decision.

--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -91,6 +91,7 @@
 	stepEnd   clock.Instant
 	last      clock.Instant // start of the last step, zero before
 	lastEnd   clock.Instant
+	lastFixed time.Duration // length of the last step once the late steps have begun
 	settled   clock.Instant // when the last change of the share is known and reported; zero after it
 	pulseEnd  clock.Instant // end of a pulse: usual load for one server early
 }
@@ -204,7 +205,7 @@
 	case c.last != 0:
 		return c.lastStep(now, found)
 	case c.ready(now) && elapsed >= c.lastStart() && c.doubt(found, suspicion) == "" &&
-		(found.recent < lastSuspicion || elapsed >= c.latest()):
+		(found.recent < lastSuspicion && now >= c.stepEnd || elapsed >= c.latest()):
 		c.last, c.lastEnd = now, now.Add(c.lastLength())
 		return c.decide(Running, 1, "last step", found)
 	case elapsed >= c.latest():
@@ -246,7 +247,13 @@
 // lastLength is the length of the last step. Completed ends the servers of the old version at
 // once: before it, all daemons must have learned the share in answers to their reports, and
 // the requests that they sent to the old version must have been answered.
+//
+// It is fixed when the late steps begin, so that an estimate of latencies that changes does
+// not cut them short.
 func (c *Controller) lastLength() time.Duration {
+	if c.lastFixed != 0 {
+		return c.lastFixed
+	}
 	return c.spread() + min(c.evidence.longest(), time.Second) + c.bounds.LastStep
 }
 
@@ -307,6 +314,7 @@
 	early := c.earlyShare(elapsed, requests)
 	if c.plan == nil && found.recent < suspicion && c.answered[sideNew] >= planAnswers {
 		if plan, length := c.makePlan(elapsed, requests, early); elapsed >= c.lastStart()-length {
+			c.lastFixed = c.lastLength()
 			c.plan, c.planIndex = plan, 0
 			if len(plan) > 0 {
 				c.stepEnd = now.Add(plan[0].length)
--- a/core/rollout/controller_test.go
+++ b/core/rollout/controller_test.go
@@ -90,7 +90,7 @@
 				t.Parallel()
 				var worst float64
 				var longest time.Duration
-				few := 0
+				few, fewRolledBack, fewBeyond := 0, 0, 0
 				for seed := range n {
 					l := randomLoad(seed)
 					change(l, rand.New(rand.NewPCG(seed, 4)))
@@ -99,8 +99,14 @@
 					switch {
 					case r.worst > pageBounds.ExposureSlack:
 						t.Errorf("seed %d: exposure before the last step: %+v: %+v", seed, *l, r)
-					case !l.decidable():
-						few++ // whether it is rolled back depends on chance
+					case !l.decidable(): // whether it is rolled back depends on chance
+						few++
+						if r.state == RolledBack {
+							fewRolledBack++
+						}
+						if r.state == RolledBack && !r.withinBound() {
+							fewBeyond++
+						}
 					case r.state != RolledBack, !r.withinBound(),
 						r.fiftieth > 0 && r.noMore-r.fiftieth > pageBounds.Rollback:
 						t.Errorf("seed %d: %+v: %+v", seed, *l, r)
@@ -111,8 +117,8 @@
 						}
 					}
 				}
-				t.Logf("%d rolled back, %d with too few requests; greatest exposure %.2f of the bound, longest rollback %v",
-					int(n)-few, few, worst, longest)
+				t.Logf("%d rolled back, greatest exposure %.2f of the bound, longest rollback %v; of %d with too few requests %d rolled back, %d beyond the bound",
+					int(n)-few, worst, longest, few, fewRolledBack, fewBeyond)
 			})
 		}
 	}
