--- a/core/control/control.go
+++ b/core/control/control.go
@@ -51,8 +51,9 @@
 	// PublishedConfig reports that an external author publishes whole versions of the
 	// configuration, so the configuration stream needs no snapshots.
 	PublishedConfig bool
-	// Rollouts reports that VersionLimits events restrict the members of services that have
-	// several versions.
+	// Rollouts reports that the deployment has roll-outs: join records have the versions of
+	// backend servers, and VersionLimits events restrict the members of services that have
+	// several.
 	Rollouts bool
 	// SnapshotRecords is the number of records after which a snapshot of a stream is
 	// due; 0 means the default.
--- a/core/control/events.go
+++ b/core/control/events.go
@@ -35,7 +35,7 @@
 	Addr        string
 	Slots       uint32 // number of requests that it runs concurrently
 	ChecksFence bool   // it rejects stale generations
-	Version     string // of its software; empty if unknown
+	Version     string // of its software; empty if unknown; used only if Options.Rollouts is set
 }
 
 // VersionLimits restricts the members that may have the shards of services by their
--- a/core/control/membership.go
+++ b/core/control/membership.go
@@ -284,6 +284,9 @@
 func (s *State) backendUp(e BackendUp) {
 	m := &s.member
 	s.cancelDrain()
+	if !s.opts.Rollouts {
+		e.Version = "" // join records of deployments without roll-outs do not have it
+	}
 	if m.backend != nil && *m.backend == e {
 		return
 	}
