Roll-outs in the soak test, and idle daemons learn the end

Cause: a daemon that sent nothing during a roll-out did not learn of its end, and sent its first request to servers of the old version that stop at a completion. The soak test had no roll-outs.

Change: daemons without requests ask each second while an order is undecided. The daemon in charge allows a second, or a twelfth of the time, for the way of the order; shards may move until half a second before the end.

--- a/ctl/cmd/sesamemoorctl/emulate.go
+++ b/ctl/cmd/sesamemoorctl/emulate.go
@@ -91,6 +91,7 @@
 func (c *emulateBackendCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.opts.Name, "name", "", "name")
 	f.StringVar(&c.opts.Service, "service", "", "service")
+	f.StringVar(&c.opts.Version, "version", "", "announced version")
 	f.StringVar(&c.opts.Addr, "listen", "", "address")
 	f.StringVar(&c.opts.DaemonAdmin, "daemon", "", "admin address of the daemon")
 	f.IntVar(&c.opts.Slots, "slots", 9, "maximum number of concurrent requests")
--- a/ctl/emulate/backend/announce.go
+++ b/ctl/emulate/backend/announce.go
@@ -27,6 +27,7 @@
 type announcement struct {
 	Name        string `json:"name"`
 	Service     string `json:"service"`
+	Version     string `json:"version"`
 	Addr        string `json:"addr"`
 	Slots       int    `json:"slots"`
 	Connections int    `json:"connections"`
@@ -86,7 +87,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return announcement{
-		Name: s.opts.Name, Service: s.opts.Service, Addr: s.opts.Addr,
+		Name: s.opts.Name, Service: s.opts.Service, Version: s.opts.Version, Addr: s.opts.Addr,
 		Slots: s.opts.Slots, ChecksFence: s.opts.ChecksFence,
 		BootID: s.capacity.bootID, Cold: s.capacity.warmUpProgress(time.Now()) < 1,
 		Connections: s.opts.MaxConns, Load: s.reportedLoad(), Leaving: s.faults.Leaving,
--- a/ctl/emulate/backend/options.go
+++ b/ctl/emulate/backend/options.go
@@ -7,6 +7,7 @@
 type Options struct {
 	Name        string
 	Service     string
+	Version     string // announced; empty if unknown
 	Addr        string // own address, as announced to the daemon
 	DaemonAdmin string // admin address of the server's daemon
 	Slots       int    // requests that run at the same time; more are shed
--- a/ctl/scenario/fleet_test.go
+++ b/ctl/scenario/fleet_test.go
@@ -118,6 +118,7 @@
 	checksFence bool
 	serviceTime time.Duration
 	backendArgs []string
+	rollouts    bool // backend servers have version v1 and v2 in turn, daemons the bounds of roll-outs
 	respawn     bool // restart backend servers after an unexpected exit
 }
 
@@ -153,6 +154,9 @@
 		"platform_url":    "http://" + f.addr(hostLogProxy+i, logPort),
 		"key_hash_secret": hashSecret,
 	}
+	if opts.rollouts {
+		settings["bounds"] = map[string]any{"exposure_share": 0.1, "exposure_slack": 50, "rollback_s": 5, "config_apply_s": 2}
+	}
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
 		return err
@@ -168,6 +172,9 @@
 	if opts.checksFence {
 		args = append(args, "-checks-fence")
 	}
+	if opts.rollouts {
+		args = append(args, "-version", fmt.Sprintf("v%d", 2-i%2))
+	}
 	m.backend = &process{name: fmt.Sprintf("b%d", i), args: append(args, opts.backendArgs...), respawn: opts.respawn}
 	f.members = append(f.members, m)
 	return nil
--- a/ctl/scenario/soak_test.go
+++ b/ctl/scenario/soak_test.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -18,6 +19,9 @@
 
 	"github.com/google/uuid"
 
+	"github.com/sesamemoor/sesamemoor/core/logstream"
+	"github.com/sesamemoor/sesamemoor/core/rollout"
+	"github.com/sesamemoor/sesamemoor/ctl/operator"
 	"github.com/sesamemoor/sesamemoor/daemon/edge/edgetest"
 )
 
@@ -103,6 +107,7 @@
 	killed    map[string]bool
 	signals   *rand.Rand     // of the faults that scheduleSignals adds
 	answers   *rand.Rand     // of the faults that scheduleAnswerFaults adds
+	rollouts  *rand.Rand     // of the roll-outs that scheduleRollouts adds; nil without them
 	stopped   *edgetest.Load // the requests on connections that were idle when a daemon was terminated
 
 	mu     sync.Mutex
@@ -143,6 +148,9 @@
 		shards: 16 + s.rand.IntN(32), slots: 2 + s.rand.IntN(8), checksFence: s.rand.IntN(2) == 0,
 		serviceTime: time.Duration(1+s.rand.IntN(20)) * time.Millisecond,
 	}
+	if seed%2 == 0 {
+		s.rollouts, opts.rollouts = rand.New(rand.NewPCG(seed, 3)), true
+	}
 	opts.size = envNumber("SESAMEMOOR_SOAK_FLEET", opts.size)
 	fleet, err := newFleet(s.dir, opts)
 	if err != nil {
@@ -181,6 +189,7 @@
 	s.scheduleFaults(window)
 	s.scheduleSignals(window)
 	s.scheduleAnswerFaults(window)
+	s.scheduleRollouts(window)
 	s.workload = s.fleet.startWorkload("dealer", soakKeys, strings.Split(s.fleet.entryNames(), ","), soakLookupPeriod, 3*time.Second)
 	_ = s.cmdVersions(nil, []string{"start"})
 	withdrawn := s.withdrawKey()
@@ -195,6 +204,7 @@
 	s.samples = s.workload.stop()
 	s.recordError("configuration versions", s.cmdVersions(nil, []string{"stop"}))
 	s.recordError("withdrawn key", withdrawn())
+	s.recordError("roll-out", eventually(soakRolloutTime, s.rolloutsEnded))
 	s.checkResults()
 	if len(s.errors) > 0 || s.t.Failed() {
 		s.t.Fatalf("%d problems:\n%s\nfault schedule:\n%s", len(s.errors), strings.Join(s.errors[:min(len(s.errors), maxReported)], "\n"), s.formatSchedule())
@@ -277,6 +287,65 @@
 	}
 }
 
+// soakRolloutTime is the time within which the roll-outs of a soak end.
+const soakRolloutTime = 12 * time.Second
+
+// scheduleRollouts adds orders of roll-outs, which overlap with the faults: to a version that has
+// servers, back, and to one that has none. An order while another one runs is refused.
+func (s *soak) scheduleRollouts(window time.Duration) {
+	if s.rollouts == nil {
+		return
+	}
+	config := &operator.Config{Log: logstream.NewHTTP("http://" + s.fleet.logAddr), Operator: "soak"}
+	for range 1 + s.rollouts.IntN(3) {
+		to := []string{"v2", "v1", "v2", "v3"}[s.rollouts.IntN(4)]
+		at := time.Duration(s.rollouts.Int64N(int64(window)))
+		withdrawn := s.rollouts.IntN(4) == 0
+		s.schedule = append(s.schedule, soakFault{
+			name: "roll out " + to, startAt: at, endAt: at + time.Duration(1+s.rollouts.IntN(6))*time.Second,
+			begin: func() error { return s.orderRollout(config, to) },
+			end: func() error {
+				if !withdrawn {
+					return nil
+				}
+				ctx, cancel := context.WithTimeout(context.Background(), soakRolloutTime)
+				defer cancel()
+				if err := config.EndRollout(ctx, s.fleet.service); err != nil && !errors.Is(err, operator.ErrRejected) {
+					return err
+				}
+				return nil
+			},
+		})
+	}
+}
+
+func (s *soak) orderRollout(config *operator.Config, to string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), soakRolloutTime)
+	defer cancel()
+	err := config.OrderRollout(ctx, s.fleet.service, to, soakRolloutTime)
+	if errors.Is(err, operator.ErrRejected) {
+		return nil // another one runs
+	}
+	return err
+}
+
+// rolloutsEnded returns an error while an order has not ended.
+func (s *soak) rolloutsEnded() error {
+	config := &operator.Config{Log: logstream.NewHTTP("http://" + s.fleet.logAddr), Operator: "soak"}
+	ctx, cancel := context.WithTimeout(context.Background(), soakRolloutTime)
+	defer cancel()
+	list, err := config.Rollouts(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range list {
+		if r.State != rollout.Completed.String() && r.State != rollout.RolledBack.String() {
+			return fmt.Errorf("roll-out to %s has not ended: %s", r.To, r.State)
+		}
+	}
+	return nil
+}
+
 // hangup returns a fault that sends SIGHUP to a daemon that is up.
 func (s *soak) hangup(m *member) soakFault {
 	return soakFault{
--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -32,6 +32,10 @@
 	shardsMovedPerS = 480
 	// lastStepShare bounds the part of a roll-out's time that the move of all shards gets.
 	lastStepShare = 0.4
+	// maxOrderAge is the time that an order may take from the operator to the daemon in charge,
+	// as far as a roll-out allows for it: orderAgeShare is the part of its time that it may be.
+	maxOrderAge   = time.Second
+	orderAgeShare = 1. / 12
 	// limitMargin is the time before the end of a roll-out's time at which a roll-out that is
 	// not complete is rolled back, so that this is recorded in time.
 	limitMargin = 500 * time.Millisecond
@@ -251,7 +255,6 @@
 	*ch = charge{
 		order: rollout.Order{Service: service, To: order.To, Duration: order.Duration, ID: order.ID}, from: from,
 		started: c.now(), shards: svc.Shards, newest: order.ID, reporters: map[string]reporter{}, last: ch.last,
-		limit: now.Add(order.Duration),
 	}
 	if last != nil {
 		ch.last = last.status(service)
@@ -279,7 +282,9 @@
 		bounds.LastStep = min(time.Duration(lastStepShare*float64(left)), move)
 	}
 	order := ch.order
-	order.Duration = left
+	ch.limit = now.Add(left)
+	left -= min(maxOrderAge, time.Duration(orderAgeShare*float64(order.Duration)))
+	order.Duration = max(left, 0)
 	ch.controller = rollout.NewController(now, order, bounds)
 }
 
@@ -341,7 +346,6 @@
 	// The clocks of two hosts may differ: what was used of the time is at least nothing and
 	// at most all of it.
 	used := min(max(c.now().Sub(status.Started), 0), status.Duration)
-	ch.limit = now.Add(status.Duration - used)
 	c.begin(ch, now, status.Duration-used)
 	ch.pending = append(ch.pending, c.statusOf(ch, rollout.Running)) // so that a write of the former daemon in charge conflicts
 	c.logStep(ch, "resumed")
--- a/daemon/plugins/rollout/entries.go
+++ b/daemon/plugins/rollout/entries.go
@@ -22,9 +22,12 @@
 )
 
 const (
-	// idleTime is the time without a request after which a daemon does not report about a
-	// service any more. Its share is then no longer valid, and the next request asks anew.
+	// idleTime is the time without a request after which a daemon reports about a service at
+	// idleInterval.
 	idleTime = 5 * time.Second
+	// idleInterval is the interval of the reports of a daemon that sends no requests to the
+	// service. It has to learn the end: the servers of the old version stop at a completion.
+	idleInterval = time.Second
 	// reportTimeout bounds one report including its answer.
 	reportTimeout = time.Second
 )
@@ -241,6 +244,9 @@
 		if len(v.Planners) == 0 || v.Incarnation == 0 {
 			return
 		}
+		for service := range v.Rollouts {
+			e.of(service, true)
+		}
 		e.mu.Lock()
 		services := make([]*entry, 0, len(e.services))
 		for _, s := range e.services {
@@ -248,9 +254,6 @@
 		}
 		e.mu.Unlock()
 		if e.plans(v) {
-			for service := range v.Rollouts {
-				e.of(service, true)
-			}
 			e.limitVersions(v)
 		}
 		for _, s := range services {
@@ -275,8 +278,7 @@
 	k, now := s.known.Load(), e.clock.Now()
 	order, ok := v.Rollouts[s.service]
 	undecided := k.run != nil || ok && order.ID > k.newest && order.Problem == ""
-	used := now.Sub(clock.Instant(s.lastUsed.Load())) < idleTime && s.lastUsed.Load() != 0
-	if !undecided || !used && !e.plans(v) || s.inFlight.Load() {
+	if !undecided || s.inFlight.Load() {
 		return false
 	}
 	if s.nextReport == 0 { // the daemons' first reports are spread over the interval that their number requires
@@ -305,7 +307,11 @@
 		return
 	}
 	s.unreported = nil
-	s.nextReport = sent.Add(time.Duration(answer.GetNextMs()) * time.Millisecond)
+	interval := time.Duration(answer.GetNextMs()) * time.Millisecond
+	if used := clock.Instant(s.lastUsed.Load()); !e.plans(v) && (used == 0 || sent.Sub(used) >= idleTime) {
+		interval = max(idleInterval, 2*intervalOf(len(v.Daemons)))
+	}
+	s.nextReport = sent.Add(interval)
 	e.apply(s, sent, answer)
 }
 
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -85,13 +85,14 @@
 
 // fakeFleet is some daemons that share a view, apart from who they are, and virtual time.
 type fakeFleet struct {
-	t       *testing.T
-	now     clock.Instant
-	store   *fakeStore
-	base    view.View
-	daemons []*fakeDaemon
-	calls   int
-	failAt  func(version string) bool // whether a request to a version fails
+	planners int // number of them
+	t        *testing.T
+	now      clock.Instant
+	store    *fakeStore
+	base     view.View
+	daemons  []*fakeDaemon
+	calls    int
+	failAt   func(version string) bool // whether a request to a version fails
 }
 
 // fakeDaemon is a daemon. It implements kernel.Control and kernel.Peers.
@@ -106,6 +107,7 @@
 	entries     *entries
 	coordinator *coordinator
 	sequence    int
+	perTick     int            // requests
 	sentTo      map[string]int // requests by version
 }
 
@@ -115,7 +117,7 @@
 	v := d.fleet.base
 	v.Incarnation, v.Lease = d.incarnation, &d.lease
 	for _, other := range d.fleet.daemons {
-		if d.planner == other.incarnation || d.planner == 0 && !other.frozen {
+		if d.planner == other.incarnation || d.planner == 0 && !other.frozen && len(v.Planners) < d.fleet.planners {
 			v.Planners = append(v.Planners, &view.Member{Incarnation: other.incarnation, PeerAddr: other.slot})
 		}
 	}
@@ -134,7 +136,7 @@
 
 // newFakeFleet returns three daemons and a service with old servers of v1 and new ones of v2.
 func newFakeFleet(t *testing.T, old, new int) *fakeFleet {
-	f := &fakeFleet{t: t, now: clock.Instant(time.Hour), store: &fakeStore{memoryStatuses: newMemoryStatuses()}}
+	f := &fakeFleet{t: t, planners: 3, now: clock.Instant(time.Hour), store: &fakeStore{memoryStatuses: newMemoryStatuses()}}
 	f.base = view.View{
 		Config:          &fleet.Config{Services: map[string]fleet.Service{"shop": {Keyless: true}}},
 		Servers:         map[string][]*view.Member{},
@@ -146,7 +148,7 @@
 	set := settings.Default()
 	set.Bounds.ExposureShare, set.Bounds.ExposureSlack, set.Bounds.RollbackS = 0.1, 50, 5
 	for i := range 3 {
-		d := &fakeDaemon{fleet: f, slot: fmt.Sprint("d-", i), incarnation: uint64(i + 1), sentTo: map[string]int{}}
+		d := &fakeDaemon{fleet: f, slot: fmt.Sprint("d-", i), incarnation: uint64(i + 1), perTick: 10, sentTo: map[string]int{}}
 		d.lease.Set(clock.Instant(100 * time.Hour))
 		set.Slot = d.slot
 		p := params{Settings: set, Control: d, Peers: d, Clock: d, Log: zap.NewNop(), Statuses: f.store}
@@ -210,7 +212,7 @@
 			if daemon.frozen {
 				continue
 			}
-			for range 10 {
+			for range daemon.perTick {
 				daemon.request()
 			}
 			daemon.work()
@@ -228,6 +230,9 @@
 func (d *fakeDaemon) work() {
 	v := d.View()
 	d.entries.holdout.update(d.fleet.now, v)
+	for service := range v.Rollouts {
+		d.entries.of(service, true)
+	}
 	d.coordinator.step()
 	select {
 	case <-d.coordinator.wake:
@@ -421,6 +426,19 @@
 	is.Equal(f.daemons[2].request(), "v2")
 }
 
+// TestIdleDaemonLearnsTheEnd checks that a daemon that sends its first request after a completion
+// sends it to the new version: the servers of the old one have stopped.
+func TestIdleDaemonLearnsTheEnd(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.daemons[2].perTick = 0
+	f.planners = 2 // a planner asks anyway
+	f.order(7, "v2", 12*time.Second)
+	f.run(13 * time.Second)
+	f.expectState(rollout.Completed)
+	is.Equal(f.daemons[2].request(), "v2")
+}
+
 // TestNewVersionWithoutServers checks that a version without servers is rolled back in time.
 func TestNewVersionWithoutServers(t *testing.T) {
 	f := newFakeFleet(t, 3, 0)
--- a/daemon/plugins/rollout/status.go
+++ b/daemon/plugins/rollout/status.go
@@ -112,7 +112,6 @@
 			Service: status.Service, To: status.To, Duration: status.Duration, ID: status.Order,
 		}, from: status.From, state: status.State, started: status.Started, last: status.Last, shards: ch.shards, changes: status.Changes + 1}
 		if ch.state == rollout.Running {
-			ch.limit = c.clock.Now().Add(status.Duration)
 			c.begin(ch, c.clock.Now(), status.Duration)
 		}
 		return
