Roll-outs: the old version stops at the completion, with the daemon in charge

Cause: the servers of the old version and their daemons, which are the oldest members and so the planners, stop as soon as the status is completed. Daemons that had not learned the end went back to the old version when their answers expired, until the leases lapsed; a planner without an answer took the shards from the members of the new version.

Change: without a valid answer, servers that are unreachable do not count for the old version, and one is enough after a share of 1. A planner without a valid answer leaves the shards where they are.

--- a/core/placement/plan.go
+++ b/core/placement/plan.go
@@ -113,12 +113,13 @@
 			continue
 		}
 		switch {
+		case r.versions != nil && r.versions.Hold:
 		case r.versions != nil && len(r.versions.New) > 0:
 			limits.MaxMoves = max(0, limits.MaxMoves-r.rollOut(limits))
 		case !load.Frozen[name]:
 			limits.MaxMoves -= r.balance(limits)
 		}
-		if r.versions != nil {
+		if r.versions != nil && !r.versions.Hold {
 			r.evacuate(st, limits)
 		}
 		r.fillRoles(limits)
--- a/core/placement/rollout.go
+++ b/core/placement/rollout.go
@@ -19,6 +19,8 @@
 	// the service's load that they have together, 0 to 1. The rest is for the others.
 	New   map[fold.Incarnation]bool
 	Share float64
+	// Hold leaves the shards where they are: it is not known what the share is now.
+	Hold bool
 }
 
 // Allows reports whether a member may have shards. A nil Versions allows all members.
@@ -46,7 +48,7 @@
 	barred := 0
 	for _, c := range r.candidates {
 		c.isNew = v.New[c.inc]
-		c.barred = c.isNew != (v.Share >= 1)
+		c.barred = c.isNew != (v.Share >= 1 && !v.Hold)
 		if c.barred {
 			barred++
 		}
@@ -161,7 +163,7 @@
 func (r *round) replaceBarred(n int, owner *candidate) bool {
 	sh := &r.svc.Shards[n]
 	standby := r.byInc[sh.Standby]
-	if r.versions == nil || standby == nil || !standby.barred || !standby.isNew || sh.HasPending || sh.Handover || owner != nil && owner.barred {
+	if r.versions == nil || r.versions.Hold || standby == nil || !standby.barred || !standby.isNew || sh.HasPending || sh.Handover || owner != nil && owner.barred {
 		return false
 	}
 	dc := ""
--- a/daemon/kernel/interfaces.go
+++ b/daemon/kernel/interfaces.go
@@ -105,9 +105,9 @@
 // their services allow, and counts their results by version.
 type Rollouts interface {
 	// Allowed returns which members of a service without keys may run a request, or nil if
-	// all may. choice is that of the request, kept over its attempts; tried reports the
-	// members that have failed it.
-	Allowed(v *view.View, req *wire.Request, choice *VersionChoice, tried func(m *view.Member) bool) func(m *view.Member) bool
+	// all may. choice is that of the request, kept over its attempts; usable reports the
+	// members that have not failed it and are not avoided, as unreachable ones are.
+	Allowed(v *view.View, req *wire.Request, choice *VersionChoice, usable func(m *view.Member) bool) func(m *view.Member) bool
 	// Sent counts an attempt that is sent to a member. It returns the function that counts
 	// its result, or nil if it is not needed.
 	Sent(v *view.View, req *wire.Request, target *view.Member) func(resp *wire.Response, err error)
--- a/daemon/plugins/gateway/sender.go
+++ b/daemon/plugins/gateway/sender.go
@@ -224,8 +224,9 @@
 	members := v.Servers[x.req.GetService()]
 	var allowed func(*view.Member) bool
 	if s.rollouts != nil {
-		tried := func(m *view.Member) bool { return state.failedMembers[m.Incarnation] }
-		allowed = s.rollouts.Allowed(v, x.req, &state.version, tried)
+		allowed = s.rollouts.Allowed(v, x.req, &state.version, func(m *view.Member) bool {
+			return !state.failedMembers[m.Incarnation] && !s.avoided(m, v)
+		})
 	}
 	stats := make([]*loadbalance.Server, len(members))
 	for i, m := range members {
@@ -308,6 +309,14 @@
 	return st
 }
 
+// avoided reports whether a member's backend server is chosen only if there is no other.
+func (s *sender) avoided(m *view.Member, v *view.View) bool {
+	stats := s.statsOf(m, v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return stats.Avoided(s.clock.Now())
+}
+
 // dropStaleStats deletes the statistics of incarnations that are no longer
 // members. The caller holds the lock.
 func (s *sender) dropStaleStats(v *view.View) {
--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -186,7 +186,7 @@
 		return
 	}
 	c.inCharge = true
-	if len(v.Rollouts) == 0 && len(c.charges) == 0 && !c.asked {
+	if len(v.Rollouts) == 0 && len(c.charges) == 0 && !c.asked || len(v.Config.Services) == 0 {
 		return
 	}
 	if c.recorded == nil {
--- a/daemon/plugins/rollout/entries.go
+++ b/daemon/plugins/rollout/entries.go
@@ -124,26 +124,23 @@
 }
 
 // Allowed implements kernel.Rollouts.
-func (e *entries) Allowed(v *view.View, req *wire.Request, choice *kernel.VersionChoice, tried func(*view.Member) bool) func(*view.Member) bool {
+func (e *entries) Allowed(v *view.View, req *wire.Request, choice *kernel.VersionChoice, usable func(*view.Member) bool) func(*view.Member) bool {
 	if !e.enabled {
 		return nil
 	}
 	now, members := e.clock.Now(), v.Servers[req.GetService()]
 	s, order := e.active(v, req.GetService())
 	if s == nil {
-		if settled := e.holdout.settled(now, members); len(settled) < len(members) {
-			return contains(settled)
-		}
-		return nil
+		return restrict(members, e.holdout.settled(now, members))
 	}
 	s.lastUsed.Store(int64(now))
 	k := s.known.Load()
 	old, new, pending := e.divide(v, now, members, k, order)
 	if k.run == nil {
-		if len(old) == 0 {
+		if !slices.ContainsFunc(old, usable) && len(pending) > 0 {
 			old = pending
 		}
-		return contains(old)
+		return restrict(members, old)
 	}
 	if choice.Order != k.run.order {
 		*choice = kernel.VersionChoice{Order: k.run.order}
@@ -154,17 +151,49 @@
 		choice.New = false
 	}
 	if !choice.New {
-		if len(old) == 0 {
+		switch {
+		case len(new) > 0 && k.oldIsGone(now, old, usable):
+			old = new
+		case len(old) == 0:
 			old = pending
 		}
-		return contains(old)
+		return restrict(members, old)
 	}
 	selected := k.selectServers(new, choice.Servers)
-	untried := func(m *view.Member) bool { return !tried(m) }
-	if len(old) > 0 && !slices.ContainsFunc(selected, untried) {
-		return contains(old) // it ran at none of them
+	if len(old) > 0 && !slices.ContainsFunc(selected, usable) {
+		return restrict(members, old) // it ran at none of them
+	}
+	return restrict(members, selected)
+}
+
+// oldIsGone reports whether the old version is taken to have no servers although the view has
+// some: the answer is not valid any more and all are unreachable, or one is and the new version had
+// the whole traffic. At a completion all servers of the old version stop at once, which may
+// include the daemon in charge and is known from the log only when their leases have lapsed.
+func (k *knowledge) oldIsGone(now clock.Instant, old []*view.Member, usable func(*view.Member) bool) bool {
+	if now.Before(k.answer.Until) {
+		return false
+	}
+	count := 0
+	for _, m := range old {
+		if usable(m) {
+			count++
+		}
+	}
+	return count == 0 || count < len(old) && k.answer.Share >= 1
+}
+
+// restrict returns the function that reports whether a member is one of the allowed ones, or nil
+// if all are.
+func restrict(members, allowed []*view.Member) func(*view.Member) bool {
+	if len(allowed) == len(members) {
+		return nil
+	}
+	set := make(map[*view.Member]bool, len(allowed))
+	for _, m := range allowed {
+		set[m] = true
 	}
-	return contains(selected)
+	return func(m *view.Member) bool { return set[m] }
 }
 
 // divide divides the members of a service as split does, by what is known now.
--- a/daemon/plugins/rollout/placement.go
+++ b/daemon/plugins/rollout/placement.go
@@ -35,7 +35,18 @@
 	}
 	old, new, pending := e.divide(v, now, members, k, order)
 	allowed := old
-	if share := k.share(now, len(old), len(new)); share > 0 {
+	expired := k.run != nil && len(new) > 0 && !now.Before(k.answer.Until)
+	unanswered := k.run == nil && order != nil && order.Problem == "" && order.ID > k.newest && len(pending) > 0
+	if len(old) > 0 && (expired || unanswered) {
+		// The daemon in charge is lost, this daemon is cut off, or it has begun to plan: shards
+		// that members of the new version have stay there, and no others come to them.
+		new = slices.Concat(new, pending)
+		out.New, out.Hold = map[uint64]bool{}, true
+		for _, m := range new {
+			out.New[m.Incarnation] = true
+		}
+		allowed = slices.Concat(old, new)
+	} else if share := k.share(now, len(old), len(new)); share > 0 {
 		servers := new
 		if share < 1 {
 			servers = k.selectServers(new, max(1, k.answer.Servers))
@@ -69,5 +80,5 @@
 }
 
 func equalVersions(a, b *placement.Versions) bool {
-	return slices.Equal(a.Known, b.Known) && maps.Equal(a.Excluded, b.Excluded) && maps.Equal(a.New, b.New) && a.Share == b.Share
+	return slices.Equal(a.Known, b.Known) && maps.Equal(a.Excluded, b.Excluded) && maps.Equal(a.New, b.New) && a.Share == b.Share && a.Hold == b.Hold
 }
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -107,8 +107,9 @@
 	entries     *entries
 	coordinator *coordinator
 	sequence    int
-	perTick     int            // requests
-	sentTo      map[string]int // requests by version
+	unreachable map[string]bool // servers, by version
+	perTick     int             // requests
+	sentTo      map[string]int  // requests by version
 }
 
 func (d *fakeDaemon) Now() clock.Instant { return d.fleet.now }
@@ -177,7 +178,7 @@
 // request sends one request through a daemon and returns the version that got it, or "".
 func (d *fakeDaemon) request() string {
 	v, req, choice := d.View(), &wire.Request{Service: "shop", Route: "r"}, &kernel.VersionChoice{}
-	allowed := d.entries.Allowed(v, req, choice, func(*view.Member) bool { return false })
+	allowed := d.entries.Allowed(v, req, choice, func(m *view.Member) bool { return !d.unreachable[m.Version] })
 	members := v.Servers["shop"]
 	for i := range members {
 		d.sequence++
@@ -439,6 +440,32 @@
 	is.Equal(f.daemons[2].request(), "v2")
 }
 
+// TestOldVersionStopsAtCompletion checks that requests go to the new version when the servers of
+// the old one, and with them the daemon in charge, stop before the daemons learned of the end.
+func TestOldVersionStopsAtCompletion(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 12*time.Second)
+	for {
+		f.run(tick)
+		if s, _ := f.state(); s == rollout.Completed {
+			break
+		}
+	}
+	for _, d := range f.daemons {
+		d.planner = 1
+		d.unreachable = map[string]bool{"v1": true}
+	}
+	f.daemons[0].frozen = true
+	f.daemons[1].perTick, f.daemons[2].perTick = 0, 0
+	f.run(4 * time.Second)
+	is.Equal(f.daemons[2].request(), "v2")
+	f.daemons[2].unreachable = nil
+	if f.daemons[2].entries.services["shop"].known.Load().run != nil {
+		is.Equal(f.daemons[2].request(), "v1") // the end is not known, and the old version has servers
+	}
+}
+
 // TestNewVersionWithoutServers checks that a version without servers is rolled back in time.
 func TestNewVersionWithoutServers(t *testing.T) {
 	f := newFakeFleet(t, 3, 0)
@@ -468,7 +495,7 @@
 	f.run(8 * time.Second)
 	f.expectState(rollout.Completed)
 
-	f.base.Config = &fleet.Config{}
+	f.base.Config = &fleet.Config{Services: map[string]fleet.Service{"another": {}}}
 	f.order(11, "v5", time.Second)
 	written := len(f.store.written)
 	f.run(time.Second)
@@ -561,9 +588,9 @@
 	v := d.View()
 	attempt := func(idempotent bool, choice *kernel.VersionChoice, tried map[uint64]bool) *view.Member {
 		allowed := d.entries.Allowed(v, &wire.Request{Service: "shop", Idempotent: idempotent}, choice,
-			func(m *view.Member) bool { return tried[m.Incarnation] })
+			func(m *view.Member) bool { return !tried[m.Incarnation] })
 		for _, m := range v.Servers["shop"] {
-			if allowed(m) && !tried[m.Incarnation] {
+			if (allowed == nil || allowed(m)) && !tried[m.Incarnation] {
 				return m
 			}
 		}
--- a/daemon/plugins/rollout/versions.go
+++ b/daemon/plugins/rollout/versions.go
@@ -70,8 +70,3 @@
 	slices.Sort(list)
 	return list
 }
-
-// contains returns the function that reports whether a member is one of the list.
-func contains(list []*view.Member) func(m *view.Member) bool {
-	return func(m *view.Member) bool { return slices.Contains(list, m) }
-}
