core/rollout: half of the slack for a second controller, stricter late steps

Cause: two controllers, one after the other or at the same time, could use the slack one and a half times. Change: a controller uses at most half of the slack before the last step; a verdict in the late steps takes half a second, and such a step lasts 1 s, or until 80 answers; the last step takes 1 s for a verdict and waits for reports while it can.

--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -14,16 +14,20 @@
 	reportTime = 500 * time.Millisecond
 	// detectTime is the time in which a version that is plainly bad is detected in a late
 	// step: the time to a verdict, and that until the daemons know the share.
-	detectTime = 900 * time.Millisecond
+	detectTime = time.Second
 
 	// The parts of the exposure bounds that are used before the late steps, and with them. The
-	// rest covers what the new version gets between the first bad answers and a rollback.
-	earlyShare, earlySlack = 0.45, 0.5
-	lateShare, lateSlack   = 0.9, 0.75
+	// rest covers what the new version gets between the first bad answers and a rollback. Half
+	// of the slack is for a second controller, that takes over or works at the same time.
+	earlyShare, earlySlack = 0.45, 0.4
+	lateShare, lateSlack   = 0.9, 0.5
 
 	// wantedRate is the number of requests a second to the new version that shows a plainly
 	// bad version, also on one route, within a few seconds.
 	wantedRate = 40
+	// lateAnswers is the number of answers in a late step that shows a bad version where requests
+	// are few.
+	lateAnswers = 80
 	// minEarly and maxEarly bound the first share. The upper one leaves the old version
 	// enough requests for a comparison.
 	minEarly, maxEarly = 0.02, 0.5
@@ -103,9 +107,9 @@
 )
 
 // NewController returns a controller for an order. now is the time of the order, or a later
-// one for a controller that takes over from another: then o.Duration is the time left. Since
-// it does not know the exposure before, its caller passes half of the slack for each change of
-// the controller, so that the slack is not used twice.
+// one for a controller that takes over from another: then o.Duration is the time left. It does
+// not know the exposure before. A controller uses at most half of the slack before the last
+// step, so that two of them, one after the other or at the same time, stay within it.
 func NewController(now clock.Instant, o Order, b Bounds) *Controller {
 	return &Controller{order: o, bounds: b, start: now, newSince: now,
 		evidence: newEvidence(now, o.Duration), daemons: map[uint64]clock.Instant{}}
@@ -204,12 +208,12 @@
 		return c.decide(RolledBack, 0, "no servers of the version", found)
 	case c.last != 0:
 		return c.lastStep(now, found)
-	case c.ready(now) && elapsed >= c.lastStart() && c.doubt(found, suspicion) == "" &&
+	case elapsed >= c.lastStart() && c.doubt(now, found, suspicion) == "" &&
 		(found.recent < lastSuspicion && now >= c.stepEnd || elapsed >= c.latest()):
 		c.last, c.lastEnd = now, now.Add(c.lastLength())
 		return c.decide(Running, 1, "last step", found)
 	case elapsed >= c.latest():
-		return c.decide(RolledBack, 0, c.doubt(found, suspicion), found)
+		return c.decide(RolledBack, 0, c.doubt(now, found, suspicion), found)
 	case c.new == 0:
 		return c.decide(Running, 0, "waits for servers", found)
 	case !c.ready(now):
@@ -225,13 +229,14 @@
 }
 
 // gainLimits returns the greatest gains in a second. At first a verdict takes 1 s of failures
-// or 2 s of slow answers, since servers may be cold. In the late steps it takes two thirds of a
-// second, since each moment there costs more exposure. With a short Rollback this holds always.
+// or 2 s of slow answers, since servers may be cold. In the late steps it takes half a second,
+// since each moment there costs more exposure; with a short Rollback always. In the last step,
+// where the old version ceases to give a comparison, it takes 1 s.
 func (c *Controller) gainLimits(now clock.Instant) gainLimits {
 	switch {
-	case c.plan != nil || c.last != 0 || c.bounds.Rollback > 0 && c.bounds.Rollback < 3*time.Second:
-		return gainLimits{1.5, 1.5, 1.5}
-	case c.pulseEnd != 0 && now.Sub(c.pulseEnd) < reportTime:
+	case c.bounds.Rollback > 0 && c.bounds.Rollback < 3*time.Second, c.plan != nil && c.last == 0:
+		return gainLimits{2, 2, 2}
+	case c.last != 0, c.pulseEnd != 0 && now.Sub(c.pulseEnd) < reportTime:
 		return gainLimits{1, 1, 1}
 	}
 	return gainLimits{1, 0.5, 0.5}
@@ -266,7 +271,7 @@
 func (c *Controller) latest() time.Duration { return c.lastStart() + c.margin()/3 }
 
 // doubt returns why the version may not be completed now, "" if it may.
-func (c *Controller) doubt(found finding, suspicion float64) string {
+func (c *Controller) doubt(now clock.Instant, found finding, suspicion float64) string {
 	missing := c.sent[sideNew] - c.answered[sideNew]
 	missingOld := c.sent[sideOld] - c.answered[sideOld]
 	switch {
@@ -274,6 +279,8 @@
 		return "no servers of the version"
 	case c.answered[sideNew] < minAnswers:
 		return "too few answers"
+	case !c.ready(now):
+		return "no recent reports"
 	case found.recent >= suspicion || found.whole >= 1:
 		return "probably worse than the old version: " + found.text
 	case missing > minAnswers+0.5*c.sent[sideNew] && missingOld < 0.25*c.sent[sideOld]:
@@ -287,10 +294,10 @@
 // lastStep decides while the new version has the whole traffic.
 func (c *Controller) lastStep(now clock.Instant, found finding) Decision {
 	switch {
-	case now.Before(c.lastEnd):
+	case now.Before(c.lastEnd), !c.ready(now) && now.Sub(c.start) < c.order.Duration-c.margin()/3:
 		return c.decide(Running, 1, "last step", found)
-	case c.doubt(found, endSuspicion) != "":
-		return c.decide(RolledBack, 0, c.doubt(found, endSuspicion), found)
+	case c.doubt(now, found, endSuspicion) != "":
+		return c.decide(RolledBack, 0, c.doubt(now, found, endSuspicion), found)
 	}
 	return c.decide(Completed, 1, "no worse than the old version", found)
 }
@@ -391,9 +398,9 @@
 	unit := c.unit(elapsed)
 	first := unit * math.Ceil(max(firstLate, 1.3*early)/unit)
 	first = min(first, maxSingle)
-	// Long enough for wantedRate answers where requests are few.
+	// Long enough for lateAnswers where requests are few.
 	longest := min(c.order.Duration/25, 30*time.Second)
-	longest = max(shortest, longest, min(c.order.Duration/5, seconds(wantedRate/(first*mean))))
+	longest = max(shortest, longest, min(c.order.Duration/5, seconds(lateAnswers/(first*mean))))
 	bound := lateShare*c.bounds.ExposureShare*total + lateSlack*c.bounds.ExposureSlack - before
 	// The last step is to fit into the bound as well, as long as the first late step does.
 	left := max(bound-mean*(c.lastLength()+reportTime/2).Seconds(), min(bound, first*mean*shortest.Seconds()))
