--- a/core/rollout/controller_test.go
+++ b/core/rollout/controller_test.go
@@ -21,7 +21,7 @@
 	}
 	switch kind {
 	case "late":
-		l.from = time.Duration((0.2 + 0.5*rnd.Float64()) * float64(l.duration))
+		l.from = l.within(rnd, 0.2, 0.7)
 	case "load":
 		l.overload = 0.8
 	case "route":
@@ -38,10 +38,7 @@
 	if l.overload > 0 && 2/float64(l.new) > pageBounds.ExposureShare*left.Seconds() {
 		return false
 	}
-	part := l.fail
-	if l.slower > 0 {
-		part = l.slowPart * l.visible()
-	}
+	part := l.fail + l.slowPart*l.visible()
 	if l.route >= 0 {
 		part *= l.routes[l.route]
 	}
@@ -55,27 +52,19 @@
 
 // variants are circumstances under which good versions are completed and bad ones rolled back.
 var variants = map[string]func(l *load, rnd *rand.Rand){
-	"ordinary":     func(*load, *rand.Rand) {},
-	"one server":   func(l *load, _ *rand.Rand) { l.old, l.new = 1, 1 },
-	"few requests": func(l *load, rnd *rand.Rand) { l.rate = pick(rnd, 4.0, 8, 12) },
-	"lost reports": func(l *load, _ *rand.Rand) { l.lost = 0.3 },
-	"another controller": func(l *load, rnd *rand.Rand) {
-		l.changes = time.Duration((0.1 + 0.4*rnd.Float64()) * float64(l.duration))
-	},
-	"two controllers": func(l *load, rnd *rand.Rand) {
-		l.daemons, l.split = 8, time.Duration((0.1+0.4*rnd.Float64())*float64(l.duration))
-	},
-	"sharded": func(l *load, rnd *rand.Rand) {
-		l.duration, l.lastStep = 30*time.Second, 3*time.Second
-	},
+	"ordinary":           func(*load, *rand.Rand) {},
+	"one server":         func(l *load, _ *rand.Rand) { l.old, l.new = 1, 1 },
+	"few requests":       func(l *load, rnd *rand.Rand) { l.rate = pick(rnd, 4.0, 8, 12) },
+	"lost reports":       func(l *load, _ *rand.Rand) { l.lost = 0.3 },
+	"another controller": func(l *load, rnd *rand.Rand) { l.changes = l.within(rnd, 0.1, 0.5) },
+	"two controllers":    func(l *load, rnd *rand.Rand) { l.daemons, l.split = 8, l.within(rnd, 0.1, 0.5) },
+	"sharded":            func(l *load, _ *rand.Rand) { l.duration, l.lastStep = 30*time.Second, 3*time.Second },
 }
 
 // variantsGoodOnly are faults that are no reason for a rollback.
 var variantsGoodOnly = map[string]func(l *load, rnd *rand.Rand){
-	"both bad": func(l *load, rnd *rand.Rand) {
-		l.bothBad = time.Duration(rnd.Float64() * float64(l.duration))
-	},
-	"cold": func(l *load, _ *rand.Rand) { l.slower, l.slowPart, l.until = 3, 1, 1500*time.Millisecond },
+	"both bad": func(l *load, rnd *rand.Rand) { l.bothBad = l.within(rnd, 0, 1) },
+	"cold":     func(l *load, _ *rand.Rand) { l.slower, l.slowPart, l.until = 3, 1, 1500*time.Millisecond },
 	"burst of failures": func(l *load, _ *rand.Rand) {
 		l.rate, l.fail, l.from, l.until = 20000, 1, 3*time.Second, 3250*time.Millisecond
 	},
@@ -86,10 +75,7 @@
 func TestBadVersionsAreRolledBackWithinTheBounds(t *testing.T) {
 	for variant, change := range variants {
 		for _, kind := range []string{"at once", "late", "load", "route"} {
-			n := seeds(300)
-			if variant != "ordinary" {
-				n = seeds(30)
-			}
+			n := seeds(map[bool]int{true: 300, false: 30}[variant == "ordinary"])
 			t.Run(variant+"/"+kind, func(t *testing.T) {
 				t.Parallel()
 				var worst float64
@@ -142,12 +128,11 @@
 					t.Errorf("seed %d: exposure before the last step: %+v: %+v", seed, *l, r)
 				}
 				// Of two controllers neither knows of the daemons of the other.
-				if r.state == Completed && l.split == 0 && r.whole < max(l.lastStep, time.Second/4) {
-					t.Errorf("seed %d: completed before all daemons know it: %+v", seed, r)
-				}
 				if r.state != Completed {
 					rolledBack++
 					t.Logf("seed %d: %+v: %+v", seed, *l, r)
+				} else if l.split == 0 && r.whole < max(l.lastStep, time.Second/4) {
+					t.Errorf("seed %d: completed before all daemons know it: %+v", seed, r)
 				}
 			}
 			t.Logf("%d of %d rolled back", rolledBack, n)
@@ -176,11 +161,9 @@
 		r := l.play(1, newController)
 		t.Logf("%s: %+v", name, r)
 		is.Equal(r.state, RolledBack)
-		is.True(r.at < l.duration)
-		is.True(r.withinBound())
+		is.True(r.at < l.duration && r.withinBound())
 		if name == "no servers" {
-			is.True(r.at <= l.duration/4+100*time.Millisecond)
-			is.Equal(r.exposed, 0.0)
+			is.True(r.at <= l.duration/4+100*time.Millisecond && r.exposed == 0)
 		}
 	}
 }
@@ -244,17 +227,13 @@
 		for seed := range seeds(100) {
 			l := randomLoad(seed)
 			want := RolledBack
-			switch kind {
-			case "good", "both bad":
+			if change, ok := variantsGoodOnly[kind]; ok {
 				want = Completed
-				if kind == "both bad" {
-					variantsGoodOnly["both bad"](l, rand.New(rand.NewPCG(seed, 4)))
-				}
-			default:
-				worsen(l, kind, seed)
-				if !l.decidable() {
-					continue
-				}
+				change(l, rand.New(rand.NewPCG(seed, 4)))
+			} else if kind == "good" {
+				want = Completed
+			} else if worsen(l, kind, seed); !l.decidable() {
+				continue
 			}
 			n++
 			for i, newDecider := range []func(clock.Instant, Order, Bounds) decider{newController, newNaive} {
--- a/core/rollout/simulation_test.go
+++ b/core/rollout/simulation_test.go
@@ -108,21 +108,13 @@
 	c.Failures += uint32(binomial(rnd, n, fail))
 	log := math.Log(slower * l.median / 0.128) // of the median, in units of minLatency
 	above := 1.0                               // probability of the bucket and all above
-	for i := range Buckets {
-		edge := float64(i) * math.Ln2 / 2
-		next := 0.5 * math.Erfc((edge-log)/l.sigma/math.Sqrt2)
-		if i == Buckets-1 {
-			next = 0
-		}
-		k := n
-		if next > 0 {
+	for i := 0; i == 0 || n > 0; i++ {
+		next, k := 0.5*math.Erfc((float64(i)*math.Ln2/2-log)/l.sigma/math.Sqrt2), n
+		if i < Buckets-1 && next > 0 {
 			k = binomial(rnd, n, 1-next/above)
 		}
 		c.Latencies[i] += uint32(k)
 		n, above = n-k, next
-		if n == 0 {
-			break
-		}
 	}
 }
 
@@ -134,15 +126,13 @@
 	rnd := rand.New(rand.NewPCG(seed, 1))
 	const start = clock.Instant(1e12)
 	order := Order{Service: "s", To: "v2", Duration: l.duration, ID: 7}
-	bounds := pageBounds
-	bounds.LastStep = l.lastStep
+	bounds := Bounds{pageBounds.ExposureShare, pageBounds.ExposureSlack, pageBounds.Rollback, l.lastStep}
 	deciders := [2]decider{newDecider(start, order, bounds)}
 	type daemon struct {
-		answer Decision
-		until  time.Duration
-		share  float64
-		credit float64
-		counts []Counts // of the old version by route, then of the new one
+		answer        Decision
+		until         time.Duration
+		share, credit float64
+		counts        []Counts // of the old version by route, then of the new one
 	}
 	daemons := make([]daemon, l.daemons)
 	for i := range daemons {
@@ -257,14 +247,16 @@
 // visible returns the part of the slowed answers of a bad version that take longer than 1.5
 // times the 99th percentile of the old one.
 func (l *load) visible() float64 {
-	if l.slower == 0 {
-		return 0
-	}
 	return 0.5 * math.Erfc((2.33+math.Log(1.5/l.slower)/l.sigma)/math.Sqrt2)
 }
 
 func newController(now clock.Instant, o Order, b Bounds) decider { return NewController(now, o, b) }
 
+// within returns a random time between two parts of the duration.
+func (l *load) within(rnd *rand.Rand, from, to float64) time.Duration {
+	return time.Duration((from + (to-from)*rnd.Float64()) * float64(l.duration))
+}
+
 func pick[T any](rnd *rand.Rand, of ...T) T { return of[rnd.IntN(len(of))] }
 
 // randomLoad returns a good version under a random load.
