core/control: a plan is due when the versions of a roll-out change

Cause: the planner looked at a new share of a sharded service only when replay had changed or after a second.

Change: VersionLimits makes a plan due.

--- a/core/control/control.go
+++ b/core/control/control.go
@@ -214,6 +214,7 @@
 		s.handleDatagram(e.Msg)
 	case VersionLimits:
 		s.versions = e.Services
+		s.planner.lastBasis = planBasis{} // a plan is due
 	case BackendUp:
 		s.backendUp(e)
 	case BackendDown:
