--- a/core/view/view.go
+++ b/core/view/view.go
@@ -9,6 +9,7 @@
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fleet"
 	"github.com/sesamemoor/sesamemoor/core/fold"
+	"github.com/sesamemoor/sesamemoor/core/wire"
 )
 
 // KeeperService is the internal service whose shards keep the teams' token
@@ -27,6 +28,7 @@
 	BackendName string
 	PeerAddr    string
 	Slots       uint32 // number of requests that its backend server runs concurrently
+	Version     string // of its backend server's software; empty if unknown
 }
 
 // Shard is the route of one shard.
@@ -136,6 +138,12 @@
 	// OutOfService reports that this daemon's data centre or backend server is out of
 	// service by an operator's order, or that its backend server is draining.
 	OutOfService bool
+	// Rollouts holds the newest order of a roll-out of each service, by service; nil
+	// without orders.
+	Rollouts map[string]fleet.RolloutOrder
+	// RolloutStatuses holds the newest status of a roll-out of each service, where the log
+	// has them.
+	RolloutStatuses map[string]*wire.RolloutStatus
 	// Leaving reports that this daemon is shutting down, LeavingSince since when.
 	Leaving      bool
 	LeavingSince clock.Instant
--- a/daemon/plugins/backend/announcements.go
+++ b/daemon/plugins/backend/announcements.go
@@ -46,6 +46,7 @@
 	number        uint64 // of the process, see backendconn.Continuity
 	bootTime      int64  // start of this boot, milliseconds since 1970
 	service       string
+	version       string // of its software; empty if unknown
 	addr          string
 	sequence      uint64
 	slots         uint32
@@ -66,7 +67,7 @@
 
 // upEvent returns the event that makes the server a member.
 func (s *server) upEvent() control.BackendUp {
-	return control.BackendUp{Name: s.bootName(), Service: s.service, Addr: s.addr, Slots: s.slots, ChecksFence: true}
+	return control.BackendUp{Name: s.bootName(), Service: s.service, Addr: s.addr, Slots: s.slots, ChecksFence: true, Version: s.version}
 }
 
 // serveAnnouncements starts the server for announcements and the heartbeat watch.
@@ -212,7 +213,7 @@
 // The caller holds the lock.
 func (e *executor) startBoot(a protocol.Announcement) *server {
 	previous := e.server
-	e.server = &server{id: a.ID, bootTime: a.BootTime, service: a.Service, addr: a.Addr}
+	e.server = &server{id: a.ID, bootTime: a.BootTime, service: a.Service, version: a.Version, addr: a.Addr}
 	e.server.ctx, e.server.end = context.WithCancel(context.Background())
 	e.server.process, e.server.number = e.client.serverRestarted(e.server.bootName())
 	if previous != nil {
