edge: callers that come back at once are paced

Cause: heads over the limit took 121 + 10 MB in one of two runs at load 31, bound 128: 400 callers that come back at once after each close leave more to the collector than it collects on a busy machine. Slow readers took 106 + 16: the route's answers were small before, so that too many requests were forwarded until the mean had risen.

--- a/core/callermemory/callermemory.go
+++ b/core/callermemory/callermemory.go
@@ -77,7 +77,7 @@
 // ExpectedAnswer returns the size that answers of a route have on average.
 func (c *Charge) ExpectedAnswer(route string) int64 {
 	if c == nil || c.account == nil {
-		return unknownBytes
+		return leastBytes
 	}
 	return c.account.sizes.expected(route)
 }
--- a/core/callermemory/sizes.go
+++ b/core/callermemory/sizes.go
@@ -3,11 +3,13 @@
 import "sync"
 
 const (
-	// unknownBytes is the expected size of the answers of a route that has none yet.
-	unknownBytes = 16 << 10
-	// meanWeight is the weight of a new size in the mean. Its rise takes a few answers: until
-	// then the bounds are exceeded by what is under way.
-	meanWeight = 1.0 / 8
+	// leastBytes is the expected size of the answers of a route that has none yet, and the least
+	// of any route: a request takes about as much by itself, for goroutines and buffers.
+	leastBytes = 16 << 10
+	// riseWeight and fallWeight are the weights of a new size in the mean, above and below it.
+	// Until the mean has risen, the bounds are exceeded by what is under way.
+	riseWeight = 1.0 / 4
+	fallWeight = 1.0 / 16
 	// maxRoutes bounds the routes whose sizes are kept.
 	maxRoutes = 4096
 )
@@ -25,10 +27,7 @@
 func (s *sizes) expected(route string) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if mean, ok := s.means[route]; ok {
-		return int64(mean)
-	}
-	return unknownBytes
+	return max(leastBytes, int64(s.means[route]))
 }
 
 // record adds the size of an answer.
@@ -42,5 +41,9 @@
 		}
 		mean = float64(bytes)
 	}
-	s.means[route] = mean + meanWeight*(float64(bytes)-mean)
+	weight := fallWeight
+	if float64(bytes) > mean {
+		weight = riseWeight
+	}
+	s.means[route] = mean + weight*(float64(bytes)-mean)
 }
--- a/core/settings/settings.go
+++ b/core/settings/settings.go
@@ -100,7 +100,7 @@
 	CallerConnectionKB int64 `json:"caller_connection_kb"` // memory held for one connection
 	CallerEntryMB      int64 `json:"caller_entry_mb"`      // memory held for all connections of callers
 	CallerMemoryMB     int64 `json:"caller_memory_mb"`     // memory held for callers and for requests of other daemons
-	CallerSocketKB     int   `json:"caller_socket_kb"`     // send buffer of a connection in the kernel, which takes twice as much; the receive buffer has half
+	CallerSocketKB     int   `json:"caller_socket_kb"`     // send buffer of a connection in the kernel, which takes twice as much; the receive buffer has a quarter
 	CallerStallMS      int64 `json:"caller_stall_ms"`      // time for which a caller may take no byte of its answer while memory is short
 }
 
--- a/daemon/edge/listener.go
+++ b/daemon/edge/listener.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -17,6 +18,8 @@
 	config pipelineConfig
 	relief relief
 
+	lastOusted atomic.Int64 // Unix time in nanoseconds at which a connection was last ended for what its caller did
+
 	mu       sync.Mutex // no lock of a pipeline is taken under it
 	changed  *sync.Cond
 	open     map[*pipeline]bool
@@ -30,12 +33,14 @@
 	p := &pipelineListener{Listener: l, config: config, open: map[*pipeline]bool{}, drained: make(chan struct{})}
 	p.changed = sync.NewCond(&p.mu)
 	p.config.relieve = p.relieve
+	p.config.ousted = func() { p.lastOusted.Store(time.Now().UnixNano()) }
 	go p.acceptConns()
 	return p
 }
 
 func (l *pipelineListener) acceptConns() {
 	for {
+		l.pace()
 		conn, err := l.Listener.Accept()
 		switch {
 		case err == nil && !l.admit():
--- a/daemon/edge/memory.go
+++ b/daemon/edge/memory.go
@@ -31,6 +31,11 @@
 	arrivalStall = 250 * time.Millisecond
 	// reliefInterval is the least time between two looks for connections to close.
 	reliefInterval = 10 * time.Millisecond
+	// oustedDelay is the delay before the next connection is accepted for oustedTime after one
+	// was ended for what its caller did. Callers that come back at once would else take the
+	// processor, and memory faster than it is collected.
+	oustedDelay = time.Millisecond
+	oustedTime  = 100 * time.Millisecond
 	// crowdSample is the number of connections among which the one to close is looked for.
 	crowdSample = 64
 	// minHeadAge is the age from which a head that is not complete may be closed.
@@ -42,7 +47,7 @@
 	Pipelined   bool // further requests of a connection are served beside the first, see AwaitTurn
 	Memory      *callermemory.Account
 	Connections int           // open ones; 0 means any number
-	SocketBytes int           // of a connection's send buffer in the kernel, and twice its receive buffer; 0 means the kernel's choice
+	SocketBytes int           // of a connection's send buffer in the kernel, of which its receive buffer has a quarter; 0 means the kernel's choice
 	Stall       time.Duration // for which a caller may take no byte while memory is short
 }
 
@@ -236,6 +241,13 @@
 	return true
 }
 
+// pace waits before the next accept while connections are ended for what their callers do.
+func (l *pipelineListener) pace() {
+	if time.Now().UnixNano()-l.lastOusted.Load() < int64(oustedTime) {
+		time.Sleep(oustedDelay)
+	}
+}
+
 // admit reports whether a new connection has a place. If all are taken, it closes one that has
 // sent only a part of a head for longer than others, of some that it looks at.
 func (l *pipelineListener) admit() bool {
@@ -274,7 +286,7 @@
 }
 
 // listenCallers listens with a send buffer of a size in the kernel for each connection, and a
-// receive buffer of half of it. The listening socket has them: connections that were not accepted
+// receive buffer of a quarter of it. The listening socket has them: connections that were not accepted
 // yet have buffers, too, which callers that send without end fill.
 func listenCallers(addr string, bytes int) (net.Listener, error) {
 	config := net.ListenConfig{}
@@ -282,7 +294,7 @@
 		config.Control = func(_, _ string, raw syscall.RawConn) error {
 			var errs [3]error
 			err := raw.Control(func(fd uintptr) {
-				errs[0] = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/2)
+				errs[0] = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, bytes/4)
 				errs[1] = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, bytes)
 				// What the kernel has taken and the caller has not ends with the same time-out.
 				errs[2] = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(WriteTimeout.Milliseconds()))
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -109,6 +109,7 @@
 	connections int // open ones of the listener; 0 means any number
 	stall       time.Duration
 	relieve     func(stall time.Duration) bool // closes a connection that holds much and does not read
+	ousted      func()                         // called when a connection ends for what its caller did
 }
 
 // arrival is the time at which the bytes up to an offset of the connection were read.
@@ -140,6 +141,13 @@
 	return l
 }
 
+// readChunks are the buffers of readers. Callers that come back at once after each close would
+// leave many to the collector.
+var readChunks = sync.Pool{New: func() any {
+	chunk := make([]byte, readChunkBytes)
+	return &chunk
+}}
+
 // readerStep is what the reader of a connection does next.
 type readerStep int
 
@@ -150,7 +158,9 @@
 )
 
 func (p *pipeline) receive() {
-	buf := make([]byte, readChunkBytes)
+	chunk := readChunks.Get().(*[]byte)
+	defer readChunks.Put(chunk)
+	buf := *chunk
 	for {
 		switch p.nextStep() {
 		case stepRead:
@@ -556,6 +566,9 @@
 func (p *pipeline) shut(reason endReason) {
 	p.closed = true
 	p.forced = reason == endMemory || reason == endCrowded
+	if (p.forced || p.framing.refused) && p.config.ousted != nil {
+		p.config.ousted()
+	}
 	p.config.log.ended(p.connEnd(reason))
 	for _, l := range p.lanes {
 		if l.cancel != nil {
