backendconn: see the end of a process also in failed writes

Cause: a request that was being written when its server crashed failed with the write, before the end of the connection was read. It counted as given up by the daemon, so that its shard waited for the end of the lease. Dials by other requests also kept the count of open connections above zero.

Change: a failed write ends the connection as the server's act. Dials that begin after a refusal do not count as open; those begun before do, since they may reach a process that only closed its listener. The other connections of a process that refuses have 200 ms to end, and a reset that only the reader was told is waited for, for 20 ms at most.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -75,6 +75,7 @@
 	discarded atomic.Bool  // closed, although the transport may still offer it for a request
 	answered  atomic.Bool  // bytes were read, if continuity is set
 	used      atomic.Bool  // bytes were read
+	reset     atomic.Bool  // the server has reset it
 	lastRead  atomic.Int64 // when bytes were last read
 	awaiting  atomic.Bool  // no byte was read since the current request was written
 	closed    atomic.Bool  // by this daemon
@@ -107,6 +108,7 @@
 // Read reads and records whether the server still uses the connection.
 func (c *guardedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	c.recordReset(err)
 	if errors.Is(err, io.EOF) {
 		err = c.endError()
 	}
@@ -181,10 +183,18 @@
 	if err != nil {
 		return false, nil
 	}
+	c.recordReset(peekErr)
 	c.recordConsumed(EndSeenByLook, peekErr)
 	return peekErr == nil && n == 0, peekErr
 }
 
+// recordReset records a reset. The kernel reports it once, and a closed connection after that.
+func (c *guardedConn) recordReset(err error) {
+	if errors.Is(err, syscall.ECONNRESET) {
+		c.reset.Store(true)
+	}
+}
+
 // Close implements net.Conn.
 func (c *guardedConn) Close() error {
 	c.closed.Store(true)
@@ -274,6 +284,10 @@
 	c.errMu.RLock()
 	defer c.errMu.RUnlock()
 	n, err := c.Conn.Write(b)
+	c.recordReset(err)
+	if err != nil {
+		c.recordEnd(!c.closed.Load()) // the transport closes it before the reader sees the end
+	}
 	c.recordConsumed(EndSeenByWrite, err)
 	return n, err
 }
--- a/daemon/backendconn/crash.go
+++ b/daemon/backendconn/crash.go
@@ -38,8 +38,8 @@
 	// retried.
 	restartWindow = 3 * time.Second
 	// crashSettle bounds the wait for the ends of the other connections of a process that refuses
-	// connections: those of one that crashed are seen to end within milliseconds.
-	crashSettle = 50 * time.Millisecond
+	// connections: those of one that crashed are seen to end within milliseconds, later on a busy host.
+	crashSettle = 200 * time.Millisecond
 	// maxLostRequests bounds the requests kept for a restart; the oldest is dropped
 	// first.
 	maxLostRequests = 256
--- a/daemon/backendconn/failure.go
+++ b/daemon/backendconn/failure.go
@@ -4,12 +4,16 @@
 	"context"
 	"errors"
 	"syscall"
+	"time"
 
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
 )
 
+// resetSettle bounds the wait for the reader of a connection to record a reset that it was told.
+const resetSettle = 20 * time.Millisecond
+
 // FailedAttempt is a request to the backend server that failed without a response.
 type FailedAttempt struct {
 	Trace       *Trace
@@ -39,11 +43,18 @@
 	if errors.Is(a.Err, ErrFull) {
 		return true
 	}
-	if !errors.Is(a.Err, syscall.ECONNRESET) {
+	c := a.Trace.conn.Load()
+	if c == nil {
+		return errors.Is(a.Err, syscall.ECONNRESET) // of the dial
+	}
+	if c.server == nil || c.used.Load() {
 		return false
 	}
-	c := a.Trace.conn.Load()
-	return c == nil || c.server != nil && !c.used.Load()
+	// A write to a connection whose reset the reader was told fails with EPIPE.
+	for wait := resetSettle; wait > 0 && errors.Is(a.Err, syscall.EPIPE) && !c.reset.Load(); wait -= time.Millisecond {
+		time.Sleep(time.Millisecond)
+	}
+	return c.reset.Load()
 }
 
 // classify maps the failure of the attempt to its outcome. It probes the server to
--- a/daemon/backendconn/process.go
+++ b/daemon/backendconn/process.go
@@ -17,7 +17,7 @@
 // that it has given. It is safe for concurrent use.
 type Process struct {
 	mu      sync.Mutex
-	open    int // connections to it that are open or being opened
+	open    int // connections to it that are open, or being opened since before the first refusal
 	leaving bool
 	signals map[liveness.Signal]bool // that may mean its end
 	ended   bool                     // Ended has reported so, and no sign of life has come since
@@ -97,6 +97,27 @@
 	return liveness.Server{Leaving: p.leaving, OpenConn: p.open > 0}
 }
 
+// beginDial records that a connection is being opened. It counts as open, unless one was refused
+// before: requests that dial a process that has ended would keep it from counting as ended.
+func (p *Process) beginDial() (counted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.signals[liveness.Refused] {
+		return false
+	}
+	p.open++
+	return true
+}
+
+func (p *Process) endDial(counted, opened bool) {
+	switch {
+	case opened && !counted:
+		p.addOpen(1)
+	case counted && !opened:
+		p.addOpen(-1)
+	}
+}
+
 func (p *Process) addOpen(n int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -128,13 +149,14 @@
 func (ps *Processes) Track(dial func(context.Context, string, string) (net.Conn, error)) func(context.Context, string, string) (net.Conn, error) {
 	return func(ctx context.Context, network, addr string) (net.Conn, error) {
 		p := ps.Current()
-		p.addOpen(1)
+		counted := p.beginDial()
 		conn, err := dial(ctx, network, addr)
-		if c, ok := conn.(*guardedConn); ok && err == nil {
+		c, ok := conn.(*guardedConn)
+		opened := ok && err == nil
+		if opened {
 			c.server = p
-			return c, nil
 		}
-		p.addOpen(-1)
+		p.endDial(counted, opened)
 		if errors.Is(err, syscall.ECONNREFUSED) {
 			p.Observe(liveness.Refused)
 		}
--- a/daemon/plugins/owner/leaving_test.go
+++ b/daemon/plugins/owner/leaving_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,3 +89,32 @@
 	t.Logf("%d ms", took.Milliseconds())
 	is.True(took < runTime)
 }
+
+// A process that crashed while a request was written to it was not known to have ended its run, since
+// the write failed before the end of the connection was read. Its shard waited for the lease.
+func TestCrashDuringAWriteEndsTheRun(t *testing.T) {
+	for range 20 {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 1024))
+			_ = l.Close()
+			_ = conn.(*net.TCPConn).SetLinger(0)
+			_ = conn.Close()
+		}()
+		b := newTestOwner(t, l.Addr().String(), nil)
+		b.report(l.Addr().String(), false)
+		b.hold(2, nil)
+		started := time.Now()
+		resp := b.Execute(context.Background(), request("", strings.Repeat("x", 4<<20)))
+		if took := quiesceTime(t, b, started); took >= runTime {
+			t.Fatalf("the shard was released after %v; outcome %v", took, kindOf(resp))
+		}
+	}
+}
