--- a/core/control/events.go
+++ b/core/control/events.go
@@ -35,6 +35,13 @@
 	Addr        string
 	Slots       uint32 // number of requests that it runs concurrently
 	ChecksFence bool   // it rejects stale generations
+	Version     string // of its software; empty if unknown; used only if Options.Rollouts is set
+}
+
+// VersionLimits restricts the members that may have the shards of services by their
+// versions. It replaces the earlier ones.
+type VersionLimits struct {
+	Services map[string]*placement.Versions
 }
 
 // BackendDown reports that the backend server is gone or is about to leave.
@@ -86,6 +93,7 @@
 func (Records) event()         {}
 func (Datagram) event()        {}
 func (BackendUp) event()       {}
+func (VersionLimits) event()   {}
 func (BackendDown) event()     {}
 func (BackendLeaving) event()  {}
 func (Suspicion) event()       {}
