gateway, backend: nested calls are ranked and gated where the link is narrow only

Cause: ranks of nested calls by their parents, the refusal of requests for their calls, and spread returns took effect in every deployment. What is new is to take effect only where the settings of a deployment call for it. Change: the three need a narrow link in the settings (bounds.link_mbps). Without one nested calls have one rank, no request is refused for its calls, and refused callers get the delay that they got before.

--- a/core/runqueue/returns_test.go
+++ b/core/runqueue/returns_test.go
@@ -12,6 +12,7 @@
 func TestRefusedCallersReturnOneAfterTheOther(t *testing.T) {
 	is := is.New(t)
 	q := New()
+	q.SpreadReturns()
 	q.SetSlots(4) // of the default service time: 67 a second
 	perBucket := map[time.Duration]int{}
 	refused := 0
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -109,9 +109,10 @@
 
 	limited // rate that the server names
 
-	link        Link         // nil if it is not limited
-	linkReturns pace.Returns // of callers that were refused for the link
-	slotReturns pace.Returns // of callers that were refused for the slots
+	spreadReturns bool
+	link          Link         // nil if it is not limited
+	linkReturns   pace.Returns // of callers that were refused for the link
+	slotReturns   pace.Returns // of callers that were refused for the slots
 }
 
 // Link predicts when the network link can carry the responses, see package link.
@@ -125,6 +126,9 @@
 // SetLink sets the link that carries the responses.
 func (q *Queue) SetLink(l Link) { q.link = l }
 
+// SpreadReturns makes refused callers return one after the other, at the rate of the slots.
+func (q *Queue) SpreadReturns() { q.spreadReturns = true }
+
 // New returns a queue for a server without slots. Nothing runs before SetSlots is
 // called.
 func New() *Queue {
@@ -353,7 +357,7 @@
 		return &Refusal{Ticket: t, Reason: reason, RetryAfter: max(delay, minRetryAfter), ForLink: true}
 	}
 	delay := retryAfter(now, p.ready, t)
-	if !t.Nested && q.slots > 0 { // a nested call is sent elsewhere at once, or not at all
+	if q.spreadReturns && !t.Nested && q.slots > 0 { // a nested call is sent elsewhere at once, or not at all
 		delay = q.returnDelay(now, t)
 	}
 	if limited := q.limitedRetryAfter(now); limited > delay {
--- a/daemon/plugins/backend/backend.go
+++ b/daemon/plugins/backend/backend.go
@@ -37,7 +37,7 @@
 		fx.Provide(
 			newExecutor,
 			retry.NewRuns,
-			routing.NewCalls,
+			newCalls,
 			func(e *executor) kernel.Executor { return e },
 			func(e *executor) kernel.BackendObserver { return e },
 			func(e *executor) protocol.AnnouncementSink { return e },
@@ -48,6 +48,15 @@
 	)
 }
 
+// newCalls returns the decision about requests with nested calls, or nil, which admits all, unless
+// the instance has a narrow link: nested calls fail for want of capacity there first.
+func newCalls(clk clock.Clock, pacer *pacing.Pacer) *routing.Calls {
+	if !pacer.Limited() {
+		return nil
+	}
+	return routing.NewCalls(clk)
+}
+
 // executor runs requests on the backend server and manages its grants.
 //
 // Invariants: a request of a shard is dispatched only while the shard is held in
@@ -115,6 +124,7 @@
 	}
 	if e.pacer.Limited() {
 		e.admission.queue.SetLink(e.pacer)
+		e.admission.queue.SpreadReturns()
 		e.admission.pacer = e.pacer
 	}
 	e.holdLog = newHoldLog(e.log)
--- a/daemon/plugins/backend/execute.go
+++ b/daemon/plugins/backend/execute.go
@@ -119,6 +119,9 @@
 		Target:   sent.Add(time.Duration(req.GetTargetMs()) * time.Millisecond),
 		Deadline: sent.Add(time.Duration(req.GetTimeoutMs()) * time.Millisecond),
 	}}
+	if req.GetNested() && !e.pacer.Limited() {
+		r.ticket.Priority = 0 // nested calls are ranked with their parents where the link is narrow only
+	}
 	if toPeer {
 		r.ticket.Size, r.ticket.Spread = e.pacer.Expected(req.GetRoute(), req.GetBulk())
 	}
--- a/daemon/plugins/gateway/gateway.go
+++ b/daemon/plugins/gateway/gateway.go
@@ -75,6 +75,7 @@
 	sender             *sender
 	runs               *retry.Runs // of the backend server beside this daemon
 	calls              *routing.Calls
+	ranksNested        bool          // nested calls have the urgency of their parents
 	pacer              *pacing.Pacer // of the network link; nil if there is none
 	transferReturns    *transferReturns
 	metrics            *instruments
@@ -114,7 +115,7 @@
 	return &gateway{
 		ending: ending, cancelAll: cancelAll,
 		control: p.Control, clock: p.Clock, protocol: p.Protocol, limiter: p.Limiter, suspects: p.Suspects,
-		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, calls: p.Calls, pacer: p.Pacer, transferReturns: new(transferReturns), metrics: p.Metrics, log: p.Log.Named("gateway"),
+		bodies: edge.NewBodies(p.Settings.Bounds.MemoryMB), sender: p.Sender, runs: p.Runs, calls: p.Calls, ranksNested: p.Pacer.Limited(), pacer: p.Pacer, transferReturns: new(transferReturns), metrics: p.Metrics, log: p.Log.Named("gateway"),
 		stopTime: p.Settings.Bounds.StopTime(), service: p.Settings.BackendService, secret: []byte(p.Settings.KeyHashSecret),
 		weightedRoundRobin: newWeightedRoundRobin(), localShares: newLocalShares(), timeoutEstimators: newTimeoutEstimators(), hashes: map[string]string{},
 	}
--- a/daemon/plugins/gateway/nested_test.go
+++ b/daemon/plugins/gateway/nested_test.go
@@ -19,6 +19,7 @@
 		s.view.Config.HostRoutes[i].Priority, s.view.Config.HostRoutes[i].TargetMS = 7, 100
 	}
 	g := newTestHandler(t, s).(*gateway)
+	g.ranksNested = true
 	srv := httptest.NewServer(g)
 	defer srv.Close()
 	now := clock.Boot{}.Now()
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -253,7 +253,9 @@
 		parent = g.parentOf(x)
 		parent.AddCalls(req.GetService(), 1)
 		req.Repeat = parent.Repeat()
-		g.rankWithParent(x, parent)
+		if g.ranksNested {
+			g.rankWithParent(x, parent)
+		}
 	} else {
 		x.targetTime = x.targetTime.Add(-g.timeoutEstimators.elapsed(g.clock.Now(), req.GetRoute(), x.callerTimeout))
 	}
--- a/daemon/routing/calls.go
+++ b/daemon/routing/calls.go
@@ -75,8 +75,11 @@
 	c.gate.RecordRun(req.GetRoute(), calls, lost, failed)
 }
 
-// RegisterCallMetrics registers the metric of refused requests.
+// RegisterCallMetrics registers the metric of refused requests, unless c is nil.
 func RegisterCallMetrics(m *kernel.Metrics, c *Calls) error {
+	if c == nil {
+		return nil
+	}
 	_, err := m.Int64ObservableCounter("sesamemoor_nested_refusals",
 		metric.WithDescription("requests refused because services that their runs call do not serve them in time"),
 		metric.WithInt64Callback(func(_ context.Context, o metric.Int64Observer) error {
