edge, pacing: a connection that waits for the link is not taken for a stalled caller

Cause: found in review: while memory is short, the connection with the longest write without progress is closed, and a write that waits for its turn on a paced link makes none. Change: a paced connection tells that it waits, and is passed over then. Result: go test ./daemon/pacing passes; the tests of callers without limits run without a narrow link and are not affected.

--- a/daemon/edge/memory.go
+++ b/daemon/edge/memory.go
@@ -192,6 +192,9 @@
 	if p.closed || p.writeSince.IsZero() {
 		return 0, 0
 	}
+	if w, ok := p.conn.(interface{ Waiting() bool }); ok && w.Waiting() {
+		return 0, 0 // for the link's pacing, not for the caller
+	}
 	return p.memory.Held(), now.Sub(p.writeSince)
 }
 
--- a/daemon/pacing/conn.go
+++ b/daemon/pacing/conn.go
@@ -130,6 +130,8 @@
 	once   sync.Once
 	closed chan struct{}
 
+	waiting atomic.Bool // a write waits for its next piece
+
 	mu       sync.Mutex
 	rank     int64     // of the last response that was expected
 	transfer *Transfer // of the response in progress; nil if none is expected
@@ -168,6 +170,9 @@
 	c.transfer, c.credit = t, 0
 }
 
+// Waiting reports whether a write waits for the turn of its next piece.
+func (c *Conn) Waiting() bool { return c.waiting.Load() }
+
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
 	written := 0
@@ -200,6 +205,8 @@
 		return n, nil
 	}
 	if credit == 0 {
+		c.waiting.Store(true)
+		defer c.waiting.Store(false)
 		select {
 		case credit = <-t.Await():
 			c.wrote()
