Roll-outs: nothing goes to the new version after its rollback is recorded

Cause: the status rolled_back was written while daemons still had valid answers with a share, and while members of the new version still owned shards, so that requests ran at a version that no order allowed any more.

Change: the end is recorded when the last such answer has expired or was replaced and all shards have moved back, or half a second before the time is over. The share is zero from the decision on, as before.

--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -83,14 +83,16 @@
 	// waitingFor is an order for a service without servers, known since waitingSince.
 	waitingFor   uint64
 	waitingSince clock.Instant
+	endQueued    bool                     // the status of the end is or was pending
 	pending      []protocol.RolloutStatus // to be written, in order
 	reporters    map[string]reporter      // by slot
 }
 
 // reporter is what is known of a daemon that reports.
 type reporter struct {
-	at       clock.Instant
-	sequence uint64
+	at          clock.Instant
+	sequence    uint64
+	sharedUntil clock.Instant // end of the validity of its last answer, if that has a share
 }
 
 func newCoordinator(p params) *coordinator {
@@ -137,8 +139,13 @@
 			}
 		}
 	}
-	ch.reporters[report.GetSlot()] = reporter{now, max(report.GetSequence(), known.sequence)}
-	return c.answer(ch)
+	answer := c.answer(ch)
+	r := reporter{at: now, sequence: max(report.GetSequence(), known.sequence)}
+	if answer.GetShare() > 0 {
+		r.sharedUntil = now.Add(time.Duration(answer.GetValidMs()) * time.Millisecond)
+	}
+	ch.reporters[report.GetSlot()] = r
+	return answer
 }
 
 // answer returns the answer to a report. The end of a roll-out is passed on only once it is
@@ -383,7 +390,11 @@
 
 // advance takes the next decision about a roll-out that has not ended.
 func (c *coordinator) advance(v *view.View, now clock.Instant, service string, ch *charge) {
-	if ch.controller == nil || ch.state != rollout.Running || ch.decision.State != rollout.Running {
+	if ch.controller == nil || ch.state != rollout.Running {
+		return
+	}
+	if ch.decision.State != rollout.Running {
+		c.recordEnd(v, now, service, ch)
 		return
 	}
 	run := &running{order: ch.order.ID, to: ch.order.To, from: ch.from}
@@ -396,7 +407,7 @@
 	if _, ok := v.Rollouts[service]; !ok && c.hasRead(v, ch.order.ID) {
 		d = rollout.Decision{State: rollout.RolledBack, Reason: "the order was withdrawn"}
 	}
-	left := unmoved(v, service, ch.order.To)
+	left := shardsOf(v, service, func(version string) bool { return version != ch.order.To })
 	switch {
 	case d.State == rollout.Completed && ch.shards > 0 && left > 0:
 		if now < ch.limit.Add(-limitMargin) {
@@ -413,18 +424,44 @@
 		c.logStep(ch, d.Reason)
 	}
 	if d.State != rollout.Running {
-		ch.pending = append(ch.pending, c.statusOf(ch, d.State))
+		c.recordEnd(v, now, service, ch)
 	}
 }
 
-// unmoved returns the number of shards of a service whose owner is not of the version.
-func unmoved(v *view.View, service, version string) int {
+// recordEnd queues the status of a roll-out whose end is decided. A rollback is recorded once
+// nothing goes to the new version any more: no daemon has a valid answer with a share, and no
+// shard has an owner of the version. It has to be recorded before the time is over.
+func (c *coordinator) recordEnd(v *view.View, now clock.Instant, service string, ch *charge) {
+	if ch.endQueued {
+		return
+	}
+	if ch.decision.State == rollout.RolledBack && now < ch.limit.Add(-limitMargin) {
+		for _, r := range ch.reporters {
+			if now < r.sharedUntil {
+				return
+			}
+		}
+		if ch.shards > 0 && shardsOf(v, service, func(version string) bool { return version == ch.order.To }) > 0 {
+			return
+		}
+	}
+	ch.endQueued = true
+	ch.pending = append(ch.pending, c.statusOf(ch, ch.decision.State))
+}
+
+// shardsOf returns the number of shards of a service whose owner has a version that matches; a
+// shard without an owner has the version "".
+func shardsOf(v *view.View, service string, match func(version string) bool) int {
 	svc, n := v.Services[service], 0
 	if svc == nil {
 		return 0
 	}
 	for _, s := range svc.Shards[:min(int(svc.Base), len(svc.Shards))] {
-		if s.Owner == nil || s.Owner.Version != version {
+		version := ""
+		if s.Owner != nil {
+			version = s.Owner.Version
+		}
+		if match(version) {
 			n++
 		}
 	}
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -276,6 +276,26 @@
 	is.True(got["v1"] > 0)
 }
 
+// TestNothingAfterRollback checks that no request goes to the new version once its rollback is
+// recorded, through no daemon, also not while the last answers are still valid.
+func TestNothingAfterRollback(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.failAt = func(version string) bool { return version == "v2" }
+	f.order(7, "v2", 12*time.Second)
+	for range 100 {
+		f.run(tick)
+		if ch := f.daemons[0].coordinator.charges["shop"]; ch != nil && ch.decision.State == rollout.RolledBack {
+			f.daemons[2].cut = true // its last answer stays valid for a second
+		}
+		if s, _ := f.state(); s == rollout.RolledBack {
+			break
+		}
+	}
+	f.expectState(rollout.RolledBack)
+	is.Equal(f.run(2 * time.Second)["v2"], 0)
+}
+
 // TestGoodVersionIsCompleted checks that the old version gets nothing once a completion is
 // recorded, also through a daemon that had no part in the roll-out.
 func TestGoodVersionIsCompleted(t *testing.T) {
@@ -345,7 +365,7 @@
 	is.True(one.coordinator.inCharge && two.coordinator.inCharge)
 	end := func(d *fakeDaemon, state rollout.State) {
 		ch := d.coordinator.charges["shop"]
-		ch.decision = rollout.Decision{State: state}
+		ch.decision, ch.endQueued = rollout.Decision{State: state}, true
 		ch.pending = append(ch.pending, d.coordinator.statusOf(ch, state))
 	}
 	end(one, rollout.RolledBack)
