daemon/plugins/rollout: members are looked through only when they change

Cause: each new view, also one with new rights of this daemon only, made the holdout build its table of all members again, up to ten times a second.

Change: it compares the table of servers, which views share until members change.

The processor time saved was not measured.

--- a/daemon/plugins/rollout/holdout.go
+++ b/daemon/plugins/rollout/holdout.go
@@ -1,6 +1,7 @@
 package rollout
 
 import (
+	"reflect"
 	"sync/atomic"
 	"time"
 
@@ -12,17 +13,18 @@
 // other servers of its service: the order that it was started for may not have been read
 // yet. It is safe for concurrent use; only one goroutine calls update.
 type holdout struct {
-	time  time.Duration // for which a server is held out
-	seen  atomic.Pointer[map[uint64]clock.Instant]
-	views *view.View // that update has read last
+	time time.Duration // for which a server is held out
+	seen atomic.Pointer[map[uint64]clock.Instant]
+	last map[string][]*view.Member // the servers that update has read last
 }
 
 // update records the members that have appeared.
 func (h *holdout) update(now clock.Instant, v *view.View) {
-	if v == h.views {
+	// Views share the map until the members change.
+	if h.last != nil && reflect.ValueOf(v.Servers).Pointer() == reflect.ValueOf(h.last).Pointer() {
 		return
 	}
-	h.views = v
+	h.last = v.Servers
 	last, seen := h.load(), map[uint64]clock.Instant{}
 	for _, members := range v.Servers {
 		for _, m := range members {
