backendconn: a response counts only with a status from 200 to 599

Cause: net/http takes any status of three characters that strconv.Atoi parses, and waits behind statuses from 100 to 199 for another response. A server's response with status 000, 042, 600 or +20 counted as served, one with 199 kept the request until its deadline. The entry refused the former with 502. Change: such a response ends the attempt as a broken one (answer_cut), for requests and orders at both interfaces. Interim responses are 100, 102 and 103 that frame no body and do not name the request.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -362,7 +362,8 @@
 // connection to the trace.
 func (t *Trace) Attach(ctx context.Context) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(info httptrace.GotConnInfo) { t.SetConn(info.Conn) },
+		GotConn:        func(info httptrace.GotConnInfo) { t.SetConn(info.Conn) },
+		Got1xxResponse: t.checkInterim,
 	})
 }
 
@@ -409,6 +410,11 @@
 		if err == nil {
 			x.Framing = framingOf(resp)
 		}
+		if err == nil && !isFinalStatus(resp.StatusCode) {
+			trace.Discard()
+			_ = resp.Body.Close()
+			return nil, trace, errInvalidStatus
+		}
 		if err == nil && mergesHeads(resp, id) {
 			RecordDiscarded(ctx, id, DiscardMergedHeads)
 			trace.sawCopy()
--- a/daemon/backendconn/failure.go
+++ b/daemon/backendconn/failure.go
@@ -38,6 +38,8 @@
 	switch {
 	case errors.Is(a.Err, errMergedHeads):
 		return errMergedHeads
+	case errors.Is(a.Err, errInvalidStatus):
+		return errInvalidStatus
 	case errors.Is(a.Err, ErrLeaseEnded) && !wrote:
 		return outcome.New(outcome.LeaseLost, "%v", a.Err)
 	case errors.Is(ctx.Err(), context.DeadlineExceeded) && !wrote:
--- a/daemon/backendconn/orders.go
+++ b/daemon/backendconn/orders.go
@@ -129,6 +129,11 @@
 	if err != nil {
 		return nil, err
 	}
+	if !isFinalStatus(resp.StatusCode) {
+		trace.Discard()
+		_ = resp.Body.Close()
+		return nil, errInvalidStatus
+	}
 	if trace.isCopy(resp.Header.Get(o.IDHeader)) || mergesHeads(resp, trace.RequestID) || quotesStatusLine(resp.Header) {
 		trace.Discard()
 		_ = resp.Body.Close()
