backendconn: interim responses to a call are bounded again

Cause: net/http bounds interim responses only if no hook looks at them, and the hook that refuses invalid statuses is one. Change: the hook counts them and ends the call at the sixth, as net/http does.

--- a/daemon/backendconn/backendconn.go
+++ b/daemon/backendconn/backendconn.go
@@ -332,6 +332,8 @@
 	kept  atomic.Bool
 	wrote atomic.Bool // on a connection before conn: the transport sends some calls again
 
+	interim atomic.Int32 // interim responses that were read
+
 	bodyAt atomic.Int64 // where the body of the answer begins, as an offset on conn; 0 until it is known
 }
 
--- a/daemon/backendconn/status.go
+++ b/daemon/backendconn/status.go
@@ -1,6 +1,7 @@
 package backendconn
 
 import (
+	"errors"
 	"net/http"
 	"net/textproto"
 
@@ -18,6 +19,12 @@
 // request may have run.
 var errInvalidStatus = outcome.New(outcome.AnswerCut, "response with a status outside 200 to 599")
 
+// maxInterim bounds the interim responses to one call. net/http has this bound only without a hook
+// for interim responses.
+const maxInterim = 5
+
+var errTooManyInterim = errors.New("too many interim responses")
+
 // isFinalStatus reports whether a status may be that of a final response.
 func isFinalStatus(status int) bool { return status >= minFinalStatus && status <= maxFinalStatus }
 
@@ -26,6 +33,9 @@
 // names the request. No other response follows it, so that a call that waited for one would last
 // until its deadline.
 func (t *Trace) checkInterim(status int, h textproto.MIMEHeader) error {
+	if t.interim.Add(1) > maxInterim {
+		return errTooManyInterim
+	}
 	switch status {
 	case http.StatusContinue, http.StatusProcessing, http.StatusEarlyHints:
 	default:
