edge: a burst of unexpectedly long answers keeps to the bound

Cause: until the mean size of a route has risen, all requests of a burst are forwarded, and their answers exceed the bound; connections that take nothing were closed only after 250 ms, one in 10 ms. Slow readers took 86 to 106 MB resident and up to 36 MB in queues: the kernel kept what it had taken for connections that the daemon had closed.

Change: while a bound is exceeded by a tenth, each answer that arrives closes the connection with the most memory times time without progress; else after 100 ms. Connections that are closed for others, or since an answer could not be written, are reset, which drops the kernel's queue. Buffers of frames up to 1 MiB are pooled, for the same reason as readers'.

--- a/core/callermemory/callermemory.go
+++ b/core/callermemory/callermemory.go
@@ -95,8 +95,16 @@
 
 // Exceeded reports whether more is held than a bound allows: what has arrived is counted even
 // if there is no room for it.
-func (a *Account) Exceeded() bool {
-	return a != nil && (a.entry.Load() > a.limits.Entry || a.total.Load() > a.limits.Total)
+func (a *Account) Exceeded() bool { return a.exceeds(1) }
+
+// FarExceeded reports whether much more is held than a bound allows.
+func (a *Account) FarExceeded() bool { return a.exceeds(farShare) }
+
+// farShare is the multiple of a bound from which it is far exceeded.
+const farShare = 1.1
+
+func (a *Account) exceeds(share float64) bool {
+	return a != nil && (float64(a.entry.Load()) > share*float64(a.limits.Entry) || float64(a.total.Load()) > share*float64(a.limits.Total))
 }
 
 // Connections returns how many connections of callers are open.
--- a/daemon/edge/memory.go
+++ b/daemon/edge/memory.go
@@ -28,7 +28,7 @@
 	writeChunkBytes = 16 << 10
 	// arrivalStall is the time without progress after which a connection may be closed if answers
 	// have arrived that have no room.
-	arrivalStall = 250 * time.Millisecond
+	arrivalStall = 100 * time.Millisecond
 	// reliefInterval is the least time between two looks for connections to close.
 	reliefInterval = 10 * time.Millisecond
 	// oustedDelay is the delay before the next connection is accepted for oustedTime after one
@@ -137,7 +137,9 @@
 	}
 	resp, err := run(callermemory.WithCharge(ctx, charge))
 	answer.Charge(charge, req, resp)
-	if config := &l.p.config; config.memory.Exceeded() && config.relieve != nil {
+	if config := &l.p.config; config.relieve != nil && config.memory.FarExceeded() {
+		config.relieve(0)
+	} else if config.relieve != nil && config.memory.Exceeded() {
 		config.relieve(arrivalStall)
 	}
 	return resp, err
@@ -220,10 +222,11 @@
 }
 
 // relieve closes the connection that holds most for the longest time without progress, if that
-// is at least stall, and reports whether there was one.
+// is at least stall, and reports whether there was one. It looks at most once in reliefInterval
+// unless stall is 0.
 func (l *pipelineListener) relieve(stall time.Duration) bool {
 	now := time.Now()
-	if !l.relief.due(now) {
+	if stall > 0 && !l.relief.due(now) {
 		return false
 	}
 	var worst *pipeline
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -78,6 +78,7 @@
 	memory       *callermemory.Connection
 	reads        *callermemory.Charge // bytes that were read and not yet taken by servers
 	forced       bool                 // closed for what others need
+	unread       bool                 // closed since its caller did not read an answer in time
 	readsOver    bool                 // they have no room, and no more is read
 	readsCharged int64                // bytes of reads
 	writeSince   time.Time            // when the write in progress last made progress; zero if there is none
@@ -566,6 +567,7 @@
 func (p *pipeline) shut(reason endReason) {
 	p.closed = true
 	p.forced = reason == endMemory || reason == endCrowded
+	p.unread = reason == endWriteError
 	if (p.forced || p.framing.refused) && p.config.ousted != nil {
 		p.config.ousted()
 	}
@@ -597,6 +599,9 @@
 }
 
 func (p *pipeline) close() {
+	if c, ok := p.conn.(*net.TCPConn); ok && (p.forced || p.unread) {
+		_ = c.SetLinger(0) // else the kernel keeps what the caller does not read
+	}
 	_ = p.conn.Close()
 	p.reads.Release()
 	p.memory.Close(p.forced)
--- a/daemon/plugins/peer/frame.go
+++ b/daemon/plugins/peer/frame.go
@@ -23,8 +23,9 @@
 	readChunk = 16 << 10
 	// readBuffer is the size of the buffer of a link, in bytes.
 	readBuffer = 1 << 10
-	// keepBuffer is the largest buffer returned to the pool, in bytes.
-	keepBuffer = 256 << 10
+	// keepBuffer is the largest buffer returned to the pool, in bytes. It holds the long answers
+	// of callers' usual requests, of 540 kB: else each leaves twice its size to the collector.
+	keepBuffer = 1 << 20
 )
 
 // buffers is a pool of buffers for encoded frames.
