core/retry: allow repeats as soon as load begins

Cause: the comparison with the window half a window earlier had no requests for windows that began before the load did, so that a service got no repeats in its first seconds.

Change: the mean of the requests in a window and in the one before counts, which is within the rule for any distribution of requests and keeps for sums over daemons. Half of a window's repeats are available at once. Repeats under way also need room in a window that begins up to a quarter window later.

TestRepeatsAtTheOnsetOfLoad guards against the cause.

--- a/core/retry/fleetbudget.go
+++ b/core/retry/fleetbudget.go
@@ -23,17 +23,20 @@
 	// extraShare is the share of FleetLimits.Extra that is used. A restarted daemon does
 	// not know what it used before, and may use its part twice in a window.
 	extraShare = 0.5
-	// windowSlots is the number of parts in which a window is counted. It is even.
+	// windowSlots is the number of parts in which a window is counted.
 	windowSlots = 40
 	// requestSlots is the number of parts for which requests are kept: those that count for the
-	// oldest window that has not ended begin half a window before it.
-	requestSlots = windowSlots + windowSlots/2
+	// oldest window that has not ended begin a window before it.
+	requestSlots = 2 * windowSlots
+	// transitSlots is the time within which a repeat arrives, in slots: 2.5 s of a window of 10 s,
+	// more than the deadlines of most requests.
+	transitSlots = windowSlots / 4
 )
 
 // FleetBudget bounds the repeats that one daemon causes at each service, so that all
-// daemons together stay within FleetLimits in any window. The requests that count for a window are
-// those of the window that begins half a window earlier: each daemon compares its own repeats with its
-// own requests of the same time, so that the sums over all daemons compare alike, without agreement.
+// daemons together stay within FleetLimits in any window. The mean of the requests in the window and
+// in the one before counts: it is no more than the greater one. Each daemon compares its own repeats with
+// its own requests of the same time, so that the sums over all daemons compare alike, without agreement.
 // Each daemon has an equal part of the extra repeats.
 //
 // A repeat is reserved before it is sent and settled when its end is known. It arrives in between,
@@ -119,8 +122,8 @@
 }
 
 // repeatWindow counts the requests and repeats of a service in slots, the newest first. A window
-// that begins within a slot touches one slot more than windowSlots, in all of which repeats count,
-// and requests count in those slots only that are surely within the window that counts.
+// that begins within a slot touches one slot more than windowSlots, in all of which repeats count.
+// Requests count in the slots that are surely within it or the window before it.
 type repeatWindow struct {
 	slot     int64 // number of the newest slot
 	requests [requestSlots]float64
@@ -146,13 +149,18 @@
 
 // hasRoom reports whether n more repeats may arrive in each window that has begun and not ended.
 func (w *repeatWindow) hasRoom(n, ratio, extra float64) bool {
-	const half = windowSlots / 2
 	repeated := w.reserved + n
+	requested := sum(w.requests[:windowSlots-1])
+	if w.reserved+n > ratio*sum(w.requests[:windowSlots-1-transitSlots])/2+extra {
+		return false // they may all arrive in a window that begins later
+	}
 	for begin := range w.repeats { // slot in which the window begins
 		repeated += w.repeats[begin]
-		// The slots that are surely less than half a window away from its begin.
-		requested := sum(w.requests[max(0, begin-half+1) : begin+half])
-		if repeated > ratio*requested+extra {
+		requested += w.requests[begin+windowSlots-1]
+		if begin == windowSlots {
+			requested -= w.requests[0] // the window may have ended before them
+		}
+		if repeated > ratio*requested/2+extra {
 			return false
 		}
 	}
--- a/core/retry/window_test.go
+++ b/core/retry/window_test.go
@@ -33,6 +33,28 @@
 	}
 }
 
+// A service whose load had just begun got no repeats for half a window: keys whose owner was lost then
+// were unserved until their callers gave up.
+func TestRepeatsAtTheOnsetOfLoad(t *testing.T) {
+	limits := FleetLimits{Ratio: 0.2, Extra: 0, Window: 10 * time.Second}
+	for _, begun := range []time.Duration{0, 100 * time.Second} { // before the load
+		b := NewFleetBudget(0, limits)
+		now := clock.Instant(begun)
+		const requests = 200
+		for range requests { // for two seconds
+			now = now.Add(10 * time.Millisecond)
+			b.RecordRequest(now, "back")
+		}
+		repeats := 0
+		for take(b, now, map[string]float64{"back": 1}) {
+			repeats++
+		}
+		if least := int(0.4 * limits.Ratio * requests); repeats < least {
+			t.Errorf("%d repeats after %d requests, expected at least %d", repeats, requests, least)
+		}
+	}
+}
+
 // Repeats that were allowed by the requests of one window arrived in another: after a burst, or late
 // because they waited. In any window the fleet must stay within its budget, however the load changes.
 func TestRepeatsThatCountInAnotherWindow(t *testing.T) {
