core/link: responses that are late already go last

Change: a response to a request that has missed its objective when it arrives has a rank on the link behind all others.

--- a/core/link/link.go
+++ b/core/link/link.go
@@ -81,6 +81,19 @@
 	return int64(priority)
 }
 
+// firstLate is the rank of the most urgent response that has missed its latency objective.
+const firstLate = 1 << 32
+
+// ResponseRank is Rank for the response to a request. If the request has missed its latency objective
+// when it arrives, since its caller was refused before, others go first: on a link with more demand
+// than it can carry, each response that is late already would make another one late.
+func ResponseRank(nested bool, priority uint32, late bool) int64 {
+	if late && !nested {
+		return firstLate + int64(priority)
+	}
+	return Rank(nested, priority)
+}
+
 // Link is the sending direction of an instance's link.
 type Link struct {
 	setting float64       // rate by the settings, in bytes per second; 0 if not limited
--- a/core/runqueue/link_test.go
+++ b/core/runqueue/link_test.go
@@ -112,7 +112,7 @@
 		s.link.CountSmall(s.now, size)
 		s.wire = append(s.wire, packet{t, float64(size), true})
 	default:
-		transfer := s.link.Offer(s.now, rank(t), size)
+		transfer := s.link.Offer(s.now, linkRank(t), size)
 		s.transfers[transfer] = t
 		s.link.Await(transfer)
 	}
@@ -178,6 +178,25 @@
 	}
 }
 
+// Callers that were refused came back after their objectives, and their responses made those of others
+// late, who were refused in turn: nearly all of a link's responses were late.
+func TestReturnedCallersMakeNoOtherLate(t *testing.T) {
+	is := is.New(t)
+	s := newLinkedServer(1, 10, true)
+	const perS = 10.0 // of 90 kB: 7.2 Mbit/s each of first attempts and of late ones
+	for end := s.now.Add(30 * time.Second); s.now < end; {
+		if s.rng.Float64() < perS*ms.Seconds() {
+			late := &Ticket{Class: "returned", Priority: 3, Target: s.now - 1, Deadline: s.now.Add(bulkDeadline)}
+			late.Size, late.Spread, _ = s.known.Expected("returned", true)
+			s.submit(late, min(540_000, int(20_000+s.rng.ExpFloat64()*70_000)))
+		}
+		s.play(ms, perS*90e3, 0)
+	}
+	t.Logf("in aim %v, on time %v, refused %d", s.inAim, s.onTime, len(s.refused))
+	is.True(s.inAim["download"] > 200) // of some 300 that the link could carry alone
+	is.True(s.onTime["returned"] > 0)
+}
+
 // A link that is not the bottleneck must change nothing.
 func TestIdleLinkRefusesNothing(t *testing.T) {
 	is := is.New(t)
--- a/core/runqueue/runqueue.go
+++ b/core/runqueue/runqueue.go
@@ -77,6 +77,7 @@
 	promise *link.Transfer // of the link; nil if it has none
 	started clock.Instant
 	number  uint64 // sequence number of the arrival
+	late    bool   // its objective had passed when it arrived
 }
 
 // Refusal is a ticket that was refused without running.
@@ -278,14 +279,14 @@
 // be answered in time. Dispatch returns the requests to start.
 func (q *Queue) Submit(now clock.Instant, t *Ticket) *Refusal {
 	q.lastNumber++
-	t.number = q.lastNumber
+	t.number, t.late = q.lastNumber, t.Target < now
 	p := q.predict(now, t)
 	q.recordArrival(now, t)
 	if reason := refusalReason(now, p, t); reason != "" {
 		return q.refuse(now, p, t, reason)
 	}
 	if q.link != nil && t.Size > 0 {
-		t.promise = q.link.Promise(now, rank(t), t.Size, t.Spread)
+		t.promise = q.link.Promise(now, linkRank(t), t.Size, t.Spread)
 	}
 	i, _ := slices.BinarySearchFunc(q.waiting, t, q.order(now))
 	q.waiting = slices.Insert(q.waiting, i, t)
@@ -317,7 +318,7 @@
 func (q *Queue) course(now, start clock.Instant, t *Ticket) prediction {
 	p := prediction{start: start, ready: start.Add(q.serviceTime(now, t.Class))}
 	if q.link != nil && t.Size > 0 {
-		p.transfer = q.link.Predict(now, p.ready, rank(t), t.Size, t.Spread, t.promise)
+		p.transfer = q.link.Predict(now, p.ready, linkRank(t), t.Size, t.Spread, t.promise)
 	}
 	return p
 }
@@ -409,6 +410,9 @@
 // rank returns the rank of a ticket; lower ranks run first.
 func rank(t *Ticket) int64 { return link.Rank(t.Nested, t.Priority) }
 
+// linkRank returns the rank of the response to a ticket on the link.
+func linkRank(t *Ticket) int64 { return link.ResponseRank(t.Nested, t.Priority, t.late) }
+
 // predictStart returns the time at which t would start if no other request
 // arrived.
 func (q *Queue) predictStart(now clock.Instant, t *Ticket) clock.Instant {
--- a/daemon/plugins/gateway/transfer.go
+++ b/daemon/plugins/gateway/transfer.go
@@ -49,7 +49,9 @@
 }
 
 // rank returns the rank of a request's response on the link.
-func (x *exchange) rank() int64 { return link.Rank(x.req.GetNested(), x.req.GetPriority()) }
+func (x *exchange) rank() int64 {
+	return link.ResponseRank(x.req.GetNested(), x.req.GetPriority(), x.targetTime.Before(x.started))
+}
 
 // promiseTransfer reserves the network link for the response to the caller, or refuses the request
 // if the link could not carry it in time.
--- a/daemon/plugins/peer/bulk.go
+++ b/daemon/plugins/peer/bulk.go
@@ -156,7 +156,9 @@
 }
 
 // rankOf returns the rank of a request and its response on the network link.
-func rankOf(req *wire.Request) int64 { return link.Rank(req.GetNested(), req.GetPriority()) }
+func rankOf(req *wire.Request) int64 {
+	return link.ResponseRank(req.GetNested(), req.GetPriority(), req.GetTargetMs() < 0)
+}
 
 // trackBulk returns the pacer for a connection of a session, or nil if it does not use the
 // network link, and functions for each piece and for the end of the connection.
