edge: bodies that are sent ahead wait for room on their connection

Cause: a body was refused (overloaded) when the bound of its own connection had no room for it beside those of earlier requests. Several large bodies sent ahead are within the limits of callers. A lane also kept the rest of a read buffer that had grown after its server had read all of it, up to 128 KB a lane of an idle connection.

Change: such a body waits for the answers to earlier requests, as an answer does; the buffer is dropped.

--- a/core/callermemory/callermemory.go
+++ b/core/callermemory/callermemory.go
@@ -200,6 +200,9 @@
 // ReserveRequest is Reserve for the request's own bytes.
 func (c *Charge) ReserveRequest(n int64) Refusal { return c.reserve(n, true, requestOf) }
 
+// ReserveRequestFirst is ReserveFirst for the request's own bytes.
+func (c *Charge) ReserveRequestFirst(n int64) Refusal { return c.reserve(n, false, requestOf) }
+
 func answerOf(c *Charge) *int64  { return &c.answer }
 func requestOf(c *Charge) *int64 { return &c.request }
 
--- a/daemon/edge/edge.go
+++ b/daemon/edge/edge.go
@@ -12,7 +12,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/sesamemoor/sesamemoor/core/callermemory"
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/bodies"
@@ -104,14 +103,7 @@
 	}
 	ctl := http.NewResponseController(w)
 	_ = ctl.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	charge := ChargeOf(r.Context())
-	room := func(size int64) error {
-		if by := charge.ReserveRequest(callermemory.AnswerBytes(size)); by != callermemory.Admitted {
-			charge.CountRefusal(by)
-			return bodies.ErrNoMemory
-		}
-		return nil
-	}
+	room := func(size int64) error { return reserveBody(r.Context(), size) }
 	if r.ContentLength > 0 {
 		if err := room(r.ContentLength); err != nil {
 			return nil, none, outcome.New(outcome.Overloaded, "read body: %v", err)
--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -131,7 +131,9 @@
 		p.changed.Wait()
 	}
 	n := copy(b, l.unread)
-	l.unread = l.unread[n:]
+	if l.unread = l.unread[n:]; len(l.unread) == 0 {
+		l.unread = nil // else an idle connection keeps the rest of a buffer that grew
+	}
 	if l == p.tail {
 		p.tailWaits = false
 	}
--- a/daemon/edge/memory.go
+++ b/daemon/edge/memory.go
@@ -14,6 +14,7 @@
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/wire"
 	"github.com/sesamemoor/sesamemoor/daemon/answer"
+	"github.com/sesamemoor/sesamemoor/daemon/bodies"
 )
 
 const (
@@ -151,7 +152,8 @@
 func (l *lane) reserve(ctx context.Context, charge *callermemory.Charge, n int64) callermemory.Refusal {
 	by := charge.Reserve(n)
 	if by == callermemory.ByConnection {
-		by = l.awaitRoom(ctx, charge, n)
+		by = l.awaitRoom(ctx, func() callermemory.Refusal { return charge.Reserve(n) },
+			func() callermemory.Refusal { return charge.ReserveFirst(n) })
 	}
 	if by == callermemory.ByEntry || by == callermemory.ByTotal {
 		if relieve := l.p.config.relieve; relieve != nil && relieve(l.p.config.stall) {
@@ -161,8 +163,29 @@
 	return by
 }
 
-// awaitRoom reserves memory once the answers to earlier requests leave room for it.
-func (l *lane) awaitRoom(ctx context.Context, charge *callermemory.Charge, n int64) callermemory.Refusal {
+// reserveBody reserves memory for n bytes of the body of a request. While the connection's bound
+// has no room it waits for the answers to earlier requests.
+func reserveBody(ctx context.Context, n int64) error {
+	l, ok := ctx.Value(laneKey{}).(*lane)
+	if !ok {
+		return nil
+	}
+	charge, n := ChargeOf(ctx), callermemory.AnswerBytes(n)
+	by := charge.ReserveRequest(n)
+	if by == callermemory.ByConnection {
+		by = l.awaitRoom(ctx, func() callermemory.Refusal { return charge.ReserveRequest(n) },
+			func() callermemory.Refusal { return charge.ReserveRequestFirst(n) })
+	}
+	if by != callermemory.Admitted {
+		charge.CountRefusal(by)
+		return bodies.ErrNoMemory
+	}
+	return nil
+}
+
+// awaitRoom reserves memory once the answers to earlier requests leave room for it. first
+// reserves it for the first request that is not answered, which waits for no other one.
+func (l *lane) awaitRoom(ctx context.Context, reserve, first func() callermemory.Refusal) callermemory.Refusal {
 	p := l.p
 	stop := context.AfterFunc(ctx, func() {
 		p.mu.Lock()
@@ -174,9 +197,9 @@
 	defer p.mu.Unlock()
 	for {
 		if len(p.order) == 0 || p.order[0] == l {
-			return charge.ReserveFirst(n)
+			return first()
 		}
-		by := charge.Reserve(n)
+		by := reserve()
 		if by != callermemory.ByConnection || p.closed || ctx.Err() != nil {
 			return by
 		}
--- a/daemon/edge/memory_test.go
+++ b/daemon/edge/memory_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -98,6 +100,39 @@
 	await(t, "memory is not given back", func() bool { return memory.Total() == 0 })
 }
 
+// Bodies that are sent ahead must wait for those before them, and not be refused by the bound of
+// their connection.
+func TestPipelinedBodiesWaitForRoom(t *testing.T) {
+	const size = 1 << 20
+	is := is.New(t)
+	memory := callermemory.New(callermemory.Limits{Connection: 3 * callermemory.AnswerBytes(size), Entry: 100 << 20, Total: 100 << 20})
+	var read atomic.Int64
+	addr := serveWithin(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, release, err := ReadBody(w, r, size, NewBodies(0))
+		defer release()
+		if err != nil {
+			w.WriteHeader(outcome.KindOf(err).Answer().Status)
+			return
+		}
+		read.Add(1)
+		_ = AwaitTurn(r.Context())
+		await(t, "bodies are not read ahead", func() bool { return read.Load() >= 2 })
+		_, _ = fmt.Fprint(w, len(body))
+	}), Callers{Memory: memory})
+	c := dialCaller(t, addr)
+	go func() {
+		for range maxPipelined {
+			_, _ = io.WriteString(c, fmt.Sprintf("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("b", size)))
+		}
+	}()
+	for range maxPipelined {
+		body, err := c.answer()
+		is.NoErr(err)
+		is.Equal(body, fmt.Sprint(size))
+	}
+	await(t, "memory is not given back", func() bool { return memory.Total() == 0 })
+}
+
 // A request whose answer has no room must be refused before it runs, and be served once a caller
 // that reads nothing has been closed.
 func TestCallerThatReadsNothingIsClosedForOthers(t *testing.T) {
