edge, rollout: usual names for evicted connections and coordinated roll-outs

Cause: 'ousted', 'crowd' and 'charge' are not the terms of the field, and 'charge' was also the name for counted memory. Change: evicted, evictionSample and sampleIfFull; the roll-outs that a daemon in charge coordinates are 'coordinated'. No change of behaviour. Result: go test ./daemon/edge ./daemon/plugins/rollout passes.

--- a/daemon/edge/listener.go
+++ b/daemon/edge/listener.go
@@ -18,7 +18,7 @@
 	config pipelineConfig
 	relief relief
 
-	lastOusted atomic.Int64 // Unix time in nanoseconds at which a connection was last ended for what its caller did
+	lastEvicted atomic.Int64 // Unix time in nanoseconds at which a connection was last ended for what its caller did
 
 	mu       sync.Mutex // no lock of a pipeline is taken under it
 	changed  *sync.Cond
@@ -33,7 +33,7 @@
 	p := &pipelineListener{Listener: l, config: config, open: map[*pipeline]bool{}, drained: make(chan struct{})}
 	p.changed = sync.NewCond(&p.mu)
 	p.config.relieve = p.relieve
-	p.config.ousted = func() { p.lastOusted.Store(time.Now().UnixNano()) }
+	p.config.evicted = func() { p.lastEvicted.Store(time.Now().UnixNano()) }
 	go p.acceptConns()
 	return p
 }
--- a/daemon/edge/memory.go
+++ b/daemon/edge/memory.go
@@ -32,13 +32,13 @@
 	arrivalStall = 100 * time.Millisecond
 	// reliefInterval is the least time between two looks for connections to close.
 	reliefInterval = 10 * time.Millisecond
-	// oustedDelay is the delay before the next connection is accepted for oustedTime after one
+	// evictedDelay is the delay before the next connection is accepted for evictedTime after one
 	// was ended for what its caller did. Callers that come back at once would else take the
 	// processor, and memory faster than it is collected.
-	oustedDelay = time.Millisecond
-	oustedTime  = 100 * time.Millisecond
-	// crowdSample is the number of connections among which the one to close is looked for.
-	crowdSample = 64
+	evictedDelay = time.Millisecond
+	evictedTime  = 100 * time.Millisecond
+	// evictionSample is the number of connections among which the one to close is looked for.
+	evictionSample = 64
 	// minHeadAge is the age from which a head that is not complete may be closed.
 	minHeadAge = 100 * time.Millisecond
 )
@@ -274,15 +274,15 @@
 
 // pace waits before the next accept while connections are ended for what their callers do.
 func (l *pipelineListener) pace() {
-	if time.Now().UnixNano()-l.lastOusted.Load() < int64(oustedTime) {
-		time.Sleep(oustedDelay)
+	if time.Now().UnixNano()-l.lastEvicted.Load() < int64(evictedTime) {
+		time.Sleep(evictedDelay)
 	}
 }
 
 // admit reports whether a new connection has a place. If all are taken, it closes one that has
 // sent only a part of a head for longer than others, of some that it looks at.
 func (l *pipelineListener) admit() bool {
-	sample, full := l.crowd()
+	sample, full := l.sampleIfFull()
 	if !full {
 		return true
 	}
@@ -301,15 +301,15 @@
 	return true
 }
 
-// crowd returns some of the open connections if there are as many as may be.
-func (l *pipelineListener) crowd() (sample []*pipeline, full bool) {
+// sampleIfFull returns some of the open connections if there are as many as may be.
+func (l *pipelineListener) sampleIfFull() (sample []*pipeline, full bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.config.connections <= 0 || len(l.open) < l.config.connections {
 		return nil, false
 	}
 	for p := range l.open {
-		if sample = append(sample, p); len(sample) == crowdSample {
+		if sample = append(sample, p); len(sample) == evictionSample {
 			break
 		}
 	}
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -110,7 +110,7 @@
 	connections int // open ones of the listener; 0 means any number
 	stall       time.Duration
 	relieve     func(stall time.Duration) bool // closes a connection that holds much and does not read
-	ousted      func()                         // called when a connection ends for what its caller did
+	evicted     func()                         // called when a connection ends for what its caller did
 }
 
 // arrival is the time at which the bytes up to an offset of the connection were read.
@@ -568,8 +568,8 @@
 	p.closed = true
 	p.forced = reason == endMemory || reason == endCrowded
 	p.unread = reason == endWriteError
-	if (p.forced || p.framing.refused) && p.config.ousted != nil {
-		p.config.ousted()
+	if (p.forced || p.framing.refused) && p.config.evicted != nil {
+		p.config.evicted()
 	}
 	p.config.log.ended(p.connEnd(reason))
 	for _, l := range p.lanes {
--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -62,12 +62,12 @@
 	recorded map[string]protocol.RolloutStatus // by service, as read and written; nil until they have been read
 	position uint64                            // as of which recorded is complete
 	stale    bool                              // recorded must be read before the next write
-	charges  map[string]*charge
+	rollouts map[string]*coordinated
 	interval time.Duration // until the next report of a daemon
 }
 
-// charge is a roll-out that this daemon coordinates, or the outcome of the last one.
-type charge struct {
+// coordinated is a roll-out that this daemon coordinates, or the outcome of the last one.
+type coordinated struct {
 	order      rollout.Order
 	from       []string
 	started    time.Time
@@ -98,7 +98,7 @@
 func newCoordinator(p params) *coordinator {
 	c := &coordinator{
 		enabled: enabled(p.Settings), control: p.Control, clock: p.Clock, log: p.Log.Named("rollout"), bounds: boundsOf(p.Settings),
-		region: p.Settings.Region, statuses: p.Statuses, now: time.Now, wake: make(chan struct{}, 1), charges: map[string]*charge{},
+		region: p.Settings.Region, statuses: p.Statuses, now: time.Now, wake: make(chan struct{}, 1), rollouts: map[string]*coordinated{},
 	}
 	if c.statuses == nil {
 		c.statuses = &logStatuses{p.Control, p.Stream}
@@ -125,7 +125,7 @@
 	now := c.clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ch := c.charges[report.GetService()]
+	ch := c.rollouts[report.GetService()]
 	c.asked = c.asked || ch == nil
 	if !c.inCharge || !c.leads(c.control.View(), now) || ch == nil || ch.newest < report.GetOrder() {
 		return &wire.RolloutAnswer{}
@@ -150,7 +150,7 @@
 
 // answer returns the answer to a report. The end of a roll-out is passed on only once it is
 // recorded; before that, a rollback is in force as a share of zero.
-func (c *coordinator) answer(ch *charge) *wire.RolloutAnswer {
+func (c *coordinator) answer(ch *coordinated) *wire.RolloutAnswer {
 	a := &wire.RolloutAnswer{
 		Accepted: true, Newest: ch.newest, NextMs: uint32(c.interval.Milliseconds()),
 		ValidMs: uint32(max(minValidity, 2*c.interval+reportInterval).Milliseconds()),
@@ -168,7 +168,7 @@
 // setInterval sets the time until a daemon's next report by the number of daemons that report.
 func (c *coordinator) setInterval(now clock.Instant) {
 	count := 0
-	for _, ch := range c.charges {
+	for _, ch := range c.rollouts {
 		for _, r := range ch.reporters {
 			if now.Sub(r.at) < reporterAge {
 				count++
@@ -188,12 +188,12 @@
 	if !c.leads(v, now) {
 		if c.inCharge {
 			c.inCharge, c.asked, c.recorded = false, false, nil
-			clear(c.charges)
+			clear(c.rollouts)
 		}
 		return
 	}
 	c.inCharge = true
-	if len(v.Rollouts) == 0 && len(c.charges) == 0 && !c.asked || len(v.Config.Services) == 0 {
+	if len(v.Rollouts) == 0 && len(c.rollouts) == 0 && !c.asked || len(v.Config.Services) == 0 {
 		return
 	}
 	if c.recorded == nil {
@@ -206,11 +206,11 @@
 	}
 	for service, status := range c.recorded {
 		// A running order that the view does not have was withdrawn while nobody was in charge.
-		if _, known := c.charges[service]; !known && status.State == rollout.Running && c.hasRead(v, status.Order) {
-			c.charges[service] = c.resume(now, service, v.Config.Services[service])
+		if _, known := c.rollouts[service]; !known && status.State == rollout.Running && c.hasRead(v, status.Order) {
+			c.rollouts[service] = c.resume(now, service, v.Config.Services[service])
 		}
 	}
-	for service, ch := range c.charges {
+	for service, ch := range c.rollouts {
 		c.advance(v, now, service, ch)
 		if len(ch.pending) > 0 {
 			c.wakeWriter()
@@ -225,10 +225,10 @@
 
 // consider takes up an order that is new here.
 func (c *coordinator) consider(v *view.View, now clock.Instant, service string, order fleet.RolloutOrder) {
-	ch := c.charges[service]
+	ch := c.rollouts[service]
 	if ch == nil {
 		ch = c.resume(now, service, v.Config.Services[service])
-		c.charges[service] = ch
+		c.rollouts[service] = ch
 	}
 	if order.ID <= ch.newest {
 		return
@@ -262,7 +262,7 @@
 	if len(from) == 0 && last != nil {
 		from = last.versions()
 	}
-	*ch = charge{
+	*ch = coordinated{
 		order: rollout.Order{Service: service, To: order.To, Duration: order.Duration, ID: order.ID}, from: from,
 		started: c.now(), shards: svc.Shards, newest: order.ID, reporters: map[string]reporter{}, last: ch.last,
 	}
@@ -276,7 +276,7 @@
 
 // waited reports whether an order for a service without servers has been known for so long
 // that it is decided about.
-func (ch *charge) waited(now clock.Instant, order fleet.RolloutOrder) bool {
+func (ch *coordinated) waited(now clock.Instant, order fleet.RolloutOrder) bool {
 	if ch.waitingFor != order.ID {
 		ch.waitingFor, ch.waitingSince = order.ID, now
 	}
@@ -284,7 +284,7 @@
 }
 
 // begin begins the decision about a roll-out with the time that is left for it.
-func (c *coordinator) begin(ch *charge, now clock.Instant, left time.Duration) {
+func (c *coordinator) begin(ch *coordinated, now clock.Instant, left time.Duration) {
 	bounds := c.bounds
 	bounds.ExposureSlack /= math.Exp2(float64(ch.changes)) // the exposure before is not known here
 	if ch.shards > 0 {
@@ -311,7 +311,7 @@
 }
 
 // refuse records that an order is not valid. It changes nothing else.
-func (c *coordinator) refuse(ch *charge, service string, order fleet.RolloutOrder, problem string, known bool) {
+func (c *coordinator) refuse(ch *coordinated, service string, order fleet.RolloutOrder, problem string, known bool) {
 	c.log.Warn("order of a roll-out refused", zap.String("service", service), zap.String("to", order.To),
 		zap.Uint64("order", order.ID), zap.String("reason", problem))
 	if !known {
@@ -331,8 +331,8 @@
 }
 
 // resume returns the charge of a service as its recorded status has it.
-func (c *coordinator) resume(now clock.Instant, service string, svc fleet.Service) *charge {
-	ch := &charge{reporters: map[string]reporter{}}
+func (c *coordinator) resume(now clock.Instant, service string, svc fleet.Service) *coordinated {
+	ch := &coordinated{reporters: map[string]reporter{}}
 	status, ok := c.recorded[service]
 	if !ok {
 		return ch
@@ -363,7 +363,7 @@
 }
 
 // ended returns the outcome of the service's last valid roll-out that has ended, or nil.
-func (ch *charge) ended() *ended {
+func (ch *coordinated) ended() *ended {
 	if ch.order.ID != 0 && ch.state != rollout.Running {
 		return &ended{order: ch.order.ID, state: ch.state, to: ch.order.To, from: ch.from}
 	}
@@ -389,7 +389,7 @@
 }
 
 // advance takes the next decision about a roll-out that has not ended.
-func (c *coordinator) advance(v *view.View, now clock.Instant, service string, ch *charge) {
+func (c *coordinator) advance(v *view.View, now clock.Instant, service string, ch *coordinated) {
 	if ch.controller == nil || ch.state != rollout.Running {
 		return
 	}
@@ -431,7 +431,7 @@
 // recordEnd queues the status of a roll-out whose end is decided. A rollback is recorded once
 // nothing goes to the new version any more: no daemon has a valid answer with a share, and no
 // shard has an owner of the version. It has to be recorded before the time is over.
-func (c *coordinator) recordEnd(v *view.View, now clock.Instant, service string, ch *charge) {
+func (c *coordinator) recordEnd(v *view.View, now clock.Instant, service string, ch *coordinated) {
 	if ch.endQueued {
 		return
 	}
@@ -469,7 +469,7 @@
 }
 
 // statusOf returns the status of a roll-out in a state.
-func (c *coordinator) statusOf(ch *charge, state rollout.State) protocol.RolloutStatus {
+func (c *coordinator) statusOf(ch *coordinated, state rollout.State) protocol.RolloutStatus {
 	return protocol.RolloutStatus{
 		Service: ch.order.Service, To: ch.order.To, From: ch.from, State: state, Order: ch.order.ID,
 		Started: ch.started, Duration: ch.order.Duration, Region: c.region, Last: ch.last, Changes: ch.changes,
@@ -477,7 +477,7 @@
 }
 
 // logStep logs a step of a roll-out.
-func (c *coordinator) logStep(ch *charge, reason string) {
+func (c *coordinator) logStep(ch *coordinated, reason string) {
 	c.log.Info("roll-out", zap.String("service", ch.order.Service), zap.String("to", ch.order.To), zap.Strings("from", ch.from),
 		zap.Uint64("order", ch.order.ID), zap.Stringer("state", ch.decision.State), zap.Float64("share", ch.decision.Share),
 		zap.Int("servers", ch.decision.Servers), zap.String("reason", reason))
--- a/daemon/plugins/rollout/metrics.go
+++ b/daemon/plugins/rollout/metrics.go
@@ -26,7 +26,7 @@
 	_, err := m.RegisterCallback(func(_ context.Context, o metric.Observer) error {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		for service, ch := range c.charges {
+		for service, ch := range c.rollouts {
 			if ch.order.ID == 0 {
 				continue
 			}
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -285,7 +285,7 @@
 	f.order(7, "v2", 12*time.Second)
 	for range 100 {
 		f.run(tick)
-		if ch := f.daemons[0].coordinator.charges["shop"]; ch != nil && ch.decision.State == rollout.RolledBack {
+		if ch := f.daemons[0].coordinator.rollouts["shop"]; ch != nil && ch.decision.State == rollout.RolledBack {
 			f.daemons[2].cut = true // its last answer stays valid for a second
 		}
 		if s, _ := f.state(); s == rollout.RolledBack {
@@ -364,7 +364,7 @@
 	f.run(3 * time.Second)
 	is.True(one.coordinator.inCharge && two.coordinator.inCharge)
 	end := func(d *fakeDaemon, state rollout.State) {
-		ch := d.coordinator.charges["shop"]
+		ch := d.coordinator.rollouts["shop"]
 		ch.decision, ch.endQueued = rollout.Decision{State: state}, true
 		ch.pending = append(ch.pending, d.coordinator.statusOf(ch, state))
 	}
@@ -378,7 +378,7 @@
 		}
 	}
 	is.Equal(ends, 1)
-	is.Equal(one.coordinator.charges["shop"].state, two.coordinator.charges["shop"].state)
+	is.Equal(one.coordinator.rollouts["shop"].state, two.coordinator.rollouts["shop"].state)
 }
 
 // TestStoreIsDown checks that a rollback takes effect while the store is down, and is recorded
@@ -561,10 +561,10 @@
 	c := f.daemons[0].coordinator
 	report := &wire.RolloutReport{Service: "shop", Order: 7, Slot: "other", Sequence: 4,
 		Counts: []*wire.RolloutCounts{{Version: "v2", Sent: 5}}}
-	before := c.charges["shop"].exposure
+	before := c.rollouts["shop"].exposure
 	is.True(c.receive(report).GetAccepted())
 	is.True(c.receive(report).GetAccepted())
-	is.Equal(c.charges["shop"].exposure, before+5)
+	is.Equal(c.rollouts["shop"].exposure, before+5)
 }
 
 // TestReportIntervalGrows checks the rate of reports at the daemon in charge with many daemons.
--- a/daemon/plugins/rollout/status.go
+++ b/daemon/plugins/rollout/status.go
@@ -68,7 +68,7 @@
 	if !c.inCharge || !c.leads(c.control.View(), c.clock.Now()) {
 		return protocol.RolloutStatus{}, false
 	}
-	for _, ch := range c.charges {
+	for _, ch := range c.rollouts {
 		if len(ch.pending) > 0 {
 			return ch.pending[0], true
 		}
@@ -87,7 +87,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.recorded, c.position, c.stale = statuses, position, false
-	for service, ch := range c.charges {
+	for service, ch := range c.rollouts {
 		if status, ok := statuses[service]; ok {
 			c.adopt(ch, status)
 		}
@@ -98,17 +98,17 @@
 // adopt applies a status that was read: the end of the order in force, if the store has it,
 // stands whatever was decided here; and what the store has need not be written. The caller
 // holds mu.
-func (c *coordinator) adopt(ch *charge, status protocol.RolloutStatus) {
+func (c *coordinator) adopt(ch *coordinated, status protocol.RolloutStatus) {
 	if status.Problem != "" && status.Last != nil && status.Last.Order == ch.order.ID {
 		status = *status.Last
 	}
 	if status.Order >= ch.order.ID && status.Region != "" && status.Region != c.region {
-		*ch = charge{reporters: ch.reporters, newest: max(ch.newest, status.Order)} // the daemon in charge is in another region
+		*ch = coordinated{reporters: ch.reporters, newest: max(ch.newest, status.Order)} // the daemon in charge is in another region
 		return
 	}
 	if status.Problem == "" && status.Order > ch.newest {
 		// Another daemon in charge has read a later order: take it over from the record.
-		*ch = charge{reporters: ch.reporters, newest: status.Order, order: rollout.Order{
+		*ch = coordinated{reporters: ch.reporters, newest: status.Order, order: rollout.Order{
 			Service: status.Service, To: status.To, Duration: status.Duration, ID: status.Order,
 		}, from: status.From, state: status.State, started: status.Started, last: status.Last, shards: ch.shards, changes: status.Changes + 1}
 		if ch.state == rollout.Running {
@@ -155,7 +155,7 @@
 	if c.recorded != nil {
 		c.recorded[status.Service] = status
 	}
-	ch := c.charges[status.Service]
+	ch := c.rollouts[status.Service]
 	if ch == nil || len(ch.pending) == 0 || ch.pending[0].Order != status.Order || ch.pending[0].State != status.State {
 		return true
 	}
