core/rollout: the last decision takes evidence at 0.8 of the threshold

Cause: a version that failed 6 of 184 answers, against 0 of 1372 of the old one, was completed with evidence of 0.98 of the threshold. Until the last step the threshold can be reached later; at its end it cannot. Change: at the end of the last step the evidence of the whole roll-out counts from 0.8 of its threshold on, as the recent evidence does already.

--- a/core/rollout/controller.go
+++ b/core/rollout/controller.go
@@ -298,6 +298,8 @@
 		return c.decide(Running, 1, "last step", found)
 	case c.doubt(now, found, endSuspicion) != "":
 		return c.decide(RolledBack, 0, c.doubt(now, found, endSuspicion), found)
+	case found.whole >= endSuspicion: // there is no later moment at which it could reach the threshold
+		return c.decide(RolledBack, 0, "probably worse than the old version: "+found.text, found)
 	}
 	return c.decide(Completed, 1, "no worse than the old version", found)
 }
