edge, pacing: the wait for the network link is no stall of the caller

Cause: a connection was not taken for stalled while it waited for the link, but as soon as it had its turn the whole wait counted as time in which its caller had taken nothing. While memory was short, a caller that reads was closed if its piece waited for longer than caller_stall_ms and was being written at that moment. Change: pacing.Conn states when a write got its last turn, and that counts as progress. edge.PacedConn names the methods, and the gateway checks at compile time that pacing.Conn has them; a renamed method would have disabled the check silently.

--- a/daemon/edge/lane.go
+++ b/daemon/edge/lane.go
@@ -364,8 +364,16 @@
 	return l.received
 }
 
+// PacedConn is a connection that shares the network link, see pacing.Conn.
+type PacedConn interface {
+	// Expect states the rank and the size of the response that is written next.
+	Expect(rank int64, size int)
+	// Waits reports whether a write waits for the link, and until when one has waited last.
+	Waits() (now bool, until time.Time)
+}
+
 // ExpectAnswer tells the request's connection the rank and the size of the body that is written
-// next, if it is its turn and the connection shares the network link, see pacing.Conn.
+// next, if it is its turn and the connection is a PacedConn.
 func ExpectAnswer(ctx context.Context, rank int64, size int) {
 	l, ok := ctx.Value(laneKey{}).(*lane)
 	if !ok {
@@ -374,7 +382,7 @@
 	p := l.p
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if c, ok := p.conn.(interface{ Expect(rank int64, size int) }); ok && !p.closed && !p.writing && len(p.order) > 0 && p.order[0] == l {
+	if c, ok := p.conn.(PacedConn); ok && !p.closed && !p.writing && len(p.order) > 0 && p.order[0] == l {
 		c.Expect(rank, size)
 	}
 }
--- a/daemon/edge/memory.go
+++ b/daemon/edge/memory.go
@@ -217,10 +217,17 @@
 	if p.closed || p.writeSince.IsZero() {
 		return 0, 0
 	}
-	if w, ok := p.conn.(interface{ Waiting() bool }); ok && w.Waiting() {
-		return 0, 0 // for the link's pacing, not for the caller
+	last := p.writeSince
+	if c, ok := p.conn.(PacedConn); ok {
+		waits, until := c.Waits()
+		if waits {
+			return 0, 0 // for the link's pacing, not for the caller
+		}
+		if until.After(last) {
+			last = until
+		}
 	}
-	return p.memory.Held(), now.Sub(p.writeSince)
+	return p.memory.Held(), now.Sub(last)
 }
 
 // headAge returns the time since the first byte of a head that is not complete, or of a request
--- a/daemon/edge/memory_test.go
+++ b/daemon/edge/memory_test.go
@@ -19,6 +19,7 @@
 	"github.com/sesamemoor/sesamemoor/core/outcome"
 	"github.com/sesamemoor/sesamemoor/core/settings"
 	"github.com/sesamemoor/sesamemoor/core/wire"
+	"github.com/sesamemoor/sesamemoor/daemon/edge/edgetest"
 )
 
 const longAnswer = 540_000
@@ -164,6 +165,64 @@
 	is.Equal(h.running.Load() >= 3, true)
 }
 
+// pacedConn is a connection whose writes wait for the network link.
+type pacedConn struct {
+	net.Conn
+	waiting atomic.Bool
+	turn    atomic.Int64 // Unix time in nanoseconds of the last turn
+	turns   chan struct{}
+}
+
+func (c *pacedConn) Expect(int64, int) {}
+
+func (c *pacedConn) Waits() (now bool, until time.Time) {
+	return c.waiting.Load(), time.Unix(0, c.turn.Load())
+}
+
+func (c *pacedConn) Write(b []byte) (int, error) {
+	c.waiting.Store(true)
+	<-c.turns
+	c.turn.Store(time.Now().UnixNano())
+	c.waiting.Store(false)
+	return c.Conn.Write(b)
+}
+
+// A connection that waits for the network link was taken for one whose caller reads nothing as soon
+// as it got its turn: the time of its wait counted. One whose caller reads nothing must still be ended.
+func TestWaitForTheLinkIsNoStall(t *testing.T) {
+	for name, reads := range map[string]bool{"link": true, "caller": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			const stall = 300 * time.Millisecond
+			near, far := net.Pipe() // a write is over once it is read
+			defer far.Close()
+			conn := &pacedConn{Conn: near, turns: make(chan struct{})}
+			l := newPipelineListener(edgetest.NewListener(t), testConfig)
+			memory := callermemory.New(callermemory.Limits{Connection: 1 << 20, Entry: 1 << 20, Total: 1 << 20})
+			config := testConfig
+			config.memory = memory
+			p := newPipeline(conn, config, func(*lane) {}, func(*pipeline) {})
+			is.True(l.add(p))
+			charge := p.memory.NewCharge()
+			charge.Set(1 << 10)
+			go func() { _ = p.write(&lane{p: p}, make([]byte, 1<<10)) }()
+			await(t, "write does not wait", conn.waiting.Load)
+			time.Sleep(2 * stall)
+			is.True(!l.relieve(stall))
+			conn.turns <- struct{}{}
+			await(t, "turn is not taken", func() bool { return !conn.waiting.Load() })
+			time.Sleep(2 * reliefInterval)
+			is.True(!l.relieve(stall)) // has just begun to write
+			if reads {
+				_, err := io.ReadFull(far, make([]byte, 1<<10))
+				is.NoErr(err)
+			}
+			time.Sleep(2 * stall)
+			is.Equal(l.relieve(stall), !reads)
+		})
+	}
+}
+
 // Heads that are never complete must not take the places of callers that send whole requests,
 // and a kept connection that is idle must stay.
 func TestUnfinishedHeadLeavesItsPlace(t *testing.T) {
--- a/daemon/pacing/conn.go
+++ b/daemon/pacing/conn.go
@@ -130,7 +130,9 @@
 	once   sync.Once
 	closed chan struct{}
 
-	waiting atomic.Bool // a write waits for its next piece
+	waiting atomic.Bool  // a write waits for its next piece
+	granted atomic.Int64 // time from opened to the last piece
+	opened  time.Time
 
 	mu       sync.Mutex
 	rank     int64     // of the last response that was expected
@@ -144,7 +146,7 @@
 	if !ok || !p.Limited() || SameHost(conn) {
 		return conn
 	}
-	c := &Conn{TCPConn: tcp, p: p, closed: make(chan struct{}), rank: unknownRank}
+	c := &Conn{TCPConn: tcp, p: p, closed: make(chan struct{}), rank: unknownRank, opened: time.Now()}
 	c.wrote, c.stop = p.track(tcp, false)
 	return c
 }
@@ -170,8 +172,12 @@
 	c.transfer, c.credit = t, 0
 }
 
-// Waiting reports whether a write waits for the turn of its next piece.
-func (c *Conn) Waiting() bool { return c.waiting.Load() }
+// Waits reports whether a write waits for the turn of its next piece, and until when one has
+// waited last.
+func (c *Conn) Waits() (now bool, until time.Time) {
+	now = c.waiting.Load() // before the time, which is set first
+	return now, c.opened.Add(time.Duration(c.granted.Load()))
+}
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
@@ -209,6 +215,7 @@
 		defer c.waiting.Store(false)
 		select {
 		case credit = <-t.Await():
+			c.granted.Store(int64(time.Since(c.opened)))
 			c.wrote()
 		case <-c.closed:
 			return 0, net.ErrClosed
--- a/daemon/plugins/gateway/transfer.go
+++ b/daemon/plugins/gateway/transfer.go
@@ -15,6 +15,8 @@
 	"github.com/sesamemoor/sesamemoor/daemon/pacing"
 )
 
+var _ edge.PacedConn = (*pacing.Conn)(nil)
+
 // transfer is the expected transfer of a response to its caller over the network link.
 type transfer struct {
 	size, spread float64        // of the response in bytes; 0 if it is not large
