pacing: a write to a closed connection leaves no transfer behind

Cause: a write, or an expected response, that began after its connection had been closed offered a transfer to the link that nothing ended. It was granted a piece that was never written, stayed in the table of transfers, and kept the goroutine that looks at the connections ten times a second for as long as the daemon runs. The entry writes outside its lock, so that a close may come just before the write. Change: a closed Conn begins no transfer, and a write to it fails at once. Result: the new lines of TestUnreadResponseDelaysNoOther fail before (1 transfer is left) and pass since; go test -race ./daemon/pacing passes.

--- a/daemon/pacing/conn.go
+++ b/daemon/pacing/conn.go
@@ -138,6 +138,7 @@
 	rank     int64     // of the last response that was expected
 	transfer *Transfer // of the response in progress; nil if none is expected
 	credit   int       // bytes of it that were granted and not written
+	ended    bool      // Close was called: there are no more transfers
 }
 
 // Caller returns conn, or a Conn if it uses the link. p may be nil.
@@ -170,6 +171,10 @@
 		c.transfer.End()
 	}
 	c.transfer, c.credit = t, 0
+	if c.ended && t != nil {
+		t.End()
+		c.transfer = nil
+	}
 }
 
 // Waits reports whether a write waits for the turn of its next piece, and until when one has
@@ -201,6 +206,10 @@
 // response.
 func (c *Conn) next(n int) (int, error) {
 	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
 	if c.transfer == nil && n >= link.Large {
 		c.transfer = c.p.Offer(c.rank, n)
 	}
@@ -238,6 +247,9 @@
 	c.once.Do(func() {
 		close(c.closed)
 		c.stop()
+		c.mu.Lock()
+		c.ended = true
+		c.mu.Unlock()
 		c.begin(nil)
 	})
 	return c.TCPConn.Close()
--- a/daemon/pacing/conn_test.go
+++ b/daemon/pacing/conn_test.go
@@ -99,6 +99,13 @@
 	is.NoErr(near.Close())
 	is.True(<-ended != nil)
 	is.Equal(len(p.offered), 0)
+
+	// A write that begins as the connection is closed must leave no transfer, which would be
+	// granted pieces and keep the sampling goroutine for good.
+	near.(*Conn).Expect(3, 1<<20)
+	_, err = near.Write(make([]byte, 1<<20))
+	is.True(err != nil)
+	is.Equal(len(p.offered), 0)
 }
 
 // A connection within the instance, and one over a fast link, must be left as they are.
