rollout: a status that is refused again and again is written with pauses

Cause: a write that conflicts is followed by a read and the next write at once. The log of the native interface refuses the status of an order that has ended, or of one more service than it keeps, with the same error: the daemon in charge would then append one record after the other, without a pause, for as long as it is in charge. Change: the second conflict in a row is treated like a failure of the store, with its pause of 200 to 400 ms. The first one is still followed by a read and a write at once. Result: TestRefusedWritesArePaced fails before (11 writes without a pause) and passes.

--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -381,6 +381,36 @@
 	is.Equal(one.coordinator.rollouts["shop"].state, two.coordinator.rollouts["shop"].state)
 }
 
+// refusingStatuses refuses all writes, as the log does with the status of an order that has ended.
+type refusingStatuses struct{ writes int }
+
+func (s *refusingStatuses) Read(context.Context) (map[string]protocol.RolloutStatus, uint64, error) {
+	return map[string]protocol.RolloutStatus{}, 0, nil
+}
+
+func (s *refusingStatuses) Write(ctx context.Context, _ protocol.RolloutStatus, _ uint64) (uint64, error) {
+	s.writes++
+	if s.writes > 10 {
+		return 0, errStore
+	}
+	return 0, protocol.ErrConflict
+}
+
+// TestRefusedWritesArePaced checks that a status that the store refuses again and again is not
+// written without a pause.
+func TestRefusedWritesArePaced(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	c, s := f.daemons[0].coordinator, new(refusingStatuses)
+	c.statuses = s
+	f.order(7, "v2", 12*time.Second)
+	c.step()
+	c.exchange(context.Background())
+	c.step()
+	is.True(c.exchange(context.Background()))
+	is.True(s.writes <= 2)
+}
+
 // TestStoreIsDown checks that a rollback takes effect while the store is down, and is recorded
 // when it is back, and that a completion has no effect until then.
 func TestStoreIsDown(t *testing.T) {
--- a/daemon/plugins/rollout/status.go
+++ b/daemon/plugins/rollout/status.go
@@ -40,9 +40,9 @@
 }
 
 // exchange reads the statuses if they are not known as of now, and writes what is pending.
-// It reports whether it must be called again because the store failed.
+// It reports whether it must be called again because the store failed, or refused to write twice.
 func (c *coordinator) exchange(ctx context.Context) (again bool) {
-	for {
+	for conflicted := false; ; {
 		c.mu.Lock()
 		mustRead := c.inCharge && (c.recorded == nil || c.stale)
 		status, ok := c.nextWrite()
@@ -56,9 +56,11 @@
 		case !ok:
 			return false
 		default:
-			if !c.write(ctx, status, position) {
+			err := c.write(ctx, status, position)
+			if err != nil && (conflicted || !errors.Is(err, protocol.ErrConflict)) {
 				return true
 			}
+			conflicted = err != nil
 		}
 	}
 }
@@ -136,8 +138,8 @@
 	ch.pending = kept
 }
 
-// write writes a status. It reports whether the store answered.
-func (c *coordinator) write(ctx context.Context, status protocol.RolloutStatus, position uint64) bool {
+// write writes a status. The error is that of the store.
+func (c *coordinator) write(ctx context.Context, status protocol.RolloutStatus, position uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	next, err := c.statuses.Write(ctx, status, position)
@@ -145,11 +147,10 @@
 	defer c.mu.Unlock()
 	if err != nil {
 		c.stale = true // it may have been written; the next write comes after a read
-		if errors.Is(err, protocol.ErrConflict) {
-			return true
+		if !errors.Is(err, protocol.ErrConflict) {
+			c.log.Warn("status of a roll-out not written", zap.String("service", status.Service), zap.Error(err))
 		}
-		c.log.Warn("status of a roll-out not written", zap.String("service", status.Service), zap.Error(err))
-		return false
+		return err
 	}
 	c.position = next
 	if c.recorded != nil {
@@ -157,7 +158,7 @@
 	}
 	ch := c.rollouts[status.Service]
 	if ch == nil || len(ch.pending) == 0 || ch.pending[0].Order != status.Order || ch.pending[0].State != status.State {
-		return true
+		return nil
 	}
 	ch.pending = ch.pending[1:]
 	if status.Order == ch.order.ID && status.State != rollout.Running && status.Problem == "" {
@@ -165,5 +166,5 @@
 		c.log.Info("roll-out recorded", zap.String("service", status.Service), zap.String("to", status.To),
 			zap.Uint64("order", status.Order), zap.Stringer("state", status.State))
 	}
-	return true
+	return nil
 }
