rollout: what another daemon in charge has recorded is neither refused nor lost

Causes, all with two daemons that take themselves for the one in charge, or after a loss: a refusal that was pending replaced the end of the refused order, which the other daemon had accepted and ended; a pending refusal replaced the end of the order before by an older outcome, since it was queued while that order was running; a daemon that was lost between the record of a refusal and that of the running order left the latter without an end; an order learned from the record had its whole time again, and no shards where nothing was known of the service before, so that it was completed with shards at old servers. Change: a recorded later order is taken over although it was refused here; kept refusals carry the order in force, also a running one, which the next daemon in charge goes on with; the time that is left counts from the recorded beginning.

--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -206,7 +206,8 @@
 	}
 	for service, status := range c.recorded {
 		// A running order that the view does not have was withdrawn while nobody was in charge.
-		if _, known := c.rollouts[service]; !known && status.State == rollout.Running && c.hasRead(v, status.Order) {
+		running := status.State == rollout.Running || status.Last != nil && status.Last.State == rollout.Running
+		if _, known := c.rollouts[service]; !known && running && c.hasRead(v, status.Order) {
 			c.rollouts[service] = c.resume(now, service, v.Config.Services[service])
 		}
 	}
@@ -319,10 +320,7 @@
 	}
 	status := protocol.RolloutStatus{
 		Service: service, To: order.To, State: rollout.RolledBack, Order: order.ID, Problem: problem, Region: c.region,
-		Started: c.now(), Last: ch.last,
-	}
-	if ch.order.ID != 0 && ch.state != rollout.Running {
-		status.Last = ch.ended().status(service)
+		Started: c.now(), Last: c.inForce(ch),
 	}
 	ch.pending = append(ch.pending, status)
 	if ch.order.ID != 0 && ch.state == rollout.Running {
@@ -353,15 +351,32 @@
 		return ch
 	}
 	ch.changes = status.Changes + 1
-	// The clocks of two hosts may differ: what was used of the time is at least nothing and
-	// at most all of it.
-	used := min(max(c.now().Sub(status.Started), 0), status.Duration)
-	c.begin(ch, now, status.Duration-used)
+	c.begin(ch, now, c.timeLeft(status))
 	ch.pending = append(ch.pending, c.statusOf(ch, rollout.Running)) // so that a write of the former daemon in charge conflicts
 	c.logStep(ch, "resumed")
 	return ch
 }
 
+// inForce returns the status of the service's valid order, or nil: that of the roll-out that runs, so
+// that the next daemon in charge goes on with it, or the outcome of the last one.
+func (c *coordinator) inForce(ch *coordinated) *protocol.RolloutStatus {
+	switch {
+	case ch.order.ID == 0:
+		return ch.last
+	case ch.state == rollout.Running:
+		status := c.statusOf(ch, rollout.Running)
+		return &status
+	default:
+		return ch.ended().status(ch.order.Service)
+	}
+}
+
+// timeLeft returns the time that is left for a roll-out that another daemon began. The clocks of two
+// hosts may differ: what was used of the time is at least nothing and at most all of it.
+func (c *coordinator) timeLeft(status protocol.RolloutStatus) time.Duration {
+	return status.Duration - min(max(c.now().Sub(status.Started), 0), status.Duration)
+}
+
 // ended returns the outcome of the service's last valid roll-out that has ended, or nil.
 func (ch *coordinated) ended() *ended {
 	if ch.order.ID != 0 && ch.state != rollout.Running {
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -381,6 +381,76 @@
 	is.Equal(one.coordinator.rollouts["shop"].state, two.coordinator.rollouts["shop"].state)
 }
 
+// TestRefusalReplacesNoEnd checks that a daemon in charge that refuses an order, since it does not
+// know that another one has ended the order before, keeps to what the other one has recorded: an end
+// stays in force, and the order is not refused once the other one has accepted it.
+func TestRefusalReplacesNoEnd(t *testing.T) {
+	for name, accepted := range map[string]bool{"end of the order before": false, "end of the order": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			f := newFakeFleet(t, 3, 3)
+			f.order(7, "v2", 12*time.Second)
+			f.daemons[1].planner, f.daemons[2].planner = 2, 2
+			f.run(time.Second)
+			c := f.daemons[0].coordinator
+			ended := protocol.RolloutStatus{Service: "shop", To: "v2", From: []string{"v1"}, State: rollout.Completed, Order: 7}
+			if accepted {
+				ended.Last, ended.To, ended.From, ended.Order = &protocol.RolloutStatus{Service: "shop", To: "v2", State: rollout.Completed, Order: 7}, "v3", []string{"v2"}, 8
+			}
+			f.daemons[1].frozen, f.daemons[2].frozen = true, true
+			f.store.statuses["shop"] = ended
+			f.store.position++
+			f.order(8, "v3", 12*time.Second)
+			f.run(time.Second)
+			got := f.store.statuses["shop"]
+			if got.Problem != "" {
+				is.Equal(got.Order, uint64(8))
+				is.True(!accepted && got.Last != nil)
+				got = *got.Last
+			}
+			is.Equal(got.Order, ended.Order)
+			is.Equal(got.State, rollout.Completed)
+			is.Equal(c.rollouts["shop"].state, rollout.Completed)
+		})
+	}
+}
+
+// TestRunningOrderOutlivesARefusal checks that the next daemon in charge goes on with a roll-out if
+// the one before is lost right after it has recorded the refusal of another order.
+func TestRunningOrderOutlivesARefusal(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 12*time.Second)
+	f.run(time.Second)
+	f.order(8, "v3", 12*time.Second)
+	c := f.daemons[0].coordinator
+	c.step()
+	c.mu.Lock()
+	refusal, ok := c.nextWrite()
+	c.mu.Unlock()
+	is.True(ok && refusal.Problem != "")
+	is.NoErr(c.write(context.Background(), refusal, c.position))
+	f.daemons[0].frozen = true
+	f.run(14 * time.Second)
+	got := f.store.statuses["shop"]
+	is.Equal(got.Order, uint64(7))
+	is.Equal(got.State, rollout.Completed)
+}
+
+// TestTakenOverOrderKeepsItsTime checks that a roll-out that another daemon in charge has accepted, of
+// which this one learns by a read, has the time and the shards that it began with.
+func TestTakenOverOrderKeepsItsTime(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.base.Config.Services["shop"] = fleet.Service{Shards: 32}
+	c, ch := f.daemons[0].coordinator, &coordinated{}
+	c.adopt(ch, protocol.RolloutStatus{
+		Service: "shop", To: "v2", Order: 7, Started: c.now().Add(-9 * time.Second), Duration: 12 * time.Second,
+	})
+	is.Equal(ch.limit, f.now.Add(3*time.Second))
+	is.Equal(ch.shards, uint32(32))
+}
+
 // refusingStatuses refuses all writes, as the log does with the status of an order that has ended.
 type refusingStatuses struct{ writes int }
 
--- a/daemon/plugins/rollout/status.go
+++ b/daemon/plugins/rollout/status.go
@@ -98,44 +98,55 @@
 }
 
 // adopt applies a status that was read: the end of the order in force, if the store has it,
-// stands whatever was decided here; and what the store has need not be written. The caller
-// holds mu.
+// stands whatever was decided here; so does a later order that another daemon in charge has
+// accepted; and what the store has need not be written. The caller holds mu.
 func (c *coordinator) adopt(ch *coordinated, status protocol.RolloutStatus) {
-	if status.Problem != "" && status.Last != nil && status.Last.Order == ch.order.ID {
-		status = *status.Last
-	}
 	if status.Order >= ch.order.ID && status.Region != "" && status.Region != c.region {
 		*ch = coordinated{reporters: ch.reporters, newest: max(ch.newest, status.Order)} // the daemon in charge is in another region
 		return
 	}
-	if status.Problem == "" && status.Order > ch.newest {
-		// Another daemon in charge has read a later order: take it over from the record.
-		*ch = coordinated{reporters: ch.reporters, newest: status.Order, order: rollout.Order{
-			Service: status.Service, To: status.To, Duration: status.Duration, ID: status.Order,
-		}, from: status.From, state: status.State, started: status.Started, last: status.Last, shards: ch.shards, changes: status.Changes + 1}
-		if ch.state == rollout.Running {
-			c.begin(ch, c.clock.Now(), status.Duration)
-		}
-		return
-	}
 	if len(ch.pending) > 0 && ch.pending[0].Order == status.Order && ch.pending[0].State == status.State {
 		ch.pending = ch.pending[1:] // written, only the answer was lost
 	}
-	if status.Order != ch.order.ID || status.State == rollout.Running || status.Problem != "" {
-		return
+	newest := max(ch.newest, status.Order)
+	if status.Problem != "" && status.Last != nil && status.Last.Order >= ch.order.ID {
+		status = *status.Last
 	}
-	if ch.state == rollout.Running {
-		ch.state = status.State
-		ch.decision = rollout.Decision{State: status.State}
-		c.logStep(ch, "recorded by another daemon in charge, or by a write whose answer was lost")
+	switch {
+	case status.Problem != "" || status.Order < ch.order.ID:
+	case status.Order > ch.order.ID:
+		pending := ch.pending
+		*ch = coordinated{reporters: ch.reporters, newest: newest, order: rollout.Order{
+			Service: status.Service, To: status.To, Duration: status.Duration, ID: status.Order,
+		}, from: status.From, state: status.State, started: status.Started, last: status.Last,
+			shards: c.control.View().Config.Services[status.Service].Shards, changes: status.Changes + 1}
+		if ch.state == rollout.Running {
+			c.begin(ch, c.clock.Now(), c.timeLeft(status))
+		}
+		c.keepRefusals(ch, pending)
+	case status.State != rollout.Running:
+		if ch.state == rollout.Running {
+			ch.state = status.State
+			ch.decision = rollout.Decision{State: status.State}
+			c.logStep(ch, "recorded by another daemon in charge, or by a write whose answer was lost")
+		}
+		c.keepRefusals(ch, ch.pending)
 	}
-	kept := ch.pending[:0]
-	for _, p := range ch.pending {
-		if p.Order != ch.order.ID {
-			kept = append(kept, p)
+}
+
+// keepRefusals keeps the refusals of later orders of what is pending, with the outcome of the
+// order in force as it was read. The caller holds mu.
+func (c *coordinator) keepRefusals(ch *coordinated, pending []protocol.RolloutStatus) {
+	ch.pending = nil
+	for _, p := range pending {
+		if p.Problem != "" && p.Order > ch.order.ID {
+			p.Last = c.inForce(ch)
+			ch.pending = append(ch.pending, p)
 		}
 	}
-	ch.pending = kept
+	if len(ch.pending) > 0 && ch.state == rollout.Running {
+		ch.pending = append(ch.pending, c.statusOf(ch, rollout.Running))
+	}
 }
 
 // write writes a status. The error is that of the store.
