core/retry: calls of a run stay known when a repeat of its request ends first

Cause: a table from request id to run kept only the newest run of an id. If a caller repeats a request that still runs, and the repeat ends first (a server that sheds it is enough), calls of the first run were taken for requests of callers: they were charged to no run, and those of a repeated run to no retry budget. Change: the table keeps all runs of an id, and a call is that of the newest. Result: the new lines of TestCallIsKnownByTheIDOfItsRun fail before (no run is found), and go test -race ./core/retry passes.

--- a/core/retry/callid_test.go
+++ b/core/retry/callid_test.go
@@ -19,6 +19,10 @@
 			t.Errorf("%q is taken for a call of %q", id, got.id)
 		}
 	}
+	again := runs.Begin("a", 0, false) // a caller repeats a request that still runs
+	is.Equal(runs.ByCallID("a.c"), again)
+	again.End()
+	is.Equal(runs.ByCallID("a.c"), first)
 	first.End()
 	is.True(runs.ByCallID("a.c") == nil)
 }
--- a/core/retry/calls.go
+++ b/core/retry/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"strings"
 	"sync"
 
@@ -64,7 +65,7 @@
 type Runs struct {
 	mu      sync.Mutex
 	running map[*Run]struct{}
-	byID    map[string]*Run // by request id
+	byID    map[string][]*Run // by request id; the newest last
 }
 
 // Run is a request that runs.
@@ -84,7 +85,7 @@
 }
 
 // NewRuns returns a tracker without running requests.
-func NewRuns() *Runs { return &Runs{running: map[*Run]struct{}{}, byID: map[string]*Run{}} }
+func NewRuns() *Runs { return &Runs{running: map[*Run]struct{}{}, byID: map[string][]*Run{}} }
 
 // Begin records that the request with an id is sent to the backend server. repeat tells whether
 // it may have arrived at one before, or is a call of such a run.
@@ -94,7 +95,7 @@
 	defer r.mu.Unlock()
 	r.running[run] = struct{}{}
 	if id != "" {
-		r.byID[id] = run
+		r.byID[id] = append(r.byID[id], run)
 	}
 	return run
 }
@@ -104,7 +105,10 @@
 	run.runs.mu.Lock()
 	defer run.runs.mu.Unlock()
 	delete(run.runs.running, run)
-	if run.runs.byID[run.id] == run {
+	same := run.runs.byID[run.id]
+	if same = slices.DeleteFunc(same, func(other *Run) bool { return other == run }); len(same) > 0 {
+		run.runs.byID[run.id] = same
+	} else {
 		delete(run.runs.byID, run.id)
 	}
 	return maps.Clone(run.calls)
@@ -113,8 +117,8 @@
 // idSeparators separate the id of a request from what a backend server appends to it for a call.
 const idSeparators = ".:/"
 
-// ByCallID returns the run whose request id the id of a call extends, as in "ID.CALL", or nil if
-// there is none.
+// ByCallID returns the run whose request id the id of a call extends, as in "ID.CALL", the newest if
+// a request runs more than once, or nil if there is none.
 func (r *Runs) ByCallID(callID string) *Run {
 	i := strings.LastIndexAny(callID, idSeparators)
 	if i <= 0 {
@@ -122,7 +126,10 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.byID[callID[:i]]
+	if same := r.byID[callID[:i]]; len(same) > 0 {
+		return same[len(same)-1]
+	}
+	return nil
 }
 
 // Parent returns the run on whose behalf a call with the given deadline is made: calls
