gateway: calls known by their ids go first only where the link is narrow

Cause: where callers have no keys, a call is known by its id since calls count for the retry budget. It was also marked as nested, so that servers run it before the requests of callers, and its timeout no longer tells of retries, in deployments whose settings do not name a narrow link, too. Those are to be served as before. Change: such a call counts for its run and as a repeat in every deployment; it is marked as nested only with bounds.link_mbps. With teams nothing changes. Result: TestCallsKnownByIDGoFirstBehindNarrowLinksOnly fails before and passes; go test -race ./daemon/plugins/gateway passes, TestRepeatsExceedBudget with its case 'no teams' included.

--- a/daemon/plugins/gateway/nested_test.go
+++ b/daemon/plugins/gateway/nested_test.go
@@ -39,3 +39,25 @@
 	is.Equal(s.lastRequest.GetPriority(), uint32(1))
 	is.True(s.lastRequest.GetTargetMs() <= 200)
 }
+
+// Without teams a call is known by its id. It counts as a call of its run in every deployment, but
+// goes before the requests of callers only where the settings name a narrow link: others were to be
+// served as before.
+func TestCallsKnownByIDGoFirstBehindNarrowLinksOnly(t *testing.T) {
+	for _, narrow := range []bool{false, true} {
+		is := is.New(t)
+		s := newFakeDaemon()
+		s.view.Config.Teams = nil
+		g := newTestHandler(t, s).(*gateway)
+		g.ranksNested = narrow
+		srv := httptest.NewServer(g)
+		defer srv.Close()
+		run := g.runs.Begin("r-1", clock.Boot{}.Now().Add(time.Second), true)
+		is.Equal(send(t, srv, "GET", "/open/1", "Id", "r-1.c").StatusCode, 200)
+		is.Equal(s.lastRequest.GetNested(), narrow)
+		is.True(s.lastRequest.GetRepeat())
+		is.Equal(run.End()[s.lastRequest.GetService()], uint32(1))
+		is.Equal(send(t, srv, "GET", "/open/1", "Id", "r-1.c").StatusCode, 200)
+		is.True(!s.lastRequest.GetNested() && !s.lastRequest.GetRepeat()) // the run is over
+	}
+}
--- a/daemon/plugins/gateway/serve.go
+++ b/daemon/plugins/gateway/serve.go
@@ -54,7 +54,8 @@
 	configVersion  uint64        // version of the configuration that was used
 	configAge      time.Duration // of the knowledge that it was the newest one, view.Freshness.Age
 	bodyRead       bool
-	remote         bool // the answer leaves the instance
+	parent         *retry.Run // the run on whose behalf a nested call is made; nil if it is not known, or for a request of a caller
+	remote         bool       // the answer leaves the instance
 	transfer       transfer
 }
 
@@ -202,10 +203,12 @@
 // authenticate sets the request's team by its caller key. Requests without a key
 // on an anonymous route count as nested: backend servers make them for requests
 // that they run. Without teams no caller has a key, so that only an id which extends
-// that of a running request shows a nested one.
+// that of a running request shows a nested one; it is counted as a call of that request,
+// but served before the requests of callers only where nested calls are ranked.
 func (g *gateway) authenticate(v *view.View, x *exchange, key string) error {
 	if len(v.Config.Teams) == 0 {
-		x.req.Nested = g.runs.ByCallID(x.req.GetRequestId()) != nil
+		x.parent = g.runs.ByCallID(x.req.GetRequestId())
+		x.req.Nested = x.parent != nil && g.ranksNested
 		return nil
 	}
 	team, known := "", false
@@ -246,18 +249,19 @@
 	if g.suspects.IsQuarantined(x.req.GetFingerprint()) {
 		return nil, outcome.New(outcome.Quarantined, "this request crashed backend servers")
 	}
-	// A nested request shares the deadline of the request that it serves, so a short
-	// remaining timeout does not mean that it is a retry.
-	var parent *retry.Run
-	if req.GetNested() {
-		parent = g.parentOf(x)
-		parent.AddCalls(req.GetService(), 1)
-		req.Repeat = parent.Repeat()
-		if g.ranksNested {
-			g.rankWithParent(x, parent)
-		}
-	} else {
+	if req.GetNested() && x.parent == nil {
+		x.parent = g.parentOf(x)
+	}
+	parent := x.parent
+	parent.AddCalls(req.GetService(), 1)
+	req.Repeat = parent.Repeat()
+	switch {
+	case !req.GetNested():
 		x.targetTime = x.targetTime.Add(-g.timeoutEstimators.elapsed(g.clock.Now(), req.GetRoute(), x.callerTimeout))
+	case g.ranksNested:
+		// A nested request shares the deadline of the request that it serves, so a short
+		// remaining timeout does not mean that it is a retry.
+		g.rankWithParent(x, parent)
 	}
 	ctx, cancel := context.WithDeadline(ctx, x.limit)
 	defer cancel()
