edge: connections that share the link are reset, too, when they are ended

Cause: a connection that is ended for what its caller did is reset, so that the kernel drops what the caller does not read. That was done for *net.TCPConn only; with a narrow link connections are wrapped (pacing.Conn), and the kernel kept up to its send buffer of each ended one until TCP_USER_TIMEOUT, 30 s, while memory was short. Change: any connection with SetLinger is reset. Result: TestWaitForTheLinkIsNoStall/caller checks it, fails before and passes with -race.

--- a/daemon/edge/memory_test.go
+++ b/daemon/edge/memory_test.go
@@ -171,6 +171,12 @@
 	waiting atomic.Bool
 	turn    atomic.Int64 // Unix time in nanoseconds of the last turn
 	turns   chan struct{}
+	reset   atomic.Bool // what it has written and the caller has not taken is dropped with it
+}
+
+func (c *pacedConn) SetLinger(sec int) error {
+	c.reset.Store(sec == 0)
+	return nil
 }
 
 func (c *pacedConn) Expect(int64, int) {}
@@ -219,6 +225,7 @@
 			}
 			time.Sleep(2 * stall)
 			is.Equal(l.relieve(stall), !reads)
+			is.Equal(conn.reset.Load(), !reads) // else the kernel keeps its buffer for 30 s
 		})
 	}
 }
--- a/daemon/edge/pipeline.go
+++ b/daemon/edge/pipeline.go
@@ -599,7 +599,7 @@
 }
 
 func (p *pipeline) close() {
-	if c, ok := p.conn.(*net.TCPConn); ok && (p.forced || p.unread) {
+	if c, ok := p.conn.(interface{ SetLinger(sec int) error }); ok && (p.forced || p.unread) {
 		_ = c.SetLinger(0) // else the kernel keeps what the caller does not read
 	}
 	_ = p.conn.Close()
