--- a/daemon/plugins/backend/full_server_test.go
+++ b/daemon/plugins/backend/full_server_test.go
@@ -118,20 +118,23 @@
 	}
 }
 
-// The end of a connection that has carried an answer is a lost response, and a reset by a process that
-// has ended is a crash.
+// The end of a connection without a reset is a lost response, whether it has carried an answer or not,
+// and a reset by a process that has ended is a crash.
 func TestLostResponseAndCrashAreNotResetsOfAFullServer(t *testing.T) {
 	is := is.New(t)
-	s := startResetting(t)
 	c := newClient(clock.Boot{}, &fake{}, noSuspects{})
-	is.Equal(kind(runOn(c, s, "r-1")), outcome.OK)
 	addr := rawServer(t, func(n int, id string) (string, bool) {
-		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok", n == 1
+		if n == 2 {
+			return "", false
+		}
+		return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nSeal: s\r\nContent-Length: 2\r\n\r\nok", true
 	})
-	lost := rawServer(t, func(n int, id string) (string, bool) { return "", false })
-	got, _ := runRaw(c, addr, "r-2")
+	got, _ := runRaw(c, addr, "r-1")
 	is.Equal(got, outcome.OK)
-	got, _ = runRaw(c, lost, "r-3")
+	got, _ = runRaw(c, addr, "r-2")
+	is.Equal(got, outcome.ConnectionLost)
+	fresh := rawServer(t, func(int, string) (string, bool) { return "", false })
+	got, _ = runRaw(c, fresh, "r-3")
 	is.Equal(got, outcome.ConnectionLost)
 
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -83,6 +83,16 @@
 	return next, err
 }
 
+// ends returns the number of statuses that are ends and were written.
+func (s *fakeStore) ends() (n int) {
+	for _, status := range s.written {
+		if status.State != rollout.Running {
+			n++
+		}
+	}
+	return n
+}
+
 // fakeFleet is some daemons that share a view, apart from who they are, and virtual time.
 type fakeFleet struct {
 	planners int // number of them
@@ -371,13 +381,7 @@
 	end(one, rollout.RolledBack)
 	end(two, rollout.Completed)
 	f.run(time.Second)
-	ends := 0
-	for _, s := range f.store.written {
-		if s.State != rollout.Running {
-			ends++
-		}
-	}
-	is.Equal(ends, 1)
+	is.Equal(f.store.ends(), 1)
 	is.Equal(one.coordinator.rollouts["shop"].state, two.coordinator.rollouts["shop"].state)
 }
 
@@ -524,13 +528,7 @@
 	f.run(14 * time.Second)
 	f.expectState(rollout.Completed)
 	is.Equal(f.run(2 * time.Second)["v1"], 0)
-	ends := 0
-	for _, s := range f.store.written {
-		if s.State != rollout.Running {
-			ends++
-		}
-	}
-	is.Equal(ends, 1)
+	is.Equal(f.store.ends(), 1)
 }
 
 // TestDaemonHearsNothing checks that a daemon that is cut off sends nothing to the new version,
