peer: a large request that is written for long does not end its session

Cause: the link for large frames was watched like any other. While a large request was written in pieces, its pings waited behind it and nothing came from the peer: after 600 ms without a byte, or 300 ms after a further request that must not run twice, the peer counted as unresponsive, and its session ended with all calls of it, which may have run. Change: the peer is pinged over the traffic link of the session, whose bytes count, too.

--- a/daemon/plugins/peer/bulk_test.go
+++ b/daemon/plugins/peer/bulk_test.go
@@ -222,3 +222,30 @@
 	s.close()
 	is.Equal(outcome.KindOf(<-lost), outcome.ConnectionLost)
 }
+
+// A large request that takes long to write over a narrow link kept the pings of its session from
+// the peer, which counted as unresponsive after 600 ms.
+func TestPeerAnswersWhileALargeRequestIsWritten(t *testing.T) {
+	is := is.New(t)
+	addr, n := pacedPair(t, handlerFunc(sized), nil, pacerOf(0.4))
+	_, _, err := callSized(n, addr, 10, false)
+	is.NoErr(err)
+	before, err := n.session(context.Background(), addr)
+	is.NoErr(err)
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	began := time.Now()
+	var requests sync.WaitGroup
+	for i := range 2 { // the second comes when nothing was read of the link for 500 ms
+		requests.Go(func() {
+			time.Sleep(time.Duration(i) * 500 * time.Millisecond)
+			_, err := n.Call(ctx, addr, &wire.Frame{Body: &wire.Frame_Request{Request: &wire.Request{Path: "10", Body: make([]byte, 50_000)}}})
+			is.NoErr(err)
+		})
+	}
+	requests.Wait()
+	is.True(time.Since(began) > 1500*time.Millisecond) // 2.4 s at the paced rate
+	after, err := n.session(context.Background(), addr)
+	is.NoErr(err)
+	is.True(before == after)
+}
--- a/daemon/plugins/peer/client.go
+++ b/daemon/plugins/peer/client.go
@@ -60,7 +60,11 @@
 	waiting  map[uint64]*call
 	draining bool // the peer accepts no more frames
 
-	lastBytesRead  uint64 // bytesRead at the last check
+	// beside is another link of the session, over which the peer is pinged: on a link for large
+	// frames a ping waits until one is written, which may take seconds. Nil for other links.
+	beside *clientLink
+
+	lastBytesRead  uint64 // at the last check, of beside, too
 	misses         int
 	pingUnanswered atomic.Bool // calls wait, and probeMisses was reached
 }
@@ -285,9 +289,18 @@
 	}
 }
 
+// pinged returns the link over which the peer is pinged.
+func (l *clientLink) pinged() *clientLink {
+	if l.beside != nil {
+		return l.beside
+	}
+	return l
+}
+
 // stale reports whether the last frame from the peer is older than staleAfter.
 func (l *clientLink) stale() bool {
-	return l.clock.Now().Sub(clock.Instant(l.lastReceived.Load())) > staleAfter
+	received := max(l.lastReceived.Load(), l.pinged().lastReceived.Load())
+	return l.clock.Now().Sub(clock.Instant(received)) > staleAfter
 }
 
 // confirm pings the peer and reports whether it answered within the timeout. It
@@ -336,6 +349,9 @@
 // lastBytesRead and misses are not locked.
 func (l *clientLink) check() health {
 	bytesRead := l.bytesRead.Load()
+	if l.beside != nil {
+		bytesRead += l.beside.bytesRead.Load()
+	}
 	if l.waitingCalls() == 0 || bytesRead != l.lastBytesRead {
 		l.lastBytesRead = bytesRead
 		l.misses = 0
@@ -346,7 +362,7 @@
 	l.pingUnanswered.Store(l.misses >= probeMisses)
 	switch {
 	case l.misses == pingMisses:
-		l.ping()
+		l.pinged().ping()
 	case l.misses == probeMisses:
 		return unconfirmed
 	case l.misses >= unresponsiveMisses:
--- a/daemon/plugins/peer/network.go
+++ b/daemon/plugins/peer/network.go
@@ -130,7 +130,7 @@
 	req := frame.GetRequest()
 	mustConfirm := !req.GetIdempotent() && l.stale() || l.pingUnanswered.Load()
 	if req != nil && mustConfirm {
-		if err := n.confirm(ctx, addr, s, l); err != nil {
+		if err := n.confirm(ctx, addr, s, l.pinged()); err != nil {
 			return nil, err
 		}
 	}
--- a/daemon/plugins/peer/session.go
+++ b/daemon/plugins/peer/session.go
@@ -217,6 +217,9 @@
 		s.close() // a peer that does not confirm a link does not answer calls either
 		return nil, errNotSent
 	}
+	if at == &s.bulk {
+		l.beside = s.traffic
+	}
 	at.Store(l)
 	if at == &s.bulk && s.draining.Load() {
 		l.drain()
