pacing: the comment of the rank of unexpected responses states late ones

Cause: since late responses have ranks behind all others, the rank of a response that was not expected is no longer behind all: it equals that of the most urgent late one. Change: only the comment, which said otherwise; the order stays, and nothing was measured.

--- a/daemon/pacing/conn.go
+++ b/daemon/pacing/conn.go
@@ -117,7 +117,8 @@
 	return bytes, bytes >= link.CongestedBytes && 2*limited < busy
 }
 
-// unknownRank is the rank of a response that was not expected, behind all priorities.
+// unknownRank is the rank of a response that was not expected: behind those that are not late, and
+// with the most urgent late ones, see link.ResponseRank.
 const unknownRank = math.MaxUint32 + 1
 
 // Conn is a connection of a caller. Large writes wait for the turn of each of their pieces. It is
