--- a/daemon/pacing/conn.go
+++ b/daemon/pacing/conn.go
@@ -117,7 +117,8 @@
 	return bytes, bytes >= link.CongestedBytes && 2*limited < busy
 }
 
-// unknownRank is the rank of a response that was not expected, behind all priorities.
+// unknownRank is the rank of a response that was not expected: behind those that are not late, and
+// with the most urgent late ones, see link.ResponseRank.
 const unknownRank = math.MaxUint32 + 1
 
 // Conn is a connection of a caller. Large writes wait for the turn of each of their pieces. It is
@@ -130,12 +131,15 @@
 	once   sync.Once
 	closed chan struct{}
 
-	waiting atomic.Bool // a write waits for its next piece
+	waiting atomic.Bool  // a write waits for its next piece
+	granted atomic.Int64 // time from opened to the last piece
+	opened  time.Time
 
 	mu       sync.Mutex
 	rank     int64     // of the last response that was expected
 	transfer *Transfer // of the response in progress; nil if none is expected
 	credit   int       // bytes of it that were granted and not written
+	ended    bool      // Close was called: there are no more transfers
 }
 
 // Caller returns conn, or a Conn if it uses the link. p may be nil.
@@ -144,7 +148,7 @@
 	if !ok || !p.Limited() || SameHost(conn) {
 		return conn
 	}
-	c := &Conn{TCPConn: tcp, p: p, closed: make(chan struct{}), rank: unknownRank}
+	c := &Conn{TCPConn: tcp, p: p, closed: make(chan struct{}), rank: unknownRank, opened: time.Now()}
 	c.wrote, c.stop = p.track(tcp, false)
 	return c
 }
@@ -168,10 +172,18 @@
 		c.transfer.End()
 	}
 	c.transfer, c.credit = t, 0
+	if c.ended && t != nil {
+		t.End()
+		c.transfer = nil
+	}
 }
 
-// Waiting reports whether a write waits for the turn of its next piece.
-func (c *Conn) Waiting() bool { return c.waiting.Load() }
+// Waits reports whether a write waits for the turn of its next piece, and until when one has
+// waited last.
+func (c *Conn) Waits() (now bool, until time.Time) {
+	now = c.waiting.Load() // before the time, which is set first
+	return now, c.opened.Add(time.Duration(c.granted.Load()))
+}
 
 // Write implements net.Conn.
 func (c *Conn) Write(b []byte) (int, error) {
@@ -195,6 +207,10 @@
 // response.
 func (c *Conn) next(n int) (int, error) {
 	c.mu.Lock()
+	if c.ended {
+		c.mu.Unlock()
+		return 0, net.ErrClosed
+	}
 	if c.transfer == nil && n >= link.Large {
 		c.transfer = c.p.Offer(c.rank, n)
 	}
@@ -209,6 +225,7 @@
 		defer c.waiting.Store(false)
 		select {
 		case credit = <-t.Await():
+			c.granted.Store(int64(time.Since(c.opened)))
 			c.wrote()
 		case <-c.closed:
 			return 0, net.ErrClosed
@@ -231,6 +248,9 @@
 	c.once.Do(func() {
 		close(c.closed)
 		c.stop()
+		c.mu.Lock()
+		c.ended = true
+		c.mu.Unlock()
 		c.begin(nil)
 	})
 	return c.TCPConn.Close()
