edge: limit the lines about connections without zap's samplers

Each of the five listeners of a daemon limits its lines with samplers of zap, which hold 7 x 4096 counters, 448 KiB each.

--- a/daemon/edge/connlog.go
+++ b/daemon/edge/connlog.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
+	"golang.org/x/time/rate"
 
 	"github.com/sesamemoor/sesamemoor/core/callermemory"
 )
@@ -47,25 +47,35 @@
 const maxRefusedLines = 1
 
 // connLog logs the ends of callers' connections of one listener, and those that it refuses.
-type connLog struct{ log, refusals *zap.Logger }
+type connLog struct {
+	log *zap.Logger
+	// One for each message. A sampler of zap holds 448 KiB of counters, most of the live heap of a
+	// daemon with two for each listener.
+	ends, refusals, withoutRoom *rate.Limiter
+}
 
 func newConnLog(log *zap.Logger, listener string) connLog {
-	sampled := func(lines int) *zap.Logger {
-		return log.WithOptions(zap.WrapCore(func(core zapcore.Core) zapcore.Core {
-			return zapcore.NewSamplerWithOptions(core, time.Second, lines, 0)
-		})).With(zap.String("listener", listener))
+	perSecond := func(lines int) *rate.Limiter { return rate.NewLimiter(rate.Limit(lines), lines) }
+	return connLog{
+		log:  log.With(zap.String("listener", listener)),
+		ends: perSecond(maxEndLines), refusals: perSecond(maxRefusedLines), withoutRoom: perSecond(maxRefusedLines),
 	}
-	return connLog{sampled(maxEndLines), sampled(maxRefusedLines)}
 }
 
 // refused logs that a connection was closed because as many are open as may be.
 func (c connLog) refused(caller net.Addr, limit int) {
-	c.refusals.Warn("caller connection refused", zap.Stringer("caller", caller), zap.Int("limit", limit))
+	if !c.refusals.Allow() {
+		return
+	}
+	c.log.Warn("caller connection refused", zap.Stringer("caller", caller), zap.Int("limit", limit))
 }
 
 // noRoom logs that a request was refused because its answer has no room.
 func (c connLog) noRoom(caller net.Addr, by callermemory.Refusal, ofConn int64, memory *callermemory.Account) {
-	c.refusals.Warn("no memory for an answer", zap.Stringer("caller", caller), zap.Stringer("bound", by),
+	if !c.withoutRoom.Allow() {
+		return
+	}
+	c.log.Warn("no memory for an answer", zap.Stringer("caller", caller), zap.Stringer("bound", by),
 		zap.Int64("connection_bytes", ofConn), zap.Int64("entry_bytes", memory.Entry()), zap.Int64("total_bytes", memory.Total()),
 		zap.Int64("caller_connections", memory.Connections()))
 }
@@ -73,7 +83,7 @@
 // ended logs the end of a connection that left requests without an answer, and all ends
 // during a stop.
 func (c connLog) ended(e connEnd) {
-	if e.bytes == 0 && !e.stopping {
+	if e.bytes == 0 && !e.stopping || !c.ends.Allow() {
 		return
 	}
 	sinceRead := int64(-1)
--- a/daemon/edge/connlog_test.go
+++ b/daemon/edge/connlog_test.go
@@ -4,13 +4,17 @@
 	"context"
 	"net"
 	"net/http"
+	"runtime"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 	"go.uber.org/fx/fxtest"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/sesamemoor/sesamemoor/core/callermemory"
 )
 
 // endLines serves requests with a log and returns the lines about ended connections.
@@ -89,3 +93,39 @@
 		})
 	}
 }
+
+// A flood of connections must not fill the log, nor one message take the lines of another.
+func TestLinesAboutConnectionsAreLimited(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		core, lines := observer.New(zap.InfoLevel)
+		log := newConnLog(zap.New(core), "test")
+		const seconds = 3
+		for range seconds {
+			for range 3 * maxEndLines {
+				log.refused(&net.TCPAddr{}, 1)
+				log.noRoom(&net.TCPAddr{}, callermemory.ByEntry, 1, callermemory.New(callermemory.Limits{}))
+				log.ended(connEnd{caller: &net.TCPAddr{}, bytes: 1})
+			}
+			time.Sleep(time.Second)
+		}
+		is.Equal(lines.FilterMessage("caller connection refused").Len(), seconds*maxRefusedLines)
+		is.Equal(lines.FilterMessage("no memory for an answer").Len(), seconds*maxRefusedLines)
+		is.Equal(lines.FilterMessage("caller connection ended").Len(), seconds*maxEndLines)
+	})
+}
+
+// A daemon has five listeners. The limits on the lines of each took 0.9 MB, 40% of the live heap of
+// a daemon without load.
+func TestLogOfAListenerIsSmall(t *testing.T) {
+	is := is.New(t)
+	log := zap.NewNop()
+	const logs = 100
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	for range logs {
+		newConnLog(log, "test")
+	}
+	runtime.ReadMemStats(&after)
+	is.True((after.TotalAlloc-before.TotalAlloc)/logs < 4<<10)
+}
