decisions: keep only the values of log lines

The ring kept the fields of 4,096 lines as they were logged. A full ring held some 7 MB, twice that at the peak. Lines of one place in the code now share their keys, and a place in the ring is used again without an allocation. Queries return the same lines.

--- a/daemon/decisions/decisions.go
+++ b/daemon/decisions/decisions.go
@@ -19,22 +19,17 @@
 	requestField     = "request_id"
 )
 
-// line is a log line that is encoded only when a query returns it.
-type line struct {
-	entry  zapcore.Entry
-	fields []zapcore.Field
-}
-
 // Ring is a ring buffer of the newest lines. It is safe for concurrent use.
 type Ring struct {
 	mu    sync.Mutex
 	lines []line
-	next  int // index of the next line to write
+	kinds map[string][]*kind // by message
+	next  int                // index of the next line to write
 	full  bool
 }
 
 // NewRing returns a ring of at most size lines. size must be positive.
-func NewRing(size int) *Ring { return &Ring{lines: make([]line, size)} }
+func NewRing(size int) *Ring { return &Ring{lines: make([]line, size), kinds: map[string][]*kind{}} }
 
 // Attach returns a logger that writes to log and stores lines about requests and
 // placements in the ring.
@@ -44,65 +39,65 @@
 	}))
 }
 
-func (r *Ring) add(l line) {
+func (r *Ring) add(entry zapcore.Entry, context, fields []zapcore.Field) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lines[r.next] = l
+	r.lines[r.next].set(entry.Time, r.kindOf(entry, context, fields), context, fields)
 	r.next = (r.next + 1) % len(r.lines)
 	r.full = r.full || r.next == 0
 }
 
-// ordered returns the lines, oldest first.
-func (r *Ring) ordered() []line {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if !r.full {
-		return append([]line(nil), r.lines[:r.next]...)
-	}
-	return append(append([]line(nil), r.lines[r.next:]...), r.lines[:r.next]...)
-}
-
 // Request returns the lines about a request id as JSON, oldest first.
 func (r *Ring) Request(id string) []json.RawMessage {
-	return r.find(func(l line) bool { return l.stringField(requestField) == id })
+	return r.find(func(l *line) bool { return l.field(requestField).String == id })
 }
 
 // Shard returns the placement lines with the service and the shard as fields, as
 // JSON, oldest first. It does not search the lines that list several shards; for shard
 // 0 it also returns these, since it reads a missing field as 0.
 func (r *Ring) Shard(service string, shard uint32) []json.RawMessage {
-	return r.find(func(l line) bool {
-		return l.entry.Message == placementMessage && l.stringField("service") == service && l.intField("shard") == int64(shard)
+	return r.find(func(l *line) bool {
+		return l.kind.entry.Message == placementMessage && l.field("service").String == service && l.field("shard").Integer == int64(shard)
 	})
 }
 
-func (r *Ring) find(matches func(line) bool) []json.RawMessage {
+func (r *Ring) find(matches func(*line) bool) []json.RawMessage {
 	found := []json.RawMessage{}
-	for _, l := range r.ordered() {
-		if matches(l) {
-			found = append(found, l.encode())
-		}
+	for _, l := range r.copyOf(matches) {
+		found = append(found, encode(l.entry, l.fields))
 	}
 	return found
 }
 
-func (l line) field(key string) zapcore.Field {
-	for _, f := range l.fields {
-		if f.Key == key {
-			return f
+// logged is a line as it was logged.
+type logged struct {
+	entry  zapcore.Entry
+	fields []zapcore.Field
+}
+
+// copyOf returns the lines that match, oldest first.
+func (r *Ring) copyOf(matches func(*line) bool) []logged {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var found []logged
+	collect := func(lines []line) {
+		for i := range lines {
+			if l := &lines[i]; matches(l) {
+				found = append(found, l.logged())
+			}
 		}
 	}
-	return zapcore.Field{}
+	if r.full {
+		collect(r.lines[r.next:])
+	}
+	collect(r.lines[:r.next])
+	return found
 }
 
-func (l line) stringField(key string) string { return l.field(key).String }
-
-func (l line) intField(key string) int64 { return l.field(key).Integer }
-
-func (l line) encode() json.RawMessage {
+func encode(entry zapcore.Entry, fields []zapcore.Field) json.RawMessage {
 	config := zap.NewProductionEncoderConfig()
 	config.EncodeTime = zapcore.RFC3339NanoTimeEncoder
-	buf, err := zapcore.NewJSONEncoder(config).EncodeEntry(l.entry, l.fields)
+	buf, err := zapcore.NewJSONEncoder(config).EncodeEntry(entry, fields)
 	if err != nil {
 		return json.RawMessage(`{"msg":"log line cannot be encoded"}`)
 	}
@@ -133,16 +128,13 @@
 	return checked.AddCore(entry, c)
 }
 
-// Write implements zapcore.Core. It retains fields without a copy, which relies on
-// callers not to modify a field slice after logging it.
+// Write implements zapcore.Core. It retains what fields refer to without a copy, which
+// relies on callers not to modify it after logging.
 func (c *ringCore) Write(entry zapcore.Entry, fields []zapcore.Field) error {
 	if entry.Message != placementMessage && !hasRequest(fields) {
 		return nil
 	}
-	if len(c.context) > 0 {
-		fields = append(append([]zapcore.Field(nil), c.context...), fields...)
-	}
-	c.ring.add(line{entry, fields})
+	c.ring.add(entry, c.context, fields)
 	return nil
 }
 
