daemon/plugins/rollout: entries know that a completion is decided before it is recorded

Cause: an entry whose answer had expired could not tell a completion from a rollback. It sent to old servers that had stopped until their leases lapsed, or, if all refused, to a version that had been rolled back.

Change: a completion of a keyless service is recorded once the daemons that report were told that it is decided, for at most two intervals of the reports. Without a valid answer such an entry leaves the old version when one of its servers is unreachable, fails, or none answers for 0.3 s. An entry that was not told asks the daemons beside the new servers, and sends nothing there before. The next daemon in charge keeps a decision that it was told.

--- a/daemon/plugins/rollout/coordinator.go
+++ b/daemon/plugins/rollout/coordinator.go
@@ -53,8 +53,9 @@
 	bounds   rollout.Bounds
 	region   string
 	statuses protocol.RolloutStatuses
-	now      func() time.Time // time of day
-	wake     chan struct{}    // something is to be written
+	now      func() time.Time                // time of day
+	wake     chan struct{}                   // something is to be written
+	known    func(service string) *knowledge // of this daemon's own answers; may return nil
 
 	mu       sync.Mutex
 	inCharge bool
@@ -84,6 +85,7 @@
 	waitingFor   uint64
 	waitingSince clock.Instant
 	endQueued    bool                     // the status of the end is or was pending
+	tellUntil    clock.Instant            // until when a completion waits for the reports of daemons that were not told
 	pending      []protocol.RolloutStatus // to be written, in order
 	reporters    map[string]reporter      // by slot
 }
@@ -93,6 +95,7 @@
 	at          clock.Instant
 	sequence    uint64
 	sharedUntil clock.Instant // end of the validity of its last answer, if that has a share
+	completing  bool          // it was told that the completion is decided
 }
 
 func newCoordinator(p params) *coordinator {
@@ -128,7 +131,7 @@
 	ch := c.rollouts[report.GetService()]
 	c.asked = c.asked || ch == nil
 	if !c.inCharge || !c.leads(c.control.View(), now) || ch == nil || ch.newest < report.GetOrder() {
-		return &wire.RolloutAnswer{}
+		return c.known(report.GetService()).answerOf()
 	}
 	known := ch.reporters[report.GetSlot()]
 	if ch.controller != nil && report.GetSequence() > known.sequence {
@@ -140,7 +143,7 @@
 		}
 	}
 	answer := c.answer(ch)
-	r := reporter{at: now, sequence: max(report.GetSequence(), known.sequence)}
+	r := reporter{at: now, sequence: max(report.GetSequence(), known.sequence), completing: answer.GetServers() == allServers}
 	if answer.GetShare() > 0 {
 		r.sharedUntil = now.Add(time.Duration(answer.GetValidMs()) * time.Millisecond)
 	}
@@ -162,9 +165,17 @@
 	if ch.state == rollout.Running && ch.decision.State != rollout.RolledBack {
 		a.Share, a.Servers = ch.decision.Share, uint32(max(ch.decision.Servers, 0))
 	}
+	if ch.completing() {
+		a.Servers = allServers
+	}
 	return a
 }
 
+// completing reports whether the completion of a keyless service is decided and not recorded.
+func (ch *coordinated) completing() bool {
+	return ch.state == rollout.Running && ch.decision.State == rollout.Completed && ch.shards == 0
+}
+
 // setInterval sets the time until a daemon's next report by the number of daemons that report.
 func (c *coordinator) setInterval(now clock.Instant) {
 	count := 0
@@ -358,6 +369,10 @@
 	used := min(max(c.now().Sub(status.Started), 0), status.Duration)
 	c.begin(ch, now, status.Duration-used)
 	ch.pending = append(ch.pending, c.statusOf(ch, rollout.Running)) // so that a write of the former daemon in charge conflicts
+	if k := c.known(service); ch.shards == 0 && k != nil && k.completing() && k.run.order == status.Order {
+		// The former daemon in charge has decided this, and others may rely on it.
+		ch.decision = rollout.Decision{State: rollout.Completed, Share: 1, Servers: len(c.control.View().Servers[service])}
+	}
 	c.logStep(ch, "resumed")
 	return ch
 }
@@ -430,7 +445,10 @@
 
 // recordEnd queues the status of a roll-out whose end is decided. A rollback is recorded once
 // nothing goes to the new version any more: no daemon has a valid answer with a share, and no
-// shard has an owner of the version. It has to be recorded before the time is over.
+// shard has an owner of the version. A completion of a keyless service is recorded once all
+// daemons that report were told that it is decided, or after two intervals of the reports: the old
+// version and this daemon may stop as soon as it is recorded. Both have to be recorded before the
+// time is over.
 func (c *coordinator) recordEnd(v *view.View, now clock.Instant, service string, ch *coordinated) {
 	if ch.endQueued {
 		return
@@ -445,6 +463,16 @@
 			return
 		}
 	}
+	if ch.completing() {
+		if ch.tellUntil == 0 {
+			ch.tellUntil = min(now.Add(2*max(c.interval, reportInterval)), ch.limit.Add(-limitMargin))
+		}
+		for _, r := range ch.reporters {
+			if !r.completing && now.Sub(r.at) < reporterAge && now < ch.tellUntil {
+				return
+			}
+		}
+	}
 	ch.endQueued = true
 	ch.pending = append(ch.pending, c.statusOf(ch, ch.decision.State))
 }
--- a/daemon/plugins/rollout/entries.go
+++ b/daemon/plugins/rollout/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -30,8 +31,19 @@
 	idleInterval = time.Second
 	// reportTimeout bounds one report including its answer.
 	reportTimeout = time.Second
+	// silence is the time without an answer of any server of the old version after which they are
+	// taken to be gone, if the completion is decided. With the validity of an answer it leaves
+	// half a second of the 2 s within which requests must be served again.
+	silence = 300 * time.Millisecond
+	// maxAsked is the number of daemons that are asked at once for the end of a roll-out, so
+	// that one of them that is lost, too, does not delay the answer.
+	maxAsked = 3
 )
 
+// allServers is the number of servers in an answer once the completion is decided. The daemon
+// in charge does not take the decision back, but the end is not recorded yet.
+const allServers = math.MaxUint32
+
 // entries is the part of roll-outs at a daemon that sends requests. It implements
 // kernel.Rollouts.
 type entries struct {
@@ -58,12 +70,20 @@
 	recorder rollout.Recorder
 	lastUsed atomic.Int64 // clock.Instant of the last request
 	known    atomic.Pointer[knowledge]
+	// unansweredSince is the time of the first request to the old version after its last answer,
+	// of those sent without a valid answer of the daemon in charge; 0 if there is none.
+	unansweredSince atomic.Int64
 
 	// The fields below are used by one report at a time.
 	inFlight   atomic.Bool
 	nextReport clock.Instant
 	sequence   uint64
 	unreported *wire.RolloutReport // whose answer did not arrive
+
+	asking  atomic.Bool
+	nextAsk clock.Instant // not read or written while others are asked, apart from that goroutine
+
+	applying sync.Mutex // held while known is replaced
 }
 
 // knowledge is what the answers of the daemon in charge said. It is immutable, apart from
@@ -74,10 +94,22 @@
 	last   *ended
 	picker *rollout.Picker // of run
 	answer rollout.Answer  // that the picker has
+	// oldFailed is set when a server of the old version has failed although the answer is not
+	// valid any more. It stays set until the next answer: an attempt at a server that has
+	// stopped may cost a request its deadline.
+	oldFailed atomic.Bool
 	// serversOf caches the servers of the new version that get requests.
 	serversOf atomic.Pointer[selection]
 }
 
+// completing reports whether the roll-out is known to be decided as completed.
+func (k *knowledge) completing() bool { return k.run != nil && k.answer.Servers == allServers }
+
+// expired reports whether the roll-out is running without a valid answer.
+func (k *knowledge) expired(now clock.Instant) bool {
+	return k.run != nil && !now.Before(k.answer.Until)
+}
+
 // selection is the servers of the new version that get requests, of the members that it
 // was made from.
 type selection struct {
@@ -87,12 +119,22 @@
 }
 
 func newEntries(p params, c *coordinator) *entries {
-	return &entries{
+	e := &entries{
 		enabled: enabled(p.Settings), control: p.Control, peers: p.Peers, clock: p.Clock, log: p.Log.Named("rollout"), coordinator: c,
 		slot: p.Settings.Slot, seed: xxhash.Sum64String(p.Settings.Slot),
 		holdout:  holdout{time: seconds(p.Settings.Bounds.ConfigApplyS)},
 		services: map[string]*entry{},
 	}
+	c.known = e.knowledge
+	return e
+}
+
+// knowledge returns what is known of a service's roll-out, or nil.
+func (e *entries) knowledge(service string) *knowledge {
+	if s := e.of(service, false); s != nil {
+		return s.known.Load()
+	}
+	return nil
 }
 
 // of returns the state of a service, or nil if there is none and create is not set.
@@ -137,7 +179,7 @@
 	k := s.known.Load()
 	old, new, pending := e.divide(v, now, members, k, order)
 	if k.run == nil {
-		if !slices.ContainsFunc(old, usable) && len(pending) > 0 {
+		if len(old) == 0 {
 			old = pending
 		}
 		return restrict(members, old)
@@ -152,7 +194,7 @@
 	}
 	if !choice.New {
 		switch {
-		case len(new) > 0 && k.oldIsGone(now, old, usable):
+		case len(new) > 0 && s.oldIsGone(now, k, old, usable):
 			old = new
 		case len(old) == 0:
 			old = pending
@@ -167,20 +209,20 @@
 }
 
 // oldIsGone reports whether the old version is taken to have no servers although the view has
-// some: the answer is not valid any more and all are unreachable, or one is and the new version had
-// the whole traffic. At a completion all servers of the old version stop at once, which may
-// include the daemon in charge and is known from the log only when their leases have lapsed.
-func (k *knowledge) oldIsGone(now clock.Instant, old []*view.Member, usable func(*view.Member) bool) bool {
-	if now.Before(k.answer.Until) {
-		return false
-	}
-	count := 0
-	for _, m := range old {
-		if usable(m) {
-			count++
-		}
-	}
-	return count == 0 || count < len(old) && k.answer.Share >= 1
+// some: the answer is not valid any more, the completion is decided, and one of them is
+// unreachable, has failed or does not answer. At a completion all servers of the old version
+// stop at once, which may include the daemon in charge and is known from the log only when their
+// leases have lapsed. Without the decision the new version may have been rolled back, whatever
+// share it had, so that others are asked first.
+func (s *entry) oldIsGone(now clock.Instant, k *knowledge, old []*view.Member, usable func(*view.Member) bool) bool {
+	return k.expired(now) && k.completing() && len(old) > 0 &&
+		(k.oldFailed.Load() || s.oldIsSilent(now) || slices.ContainsFunc(old, func(m *view.Member) bool { return !usable(m) }))
+}
+
+// oldIsSilent reports whether the servers of the old version do not answer.
+func (s *entry) oldIsSilent(now clock.Instant) bool {
+	since := clock.Instant(s.unansweredSince.Load())
+	return since != 0 && now.Sub(since) >= silence
 }
 
 // restrict returns the function that reports whether a member is one of the allowed ones, or nil
@@ -235,8 +277,17 @@
 	s.lastUsed.Store(int64(e.clock.Now()))
 	route, version, sent := req.GetRoute(), target.Version, e.clock.Now()
 	s.recorder.Sent(route, version)
+	old := func(k *knowledge) bool { // it is sent to the old version without a valid answer
+		return k.expired(e.clock.Now()) && version != k.run.to || k.run == nil && order != nil && version != order.To
+	}
+	if old(s.known.Load()) {
+		s.unansweredSince.CompareAndSwap(0, int64(sent))
+	}
 	return func(resp *wire.Response, err error) {
 		answered, failed := judge(resp, err)
+		if k := s.known.Load(); old(k) {
+			s.recordOld(k, err)
+		}
 		if !answered {
 			return
 		}
@@ -249,6 +300,17 @@
 	}
 }
 
+// recordOld records what the result of a request tells of the servers of the old version.
+func (s *entry) recordOld(k *knowledge, err error) {
+	switch outcome.KindOf(err) {
+	case outcome.OK:
+		s.unansweredSince.Store(0)
+	case outcome.OwnerUnreachable, outcome.NoOwner, outcome.Draining, outcome.ConnectionLost, outcome.BackendCrashed,
+		outcome.BackendReset, outcome.DeadlineMaybeRan:
+		k.oldFailed.Store(true)
+	}
+}
+
 // judge returns whether the result of an attempt tells something of the server, and whether
 // it is a failure. Refusals do not: a server that is full or cold is not a bad one, and what
 // it gets is decided by the choice of servers.
@@ -292,6 +354,12 @@
 					e.report(ctx, v, s)
 				})
 			}
+			if e.mustAsk(v, s) && s.asking.CompareAndSwap(false, true) {
+				e.reporting.Go(func() {
+					defer s.asking.Store(false)
+					e.ask(ctx, v, s)
+				})
+			}
 		}
 	})
 }
@@ -333,14 +401,18 @@
 	s.unreported = report
 	answer := e.send(ctx, v, report)
 	if !answer.GetAccepted() {
+		e.learn(v, s, answer)
 		return
 	}
+	s.unansweredSince.Store(0)
 	s.unreported = nil
 	interval := time.Duration(answer.GetNextMs()) * time.Millisecond
 	if used := clock.Instant(s.lastUsed.Load()); !e.plans(v) && (used == 0 || sent.Sub(used) >= idleTime) {
 		interval = max(idleInterval, 2*intervalOf(len(v.Daemons)))
 	}
 	s.nextReport = sent.Add(interval)
+	s.applying.Lock()
+	defer s.applying.Unlock()
 	e.apply(s, sent, answer)
 }
 
@@ -348,20 +420,114 @@
 	if v.Planners[0].Incarnation == v.Incarnation {
 		return e.coordinator.receive(report)
 	}
+	return e.call(ctx, v.Planners[0].PeerAddr, report)
+}
+
+func (e *entries) call(ctx context.Context, addr string, report *wire.RolloutReport) *wire.RolloutAnswer {
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	frame, err := e.peers.Call(ctx, v.Planners[0].PeerAddr, &wire.Frame{Body: &wire.Frame_RolloutReport{RolloutReport: report}})
+	frame, err := e.peers.Call(ctx, addr, &wire.Frame{Body: &wire.Frame_RolloutReport{RolloutReport: report}})
 	if err != nil {
-		e.log.Debug("report of a roll-out failed", zap.String("service", report.GetService()),
-			zap.Uint64("in_charge", v.Planners[0].Incarnation), zap.Error(err))
+		e.log.Debug("report of a roll-out failed", zap.String("service", report.GetService()), zap.String("peer", addr), zap.Error(err))
 		return nil
 	}
 	return frame.GetRolloutAnswer()
 }
 
-// apply applies an answer to a report that was sent at the given time.
+// mustAsk reports whether other daemons are asked for the end of a roll-out: the daemon in charge
+// does not answer, the old version fails, and the completion is not known to be decided.
+func (e *entries) mustAsk(v *view.View, s *entry) bool {
+	k, now := s.known.Load(), e.clock.Now()
+	if s.asking.Load() || now < s.nextAsk || !k.oldFailed.Load() && !s.oldIsSilent(now) {
+		return false
+	}
+	_, undecided := k.undecided(v.Rollouts[s.service])
+	return undecided && !now.Before(k.answer.Until) && !k.completing()
+}
+
+// undecided returns the order whose end is not known, if there is one: that of the roll-out, or
+// the given one of the view without an answer to it.
+func (k *knowledge) undecided(order fleet.RolloutOrder) (run running, ok bool) {
+	switch {
+	case k.run != nil:
+		return *k.run, true
+	case order.ID > k.newest && order.Problem == "":
+		return running{order: order.ID, to: order.To}, true
+	}
+	return running{}, false
+}
+
+// ask asks other daemons for the end of a roll-out. The daemons beside the servers of the new
+// version stay when it is completed.
+func (e *entries) ask(ctx context.Context, v *view.View, s *entry) {
+	s.nextAsk = e.clock.Now().Add(reportInterval)
+	run, ok := s.known.Load().undecided(v.Rollouts[s.service])
+	if !ok {
+		return
+	}
+	var addrs []string
+	for _, m := range v.Servers[s.service] {
+		if m.Version == run.to && m.Incarnation != v.Incarnation && !slices.Contains(addrs, m.PeerAddr) {
+			addrs = append(addrs, m.PeerAddr)
+		}
+	}
+	rand.Shuffle(len(addrs), func(i, j int) { addrs[i], addrs[j] = addrs[j], addrs[i] })
+	var asked sync.WaitGroup
+	for _, addr := range addrs[:min(len(addrs), maxAsked)] {
+		asked.Go(func() {
+			// Without a sequence number the report counts nothing.
+			e.learn(v, s, e.call(ctx, addr, &wire.RolloutReport{Service: s.service, Slot: e.slot, Order: v.Rollouts[s.service].ID}))
+		})
+	}
+	asked.Wait()
+}
+
+// learn applies what a daemon that is not in charge knows: a recorded end, or that the completion
+// is decided.
+func (e *entries) learn(v *view.View, s *entry, a *wire.RolloutAnswer) {
+	s.applying.Lock()
+	defer s.applying.Unlock()
+	k := s.known.Load()
+	run, ok := k.undecided(v.Rollouts[s.service])
+	if !ok || a.GetOrder() != run.order {
+		return
+	}
+	if rollout.State(a.GetState()) != rollout.Running {
+		e.apply(s, 0, a)
+		return
+	}
+	if a.GetServers() != allServers || k.completing() {
+		return
+	}
+	next := &knowledge{newest: max(k.newest, run.order), run: k.run, last: k.last, picker: k.picker, answer: k.answer}
+	if next.run == nil {
+		next.run, next.picker = &running{order: run.order, to: a.GetTo(), from: a.GetFrom()}, rollout.NewPicker(e.seed)
+	}
+	next.answer.Servers = allServers // without a share: it is not an answer of the daemon in charge
+	next.oldFailed.Store(k.oldFailed.Load())
+	s.known.Store(next)
+}
+
+// answerOf returns what this daemon knows of a roll-out, for a daemon that asks it although it is
+// not in charge.
+func (k *knowledge) answerOf() *wire.RolloutAnswer {
+	a := &wire.RolloutAnswer{}
+	switch {
+	case k == nil:
+	case k.completing():
+		a.Order, a.State, a.To, a.From, a.Servers = k.run.order, uint32(rollout.Running), k.run.to, k.run.from, allServers
+	case k.run == nil && k.last != nil:
+		a.Order, a.State, a.To, a.From, a.Newest = k.last.order, uint32(k.last.state), k.last.to, k.last.from, k.newest
+	}
+	return a
+}
+
+// apply applies an answer to a report that was sent at the given time. The caller holds applying.
 func (e *entries) apply(s *entry, sent clock.Instant, a *wire.RolloutAnswer) {
 	k := s.known.Load()
+	if rollout.State(a.GetState()) == rollout.Running && a.GetOrder() != 0 && k.last != nil && k.last.order == a.GetOrder() {
+		return // another daemon knows its end
+	}
 	next := &knowledge{newest: max(a.GetNewest(), k.newest), last: k.last}
 	switch state := rollout.State(a.GetState()); {
 	case a.GetOrder() == 0:
--- a/daemon/plugins/rollout/rollout_test.go
+++ b/daemon/plugins/rollout/rollout_test.go
@@ -93,6 +93,26 @@
 	daemons  []*fakeDaemon
 	calls    int
 	failAt   func(version string) bool // whether a request to a version fails
+	oldFails oldFault                  // how the servers of v1 fail
+}
+
+// oldFault is what a request meets at a server of the old version that has stopped.
+type oldFault int
+
+const (
+	works    oldFault = iota
+	refuses           // nothing arrives; the request is sent elsewhere
+	resets            // the request may have run and is not sent again
+	isSilent          // no answer by the deadline of requestTimeout
+)
+
+// requestTimeout is the deadline of requests.
+const requestTimeout = 2 * time.Second
+
+// lateResult is the result of a request that gets no answer by its deadline.
+type lateResult struct {
+	at    clock.Instant
+	count func(*wire.Response, error)
 }
 
 // fakeDaemon is a daemon. It implements kernel.Control and kernel.Peers.
@@ -102,6 +122,7 @@
 	incarnation uint64
 	planner     uint64 // incarnation of the daemon that it takes for the one in charge; 0 for the first
 	cut         bool   // its calls fail
+	deaf        bool   // its calls of the first daemon fail
 	frozen      bool   // does nothing
 	lease       view.LeaseCell
 	entries     *entries
@@ -110,6 +131,9 @@
 	unreachable map[string]bool // servers, by version
 	perTick     int             // requests
 	sentTo      map[string]int  // requests by version
+	served      int
+	avoided     map[uint64]clock.Instant // servers that were unreachable, until when
+	late        []lateResult
 }
 
 func (d *fakeDaemon) Now() clock.Instant { return d.fleet.now }
@@ -128,7 +152,7 @@
 func (d *fakeDaemon) Call(ctx context.Context, addr string, frame *wire.Frame) (*wire.Frame, error) {
 	d.fleet.calls++
 	for _, other := range d.fleet.daemons {
-		if other.slot == addr && !d.cut && !other.cut && !other.frozen {
+		if other.slot == addr && !(d.deaf && other.incarnation == 1) && !d.cut && !other.cut && !other.frozen {
 			return other.coordinator.HandleFrame(ctx, d.slot, frame), nil
 		}
 	}
@@ -149,7 +173,7 @@
 	set := settings.Default()
 	set.Bounds.ExposureShare, set.Bounds.ExposureSlack, set.Bounds.RollbackS = 0.1, 50, 5
 	for i := range 3 {
-		d := &fakeDaemon{fleet: f, slot: fmt.Sprint("d-", i), incarnation: uint64(i + 1), perTick: 10, sentTo: map[string]int{}}
+		d := &fakeDaemon{fleet: f, slot: fmt.Sprint("d-", i), incarnation: uint64(i + 1), perTick: 10, sentTo: map[string]int{}, avoided: map[uint64]clock.Instant{}}
 		d.lease.Set(clock.Instant(100 * time.Hour))
 		set.Slot = d.slot
 		p := params{Settings: set, Control: d, Peers: d, Clock: d, Log: zap.NewNop(), Statuses: f.store}
@@ -166,7 +190,8 @@
 	list := f.base.Servers["shop"]
 	for range n {
 		inc := uint64(100 + len(list))
-		list = append(list[:len(list):len(list)], &view.Member{Incarnation: inc, Service: "shop", BackendName: fmt.Sprint("b-", inc), Version: version})
+		list = append(list[:len(list):len(list)], &view.Member{Incarnation: inc, Service: "shop", BackendName: fmt.Sprint("b-", inc), Version: version,
+			PeerAddr: map[string]string{"v1": "d-0", "v2": "d-1"}[version]})
 	}
 	f.base.Servers = map[string][]*view.Member{"shop": list}
 }
@@ -175,28 +200,69 @@
 	f.base.Rollouts = map[string]fleet.RolloutOrder{"shop": {Service: "shop", To: to, Duration: duration, ID: id}}
 }
 
-// request sends one request through a daemon and returns the version that got it, or "".
+// request sends one request through a daemon, with up to three attempts as far as it has not
+// arrived, and returns the version that got it last, or "".
 func (d *fakeDaemon) request() string {
 	v, req, choice := d.View(), &wire.Request{Service: "shop", Route: "r"}, &kernel.VersionChoice{}
-	allowed := d.entries.Allowed(v, req, choice, func(m *view.Member) bool { return !d.unreachable[m.Version] })
+	last, failed := "", map[uint64]bool{}
+	for range 3 {
+		m := d.choose(v, req, choice, failed)
+		if m == nil {
+			break
+		}
+		last = m.Version
+		d.sentTo[m.Version]++
+		count := d.entries.Sent(v, req, m)
+		if count == nil {
+			count = func(*wire.Response, error) {}
+		}
+		fault := works
+		if m.Version == "v1" {
+			fault = d.fleet.oldFails
+		}
+		switch fault {
+		case refuses:
+			count(nil, outcome.New(outcome.OwnerUnreachable, "refused"))
+			failed[m.Incarnation], d.avoided[m.Incarnation] = true, d.fleet.now.Add(time.Second)
+			continue
+		case resets:
+			count(nil, outcome.New(outcome.BackendReset, "reset"))
+			return last
+		case isSilent:
+			d.late = append(d.late, lateResult{d.fleet.now.Add(requestTimeout), count})
+			return last
+		}
+		resp := &wire.Response{Kind: uint32(outcome.OK), Status: 200, ServiceTimeUs: 5000}
+		if d.fleet.failAt != nil && d.fleet.failAt(m.Version) {
+			resp.Status = 500
+		}
+		count(resp, nil)
+		d.served++
+		return last
+	}
+	return last
+}
+
+// choose returns the member for an attempt: one that is not avoided, if there is one.
+func (d *fakeDaemon) choose(v *view.View, req *wire.Request, choice *kernel.VersionChoice, failed map[uint64]bool) *view.Member {
+	usable := func(m *view.Member) bool {
+		return !d.unreachable[m.Version] && !failed[m.Incarnation] && d.fleet.now >= d.avoided[m.Incarnation]
+	}
+	allowed := d.entries.Allowed(v, req, choice, usable)
+	var avoided *view.Member
+	d.sequence++
 	members := v.Servers["shop"]
 	for i := range members {
-		d.sequence++
 		m := members[(d.sequence+i)%len(members)]
-		if allowed != nil && !allowed(m) {
-			continue
-		}
-		d.sentTo[m.Version]++
-		if count := d.entries.Sent(v, req, m); count != nil {
-			resp := &wire.Response{Kind: uint32(outcome.OK), Status: 200, ServiceTimeUs: 5000}
-			if d.fleet.failAt != nil && d.fleet.failAt(m.Version) {
-				resp.Status = 500
-			}
-			count(resp, nil)
+		switch {
+		case allowed != nil && !allowed(m) || failed[m.Incarnation]:
+		case usable(m):
+			return m
+		case avoided == nil:
+			avoided = m
 		}
-		return m.Version
 	}
-	return ""
+	return avoided
 }
 
 // run lets the daemons work for a time, with requests through each, and returns how many
@@ -244,7 +310,14 @@
 		}
 	default:
 	}
+	for len(d.late) > 0 && d.late[0].at <= d.fleet.now {
+		d.late[0].count(nil, outcome.New(outcome.DeadlineMaybeRan, "no answer"))
+		d.late = d.late[1:]
+	}
 	for _, s := range d.entries.services {
+		if d.entries.mustAsk(v, s) {
+			d.entries.ask(context.Background(), v, s)
+		}
 		if len(v.Planners) > 0 && d.entries.due(v, s) {
 			d.entries.report(context.Background(), v, s)
 		}
@@ -486,6 +559,115 @@
 	}
 }
 
+// TestOldVersionAndDaemonInChargeStopAtTheEnd checks that all requests that are sent 2 s after a
+// completion or later are served, and that a version that was rolled back gets none from the record
+// on, when the daemon in charge stops with the record and the old servers fail from then on. It guards
+// against an entry that sends to the old version, or to the one that was rolled back, since its
+// answer has expired and it has not learned the end.
+func TestOldVersionAndDaemonInChargeStopAtTheEnd(t *testing.T) {
+	for _, end := range []rollout.State{rollout.Completed, rollout.RolledBack} {
+		// The last answer that the entry gets is the one before this is so: by the decision of the
+		// daemon in charge, and by the share in the entry's last answer.
+		for last, deaf := range map[string]func(d rollout.Decision, share float64) bool{
+			"after decision":  func(rollout.Decision, float64) bool { return false },
+			"before decision": func(d rollout.Decision, _ float64) bool { return d.State != rollout.Running },
+			"share 1":         func(_ rollout.Decision, share float64) bool { return share >= 1 },
+			"lower share":     func(d rollout.Decision, _ float64) bool { return d.Share > 0.3 },
+			"none":            func(rollout.Decision, float64) bool { return true },
+		} {
+			for fault, name := range map[oldFault]string{refuses: "refuses", resets: "resets", isSilent: "silent"} {
+				for _, next := range []string{"late", "later", "without the store"} {
+					t.Run(fmt.Sprintf("%v/%s/%s/%s", end, last, name, next), func(t *testing.T) {
+						playEnd(t, end, deaf, last, fault, next)
+					})
+				}
+			}
+		}
+	}
+}
+
+func playEnd(t *testing.T, end rollout.State, deaf func(rollout.Decision, float64) bool, last string, fault oldFault, next string) {
+	f := newFakeFleet(t, 3, 3)
+	inCharge, successor, entry := f.daemons[0], f.daemons[1], f.daemons[2]
+	successor.perTick = 0
+	decision := func() (d rollout.Decision) {
+		if ch := inCharge.coordinator.rollouts["shop"]; ch != nil {
+			d = ch.decision
+		}
+		return d
+	}
+	f.failAt = func(version string) bool {
+		return end == rollout.RolledBack && last != "share 1" && version == "v2" && decision().Share > 0.2
+	}
+	f.order(7, "v2", 12*time.Second)
+	for {
+		share := 0.
+		if k := entry.entries.knowledge("shop"); k != nil {
+			share = k.answer.Share
+		}
+		if deaf(decision(), share) {
+			entry.deaf = true
+			if last == "share 1" && end == rollout.RolledBack {
+				f.base.Rollouts = nil // withdrawn
+			}
+		}
+		f.run(tick)
+		if s, _ := f.state(); s != rollout.Running {
+			break
+		}
+	}
+	f.expectState(end)
+	inCharge.frozen, f.oldFails = true, fault
+	for _, d := range f.daemons { // they still take it for the one in charge
+		d.planner = inCharge.incarnation
+	}
+	f.store.down = next == "without the store"
+	appears := map[string]time.Duration{"late": time.Second, "later": 5 * time.Second, "without the store": time.Second}[next]
+	toNew, served, sent := entry.sentTo["v2"], 0, 0
+	for after := time.Duration(0); after < 8*time.Second; after += tick {
+		if after == appears {
+			successor.planner, entry.planner = successor.incarnation, successor.incarnation
+		}
+		if after == 5*time.Second {
+			f.store.down = false
+		}
+		before := entry.served
+		f.run(tick)
+		if after >= 2*time.Second {
+			served, sent = served+entry.served-before, sent+entry.perTick
+		}
+	}
+	if end == rollout.Completed && served != sent {
+		t.Errorf("%d of %d requests were served from 2 s after the end on", served, sent)
+	}
+	if got := entry.sentTo["v2"] - toNew; end == rollout.RolledBack && got > 0 {
+		t.Errorf("%d requests went to the version that was rolled back", got)
+	}
+}
+
+// TestDecidedCompletionIsKept checks that a completion that daemons were told is recorded by the next
+// daemon in charge if the former one stops before it is. Otherwise an entry that relies on it would
+// send to a version that is rolled back.
+func TestDecidedCompletionIsKept(t *testing.T) {
+	is := is.New(t)
+	f := newFakeFleet(t, 3, 3)
+	f.order(7, "v2", 12*time.Second)
+	for {
+		f.run(tick)
+		if ch := f.daemons[0].coordinator.rollouts["shop"]; ch != nil && ch.decision.State == rollout.Completed {
+			break
+		}
+	}
+	f.store.down = true
+	f.run(3 * reportInterval)
+	f.expectState(rollout.Running)
+	is.True(f.daemons[2].entries.services["shop"].known.Load().completing())
+	f.daemons[0].frozen, f.store.down = true, false
+	f.run(time.Second)
+	f.expectState(rollout.Completed)
+	is.Equal(f.run(time.Second)["v1"], 0)
+}
+
 // TestNewVersionWithoutServers checks that a version without servers is rolled back in time.
 func TestNewVersionWithoutServers(t *testing.T) {
 	f := newFakeFleet(t, 3, 0)
