core/control: a retry does not write to a record that the log client may read

Cause: the race detector found it in a run of TestOldServersStopAtCompletion at load average 60: the retry of a record sets its era while the log client clones the record of the attempt before.

Change: a record whose era has changed is copied first. With the same era nothing is written.

--- a/core/control/outbox.go
+++ b/core/control/outbox.go
@@ -5,6 +5,8 @@
 	"slices"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/sesamemoor/sesamemoor/core/clock"
 	"github.com/sesamemoor/sesamemoor/core/fold"
 	"github.com/sesamemoor/sesamemoor/core/wire"
@@ -128,7 +130,11 @@
 		out.backoff = min(2*out.backoff, appendRetryMax)
 		out.next = s.now.Add(out.backoff)
 		out.attempts++
-		out.record.Era = s.stampEra()
+		if era := s.stampEra(); out.record.GetEra() != era {
+			// The log client may still read the record of an earlier attempt.
+			out.record = proto.CloneOf(out.record)
+			out.record.Era = era
+		}
 		s.emit(Append{Stream: out.stream, Record: out.record})
 	}
 }
--- a/core/control/takeover_test.go
+++ b/core/control/takeover_test.go
@@ -318,6 +318,20 @@
 	}
 }
 
+// TestRetryLeavesTheRecordOfAnEarlierAttempt checks that a retry in another era does not write to the
+// record that was emitted before: the log client may read it at that moment.
+func TestRetryLeavesTheRecordOfAnEarlierAttempt(t *testing.T) {
+	is := is.New(t)
+	s := settledWorld(t, 1).nodes[0].state
+	out := s.outbox.pending[s.append(&wire.Record{Body: &wire.Record_Leave{Leave: &wire.Leave{Incarnation: 1 << 40}}})]
+	emitted, other := out.record, s.stampEra()+1
+	emitted.Era = other
+	out.next = s.now
+	s.tickOutbox()
+	is.Equal(emitted.GetEra(), other)
+	is.Equal(out.record.GetEra(), s.stampEra())
+}
+
 // handover returns the record that asks the owner of a shard to release it to its
 // standby.
 func handover(shard uint32, sh fold.Shard) *wire.Record {
