daemon/plugins/rollout, docs: how a daemon learns that a completion is decided

Cause: the pages described the rule that was replaced, and a daemon that learned the decision logged nothing. No change of behaviour but the line.

--- a/daemon/plugins/rollout/entries.go
+++ b/daemon/plugins/rollout/entries.go
@@ -505,9 +505,14 @@
 	}
 	next.answer.Servers = allServers // without a share: it is not an answer of the daemon in charge
 	next.oldFailed.Store(k.oldFailed.Load())
+	e.logCompleting(s, a)
 	s.known.Store(next)
 }
 
+func (e *entries) logCompleting(s *entry, a *wire.RolloutAnswer) {
+	e.log.Info("roll-out is decided as completed", zap.String("service", s.service), zap.String("to", a.GetTo()), zap.Uint64("order", a.GetOrder()))
+}
+
 // answerOf returns what this daemon knows of a roll-out, for a daemon that asks it although it is
 // not in charge.
 func (k *knowledge) answerOf() *wire.RolloutAnswer {
@@ -550,6 +555,9 @@
 			Until:    sent.Add(time.Duration(a.GetValidMs()) * time.Millisecond),
 		}
 		next.picker.Set(next.answer)
+		if next.completing() && !k.completing() {
+			e.logCompleting(s, a)
+		}
 	}
 	s.known.Store(next)
 }
--- a/daemon/plugins/rollout/rollout.go
+++ b/daemon/plugins/rollout/rollout.go
@@ -6,9 +6,10 @@
 // decision. The daemon in charge records the state of each roll-out in the platform's store.
 //
 // Invariants: a daemon without a valid answer sends nothing to the new version of a running
-// roll-out while the old one has servers. A roll-out counts as completed or rolled back only
-// once that is recorded, and a recorded end of an order is never replaced. Without orders
-// nothing is sent and nothing is stored.
+// roll-out while the old one has servers, unless it was told that the completion is decided and
+// the old servers fail. A roll-out counts as completed or rolled back only once that is
+// recorded, and a recorded end of an order is never replaced. Without orders nothing is sent
+// and nothing is stored.
 package rollout
 
 import (
