relay: reads end when the tree changes, and the placement outlives a cut reader

Causes, found while one daemon of a region was tried as the only reader:

- A read of placement records at a peer waits 10 s and did not end when the tree changed.
A daemon that followed its own follower by then learned nothing until it ended.
Seen with nine daemons that start together: three of them did not join within 9 s.
Shown by TestDaemonWaitsForRecordsOfItsFollower.
- Where few daemons read from the platform and the log turns all of these away, the others read the configuration there when it is stale, but nobody read the placement: records came after 10 s and more, with one reader and with two.
Shown by TestPlacementStopsWhenItsReadersAreCutFromTheLog.
- A peer that had records beyond the head that it knew told a survey the head only, so that the records were not fetched.
- A daemon that starts with others read the placement at each announcement, and began a long poll of the configuration, before it knew whom to follow.
Shown by TestDaemonsStartingTogetherReadOnceEach (24 of 24 daemons read again, bound 2).

Changes: the read is checked every 100 ms and ends when another parent is due; a follower of a daemon that is to read from the platform leaves it alone for 4 to 6 s once the configuration is stale at two checks in a row, only where log_reader_centres names few; the answer to a survey names the end of the records held; a daemon that gathers records (log_gather_ms) and knows no daemon of its data centre waits until 0.25 s after its start before it reads the platform again, which is before anyone may join. remoteParent spreads the data centres that follow one over its daemons: at most one more follower than fanOut.

--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -15,6 +15,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -52,6 +53,22 @@
 	// placementWait is the longest wait for placement records at a peer. The head of
 	// that stream need not be known.
 	placementWait = 10 * time.Second
+	// parentCheckInterval is the time after which a change of the tree ends a read at a
+	// peer. It is small beside the 2 s within which a key is served again after a loss.
+	parentCheckInterval = 100 * time.Millisecond
+	// staleChecks is the number of these checks in a row that must find the configuration
+	// not known to be current before a parent counts as cut from the log. After a pause of
+	// this process, the parent's answers are only just being read at the first.
+	staleChecks = 2
+	// startWait is the time from its start on until which a daemon that knows no daemon of its
+	// data centre leaves the platform alone after its first reads. It ends before the time
+	// at which the first daemons may join (restartSpread in package control), so that no join
+	// waits for it. Only deployments that gather records have it.
+	startWait = 250 * time.Millisecond
+	// treeDelay is the longest time from a read of placement records to the view that shows
+	// them. The configuration is read that much later than the placement.
+	treeDelay         = 100 * time.Millisecond
+	treeCheckInterval = 20 * time.Millisecond
 	// callSlack is the time that a call may take beyond the peer's wait.
 	callSlack = 500 * time.Millisecond
 	// retryBackoff is the time for which a peer is not asked again after a failed
@@ -73,6 +90,8 @@
 	// above which peers of all data centres are asked every surveyInterval.
 	surveyAfter, surveyInterval time.Duration
 	configWait                  time.Duration // longest wait for configuration records at a peer
+	startedAt                   clock.Instant
+	startWait                   time.Duration // startWait, or 0 if records are not gathered
 
 	mu           sync.Mutex
 	logDown      bool                     // the last survey found the log down; only used to log changes
@@ -88,7 +107,10 @@
 		configWait:  time.Duration(configWaitFactor * float64(set.Bounds.LogWaitMS) * float64(time.Millisecond)),
 		surveyAfter: time.Duration(set.Bounds.LogStaleMS) * time.Millisecond, surveyInterval: time.Duration(set.Bounds.LogSurveyMS) * time.Millisecond,
 		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, backoffUntil: map[string]clock.Instant{},
-		fetching: map[string]clock.Instant{},
+		fetching: map[string]clock.Instant{}, startedAt: clk.Now(),
+	}
+	if set.Bounds.LogGatherMS > 0 {
+		r.startWait = startWait
 	}
 	for _, stream := range []string{logstream.ConfigStream, logstream.PlacementStream(set.Region)} {
 		r.stores[stream] = newStore(stream, c.Post)
@@ -144,20 +166,43 @@
 // Restored implements kernel.Relay.
 func (r *relay) Restored(stream string) <-chan struct{} { return r.stores[stream].restoredSignal() }
 
+// errParentChanged ends a read at a peer that is not to be read from any more.
+var errParentChanged = errors.New("relay: the parent has changed")
+
 // Read implements kernel.Relay.
 func (r *relay) Read(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
-	addr := r.readers.parent(r.treeMembers(), r.slot, r.dataCentre)
+	for {
+		batch, asOf, err := r.readParent(ctx, stream, from)
+		if !errors.Is(err, errParentChanged) {
+			return batch, asOf, err
+		}
+	}
+}
+
+// readParent reads from the present parent. The error is errParentChanged if another read must
+// begin at once.
+func (r *relay) readParent(ctx context.Context, stream string, from uint64) (logstream.Batch, clock.Instant, error) {
+	addr := r.parent()
 	if addr != "" && (!r.canAsk(addr) || stream == logstream.ConfigStream && r.configStale()) {
 		addr = "" // the peer may be the one that cannot reach the log
 	}
 	r.logSource(stream, addr)
 	if addr == "" {
+		if r.awaitTree(ctx, stream) {
+			return logstream.Batch{}, 0, errParentChanged
+		}
 		return logstream.Batch{}, 0, kernel.ErrNoPeer
 	}
-	batch, asOf, err := r.ask(ctx, addr, stream, from, maxAnswerRecords, r.maxWait(stream))
+	asking, stop := context.WithCancelCause(ctx)
+	defer stop(nil)
+	go r.watchParent(asking, addr, stop)
+	batch, asOf, err := r.ask(asking, addr, stream, from, maxAnswerRecords, r.maxWait(stream))
 	if errors.Is(err, logstream.ErrRestored) {
 		return batch, 0, err
 	}
+	if err != nil && errors.Is(context.Cause(asking), errParentChanged) {
+		return logstream.Batch{}, 0, errParentChanged
+	}
 	if err != nil {
 		r.backOff(addr)
 		r.logSource(stream, "")
@@ -166,6 +211,70 @@
 	return batch, asOf, err
 }
 
+// awaitTree delays the second and later reads of the platform by a daemon that has just
+// started and knows no daemon of its data centre, so that one read returns the announcements
+// of all that start with it, and most need no further one. It reports whether there is a
+// parent now.
+func (r *relay) awaitTree(ctx context.Context, stream string) bool {
+	until := r.startedAt.Add(r.startWait)
+	if stream == logstream.ConfigStream {
+		until = until.Add(treeDelay)
+	}
+	waited := false
+	for r.startWait > 0 && r.stores[stream].completeAsOf() != 0 && r.clock.Now() < until && len(inDataCentre(r.treeMembers(), r.dataCentre)) == 0 {
+		waited = true
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(treeCheckInterval):
+		}
+	}
+	return waited && r.parent() != ""
+}
+
+// watchParent stops a read at a peer once the next one must go elsewhere. If the parent has
+// changed, the peer may follow this daemon by now, and neither would learn of new records
+// until the read ends. A parent that is one of the few daemons of the region that read from
+// the platform gets a backoff when the configuration is not known to be current for long:
+// nobody else may read the other streams.
+func (r *relay) watchParent(ctx context.Context, addr string, stop context.CancelCauseFunc) {
+	ticker := time.NewTicker(parentCheckInterval)
+	defer ticker.Stop()
+	stale := 0 // consecutive checks
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			if !r.configStale() {
+				stale = 0
+			} else if stale++; stale == staleChecks && r.configStore().completeAsOf() != 0 && r.readsPlatform(addr) {
+				r.log.Info("peer does not read the log in time", zap.String("peer", addr))
+				r.backOff(addr)
+			}
+			if r.parent() != addr || !r.canAsk(addr) {
+				stop(errParentChanged)
+				return
+			}
+		}
+	}
+}
+
+// readsPlatform reports whether a peer is one of the few daemons of the region that read from
+// the platform. It reports false where each data centre has some.
+func (r *relay) readsPlatform(addr string) bool {
+	if r.readers.centres == 0 {
+		return false
+	}
+	daemons := r.treeMembers()
+	i := slices.IndexFunc(daemons, func(d view.Daemon) bool { return d.PeerAddr == addr })
+	return i >= 0 && r.readers.parent(daemons, daemons[i].Slot, daemons[i].DataCentre) == ""
+}
+
+// parent returns the address of the peer that this daemon follows, "" if it reads from the
+// platform.
+func (r *relay) parent() string { return r.readers.parent(r.treeMembers(), r.slot, r.dataCentre) }
+
 // treeMembers returns the daemons that form the tree: those in service, or, in a
 // data centre that is starting, all that have announced themselves.
 func (r *relay) treeMembers() []view.Daemon {
--- a/daemon/plugins/relay/relay_test.go
+++ b/daemon/plugins/relay/relay_test.go
@@ -51,22 +51,25 @@
 	outage     clock.Instant
 	reads      int // of the platform's log
 	fresh      *view.Freshness
+	daemons    []view.Daemon // in service as this node's replay shows; those of the cluster if nil
 }
 
 // cluster is a log and a network between relays.
 type cluster struct {
 	t        *testing.T
 	mu       sync.Mutex
-	records  [][]byte
+	records  [][]byte // of the configuration
+	placed   uint64   // number of placement records
 	appended chan struct{}
 	logDown  atomic.Bool
 	nodes    map[string]*node
 	cut      map[string]bool // data centres whose daemons reach only each other
 	bridge   [2]string       // two data centres that do not reach each other
 	daemons  []view.Daemon
-	starting bool // no daemon is in service; all have announced themselves
+	starting bool        // no daemon is in service; all have announced themselves
+	unknown  atomic.Bool // no daemon has read the announcements yet
 	running  sync.WaitGroup
-	wait     time.Duration // longest wait of a read of the log
+	wait     map[string]time.Duration // longest wait of a read of the log, by stream
 	// linkBytesPerS is the capacity of each daemon's link in each direction; 0 means no
 	// limit.
 	linkBytesPerS float64
@@ -75,7 +78,11 @@
 var errCut = errors.New("cut")
 
 func newCluster(t *testing.T, centreCount, daemonsPerCentre int, bounds settings.Bounds) *cluster {
-	w := &cluster{t: t, wait: time.Duration(bounds.LogWaitMS) * time.Millisecond, nodes: map[string]*node{}, cut: map[string]bool{}, appended: make(chan struct{})}
+	wait := map[string]time.Duration{
+		logstream.ConfigStream:         time.Duration(bounds.LogWaitMS) * time.Millisecond,
+		logstream.PlacementStream("r"): time.Duration(bounds.LogPlacementWaitMS) * time.Millisecond,
+	}
+	w := &cluster{t: t, wait: wait, nodes: map[string]*node{}, cut: map[string]bool{}, appended: make(chan struct{})}
 	for d := range centreCount {
 		for i := range daemonsPerCentre {
 			name := fmt.Sprintf("dc%d-%02d", d, i)
@@ -106,13 +113,13 @@
 
 // follow reads a stream as the logclient plug-in does.
 func (n *node) follow(ctx context.Context, stream string) {
-	retryDelay := time.Duration(0)
+	retryDelay, wait := time.Duration(0), time.Duration(0)
 	for ctx.Err() == nil && !n.dead.Load() {
 		from := n.NextOffset(stream)
 		batch, asOf, err := n.Read(ctx, stream, from)
 		if err != nil {
 			asOf = n.clock.Now()
-			batch, err = n.cluster.read(ctx, n, stream, from)
+			batch, err = n.cluster.read(ctx, n, stream, from, wait)
 		}
 		if err != nil {
 			backOff := min(max(2*retryDelay, 100*time.Millisecond), 800*time.Millisecond)
@@ -120,31 +127,35 @@
 			time.Sleep(backOff + rand.N(backOff))
 			continue
 		}
-		retryDelay = 0
+		retryDelay, wait = 0, n.cluster.wait[stream]
 		n.Apply(stream, from, batch, asOf)
 	}
 }
 
-// read is the platform's long poll. Only the configuration stream has records.
-func (c *cluster) read(ctx context.Context, n *node, stream string, from uint64) (logstream.Batch, error) {
+// read is the platform's long poll.
+func (c *cluster) read(ctx context.Context, n *node, stream string, from uint64, wait time.Duration) (logstream.Batch, error) {
 	n.mu.Lock()
 	n.reads++
 	n.mu.Unlock()
-	deadline := time.After(c.wait)
+	deadline := time.After(wait)
 	for {
 		if c.logDown.Load() || n.logCut.Load() {
 			if n.logSilent.Load() {
-				time.Sleep(c.wait + silentReadMargin)
+				time.Sleep(wait + silentReadMargin)
 			}
 			return logstream.Batch{}, logstream.ErrUnavailable
 		}
 		c.mu.Lock()
-		batch := logstream.Batch{First: 1, Next: 1}
+		batch := logstream.Batch{First: 1, Next: c.placed + 1}
 		if stream == logstream.ConfigStream {
 			batch.Next = uint64(len(c.records)) + 1
 		}
 		for o := from; o < batch.Next; o++ {
-			batch.Records = append(batch.Records, logstream.Entry{Offset: o, Data: c.records[o-1]})
+			data := record
+			if stream == logstream.ConfigStream {
+				data = c.records[o-1]
+			}
+			batch.Records = append(batch.Records, logstream.Entry{Offset: o, Data: data})
 		}
 		appended := c.appended
 		c.mu.Unlock()
@@ -165,9 +176,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.records = append(c.records, data)
+	c.wake()
+	return uint64(len(c.records))
+}
+
+// appendPlacement appends a placement record and returns the number of such records.
+func (c *cluster) appendPlacement() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.placed++
+	c.wake()
+	return c.placed
+}
+
+// wake wakes the reads that wait for records. The caller holds mu.
+func (c *cluster) wake() {
 	close(c.appended)
 	c.appended = make(chan struct{})
-	return uint64(len(c.records))
 }
 
 // silentReadMargin is the time beyond its wait after which a read without an answer
@@ -217,11 +242,17 @@
 
 // View implements kernel.Control.
 func (n *node) View() *view.View {
+	if n.cluster.unknown.Load() {
+		return &view.View{}
+	}
 	if n.cluster.starting {
 		return &view.View{Starting: inDataCentre(n.cluster.daemons, n.dc)}
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.daemons != nil {
+		return &view.View{Daemons: n.daemons, ConfigFreshness: n.fresh}
+	}
 	return &view.View{Daemons: n.cluster.daemons, ConfigFreshness: n.fresh}
 }
 
@@ -294,8 +325,9 @@
 func platformBounds() settings.Bounds {
 	bounds := settings.Default().Bounds
 	bounds.LogReadersPerCentre = 1
-	bounds.LogReaderCentres = 2
+	bounds.LogReaderCentres = 1
 	bounds.LogWaitMS = 400
+	bounds.LogPlacementWaitMS = 4000
 	bounds.LogStaleMS = 1100
 	bounds.LogSurveyMS = 300
 	return bounds
@@ -304,28 +336,91 @@
 // threeReaders has three readers in each data centre.
 var threeReaders = readers{perCentre: 3}
 
-// With two of five data centres reading from the platform, the others read from
-// them, and every chain of parents ends at a reader.
+// When the order of two daemons changes, the one that followed the other must read from the
+// platform at once: in a read of placement records, which waits 10 s, it waited for records of
+// a daemon that waited for its own.
+func TestDaemonWaitsForRecordsOfItsFollower(t *testing.T) {
+	runClusterWith(t, 1, 2, platformBounds(), func(t *testing.T, w *cluster) {
+		follower := w.nodes[w.daemons[1].Slot]
+		is := is.New(t)
+		is.True(follower.sourceOf(logstream.PlacementStream("r")) != "")
+		swapped := []view.Daemon{w.daemons[1], w.daemons[0]}
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			n.daemons = swapped
+			n.mu.Unlock()
+		}
+		time.Sleep(time.Second)
+		is.Equal(follower.sourceOf(logstream.PlacementStream("r")), "")
+	})
+}
+
+// The log turns the readers away, with or without an answer, and serves all others. Placement
+// records must go on to reach all daemons: where one daemon reads for a region, nobody else
+// read that stream.
+func TestPlacementStopsWhenItsReadersAreCutFromTheLog(t *testing.T) {
+	for _, centres := range []int{1, 2} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d readers, silent %v", centres, silent), func(t *testing.T) {
+				bounds := platformBounds()
+				bounds.LogReaderCentres = centres
+				runClusterWith(t, 3, 13, bounds, func(t *testing.T, w *cluster) {
+					for _, n := range w.nodes {
+						if n.parent() == "" {
+							n.logSilent.Store(silent)
+							n.logCut.Store(true)
+						}
+					}
+					worst := time.Duration(0)
+					for range 20 {
+						count, sent := w.appendPlacement(), time.Now()
+						for _, n := range w.nodes {
+							for n.NextOffset(logstream.PlacementStream("r")) <= count && time.Since(sent) < 10*time.Second {
+								time.Sleep(10 * time.Millisecond)
+							}
+						}
+						worst = max(worst, time.Since(sent))
+						time.Sleep(700 * time.Millisecond)
+					}
+					t.Logf("latest after %v", worst)
+					is.New(t).True(worst < 2*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// With some of five data centres reading from the platform, the others read from them,
+// every chain of parents ends at a reader, and no daemon has more than one follower beyond
+// those of its own data centre.
 func TestReadersAreInFewDataCentres(t *testing.T) {
 	is := is.New(t)
 	w := newCluster(t, 5, 13, settings.Default().Bounds)
-	tree := readers{perCentre: 1, centres: 2}
-	reading := map[string]int{}
-	for _, d := range w.daemons {
-		at := d
-		for range 10 {
-			up := tree.parent(w.daemons, at.Slot, at.DataCentre)
-			if up == "" {
-				break
+	for _, centres := range []int{1, 2} {
+		tree := readers{perCentre: 1, centres: centres}
+		reading, followers := map[string]int{}, map[string]int{}
+		for _, d := range w.daemons {
+			at := d
+			followers[tree.parent(w.daemons, d.Slot, d.DataCentre)]++
+			for range 10 {
+				up := tree.parent(w.daemons, at.Slot, at.DataCentre)
+				if up == "" {
+					break
+				}
+				at = w.daemons[slices.IndexFunc(w.daemons, func(d view.Daemon) bool { return d.PeerAddr == up })]
 			}
-			at = w.daemons[slices.IndexFunc(w.daemons, func(d view.Daemon) bool { return d.PeerAddr == up })]
+			is.Equal(tree.parent(w.daemons, at.Slot, at.DataCentre), "")
+			reading[at.Slot]++
+		}
+		is.Equal(len(reading), centres)
+		is.Equal(followers[""], centres)
+		delete(followers, "")
+		for _, n := range followers {
+			is.True(n <= fanOut+1)
 		}
-		is.Equal(tree.parent(w.daemons, at.Slot, at.DataCentre), "")
-		reading[at.Slot]++
+		remaining := w.daemons[13:] // without the first data centre
+		is.Equal(tree.parent(remaining, remaining[0].Slot, remaining[0].DataCentre), "")
 	}
-	is.Equal(len(reading), 2)
-	remaining := w.daemons[13:] // without the first data centre
-	is.Equal(tree.parent(remaining, remaining[0].Slot, remaining[0].DataCentre), "")
 }
 
 func TestTreeBoundsFanOutAndDepth(t *testing.T) {
@@ -508,6 +603,39 @@
 	})
 }
 
+// A daemon that starts with others knows none of them for a moment. Meanwhile each read both
+// streams again and again, woken by each announcement; the first read of each must do.
+func TestDaemonsStartingTogetherReadOnceEach(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		bounds := platformBounds()
+		bounds.LogGatherMS = 80
+		w := newCluster(t, 2, 12, bounds)
+		w.starting = true
+		w.unknown.Store(true)
+		ctx, cancel := context.WithCancel(t.Context())
+		defer w.running.Wait()
+		defer cancel()
+		w.run(ctx)
+		for range 5 {
+			time.Sleep(20 * time.Millisecond)
+			w.append(record)
+		}
+		w.unknown.Store(false)
+		time.Sleep(time.Second)
+		again := 0
+		for _, n := range w.nodes {
+			n.mu.Lock()
+			if n.reads > len(n.stores) {
+				again++
+			}
+			n.mu.Unlock()
+			is.True(n.has(5))
+		}
+		is.Equal(again, 2) // one of each data centre
+	})
+}
+
 // TestLostParentsAreReplaced loses a quarter of the daemons at once.
 func TestLostParentsAreReplaced(t *testing.T) {
 	runCluster(t, 2, 20, func(t *testing.T, w *cluster) {
@@ -611,6 +739,7 @@
 	bounds.LogReadersPerCentre = 1
 	bounds.LogReaderCentres = centres
 	bounds.LogWaitMS = 400
+	bounds.LogPlacementWaitMS = 4000
 	bounds.LogStaleMS = 1100
 	bounds.LogSurveyMS = 300
 	runClusterWith(t, 3, 4, bounds, func(t *testing.T, w *cluster) {
--- a/daemon/plugins/relay/store.go
+++ b/daemon/plugins/relay/store.go
@@ -244,9 +244,13 @@
 }
 
 // batch returns the records held from offset from on, and none if that record
-// was trimmed. Next is 0 as long as the head is unknown.
+// was trimmed. Next is 0 as long as the head is unknown. It is the end of the records held if
+// these were learned after the head: a peer that asks for the head only must learn of them.
 func (s *store) batch(from uint64, limit int) *wire.RecordBatch {
 	batch := &wire.RecordBatch{Stream: s.stream, First: s.first, Next: s.head}
+	if s.head != 0 {
+		batch.Next = max(s.head, s.next)
+	}
 	if from < s.first {
 		return batch
 	}
--- a/daemon/plugins/relay/tree.go
+++ b/daemon/plugins/relay/tree.go
@@ -42,7 +42,9 @@
 
 // remoteParent returns the peer, in a data centre that reads from the platform,
 // from which the reader with the given number in its data centre reads. It
-// returns "" if its own data centre reads from the platform.
+// returns "" if its own data centre reads from the platform. Data centres that read from
+// the same one follow different daemons of it, so that each of these has at most
+// one follower for each of r.perCentre beyond fanOut.
 func (r readers) remoteParent(daemons []view.Daemon, dataCentre string, number int) string {
 	names := dataCentres(daemons)
 	at := slices.Index(names, dataCentre)
@@ -50,7 +52,7 @@
 		return ""
 	}
 	list := inDataCentre(daemons, names[at%r.centres])
-	return list[number%len(list)].PeerAddr
+	return list[(number+(at/r.centres-1)*r.perCentre)%len(list)].PeerAddr
 }
 
 // inDataCentre returns the part of the list that is in a data centre. The list is
