core/control: the youngest members plan in place of lost planners

Cause: the planners are the oldest members. Change: the eight youngest members in service plan after 1.5 s, each 0.3 s after the one before. Others plan after 4.5 s as before.

--- a/core/control/planner.go
+++ b/core/control/planner.go
@@ -23,9 +23,19 @@
 	// replanInterval is the time after which a round runs although nothing changed,
 	// because the records of the last one may be lost.
 	replanInterval = 1 * time.Second
-	// unattendedTime is the time for which shards stay without an owner, and replay shows no
-	// planner's record, before any other daemon plans. The planners may be members that are
-	// gone and whose witnesses are gone too, so that their leases do not lapse.
+	// fallbackCount is the number of members that plan in place of the planners when shards stay
+	// without an owner and replay shows no planner's record: after a loss of power the oldest
+	// members, which are the planners, may all be gone, and their leases lapse seconds later. The
+	// youngest members have joined since.
+	fallbackCount = 8
+	// fallbackDelay is the time for which the first of them waits. The first planner needs a
+	// fifth of it.
+	fallbackDelay = plannerStagger
+	// fallbackStagger is the extra delay of each further one: the time in which replay usually
+	// shows the record of the one before.
+	fallbackStagger = 300 * time.Millisecond
+	// unattendedTime is the time after which any other daemon plans. The witnesses of the
+	// planners may be gone too, so that their leases do not lapse.
 	unattendedTime = plannerCount * plannerStagger
 	// unattendedSpread is the range of the additional delay of each such daemon.
 	unattendedSpread = 2 * time.Second
@@ -58,15 +68,19 @@
 	epoch uint64
 	valid bool
 	list  []fold.Incarnation
+	// fallback lists those that plan in place of lost planners, the youngest first.
+	fallback []fold.Incarnation
 }
 
 // planners returns the oldest members in service, the first planner first. Several
 // planners at a time do no harm: replay accepts the first record and rejects records
 // based on an earlier state.
-func (s *State) planners() []fold.Incarnation {
+func (s *State) planners() []fold.Incarnation { return s.plannerLists().list }
+
+func (s *State) plannerLists() *plannerList {
 	c := &s.plannerCache
 	if c.valid && c.epoch == s.fold.Epoch {
-		return c.list
+		return c
 	}
 	var list []fold.Incarnation
 	for inc, m := range s.fold.Members {
@@ -75,9 +89,11 @@
 		}
 	}
 	slices.Sort(list)
-	list = slices.Clone(list[:min(len(list), plannerCount)])
-	*c = plannerList{epoch: s.fold.Epoch, valid: true, list: list}
-	return list
+	planners := min(len(list), plannerCount)
+	fallback := slices.Clone(list[max(planners, len(list)-fallbackCount):])
+	slices.Reverse(fallback)
+	*c = plannerList{epoch: s.fold.Epoch, valid: true, list: slices.Clone(list[:planners]), fallback: fallback}
+	return c
 }
 
 func (s *State) isPlanner() bool {
@@ -124,8 +140,11 @@
 	if p.orphansSince == 0 {
 		p.orphansSince = s.now
 	}
-	spread := time.Duration(xxhash.Sum64String(s.opts.Slot) % uint64(unattendedSpread))
-	return s.now >= max(p.orphansSince, p.peerPlanSeen).Add(unattendedTime+spread)
+	delay := unattendedTime + time.Duration(xxhash.Sum64String(s.opts.Slot)%uint64(unattendedSpread))
+	if rank := slices.Index(s.plannerLists().fallback, s.member.incarnation); rank >= 0 {
+		delay = fallbackDelay + time.Duration(rank)*fallbackStagger
+	}
+	return s.now >= max(p.orphansSince, p.peerPlanSeen).Add(delay)
 }
 
 // hasOrphans reports whether a shard of a service with members has no owner.
--- a/core/control/predecessor_test.go
+++ b/core/control/predecessor_test.go
@@ -99,6 +99,26 @@
 // other daemon placed the shards that lost their owners: for 18 s nearly all requests were
 // refused.
 func TestShardsArePlacedAlthoughThePlannersAreGone(t *testing.T) {
+	f, placed := fleetWithoutPlanners(t)
+	f.until(12*time.Second, "shards whose owners ended have new ones", placed)
+}
+
+// TestYoungestMembersPlanInPlaceOfLostPlanners: the survivors waited three times plannerStagger, and
+// up to 2 s more, before one of them planned. The bound is one such time and three rounds.
+func TestYoungestMembersPlanInPlaceOfLostPlanners(t *testing.T) {
+	f, placed := fleetWithoutPlanners(t)
+	f.until(6*time.Second, "survivors are in service", func() bool {
+		return !slices.ContainsFunc(f.daemons, func(d *fakeDaemon) bool {
+			return !d.dead && (d.state.self() == nil || d.state.self().Phase != fold.InService)
+		})
+	})
+	f.until(plannerStagger+3*planInterval, "shards whose owners ended have new ones", placed)
+}
+
+// fleetWithoutPlanners returns a fleet after a loss of power in which the planners and their
+// witnesses have not come back, and a function that reports whether the survivors hold the shards
+// that lost their owners.
+func fleetWithoutPlanners(t *testing.T) (*fakeFleet, func() bool) {
 	f := startedFleetOfBoots(t, 9)
 	gone := map[string]bool{}
 	for _, inc := range f.daemons[0].state.planners() {
@@ -120,7 +140,7 @@
 		d.dead = gone[d.state.opts.Slot]
 	}
 	survivor := f.daemons[slices.IndexFunc(f.daemons, func(d *fakeDaemon) bool { return !d.dead })]
-	f.until(12*time.Second, "shards whose owners ended have new ones", func() bool {
+	return f, func() bool {
 		st := survivor.state.fold
 		if st.Services["storefront"] == nil {
 			return false
@@ -132,7 +152,7 @@
 			}
 		}
 		return len(st.Members) > 0 && f.held("storefront") >= waiting && f.held(view.KeeperService) > 0 && !hasOrphans(st, "storefront")
-	})
+	}
 }
 
 func hasOrphans(st *fold.State, service string) bool {
