--- a/daemon/plugins/relay/fleet_test.go
+++ b/daemon/plugins/relay/fleet_test.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/sesamemoor/sesamemoor/core/logstream"
 )
 
 // The log refuses some daemons, at once or without an answer, and serves the others; two
@@ -109,3 +111,67 @@
 		})
 	}
 }
+
+// The log turns the readers away, with or without an answer, and serves all others. Placement
+// records must go on to reach all daemons: where one daemon reads for a region, nobody else
+// read that stream.
+func TestPlacementStopsWhenItsReadersAreCutFromTheLog(t *testing.T) {
+	for _, centres := range []int{1, 2} {
+		for _, silent := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%d readers, silent %v", centres, silent), func(t *testing.T) {
+				bounds := platformBounds()
+				bounds.LogReaderCentres = centres
+				runClusterWith(t, 3, 13, bounds, func(t *testing.T, w *cluster) {
+					for _, n := range w.nodes {
+						if n.parent() == "" {
+							n.logSilent.Store(silent)
+							n.logCut.Store(true)
+						}
+					}
+					worst := time.Duration(0)
+					for range 20 {
+						count, sent := w.appendPlacement(), time.Now()
+						for _, n := range w.nodes {
+							for n.NextOffset(logstream.PlacementStream("r")) <= count && time.Since(sent) < 10*time.Second {
+								time.Sleep(10 * time.Millisecond)
+							}
+						}
+						worst = max(worst, time.Since(sent))
+						time.Sleep(700 * time.Millisecond)
+					}
+					t.Logf("latest after %v", worst)
+					is.New(t).True(worst < 2*time.Second)
+				})
+			})
+		}
+	}
+}
+
+// TestRecordsReachAllDaemonsInTime checks that a record reaches all
+// daemons within inForceLimit and that no configuration gets older than
+// staleLimit. It also logs the bytes of frames per daemon.
+func TestRecordsReachAllDaemonsInTime(t *testing.T) {
+	runCluster(t, 3, 40, func(t *testing.T, w *cluster) {
+		is := is.New(t)
+		for _, n := range w.nodes {
+			n.bytes.Store(0)
+		}
+		offset := w.append(record)
+		sent := time.Now()
+		worst := time.Duration(0)
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			for _, n := range w.nodes {
+				worst = max(worst, n.age())
+			}
+		}
+		most := int64(0)
+		for _, n := range w.nodes {
+			is.True(n.has(offset))
+			is.True(n.receivedAt[offset].Sub(sent) < inForceLimit)
+			most = max(most, n.bytes.Load())
+		}
+		t.Logf("oldest configuration %v, maximum frame bytes/s of a daemon %d", worst, most/10)
+		is.True(worst < staleLimit)
+	})
+}
--- a/daemon/plugins/relay/relay.go
+++ b/daemon/plugins/relay/relay.go
@@ -14,6 +14,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -41,7 +42,7 @@
 			func(r *relay) kernel.Relay { return r },
 			kernel.AsFrameHandler(func(r *relay) *relay { return r }),
 		),
-		fx.Invoke(startSurvey),
+		fx.Invoke(startSurvey, startWatch),
 	)
 }
 
@@ -55,11 +56,13 @@
 	placementWait = 10 * time.Second
 	// parentCheckInterval is the time after which a change of the tree ends a read at a
 	// peer. It is small beside the 2 s within which a key is served again after a loss.
-	parentCheckInterval = 100 * time.Millisecond
+	parentCheckInterval = 300 * time.Millisecond
 	// staleChecks is the number of these checks in a row that must find the configuration
 	// not known to be current before a parent counts as cut from the log. After a pause of
-	// this process, the parent's answers are only just being read at the first.
-	staleChecks = 2
+	// this process, the parent's answers are only just being read at the first. The next
+	// one follows after staleCheckInterval.
+	staleChecks        = 2
+	staleCheckInterval = 100 * time.Millisecond
 	// startWait is the time from its start on until which a daemon that knows no daemon of its
 	// data centre leaves the platform alone after its first reads. It ends before the time
 	// at which the first daemons may join (restartSpread in package control), so that no join
@@ -98,6 +101,7 @@
 	source       map[string]string        // peer from which each stream is read, "" for the platform
 	backoffUntil map[string]clock.Instant // by peer address
 	fetching     map[string]clock.Instant // by stream: when the fetch of a survey began
+	peerReads    map[*peerRead]struct{}   // in progress
 }
 
 func newRelay(set settings.Daemon, c kernel.Control, p kernel.Peers, clk clock.Clock, log *zap.Logger) *relay {
@@ -107,7 +111,7 @@
 		configWait:  time.Duration(configWaitFactor * float64(set.Bounds.LogWaitMS) * float64(time.Millisecond)),
 		surveyAfter: time.Duration(set.Bounds.LogStaleMS) * time.Millisecond, surveyInterval: time.Duration(set.Bounds.LogSurveyMS) * time.Millisecond,
 		log: log.Named("relay"), stores: map[string]*store{}, source: map[string]string{}, backoffUntil: map[string]clock.Instant{},
-		fetching: map[string]clock.Instant{}, startedAt: clk.Now(),
+		fetching: map[string]clock.Instant{}, peerReads: map[*peerRead]struct{}{}, startedAt: clk.Now(),
 	}
 	if set.Bounds.LogGatherMS > 0 {
 		r.startWait = startWait
@@ -195,7 +199,9 @@
 	}
 	asking, stop := context.WithCancelCause(ctx)
 	defer stop(nil)
-	go r.watchParent(asking, addr, stop)
+	read := &peerRead{addr: addr, stop: stop}
+	r.watch(read)
+	defer r.unwatch(read)
 	batch, asOf, err := r.ask(asking, addr, stream, from, maxAnswerRecords, r.maxWait(stream))
 	if errors.Is(err, logstream.ErrRestored) {
 		return batch, 0, err
@@ -232,31 +238,63 @@
 	return waited && r.parent() != ""
 }
 
-// watchParent stops a read at a peer once the next one must go elsewhere. If the parent has
-// changed, the peer may follow this daemon by now, and neither would learn of new records
-// until the read ends. A parent that is one of the few daemons of the region that read from
-// the platform gets a backoff when the configuration is not known to be current for long:
-// nobody else may read the other streams.
-func (r *relay) watchParent(ctx context.Context, addr string, stop context.CancelCauseFunc) {
-	ticker := time.NewTicker(parentCheckInterval)
-	defer ticker.Stop()
-	stale := 0 // consecutive checks
+// peerRead is a read at a peer that is in progress.
+type peerRead struct {
+	addr  string
+	stop  context.CancelCauseFunc
+	stale int // consecutive checks that found the configuration not known to be current
+}
+
+func (r *relay) watch(read *peerRead) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peerReads[read] = struct{}{}
+}
+
+func (r *relay) unwatch(read *peerRead) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.peerReads, read)
+}
+
+func startWatch(lc fx.Lifecycle, r *relay) { kernel.Background(lc, r.watchLoop) }
+
+// watchLoop checks the reads at peers that are in progress.
+func (r *relay) watchLoop(ctx context.Context) {
+	interval := parentCheckInterval
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
-			if !r.configStale() {
-				stale = 0
-			} else if stale++; stale == staleChecks && r.configStore().completeAsOf() != 0 && r.readsPlatform(addr) {
-				r.log.Info("peer does not read the log in time", zap.String("peer", addr))
-				r.backOff(addr)
-			}
-			if r.parent() != addr || !r.canAsk(addr) {
-				stop(errParentChanged)
-				return
-			}
+		case <-time.After(interval):
+		}
+		interval = parentCheckInterval
+		if r.configStale() {
+			interval = staleCheckInterval
 		}
+		r.mu.Lock()
+		reads := slices.Collect(maps.Keys(r.peerReads))
+		r.mu.Unlock()
+		for _, read := range reads {
+			r.checkRead(read)
+		}
+	}
+}
+
+// checkRead stops a read at a peer if the next one must go elsewhere. If the parent has
+// changed, the peer may follow this daemon by now, and neither would learn of new records
+// until the read ends. A parent that is one of the few daemons of the region that read from
+// the platform gets a backoff when the configuration is not known to be current for long:
+// nobody else may read the other streams.
+func (r *relay) checkRead(read *peerRead) {
+	if !r.configStale() {
+		read.stale = 0
+	} else if read.stale++; read.stale == staleChecks && r.configStore().completeAsOf() != 0 && r.readsPlatform(read.addr) {
+		r.log.Info("peer does not read the log in time", zap.String("peer", read.addr))
+		r.backOff(read.addr)
+	}
+	if r.parent() != read.addr || !r.canAsk(read.addr) {
+		read.stop(errParentChanged)
 	}
 }
 
