--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -112,6 +112,11 @@
 // load sends lookups of random keys to random daemons, perS a second, until the context ends. It
 // returns all answers.
 func (f *fleet) load(ctx context.Context, perS int, limit time.Duration) []answer {
+	return f.loadPath(ctx, "GET", "/lookup/50/x", perS, limit)
+}
+
+// loadPath is load for another method and path.
+func (f *fleet) loadPath(ctx context.Context, method, path string, perS int, limit time.Duration) []answer {
 	var mu sync.Mutex
 	var all []answer
 	var wg sync.WaitGroup
@@ -122,7 +127,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			a := f.send(f.nodes[rand.IntN(len(f.nodes))], "GET", "/lookup/50/x", rand.IntN(keySpace), limit)
+			a := f.send(f.nodes[rand.IntN(len(f.nodes))], method, path, rand.IntN(keySpace), limit)
 			mu.Lock()
 			defer mu.Unlock()
 			all = append(all, a)
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -104,11 +104,7 @@
 	client := &http.Client{Timeout: time.Second}
 	for ctx.Err() == nil {
 		w.sequence++
-		body, _ := json.Marshal(map[string]any{
-			"address": w.addr, "born": w.born,
-			"information": map[string]any{"service": w.service, "version": "v1", "zone": w.zone, "slots": w.slots},
-			"status":      map[string]any{"state": "ready", "sequence": w.sequence, "cold_remaining_s": 0},
-		})
+		body, _ := json.Marshal(w.heartbeat())
 		resp, err := client.Post("http://"+w.control+"/sesamemoor/instances/"+w.id+"/heartbeat", "application/json", bytes.NewReader(body))
 		if err == nil {
 			_, _ = io.Copy(io.Discard, resp.Body)
@@ -121,6 +117,15 @@
 	}
 }
 
+// heartbeat returns the body of the next heartbeat.
+func (w *worker) heartbeat() map[string]any {
+	return map[string]any{
+		"address": w.addr, "born": w.born,
+		"information": map[string]any{"service": w.service, "version": "v1", "zone": w.zone, "slots": w.slots},
+		"status":      map[string]any{"state": "ready", "sequence": w.sequence, "cold_remaining_s": 0},
+	}
+}
+
 type order struct {
 	From, To int
 	Fence    uint64
